--- /dev/null
+++ b/Cyclamenstair/Codec/RecordCodec.cpp
@@ -0,0 +1,240 @@
+#include <Cyclamenstair/Codec/RecordCodec.h>
+
+#include <Cyclamenstair/Generated/Records_generated.h>
+
+namespace cyclamenstair {
+
+namespace {
+
+    template <typename Table> std::string packRecord(const typename Table::NativeTableType& native)
+    {
+        flatbuffers::FlatBufferBuilder builder;
+        builder.Finish(Table::Pack(builder, &native));
+        return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+    }
+
+    template <typename Table> typename Table::NativeTableType unpackRecord(std::string_view bytes, const char* step)
+    {
+        const auto* data = reinterpret_cast<const uint8_t*>(bytes.data());
+        flatbuffers::Verifier verifier(data, bytes.size());
+        if (bytes.empty() || !verifier.VerifyBuffer<Table>(nullptr))
+            throw Exception({ ErrorKind::InvalidInput, step, "", "malformed record" });
+        typename Table::NativeTableType native;
+        flatbuffers::GetRoot<Table>(data)->UnPackTo(&native);
+        return native;
+    }
+
+    schema::Priority toSchema(Priority priority) { return static_cast<schema::Priority>(priority); }
+
+    Priority fromSchema(schema::Priority priority)
+    {
+        // A value from a newer version is treated as normal.
+        return priority > schema::Priority::MAX ? Priority::Normal : static_cast<Priority>(priority);
+    }
+
+    uint64_t windowMs(Duration window) { return static_cast<uint64_t>(toMilliseconds(window)); }
+
+    Duration windowFrom(uint64_t count) { return milliseconds(static_cast<int64_t>(count)); }
+
+    template <typename Rows, typename Function> auto convertRows(const Rows& rows, Function&& convert)
+    {
+        std::vector<decltype(convert(*rows.begin()))> converted;
+        converted.reserve(rows.size());
+        for (const auto& row : rows)
+            converted.push_back(convert(row));
+        return converted;
+    }
+
+    std::unique_ptr<schema::ModelRecordT> packModel(const ModelSpec& model)
+    {
+        auto record = std::make_unique<schema::ModelRecordT>();
+        record->name = model.name;
+        record->memory_bytes = model.memoryBytes;
+        record->replicas = model.replicas;
+        record->priority = toSchema(model.priority);
+        record->window_ms = windowMs(model.window);
+        return record;
+    }
+
+    std::unique_ptr<schema::AdapterRecordT> packAdapter(const AdapterSpec& adapter)
+    {
+        auto record = std::make_unique<schema::AdapterRecordT>();
+        record->name = adapter.name;
+        record->model = adapter.model;
+        record->memory_bytes = adapter.memoryBytes;
+        record->replicas = adapter.replicas;
+        record->priority = toSchema(adapter.priority);
+        record->window_ms = windowMs(adapter.window);
+        return record;
+    }
+
+    std::unique_ptr<schema::ServiceRecordT> packService(const ServiceSpec& service)
+    {
+        auto record = std::make_unique<schema::ServiceRecordT>();
+        record->name = service.name;
+        record->priority = toSchema(service.priority);
+        record->window_ms = windowMs(service.window);
+        record->repeatable = service.repeatable;
+        return record;
+    }
+
+    std::unique_ptr<schema::CallerRecordT> packCaller(const CallerSpec& caller)
+    {
+        auto record = std::make_unique<schema::CallerRecordT>();
+        record->name = caller.name;
+        record->token_hash = caller.tokenHash;
+        record->priority = toSchema(caller.priority);
+        record->window_ms = windowMs(caller.window);
+        record->requests_per_second = caller.requestsPerSecond;
+        record->burst = caller.burst;
+        record->allowed = caller.allowed;
+        return record;
+    }
+
+    ModelSpec unpackModel(const std::unique_ptr<schema::ModelRecordT>& record)
+    {
+        return { record->name, record->memory_bytes, record->replicas, fromSchema(record->priority),
+            windowFrom(record->window_ms) };
+    }
+
+    AdapterSpec unpackAdapter(const std::unique_ptr<schema::AdapterRecordT>& record)
+    {
+        return { record->name, record->model, record->memory_bytes, record->replicas, fromSchema(record->priority),
+            windowFrom(record->window_ms) };
+    }
+
+    ServiceSpec unpackService(const std::unique_ptr<schema::ServiceRecordT>& record)
+    {
+        return { record->name, fromSchema(record->priority), windowFrom(record->window_ms), record->repeatable };
+    }
+
+    CallerSpec unpackCaller(const std::unique_ptr<schema::CallerRecordT>& record)
+    {
+        return { record->name, record->token_hash, fromSchema(record->priority), windowFrom(record->window_ms),
+            record->requests_per_second, record->burst, record->allowed };
+    }
+
+} // namespace
+
+std::string encodePlan(const Plan& plan)
+{
+    schema::PlanRecordT record;
+    record.revision = plan.revision;
+    record.models = convertRows(plan.models, packModel);
+    record.adapters = convertRows(plan.adapters, packAdapter);
+    record.services = convertRows(plan.services, packService);
+    record.callers = convertRows(plan.callers, packCaller);
+    return packRecord<schema::PlanRecord>(record);
+}
+
+Plan decodePlan(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::PlanRecord>(bytes, "plan.decode");
+    Plan plan;
+    plan.revision = record.revision;
+    plan.models = convertRows(record.models, unpackModel);
+    plan.adapters = convertRows(record.adapters, unpackAdapter);
+    plan.services = convertRows(record.services, unpackService);
+    plan.callers = convertRows(record.callers, unpackCaller);
+    plan.sortRows();
+    return plan;
+}
+
+std::string encodePlanHead(const PlanHead& head)
+{
+    schema::PlanHeadRecordT record;
+    record.revision = head.revision;
+    record.snapshot_revision = head.snapshotRevision;
+    record.chunk_count = head.chunkCount;
+    record.acceptance_id = head.acceptanceId;
+    record.accepted_by = head.acceptedBy;
+    record.accepted_at_unix_ms = head.acceptedAtUnixMs;
+    record.reason = head.reason;
+    return packRecord<schema::PlanHeadRecord>(record);
+}
+
+PlanHead decodePlanHead(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::PlanHeadRecord>(bytes, "plan_head.decode");
+    return { record.revision, record.snapshot_revision, record.chunk_count, record.acceptance_id, record.accepted_by,
+        record.accepted_at_unix_ms, record.reason };
+}
+
+std::string encodeLedger(const TargetLedger& ledger)
+{
+    schema::TargetLedgerRecordT record;
+    record.target = ledger.target();
+    record.owner = ledger.owner();
+    record.epoch = ledger.epoch();
+    record.instance = ledger.instance();
+    for (const auto& entry : ledger.entries()) {
+        auto row = std::make_unique<schema::ResidencyRecordT>();
+        row->artifact = entry.artifact;
+        row->memory_bytes = entry.memoryBytes;
+        row->state = static_cast<schema::ResidencyState>(entry.state);
+        row->epoch = entry.epoch;
+        row->sender = entry.sender;
+        row->unsettled = entry.isUnsettled;
+        record.entries.push_back(std::move(row));
+    }
+    return packRecord<schema::TargetLedgerRecord>(record);
+}
+
+TargetLedger decodeLedger(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::TargetLedgerRecord>(bytes, "ledger.decode");
+    std::vector<ResidencyEntry> entries;
+    for (const auto& row : record.entries) {
+        if (row->state > schema::ResidencyState::MAX)
+            throw Exception({ ErrorKind::InvalidInput, "ledger.decode", record.target, "unknown residency state" });
+        entries.push_back({ row->artifact, row->memory_bytes, static_cast<ResidencyState>(row->state), row->epoch,
+            row->sender, row->unsettled });
+    }
+    return TargetLedger::create(record.target, record.owner, record.epoch, record.instance, std::move(entries)).value();
+}
+
+std::string encodeMember(const MemberInfo& member)
+{
+    schema::MemberRecordT record;
+    record.node = member.node;
+    record.incarnation = member.incarnation;
+    record.peer_address = member.peerAddress;
+    record.operator_address = member.operatorAddress;
+    record.region = member.region;
+    record.failure_domain = member.failureDomain;
+    record.draining = member.isDraining;
+    return packRecord<schema::MemberRecord>(record);
+}
+
+MemberInfo decodeMember(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::MemberRecord>(bytes, "member.decode");
+    return { record.node, record.incarnation, record.peer_address, record.operator_address, record.region,
+        record.failure_domain, record.draining };
+}
+
+std::string encodeTargetStatus(const TargetStatus& status)
+{
+    schema::TargetStatusRecordT record;
+    record.target = status.target;
+    record.kind = static_cast<schema::TargetKind>(status.kind);
+    record.address = status.address;
+    record.pool = status.pool;
+    record.failure_domain = status.failureDomain;
+    record.instance = status.instance;
+    record.memory_bytes = status.memoryBytes;
+    record.leaving = status.isLeaving;
+    record.artifacts = status.artifacts;
+    return packRecord<schema::TargetStatusRecord>(record);
+}
+
+TargetStatus decodeTargetStatus(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::TargetStatusRecord>(bytes, "target_status.decode");
+    if (record.kind > schema::TargetKind::MAX)
+        throw Exception({ ErrorKind::InvalidInput, "target_status.decode", record.target, "unknown target kind" });
+    return { record.target, static_cast<TargetKind>(record.kind), record.address, record.pool, record.failure_domain,
+        record.instance, record.memory_bytes, record.leaving, record.artifacts };
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <Cyclamenstair/Node/RequestExecutor.h>
+#include <Cyclamenstair/Plan/PlanRegister.h>
+#include <Cyclamenstair/Transport/HttpListener.h>
+
+#include <atomic>
+#include <memory>
+
+namespace httplib {
+struct Request;
+struct Response;
+} // namespace httplib
+
+namespace cyclamenstair {
+
+/// HTTP listener for callers.
+class FrontEnd {
+public:
+    static Result<std::unique_ptr<FrontEnd>> create(
+        const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
+    ~FrontEnd();
+
+    /// From now on the readiness probe answers 503.
+    void announceStop() { m_isReady = false; }
+
+    /// From now on new calls are refused with "not run".
+    void refuseNewCalls() { m_isRefusing = true; }
+
+    /// Returns the number of calls that are being answered.
+    int callsInProgress() const { return m_callsInProgress; }
+
+    void stop();
+
+private:
+    FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
+
+    void addRoutes();
+    void handleProbe(bool isReadinessProbe, httplib::Response& response) const;
+    void listModels(const httplib::Request& http, httplib::Response& response) const;
+    void handleCompletion(const httplib::Request& http, httplib::Response& response);
+    void handleService(const httplib::Request& http, httplib::Response& response);
+    void answerWhole(const Request& request, httplib::Response& response);
+    void answerStream(const Request& request, httplib::Response& response);
+
+    /// Returns the plan's row of the caller; throws Exception if the token is unknown.
+    CallerSpec authenticate(const Plan& plan, const httplib::Request& http) const;
+    std::shared_ptr<const Plan> planInForce() const;
+    Request requestFrom(const httplib::Request& http, const CallerSpec& caller, const std::string& artifact) const;
+
+    schema::SettingsT m_settings;
+    const PlanRegister* m_plans;
+    RequestExecutor* m_executor;
+    std::atomic<bool> m_isReady { true };
+    std::atomic<bool> m_isRefusing { false };
+    std::atomic<int> m_callsInProgress { 0 };
+    HttpListener m_listener;
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Node/GossipKeys.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace cyclamenstair {
+
+/// Prefixes of gossip keys. The id of the member or target follows.
+inline const std::string memberKeyPrefix = "member/";
+inline const std::string targetKeyPrefix = "target/";
+
+/// Key under which nodes announce the revision of their plan.
+inline const std::string planKeyPrefix = "plan/";
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Node/Node.cpp
@@ -0,0 +1,98 @@
+#include <Cyclamenstair/Node/Node.h>
+
+#include <Cyclamenstair/Core/Crypto.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr size_t minFleetKeyBytes = 16;
+    constexpr auto drainPollInterval = std::chrono::milliseconds(20);
+
+    Result<std::string> readFleetKey(const std::string& path)
+    {
+        std::ifstream file(path, std::ios::binary);
+        std::ostringstream text;
+        text << file.rdbuf();
+        if (!file || text.str().size() < minFleetKeyBytes)
+            return Error { ErrorKind::InvalidInput, "node.fleet_key", path,
+                "the fleet key file is missing or shorter than 16 bytes" };
+        return text.str();
+    }
+
+    StoreClientSettings storeSettings(const schema::StoreSettingsT& settings)
+    {
+        StoreClientSettings result;
+        result.callTimeout = milliseconds(settings.timeout_ms);
+        result.callsPerSecond = settings.calls_per_second;
+        return result;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<Node>> Node::create(const schema::SettingsT& settings)
+{
+    auto fleetKey = readFleetKey(settings.peer->fleet_key_file);
+    if (!fleetKey)
+        return fleetKey.error();
+    std::unique_ptr<Node> node(new Node(settings, fleetKey.value()));
+
+    PeerServerSettings peer;
+    peer.address = settings.peer->address;
+    peer.port = settings.peer->port;
+    peer.node = settings.node->id;
+    peer.fleetKey = fleetKey.value();
+    peer.timeout = milliseconds(settings.peer->timeout_ms);
+    auto peerServer = PeerServer::create(peer,
+        [loop = &node->m_gossipLoop](const PeerMessage& request, const std::string&) { return loop->answer(request); });
+    if (!peerServer)
+        return peerServer.error();
+    node->m_peerServer = std::move(peerServer).value();
+
+    auto operatorApi = OperatorApi::create(settings, node->m_store, node->m_plans, node->m_gossip, node->m_directory);
+    if (!operatorApi)
+        return operatorApi.error();
+    node->m_operatorApi = std::move(operatorApi).value();
+
+    auto frontEnd = FrontEnd::create(settings, node->m_plans, node->m_executor);
+    if (!frontEnd)
+        return frontEnd.error();
+    node->m_frontEnd = std::move(frontEnd).value();
+    logEvent(
+        LogSeverity::Info, "node_started", { { "node", settings.node->id }, { "incarnation", node->m_incarnation } });
+    return node;
+}
+
+Node::Node(const schema::SettingsT& settings, std::string fleetKey)
+    : m_settings(settings)
+    , m_incarnation(settings.node->id + "/" + randomId())
+    , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
+    , m_executor(settings, m_directory)
+    , m_planFollower(m_store, m_plans, milliseconds(settings.store->watch_ms))
+    , m_gossipLoop(settings, m_incarnation, std::move(fleetKey), m_gossip, m_plans, m_directory)
+    , m_coordinator(settings, m_incarnation, m_store, m_plans, m_gossip, m_directory)
+{
+}
+
+void Node::stop()
+{
+    logEvent(LogSeverity::Info, "node_stopping", { { "node", m_settings.node->id } });
+    m_gossipLoop.setDraining();
+    m_frontEnd->announceStop();
+    std::this_thread::sleep_for(milliseconds(m_settings.request->drain_notice_ms));
+    m_frontEnd->refuseNewCalls();
+    while (m_frontEnd->callsInProgress() > 0)
+        std::this_thread::sleep_for(drainPollInterval);
+    m_frontEnd->stop();
+    m_operatorApi->stop();
+    m_coordinator.stop();
+    m_planFollower.stop();
+    m_gossipLoop.stop();
+    logEvent(LogSeverity::Info, "node_stopped", { { "node", m_settings.node->id } });
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Plan/SheetParser.cpp
@@ -0,0 +1,256 @@
+#include <Cyclamenstair/Plan/SheetParser.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <set>
+#include <sstream>
+
+// The reader thread of csv.h brings nothing for a sheet that is already in memory.
+#define CSV_IO_NO_THREAD
+#include <libfccp/csv.h>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr uint64_t bytesPerMib = 1 << 20;
+    constexpr size_t maxNameBytes = 128;
+
+    using CsvReader = io::CSVReader<12, io::trim_chars<' ', '\t', '\r'>, io::double_quote_escape<',', '"'>>;
+
+    /// Fields of one row as text.
+    struct SheetRow {
+        std::string kind;
+        std::string name;
+        std::string model;
+        std::string memoryMib;
+        std::string replicas;
+        std::string priority;
+        std::string windowMs;
+        std::string repeatable;
+        std::string ratePerSecond;
+        std::string burst;
+        std::string tokenHash;
+        std::string allowed;
+    };
+
+    /// Collects the plan and the errors of one pass over a sheet.
+    class SheetPass {
+    public:
+        void addRow(uint32_t line, const SheetRow& row)
+        {
+            m_line = line;
+            const auto kind = enumFromName<SheetRowKind>(row.kind);
+            if (!kind) {
+                addError("kind '" + row.kind + "' is not model, adapter, service or caller");
+                return;
+            }
+            if (!isValidName(row.name)) {
+                addError("name '" + row.name + "' must have 1 to 128 characters from A-Z a-z 0-9 . _ -");
+                return;
+            }
+            // Models and adapters share one name space, because callers use both as the model of a request.
+            const auto nameSpace = *kind == SheetRowKind::Adapter ? SheetRowKind::Model : *kind;
+            const auto [previous, isNew] = m_lines.emplace(std::make_pair(nameSpace, row.name), line);
+            if (!isNew)
+                addError("'" + row.name + "' already stands on line " + std::to_string(previous->second));
+            switch (*kind) {
+            case SheetRowKind::Model:
+                addModel(row);
+                break;
+            case SheetRowKind::Adapter:
+                addAdapter(row);
+                break;
+            case SheetRowKind::Service:
+                addService(row);
+                break;
+            case SheetRowKind::Caller:
+                addCaller(row);
+                break;
+            }
+        }
+
+        void addError(std::string message) { addError(m_line, std::move(message)); }
+
+        void addError(uint32_t line, std::string message)
+        {
+            if (m_result.errors.size() < SheetParser::maxErrors)
+                m_result.errors.push_back({ line, std::move(message) });
+        }
+
+        SheetResult finish()
+        {
+            checkReferences();
+            m_plan.sortRows();
+            if (m_result.errors.empty())
+                m_result.plan = std::move(m_plan);
+            return std::move(m_result);
+        }
+
+    private:
+        static bool isValidName(std::string_view name)
+        {
+            const auto isNameCharacter
+                = [](unsigned char c) { return std::isalnum(c) || c == '.' || c == '_' || c == '-'; };
+            return !name.empty() && name.size() <= maxNameBytes
+                && std::all_of(name.begin(), name.end(), isNameCharacter);
+        }
+
+        template <typename Number>
+        Number parseNumber(const std::string& text, const char* column, Number fallback, Number least, Number most)
+        {
+            if (text.empty())
+                return fallback;
+            Number number {};
+            const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+            if (code == std::errc() && end == text.data() + text.size() && number >= least && number <= most)
+                return number;
+            std::ostringstream message;
+            message << column << " '" << text << "' is not a number from " << least << " to " << most;
+            addError(message.str());
+            return fallback;
+        }
+
+        uint64_t parseMemory(const SheetRow& row)
+        {
+            if (row.memoryMib.empty())
+                addError("memory_mib is missing");
+            return parseNumber<uint64_t>(row.memoryMib, "memory_mib", 1, 1, 16ULL << 20) * bytesPerMib;
+        }
+
+        Priority parsePriority(const SheetRow& row)
+        {
+            if (row.priority.empty())
+                return Priority::Normal;
+            const auto priority = enumFromName<Priority>(row.priority);
+            if (!priority)
+                addError("priority '" + row.priority + "' is not low, normal or high");
+            return priority.value_or(Priority::Normal);
+        }
+
+        Duration parseWindow(const SheetRow& row)
+        {
+            return milliseconds(parseNumber<int64_t>(row.windowMs, "window_ms", 0, 1, 3600000));
+        }
+
+        uint32_t parseReplicas(const SheetRow& row)
+        {
+            return parseNumber<uint32_t>(row.replicas, "replicas", 1, 1, 1000);
+        }
+
+        void addModel(const SheetRow& row)
+        {
+            m_plan.models.push_back(
+                { row.name, parseMemory(row), parseReplicas(row), parsePriority(row), parseWindow(row) });
+        }
+
+        void addAdapter(const SheetRow& row)
+        {
+            m_adapterLines[row.name] = m_line;
+            m_plan.adapters.push_back(
+                { row.name, row.model, parseMemory(row), parseReplicas(row), parsePriority(row), parseWindow(row) });
+        }
+
+        void addService(const SheetRow& row)
+        {
+            if (!row.repeatable.empty() && row.repeatable != "yes" && row.repeatable != "no")
+                addError("repeatable '" + row.repeatable + "' is not yes or no");
+            m_plan.services.push_back({ row.name, parsePriority(row), parseWindow(row), row.repeatable == "yes" });
+        }
+
+        void addCaller(const SheetRow& row)
+        {
+            CallerSpec caller;
+            caller.name = row.name;
+            caller.tokenHash = row.tokenHash;
+            caller.priority = parsePriority(row);
+            caller.window = parseWindow(row);
+            caller.requestsPerSecond = parseNumber<double>(row.ratePerSecond, "rate_per_s", 0.0, 0.0, 1e6);
+            caller.burst = parseNumber<uint32_t>(row.burst, "burst", 0, 0, 1000000);
+            std::istringstream names(row.allowed);
+            for (std::string name; std::getline(names, name, '|');) {
+                if (!name.empty())
+                    caller.allowed.push_back(name);
+            }
+            if (row.tokenHash.empty())
+                addError("token_hash is missing");
+            m_callerLines[row.name] = m_line;
+            m_plan.callers.push_back(std::move(caller));
+        }
+
+        /// Checks names that refer to other rows, once all rows are known.
+        void checkReferences()
+        {
+            std::set<std::string> servable;
+            for (const auto& model : m_plan.models)
+                servable.insert(model.name);
+            for (const auto& adapter : m_plan.adapters) {
+                if (!m_lines.contains({ SheetRowKind::Model, adapter.model }) || m_adapterLines.contains(adapter.model))
+                    addError(m_adapterLines[adapter.name],
+                        "model '" + adapter.model + "' of adapter '" + adapter.name + "' is not in the sheet");
+            }
+            for (const auto& adapter : m_plan.adapters)
+                servable.insert(adapter.name);
+            for (const auto& service : m_plan.services)
+                servable.insert(service.name);
+            for (const auto& caller : m_plan.callers) {
+                for (const auto& name : caller.allowed) {
+                    if (!servable.contains(name))
+                        addError(m_callerLines[caller.name],
+                            "allowed name '" + name + "' of caller '" + caller.name + "' is not in the sheet");
+                }
+            }
+            if (servable.empty())
+                addError(0, "the sheet has no model, adapter or service");
+        }
+
+        uint32_t m_line { 0 };
+        Plan m_plan;
+        SheetResult m_result;
+        std::map<std::pair<SheetRowKind, std::string>, uint32_t> m_lines;
+        std::map<std::string, uint32_t> m_adapterLines;
+        std::map<std::string, uint32_t> m_callerLines;
+    };
+
+    void readRows(SheetPass& pass, std::string_view text)
+    {
+        CsvReader reader("sheet", text.data(), text.data() + text.size());
+        try {
+            reader.read_header(io::ignore_no_column, "kind", "name", "model", "memory_mib", "replicas", "priority",
+                "window_ms", "repeatable", "rate_per_s", "burst", "token_hash", "allowed");
+        } catch (const io::error::base& error) {
+            pass.addError(1, error.what());
+            return;
+        }
+        for (;;) {
+            SheetRow row;
+            try {
+                if (!reader.read_row(row.kind, row.name, row.model, row.memoryMib, row.replicas, row.priority,
+                        row.windowMs, row.repeatable, row.ratePerSecond, row.burst, row.tokenHash, row.allowed))
+                    return;
+                pass.addRow(reader.get_file_line(), row);
+            } catch (const io::error::base& error) {
+                pass.addError(reader.get_file_line(), error.what());
+                // A line that is too long leaves the reader inside the line; the rest would give follow-up errors only.
+                if (dynamic_cast<const io::error::line_length_limit_exceeded*>(&error))
+                    return;
+            }
+        }
+    }
+
+} // namespace
+
+SheetResult SheetParser::parse(std::string_view text)
+{
+    SheetPass pass;
+    if (text.size() > maxSheetBytes || text.find('\0') != std::string_view::npos) {
+        pass.addError(0, "the sheet is larger than 16 MiB or holds a NUL byte");
+        return pass.finish();
+    }
+    readRows(pass, text);
+    return pass.finish();
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Store/EtcdBackend.cpp
@@ -0,0 +1,226 @@
+#include <Cyclamenstair/Store/EtcdBackend.h>
+
+#include <Cyclamenstair/Core/Base64.h>
+#include <Cyclamenstair/Core/Overloaded.h>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace cyclamenstair {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr int httpOk = 200;
+
+    /// Answer of one HTTP call, or why there is none.
+    struct CallResult {
+        bool wasSent { false }; ///< Whether the store may have received the call.
+        int status { 0 }; ///< HTTP status; 0 if no answer came.
+        Json body;
+        std::string message;
+    };
+
+    httplib::Client makeClient(const std::string& endpoint, Duration limit)
+    {
+        httplib::Client client("http://" + endpoint);
+        client.set_connection_timeout(limit);
+        client.set_read_timeout(limit);
+        client.set_write_timeout(limit);
+        client.set_tcp_nodelay(true);
+        return client;
+    }
+
+    CallResult call(const std::string& endpoint, const char* path, const Json& request, Duration limit)
+    {
+        auto client = makeClient(endpoint, limit);
+        const auto response = client.Post(path, request.dump(), "application/json");
+        CallResult result;
+        if (!response) {
+            result.wasSent = response.error() != httplib::Error::Connection;
+            result.message = httplib::to_string(response.error());
+            return result;
+        }
+        result.wasSent = true;
+        result.status = response->status;
+        result.body = Json::parse(response->body, nullptr, false);
+        if (result.body.is_discarded() || !result.body.is_object()) {
+            result.status = 0;
+            result.message = "the answer is not a JSON object";
+        } else if (result.status != httpOk)
+            result.message = result.body.value("message", "status " + std::to_string(result.status));
+        return result;
+    }
+
+    /// The gateway writes 64-bit integers as strings.
+    int64_t integerOf(const Json& object, const char* key)
+    {
+        const auto found = object.find(key);
+        if (found == object.end())
+            return 0;
+        return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<int64_t>();
+    }
+
+    /// Returns the smallest key that is greater than every key with the prefix.
+    std::string prefixEnd(std::string prefix)
+    {
+        while (!prefix.empty()) {
+            if (static_cast<unsigned char>(prefix.back()) != 0xff) {
+                ++prefix.back();
+                return prefix;
+            }
+            prefix.pop_back();
+        }
+        return std::string(1, '\0');
+    }
+
+    Json keyRange(const std::string& key, bool isPrefix)
+    {
+        Json request { { "key", encodeBase64(key) } };
+        if (isPrefix)
+            request["range_end"] = encodeBase64(prefixEnd(key));
+        return request;
+    }
+
+    StoreRange parseRange(const Json& body)
+    {
+        StoreRange range;
+        range.revision = integerOf(body.at("header"), "revision");
+        for (const auto& record : body.value("kvs", Json::array())) {
+            range.records.push_back(
+                { decodeBase64(record.at("key").get<std::string>()), decodeBase64(record.value("value", "")),
+                    integerOf(record, "mod_revision"), integerOf(record, "lease") });
+        }
+        return range;
+    }
+
+    Json transactionRequest(const StoreTransaction& transaction)
+    {
+        Json compares = Json::array();
+        for (const auto& compare : transaction.compares) {
+            compares.push_back({ { "key", encodeBase64(compare.key) }, { "target", "MOD" }, { "result", "EQUAL" },
+                { "mod_revision", std::to_string(compare.modRevision) } });
+        }
+        Json mutations = Json::array();
+        for (const auto& mutation : transaction.mutations) {
+            mutations.push_back(std::visit(
+                Overloaded {
+                    [](const StorePut& put) {
+                        return Json { { "request_put",
+                            { { "key", encodeBase64(put.key) }, { "value", encodeBase64(put.value) },
+                                { "lease", std::to_string(put.leaseId) } } } };
+                    },
+                    [](const StoreDelete& deletion) {
+                        return Json { { "request_delete_range", { { "key", encodeBase64(deletion.key) } } } };
+                    },
+                },
+                mutation));
+        }
+        return { { "compare", compares }, { "success", mutations } };
+    }
+
+} // namespace
+
+EtcdBackend::EtcdBackend(std::string endpoint)
+    : m_endpoint(std::move(endpoint))
+{
+}
+
+StoreReadOutcome EtcdBackend::range(const std::string& key, bool isPrefix, Duration limit)
+{
+    const auto result = call(m_endpoint, "/v3/kv/range", keyRange(key, isPrefix), limit);
+    if (result.status != httpOk)
+        return StoreUnavailable { result.message };
+    try {
+        return parseRange(result.body);
+    } catch (const std::exception& error) {
+        return StoreUnavailable { std::string("malformed answer: ") + error.what() };
+    }
+}
+
+StoreWriteOutcome EtcdBackend::transact(const StoreTransaction& transaction, Duration limit)
+{
+    const auto result = call(m_endpoint, "/v3/kv/txn", transactionRequest(transaction), limit);
+    if (!result.wasSent)
+        return StoreNotApplied { StoreRefusal::NotSent, result.message };
+    // The gateway answers 4xx only for requests that it did not apply; a 5xx can hide a write that took effect.
+    if (result.status >= 400 && result.status < 500)
+        return StoreNotApplied { StoreRefusal::Rejected, result.message };
+    if (result.status != httpOk)
+        return StoreUnknown { result.message };
+    try {
+        if (!result.body.value("succeeded", false))
+            return StoreNotApplied { StoreRefusal::Conflict, "a compared key changed" };
+        return StoreApplied { integerOf(result.body.at("header"), "revision") };
+    } catch (const std::exception& error) {
+        return StoreUnknown { std::string("malformed answer: ") + error.what() };
+    }
+}
+
+std::optional<int64_t> EtcdBackend::grantLease(Duration timeToLive, Duration limit)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeToLive).count();
+    const auto result = call(m_endpoint, "/v3/lease/grant", { { "TTL", std::to_string(seconds) } }, limit);
+    if (result.status != httpOk)
+        return std::nullopt;
+    return integerOf(result.body, "ID");
+}
+
+StoreLeaseOutcome EtcdBackend::keepLeaseAlive(int64_t leaseId, Duration limit)
+{
+    const auto result = call(m_endpoint, "/v3/lease/keepalive", { { "ID", std::to_string(leaseId) } }, limit);
+    if (result.status != httpOk)
+        return StoreLeaseOutcome::Unavailable;
+    // An expired lease is answered with a time to live of zero.
+    return integerOf(result.body.value("result", Json::object()), "TTL") > 0 ? StoreLeaseOutcome::Alive
+                                                                             : StoreLeaseOutcome::Expired;
+}
+
+StoreLeaseOutcome EtcdBackend::revokeLease(int64_t leaseId, Duration limit)
+{
+    const auto result = call(m_endpoint, "/v3/lease/revoke", { { "ID", std::to_string(leaseId) } }, limit);
+    if (result.status == httpOk)
+        return StoreLeaseOutcome::Alive;
+    return result.status >= 400 && result.status < 500 ? StoreLeaseOutcome::Expired : StoreLeaseOutcome::Unavailable;
+}
+
+std::optional<int64_t> EtcdBackend::waitForChange(
+    const std::string& prefix, int64_t revision, Duration limit, const std::stop_token& stop)
+{
+    auto create = keyRange(prefix, true);
+    create["start_revision"] = std::to_string(revision + 1);
+    const Json request { { "create_request", create } };
+    auto client = makeClient(m_endpoint, limit);
+
+    // The answer is a stream of JSON objects, one a line. It is read until the first one with events.
+    std::optional<int64_t> changedAt;
+    std::string line;
+    const auto consume = [&](const char* data, size_t size) {
+        for (size_t i = 0; i < size; ++i) {
+            if (data[i] != '\n') {
+                line += data[i];
+                continue;
+            }
+            const auto message = Json::parse(line, nullptr, false);
+            line.clear();
+            if (!message.is_object() || !message.contains("result") || !message["result"].contains("events"))
+                continue;
+            changedAt = integerOf(message["result"].value("header", Json::object()), "revision");
+            return false;
+        }
+        return true;
+    };
+    httplib::Request post;
+    post.method = "POST";
+    post.path = "/v3/watch";
+    post.body = request.dump();
+    post.set_header("Content-Type", "application/json");
+    post.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) { return consume(data, size); };
+    const std::stop_callback closeConnection(stop, [&] { client.stop(); });
+    if (!stop.stop_requested())
+        client.send(post);
+    return changedAt;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -0,0 +1,81 @@
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <iostream>
+#include <mutex>
+#include <sstream>
+
+#include <boost/date_time/posix_time/posix_time.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+namespace cyclamenstair {
+
+namespace {
+
+    using BoostSeverity = boost::log::trivial::severity_level;
+
+    BoostSeverity toBoost(LogSeverity severity)
+    {
+        switch (severity) {
+        case LogSeverity::Debug:
+            return boost::log::trivial::debug;
+        case LogSeverity::Info:
+            return boost::log::trivial::info;
+        case LogSeverity::Warning:
+            return boost::log::trivial::warning;
+        case LogSeverity::Error:
+            break;
+        }
+        return boost::log::trivial::error;
+    }
+
+    /// Quotes a value if it holds characters that would split or forge a field.
+    std::string quoteIfNeeded(std::string_view value)
+    {
+        const bool isPlain = !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string_view::npos;
+        if (isPlain)
+            return std::string(value);
+        std::string text = "\"";
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                text += '\\';
+            text += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+        }
+        return text + '"';
+    }
+
+    void writeLine(LogSeverity severity, const std::string& line)
+    {
+        static boost::log::sources::severity_logger_mt<BoostSeverity> s_logger;
+        BOOST_LOG_SEV(s_logger, toBoost(severity)) << line;
+    }
+
+} // namespace
+
+void configureLog(LogSeverity lowest)
+{
+    static std::once_flag s_once;
+    std::call_once(s_once, [] { boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true); });
+    boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(lowest));
+}
+
+void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::ostringstream line;
+    line << "time=" << boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time())
+         << "Z level=" << nameOf(severity) << " event=" << event;
+    for (const auto& field : fields)
+        line << ' ' << field.name << '=' << quoteIfNeeded(field.value);
+    writeLine(severity, line.str());
+}
+
+void logError(LogSeverity severity, std::string_view event, const Error& error)
+{
+    logEvent(severity, event,
+        { { "kind", std::string(nameOf(error.kind)) }, { "step", error.step }, { "peer", error.peer },
+            { "message", error.message } });
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Transport/HttpListener.cpp
@@ -0,0 +1,55 @@
+#include <Cyclamenstair/Transport/HttpListener.h>
+
+#include <chrono>
+#include <httplib.h>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr auto startPollInterval = std::chrono::milliseconds(1);
+
+} // namespace
+
+HttpListener::HttpListener(const HttpListenerSettings& settings)
+    : m_settings(settings)
+    , m_server(std::make_unique<httplib::Server>())
+{
+    m_server->new_task_queue = [threads = settings.threads] { return new httplib::ThreadPool(threads); };
+    m_server->set_tcp_nodelay(true);
+    // The library's default also sets SO_REUSEPORT, with which two processes can bind one port without an error.
+    m_server->set_socket_options([](socket_t socket) {
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
+    m_server->set_payload_max_length(settings.maxBodyBytes);
+}
+
+HttpListener::~HttpListener() { stop(); }
+
+Result<int> HttpListener::start()
+{
+    int port = m_settings.port;
+    if (port == 0)
+        port = m_server->bind_to_any_port(m_settings.address.c_str());
+    else if (!m_server->bind_to_port(m_settings.address.c_str(), port))
+        port = -1;
+    if (port < 0)
+        return Error { ErrorKind::Unavailable, "http.bind", m_settings.address + ":" + std::to_string(m_settings.port),
+            "the port cannot be bound" };
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    // The library ignores a stop() that comes before its loop runs, and offers no event for it; a stop would wait for
+    // ever.
+    while (!m_server->is_running())
+        std::this_thread::sleep_for(startPollInterval);
+    return port;
+}
+
+void HttpListener::stop()
+{
+    m_server->stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Transport/HttpListener.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <Cyclamenstair/Core/Result.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class Server;
+}
+
+namespace cyclamenstair {
+
+/// Settings of an HttpListener.
+struct HttpListenerSettings {
+    std::string address { "127.0.0.1" };
+    int port { 0 }; ///< 0 lets the system choose.
+    size_t threads { 8 }; ///< The HTTP library keeps one for each open connection.
+    size_t maxBodyBytes { 1 << 20 };
+};
+
+/// HTTP server on a thread of its own. Routes are added to http() before start().
+class HttpListener {
+public:
+    explicit HttpListener(const HttpListenerSettings& settings);
+    ~HttpListener();
+
+    httplib::Server& http() { return *m_server; }
+
+    /// Binds the port and starts to accept connections. Returns the port.
+    Result<int> start();
+
+    /// Stops accepting connections and waits for running calls.
+    void stop();
+
+private:
+    HttpListenerSettings m_settings;
+    std::unique_ptr<httplib::Server> m_server;
+    std::thread m_thread;
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Transport/PeerServer.cpp
@@ -0,0 +1,122 @@
+#include <Cyclamenstair/Transport/PeerServer.h>
+
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr int listenBacklog = 128;
+    constexpr int stopCheckIntervalMs = 100;
+
+} // namespace
+
+Result<std::unique_ptr<PeerServer>> PeerServer::create(const PeerServerSettings& settings, Handler handler)
+{
+    const auto failure = [&](const char* step) {
+        return Error { ErrorKind::Unavailable, step, settings.address + ":" + std::to_string(settings.port),
+            std::strerror(errno) };
+    };
+    SocketHandle listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    if (listener.descriptor() < 0)
+        return failure("peer.socket");
+    const int on = 1;
+    setsockopt(listener.descriptor(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(settings.port));
+    if (inet_pton(AF_INET, settings.address.c_str(), &address.sin_addr) != 1) {
+        errno = EINVAL;
+        return failure("peer.address");
+    }
+    if (::bind(listener.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
+        return failure("peer.bind");
+    if (::listen(listener.descriptor(), listenBacklog) != 0)
+        return failure("peer.listen");
+    socklen_t size = sizeof(address);
+    getsockname(listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &size);
+    return std::unique_ptr<PeerServer>(
+        new PeerServer(settings, std::move(handler), std::move(listener), ntohs(address.sin_port)));
+}
+
+PeerServer::PeerServer(const PeerServerSettings& settings, Handler handler, SocketHandle listener, int port)
+    : m_settings(settings)
+    , m_handler(std::move(handler))
+    , m_listener(std::move(listener))
+    , m_port(port)
+{
+    m_threads.emplace_back([this] { acceptConnections(); });
+    for (size_t i = 0; i < m_settings.threads; ++i)
+        m_threads.emplace_back([this] { serveConnections(); });
+}
+
+PeerServer::~PeerServer()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_hasWaiting.notify_all();
+    for (auto& thread : m_threads)
+        thread.join();
+}
+
+void PeerServer::acceptConnections()
+{
+    while (!m_isStopping) {
+        pollfd entry { m_listener.descriptor(), POLLIN, 0 };
+        if (::poll(&entry, 1, stopCheckIntervalMs) <= 0)
+            continue;
+        SocketHandle accepted(::accept4(m_listener.descriptor(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+        if (accepted.descriptor() < 0)
+            continue;
+        std::lock_guard lock(m_mutex);
+        if (m_waiting.size() < m_settings.maxWaiting) {
+            m_waiting.push_back(std::move(accepted));
+            m_hasWaiting.notify_one();
+        }
+    }
+}
+
+void PeerServer::serveConnections()
+{
+    for (;;) {
+        SocketHandle handle;
+        {
+            std::unique_lock lock(m_mutex);
+            m_hasWaiting.wait(lock, [this] { return m_isStopping || !m_waiting.empty(); });
+            if (m_isStopping)
+                return;
+            handle = std::move(m_waiting.front());
+            m_waiting.pop_front();
+        }
+        serve(std::move(handle));
+    }
+}
+
+void PeerServer::serve(SocketHandle handle)
+{
+    auto socket = FrameSocket::accept(std::move(handle), m_settings.node, m_settings.fleetKey, m_settings.timeout);
+    if (!socket) {
+        logError(LogSeverity::Warning, "peer_refused", socket.error());
+        return;
+    }
+    try {
+        while (!m_isStopping) {
+            const auto request = socket.value().receive();
+            socket.value().send(m_handler(request, socket.value().peerNode()));
+        }
+    } catch (const Exception& exception) {
+        // The end of an exchange shows as a closed connection.
+        logError(LogSeverity::Debug, "peer_connection_ended", exception.error());
+    }
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Transport/VmListClient.cpp
@@ -0,0 +1,64 @@
+#include <Cyclamenstair/Transport/VmListClient.h>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace cyclamenstair {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr int httpOk = 200;
+
+    std::optional<VmInfo> parseRow(const Json& row)
+    {
+        const auto kind = enumFromName<VmKind>(row.value("kind", ""));
+        const auto state = enumFromName<VmState>(row.value("state", ""));
+        if (!kind || !state)
+            return std::nullopt;
+        VmInfo vm;
+        vm.id = row.at("id").get<std::string>();
+        vm.kind = *kind;
+        vm.state = *state;
+        vm.address = row.at("address").get<std::string>();
+        vm.region = row.value("region", "");
+        vm.failureDomain = row.value("failure_domain", "");
+        vm.pool = row.value("pool", "");
+        vm.memoryBytes = row.value("memory_bytes", uint64_t(0));
+        vm.services = row.value("services", std::vector<std::string>());
+        return vm;
+    }
+
+} // namespace
+
+VmListClient::VmListClient(std::string endpoint)
+    : m_endpoint(std::move(endpoint))
+{
+}
+
+std::optional<std::vector<VmInfo>> VmListClient::read(Duration limit) const
+{
+    httplib::Client client("http://" + m_endpoint);
+    client.set_connection_timeout(limit);
+    client.set_read_timeout(limit);
+    const auto response = client.Get("/vms");
+    if (!response || response->status != httpOk)
+        return std::nullopt;
+    const auto body = Json::parse(response->body, nullptr, false);
+    if (!body.is_object() || !body.contains("vms") || !body["vms"].is_array())
+        return std::nullopt;
+    try {
+        std::vector<VmInfo> vms;
+        for (const auto& row : body["vms"]) {
+            // Rows of a kind that this version does not know are left out.
+            if (auto vm = parseRow(row))
+                vms.push_back(std::move(*vm));
+        }
+        return vms;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Programs/Cyclamenstaird.cpp
@@ -0,0 +1,89 @@
+#include <Cyclamenstair/Node/Node.h>
+#include <Cyclamenstair/Settings/SettingsReader.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+using namespace cyclamenstair;
+
+/// Blocks the signals that the daemon handles, for this thread and all threads that it starts.
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&signals, signal);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int runNode(const schema::SettingsT& settings)
+{
+    const auto signals = blockSignals();
+    configureLog(static_cast<LogSeverity>(settings.log->level));
+    auto node = Node::create(settings);
+    if (!node) {
+        logError(LogSeverity::Error, "node_not_started", node.error());
+        return exitFailure;
+    }
+    int received = 0;
+    do {
+        sigwait(&signals, &received);
+    } while (received == SIGHUP);
+    node.value()->stop();
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
+    options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())(
+        "check", "Check the settings and exit")("print-defaults", "Print all settings with their defaults and exit")(
+        "print-settings-reference", "Print the settings reference as Markdown and exit")("h,help", "Print this help");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            std::cout << options.help();
+            return exitOk;
+        }
+        if (arguments.count("print-defaults")) {
+            std::cout << SettingsReader::defaultsText();
+            return exitOk;
+        }
+        if (arguments.count("print-settings-reference")) {
+            std::cout << SettingsReader::referenceText();
+            return exitOk;
+        }
+        if (!arguments.count("config")) {
+            std::cerr << "cyclamenstaird: --config FILE is required\n";
+            return exitUsage;
+        }
+        const auto settings = SettingsReader::createFromFile(arguments["config"].as<std::string>());
+        if (!settings) {
+            std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
+            return exitUsage;
+        }
+        if (arguments.count("check")) {
+            std::cout << "settings are valid\n";
+            return exitOk;
+        }
+        return runNode(settings.value());
+    } catch (const cxxopts::exceptions::exception& exception) {
+        std::cerr << "cyclamenstaird: " << exception.what() << "\n";
+        return exitUsage;
+    } catch (const std::exception& exception) {
+        std::cerr << "cyclamenstaird: " << exception.what() << "\n";
+        return exitFailure;
+    }
+}
--- /dev/null
+++ b/StandIns/StoreStandIn.cpp
@@ -0,0 +1,149 @@
+#include <StandIns/StoreStandIn.h>
+
+#include <Cyclamenstair/Core/Base64.h>
+#include <Cyclamenstair/Core/Overloaded.h>
+
+namespace cyclamenstair::standin {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr size_t storeThreads = 256;
+    constexpr Duration watchCheckInterval = milliseconds(200);
+
+    int64_t integerOf(const Json& object, const char* key)
+    {
+        const auto found = object.find(key);
+        if (found == object.end())
+            return 0;
+        return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<int64_t>();
+    }
+
+    Json headerOf(int64_t revision) { return { { "revision", std::to_string(revision) } }; }
+
+    std::string keyOf(const Json& object) { return decodeBase64(object.value("key", "")); }
+
+    StoreMutation parseMutation(const Json& operation)
+    {
+        if (operation.contains("request_put")) {
+            const auto& put = operation["request_put"];
+            return StorePut { keyOf(put), decodeBase64(put.value("value", "")), integerOf(put, "lease") };
+        }
+        return StoreDelete { keyOf(operation.at("request_delete_range")) };
+    }
+
+} // namespace
+
+StoreStandIn::StoreStandIn(int port)
+    : m_server(port, storeThreads)
+{
+    auto& http = m_server.http();
+    const auto bind = [this](auto method) {
+        return [this, method](const httplib::Request& request, httplib::Response& response) {
+            ++m_calls;
+            m_store.expireLeases(monotonicNow());
+            (this->*method)(request, response);
+        };
+    };
+    http.Post("/v3/kv/range", bind(&StoreStandIn::handleRange));
+    http.Post("/v3/kv/txn", bind(&StoreStandIn::handleTransaction));
+    http.Post("/v3/lease/(grant|keepalive|revoke)", bind(&StoreStandIn::handleLease));
+    http.Post("/v3/watch", bind(&StoreStandIn::handleWatch));
+    http.Get("/calls", [this](const httplib::Request&, httplib::Response& response) {
+        writeJson(response, { { "calls", m_calls.load() } });
+    });
+}
+
+StoreStandIn::~StoreStandIn()
+{
+    m_isStopping = true;
+    m_server.stop();
+}
+
+void StoreStandIn::handleRange(const httplib::Request& request, httplib::Response& response)
+{
+    const auto body = bodyOf(request);
+    const auto range = m_store.range(keyOf(body), body.contains("range_end"));
+    Json records = Json::array();
+    for (const auto& record : range.records) {
+        records.push_back({ { "key", encodeBase64(record.key) }, { "value", encodeBase64(record.value) },
+            { "mod_revision", std::to_string(record.modRevision) }, { "lease", std::to_string(record.leaseId) } });
+    }
+    writeJson(response,
+        { { "header", headerOf(range.revision) }, { "kvs", records },
+            { "count", std::to_string(range.records.size()) } });
+}
+
+void StoreStandIn::handleTransaction(const httplib::Request& request, httplib::Response& response)
+{
+    const auto body = bodyOf(request);
+    StoreTransaction transaction;
+    for (const auto& compare : body.value("compare", Json::array()))
+        transaction.compares.push_back({ keyOf(compare), integerOf(compare, "mod_revision") });
+    for (const auto& operation : body.value("success", Json::array()))
+        transaction.mutations.push_back(parseMutation(operation));
+    const auto outcome = m_store.transact(transaction);
+    if (m_server.faults().take("lose_write_answers")) {
+        loseAnswer(response);
+        return;
+    }
+    std::visit(Overloaded {
+                   [&](const StoreApplied& applied) {
+                       writeJson(response, { { "header", headerOf(applied.revision) }, { "succeeded", true } });
+                   },
+                   [&](const StoreNotApplied& refused) {
+                       if (refused.refusal == StoreRefusal::Conflict)
+                           writeJson(response, { { "header", headerOf(0) }, { "succeeded", false } });
+                       else
+                           writeJson(response, { { "message", refused.message } }, 400);
+                   },
+                   [&](const StoreUnknown&) { loseAnswer(response); },
+               },
+        outcome);
+}
+
+void StoreStandIn::handleLease(const httplib::Request& request, httplib::Response& response)
+{
+    const auto body = bodyOf(request);
+    const auto operation = request.matches[1].str();
+    if (operation == "grant") {
+        const auto timeToLive = integerOf(body, "TTL");
+        const auto lease = m_store.grantLease(std::chrono::seconds(timeToLive), monotonicNow());
+        writeJson(response, { { "ID", std::to_string(lease) }, { "TTL", std::to_string(timeToLive) } });
+    } else if (operation == "keepalive") {
+        const bool isAlive = m_store.keepLeaseAlive(integerOf(body, "ID"), monotonicNow());
+        writeJson(response, { { "result", { { "ID", body.value("ID", "0") }, { "TTL", isAlive ? "1" : "0" } } } });
+    } else if (m_store.revokeLease(integerOf(body, "ID")))
+        writeJson(response, { { "header", headerOf(0) } });
+    else
+        writeJson(response, { { "message", "requested lease not found" } }, 404);
+}
+
+void StoreStandIn::handleWatch(const httplib::Request& request, httplib::Response& response)
+{
+    const auto create = bodyOf(request).value("create_request", Json::object());
+    const auto prefix = keyOf(create);
+    auto revision = integerOf(create, "start_revision") - 1;
+    response.set_chunked_content_provider(
+        "application/json", [this, prefix, revision](size_t offset, httplib::DataSink& sink) mutable {
+            if (offset == 0) {
+                const auto created = Json { { "result", { { "created", true } } } }.dump() + "\n";
+                return sink.write(created.data(), created.size());
+            }
+            // Checked in short waits, so that a client that went away frees the thread.
+            while (!m_isStopping && sink.is_writable() && m_server.faults().value("down") == 0) {
+                const auto changed = m_store.waitForChange(prefix, revision, watchCheckInterval);
+                if (!changed)
+                    continue;
+                revision = *changed;
+                const Json event { { "result",
+                    { { "header", headerOf(revision) }, { "events", Json::array({ Json::object() }) } } } };
+                const auto line = event.dump() + "\n";
+                return sink.write(line.data(), line.size());
+            }
+            return false;
+        });
+}
+
+} // namespace cyclamenstair::standin
--- /dev/null
+++ b/StandIns/StoreStandIn.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <Cyclamenstair/Store/MemoryStore.h>
+#include <StandIns/StandInServer.h>
+
+#include <atomic>
+
+namespace cyclamenstair::standin {
+
+/// Key-value store that speaks the part of the etcd v3 JSON gateway which the project uses.
+///
+/// Faults: `lose_write_answers` (number of writes whose answer is lost after the effect).
+class StoreStandIn {
+public:
+    /// Port 0 lets the system choose.
+    explicit StoreStandIn(int port = 0);
+    ~StoreStandIn();
+
+    int start() { return m_server.start(); }
+    Faults& faults() { return m_server.faults(); }
+    MemoryStore& store() { return m_store; }
+
+private:
+    void handleRange(const httplib::Request& request, httplib::Response& response);
+    void handleTransaction(const httplib::Request& request, httplib::Response& response);
+    void handleLease(const httplib::Request& request, httplib::Response& response);
+    void handleWatch(const httplib::Request& request, httplib::Response& response);
+
+    MemoryStore m_store;
+    std::atomic<uint64_t> m_calls { 0 };
+    std::atomic<bool> m_isStopping { false };
+    StandInServer m_server;
+};
+
+} // namespace cyclamenstair::standin
--- /dev/null
+++ b/Tests/NodeTests/ThinPathTests.cpp
@@ -0,0 +1,125 @@
+#include <Cyclamenstair/Core/Crypto.h>
+#include <StandIns/EngineStandIn.h>
+#include <Tests/Support/ProcessFleet.h>
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+namespace cyclamenstair::testing {
+namespace {
+
+    using Json = nlohmann::json;
+
+    std::string sampleSheet()
+    {
+        return "kind,name,model,memory_mib,replicas,priority,window_ms,repeatable,rate_per_s,burst,token_hash,allowed\n"
+               "model,draft,,4000,2,normal,,,,,,\n"
+               "model,summary,,6000,1,normal,,,,,,\n"
+               "adapter,rules,draft,100,1,normal,,,,,,\n"
+               "service,bookings,,,,high,3000,no,,,,\n"
+               "caller,board,,,,normal,10000,,,,"
+            + hashToken(ProcessFleet::callerToken) + ",\n";
+    }
+
+    httplib::Headers callerHeaders()
+    {
+        return { { "Authorization", std::string("Bearer ") + ProcessFleet::callerToken } };
+    }
+
+    httplib::Result complete(const std::string& address, const Json& body)
+    {
+        httplib::Client client("http://" + address);
+        client.set_read_timeout(std::chrono::seconds(10));
+        return client.Post("/v1/completions", callerHeaders(), body.dump(), "application/json");
+    }
+
+    /// Returns the concatenated text of a stream's events; empty if the stream did not end with [DONE].
+    std::string streamedText(const std::string& events)
+    {
+        std::istringstream lines(events);
+        std::string text;
+        bool isDone = false;
+        for (std::string line; std::getline(lines, line);) {
+            if (line == "data: [DONE]")
+                isDone = true;
+            else if (line.starts_with("data: "))
+                text += Json::parse(line.substr(6))["choices"][0]["text"].get<std::string>();
+        }
+        return isDone ? text : "";
+    }
+
+    class ThinPath : public ::testing::Test {
+    protected:
+        void SetUp() override
+        {
+            ASSERT_EQ(m_fleet.acceptPlan(sampleSheet()), 0);
+            for (int node = 0; node < 3; ++node) {
+                for (const char* artifact : { "draft", "summary", "rules", "bookings" })
+                    ASSERT_TRUE(m_fleet.waitUntilReachable(artifact, node, 20000)) << artifact << " at node " << node;
+            }
+        }
+
+        ProcessFleet m_fleet { FleetSettings {} };
+    };
+
+    // Guards against a path that loses or mixes up answers on its way through any of the nodes.
+    TEST_F(ThinPath, EveryNodeAnswersWhole)
+    {
+        for (int node = 0; node < 3; ++node) {
+            for (const std::string model : { "draft", "summary", "rules" }) {
+                const auto prompt = "question " + std::to_string(node);
+                const auto whole = complete(
+                    m_fleet.callerAddress(node), { { "model", model }, { "prompt", prompt }, { "max_tokens", 8 } });
+                ASSERT_TRUE(whole);
+                ASSERT_EQ(whole->status, 200) << whole->body;
+                EXPECT_EQ(whole->get_header_value("X-Outcome"), "complete");
+                EXPECT_EQ(Json::parse(whole->body)["choices"][0]["text"], standin::expectedAnswer(model, prompt, 8));
+                const auto stream = complete(m_fleet.callerAddress(node),
+                    { { "model", model }, { "prompt", prompt }, { "max_tokens", 8 }, { "stream", true } });
+                ASSERT_TRUE(stream);
+                EXPECT_EQ(streamedText(stream->body), standin::expectedAnswer(model, prompt, 8));
+            }
+            httplib::Client client("http://" + m_fleet.callerAddress(node));
+            auto headers = callerHeaders();
+            headers.emplace("Idempotency-Key", "key-" + std::to_string(node));
+            const auto booking = client.Post("/services/bookings/slots", headers, "{}", "application/json");
+            ASSERT_TRUE(booking);
+            EXPECT_EQ(booking->status, 200) << booking->body;
+        }
+    }
+
+    TEST_F(ThinPath, BadInputGetsAClearErrorAndChangesNothing)
+    {
+        httplib::Client client("http://" + m_fleet.callerAddress(0));
+        EXPECT_EQ(client.Post("/v1/completions", "{}", "application/json")->status, 401);
+        EXPECT_EQ(client.Post("/v1/completions", callerHeaders(), "{", "application/json")->status, 400);
+        EXPECT_EQ(
+            client.Post("/v1/completions", callerHeaders(), "{\"model\":\"none\"}", "application/json")->status, 404);
+        EXPECT_EQ(client.Post("/services/bookings/x", callerHeaders(), "{}", "application/json")->status, 400);
+        EXPECT_EQ(
+            client.Post("/v1/completions", callerHeaders(), std::string(2 << 20, 'x'), "application/json")->status,
+            413);
+        EXPECT_EQ(m_fleet.acceptPlan("kind,name\nmodel\n"), 1);
+        EXPECT_EQ((*m_fleet.status(0))["plan_revision"], 1);
+    }
+
+    // Guards against a planned stop that cuts off a running stream.
+    TEST_F(ThinPath, PlannedStopLetsRunningStreamsEnd)
+    {
+        std::string text;
+        std::thread caller([&] {
+            const auto stream = complete(m_fleet.callerAddress(1),
+                { { "model", "draft" }, { "prompt", "long" }, { "max_tokens", 400 }, { "stream", true } });
+            if (stream)
+                text = streamedText(stream->body);
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        m_fleet.node(1).signal(SIGTERM);
+        EXPECT_EQ(m_fleet.node(1).wait(20000), 0);
+        caller.join();
+        EXPECT_EQ(text, standin::expectedAnswer("draft", "long", 400));
+    }
+
+} // namespace
+} // namespace cyclamenstair::testing
--- /dev/null
+++ b/Tests/StoreTests/StoreClientTests.cpp
@@ -0,0 +1,114 @@
+#include <Cyclamenstair/Store/StoreClient.h>
+#include <StandIns/StoreStandIn.h>
+
+#include <gtest/gtest.h>
+
+namespace cyclamenstair {
+namespace {
+
+    /// Store clients over the memory backend and over the HTTP gateway must behave alike.
+    class StoreClients : public testing::TestWithParam<bool> {
+    protected:
+        StoreClients()
+            : m_port(m_standIn.start())
+            , m_client(makeBackend(), StoreClientSettings { milliseconds(1000), 1000, 1000 })
+        {
+        }
+
+        StoreBackend makeBackend()
+        {
+            if (GetParam())
+                return EtcdBackend("127.0.0.1:" + std::to_string(m_port));
+            return MemoryBackend(m_standIn.store(), m_faults);
+        }
+
+        void loseNextAnswer()
+        {
+            m_faults.answersToLose = 1;
+            m_standIn.faults().set({ { "lose_write_answers", 1 } });
+        }
+
+        standin::StoreStandIn m_standIn;
+        StoreFaults m_faults;
+        int m_port;
+        StoreClient m_client;
+    };
+
+    StoreTransaction putIf(const std::string& key, int64_t modRevision, const std::string& value)
+    {
+        return { { { key, modRevision } }, { StorePut { key, value } } };
+    }
+
+    TEST_P(StoreClients, CompareAndSwapLetsOneOfTwoWritersWin)
+    {
+        const auto first = m_client.transact(putIf("k", 0, "a"));
+        ASSERT_TRUE(std::holds_alternative<StoreApplied>(first));
+        const auto second = m_client.transact(putIf("k", 0, "b"));
+        ASSERT_TRUE(std::holds_alternative<StoreNotApplied>(second));
+        EXPECT_EQ(std::get<StoreNotApplied>(second).refusal, StoreRefusal::Conflict);
+        const auto read = std::get<StoreRange>(m_client.range("k"));
+        EXPECT_EQ(read.records.at(0).value, "a");
+        EXPECT_EQ(read.records.at(0).modRevision, std::get<StoreApplied>(first).revision);
+    }
+
+    // Guards against a write that took effect being taken for a failed one because its answer was lost.
+    TEST_P(StoreClients, LostAnswerIsUnknownAndSettledByReadingBack)
+    {
+        loseNextAnswer();
+        EXPECT_TRUE(std::holds_alternative<StoreUnknown>(m_client.transact(putIf("k", 0, "a"))));
+        loseNextAnswer();
+        const auto isOwn = [](const std::string& value) { return value == "c"; };
+        EXPECT_TRUE(std::holds_alternative<StoreApplied>(m_client.transactSettled(putIf("j", 0, "c"), "j", isOwn)));
+        loseNextAnswer();
+        const auto conflict
+            = m_client.transactSettled(putIf("j", 0, "d"), "j", [](const std::string& value) { return value == "d"; });
+        EXPECT_TRUE(std::holds_alternative<StoreNotApplied>(conflict));
+    }
+
+    TEST_P(StoreClients, WatchReportsAChangeAndEndsAtItsLimit)
+    {
+        const auto revision = std::get<StoreApplied>(m_client.transact(putIf("w/1", 0, "a"))).revision;
+        EXPECT_FALSE(m_client.waitForChange("w/", revision, milliseconds(300)));
+        std::thread writer([&] {
+            std::this_thread::sleep_for(milliseconds(100));
+            m_client.transact(putIf("w/2", 0, "b"));
+        });
+        EXPECT_TRUE(m_client.waitForChange("w/", revision, milliseconds(5000)));
+        writer.join();
+    }
+
+    TEST_P(StoreClients, KeyOfAnExpiredLeaseIsDeleted)
+    {
+        const auto lease = m_client.grantLease(std::chrono::seconds(1));
+        ASSERT_TRUE(lease);
+        m_client.transact({ {}, { StorePut { "member", "x", *lease } } });
+        EXPECT_EQ(m_client.keepLeaseAlive(*lease), StoreLeaseOutcome::Alive);
+        m_standIn.store().expireLeases(monotonicNow() + std::chrono::seconds(2));
+        EXPECT_TRUE(std::get<StoreRange>(m_client.range("member")).records.empty());
+        EXPECT_EQ(m_client.keepLeaseAlive(*lease), StoreLeaseOutcome::Expired);
+    }
+
+    INSTANTIATE_TEST_SUITE_P(
+        Backends, StoreClients, testing::Bool(), [](const auto& info) { return info.param ? "Etcd" : "Memory"; });
+
+    TEST(StoreClient, CountsCallsAndStopsAtItsBudget)
+    {
+        MemoryStore store;
+        StoreFaults faults;
+        StoreClient client(MemoryBackend(store, faults), { milliseconds(100), 0.001, 2 });
+        client.range("a");
+        client.range("a");
+        EXPECT_TRUE(std::holds_alternative<StoreUnavailable>(client.range("a")));
+        EXPECT_EQ(client.callCounts().at(StoreCallKind::Range), 2U);
+    }
+
+    TEST(StoreClient, UnreachableStoreCertainlyDidNotApply)
+    {
+        StoreClient client(EtcdBackend("127.0.0.1:1"), {});
+        const auto outcome = client.transact(putIf("k", 0, "a"));
+        ASSERT_TRUE(std::holds_alternative<StoreNotApplied>(outcome));
+        EXPECT_EQ(std::get<StoreNotApplied>(outcome).refusal, StoreRefusal::NotSent);
+    }
+
+} // namespace
+} // namespace cyclamenstair
--- /dev/null
+++ b/Tests/Support/ProcessFleet.cpp
@@ -0,0 +1,295 @@
+#include <Tests/Support/ProcessFleet.h>
+
+#include <Cyclamenstair/Core/Crypto.h>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <httplib.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace cyclamenstair::testing {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr auto pollInterval = std::chrono::milliseconds(20);
+    constexpr int startLimitMs = 10000;
+
+    bool acceptsConnections(int port)
+    {
+        httplib::Client client("127.0.0.1", port);
+        client.set_connection_timeout(std::chrono::milliseconds(200));
+        return static_cast<bool>(client.Get("/health"));
+    }
+
+} // namespace
+
+ChildProcess::ChildProcess(
+    const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath)
+{
+    const auto path = std::string(CYCLAMENSTAIR_BINARY_DIR) + "/" + program;
+    std::vector<char*> argv { const_cast<char*>(path.c_str()) };
+    for (const auto& argument : arguments)
+        argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0)
+        throw std::runtime_error("cannot start " + path);
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (m_pid < 0)
+        return;
+    ::kill(m_pid, SIGKILL);
+    ::waitpid(m_pid, nullptr, 0);
+}
+
+void ChildProcess::signal(int number)
+{
+    if (m_pid >= 0)
+        ::kill(m_pid, number);
+}
+
+std::optional<int> ChildProcess::wait(int limitMs)
+{
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(limitMs);
+    do {
+        int status = 0;
+        if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_pid = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+        }
+        std::this_thread::sleep_for(pollInterval);
+    } while (std::chrono::steady_clock::now() < deadline);
+    return std::nullopt;
+}
+
+ProcessFleet::ProcessFleet(const FleetSettings& settings)
+{
+    char name[] = "/tmp/cyclamenstair-test-XXXXXX";
+    const char* created = ::mkdtemp(name);
+    if (!created)
+        throw std::runtime_error("cannot make a directory for the test");
+    m_directory = created;
+    startStandIns(settings);
+    writeNodeConfigs(settings);
+    for (int node = 0; node < settings.nodes; ++node)
+        startNode(node);
+}
+
+ProcessFleet::~ProcessFleet()
+{
+    m_nodes.clear();
+    m_engines.clear();
+    m_standIns.clear();
+    // Logs of a failed run are kept on demand.
+    std::error_code ignored;
+    if (!std::getenv("CYCLAMENSTAIR_KEEP_LOGS"))
+        std::filesystem::remove_all(m_directory, ignored);
+}
+
+int ProcessFleet::freePort()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in bound {};
+    bound.sin_family = AF_INET;
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(bound);
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0)
+        throw std::runtime_error("no free port");
+    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
+    ::close(descriptor);
+    return ntohs(bound.sin_port);
+}
+
+std::unique_ptr<ChildProcess> ProcessFleet::startStandIn(
+    const std::string& program, int port, std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.end(), { "--port", std::to_string(port) });
+    auto process
+        = std::make_unique<ChildProcess>("StandIns/" + program, arguments, m_directory + "/" + program + ".log");
+    if (!waitUntil([&] { return acceptsConnections(port); }, startLimitMs))
+        throw std::runtime_error(program + " did not start");
+    return process;
+}
+
+void ProcessFleet::startStandIns(const FleetSettings& settings)
+{
+    m_storePort = freePort();
+    m_standIns.push_back(startStandIn("standin-store", m_storePort, {}));
+    m_platformPort = freePort();
+    m_standIns.push_back(
+        startStandIn("standin-platform", m_platformPort, { "--load-ms", "100", "--full-speed-loads", "3" }));
+    constexpr uint64_t engineMemoryBytes = 16ULL << 30;
+    for (int i = 0; i < settings.engines; ++i) {
+        m_enginePorts.push_back(freePort());
+        std::vector<std::string> arguments { "--token-ms", std::to_string(settings.tokenMs), "--slots",
+            std::to_string(settings.slots), "--weight-store", platformAddress() };
+        if (settings.ignoreFencing)
+            arguments.emplace_back("--ignore-fencing");
+        m_engines.push_back(startStandIn("standin-engine", m_enginePorts.back(), arguments));
+        m_vms.push_back({ { "id", "engine-" + std::to_string(i) }, { "kind", "engine" }, { "state", "live" },
+            { "address", address(m_enginePorts.back()) }, { "region", "region-1" },
+            { "failure_domain", "domain-" + std::to_string(i % 3) }, { "pool", "drafting" },
+            { "memory_bytes", engineMemoryBytes } });
+    }
+    for (int i = 0; i < settings.services; ++i) {
+        m_servicePorts.push_back(freePort());
+        m_standIns.push_back(startStandIn("standin-service", m_servicePorts.back(), {}));
+        m_vms.push_back({ { "id", "service-" + std::to_string(i) }, { "kind", "service" }, { "state", "live" },
+            { "address", address(m_servicePorts.back()) }, { "region", "region-1" },
+            { "failure_domain", "domain-" + std::to_string(i % 3) }, { "pool", "booking" },
+            { "services", { "bookings", "roster" } } });
+    }
+    publishVms();
+}
+
+void ProcessFleet::writeNodeConfigs(const FleetSettings& settings)
+{
+    const auto keyPath = m_directory + "/fleet.key";
+    std::ofstream(keyPath) << "0123456789abcdef0123456789abcdef";
+    std::string seeds;
+    for (int i = 0; i < settings.nodes; ++i) {
+        m_nodes.push_back({ m_directory + "/node-" + std::to_string(i) + ".ini",
+            m_directory + "/node-" + std::to_string(i) + ".log", freePort(), freePort(), freePort(), nullptr });
+        seeds += (i ? "," : "") + address(m_nodes.back().peerPort);
+    }
+    for (int i = 0; i < settings.nodes; ++i) {
+        const auto& slot = m_nodes[static_cast<size_t>(i)];
+        std::map<std::string, std::map<std::string, std::string>> sections;
+        sections["node"]
+            = { { "id", "node-" + std::to_string(i) }, { "failure_domain", "domain-" + std::to_string(i % 3) } };
+        sections["caller"] = { { "port", std::to_string(slot.callerPort) } };
+        sections["operator_api"]
+            = { { "port", std::to_string(slot.operatorPort) }, { "token_hash", hashToken(operatorToken) } };
+        sections["peer"] = { { "port", std::to_string(slot.peerPort) }, { "seeds", seeds },
+            { "fleet_key_file", keyPath }, { "gossip_interval_ms", "100" }, { "member_timeout_ms", "2000" } };
+        sections["store"] = { { "endpoint", storeAddress() } };
+        sections["platform"] = { { "vm_list_endpoint", platformAddress() } };
+        sections["placement"] = { { "interval_ms", "200" } };
+        sections["request"] = { { "drain_notice_ms", "200" } };
+        for (const auto& [name, value] : settings.nodeSettings) {
+            const auto dot = name.find('.');
+            sections[name.substr(0, dot)][name.substr(dot + 1)] = value;
+        }
+        std::ofstream file(slot.configPath);
+        for (const auto& [section, keys] : sections) {
+            file << "[" << section << "]\n";
+            for (const auto& [key, value] : keys)
+                file << key << " = " << value << "\n";
+        }
+    }
+}
+
+void ProcessFleet::startNode(int node)
+{
+    auto& slot = m_nodes[static_cast<size_t>(node)];
+    slot.process = std::make_unique<ChildProcess>(
+        "Programs/cyclamenstaird", std::vector<std::string> { "--config", slot.configPath }, slot.logPath);
+    if (!waitUntil([&] { return acceptsConnections(slot.callerPort); }, startLimitMs))
+        throw std::runtime_error("node " + std::to_string(node) + " did not start; see " + slot.logPath);
+}
+
+void ProcessFleet::killNode(int node) { m_nodes[static_cast<size_t>(node)].process.reset(); }
+
+int ProcessFleet::acceptPlan(const std::string& sheet, int node, const std::vector<std::string>& arguments)
+{
+    const auto path = m_directory + "/sheet.csv";
+    std::ofstream(path) << sheet;
+    std::vector<std::string> all { "plan", "accept", path, "--node", operatorAddress(node), "--token", operatorToken };
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    ChildProcess tool("Programs/cyclamenstairctl", all, m_directory + "/ctl.log");
+    return tool.wait(startLimitMs).value_or(-1);
+}
+
+bool ProcessFleet::waitUntil(const std::function<bool()>& condition, int limitMs)
+{
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(limitMs);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+bool ProcessFleet::waitUntilReachable(const std::string& artifact, int node, int limitMs)
+{
+    return waitUntil(
+        [&] {
+            const auto present = status(node);
+            if (!present)
+                return false;
+            for (const auto& target : (*present)["targets"]) {
+                for (const auto& held : target["artifacts"]) {
+                    if (held == artifact && !target["leaving"].get<bool>())
+                        return true;
+                }
+            }
+            return false;
+        },
+        limitMs);
+}
+
+std::optional<Json> ProcessFleet::status(int node)
+{
+    httplib::Client client("http://" + operatorAddress(node));
+    client.set_read_timeout(std::chrono::seconds(2));
+    const auto response
+        = client.Get("/operator/status", { { "Authorization", std::string("Bearer ") + operatorToken } });
+    if (!response || response->status != 200)
+        return std::nullopt;
+    return Json::parse(response->body);
+}
+
+void ProcessFleet::setFaults(const std::string& address, const Json& faults)
+{
+    httplib::Client client("http://" + address);
+    if (!client.Post("/faults", faults.dump(), "application/json"))
+        throw std::runtime_error("no answer from the stand-in at " + address);
+}
+
+Json ProcessFleet::getJson(const std::string& address, const std::string& path)
+{
+    httplib::Client client("http://" + address);
+    const auto response = client.Get(path.c_str());
+    if (!response)
+        throw std::runtime_error("no answer from " + address + path);
+    return Json::parse(response->body);
+}
+
+void ProcessFleet::setVmState(const std::string& id, const std::string& state)
+{
+    for (auto& vm : m_vms) {
+        if (vm["id"] == id)
+            vm["state"] = state;
+    }
+    publishVms();
+}
+
+void ProcessFleet::publishVms()
+{
+    httplib::Client client("http://" + platformAddress());
+    if (!client.Put("/vms", Json { { "vms", m_vms } }.dump(), "application/json"))
+        throw std::runtime_error("the platform stand-in does not answer");
+}
+
+} // namespace cyclamenstair::testing
