--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -334,11 +334,11 @@
   int64_t max_body_bytes() const {
     return GetField<int64_t>(VT_MAX_BODY_BYTES, 1048576LL);
   }
-  /// PEM certificate; empty for plain HTTP.
+  /// PEM certificate; empty for plain HTTP. SIGHUP reads the file again.
   const flatbuffers::String *tls_certificate() const {
     return GetPointer<const flatbuffers::String *>(VT_TLS_CERTIFICATE);
   }
-  /// PEM private key; empty for plain HTTP.
+  /// PEM private key; empty for plain HTTP. SIGHUP reads the file again.
   const flatbuffers::String *tls_key() const {
     return GetPointer<const flatbuffers::String *>(VT_TLS_KEY);
   }
@@ -444,6 +444,8 @@
   std::string address{};
   int32_t port = 8081;
   std::string token_hash{};
+  std::string tls_certificate{};
+  std::string tls_key{};
   int64_t max_body_bytes = 16777216LL;
 };
 
@@ -456,7 +458,9 @@
     VT_ADDRESS = 4,
     VT_PORT = 6,
     VT_TOKEN_HASH = 8,
-    VT_MAX_BODY_BYTES = 10
+    VT_TLS_CERTIFICATE = 10,
+    VT_TLS_KEY = 12,
+    VT_MAX_BODY_BYTES = 14
   };
   /// IP address to listen on.
   const flatbuffers::String *address() const {
@@ -470,6 +474,14 @@
   const flatbuffers::String *token_hash() const {
     return GetPointer<const flatbuffers::String *>(VT_TOKEN_HASH);
   }
+  /// PEM certificate; empty for plain HTTP. SIGHUP reads the file again.
+  const flatbuffers::String *tls_certificate() const {
+    return GetPointer<const flatbuffers::String *>(VT_TLS_CERTIFICATE);
+  }
+  /// PEM private key; empty for plain HTTP. SIGHUP reads the file again.
+  const flatbuffers::String *tls_key() const {
+    return GetPointer<const flatbuffers::String *>(VT_TLS_KEY);
+  }
   /// Largest request body, which bounds a plan sheet.
   int64_t max_body_bytes() const {
     return GetField<int64_t>(VT_MAX_BODY_BYTES, 16777216LL);
@@ -481,6 +493,10 @@
            VerifyField<int32_t>(verifier, VT_PORT, 4) &&
            VerifyOffset(verifier, VT_TOKEN_HASH) &&
            verifier.VerifyString(token_hash()) &&
+           VerifyOffset(verifier, VT_TLS_CERTIFICATE) &&
+           verifier.VerifyString(tls_certificate()) &&
+           VerifyOffset(verifier, VT_TLS_KEY) &&
+           verifier.VerifyString(tls_key()) &&
            VerifyField<int64_t>(verifier, VT_MAX_BODY_BYTES, 8) &&
            verifier.EndTable();
   }
@@ -502,6 +518,12 @@
   void add_token_hash(flatbuffers::Offset<flatbuffers::String> token_hash) {
     fbb_.AddOffset(OperatorSettings::VT_TOKEN_HASH, token_hash);
   }
+  void add_tls_certificate(flatbuffers::Offset<flatbuffers::String> tls_certificate) {
+    fbb_.AddOffset(OperatorSettings::VT_TLS_CERTIFICATE, tls_certificate);
+  }
+  void add_tls_key(flatbuffers::Offset<flatbuffers::String> tls_key) {
+    fbb_.AddOffset(OperatorSettings::VT_TLS_KEY, tls_key);
+  }
   void add_max_body_bytes(int64_t max_body_bytes) {
     fbb_.AddElement<int64_t>(OperatorSettings::VT_MAX_BODY_BYTES, max_body_bytes, 16777216LL);
   }
@@ -521,9 +543,13 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     int32_t port = 8081,
     flatbuffers::Offset<flatbuffers::String> token_hash = 0,
+    flatbuffers::Offset<flatbuffers::String> tls_certificate = 0,
+    flatbuffers::Offset<flatbuffers::String> tls_key = 0,
     int64_t max_body_bytes = 16777216LL) {
   OperatorSettingsBuilder builder_(_fbb);
   builder_.add_max_body_bytes(max_body_bytes);
+  builder_.add_tls_key(tls_key);
+  builder_.add_tls_certificate(tls_certificate);
   builder_.add_token_hash(token_hash);
   builder_.add_port(port);
   builder_.add_address(address);
@@ -540,14 +566,20 @@
     const char *address = nullptr,
     int32_t port = 8081,
     const char *token_hash = nullptr,
+    const char *tls_certificate = nullptr,
+    const char *tls_key = nullptr,
     int64_t max_body_bytes = 16777216LL) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto token_hash__ = token_hash ? _fbb.CreateString(token_hash) : 0;
+  auto tls_certificate__ = tls_certificate ? _fbb.CreateString(tls_certificate) : 0;
+  auto tls_key__ = tls_key ? _fbb.CreateString(tls_key) : 0;
   return cyclamenstair::schema::CreateOperatorSettings(
       _fbb,
       address__,
       port,
       token_hash__,
+      tls_certificate__,
+      tls_key__,
       max_body_bytes);
 }
 
@@ -1637,6 +1669,8 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port(); _o->port = _e; }
   { auto _e = token_hash(); if (_e) _o->token_hash = _e->str(); }
+  { auto _e = tls_certificate(); if (_e) _o->tls_certificate = _e->str(); }
+  { auto _e = tls_key(); if (_e) _o->tls_key = _e->str(); }
   { auto _e = max_body_bytes(); _o->max_body_bytes = _e; }
 }
 
@@ -1651,12 +1685,16 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port = _o->port;
   auto _token_hash = _o->token_hash.empty() ? 0 : _fbb.CreateString(_o->token_hash);
+  auto _tls_certificate = _o->tls_certificate.empty() ? 0 : _fbb.CreateString(_o->tls_certificate);
+  auto _tls_key = _o->tls_key.empty() ? 0 : _fbb.CreateString(_o->tls_key);
   auto _max_body_bytes = _o->max_body_bytes;
   return cyclamenstair::schema::CreateOperatorSettings(
       _fbb,
       _address,
       _port,
       _token_hash,
+      _tls_certificate,
+      _tls_key,
       _max_body_bytes);
 }
 
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -70,7 +70,7 @@
     {
         // With the library's default of about one worker a core, short calls would wait behind long streams.
         return { settings.address, settings.port, static_cast<size_t>(settings.threads),
-            static_cast<size_t>(settings.max_body_bytes) };
+            static_cast<size_t>(settings.max_body_bytes), settings.tls_certificate, settings.tls_key };
     }
 
     bool mayUse(const CallerSpec& caller, const std::string& artifact)
--- a/Cyclamenstair/Node/FrontEnd.h
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -32,6 +32,9 @@
 
     void stop();
 
+    /// Reads the TLS certificate again, for new connections.
+    std::optional<Error> reloadCertificate() { return m_listener.reloadCertificate(); }
+
 private:
     FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
 
--- a/Cyclamenstair/Node/OperatorApi.cpp
+++ b/Cyclamenstair/Node/OperatorApi.cpp
@@ -17,6 +17,12 @@
 
     constexpr size_t operatorThreads = 8;
 
+    HttpListenerSettings listenerSettings(const schema::OperatorSettingsT& settings)
+    {
+        return { settings.address, settings.port, operatorThreads, static_cast<size_t>(settings.max_body_bytes),
+            settings.tls_certificate, settings.tls_key };
+    }
+
     Json findingsJson(const std::vector<SheetFinding>& findings)
     {
         Json rows = Json::array();
@@ -56,8 +62,7 @@
     , m_plans(&plans)
     , m_gossip(&gossip)
     , m_directory(&directory)
-    , m_listener({ settings.operator_api->address, settings.operator_api->port, operatorThreads,
-          static_cast<size_t>(settings.operator_api->max_body_bytes) })
+    , m_listener(listenerSettings(*settings.operator_api))
 {
     addRoutes();
 }
--- a/Cyclamenstair/Node/OperatorApi.h
+++ b/Cyclamenstair/Node/OperatorApi.h
@@ -25,6 +25,9 @@
 
     void stop();
 
+    /// Reads the TLS certificate again, for new connections.
+    std::optional<Error> reloadCertificate() { return m_listener.reloadCertificate(); }
+
 private:
     OperatorApi(const schema::SettingsT& settings, StoreClient& store, const PlanRegister& plans,
         const GossipTable& gossip, const TargetDirectory& directory);
--- a/Cyclamenstair/Settings/SettingsReader.cpp
+++ b/Cyclamenstair/Settings/SettingsReader.cpp
@@ -247,6 +247,19 @@
     return changed;
 }
 
+schema::SettingsT SettingsReader::withKeysFrom(
+    const schema::SettingsT& settings, const schema::SettingsT& source, const std::vector<std::string>& keys)
+{
+    auto values = toJson(settings);
+    const auto sourceValues = toJson(source);
+    for (const auto& key : keys) {
+        const auto dot = key.find('.');
+        const nlohmann::json::json_pointer pointer("/" + key.substr(0, dot) + "/" + key.substr(dot + 1));
+        values[pointer] = sourceValues.at(pointer);
+    }
+    return unpack(values).value();
+}
+
 bool SettingsReader::isReloadable(std::string_view sectionAndKey)
 {
     const auto dot = sectionAndKey.find('.');
--- a/Cyclamenstair/Settings/SettingsReader.h
+++ b/Cyclamenstair/Settings/SettingsReader.h
@@ -29,6 +29,10 @@
     /// Returns the names ("section.key") of the settings that differ, in the order of the schema.
     static std::vector<std::string> changedKeys(const schema::SettingsT& before, const schema::SettingsT& after);
 
+    /// Returns `settings` with the values of `keys` ("section.key") taken from `source`.
+    static schema::SettingsT withKeysFrom(
+        const schema::SettingsT& settings, const schema::SettingsT& source, const std::vector<std::string>& keys);
+
     /// Returns whether a change of "section.key" can be applied without a restart.
     static bool isReloadable(std::string_view sectionAndKey);
 };
--- /dev/null
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -0,0 +1,155 @@
+#include <Cyclamenstair/Telemetry/Metrics.h>
+
+#include <sstream>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
+    constexpr Duration summaryInterval = std::chrono::seconds(60);
+
+    /// The P-square estimate needs five samples for each marker; below that it is not a quantile.
+    constexpr size_t minSamples = 10;
+
+    std::string labelText(const char* name, const std::string& value, const std::string& extra = {})
+    {
+        std::string text;
+        if (*name != '\0') {
+            text += std::string(name) + "=\"";
+            for (const char c : value) {
+                if (c == '"' || c == '\\')
+                    text += '\\';
+                text += c == '\n' ? ' ' : c;
+            }
+            text += '"';
+        }
+        if (!extra.empty())
+            text += (text.empty() ? "" : ",") + extra;
+        return text.empty() ? text : "{" + text + "}";
+    }
+
+} // namespace
+
+MetricDescription describe(Metric metric)
+{
+    switch (metric) {
+    case Metric::Requests:
+        return { MetricKind::Counter, "outcome", "Requests by outcome." };
+    case Metric::RequestsInWindow:
+        return { MetricKind::Counter, "class", "Requests answered complete within their window." };
+    case Metric::Refusals:
+        return { MetricKind::Counter, "reason", "Requests answered with not run, by reason." };
+    case Metric::RequestSeconds:
+        return { MetricKind::Summary, "class", "Time from arrival to the end of the answer." };
+    case Metric::QueueSeconds:
+        return { MetricKind::Summary, "class", "Time that requests waited in the node." };
+    case Metric::Attempts:
+        return { MetricKind::Counter, "kind", "Attempts at targets: first, retry, hedge or resume." };
+    case Metric::FirstByteSeconds:
+        return { MetricKind::Summary, "class", "Time from arrival to the first byte of the answer." };
+    case Metric::Moves:
+        return { MetricKind::Counter, "kind", "Loads and unloads ordered by this node." };
+    case Metric::StoreCalls:
+        return { MetricKind::Counter, "kind", "Calls to the key-value store; a waiting watch counts as one." };
+    case Metric::CallsInProgress:
+        return { MetricKind::Gauge, "", "Calls that are being answered." };
+    case Metric::PlanRevision:
+        return { MetricKind::Gauge, "", "Revision of the plan in force." };
+    case Metric::Members:
+        return { MetricKind::Gauge, "", "Live nodes." };
+    case Metric::Targets:
+        return { MetricKind::Gauge, "", "Known targets." };
+    }
+    return { MetricKind::Gauge, "", "" };
+}
+
+void Metrics::add(Metric metric, const std::string& label, uint64_t count)
+{
+    const SeriesKey key { metric, label };
+    m_series.withShard(key, [&](auto& series) { series[key].value += static_cast<double>(count); });
+}
+
+void Metrics::set(Metric metric, double value, const std::string& label)
+{
+    const SeriesKey key { metric, label };
+    m_series.withShard(key, [&](auto& series) { series[key].value = value; });
+}
+
+void Metrics::observe(Metric metric, Duration duration, TimePoint now, const std::string& label)
+{
+    const auto makeAccumulator
+        = [] { return Accumulator(boost::accumulators::extended_p_square_probabilities = quantiles); };
+    const SeriesKey key { metric, label };
+    m_series.withShard(key, [&](auto& series) {
+        auto& summary = series[key].summary;
+        if (!summary)
+            summary = Summary { makeAccumulator(), std::nullopt, now, 0, 0 };
+        if (now - summary->presentStart >= summaryInterval) {
+            summary->previous = summary->present;
+            summary->present = makeAccumulator();
+            summary->presentStart = now;
+        }
+        summary->present(toSeconds(duration));
+        ++summary->count;
+        summary->sum += toSeconds(duration);
+    });
+}
+
+double Metrics::value(Metric metric, const std::string& label) const
+{
+    const SeriesKey key { metric, label };
+    return m_series.withShard(key, [&](const auto& series) {
+        const auto found = series.find(key);
+        return found == series.end() ? 0.0 : found->second.value;
+    });
+}
+
+std::string Metrics::seriesText(const SeriesKey& key, const Series& series)
+{
+    const auto name = std::string(nameOf(key.metric));
+    const auto* label = describe(key.metric).label;
+    std::ostringstream text;
+    if (!series.summary) {
+        text << name << labelText(label, key.label) << ' ' << series.value << '\n';
+        return text.str();
+    }
+    const auto& summary = *series.summary;
+    const auto& source = summary.previous ? *summary.previous : summary.present;
+    if (boost::accumulators::count(source) >= minSamples) {
+        const auto estimates = boost::accumulators::extended_p_square(source);
+        for (size_t i = 0; i < quantiles.size(); ++i) {
+            std::ostringstream quantile;
+            quantile << "quantile=\"" << quantiles[i] << '"';
+            text << name << labelText(label, key.label, quantile.str()) << ' '
+                 << estimates[static_cast<std::ptrdiff_t>(i)] << '\n';
+        }
+    }
+    text << name << "_sum" << labelText(label, key.label) << ' ' << summary.sum << '\n';
+    text << name << "_count" << labelText(label, key.label) << ' ' << summary.count << '\n';
+    return text.str();
+}
+
+std::string Metrics::prometheusText() const
+{
+    std::map<SeriesKey, std::string> lines;
+    m_series.forEachShard([&](const auto& shard) {
+        for (const auto& [key, series] : shard)
+            lines.emplace(key, seriesText(key, series));
+    });
+    std::string text;
+    std::optional<Metric> previous;
+    for (const auto& [key, line] : lines) {
+        if (previous != key.metric) {
+            const auto name = std::string(nameOf(key.metric));
+            const auto description = describe(key.metric);
+            text += "# HELP " + name + " " + description.help + "\n# TYPE " + name + " "
+                + std::string(nameOf(description.kind)) + "\n";
+            previous = key.metric;
+        }
+        text += line;
+    }
+    return text;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Telemetry/Metrics.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <Cyclamenstair/Core/EnumNames.h>
+#include <Cyclamenstair/Core/Sharded.h>
+#include <Cyclamenstair/Core/Time.h>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenstair {
+
+/// Kind of a metric in the Prometheus text format.
+enum class MetricKind : uint8_t {
+    Counter,
+    Gauge,
+    Summary,
+};
+
+template <> struct EnumNames<MetricKind> {
+    static constexpr auto table = std::to_array<EnumName<MetricKind>>({
+        { MetricKind::Counter, "counter" },
+        { MetricKind::Gauge, "gauge" },
+        { MetricKind::Summary, "summary" },
+    });
+};
+
+/// All metrics of a node.
+enum class Metric : uint8_t {
+    Requests,
+    RequestsInWindow,
+    Refusals,
+    RequestSeconds,
+    QueueSeconds,
+    Attempts,
+    FirstByteSeconds,
+    Moves,
+    StoreCalls,
+    CallsInProgress,
+    PlanRevision,
+    Members,
+    Targets,
+};
+
+template <> struct EnumNames<Metric> {
+    static constexpr auto table = std::to_array<EnumName<Metric>>({
+        { Metric::Requests, "cyclamenstair_requests_total" },
+        { Metric::RequestsInWindow, "cyclamenstair_requests_in_window_total" },
+        { Metric::Refusals, "cyclamenstair_refusals_total" },
+        { Metric::RequestSeconds, "cyclamenstair_request_seconds" },
+        { Metric::QueueSeconds, "cyclamenstair_queue_seconds" },
+        { Metric::Attempts, "cyclamenstair_attempts_total" },
+        { Metric::FirstByteSeconds, "cyclamenstair_first_byte_seconds" },
+        { Metric::Moves, "cyclamenstair_moves_total" },
+        { Metric::StoreCalls, "cyclamenstair_store_calls_total" },
+        { Metric::CallsInProgress, "cyclamenstair_calls_in_progress" },
+        { Metric::PlanRevision, "cyclamenstair_plan_revision" },
+        { Metric::Members, "cyclamenstair_members" },
+        { Metric::Targets, "cyclamenstair_targets" },
+    });
+};
+
+/// Kind, label name and help text of a metric.
+struct MetricDescription {
+    MetricKind kind;
+    const char* label; ///< Name of the metric's label; empty if it has none.
+    const char* help;
+};
+
+/// Returns the description of a metric.
+MetricDescription describe(Metric metric);
+
+/// Counts and distributions of a node. Callable from many threads.
+class Metrics {
+public:
+    /// Adds to a counter.
+    void add(Metric metric, const std::string& label = {}, uint64_t count = 1);
+
+    /// Sets a gauge.
+    void set(Metric metric, double value, const std::string& label = {});
+
+    /// Records a duration in a summary.
+    void observe(Metric metric, Duration duration, TimePoint now, const std::string& label = {});
+
+    /// Returns the value of a counter or gauge; 0 if it was never written.
+    double value(Metric metric, const std::string& label = {}) const;
+
+    /// Returns all metrics in the Prometheus text format.
+    std::string prometheusText() const;
+
+private:
+    using Accumulator = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::extended_p_square>>;
+
+    /// Distribution over the present and the last full interval, so that quantiles follow changes of load.
+    struct Summary {
+        Accumulator present;
+        std::optional<Accumulator> previous;
+        TimePoint presentStart;
+        uint64_t count { 0 };
+        double sum { 0 };
+    };
+
+    struct Series {
+        double value { 0 };
+        std::optional<Summary> summary;
+    };
+
+    struct SeriesKey {
+        Metric metric;
+        std::string label;
+        auto operator<=>(const SeriesKey&) const = default;
+    };
+
+    struct SeriesKeyHash {
+        size_t operator()(const SeriesKey& key) const
+        {
+            return std::hash<std::string> {}(key.label) * 31 + static_cast<size_t>(key.metric);
+        }
+    };
+
+    static std::string seriesText(const SeriesKey& key, const Series& series);
+
+    Sharded<SeriesKey, std::map<SeriesKey, Series>, 16, SeriesKeyHash> m_series;
+};
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Transport/HttpListener.cpp
+++ b/Cyclamenstair/Transport/HttpListener.cpp
@@ -13,8 +13,15 @@
 
 HttpListener::HttpListener(const HttpListenerSettings& settings)
     : m_settings(settings)
-    , m_server(std::make_unique<httplib::Server>())
 {
+    if (m_settings.tlsCertificate.empty())
+        m_server = std::make_unique<httplib::Server>();
+    else {
+        m_server = std::make_unique<httplib::SSLServer>([this](SSL_CTX& context) {
+            m_tlsContext = &context;
+            return true;
+        });
+    }
     m_server->new_task_queue = [threads = settings.threads] { return new httplib::ThreadPool(threads); };
     m_server->set_tcp_nodelay(true);
     // The library's default also sets SO_REUSEPORT, with which two processes can bind one port without an error.
@@ -29,6 +36,13 @@
 
 Result<int> HttpListener::start()
 {
+    if (m_tlsContext) {
+        auto identity = TlsIdentity::create(m_settings.tlsCertificate, m_settings.tlsKey);
+        if (!identity)
+            return identity.error();
+        m_identity = std::move(identity).value();
+        m_identity->attach(*m_tlsContext);
+    }
     int port = m_settings.port;
     if (port == 0)
         port = m_server->bind_to_any_port(m_settings.address.c_str());
@@ -52,4 +66,6 @@
         m_thread.join();
 }
 
+std::optional<Error> HttpListener::reloadCertificate() { return m_identity ? m_identity->reload() : std::nullopt; }
+
 } // namespace cyclamenstair
--- a/StandIns/StandInServer.cpp
+++ b/StandIns/StandInServer.cpp
@@ -11,7 +11,7 @@
 } // namespace
 
 StandInServer::StandInServer(int port, size_t threads)
-    : m_listener({ "127.0.0.1", port, threads, maxBodyBytes })
+    : m_listener({ "127.0.0.1", port, threads, maxBodyBytes, "", "" })
 {
     http().Post("/faults", [this](const httplib::Request& request, httplib::Response& response) {
         m_faults.set(bodyOf(request));
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -1,3 +1,4 @@
+#include <Cyclamenstair/Settings/LiveSettings.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
 
 #include <gmock/gmock.h>
@@ -75,5 +76,21 @@
         EXPECT_FALSE(SettingsReader::isReloadable("log.unknown"));
     }
 
+    // Guards against a reload that changes a key which only a restart can change.
+    TEST(LiveSettings, ReloadAppliesOnlyReloadableKeys)
+    {
+        LiveSettings live(SettingsReader::create("").value());
+        const auto before = live.current();
+        const auto reload = live.reload(
+            SettingsReader::create("[caller]\nport = 9\n[log]\nlevel = Debug\n[operator_api]\ntoken_hash = a$b\n")
+                .value());
+        EXPECT_THAT(reload.applied, ElementsAre("operator_api.token_hash", "log.level"));
+        EXPECT_THAT(reload.needRestart, ElementsAre("caller.port"));
+        EXPECT_EQ(live.current()->caller->port, 8080);
+        EXPECT_EQ(live.current()->log->level, schema::LogLevel::Debug);
+        EXPECT_EQ(live.current()->operator_api->token_hash, "a$b");
+        EXPECT_EQ(before->log->level, schema::LogLevel::Info);
+    }
+
 } // namespace
 } // namespace cyclamenstair
--- /dev/null
+++ b/Tests/TelemetryTests/MetricsTests.cpp
@@ -0,0 +1,72 @@
+#include <Cyclamenstair/Telemetry/Metrics.h>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenstair {
+namespace {
+
+    using testing::HasSubstr;
+    using testing::Not;
+
+    TEST(Metrics, WritesCountersWithLabelAndHelp)
+    {
+        Metrics metrics;
+        metrics.add(Metric::Requests, "complete", 2);
+        metrics.set(Metric::PlanRevision, 7);
+        const auto text = metrics.prometheusText();
+        EXPECT_THAT(text,
+            HasSubstr(
+                "# TYPE cyclamenstair_requests_total counter\ncyclamenstair_requests_total{outcome=\"complete\"} 2\n"));
+        EXPECT_THAT(text, HasSubstr("cyclamenstair_plan_revision 7\n"));
+    }
+
+    // Guards against a label value that breaks the line format.
+    TEST(Metrics, EscapesLabelValues)
+    {
+        Metrics metrics;
+        metrics.add(Metric::Refusals, "a\"b\nc");
+        EXPECT_THAT(metrics.prometheusText(), HasSubstr("{reason=\"a\\\"b c\"} 1\n"));
+    }
+
+    TEST(Metrics, SummaryFollowsTheLatestIntervals)
+    {
+        Metrics metrics;
+        TimePoint now {};
+        for (int i = 0; i < 1000; ++i)
+            metrics.observe(Metric::RequestSeconds, milliseconds(100), now, "short");
+        for (int interval = 0; interval < 2; ++interval) {
+            now += std::chrono::seconds(61);
+            for (int i = 0; i < 1000; ++i)
+                metrics.observe(Metric::RequestSeconds, milliseconds(900), now, "short");
+        }
+        const auto text = metrics.prometheusText();
+        EXPECT_THAT(text, HasSubstr("{class=\"short\",quantile=\"0.5\"} 0.9\n"));
+        EXPECT_THAT(text, HasSubstr("cyclamenstair_request_seconds_count{class=\"short\"} 3000\n"));
+    }
+
+    // Guards against a quantile printed from too few samples.
+    TEST(Metrics, PrintsNoQuantileOfAFewSamples)
+    {
+        Metrics metrics;
+        metrics.observe(Metric::QueueSeconds, milliseconds(5), TimePoint {}, "short");
+        EXPECT_THAT(metrics.prometheusText(), Not(HasSubstr("quantile")));
+    }
+
+    // Guards against an estimate that is far from the true quantile.
+    RC_GTEST_PROP(Metrics, medianIsWithinTheObservedRange, (const std::vector<uint16_t>& samples))
+    {
+        RC_PRE(samples.size() >= 10);
+        Metrics metrics;
+        for (const auto sample : samples)
+            metrics.observe(Metric::RequestSeconds, milliseconds(sample), TimePoint {}, "short");
+        const auto text = metrics.prometheusText();
+        const std::string mark = "quantile=\"0.5\"} ";
+        const auto median = std::stod(text.substr(text.find(mark) + mark.size()));
+        const auto [least, most] = std::minmax_element(samples.begin(), samples.end());
+        RC_ASSERT(median >= *least / 1000.0 - 1e-9 && median <= *most / 1000.0 + 1e-9);
+    }
+
+} // namespace
+} // namespace cyclamenstair
--- a/Tests/TransportTests/HttpListenerTests.cpp
+++ b/Tests/TransportTests/HttpListenerTests.cpp
@@ -18,7 +18,7 @@
     {
         HttpListener first({});
         const int port = first.start().value();
-        HttpListener second({ "127.0.0.1", port, 1, 1024 });
+        HttpListener second({ "127.0.0.1", port, 1, 1024, "", "" });
         const auto started = second.start();
         ASSERT_FALSE(started);
         EXPECT_EQ(started.error().peer, "127.0.0.1:" + std::to_string(port));
