--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -143,8 +143,8 @@
         if (previous != key.metric) {
             const auto name = std::string(nameOf(key.metric));
             const auto description = describe(key.metric);
-            text += "# HELP " + name + " " + description.help + "\n# TYPE " + name + " "
-                + std::string(nameOf(description.kind)) + "\n";
+            text.append("# HELP ").append(name).append(" ").append(description.help).append("\n");
+            text.append("# TYPE ").append(name).append(" ").append(nameOf(description.kind)).append("\n");
             previous = key.metric;
         }
         text += line;
