--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 
+#include <Cyclamenstair/Telemetry/LogLimiter.h>
+
 #include <iostream>
 #include <mutex>
 #include <sstream>
@@ -57,17 +59,36 @@
 void configureLog(LogSeverity lowest)
 {
     static std::once_flag s_once;
-    std::call_once(s_once, [] { boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true); });
+    std::call_once(s_once, [] {
+        boost::log::add_console_log(
+            std::cerr, boost::log::keywords::auto_flush = true, boost::log::keywords::format = "%Message%");
+    });
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(lowest));
 }
 
 void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields)
 {
+    // A fault that repeats would hide everything else. Lines are told apart by event and peer.
+    uint64_t suppressed = 0;
+    if (severity >= LogSeverity::Warning) {
+        static LogLimiter s_limiter;
+        std::string key(event);
+        for (const auto& field : fields) {
+            if (field.name == "peer" || field.name == "target")
+                key += "/" + field.value;
+        }
+        const auto admitted = s_limiter.admit(key, monotonicNow());
+        if (!admitted)
+            return;
+        suppressed = *admitted;
+    }
     std::ostringstream line;
     line << "time=" << boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time())
          << "Z level=" << nameOf(severity) << " event=" << event;
     for (const auto& field : fields)
         line << ' ' << field.name << '=' << quoteIfNeeded(field.value);
+    if (suppressed > 0)
+        line << " suppressed=" << suppressed;
     writeLine(severity, line.str());
 }
 
--- a/Cyclamenstair/Telemetry/Log.h
+++ b/Cyclamenstair/Telemetry/Log.h
@@ -38,7 +38,7 @@
 void configureLog(LogSeverity lowest);
 
 /// Writes one structured line: time, severity, event and fields as key=value. Callers' texts and secrets must not be
-/// passed.
+/// passed. Warnings and errors that repeat are limited; the next line tells how many were suppressed.
 void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields = {});
 
 /// Writes a line with the kind, step, peer and message of `error`.
