--- a/Cyclamenstair/Telemetry/LogLimiter.cpp
+++ b/Cyclamenstair/Telemetry/LogLimiter.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Telemetry/LogLimiter.h>
 
+#include <utility>
+
 namespace cyclamenstair {
 
 std::optional<uint64_t> LogLimiter::admit(const std::string& key, TimePoint now)
