Format log lines without a format string

Cause: a format string needs Boost's setup library, which is not linked, so the daemon did not link. Change: an expression in place of the string.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -60,8 +61,8 @@
 {
     static std::once_flag s_once;
     std::call_once(s_once, [] {
-        boost::log::add_console_log(
-            std::cerr, boost::log::keywords::auto_flush = true, boost::log::keywords::format = "%Message%");
+        boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true,
+            boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage);
     });
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(lowest));
 }
