Add weighted routing, straggler detection and budgets

Cause: the default policy Weighted fell back to least in flight, so that the late load report, slow targets and the length of requests had no influence on the choice of a target.

Change: WeightedPolicy picks the cheaper of two random candidates by expected work in flight, the load report with a weight that halves each second, the slowness relative to the pool, late failures, failure domain, and prefix affinity with bounded load. WorkEstimator expects lengths and times per model. StragglerDetector judges all targets of a pool after each observation; judging only the target that answered left a straggler unnoticed until its next answer. RetryBudget and HedgeBudget bound extra attempts.

Conclusion: the decisions are tested without I/O; the request path uses the detector and the budgets in a later change.

--- a/Cyclamenstair/Node/RequestExecutor.cpp
+++ b/Cyclamenstair/Node/RequestExecutor.cpp
@@ -55,7 +55,7 @@
 RequestExecutor::RequestExecutor(const schema::SettingsT& settings, const TargetDirectory& directory)
     : m_settings(settings)
     , m_directory(&directory)
-    , m_router(policyFrom(settings.routing->policy), m_targets)
+    , m_router(policyFrom(settings.routing->policy), m_targets, m_detector)
 {
 }
 
@@ -79,12 +79,15 @@
 {
     const auto idleTimeout = milliseconds(m_settings.request->idle_timeout_ms);
     std::set<std::string> excluded;
+    RouteQuery query;
+    query.failureDomain = m_settings.node->failure_domain;
+    query.now = monotonicNow();
     auto lastFailure
         = failureOf(RequestOutcome::NotRun, ErrorKind::Unavailable, "", "no target holds '" + request.artifact + "'");
     for (int attemptNumber = 1;; ++attemptNumber) {
         auto candidates = m_directory->candidates(request.artifact);
         std::erase_if(candidates, [&](const auto& candidate) { return excluded.contains(candidate.target); });
-        const auto choice = m_router.pick(candidates, threadRandom());
+        const auto choice = m_router.pick(candidates, query, threadRandom());
         if (!choice)
             return lastFailure;
         const auto& candidate = candidates[*choice];
--- a/Cyclamenstair/Node/RequestExecutor.h
+++ b/Cyclamenstair/Node/RequestExecutor.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Generated/Settings_generated.h>
 #include <Cyclamenstair/Node/Request.h>
 #include <Cyclamenstair/Node/TargetDirectory.h>
+#include <Cyclamenstair/Routing/Router.h>
 #include <Cyclamenstair/Transport/UpstreamAttempt.h>
 
 #include <memory>
@@ -58,6 +59,7 @@
     schema::SettingsT m_settings;
     const TargetDirectory* m_directory;
     TargetTable m_targets;
+    StragglerDetector m_detector;
     Router m_router;
 };
 
--- a/Cyclamenstair/Routing/RoutingPolicy.h
+++ b/Cyclamenstair/Routing/RoutingPolicy.h
@@ -1,50 +1,42 @@
 #pragma once
 
-#include <Cyclamenstair/Core/Random.h>
-#include <Cyclamenstair/Routing/TargetTable.h>
+#include <Cyclamenstair/Routing/RouteQuery.h>
 
-#include <atomic>
-#include <optional>
-#include <string>
 #include <variant>
-#include <vector>
 
 namespace cyclamenstair {
 
-/// A target that holds the artifact of a request.
-struct RouteCandidate {
-    std::string target;
-    std::string address;
-    std::string failureDomain;
-};
-
 /// Takes the candidates in turn; the baseline of measurements.
 struct RoundRobinPolicy { };
 
 /// Takes the candidate with the fewest attempts of this node in flight; ties are broken at random.
 struct LeastInFlightPolicy { };
 
-using RoutingPolicy = std::variant<RoundRobinPolicy, LeastInFlightPolicy>;
+/// Takes the cheaper of two random candidates by expected work, late load report, speed and failure domain. A prompt
+/// whose prefix was seen before goes to the prefix's target as long as that target is not overloaded.
+struct WeightedPolicy {
+    /// Age at which a load report counts half. Reports are several seconds late in bad cases.
+    Duration reportHalfLife { milliseconds(1000) };
+
+    /// Tokens that one reported request of another node stands for.
+    double tokensPerReportedRequest { 64 };
 
-/// Picks the target of an attempt. Callable from many threads.
-class Router {
-public:
-    Router(RoutingPolicy policy, const TargetTable& targets)
-        : m_policy(policy)
-        , m_targets(&targets)
-    {
-    }
+    /// Work that every attempt causes beside its tokens, so that idle targets differ by speed.
+    double baseTokens { 16 };
 
-    /// Returns the index of the chosen candidate, or no value if there are none.
-    std::optional<size_t> pick(const std::vector<RouteCandidate>& candidates, Random& random);
+    /// Cost factor for targets in this node's own failure domain; the latency between domains is small.
+    double sameDomainFactor { 0.95 };
 
-private:
-    size_t pickBy(const RoundRobinPolicy& policy, const std::vector<RouteCandidate>& candidates, Random& random);
-    size_t pickBy(const LeastInFlightPolicy& policy, const std::vector<RouteCandidate>& candidates, Random& random);
+    /// Load of an affine target relative to the mean of the candidates up to which affinity holds.
+    double affinityLoadBound { 1.25 };
 
-    RoutingPolicy m_policy;
-    const TargetTable* m_targets;
-    std::atomic<size_t> m_turn { 0 };
+    /// Time for which a failure or refusal makes a target dear.
+    Duration failurePenaltyTime { milliseconds(1000) };
+
+    /// Cost factor for each failure in a row within that time.
+    double failurePenalty { 4 };
 };
 
+using RoutingPolicy = std::variant<RoundRobinPolicy, LeastInFlightPolicy, WeightedPolicy>;
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Routing/TargetTable.cpp
+++ b/Cyclamenstair/Routing/TargetTable.cpp
@@ -1,21 +1,54 @@
 #include <Cyclamenstair/Routing/TargetTable.h>
 
+#include <algorithm>
 #include <cassert>
 
 namespace cyclamenstair {
 
-void TargetTable::beginAttempt(const std::string& target)
+void TargetTable::beginAttempt(const std::string& target, const AttemptWork& work)
 {
-    m_shards.withShard(target, [&](Loads& loads) { ++loads[target].inFlight; });
+    m_shards.withShard(target, [&](Loads& loads) { add(loads[target], work); });
 }
 
-void TargetTable::endAttempt(const std::string& target, bool isSuccess)
+bool TargetTable::tryBeginAttempt(const std::string& target, const AttemptWork& work, uint32_t maxLong)
+{
+    return m_shards.withShard(target, [&](Loads& loads) {
+        auto& load = loads[target];
+        if (work.workClass == WorkClass::Long && load.longInFlight >= maxLong)
+            return false;
+        add(load, work);
+        return true;
+    });
+}
+
+void TargetTable::endAttempt(const std::string& target, bool isSuccess, const AttemptWork& work, TimePoint now)
 {
     m_shards.withShard(target, [&](Loads& loads) {
         auto& load = loads[target];
-        assert(load.inFlight > 0);
-        --load.inFlight;
-        ++(isSuccess ? load.finished : load.failed);
+        remove(load, work);
+        if (isSuccess) {
+            ++load.finished;
+            load.failuresInARow = 0;
+        } else {
+            ++load.failed;
+            ++load.failuresInARow;
+            load.lastFailure = now;
+        }
+    });
+}
+
+void TargetTable::cancelAttempt(const std::string& target, const AttemptWork& work)
+{
+    m_shards.withShard(target, [&](Loads& loads) { remove(loads[target], work); });
+}
+
+void TargetTable::report(const std::string& target, double load, TimePoint now)
+{
+    m_shards.withShard(target, [&](Loads& loads) {
+        auto& state = loads[target];
+        state.reportedByOthers = std::max(0.0, load - state.inFlight);
+        state.reportedAt = now;
+        state.hasReport = true;
     });
 }
 
@@ -27,4 +60,20 @@
     });
 }
 
+void TargetTable::add(TargetLoad& load, const AttemptWork& work)
+{
+    ++load.inFlight;
+    load.longInFlight += work.workClass == WorkClass::Long ? 1 : 0;
+    load.tokensInFlight += work.tokens;
+}
+
+void TargetTable::remove(TargetLoad& load, const AttemptWork& work)
+{
+    assert(load.inFlight > 0);
+    --load.inFlight;
+    load.longInFlight -= work.workClass == WorkClass::Long ? 1 : 0;
+    // Rounding of the sum must not leave work at an idle target.
+    load.tokensInFlight = load.inFlight == 0 ? 0 : std::max(0.0, load.tokensInFlight - work.tokens);
+}
+
 } // namespace cyclamenstair
--- /dev/null
+++ b/Tests/RoutingTests/BudgetTests.cpp
@@ -0,0 +1,80 @@
+#include <Cyclamenstair/Routing/HedgeBudget.h>
+#include <Cyclamenstair/Routing/RetryBudget.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenstair {
+namespace {
+
+    constexpr TimePoint start { Duration(1'000'000'000) };
+
+    // Guards against hedges that add load beyond their share, at any time since the start.
+    RC_GTEST_PROP(HedgeBudget, neverExceedsItsShare, (std::vector<bool> steps))
+    {
+        const double share = *rc::gen::inRange(0, 100) / 100.0;
+        HedgeBudget budget({ share, 16 });
+        double requests = 0;
+        double hedges = 0;
+        for (const bool isRequest : steps) {
+            if (isRequest) {
+                budget.countRequest();
+                ++requests;
+            } else if (budget.take()) {
+                ++hedges;
+            }
+            RC_ASSERT(hedges <= share * requests + 1e-6);
+        }
+    }
+
+    // Guards against hedges on top of many retries, and against an hour of calm that pays for a storm of hedges.
+    TEST(HedgeBudget, RetriesLeaveLessAndSavingIsBounded)
+    {
+        HedgeBudget budget({ 0.5, 4 });
+        for (int i = 0; i < 1000; ++i)
+            budget.countRequest();
+        budget.charge();
+        int hedges = 0;
+        while (budget.take())
+            ++hedges;
+        EXPECT_EQ(hedges, 3);
+    }
+
+    // Guards against retries that multiply the load while targets fail, for one target and in all.
+    RC_GTEST_PROP(RetryBudget, neverExceedsItsAllowance, (std::vector<uint8_t> steps))
+    {
+        const RetryAllowance perTarget { 0.1, 2, 3 };
+        const RetryAllowance total { 0.1, 3, 5 };
+        RetryBudget budget(perTarget, total);
+        std::array<double, 3> requests {};
+        std::array<double, 3> retries {};
+        auto now = start;
+        for (const auto step : steps) {
+            const size_t target = step % 3;
+            const auto name = std::to_string(target);
+            now += milliseconds(step % 7);
+            if (step % 5 == 0) {
+                budget.countAttempt(name, now);
+                ++requests[target];
+            } else if (budget.take(name, now)) {
+                ++retries[target];
+            }
+            const double seconds = toSeconds(now - start);
+            for (size_t i = 0; i < 3; ++i)
+                RC_ASSERT(retries[i] <= 3 + 0.1 * requests[i] + 2 * seconds + 1e-6);
+            RC_ASSERT(retries[0] + retries[1] + retries[2]
+                <= 5 + 0.1 * (requests[0] + requests[1] + requests[2]) + 3 * seconds + 1e-6);
+        }
+    }
+
+    // Guards against a quiet node whose requests can never be repeated.
+    TEST(RetryBudget, RefillsWithTimeAlone)
+    {
+        RetryBudget budget({ 0, 2, 1 }, { 0, 10, 10 });
+        EXPECT_TRUE(budget.take("t", start));
+        EXPECT_FALSE(budget.take("t", start));
+        EXPECT_TRUE(budget.take("t", start + milliseconds(500)));
+    }
+
+} // namespace
+} // namespace cyclamenstair
