Repeat, hedge and resume attempts on the request path

Cause: a body that broke was reported as unknown even for repeatable work, errors of targets were passed on as complete answers, streams that broke were lost, and the detached threads of attempts outlived a stop.

Change: RunningAnswer drives the attempts of a request. Repeatable work is repeated elsewhere with jittered back-off within the retry budget until request.repeat_limit_ms; after it the connection ends without an answer. A stream passes on whole events, counts tokens, resumes with resume_from, and is complete only after [DONE]. Late repeatable work is hedged within the hedge budget; losers and the work of callers who left are cancelled by attempt. Attempts run on AttemptThreads, which joins them. The setting routing.long_in_flight_per_target bounds long work per target. The engine stand-in cancels single attempts and can stall streams or answer with status 500.

--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -1061,6 +1061,7 @@
   typedef RoutingSettings TableType;
   cyclamenstair::schema::RoutingPolicyKind policy = cyclamenstair::schema::RoutingPolicyKind::Weighted;
   double extra_attempt_share = 0.05;
+  int32_t long_in_flight_per_target = 4;
 };
 
 /// Choice of targets.
@@ -1070,7 +1071,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_POLICY = 4,
-    VT_EXTRA_ATTEMPT_SHARE = 6
+    VT_EXTRA_ATTEMPT_SHARE = 6,
+    VT_LONG_IN_FLIGHT_PER_TARGET = 8
   };
   /// Policy that picks the target of a request.
   cyclamenstair::schema::RoutingPolicyKind policy() const {
@@ -1080,10 +1082,15 @@
   double extra_attempt_share() const {
     return GetField<double>(VT_EXTRA_ATTEMPT_SHARE, 0.05);
   }
+  /// Long requests that the node keeps in flight at one target, so that short work finds room on every target.
+  int32_t long_in_flight_per_target() const {
+    return GetField<int32_t>(VT_LONG_IN_FLIGHT_PER_TARGET, 4);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_POLICY, 1) &&
            VerifyField<double>(verifier, VT_EXTRA_ATTEMPT_SHARE, 8) &&
+           VerifyField<int32_t>(verifier, VT_LONG_IN_FLIGHT_PER_TARGET, 4) &&
            verifier.EndTable();
   }
   RoutingSettingsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1101,6 +1108,9 @@
   void add_extra_attempt_share(double extra_attempt_share) {
     fbb_.AddElement<double>(RoutingSettings::VT_EXTRA_ATTEMPT_SHARE, extra_attempt_share, 0.05);
   }
+  void add_long_in_flight_per_target(int32_t long_in_flight_per_target) {
+    fbb_.AddElement<int32_t>(RoutingSettings::VT_LONG_IN_FLIGHT_PER_TARGET, long_in_flight_per_target, 4);
+  }
   explicit RoutingSettingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1115,9 +1125,11 @@
 inline flatbuffers::Offset<RoutingSettings> CreateRoutingSettings(
     flatbuffers::FlatBufferBuilder &_fbb,
     cyclamenstair::schema::RoutingPolicyKind policy = cyclamenstair::schema::RoutingPolicyKind::Weighted,
-    double extra_attempt_share = 0.05) {
+    double extra_attempt_share = 0.05,
+    int32_t long_in_flight_per_target = 4) {
   RoutingSettingsBuilder builder_(_fbb);
   builder_.add_extra_attempt_share(extra_attempt_share);
+  builder_.add_long_in_flight_per_target(long_in_flight_per_target);
   builder_.add_policy(policy);
   return builder_.Finish();
 }
@@ -1826,6 +1838,7 @@
   (void)_resolver;
   { auto _e = policy(); _o->policy = _e; }
   { auto _e = extra_attempt_share(); _o->extra_attempt_share = _e; }
+  { auto _e = long_in_flight_per_target(); _o->long_in_flight_per_target = _e; }
 }
 
 inline flatbuffers::Offset<RoutingSettings> RoutingSettings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutingSettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1838,10 +1851,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RoutingSettingsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _policy = _o->policy;
   auto _extra_attempt_share = _o->extra_attempt_share;
+  auto _long_in_flight_per_target = _o->long_in_flight_per_target;
   return cyclamenstair::schema::CreateRoutingSettings(
       _fbb,
       _policy,
-      _extra_attempt_share);
+      _extra_attempt_share,
+      _long_in_flight_per_target);
 }
 
 inline AdmissionSettingsT *AdmissionSettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -270,6 +270,8 @@
         auto event = answer->next();
         if (const auto* data = std::get_if<AttemptData>(&event))
             return sink.write(data->bytes.data(), data->bytes.size());
+        if (std::holds_alternative<AttemptPending>(event))
+            return true; // The library checks the caller's connection and calls again.
         if (!std::holds_alternative<AttemptEnd>(event))
             return false; // The connection ends without the last chunk, which callers see as a broken answer.
         sink.done();
--- a/Cyclamenstair/Node/HttpErrors.cpp
+++ b/Cyclamenstair/Node/HttpErrors.cpp
@@ -34,11 +34,16 @@
 
 void writeFailure(httplib::Response& response, const std::string& requestId, const RequestFailure& failure)
 {
+    response.status = statusOf(failure.error.kind);
+    if (failure.outcome == RequestOutcome::Broken) {
+        // The body ends before its announced length, which every HTTP client takes for a broken connection.
+        response.set_content_provider(1, "application/json", [](size_t, size_t, httplib::DataSink&) { return false; });
+        return;
+    }
     const auto outcome = std::string(nameOf(failure.outcome));
     const nlohmann::json body { { "error",
         { { "type", nameOf(failure.error.kind) }, { "message", failure.error.message }, { "request_id", requestId },
             { "step", failure.error.step }, { "peer", failure.error.peer }, { "outcome", outcome } } } };
-    response.status = statusOf(failure.error.kind);
     response.set_header("X-Outcome", outcome);
     response.set_header("X-Request-Id", requestId);
     if (failure.retryAfter.count() > 0) {
--- a/Cyclamenstair/Node/Request.h
+++ b/Cyclamenstair/Node/Request.h
@@ -14,6 +14,7 @@
     Complete, ///< The whole answer was delivered.
     NotRun, ///< The request certainly did not run.
     Unknown, ///< The request may have run and may not be repeated.
+    Broken, ///< Repeatable work got no answer before the limit; the connection ends without one.
 };
 
 template <> struct EnumNames<RequestOutcome> {
@@ -21,6 +22,7 @@
         { RequestOutcome::Complete, "complete" },
         { RequestOutcome::NotRun, "not_run" },
         { RequestOutcome::Unknown, "unknown" },
+        { RequestOutcome::Broken, "broken" },
     });
 };
 
--- /dev/null
+++ b/Cyclamenstair/Node/RequestPathState.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <Cyclamenstair/Generated/Settings_generated.h>
+#include <Cyclamenstair/Node/TargetDirectory.h>
+#include <Cyclamenstair/Routing/HedgeBudget.h>
+#include <Cyclamenstair/Routing/RetryBudget.h>
+#include <Cyclamenstair/Routing/Router.h>
+#include <Cyclamenstair/Routing/WorkEstimator.h>
+#include <Cyclamenstair/Transport/AttemptThreads.h>
+
+namespace cyclamenstair {
+
+/// What the requests of a node share: observations, budgets and threads. Each part is callable from many threads.
+struct RequestPathState {
+    RequestPathState(const schema::SettingsT& nodeSettings, const TargetDirectory& targetDirectory);
+
+    schema::SettingsT settings;
+    const TargetDirectory* directory;
+    TargetTable targets;
+    StragglerDetector detector;
+    WorkEstimator estimator;
+    RetryBudget retryBudget;
+    HedgeBudget hedgeBudget;
+    Router router;
+    AttemptThreads threads; ///< Last, so that its threads end before the other parts.
+};
+
+/// Returns the random number generator of the calling thread.
+Random& threadRandom();
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Transport/UpstreamAttempt.cpp
+++ b/Cyclamenstair/Transport/UpstreamAttempt.cpp
@@ -1,52 +1,34 @@
 #include <Cyclamenstair/Transport/UpstreamAttempt.h>
 
-#include <condition_variable>
-#include <deque>
 #include <httplib.h>
-#include <mutex>
-#include <thread>
 
 namespace cyclamenstair {
 
 namespace {
 
-    /// Bytes that may wait for a slow caller before the attempt stops reading from the target.
-    constexpr size_t maxWaitingBytes = 1 << 20;
+    /// Longest time for one call that cancels work; a lost one costs engine time but no answer.
+    constexpr Duration cancelTimeout = milliseconds(1000);
 
-} // namespace
+    /// Time between two tries to end a connection. The library ignores a stop that comes before its request is under
+    /// way.
+    constexpr Duration stopInterval = milliseconds(50);
 
-/// Bounded queue of events between the attempt's thread and the request's thread.
-struct UpstreamAttempt::Channel {
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::deque<AttemptEvent> events;
-    size_t waitingBytes { 0 };
-    bool isCancelled { false };
-    std::unique_ptr<httplib::Client> client;
-
-    /// Returns false if the attempt was cancelled.
-    bool push(AttemptEvent event)
+    void setTimeouts(httplib::Client& client, Duration connect, Duration idle)
     {
-        std::unique_lock lock(mutex);
-        changed.wait(lock, [&] { return isCancelled || waitingBytes < maxWaitingBytes; });
-        if (isCancelled)
-            return false;
-        if (const auto* data = std::get_if<AttemptData>(&event))
-            waitingBytes += data->bytes.size();
-        events.push_back(std::move(event));
-        changed.notify_all();
-        return true;
+        client.set_connection_timeout(connect);
+        client.set_read_timeout(idle);
+        client.set_write_timeout(idle);
+        client.set_tcp_nodelay(true);
+        client.set_keep_alive(false);
     }
-};
-
-namespace {
 
     AttemptHead headOf(const httplib::Response& response)
     {
         AttemptHead head;
         head.status = response.status;
         head.contentType = response.get_header_value("Content-Type");
-        head.isNotRun = response.get_header_value("X-Not-Run") == "true";
+        head.isNotRun
+            = (response.status == 429 || response.status == 503) && response.get_header_value("X-Not-Run") == "true";
         if (response.has_header("X-Load"))
             head.reportedLoad = std::strtod(response.get_header_value("X-Load").c_str(), nullptr);
         return head;
@@ -67,64 +49,96 @@
 
 } // namespace
 
-std::unique_ptr<UpstreamAttempt> UpstreamAttempt::start(AttemptRequest request)
-{
-    auto channel = std::make_shared<Channel>();
-    channel->client = std::make_unique<httplib::Client>("http://" + request.address);
-    auto& client = *channel->client;
-    client.set_connection_timeout(request.connectTimeout);
-    client.set_read_timeout(request.idleTimeout);
-    client.set_write_timeout(request.idleTimeout);
-    client.set_tcp_nodelay(true);
-    client.set_keep_alive(false);
-
-    std::thread([channel, request = std::move(request)] {
+/// The exchange as its threads see it.
+struct UpstreamAttempt::Exchange {
+    Exchange(std::shared_ptr<AttemptInbox> eventInbox, uint32_t attemptNumber, AttemptRequest attemptRequest)
+        : inbox(std::move(eventInbox))
+        , number(attemptNumber)
+        , request(std::move(attemptRequest))
+        , client("http://" + request.address)
+    {
+        setTimeouts(client, request.connectTimeout, request.idleTimeout);
+    }
+
+    void run()
+    {
         auto http = toHttp(request);
-        http.response_handler = [&](const httplib::Response& response) { return channel->push(headOf(response)); };
-        http.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
-            return channel->push(AttemptData { std::string(data, size) });
+        http.response_handler = [this](const httplib::Response& response) { return push(headOf(response)); };
+        http.content_receiver = [this](const char* data, size_t size, uint64_t, uint64_t) {
+            return push(AttemptData { { data, size } });
         };
         httplib::Response response;
         auto error = httplib::Error::Success;
-        if (channel->client->send(http, response, error))
-            channel->push(AttemptEnd {});
+        const bool isSent = client.send(http, response, error);
+        {
+            std::lock_guard lock(mutex);
+            isFinished = true;
+            finished.notify_all();
+        }
+        // Only a connection that was never made proves that no byte reached the target.
+        const bool mayHaveRun = error != httplib::Error::Connection && error != httplib::Error::ConnectionTimeout;
+        if (isSent)
+            push(AttemptEnd {});
         else
-            channel->push(AttemptFailed { error != httplib::Error::Connection, httplib::to_string(error) });
-    }).detach();
-    return std::unique_ptr<UpstreamAttempt>(new UpstreamAttempt(std::move(channel)));
-}
+            push(AttemptFailed { mayHaveRun, httplib::to_string(error) });
+    }
 
-UpstreamAttempt::UpstreamAttempt(std::shared_ptr<Channel> channel)
-    : m_channel(std::move(channel))
+    bool push(AttemptEvent event) { return inbox->push(number, std::move(event)); }
+
+    /// Ends the connection and tells the engine.
+    void abort()
+    {
+        client.stop();
+        if (!request.cancelBody.empty()) {
+            httplib::Client canceller("http://" + request.address);
+            setTimeouts(canceller, cancelTimeout, cancelTimeout);
+            canceller.Post("/v1/cancel", request.cancelBody, "application/json");
+        }
+        std::unique_lock lock(mutex);
+        while (!finished.wait_for(lock, stopInterval, [this] { return isFinished; })) {
+            lock.unlock();
+            client.stop();
+            lock.lock();
+        }
+    }
+
+    std::shared_ptr<AttemptInbox> inbox; // Shared by the request's attempts, of which a cancelled one ends late.
+    uint32_t number;
+    AttemptRequest request;
+    httplib::Client client;
+    std::mutex mutex;
+    std::condition_variable finished;
+    bool isFinished { false };
+};
+
+std::unique_ptr<UpstreamAttempt> UpstreamAttempt::start(
+    AttemptThreads& threads, std::shared_ptr<AttemptInbox> inbox, uint32_t number, AttemptRequest request)
 {
+    auto exchange = std::make_shared<Exchange>(std::move(inbox), number, std::move(request));
+    threads.post([exchange] { exchange->run(); });
+    return std::unique_ptr<UpstreamAttempt>(new UpstreamAttempt(threads, std::move(exchange)));
 }
 
-UpstreamAttempt::~UpstreamAttempt() { cancel(); }
-
-AttemptEvent UpstreamAttempt::next(TimePoint deadline)
+UpstreamAttempt::UpstreamAttempt(AttemptThreads& threads, std::shared_ptr<Exchange> exchange)
+    : m_threads(&threads)
+    , m_exchange(std::move(exchange))
 {
-    std::unique_lock lock(m_channel->mutex);
-    if (!m_channel->changed.wait_until(lock, deadline, [&] { return !m_channel->events.empty(); }))
-        return AttemptPending {};
-    auto event = std::move(m_channel->events.front());
-    m_channel->events.pop_front();
-    if (const auto* data = std::get_if<AttemptData>(&event)) {
-        m_channel->waitingBytes -= data->bytes.size();
-        m_channel->changed.notify_all();
-    }
-    return event;
 }
 
+UpstreamAttempt::~UpstreamAttempt() { cancel(); }
+
 void UpstreamAttempt::cancel()
 {
+    if (m_isCancelled)
+        return;
+    m_isCancelled = true;
+    m_exchange->inbox->drop(m_exchange->number);
     {
-        std::lock_guard lock(m_channel->mutex);
-        if (m_channel->isCancelled)
+        std::lock_guard lock(m_exchange->mutex);
+        if (m_exchange->isFinished)
             return;
-        m_channel->isCancelled = true;
-        m_channel->changed.notify_all();
     }
-    m_channel->client->stop();
+    m_threads->post([exchange = m_exchange] { exchange->abort(); });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Transport/UpstreamAttempt.h
+++ b/Cyclamenstair/Transport/UpstreamAttempt.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <Cyclamenstair/Core/Time.h>
+#include <Cyclamenstair/Transport/AttemptInbox.h>
+#include <Cyclamenstair/Transport/AttemptThreads.h>
 
 #include <map>
 #include <memory>
 #include <string>
-#include <variant>
 
 namespace cyclamenstair {
 
@@ -17,58 +17,33 @@
     std::string body;
     std::string contentType { "application/json" };
     std::map<std::string, std::string> headers;
+    std::string cancelBody; ///< Body of the engine's `POST /v1/cancel`; empty for targets without it.
     Duration connectTimeout { milliseconds(1000) };
     Duration idleTimeout { milliseconds(10000) }; ///< Longest silence of the target.
 };
 
-/// Status and headers of the answer have arrived.
-struct AttemptHead {
-    int status { 0 };
-    std::string contentType;
-    bool isNotRun { false }; ///< The target refused the request before it started.
-    double reportedLoad { -1 }; ///< Load that the target reports with the answer; negative if it reports none.
-};
-
-/// The next bytes of the body.
-struct AttemptData {
-    std::string bytes;
-};
-
-/// The body is complete by the rules of HTTP.
-struct AttemptEnd { };
-
-/// The attempt failed.
-struct AttemptFailed {
-    bool mayHaveRun { false }; ///< False only if no byte of the request reached the target.
-    std::string message;
-};
-
-/// Nothing happened before the deadline; the attempt goes on.
-struct AttemptPending { };
-
-using AttemptEvent = std::variant<AttemptHead, AttemptData, AttemptEnd, AttemptFailed, AttemptPending>;
-
-/// One HTTP exchange with a target on a thread of its own, whose events another thread takes.
+/// One HTTP exchange with a target on a thread of AttemptThreads. Its events go to an inbox.
 class UpstreamAttempt {
 public:
-    static std::unique_ptr<UpstreamAttempt> start(AttemptRequest request);
+    /// Starts the exchange; its events carry `number`. `threads` must outlive the attempt.
+    static std::unique_ptr<UpstreamAttempt> start(
+        AttemptThreads& threads, std::shared_ptr<AttemptInbox> inbox, uint32_t number, AttemptRequest request);
 
     /// Cancels the attempt if it still runs.
     ~UpstreamAttempt();
 
-    /// Returns the next event, or AttemptPending at `deadline`. After AttemptEnd or AttemptFailed there are no more
-    /// events.
-    AttemptEvent next(TimePoint deadline);
-
-    /// Ends the connection to the target, which makes an engine cancel the work.
+    /// Drops the attempt's events, ends the connection to the target and tells an engine to cancel the work. Returns at
+    /// once; the calls to the target run on another thread.
     void cancel();
 
 private:
-    struct Channel;
-    explicit UpstreamAttempt(std::shared_ptr<Channel> channel);
+    struct Exchange;
+    UpstreamAttempt(AttemptThreads& threads, std::shared_ptr<Exchange> exchange);
 
-    // Shared with the attempt's thread, which outlives the object by the time that closing the connection takes.
-    std::shared_ptr<Channel> m_channel;
+    AttemptThreads* m_threads;
+    // Shared with the exchange's thread, which ends after the object when the attempt is cancelled.
+    std::shared_ptr<Exchange> m_exchange;
+    bool m_isCancelled { false };
 };
 
 } // namespace cyclamenstair
--- a/StandIns/EngineCore.cpp
+++ b/StandIns/EngineCore.cpp
@@ -80,14 +80,14 @@
     return m_peakBytes;
 }
 
-bool EngineCore::acquireSlot(int priority, const std::string& requestId)
+bool EngineCore::acquireSlot(int priority, const std::string& requestId, const std::string& attempt)
 {
     std::unique_lock lock(m_slotMutex);
     const Waiter self { -priority, m_arrivals++ };
     m_waiters.insert(self);
     while (m_running >= m_settings.slots || *m_waiters.begin() != self) {
         m_slotFreed.wait_for(lock, cancelCheckInterval);
-        if (isCancelled(requestId)) {
+        if (isCancelled(requestId, attempt)) {
             m_waiters.erase(self);
             m_slotFreed.notify_all();
             return false;
@@ -138,16 +138,16 @@
     return m_runs;
 }
 
-void EngineCore::cancel(const std::string& requestId)
+void EngineCore::cancel(const std::string& requestId, const std::string& attempt)
 {
     std::lock_guard lock(m_runMutex);
-    m_cancelled.insert(requestId);
+    m_cancelled.emplace(requestId, attempt);
 }
 
-bool EngineCore::isCancelled(const std::string& requestId) const
+bool EngineCore::isCancelled(const std::string& requestId, const std::string& attempt) const
 {
     std::lock_guard lock(m_runMutex);
-    return m_cancelled.contains(requestId);
+    return m_cancelled.contains({ requestId, attempt }) || m_cancelled.contains({ requestId, "" });
 }
 
 } // namespace cyclamenstair::standin
--- a/StandIns/EngineCore.h
+++ b/StandIns/EngineCore.h
@@ -55,7 +55,7 @@
     uint64_t peakBytes() const;
 
     /// Waits for a decode slot; higher priorities first, then by arrival. Returns false if the run was cancelled.
-    bool acquireSlot(int priority, const std::string& requestId);
+    bool acquireSlot(int priority, const std::string& requestId, const std::string& attempt);
     void releaseSlot();
 
     /// Requests running or waiting.
@@ -66,8 +66,9 @@
     void endRun(size_t run, bool isFinished);
     std::vector<EngineRun> runs() const;
 
-    void cancel(const std::string& requestId);
-    bool isCancelled(const std::string& requestId) const;
+    /// Cancels one attempt of the request, or all of them if `attempt` is empty.
+    void cancel(const std::string& requestId, const std::string& attempt);
+    bool isCancelled(const std::string& requestId, const std::string& attempt) const;
 
 private:
     struct Waiter {
@@ -91,7 +92,7 @@
     uint32_t m_running { 0 };
     mutable std::mutex m_runMutex;
     std::vector<EngineRun> m_runs;
-    std::set<std::string> m_cancelled;
+    std::set<std::pair<std::string, std::string>> m_cancelled; ///< Request id and attempt.
 };
 
 } // namespace cyclamenstair::standin
--- a/StandIns/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn.cpp
@@ -10,6 +10,7 @@
 
     constexpr size_t engineThreads = 160;
     constexpr double sleepStepMs = 20;
+    constexpr Duration maxStall = std::chrono::seconds(60);
 
     std::string promptOf(const Json& body, bool isChat)
     {
@@ -149,7 +150,8 @@
         handleCompletion(request, response, true);
     });
     http.Post("/v1/cancel", [this](const httplib::Request& request, httplib::Response& response) {
-        m_core.cancel(bodyOf(request).value("request_id", ""));
+        const auto body = bodyOf(request);
+        m_core.cancel(body.value("request_id", ""), body.value("attempt", ""));
         writeJson(response, Json::object());
     });
 }
@@ -181,20 +183,24 @@
 void EngineStandIn::answerWhole(const Completion& completion, httplib::Response& response)
 {
     const auto run = m_core.beginRun(completion.requestId, completion.attempt);
-    if (!m_core.acquireSlot(completion.priority, completion.requestId)) {
+    if (!m_core.acquireSlot(completion.priority, completion.requestId, completion.attempt)) {
         m_core.endRun(run, false);
         writeJson(response, { { "error", "cancelled" } }, 499);
         return;
     }
     sleepScaled(m_core.settings().prefillMs);
     for (uint32_t token = completion.resumeFrom;
-         token < completion.maxTokens && !m_core.isCancelled(completion.requestId); ++token) {
+         token < completion.maxTokens && !m_core.isCancelled(completion.requestId, completion.attempt); ++token) {
         sleepScaled(m_core.settings().tokenMs);
         m_core.recordToken(run);
     }
     m_core.releaseSlot();
-    const bool isFinished = !m_core.isCancelled(completion.requestId);
+    const bool isFinished = !m_core.isCancelled(completion.requestId, completion.attempt);
     m_core.endRun(run, isFinished);
+    if (isFinished && m_server.faults().take("fail_completions")) {
+        writeJson(response, { { "error", "internal error" } }, 500);
+        return;
+    }
     writeJson(response,
         completion.choice(expectedAnswer(completion.model, completion.prompt, completion.maxTokens), true, false),
         isFinished ? 200 : 499);
@@ -209,7 +215,7 @@
                 const auto event = "data: " + data + "\n\n";
                 return sink.is_writable() && sink.write(event.data(), event.size());
             };
-            if (!m_core.acquireSlot(completion.priority, completion.requestId)) {
+            if (!m_core.acquireSlot(completion.priority, completion.requestId, completion.attempt)) {
                 m_core.endRun(run, false);
                 return false;
             }
@@ -219,7 +225,9 @@
                 sleepScaled(m_core.settings().tokenMs);
                 const auto text = expectedToken(completion.model, completion.prompt, token);
                 const bool isBroken = token > completion.resumeFrom && m_server.faults().take("break_streams");
-                isAlive = !isBroken && !m_core.isCancelled(completion.requestId)
+                if (token > completion.resumeFrom && m_server.faults().take("stall_streams"))
+                    waitUntilAbandoned(completion, sink);
+                isAlive = !isBroken && !m_core.isCancelled(completion.requestId, completion.attempt)
                     && send(completion.choice(text, token + 1 == completion.maxTokens, true).dump());
                 if (isAlive)
                     m_core.recordToken(run);
@@ -233,6 +241,14 @@
         });
 }
 
+void EngineStandIn::waitUntilAbandoned(const Completion& completion, const httplib::DataSink& sink)
+{
+    const auto deadline = monotonicNow() + maxStall;
+    while (monotonicNow() < deadline && sink.is_writable()
+        && !m_core.isCancelled(completion.requestId, completion.attempt))
+        std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(sleepStepMs));
+}
+
 void EngineStandIn::addReportRoutes()
 {
     auto& http = m_server.http();
--- a/StandIns/EngineStandIn.h
+++ b/StandIns/EngineStandIn.h
@@ -15,8 +15,11 @@
 ///
 /// Faults: `slow_factor` (multiplies all times), `lose_orders` (orders that have no effect and no answer),
 /// `lose_order_answers` (orders with effect but no answer), `late_orders` and `late_order_ms` (orders that get no
-/// answer and take effect later), `break_streams` (streams that end in the middle), `refuse` (completions are refused
-/// with X-Not-Run), `leaving` (the health answer says so).
+/// answer and take effect later), `break_streams` (streams that end in the middle), `stall_streams` (streams that fall
+/// silent in the middle), `fail_completions` (completions that run and are answered with status 500), `refuse`
+/// (completions are refused with X-Not-Run), `leaving` (the health answer says so).
+///
+/// `POST /v1/cancel` with `request_id` cancels all attempts of a request, and with `attempt` as well only that one.
 class EngineStandIn {
 public:
     explicit EngineStandIn(EngineSettings settings, int port = 0);
@@ -37,6 +40,7 @@
     void handleCompletion(const httplib::Request& request, httplib::Response& response, bool isChat);
     void answerWhole(const Completion& completion, httplib::Response& response);
     void answerStream(const Completion& completion, httplib::Response& response);
+    void waitUntilAbandoned(const Completion& completion, const httplib::DataSink& sink);
     void sleepScaled(double ms);
 
     EngineCore m_core;
