--- a/Examples/EmbedRouting/Main.cpp
+++ b/Examples/EmbedRouting/Main.cpp
@@ -2,7 +2,7 @@
 // targets.
 
 #include <Cyclamenstair/Plan/SheetParser.h>
-#include <Cyclamenstair/Routing/RoutingPolicy.h>
+#include <Cyclamenstair/Routing/Router.h>
 
 #include <iostream>
 
@@ -18,12 +18,15 @@
     }
 
     TargetTable targets;
-    Router router(LeastInFlightPolicy {}, targets);
+    StragglerDetector detector;
+    Router router(LeastInFlightPolicy {}, targets, detector);
     Random random(1);
     const std::vector<RouteCandidate> candidates { { "t1", "10.0.0.1:80", "domain-1" },
         { "t2", "10.0.0.2:80", "domain-2" }, { "t3", "10.0.0.3:80", "domain-3" } };
     for (int request = 0; request < 10; ++request) {
-        const auto choice = router.pick(candidates, random);
+        RouteQuery query;
+        query.pool = "drafting";
+        const auto choice = router.pick(candidates, query, random);
         targets.beginAttempt(candidates[*choice].target);
     }
     for (const auto& candidate : candidates)
