Run bookings at most once

Cause: a booking that was repeated through another node ran twice, because nothing recorded that it had run.

Change: a claim in the store, created by compare-and-swap, precedes the call. The claim record gets the states Unknown and Released. A released record stays in place of a deletion, so that a late copy of the claim's write meets an existing key. The error kind key_reused (HTTP 422) is new, and services get the query string of the call.

--- /dev/null
+++ b/Cyclamenstair/Codec/ClaimCodec.cpp
@@ -0,0 +1,37 @@
+#include <Cyclamenstair/Codec/ClaimCodec.h>
+
+#include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Generated/Records_generated.h>
+
+namespace cyclamenstair {
+
+std::string encodeClaim(const ClaimRecord& claim)
+{
+    schema::ClaimRecordT record;
+    record.state = static_cast<schema::ClaimState>(claim.state);
+    record.node = claim.node;
+    record.token = claim.token;
+    record.body_hash = claim.bodyHash;
+    record.status = claim.answer.status;
+    record.content_type = claim.answer.contentType;
+    record.body = claim.answer.body;
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(schema::ClaimRecord::Pack(builder, &record));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+ClaimRecord decodeClaim(std::string_view bytes)
+{
+    const auto* data = reinterpret_cast<const uint8_t*>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (bytes.empty() || !verifier.VerifyBuffer<schema::ClaimRecord>(nullptr))
+        throw Exception({ ErrorKind::InvalidInput, "claim.decode", "", "malformed record" });
+    schema::ClaimRecordT record;
+    flatbuffers::GetRoot<schema::ClaimRecord>(data)->UnPackTo(&record);
+    // A state of a newer version is treated as unknown, which never lets a call run again.
+    const auto state
+        = record.state > schema::ClaimState::MAX ? ClaimState::Unknown : static_cast<ClaimState>(record.state);
+    return { state, record.node, record.token, record.body_hash, { record.status, record.content_type, record.body } };
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Codec/PeerMessages.h
+++ b/Cyclamenstair/Codec/PeerMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Cyclamenstair/Core/EnumNames.h>
+#include <Cyclamenstair/Bookings/ClaimRecord.h>
 #include <Cyclamenstair/Membership/GossipTable.h>
 
 #include <string>
@@ -52,23 +52,7 @@
     std::string token;
 };
 
-/// Progress of a booking claim at the node that made it.
-enum class ClaimProgress : uint8_t {
-    Running,
-    Abandoned, ///< Never sent to the service and never will be.
-    Finished,
-    NotKnown,
-};
-
-template <> struct EnumNames<ClaimProgress> {
-    static constexpr auto table = std::to_array<EnumName<ClaimProgress>>({
-        { ClaimProgress::Running, "running" },
-        { ClaimProgress::Abandoned, "abandoned" },
-        { ClaimProgress::Finished, "finished" },
-        { ClaimProgress::NotKnown, "not_known" },
-    });
-};
-
+/// What the node of a claim knows about it.
 struct ClaimAnswerMessage {
     ClaimProgress progress { ClaimProgress::NotKnown };
     int status { 0 };
--- a/Cyclamenstair/Core/Error.h
+++ b/Cyclamenstair/Core/Error.h
@@ -14,6 +14,7 @@
     Forbidden,
     NotFound,
     Conflict,
+    KeyReused, ///< The idempotency key was used before for another call.
     LimitExceeded,
     NotRun,
     Unavailable,
@@ -29,6 +30,7 @@
         { ErrorKind::Forbidden, "forbidden" },
         { ErrorKind::NotFound, "not_found" },
         { ErrorKind::Conflict, "conflict" },
+        { ErrorKind::KeyReused, "key_reused" },
         { ErrorKind::LimitExceeded, "limit_exceeded" },
         { ErrorKind::NotRun, "not_run" },
         { ErrorKind::Unavailable, "unavailable" },
--- a/Cyclamenstair/Generated/Records_generated.h
+++ b/Cyclamenstair/Generated/Records_generated.h
@@ -130,32 +130,39 @@
   return EnumNamesResidencyState()[index];
 }
 
+/// Unknown: the call may have run and nobody has its answer. Released: the call did not run, and the claim may be taken over.
 enum class ClaimState : uint8_t {
   Claimed = 0,
   Answered = 1,
+  Unknown = 2,
+  Released = 3,
   MIN = Claimed,
-  MAX = Answered
+  MAX = Released
 };
 
-inline const ClaimState (&EnumValuesClaimState())[2] {
+inline const ClaimState (&EnumValuesClaimState())[4] {
   static const ClaimState values[] = {
     ClaimState::Claimed,
-    ClaimState::Answered
+    ClaimState::Answered,
+    ClaimState::Unknown,
+    ClaimState::Released
   };
   return values;
 }
 
 inline const char * const *EnumNamesClaimState() {
-  static const char * const names[3] = {
+  static const char * const names[5] = {
     "Claimed",
     "Answered",
+    "Unknown",
+    "Released",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameClaimState(ClaimState e) {
-  if (flatbuffers::IsOutRange(e, ClaimState::Claimed, ClaimState::Answered)) return "";
+  if (flatbuffers::IsOutRange(e, ClaimState::Claimed, ClaimState::Released)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesClaimState()[index];
 }
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -82,18 +82,20 @@
 } // namespace
 
 Result<std::unique_ptr<FrontEnd>> FrontEnd::create(
-    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor)
+    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, BookingExecutor& bookings)
 {
-    std::unique_ptr<FrontEnd> frontEnd(new FrontEnd(settings, plans, executor));
+    std::unique_ptr<FrontEnd> frontEnd(new FrontEnd(settings, plans, executor, bookings));
     if (const auto started = frontEnd->m_listener.start(); !started)
         return started.error();
     return frontEnd;
 }
 
-FrontEnd::FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor)
+FrontEnd::FrontEnd(
+    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, BookingExecutor& bookings)
     : m_settings(settings)
     , m_plans(&plans)
     , m_executor(&executor)
+    , m_bookings(&bookings)
     , m_listener(listenerSettings(*settings.caller))
 {
     addRoutes();
@@ -233,6 +235,8 @@
         refuse(ErrorKind::NotFound, "request.parse", "service '" + name + "' is not in the plan");
     auto request = requestFrom(http, caller, name);
     request.path = http.matches[2].matched ? http.matches[2].str() : "/";
+    if (const auto query = http.target.find('?'); query != std::string::npos)
+        request.path += http.target.substr(query);
     request.isRepeatable = service->repeatable || http.method == "GET";
     if (!request.isRepeatable && request.idempotencyKey.empty())
         refuse(ErrorKind::InvalidInput, "request.parse",
@@ -242,7 +246,7 @@
 
 void FrontEnd::answerWhole(const Request& request, httplib::Response& response)
 {
-    auto result = m_executor->run(request);
+    auto result = request.isRepeatable ? m_executor->run(request) : m_bookings->run(request);
     if (const auto* failure = std::get_if<RequestFailure>(&result)) {
         writeFailure(response, request.id, *failure);
         return;
--- a/Cyclamenstair/Node/FrontEnd.h
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Cyclamenstair/Node/RequestExecutor.h>
+#include <Cyclamenstair/Node/BookingExecutor.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
 #include <Cyclamenstair/Transport/HttpListener.h>
 
@@ -17,8 +17,8 @@
 /// HTTP listener for callers.
 class FrontEnd {
 public:
-    static Result<std::unique_ptr<FrontEnd>> create(
-        const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
+    static Result<std::unique_ptr<FrontEnd>> create(const schema::SettingsT& settings, const PlanRegister& plans,
+        RequestExecutor& executor, BookingExecutor& bookings);
     ~FrontEnd();
 
     /// From now on the readiness probe answers 503.
@@ -33,7 +33,8 @@
     void stop();
 
 private:
-    FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
+    FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor,
+        BookingExecutor& bookings);
 
     void addRoutes();
     void handleProbe(bool isReadinessProbe, httplib::Response& response) const;
@@ -51,6 +52,7 @@
     schema::SettingsT m_settings;
     const PlanRegister* m_plans;
     RequestExecutor* m_executor;
+    BookingExecutor* m_bookings;
     std::atomic<bool> m_isReady { true };
     std::atomic<bool> m_isRefusing { false };
     std::atomic<int> m_callsInProgress { 0 };
--- a/Cyclamenstair/Node/HttpErrors.cpp
+++ b/Cyclamenstair/Node/HttpErrors.cpp
@@ -18,6 +18,8 @@
         return 404;
     case ErrorKind::Conflict:
         return 409;
+    case ErrorKind::KeyReused:
+        return 422;
     case ErrorKind::LimitExceeded:
         return 429;
     case ErrorKind::NotRun:
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -48,7 +48,11 @@
     peer.fleetKey = fleetKey.value();
     peer.timeout = milliseconds(settings.peer->timeout_ms);
     auto peerServer = PeerServer::create(peer,
-        [loop = &node->m_gossipLoop](const PeerMessage& request, const std::string&) { return loop->answer(request); });
+        [loop = &node->m_gossipLoop, bookings = &node->m_bookings](const PeerMessage& request, const std::string&) {
+            if (const auto* query = std::get_if<ClaimQueryMessage>(&request))
+                return PeerMessage(bookings->answer(*query));
+            return loop->answer(request);
+        });
     if (!peerServer)
         return peerServer.error();
     node->m_peerServer = std::move(peerServer).value();
@@ -58,7 +62,7 @@
         return operatorApi.error();
     node->m_operatorApi = std::move(operatorApi).value();
 
-    auto frontEnd = FrontEnd::create(settings, node->m_plans, node->m_executor);
+    auto frontEnd = FrontEnd::create(settings, node->m_plans, node->m_executor, node->m_bookings);
     if (!frontEnd)
         return frontEnd.error();
     node->m_frontEnd = std::move(frontEnd).value();
@@ -72,6 +76,7 @@
     , m_incarnation(settings.node->id + "/" + randomId())
     , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
     , m_executor(settings, m_directory)
+    , m_bookings(settings, m_incarnation, fleetKey, m_store, m_gossip, m_executor)
     , m_planFollower(m_store, m_plans, milliseconds(settings.store->watch_ms))
     , m_gossipLoop(settings, m_incarnation, std::move(fleetKey), m_gossip, m_plans, m_directory)
     , m_coordinator(settings, m_incarnation, m_store, m_plans, m_gossip, m_directory)
@@ -89,6 +94,7 @@
         std::this_thread::sleep_for(drainPollInterval);
     m_frontEnd->stop();
     m_operatorApi->stop();
+    m_bookings.stop();
     m_coordinator.stop();
     m_planFollower.stop();
     m_gossipLoop.stop();
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Cyclamenstair/Node/BookingExecutor.h>
 #include <Cyclamenstair/Node/Coordinator.h>
 #include <Cyclamenstair/Node/FrontEnd.h>
 #include <Cyclamenstair/Node/GossipLoop.h>
@@ -28,6 +29,7 @@
     GossipTable m_gossip;
     TargetDirectory m_directory;
     RequestExecutor m_executor;
+    BookingExecutor m_bookings;
     PlanFollower m_planFollower;
     GossipLoop m_gossipLoop;
     std::unique_ptr<PeerServer> m_peerServer;
