Read the claim when the store takes no writes

Cause: the process test of a late claim showed a repeat that heard not_run although the call had an answer: the node had no lease at that moment, so its write was refused, and the claim was never read.

Change: a refused write is followed by one read. The test holds a lease first, so that the claim's write itself is late.

--- a/Cyclamenstair/Bookings/BookingClaim.cpp
+++ b/Cyclamenstair/Bookings/BookingClaim.cpp
@@ -17,18 +17,35 @@
 BookingAction BookingClaim::next(const BookingEvent& event)
 {
     return std::visit(Overloaded {
-                          [&](const ClaimReadAbsent&) -> BookingAction { return CreateClaim {}; },
+                          [&](const ClaimReadAbsent&) -> BookingAction {
+                              if (m_wasRefused)
+                                  return ReplyNotRun {};
+                              return CreateClaim {};
+                          },
                           [&](const ClaimRead& read) { return afterRead(read); },
-                          // A read follows only on evidence of another claim, whose call may have run.
-                          [&](const ClaimReadFailed&) -> BookingAction { return ReplyUnknown {}; },
+                          [&](const ClaimReadFailed&) -> BookingAction {
+                              // A conflict is evidence of another claim, whose call may have run.
+                              if (m_hasConflict)
+                                  return ReplyUnknown {};
+                              return ReplyNotRun {};
+                          },
                           [&](const ClaimWritten& written) -> BookingAction {
                               assert(!m_wasSent);
                               m_ownRevision = written.revision;
                               m_wasSent = true;
                               return SendCall {};
                           },
-                          [&](const ClaimWriteConflict&) -> BookingAction { return ReadClaim {}; },
-                          [&](const ClaimWriteRefused&) -> BookingAction { return ReplyNotRun {}; },
+                          [&](const ClaimWriteConflict&) -> BookingAction {
+                              m_hasConflict = true;
+                              return ReadClaim {};
+                          },
+                          [&](const ClaimWriteRefused&) -> BookingAction {
+                              if (m_wasRefused)
+                                  return ReplyNotRun {};
+                              // Reads may still succeed, and an earlier call with this key may have an answer.
+                              m_wasRefused = true;
+                              return ReadClaim {};
+                          },
                           [&](const ClaimWriteUnknown&) -> BookingAction { return ReplyNotRun { true }; },
                           [&](const ClaimNodeAnswer& answer) { return afterNodeAnswer(answer); },
                           [&](const ClaimNodeSilent&) -> BookingAction {
--- a/Cyclamenstair/Bookings/BookingClaim.h
+++ b/Cyclamenstair/Bookings/BookingClaim.h
@@ -114,6 +114,8 @@
     int64_t m_foundRevision { 0 };
     std::string m_foundNode;
     std::string m_foundToken;
+    bool m_hasConflict { false };
+    bool m_wasRefused { false };
     bool m_wasNodeSilent { false };
     bool m_wasSent { false };
 };
--- a/Tests/BookingsTests/BookingClaimTests.cpp
+++ b/Tests/BookingsTests/BookingClaimTests.cpp
@@ -267,6 +267,20 @@
         EXPECT_TRUE(isAction<ReplyUnknown>(claim.next(ClaimReadFailed {})));
     }
 
+    // Guards against "not run" for a call that has an answer, when the store takes reads but no writes.
+    TEST(BookingClaim, RefusedWriteStillFindsAnAnswer)
+    {
+        BookingClaim claim("a/1", "t", bodyHash);
+        EXPECT_TRUE(isAction<ReadClaim>(claim.next(ClaimWriteRefused {})));
+        EXPECT_TRUE(isAction<ReplyAnswer>(
+            claim.next(ClaimRead { { ClaimState::Answered, "b/1", "u", bodyHash, { 200, "", "x" } }, 4 })));
+        BookingClaim refused("a/1", "t", bodyHash);
+        refused.next(ClaimWriteRefused {});
+        EXPECT_TRUE(
+            isAction<TakeOverClaim>(refused.next(ClaimRead { { ClaimState::Released, "b/1", "u", bodyHash, {} }, 4 })));
+        EXPECT_TRUE(isAction<ReplyNotRun>(refused.next(ClaimWriteRefused {})));
+    }
+
     // Guards against an answer that is missed because it was stored between the read and the question to a dead node.
     TEST(BookingClaim, RecordIsReadAgainAfterTheClaimsNodeIsSilent)
     {
--- a/Tests/NodeTests/BookingTests.cpp
+++ b/Tests/NodeTests/BookingTests.cpp
@@ -152,6 +152,7 @@
     // Guards against a claim that stays for ever because its write took effect after the caller heard "not run".
     TEST_F(Booking, LateClaimIsReleased)
     {
+        ASSERT_EQ(book(0, "earlier").status, 200); // Makes the node hold a lease, so that the claim is sent.
         // Longer than the node waits for the store.
         ProcessFleet::setFaults(m_fleet.storeAddress(), { { "delay_ms", 1200 } });
         const auto refused = book(0, "late");
