--- a/Tests/BookingsTests/BookingClaimTests.cpp
+++ b/Tests/BookingsTests/BookingClaimTests.cpp
@@ -205,11 +205,15 @@
     // late store answers, a store that is down, lost answers of the service and of the nodes, and deaths of nodes.
     RC_GTEST_PROP(BookingClaim, runsAtMostOnce, ())
     {
-        World world;
-        const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+        // Many short histories, because a history is decided after a few steps.
+        constexpr size_t stepsOfHistory = 40;
+        constexpr size_t histories = 30;
+        const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(stepsOfHistory * histories,
             rc::gen::tuple(rc::gen::inRange(0, 20), rc::gen::inRange(0, 12), rc::gen::inRange(0, 100)));
-        for (int round = 0; round < 3; ++round) {
-            for (const auto& [kind, fault, choice] : steps) {
+        for (size_t history = 0; history < histories; ++history) {
+            World world;
+            for (size_t i = 0; i < stepsOfHistory; ++i) {
+                const auto& [kind, fault, choice] = steps[history * stepsOfHistory + i];
                 if (kind < 4)
                     world.startAttempt(static_cast<size_t>(choice % 2));
                 else if (kind == 4)
@@ -223,9 +227,9 @@
                 }
                 RC_ASSERT(world.runs <= 1);
             }
+            for (const auto& answer : world.answers)
+                RC_ASSERT(answer == world.answers.front());
         }
-        for (const auto& answer : world.answers)
-            RC_ASSERT(answer == world.answers.front());
     }
 
     // Guards against a fleet that stays blocked after a claim whose call never ran: with all messages delivered, a
