Add admission by deadline and caller limits

Cause: the node passed every request on at once, so that under overload all answers came late, one caller's burst delayed all others, and the plan's caller rates had no effect.

Change: the library Admission decides on requests (AcceptAllPolicy, DeadlinePolicy): refusal at once when the window cannot be met, queues bounded in count and bytes, order by priority and start-time fair queueing between callers, a bound of half the places for long work, and a concurrency limit learned from the node's own service times. AdmissionGate blocks callers' threads on a condition variable; FrontEnd frees the place when the answer or the stream ends. Streams carry X-Outcome.

--- a/Cyclamenstair/Generated/Records_generated.h
+++ b/Cyclamenstair/Generated/Records_generated.h
@@ -64,6 +64,14 @@
 struct TargetStatusRecordBuilder;
 struct TargetStatusRecordT;
 
+struct CallerDemandRecord;
+struct CallerDemandRecordBuilder;
+struct CallerDemandRecordT;
+
+struct CallerUsageRecord;
+struct CallerUsageRecordBuilder;
+struct CallerUsageRecordT;
+
 enum class Priority : uint8_t {
   Low = 0,
   Normal = 1,
@@ -1911,6 +1919,162 @@
 
 flatbuffers::Offset<TargetStatusRecord> CreateTargetStatusRecord(flatbuffers::FlatBufferBuilder &_fbb, const TargetStatusRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CallerDemandRecordT : public flatbuffers::NativeTable {
+  typedef CallerDemandRecord TableType;
+  std::string caller{};
+  double per_second = 0.0;
+};
+
+struct CallerDemandRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CallerDemandRecordT NativeTableType;
+  typedef CallerDemandRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALLER = 4,
+    VT_PER_SECOND = 6
+  };
+  const flatbuffers::String *caller() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLER);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_CALLER) &&
+           verifier.VerifyString(caller()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           verifier.EndTable();
+  }
+  CallerDemandRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CallerDemandRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CallerDemandRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CallerDemandRecordBuilder {
+  typedef CallerDemandRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_caller(flatbuffers::Offset<flatbuffers::String> caller) {
+    fbb_.AddOffset(CallerDemandRecord::VT_CALLER, caller);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(CallerDemandRecord::VT_PER_SECOND, per_second, 0.0);
+  }
+  explicit CallerDemandRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CallerDemandRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CallerDemandRecord>(end);
+    fbb_.Required(o, CallerDemandRecord::VT_CALLER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CallerDemandRecord> CreateCallerDemandRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> caller = 0,
+    double per_second = 0.0) {
+  CallerDemandRecordBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_caller(caller);
+  return builder_.Finish();
+}
+
+struct CallerDemandRecord::Traits {
+  using type = CallerDemandRecord;
+  static auto constexpr Create = CreateCallerDemandRecord;
+};
+
+inline flatbuffers::Offset<CallerDemandRecord> CreateCallerDemandRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *caller = nullptr,
+    double per_second = 0.0) {
+  auto caller__ = caller ? _fbb.CreateString(caller) : 0;
+  return cyclamenstair::schema::CreateCallerDemandRecord(
+      _fbb,
+      caller__,
+      per_second);
+}
+
+flatbuffers::Offset<CallerDemandRecord> CreateCallerDemandRecord(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CallerUsageRecordT : public flatbuffers::NativeTable {
+  typedef CallerUsageRecord TableType;
+  std::vector<std::unique_ptr<cyclamenstair::schema::CallerDemandRecordT>> demands{};
+  CallerUsageRecordT() = default;
+  CallerUsageRecordT(const CallerUsageRecordT &o);
+  CallerUsageRecordT(CallerUsageRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  CallerUsageRecordT &operator=(CallerUsageRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Requests a second of each caller with a limit, as one node sees them.
+struct CallerUsageRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CallerUsageRecordT NativeTableType;
+  typedef CallerUsageRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DEMANDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>> *>(VT_DEMANDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           verifier.EndTable();
+  }
+  CallerUsageRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CallerUsageRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CallerUsageRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerUsageRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CallerUsageRecordBuilder {
+  typedef CallerUsageRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>>> demands) {
+    fbb_.AddOffset(CallerUsageRecord::VT_DEMANDS, demands);
+  }
+  explicit CallerUsageRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CallerUsageRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CallerUsageRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CallerUsageRecord> CreateCallerUsageRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>>> demands = 0) {
+  CallerUsageRecordBuilder builder_(_fbb);
+  builder_.add_demands(demands);
+  return builder_.Finish();
+}
+
+struct CallerUsageRecord::Traits {
+  using type = CallerUsageRecord;
+  static auto constexpr Create = CreateCallerUsageRecord;
+};
+
+inline flatbuffers::Offset<CallerUsageRecord> CreateCallerUsageRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>> *demands = nullptr) {
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>>(*demands) : 0;
+  return cyclamenstair::schema::CreateCallerUsageRecord(
+      _fbb,
+      demands__);
+}
+
+flatbuffers::Offset<CallerUsageRecord> CreateCallerUsageRecord(flatbuffers::FlatBufferBuilder &_fbb, const CallerUsageRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline ModelRecordT *ModelRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ModelRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -2467,6 +2631,71 @@
       _artifacts);
 }
 
+inline CallerDemandRecordT *CallerDemandRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CallerDemandRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CallerDemandRecord::UnPackTo(CallerDemandRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = caller(); if (_e) _o->caller = _e->str(); }
+  { auto _e = per_second(); _o->per_second = _e; }
+}
+
+inline flatbuffers::Offset<CallerDemandRecord> CallerDemandRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCallerDemandRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CallerDemandRecord> CreateCallerDemandRecord(flatbuffers::FlatBufferBuilder &_fbb, const CallerDemandRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallerDemandRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _caller = _fbb.CreateString(_o->caller);
+  auto _per_second = _o->per_second;
+  return cyclamenstair::schema::CreateCallerDemandRecord(
+      _fbb,
+      _caller,
+      _per_second);
+}
+
+inline CallerUsageRecordT::CallerUsageRecordT(const CallerUsageRecordT &o) {
+  demands.reserve(o.demands.size());
+  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new cyclamenstair::schema::CallerDemandRecordT(*demands_) : nullptr); }
+}
+
+inline CallerUsageRecordT &CallerUsageRecordT::operator=(CallerUsageRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(demands, o.demands);
+  return *this;
+}
+
+inline CallerUsageRecordT *CallerUsageRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CallerUsageRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CallerUsageRecord::UnPackTo(CallerUsageRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<cyclamenstair::schema::CallerDemandRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<CallerUsageRecord> CallerUsageRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallerUsageRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCallerUsageRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CallerUsageRecord> CreateCallerUsageRecord(flatbuffers::FlatBufferBuilder &_fbb, const CallerUsageRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallerUsageRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::CallerDemandRecord>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateCallerDemandRecord(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateCallerUsageRecord(
+      _fbb,
+      _demands);
+}
+
 inline const cyclamenstair::schema::PlanRecord *GetPlanRecord(const void *buf) {
   return flatbuffers::GetRoot<cyclamenstair::schema::PlanRecord>(buf);
 }
--- /dev/null
+++ b/Cyclamenstair/Node/AdmissionGate.cpp
@@ -0,0 +1,119 @@
+#include <Cyclamenstair/Node/AdmissionGate.h>
+
+#include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Node/GossipKeys.h>
+
+#include <algorithm>
+
+namespace cyclamenstair {
+
+namespace {
+
+    /// Memory of a waiting request besides its body.
+    constexpr size_t requestOverheadBytes = 1024;
+
+    std::unique_ptr<AdmissionController> makeController(const schema::SettingsT& all)
+    {
+        const auto& settings = *all.admission;
+        if (settings.policy == schema::AdmissionPolicyKind::AcceptAll)
+            return std::make_unique<AdmissionController>();
+        DeadlinePolicySettings policy;
+        policy.inFlightPerTarget = static_cast<size_t>(settings.in_flight_per_target);
+        // A waiting request holds a worker thread, and the others have to be answered.
+        policy.maxQueued = static_cast<size_t>(std::min(settings.max_queued, all.caller->threads / 2));
+        policy.maxQueuedBytes = static_cast<size_t>(settings.max_queued_bytes);
+        return std::make_unique<AdmissionController>(policy);
+    }
+
+    RequestFailure failureOf(const AdmissionRefused& refused)
+    {
+        const auto reason = refused.refusal == AdmissionRefusal::QueueFull
+            ? "the node's queue is full"
+            : "the request cannot be answered within its window at present";
+        return { RequestOutcome::NotRun, { ErrorKind::NotRun, "request.admission", "", reason }, refused.retryAfter };
+    }
+
+} // namespace
+
+AdmissionGate::Pass::~Pass() { m_gate->deliver(m_gate->m_controller->release(m_end, monotonicNow())); }
+
+AdmissionGate::AdmissionGate(
+    const schema::SettingsT& settings, const TargetDirectory& directory, const GossipTable& gossip)
+    : m_settings(settings)
+    , m_directory(&directory)
+    , m_gossip(&gossip)
+    , m_controller(makeController(settings))
+{
+}
+
+size_t AdmissionGate::liveNodes() const
+{
+    const auto limit = milliseconds(m_settings.peer->member_timeout_ms);
+    return std::max<size_t>(1, m_gossip->recentKeys(memberKeyPrefix, limit, monotonicNow()).size());
+}
+
+std::variant<std::unique_ptr<AdmissionGate::Pass>, RequestFailure> AdmissionGate::enter(
+    const Request& request, double work)
+{
+    AdmissionRequest admission;
+    admission.caller = request.caller;
+    admission.artifact = request.artifact;
+    admission.priority = request.priority;
+    admission.workClass = request.workClass;
+    admission.work = work;
+    admission.bytes = request.body.size() + requestOverheadBytes;
+    admission.deadline = request.arrival + request.window;
+    const AdmissionCapacity capacity { m_directory->candidates(request.artifact).size(), liveNodes() };
+    const auto decision = wait(admission, m_controller->nextTicket(), capacity);
+    if (const auto* refused = std::get_if<AdmissionRefused>(&decision))
+        return failureOf(*refused);
+    return std::make_unique<Pass>(
+        *this, AdmissionRelease { request.artifact, request.workClass, work, Duration(0), false }, monotonicNow());
+}
+
+AdmissionDecision AdmissionGate::wait(
+    const AdmissionRequest& request, AdmissionTicket ticket, const AdmissionCapacity& capacity)
+{
+    // Registered before the request is submitted, because its verdict may come from another thread at once.
+    Waiter waiter;
+    m_waiters.withShard(ticket, [&](Waiters& waiters) { waiters.emplace(ticket, &waiter); });
+    const auto result = m_controller->submit(ticket, request, capacity, monotonicNow());
+    deliver(result.verdicts);
+    auto decision = result.decision;
+    if (const auto* queued = std::get_if<AdmissionQueued>(&decision)) {
+        const auto isDecided = [&] { return waiter.decision.has_value(); };
+        std::unique_lock lock(waiter.mutex);
+        if (!waiter.decided.wait_until(lock, queued->latestStart, isDecided)) {
+            lock.unlock();
+            if (const auto refused = m_controller->withdraw(request.artifact, ticket)) {
+                lock.lock();
+                waiter.decision = *refused;
+            } else {
+                // The verdict was given and is about to be delivered.
+                lock.lock();
+                waiter.decided.wait(lock, isDecided);
+            }
+        }
+        decision = *waiter.decision;
+    }
+    // A delivery holds the shard's lock, so that none uses the waiter after this.
+    m_waiters.withShard(ticket, [&](Waiters& waiters) { waiters.erase(ticket); });
+    return decision;
+}
+
+void AdmissionGate::deliver(const std::vector<AdmissionVerdict>& verdicts)
+{
+    for (const auto& verdict : verdicts) {
+        m_waiters.withShard(verdict.ticket, [&](Waiters& waiters) {
+            const auto found = waiters.find(verdict.ticket);
+            if (found == waiters.end())
+                return;
+            auto& waiter = *found->second;
+            std::lock_guard lock(waiter.mutex);
+            waiter.decision = verdict.decision;
+            waiter.decided.notify_one();
+        });
+    }
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Node/BookingExecutor.cpp
+++ b/Cyclamenstair/Node/BookingExecutor.cpp
@@ -59,6 +59,7 @@
 /// One call on its way through the state machine.
 struct BookingExecutor::Call {
     const Request* request;
+    const std::function<void(Duration)>* onAnswer;
     std::string key;
     TimePoint deadline;
     BookingClaim claim;
@@ -100,9 +101,10 @@
 {
 }
 
-std::variant<WholeAnswer, RequestFailure> BookingExecutor::run(const Request& request)
+std::variant<WholeAnswer, RequestFailure> BookingExecutor::run(
+    const Request& request, const std::function<void(Duration)>& onAnswer)
 {
-    Call call { &request, claimKey(request), request.arrival + request.window,
+    Call call { &request, &onAnswer, claimKey(request), request.arrival + request.window,
         BookingClaim(m_incarnation, randomId(), callHash(request)) };
     if (auto joined = joinRunningCall(call))
         return std::move(*joined);
@@ -182,10 +184,13 @@
         call.failure = notRun("the claim was given up");
         return BookingEvent(ServiceNotRun {});
     }
+    const auto sentAt = monotonicNow();
     auto result = m_executor->run(*call.request);
-    if (auto* whole = std::get_if<WholeAnswer>(&result))
+    if (auto* whole = std::get_if<WholeAnswer>(&result)) {
+        (*call.onAnswer)(monotonicNow() - sentAt);
         return BookingEvent(
             ServiceAnswered { { whole->status, std::move(whole->contentType), std::move(whole->body) } });
+    }
     call.failure = std::move(std::get<RequestFailure>(result));
     if (call.failure.outcome == RequestOutcome::NotRun)
         return BookingEvent(ServiceNotRun {});
--- a/Cyclamenstair/Node/BookingExecutor.h
+++ b/Cyclamenstair/Node/BookingExecutor.h
@@ -14,7 +14,9 @@
         StoreClient& store, const GossipTable& gossip, RequestExecutor& executor);
 
     /// Runs the call, or returns what is known of an earlier call with the same key.
-    std::variant<WholeAnswer, RequestFailure> run(const Request& request);
+    /// `onAnswer` is called with the service time if the service itself answered this call.
+    std::variant<WholeAnswer, RequestFailure> run(
+        const Request& request, const std::function<void(Duration)>& onAnswer);
 
     /// Answers another node's question about a claim of this node.
     ClaimAnswerMessage answer(const ClaimQueryMessage& query) const;
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -17,6 +17,12 @@
     constexpr size_t maxPathBytes = 1024;
     constexpr int64_t defaultMaxTokens = 16;
 
+    /// Work before the first token in units of a token, so that the time for a unit hardly depends on the length.
+    constexpr double prefillWork = 4;
+
+    /// Status from which on an answer is an error, whose time says nothing about the target's speed.
+    constexpr int firstErrorStatus = 400;
+
     /// Depth of nested arrays and objects that a caller's JSON may have.
     constexpr int maxJsonDepth = 64;
 
@@ -82,20 +88,18 @@
 } // namespace
 
 Result<std::unique_ptr<FrontEnd>> FrontEnd::create(
-    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, BookingExecutor& bookings)
+    const schema::SettingsT& settings, const PlanRegister& plans, const FrontEndParts& parts)
 {
-    std::unique_ptr<FrontEnd> frontEnd(new FrontEnd(settings, plans, executor, bookings));
+    std::unique_ptr<FrontEnd> frontEnd(new FrontEnd(settings, plans, parts));
     if (const auto started = frontEnd->m_listener.start(); !started)
         return started.error();
     return frontEnd;
 }
 
-FrontEnd::FrontEnd(
-    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, BookingExecutor& bookings)
+FrontEnd::FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, const FrontEndParts& parts)
     : m_settings(settings)
     , m_plans(&plans)
-    , m_executor(&executor)
-    , m_bookings(&bookings)
+    , m_parts(parts)
     , m_listener(listenerSettings(*settings.caller))
 {
     addRoutes();
@@ -218,10 +222,7 @@
     request.isStream = fieldOr(body, "stream", false);
     const auto maxTokens = fieldOr<int64_t>(body, "max_tokens", defaultMaxTokens);
     request.workClass = maxTokens >= m_settings.request->long_work_tokens ? WorkClass::Long : WorkClass::Short;
-    if (request.isStream)
-        answerStream(request, response);
-    else
-        answerWhole(request, response);
+    admitAndAnswer(request, caller, static_cast<double>(std::max<int64_t>(1, maxTokens)) + prefillWork, response);
 }
 
 void FrontEnd::handleService(const httplib::Request& http, httplib::Response& response)
@@ -241,44 +242,76 @@
     if (!request.isRepeatable && request.idempotencyKey.empty())
         refuse(ErrorKind::InvalidInput, "request.parse",
             "the call may not be repeated and needs an Idempotency-Key header");
-    answerWhole(request, response);
+    admitAndAnswer(request, caller, 1, response);
+}
+
+void FrontEnd::admitAndAnswer(
+    const Request& request, const CallerSpec& caller, double work, httplib::Response& response)
+{
+    if (const auto wait = m_parts.quota->take(caller, m_parts.admission->liveNodes())) {
+        writeFailure(response, request.id,
+            { RequestOutcome::NotRun,
+                { ErrorKind::LimitExceeded, "request.quota", "", "the caller's request rate is used up" }, *wait });
+        return;
+    }
+    auto entered = m_parts.admission->enter(request, work);
+    if (const auto* failure = std::get_if<RequestFailure>(&entered)) {
+        writeFailure(response, request.id, *failure);
+        return;
+    }
+    auto& pass = std::get<std::unique_ptr<AdmissionGate::Pass>>(entered);
+    if (request.isStream)
+        answerStream(request, std::move(pass), response);
+    else
+        answerWhole(request, *pass, response);
 }
 
-void FrontEnd::answerWhole(const Request& request, httplib::Response& response)
+void FrontEnd::answerWhole(const Request& request, AdmissionGate::Pass& pass, httplib::Response& response)
 {
-    auto result = request.isRepeatable ? m_executor->run(request) : m_bookings->run(request);
+    // Only calls that a target answered now count as observations, not repeated answers.
+    const auto onAnswer = [&](Duration serviceTime) { pass.markComplete(serviceTime); };
+    auto result = request.isRepeatable ? m_parts.executor->run(request) : m_parts.bookings->run(request, onAnswer);
     if (const auto* failure = std::get_if<RequestFailure>(&result)) {
         writeFailure(response, request.id, *failure);
         return;
     }
     const auto& answer = std::get<WholeAnswer>(result);
+    if (request.isRepeatable && answer.status < firstErrorStatus)
+        pass.markComplete();
     response.status = answer.status;
     response.set_header("X-Outcome", std::string(nameOf(RequestOutcome::Complete)));
     response.set_header("X-Request-Id", request.id);
     response.set_content(answer.body, answer.contentType);
 }
 
-void FrontEnd::answerStream(const Request& request, httplib::Response& response)
+void FrontEnd::answerStream(
+    const Request& request, std::unique_ptr<AdmissionGate::Pass> pass, httplib::Response& response)
 {
-    auto started = m_executor->start(request);
+    auto started = m_parts.executor->start(request);
     if (const auto* failure = std::get_if<RequestFailure>(&started)) {
         writeFailure(response, request.id, *failure);
         return;
     }
-    // Shared, because the library copies the provider that owns the running answer.
+    // Shared, because the library copies the provider that owns the running answer. The last copy frees the place.
     const std::shared_ptr<RunningAnswer> answer = std::move(std::get<std::unique_ptr<RunningAnswer>>(started));
+    const std::shared_ptr<AdmissionGate::Pass> place = std::move(pass);
     const auto guard = std::make_shared<CallGuard>(m_callsInProgress);
     response.status = answer->head().status;
+    // Holds if the stream ends with its last chunk; a broken stream ends without it.
+    response.set_header("X-Outcome", std::string(nameOf(RequestOutcome::Complete)));
     response.set_header("X-Request-Id", request.id);
-    response.set_chunked_content_provider(answer->head().contentType, [answer, guard](size_t, httplib::DataSink& sink) {
-        auto event = answer->next();
-        if (const auto* data = std::get_if<AttemptData>(&event))
-            return sink.write(data->bytes.data(), data->bytes.size());
-        if (!std::holds_alternative<AttemptEnd>(event))
-            return false; // The connection ends without the last chunk, which callers see as a broken answer.
-        sink.done();
-        return true;
-    });
+    response.set_chunked_content_provider(
+        answer->head().contentType, [answer, place, guard](size_t, httplib::DataSink& sink) {
+            auto event = answer->next();
+            if (const auto* data = std::get_if<AttemptData>(&event))
+                return sink.write(data->bytes.data(), data->bytes.size());
+            if (!std::holds_alternative<AttemptEnd>(event))
+                return false; // The connection ends without the last chunk, which callers see as a broken answer.
+            if (answer->head().status < firstErrorStatus)
+                place->markComplete();
+            sink.done();
+            return true;
+        });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Node/FrontEnd.h
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <Cyclamenstair/Node/AdmissionGate.h>
 #include <Cyclamenstair/Node/BookingExecutor.h>
+#include <Cyclamenstair/Node/CallerQuota.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
 #include <Cyclamenstair/Transport/HttpListener.h>
 
@@ -14,11 +16,19 @@
 
 namespace cyclamenstair {
 
+/// Parts of the node that the front end passes requests to. They outlive it.
+struct FrontEndParts {
+    RequestExecutor* executor;
+    BookingExecutor* bookings;
+    AdmissionGate* admission;
+    CallerQuota* quota;
+};
+
 /// HTTP listener for callers.
 class FrontEnd {
 public:
-    static Result<std::unique_ptr<FrontEnd>> create(const schema::SettingsT& settings, const PlanRegister& plans,
-        RequestExecutor& executor, BookingExecutor& bookings);
+    static Result<std::unique_ptr<FrontEnd>> create(
+        const schema::SettingsT& settings, const PlanRegister& plans, const FrontEndParts& parts);
     ~FrontEnd();
 
     /// From now on the readiness probe answers 503.
@@ -33,16 +43,19 @@
     void stop();
 
 private:
-    FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor,
-        BookingExecutor& bookings);
+    FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, const FrontEndParts& parts);
 
     void addRoutes();
     void handleProbe(bool isReadinessProbe, httplib::Response& response) const;
     void listModels(const httplib::Request& http, httplib::Response& response) const;
     void handleCompletion(const httplib::Request& http, httplib::Response& response);
     void handleService(const httplib::Request& http, httplib::Response& response);
-    void answerWhole(const Request& request, httplib::Response& response);
-    void answerStream(const Request& request, httplib::Response& response);
+
+    /// Takes the request through the caller's limit and admission, then answers it. `work` is the expected work in
+    /// tokens.
+    void admitAndAnswer(const Request& request, const CallerSpec& caller, double work, httplib::Response& response);
+    void answerWhole(const Request& request, AdmissionGate::Pass& pass, httplib::Response& response);
+    void answerStream(const Request& request, std::unique_ptr<AdmissionGate::Pass> pass, httplib::Response& response);
 
     /// Returns the plan's row of the caller; throws Exception if the token is unknown.
     CallerSpec authenticate(const Plan& plan, const httplib::Request& http) const;
@@ -51,8 +64,7 @@
 
     schema::SettingsT m_settings;
     const PlanRegister* m_plans;
-    RequestExecutor* m_executor;
-    BookingExecutor* m_bookings;
+    FrontEndParts m_parts;
     std::atomic<bool> m_isReady { true };
     std::atomic<bool> m_isRefusing { false };
     std::atomic<int> m_callsInProgress { 0 };
--- a/Cyclamenstair/Node/GossipKeys.h
+++ b/Cyclamenstair/Node/GossipKeys.h
@@ -11,4 +11,7 @@
 /// Key under which nodes announce the revision of their plan.
 inline const std::string planKeyPrefix = "plan/";
 
+/// Key under which nodes tell each other the callers' demands.
+inline const std::string usageKeyPrefix = "usage/";
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -62,7 +62,8 @@
         return operatorApi.error();
     node->m_operatorApi = std::move(operatorApi).value();
 
-    auto frontEnd = FrontEnd::create(settings, node->m_plans, node->m_executor, node->m_bookings);
+    auto frontEnd = FrontEnd::create(
+        settings, node->m_plans, { &node->m_executor, &node->m_bookings, &node->m_admission, &node->m_quota });
     if (!frontEnd)
         return frontEnd.error();
     node->m_frontEnd = std::move(frontEnd).value();
@@ -77,6 +78,8 @@
     , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
     , m_executor(settings, m_directory)
     , m_bookings(settings, m_incarnation, fleetKey, m_store, m_gossip, m_executor)
+    , m_admission(settings, m_directory, m_gossip)
+    , m_quota(settings.node->id, m_gossip)
     , m_planFollower(m_store, m_plans, milliseconds(settings.store->watch_ms))
     , m_gossipLoop(settings, m_incarnation, std::move(fleetKey), m_gossip, m_plans, m_directory)
     , m_coordinator(settings, m_incarnation, m_store, m_plans, m_gossip, m_directory)
@@ -95,6 +98,7 @@
     m_frontEnd->stop();
     m_operatorApi->stop();
     m_bookings.stop();
+    m_quota.stop();
     m_coordinator.stop();
     m_planFollower.stop();
     m_gossipLoop.stop();
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <Cyclamenstair/Node/AdmissionGate.h>
 #include <Cyclamenstair/Node/BookingExecutor.h>
+#include <Cyclamenstair/Node/CallerQuota.h>
 #include <Cyclamenstair/Node/Coordinator.h>
 #include <Cyclamenstair/Node/FrontEnd.h>
 #include <Cyclamenstair/Node/GossipLoop.h>
@@ -30,6 +32,8 @@
     TargetDirectory m_directory;
     RequestExecutor m_executor;
     BookingExecutor m_bookings;
+    AdmissionGate m_admission;
+    CallerQuota m_quota;
     PlanFollower m_planFollower;
     GossipLoop m_gossipLoop;
     std::unique_ptr<PeerServer> m_peerServer;
