--- a/Cyclamenstair/Codec/PeerMessageCodec.cpp
+++ b/Cyclamenstair/Codec/PeerMessageCodec.cpp
@@ -118,6 +118,23 @@
         return table;
     }
 
+    schema::OrderQueryT pack(const OrderQueryMessage& message)
+    {
+        schema::OrderQueryT table;
+        table.target = message.target;
+        table.incarnation = message.incarnation;
+        table.epoch = message.epoch;
+        return table;
+    }
+
+    schema::OrderAnswerT pack(const OrderAnswerMessage& message)
+    {
+        schema::OrderAnswerT table;
+        table.closure = static_cast<schema::OrderClosure>(message.state.closure);
+        table.unanswered = message.state.unanswered;
+        return table;
+    }
+
     GossipRequestMessage unpack(const schema::GossipRequestT& table)
     {
         GossipRequestMessage message;
@@ -174,6 +191,16 @@
         return unpack(*message.AsClaimAnswer());
     case schema::Message::Failure:
         return FailureMessage { message.AsFailure()->step, message.AsFailure()->message };
+    case schema::Message::OrderQuery:
+        return OrderQueryMessage { message.AsOrderQuery()->target, message.AsOrderQuery()->incarnation,
+            message.AsOrderQuery()->epoch };
+    case schema::Message::OrderAnswer: {
+        // A value from a newer version is no evidence.
+        const auto& answer = *message.AsOrderAnswer();
+        const bool isKnown = answer.closure <= schema::OrderClosure::MAX;
+        return OrderAnswerMessage { { isKnown ? static_cast<OrderClosure>(answer.closure) : OrderClosure::NotKnown,
+            answer.unanswered } };
+    }
     case schema::Message::NONE:
         break;
     }
--- a/Cyclamenstair/Codec/PeerMessages.h
+++ b/Cyclamenstair/Codec/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/EnumNames.h>
 #include <Cyclamenstair/Membership/GossipTable.h>
+#include <Cyclamenstair/Residency/OrderBook.h>
 
 #include <string>
 #include <variant>
@@ -76,14 +77,25 @@
     std::string body;
 };
 
+/// Asks whether the orders of a former owner's incarnation to a target are closed.
+struct OrderQueryMessage {
+    std::string target;
+    std::string incarnation;
+    uint64_t epoch { 0 }; ///< Present epoch of the target's ledger.
+};
+
+struct OrderAnswerMessage {
+    OrderClosureState state;
+};
+
 /// The peer could not handle the request.
 struct FailureMessage {
     std::string step;
     std::string message;
 };
 
-using PeerMessage
-    = std::variant<HelloMessage, GossipRequestMessage, GossipResponseMessage, GossipPushMessage, GossipPushAckMessage,
-        PlanFetchRequestMessage, PlanFetchResponseMessage, ClaimQueryMessage, ClaimAnswerMessage, FailureMessage>;
+using PeerMessage = std::variant<HelloMessage, GossipRequestMessage, GossipResponseMessage, GossipPushMessage,
+    GossipPushAckMessage, PlanFetchRequestMessage, PlanFetchResponseMessage, ClaimQueryMessage, ClaimAnswerMessage,
+    FailureMessage, OrderQueryMessage, OrderAnswerMessage>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Codec/RecordCodec.cpp
+++ b/Cyclamenstair/Codec/RecordCodec.cpp
@@ -114,6 +114,46 @@
             record->requests_per_second, record->burst, record->allowed };
     }
 
+    std::unique_ptr<schema::OpenOrderRecordT> packOrder(const OpenOrder& order)
+    {
+        auto record = std::make_unique<schema::OpenOrderRecordT>();
+        record->kind = static_cast<schema::OrderKind>(order.kind);
+        record->sender = order.sender;
+        record->epoch = order.epoch;
+        record->answered = order.isAnswered;
+        record->lost_attempt = order.hasLostAttempt;
+        record->closed = order.isClosed;
+        record->closed_instance = order.closedInstance;
+        return record;
+    }
+
+    std::unique_ptr<schema::ResidencyRecordT> packEntry(const ResidencyEntry& entry)
+    {
+        auto record = std::make_unique<schema::ResidencyRecordT>();
+        record->artifact = entry.artifact;
+        record->base_model = entry.baseModel;
+        record->memory_bytes = entry.memoryBytes;
+        record->state = static_cast<schema::ResidencyState>(entry.state);
+        record->foreign = entry.isForeign;
+        record->orders = convertRows(entry.orders, packOrder);
+        return record;
+    }
+
+    ResidencyEntry unpackEntry(const std::unique_ptr<schema::ResidencyRecordT>& record, const std::string& target)
+    {
+        if (record->state > schema::ResidencyState::MAX)
+            throw Exception({ ErrorKind::InvalidInput, "ledger.decode", target, "unknown residency state" });
+        ResidencyEntry entry { record->artifact, record->base_model, record->memory_bytes,
+            static_cast<ResidencyState>(record->state), record->foreign, {} };
+        for (const auto& order : record->orders) {
+            if (order->kind > schema::OrderKind::MAX)
+                throw Exception({ ErrorKind::InvalidInput, "ledger.decode", target, "unknown order kind" });
+            entry.orders.push_back({ static_cast<OrderKind>(order->kind), order->sender, order->epoch, order->answered,
+                order->lost_attempt, order->closed, order->closed_instance });
+        }
+        return entry;
+    }
+
 } // namespace
 
 std::string encodePlan(const Plan& plan)
@@ -167,16 +207,7 @@
     record.owner = ledger.owner();
     record.epoch = ledger.epoch();
     record.instance = ledger.instance();
-    for (const auto& entry : ledger.entries()) {
-        auto row = std::make_unique<schema::ResidencyRecordT>();
-        row->artifact = entry.artifact;
-        row->memory_bytes = entry.memoryBytes;
-        row->state = static_cast<schema::ResidencyState>(entry.state);
-        row->epoch = entry.epoch;
-        row->sender = entry.sender;
-        row->unsettled = entry.isUnsettled;
-        record.entries.push_back(std::move(row));
-    }
+    record.entries = convertRows(ledger.entries(), packEntry);
     return packRecord<schema::TargetLedgerRecord>(record);
 }
 
@@ -184,12 +215,8 @@
 {
     const auto record = unpackRecord<schema::TargetLedgerRecord>(bytes, "ledger.decode");
     std::vector<ResidencyEntry> entries;
-    for (const auto& row : record.entries) {
-        if (row->state > schema::ResidencyState::MAX)
-            throw Exception({ ErrorKind::InvalidInput, "ledger.decode", record.target, "unknown residency state" });
-        entries.push_back({ row->artifact, row->memory_bytes, static_cast<ResidencyState>(row->state), row->epoch,
-            row->sender, row->unsettled });
-    }
+    for (const auto& row : record.entries)
+        entries.push_back(unpackEntry(row, record.target));
     return TargetLedger::create(record.target, record.owner, record.epoch, record.instance, std::move(entries)).value();
 }
 
--- a/Cyclamenstair/Generated/Messages_generated.h
+++ b/Cyclamenstair/Generated/Messages_generated.h
@@ -60,6 +60,14 @@
 struct ClaimAnswerBuilder;
 struct ClaimAnswerT;
 
+struct OrderQuery;
+struct OrderQueryBuilder;
+struct OrderQueryT;
+
+struct OrderAnswer;
+struct OrderAnswerBuilder;
+struct OrderAnswerT;
+
 struct Failure;
 struct FailureBuilder;
 struct FailureT;
@@ -104,6 +112,39 @@
   return EnumNamesClaimProgress()[index];
 }
 
+enum class OrderClosure : uint8_t {
+  Open = 0,
+  Closed = 1,
+  NotKnown = 2,
+  MIN = Open,
+  MAX = NotKnown
+};
+
+inline const OrderClosure (&EnumValuesOrderClosure())[3] {
+  static const OrderClosure values[] = {
+    OrderClosure::Open,
+    OrderClosure::Closed,
+    OrderClosure::NotKnown
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesOrderClosure() {
+  static const char * const names[4] = {
+    "Open",
+    "Closed",
+    "NotKnown",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameOrderClosure(OrderClosure e) {
+  if (flatbuffers::IsOutRange(e, OrderClosure::Open, OrderClosure::NotKnown)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesOrderClosure()[index];
+}
+
 enum class Message : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -116,11 +157,13 @@
   ClaimQuery = 8,
   ClaimAnswer = 9,
   Failure = 10,
+  OrderQuery = 11,
+  OrderAnswer = 12,
   MIN = NONE,
-  MAX = Failure
+  MAX = OrderAnswer
 };
 
-inline const Message (&EnumValuesMessage())[11] {
+inline const Message (&EnumValuesMessage())[13] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -132,13 +175,15 @@
     Message::PlanFetchResponse,
     Message::ClaimQuery,
     Message::ClaimAnswer,
-    Message::Failure
+    Message::Failure,
+    Message::OrderQuery,
+    Message::OrderAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[12] = {
+  static const char * const names[14] = {
     "NONE",
     "Hello",
     "GossipRequest",
@@ -150,13 +195,15 @@
     "ClaimQuery",
     "ClaimAnswer",
     "Failure",
+    "OrderQuery",
+    "OrderAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Failure)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::OrderAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -205,6 +252,14 @@
   static const Message enum_value = Message::Failure;
 };
 
+template<> struct MessageTraits<cyclamenstair::schema::OrderQuery> {
+  static const Message enum_value = Message::OrderQuery;
+};
+
+template<> struct MessageTraits<cyclamenstair::schema::OrderAnswer> {
+  static const Message enum_value = Message::OrderAnswer;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -249,6 +304,14 @@
   static const Message enum_value = Message::Failure;
 };
 
+template<> struct MessageUnionTraits<cyclamenstair::schema::OrderQueryT> {
+  static const Message enum_value = Message::OrderQuery;
+};
+
+template<> struct MessageUnionTraits<cyclamenstair::schema::OrderAnswerT> {
+  static const Message enum_value = Message::OrderAnswer;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -359,6 +422,22 @@
     return type == Message::Failure ?
       reinterpret_cast<const cyclamenstair::schema::FailureT *>(value) : nullptr;
   }
+  cyclamenstair::schema::OrderQueryT *AsOrderQuery() {
+    return type == Message::OrderQuery ?
+      reinterpret_cast<cyclamenstair::schema::OrderQueryT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::OrderQueryT *AsOrderQuery() const {
+    return type == Message::OrderQuery ?
+      reinterpret_cast<const cyclamenstair::schema::OrderQueryT *>(value) : nullptr;
+  }
+  cyclamenstair::schema::OrderAnswerT *AsOrderAnswer() {
+    return type == Message::OrderAnswer ?
+      reinterpret_cast<cyclamenstair::schema::OrderAnswerT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::OrderAnswerT *AsOrderAnswer() const {
+    return type == Message::OrderAnswer ?
+      reinterpret_cast<const cyclamenstair::schema::OrderAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -1283,6 +1362,187 @@
 
 flatbuffers::Offset<ClaimAnswer> CreateClaimAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ClaimAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct OrderQueryT : public flatbuffers::NativeTable {
+  typedef OrderQuery TableType;
+  std::string target{};
+  std::string incarnation{};
+  uint64_t epoch = 0;
+};
+
+/// Asks a node incarnation that lost a target at an epoch before `epoch` whether its orders to the target are closed.
+/// The asked node sends none of them from then on.
+struct OrderQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderQueryT NativeTableType;
+  typedef OrderQueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_INCARNATION = 6,
+    VT_EPOCH = 8
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *incarnation() const {
+    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_INCARNATION) &&
+           verifier.VerifyString(incarnation()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           verifier.EndTable();
+  }
+  OrderQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrderQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrderQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrderQueryBuilder {
+  typedef OrderQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(OrderQuery::VT_TARGET, target);
+  }
+  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
+    fbb_.AddOffset(OrderQuery::VT_INCARNATION, incarnation);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(OrderQuery::VT_EPOCH, epoch, 0);
+  }
+  explicit OrderQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderQuery> CreateOrderQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    uint64_t epoch = 0) {
+  OrderQueryBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_incarnation(incarnation);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct OrderQuery::Traits {
+  using type = OrderQuery;
+  static auto constexpr Create = CreateOrderQuery;
+};
+
+inline flatbuffers::Offset<OrderQuery> CreateOrderQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    const char *incarnation = nullptr,
+    uint64_t epoch = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+  return cyclamenstair::schema::CreateOrderQuery(
+      _fbb,
+      target__,
+      incarnation__,
+      epoch);
+}
+
+flatbuffers::Offset<OrderQuery> CreateOrderQuery(flatbuffers::FlatBufferBuilder &_fbb, const OrderQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OrderAnswerT : public flatbuffers::NativeTable {
+  typedef OrderAnswer TableType;
+  cyclamenstair::schema::OrderClosure closure = cyclamenstair::schema::OrderClosure::Open;
+  std::vector<std::string> unanswered{};
+};
+
+struct OrderAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderAnswerT NativeTableType;
+  typedef OrderAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CLOSURE = 4,
+    VT_UNANSWERED = 6
+  };
+  cyclamenstair::schema::OrderClosure closure() const {
+    return static_cast<cyclamenstair::schema::OrderClosure>(GetField<uint8_t>(VT_CLOSURE, 0));
+  }
+  /// Artifacts for which an order got no answer.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unanswered() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNANSWERED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_CLOSURE, 1) &&
+           VerifyOffset(verifier, VT_UNANSWERED) &&
+           verifier.VerifyVector(unanswered()) &&
+           verifier.VerifyVectorOfStrings(unanswered()) &&
+           verifier.EndTable();
+  }
+  OrderAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrderAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrderAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrderAnswerBuilder {
+  typedef OrderAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_closure(cyclamenstair::schema::OrderClosure closure) {
+    fbb_.AddElement<uint8_t>(OrderAnswer::VT_CLOSURE, static_cast<uint8_t>(closure), 0);
+  }
+  void add_unanswered(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unanswered) {
+    fbb_.AddOffset(OrderAnswer::VT_UNANSWERED, unanswered);
+  }
+  explicit OrderAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderAnswer> CreateOrderAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cyclamenstair::schema::OrderClosure closure = cyclamenstair::schema::OrderClosure::Open,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unanswered = 0) {
+  OrderAnswerBuilder builder_(_fbb);
+  builder_.add_unanswered(unanswered);
+  builder_.add_closure(closure);
+  return builder_.Finish();
+}
+
+struct OrderAnswer::Traits {
+  using type = OrderAnswer;
+  static auto constexpr Create = CreateOrderAnswer;
+};
+
+inline flatbuffers::Offset<OrderAnswer> CreateOrderAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cyclamenstair::schema::OrderClosure closure = cyclamenstair::schema::OrderClosure::Open,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unanswered = nullptr) {
+  auto unanswered__ = unanswered ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unanswered) : 0;
+  return cyclamenstair::schema::CreateOrderAnswer(
+      _fbb,
+      closure,
+      unanswered__);
+}
+
+flatbuffers::Offset<OrderAnswer> CreateOrderAnswer(flatbuffers::FlatBufferBuilder &_fbb, const OrderAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FailureT : public flatbuffers::NativeTable {
   typedef Failure TableType;
   std::string step{};
@@ -1416,6 +1676,12 @@
   const cyclamenstair::schema::Failure *message_as_Failure() const {
     return message_type() == cyclamenstair::schema::Message::Failure ? static_cast<const cyclamenstair::schema::Failure *>(message()) : nullptr;
   }
+  const cyclamenstair::schema::OrderQuery *message_as_OrderQuery() const {
+    return message_type() == cyclamenstair::schema::Message::OrderQuery ? static_cast<const cyclamenstair::schema::OrderQuery *>(message()) : nullptr;
+  }
+  const cyclamenstair::schema::OrderAnswer *message_as_OrderAnswer() const {
+    return message_type() == cyclamenstair::schema::Message::OrderAnswer ? static_cast<const cyclamenstair::schema::OrderAnswer *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -1468,6 +1734,14 @@
   return message_as_Failure();
 }
 
+template<> inline const cyclamenstair::schema::OrderQuery *Envelope::message_as<cyclamenstair::schema::OrderQuery>() const {
+  return message_as_OrderQuery();
+}
+
+template<> inline const cyclamenstair::schema::OrderAnswer *Envelope::message_as<cyclamenstair::schema::OrderAnswer>() const {
+  return message_as_OrderAnswer();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1860,6 +2134,67 @@
       _body);
 }
 
+inline OrderQueryT *OrderQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrderQueryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrderQuery::UnPackTo(OrderQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+}
+
+inline flatbuffers::Offset<OrderQuery> OrderQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrderQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrderQuery> CreateOrderQuery(flatbuffers::FlatBufferBuilder &_fbb, const OrderQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrderQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _incarnation = _o->incarnation.empty() ? 0 : _fbb.CreateString(_o->incarnation);
+  auto _epoch = _o->epoch;
+  return cyclamenstair::schema::CreateOrderQuery(
+      _fbb,
+      _target,
+      _incarnation,
+      _epoch);
+}
+
+inline OrderAnswerT *OrderAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrderAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrderAnswer::UnPackTo(OrderAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = closure(); _o->closure = _e; }
+  { auto _e = unanswered(); if (_e) { _o->unanswered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unanswered[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<OrderAnswer> OrderAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrderAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrderAnswer> CreateOrderAnswer(flatbuffers::FlatBufferBuilder &_fbb, const OrderAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrderAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _closure = _o->closure;
+  auto _unanswered = _o->unanswered.size() ? _fbb.CreateVectorOfStrings(_o->unanswered) : 0;
+  return cyclamenstair::schema::CreateOrderAnswer(
+      _fbb,
+      _closure,
+      _unanswered);
+}
+
 inline FailureT *Failure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FailureT>();
   UnPackTo(_o.get(), _resolver);
@@ -1963,6 +2298,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::Failure *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::OrderQuery: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::OrderQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::OrderAnswer: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::OrderAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2022,6 +2365,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::Failure *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::OrderQuery: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::OrderQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::OrderAnswer: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::OrderAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2069,6 +2420,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::FailureT *>(value);
       return CreateFailure(_fbb, ptr, _rehasher).Union();
     }
+    case Message::OrderQuery: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::OrderQueryT *>(value);
+      return CreateOrderQuery(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::OrderAnswer: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::OrderAnswerT *>(value);
+      return CreateOrderAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2115,6 +2474,14 @@
       value = new cyclamenstair::schema::FailureT(*reinterpret_cast<cyclamenstair::schema::FailureT *>(u.value));
       break;
     }
+    case Message::OrderQuery: {
+      value = new cyclamenstair::schema::OrderQueryT(*reinterpret_cast<cyclamenstair::schema::OrderQueryT *>(u.value));
+      break;
+    }
+    case Message::OrderAnswer: {
+      value = new cyclamenstair::schema::OrderAnswerT(*reinterpret_cast<cyclamenstair::schema::OrderAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2172,6 +2539,16 @@
       delete ptr;
       break;
     }
+    case Message::OrderQuery: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::OrderQueryT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::OrderAnswer: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::OrderAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/Generated/Records_generated.h
+++ b/Cyclamenstair/Generated/Records_generated.h
@@ -44,6 +44,10 @@
 struct PlanHeadRecordBuilder;
 struct PlanHeadRecordT;
 
+struct OpenOrderRecord;
+struct OpenOrderRecordBuilder;
+struct OpenOrderRecordT;
+
 struct ResidencyRecord;
 struct ResidencyRecordBuilder;
 struct ResidencyRecordT;
@@ -64,6 +68,22 @@
 struct TargetStatusRecordBuilder;
 struct TargetStatusRecordT;
 
+struct ArtifactDemandRecord;
+struct ArtifactDemandRecordBuilder;
+struct ArtifactDemandRecordT;
+
+struct DemandSummaryRecord;
+struct DemandSummaryRecordBuilder;
+struct DemandSummaryRecordT;
+
+struct PortionRecord;
+struct PortionRecordBuilder;
+struct PortionRecordT;
+
+struct LeasedPortionsRecord;
+struct LeasedPortionsRecordBuilder;
+struct LeasedPortionsRecordT;
+
 enum class Priority : uint8_t {
   Low = 0,
   Normal = 1,
@@ -98,38 +118,65 @@
 }
 
 enum class ResidencyState : uint8_t {
-  Loading = 0,
+  Absent = 0,
   Resident = 1,
-  Unloading = 2,
-  MIN = Loading,
-  MAX = Unloading
+  MIN = Absent,
+  MAX = Resident
 };
 
-inline const ResidencyState (&EnumValuesResidencyState())[3] {
+inline const ResidencyState (&EnumValuesResidencyState())[2] {
   static const ResidencyState values[] = {
-    ResidencyState::Loading,
-    ResidencyState::Resident,
-    ResidencyState::Unloading
+    ResidencyState::Absent,
+    ResidencyState::Resident
   };
   return values;
 }
 
 inline const char * const *EnumNamesResidencyState() {
-  static const char * const names[4] = {
-    "Loading",
+  static const char * const names[3] = {
+    "Absent",
     "Resident",
-    "Unloading",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameResidencyState(ResidencyState e) {
-  if (flatbuffers::IsOutRange(e, ResidencyState::Loading, ResidencyState::Unloading)) return "";
+  if (flatbuffers::IsOutRange(e, ResidencyState::Absent, ResidencyState::Resident)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesResidencyState()[index];
 }
 
+enum class OrderKind : uint8_t {
+  Load = 0,
+  Unload = 1,
+  MIN = Load,
+  MAX = Unload
+};
+
+inline const OrderKind (&EnumValuesOrderKind())[2] {
+  static const OrderKind values[] = {
+    OrderKind::Load,
+    OrderKind::Unload
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesOrderKind() {
+  static const char * const names[3] = {
+    "Load",
+    "Unload",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameOrderKind(OrderKind e) {
+  if (flatbuffers::IsOutRange(e, OrderKind::Load, OrderKind::Unload)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesOrderKind()[index];
+}
+
 enum class ClaimState : uint8_t {
   Claimed = 0,
   Answered = 1,
@@ -1142,14 +1189,167 @@
 
 flatbuffers::Offset<PlanHeadRecord> CreatePlanHeadRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlanHeadRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct OpenOrderRecordT : public flatbuffers::NativeTable {
+  typedef OpenOrderRecord TableType;
+  cyclamenstair::schema::OrderKind kind = cyclamenstair::schema::OrderKind::Load;
+  std::string sender{};
+  uint64_t epoch = 0;
+  bool answered = false;
+  bool lost_attempt = false;
+  bool closed = false;
+  std::string closed_instance{};
+};
+
+/// An order that may still take effect.
+struct OpenOrderRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OpenOrderRecordT NativeTableType;
+  typedef OpenOrderRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_SENDER = 6,
+    VT_EPOCH = 8,
+    VT_ANSWERED = 10,
+    VT_LOST_ATTEMPT = 12,
+    VT_CLOSED = 14,
+    VT_CLOSED_INSTANCE = 16
+  };
+  cyclamenstair::schema::OrderKind kind() const {
+    return static_cast<cyclamenstair::schema::OrderKind>(GetField<uint8_t>(VT_KIND, 0));
+  }
+  const flatbuffers::String *sender() const {
+    return GetPointer<const flatbuffers::String *>(VT_SENDER);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  bool answered() const {
+    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
+  }
+  bool lost_attempt() const {
+    return GetField<uint8_t>(VT_LOST_ATTEMPT, 0) != 0;
+  }
+  bool closed() const {
+    return GetField<uint8_t>(VT_CLOSED, 0) != 0;
+  }
+  const flatbuffers::String *closed_instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_CLOSED_INSTANCE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyString(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LOST_ATTEMPT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CLOSED, 1) &&
+           VerifyOffset(verifier, VT_CLOSED_INSTANCE) &&
+           verifier.VerifyString(closed_instance()) &&
+           verifier.EndTable();
+  }
+  OpenOrderRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OpenOrderRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OpenOrderRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OpenOrderRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OpenOrderRecordBuilder {
+  typedef OpenOrderRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(cyclamenstair::schema::OrderKind kind) {
+    fbb_.AddElement<uint8_t>(OpenOrderRecord::VT_KIND, static_cast<uint8_t>(kind), 0);
+  }
+  void add_sender(flatbuffers::Offset<flatbuffers::String> sender) {
+    fbb_.AddOffset(OpenOrderRecord::VT_SENDER, sender);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(OpenOrderRecord::VT_EPOCH, epoch, 0);
+  }
+  void add_answered(bool answered) {
+    fbb_.AddElement<uint8_t>(OpenOrderRecord::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
+  }
+  void add_lost_attempt(bool lost_attempt) {
+    fbb_.AddElement<uint8_t>(OpenOrderRecord::VT_LOST_ATTEMPT, static_cast<uint8_t>(lost_attempt), 0);
+  }
+  void add_closed(bool closed) {
+    fbb_.AddElement<uint8_t>(OpenOrderRecord::VT_CLOSED, static_cast<uint8_t>(closed), 0);
+  }
+  void add_closed_instance(flatbuffers::Offset<flatbuffers::String> closed_instance) {
+    fbb_.AddOffset(OpenOrderRecord::VT_CLOSED_INSTANCE, closed_instance);
+  }
+  explicit OpenOrderRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OpenOrderRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OpenOrderRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OpenOrderRecord> CreateOpenOrderRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cyclamenstair::schema::OrderKind kind = cyclamenstair::schema::OrderKind::Load,
+    flatbuffers::Offset<flatbuffers::String> sender = 0,
+    uint64_t epoch = 0,
+    bool answered = false,
+    bool lost_attempt = false,
+    bool closed = false,
+    flatbuffers::Offset<flatbuffers::String> closed_instance = 0) {
+  OpenOrderRecordBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_closed_instance(closed_instance);
+  builder_.add_sender(sender);
+  builder_.add_closed(closed);
+  builder_.add_lost_attempt(lost_attempt);
+  builder_.add_answered(answered);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct OpenOrderRecord::Traits {
+  using type = OpenOrderRecord;
+  static auto constexpr Create = CreateOpenOrderRecord;
+};
+
+inline flatbuffers::Offset<OpenOrderRecord> CreateOpenOrderRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cyclamenstair::schema::OrderKind kind = cyclamenstair::schema::OrderKind::Load,
+    const char *sender = nullptr,
+    uint64_t epoch = 0,
+    bool answered = false,
+    bool lost_attempt = false,
+    bool closed = false,
+    const char *closed_instance = nullptr) {
+  auto sender__ = sender ? _fbb.CreateString(sender) : 0;
+  auto closed_instance__ = closed_instance ? _fbb.CreateString(closed_instance) : 0;
+  return cyclamenstair::schema::CreateOpenOrderRecord(
+      _fbb,
+      kind,
+      sender__,
+      epoch,
+      answered,
+      lost_attempt,
+      closed,
+      closed_instance__);
+}
+
+flatbuffers::Offset<OpenOrderRecord> CreateOpenOrderRecord(flatbuffers::FlatBufferBuilder &_fbb, const OpenOrderRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ResidencyRecordT : public flatbuffers::NativeTable {
   typedef ResidencyRecord TableType;
   std::string artifact{};
+  std::string base_model{};
   uint64_t memory_bytes = 0;
-  cyclamenstair::schema::ResidencyState state = cyclamenstair::schema::ResidencyState::Loading;
-  uint64_t epoch = 0;
-  std::string sender{};
-  bool unsettled = false;
+  cyclamenstair::schema::ResidencyState state = cyclamenstair::schema::ResidencyState::Absent;
+  bool foreign = false;
+  std::vector<std::unique_ptr<cyclamenstair::schema::OpenOrderRecordT>> orders{};
+  ResidencyRecordT() = default;
+  ResidencyRecordT(const ResidencyRecordT &o);
+  ResidencyRecordT(ResidencyRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  ResidencyRecordT &operator=(ResidencyRecordT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct ResidencyRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1158,40 +1358,42 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ARTIFACT = 4,
-    VT_MEMORY_BYTES = 6,
-    VT_STATE = 8,
-    VT_EPOCH = 10,
-    VT_SENDER = 12,
-    VT_UNSETTLED = 14
+    VT_BASE_MODEL = 6,
+    VT_MEMORY_BYTES = 8,
+    VT_STATE = 10,
+    VT_FOREIGN = 12,
+    VT_ORDERS = 14
   };
   const flatbuffers::String *artifact() const {
     return GetPointer<const flatbuffers::String *>(VT_ARTIFACT);
   }
+  const flatbuffers::String *base_model() const {
+    return GetPointer<const flatbuffers::String *>(VT_BASE_MODEL);
+  }
   uint64_t memory_bytes() const {
     return GetField<uint64_t>(VT_MEMORY_BYTES, 0);
   }
   cyclamenstair::schema::ResidencyState state() const {
     return static_cast<cyclamenstair::schema::ResidencyState>(GetField<uint8_t>(VT_STATE, 0));
   }
-  uint64_t epoch() const {
-    return GetField<uint64_t>(VT_EPOCH, 0);
+  bool foreign() const {
+    return GetField<uint8_t>(VT_FOREIGN, 0) != 0;
   }
-  const flatbuffers::String *sender() const {
-    return GetPointer<const flatbuffers::String *>(VT_SENDER);
-  }
-  bool unsettled() const {
-    return GetField<uint8_t>(VT_UNSETTLED, 0) != 0;
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>> *orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>> *>(VT_ORDERS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ARTIFACT) &&
            verifier.VerifyString(artifact()) &&
+           VerifyOffset(verifier, VT_BASE_MODEL) &&
+           verifier.VerifyString(base_model()) &&
            VerifyField<uint64_t>(verifier, VT_MEMORY_BYTES, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
-           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
-           VerifyOffset(verifier, VT_SENDER) &&
-           verifier.VerifyString(sender()) &&
-           VerifyField<uint8_t>(verifier, VT_UNSETTLED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FOREIGN, 1) &&
+           VerifyOffset(verifier, VT_ORDERS) &&
+           verifier.VerifyVector(orders()) &&
+           verifier.VerifyVectorOfTables(orders()) &&
            verifier.EndTable();
   }
   ResidencyRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1206,20 +1408,20 @@
   void add_artifact(flatbuffers::Offset<flatbuffers::String> artifact) {
     fbb_.AddOffset(ResidencyRecord::VT_ARTIFACT, artifact);
   }
+  void add_base_model(flatbuffers::Offset<flatbuffers::String> base_model) {
+    fbb_.AddOffset(ResidencyRecord::VT_BASE_MODEL, base_model);
+  }
   void add_memory_bytes(uint64_t memory_bytes) {
     fbb_.AddElement<uint64_t>(ResidencyRecord::VT_MEMORY_BYTES, memory_bytes, 0);
   }
   void add_state(cyclamenstair::schema::ResidencyState state) {
     fbb_.AddElement<uint8_t>(ResidencyRecord::VT_STATE, static_cast<uint8_t>(state), 0);
   }
-  void add_epoch(uint64_t epoch) {
-    fbb_.AddElement<uint64_t>(ResidencyRecord::VT_EPOCH, epoch, 0);
+  void add_foreign(bool foreign) {
+    fbb_.AddElement<uint8_t>(ResidencyRecord::VT_FOREIGN, static_cast<uint8_t>(foreign), 0);
   }
-  void add_sender(flatbuffers::Offset<flatbuffers::String> sender) {
-    fbb_.AddOffset(ResidencyRecord::VT_SENDER, sender);
-  }
-  void add_unsettled(bool unsettled) {
-    fbb_.AddElement<uint8_t>(ResidencyRecord::VT_UNSETTLED, static_cast<uint8_t>(unsettled), 0);
+  void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>>> orders) {
+    fbb_.AddOffset(ResidencyRecord::VT_ORDERS, orders);
   }
   explicit ResidencyRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1236,17 +1438,17 @@
 inline flatbuffers::Offset<ResidencyRecord> CreateResidencyRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> artifact = 0,
+    flatbuffers::Offset<flatbuffers::String> base_model = 0,
     uint64_t memory_bytes = 0,
-    cyclamenstair::schema::ResidencyState state = cyclamenstair::schema::ResidencyState::Loading,
-    uint64_t epoch = 0,
-    flatbuffers::Offset<flatbuffers::String> sender = 0,
-    bool unsettled = false) {
+    cyclamenstair::schema::ResidencyState state = cyclamenstair::schema::ResidencyState::Absent,
+    bool foreign = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>>> orders = 0) {
   ResidencyRecordBuilder builder_(_fbb);
-  builder_.add_epoch(epoch);
   builder_.add_memory_bytes(memory_bytes);
-  builder_.add_sender(sender);
+  builder_.add_orders(orders);
+  builder_.add_base_model(base_model);
   builder_.add_artifact(artifact);
-  builder_.add_unsettled(unsettled);
+  builder_.add_foreign(foreign);
   builder_.add_state(state);
   return builder_.Finish();
 }
@@ -1259,21 +1461,22 @@
 inline flatbuffers::Offset<ResidencyRecord> CreateResidencyRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *artifact = nullptr,
+    const char *base_model = nullptr,
     uint64_t memory_bytes = 0,
-    cyclamenstair::schema::ResidencyState state = cyclamenstair::schema::ResidencyState::Loading,
-    uint64_t epoch = 0,
-    const char *sender = nullptr,
-    bool unsettled = false) {
+    cyclamenstair::schema::ResidencyState state = cyclamenstair::schema::ResidencyState::Absent,
+    bool foreign = false,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>> *orders = nullptr) {
   auto artifact__ = artifact ? _fbb.CreateString(artifact) : 0;
-  auto sender__ = sender ? _fbb.CreateString(sender) : 0;
+  auto base_model__ = base_model ? _fbb.CreateString(base_model) : 0;
+  auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>>(*orders) : 0;
   return cyclamenstair::schema::CreateResidencyRecord(
       _fbb,
       artifact__,
+      base_model__,
       memory_bytes,
       state,
-      epoch,
-      sender__,
-      unsettled);
+      foreign,
+      orders__);
 }
 
 flatbuffers::Offset<ResidencyRecord> CreateResidencyRecord(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1904,6 +2107,389 @@
 
 flatbuffers::Offset<TargetStatusRecord> CreateTargetStatusRecord(flatbuffers::FlatBufferBuilder &_fbb, const TargetStatusRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ArtifactDemandRecordT : public flatbuffers::NativeTable {
+  typedef ArtifactDemandRecord TableType;
+  std::string artifact{};
+  double fast = 0.0;
+  double slow = 0.0;
+};
+
+struct ArtifactDemandRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ArtifactDemandRecordT NativeTableType;
+  typedef ArtifactDemandRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ARTIFACT = 4,
+    VT_FAST = 6,
+    VT_SLOW = 8
+  };
+  const flatbuffers::String *artifact() const {
+    return GetPointer<const flatbuffers::String *>(VT_ARTIFACT);
+  }
+  double fast() const {
+    return GetField<double>(VT_FAST, 0.0);
+  }
+  double slow() const {
+    return GetField<double>(VT_SLOW, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ARTIFACT) &&
+           verifier.VerifyString(artifact()) &&
+           VerifyField<double>(verifier, VT_FAST, 8) &&
+           VerifyField<double>(verifier, VT_SLOW, 8) &&
+           verifier.EndTable();
+  }
+  ArtifactDemandRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ArtifactDemandRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ArtifactDemandRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactDemandRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ArtifactDemandRecordBuilder {
+  typedef ArtifactDemandRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_artifact(flatbuffers::Offset<flatbuffers::String> artifact) {
+    fbb_.AddOffset(ArtifactDemandRecord::VT_ARTIFACT, artifact);
+  }
+  void add_fast(double fast) {
+    fbb_.AddElement<double>(ArtifactDemandRecord::VT_FAST, fast, 0.0);
+  }
+  void add_slow(double slow) {
+    fbb_.AddElement<double>(ArtifactDemandRecord::VT_SLOW, slow, 0.0);
+  }
+  explicit ArtifactDemandRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ArtifactDemandRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ArtifactDemandRecord>(end);
+    fbb_.Required(o, ArtifactDemandRecord::VT_ARTIFACT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ArtifactDemandRecord> CreateArtifactDemandRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> artifact = 0,
+    double fast = 0.0,
+    double slow = 0.0) {
+  ArtifactDemandRecordBuilder builder_(_fbb);
+  builder_.add_slow(slow);
+  builder_.add_fast(fast);
+  builder_.add_artifact(artifact);
+  return builder_.Finish();
+}
+
+struct ArtifactDemandRecord::Traits {
+  using type = ArtifactDemandRecord;
+  static auto constexpr Create = CreateArtifactDemandRecord;
+};
+
+inline flatbuffers::Offset<ArtifactDemandRecord> CreateArtifactDemandRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *artifact = nullptr,
+    double fast = 0.0,
+    double slow = 0.0) {
+  auto artifact__ = artifact ? _fbb.CreateString(artifact) : 0;
+  return cyclamenstair::schema::CreateArtifactDemandRecord(
+      _fbb,
+      artifact__,
+      fast,
+      slow);
+}
+
+flatbuffers::Offset<ArtifactDemandRecord> CreateArtifactDemandRecord(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactDemandRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DemandSummaryRecordT : public flatbuffers::NativeTable {
+  typedef DemandSummaryRecord TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::ArtifactDemandRecordT>> artifacts{};
+  DemandSummaryRecordT() = default;
+  DemandSummaryRecordT(const DemandSummaryRecordT &o);
+  DemandSummaryRecordT(DemandSummaryRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  DemandSummaryRecordT &operator=(DemandSummaryRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Requests that a node received, averaged over a short and a long time, in requests per second.
+struct DemandSummaryRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DemandSummaryRecordT NativeTableType;
+  typedef DemandSummaryRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_ARTIFACTS = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>> *artifacts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>> *>(VT_ARTIFACTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_ARTIFACTS) &&
+           verifier.VerifyVector(artifacts()) &&
+           verifier.VerifyVectorOfTables(artifacts()) &&
+           verifier.EndTable();
+  }
+  DemandSummaryRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DemandSummaryRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DemandSummaryRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandSummaryRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DemandSummaryRecordBuilder {
+  typedef DemandSummaryRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(DemandSummaryRecord::VT_NODE, node);
+  }
+  void add_artifacts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>>> artifacts) {
+    fbb_.AddOffset(DemandSummaryRecord::VT_ARTIFACTS, artifacts);
+  }
+  explicit DemandSummaryRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DemandSummaryRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DemandSummaryRecord>(end);
+    fbb_.Required(o, DemandSummaryRecord::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DemandSummaryRecord> CreateDemandSummaryRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>>> artifacts = 0) {
+  DemandSummaryRecordBuilder builder_(_fbb);
+  builder_.add_artifacts(artifacts);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct DemandSummaryRecord::Traits {
+  using type = DemandSummaryRecord;
+  static auto constexpr Create = CreateDemandSummaryRecord;
+};
+
+inline flatbuffers::Offset<DemandSummaryRecord> CreateDemandSummaryRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>> *artifacts = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto artifacts__ = artifacts ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>>(*artifacts) : 0;
+  return cyclamenstair::schema::CreateDemandSummaryRecord(
+      _fbb,
+      node__,
+      artifacts__);
+}
+
+flatbuffers::Offset<DemandSummaryRecord> CreateDemandSummaryRecord(flatbuffers::FlatBufferBuilder &_fbb, const DemandSummaryRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PortionRecordT : public flatbuffers::NativeTable {
+  typedef PortionRecord TableType;
+  std::string holder{};
+  uint32_t slots = 0;
+  uint64_t expires_at_unix_ms = 0;
+  bool surrendered = false;
+};
+
+/// Slots of a shared limit that one coordinator holds.
+struct PortionRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PortionRecordT NativeTableType;
+  typedef PortionRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4,
+    VT_SLOTS = 6,
+    VT_EXPIRES_AT_UNIX_MS = 8,
+    VT_SURRENDERED = 10
+  };
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint64_t expires_at_unix_ms() const {
+    return GetField<uint64_t>(VT_EXPIRES_AT_UNIX_MS, 0);
+  }
+  bool surrendered() const {
+    return GetField<uint8_t>(VT_SURRENDERED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EXPIRES_AT_UNIX_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SURRENDERED, 1) &&
+           verifier.EndTable();
+  }
+  PortionRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PortionRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PortionRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PortionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PortionRecordBuilder {
+  typedef PortionRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(PortionRecord::VT_HOLDER, holder);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(PortionRecord::VT_SLOTS, slots, 0);
+  }
+  void add_expires_at_unix_ms(uint64_t expires_at_unix_ms) {
+    fbb_.AddElement<uint64_t>(PortionRecord::VT_EXPIRES_AT_UNIX_MS, expires_at_unix_ms, 0);
+  }
+  void add_surrendered(bool surrendered) {
+    fbb_.AddElement<uint8_t>(PortionRecord::VT_SURRENDERED, static_cast<uint8_t>(surrendered), 0);
+  }
+  explicit PortionRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PortionRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PortionRecord>(end);
+    fbb_.Required(o, PortionRecord::VT_HOLDER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PortionRecord> CreatePortionRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    uint32_t slots = 0,
+    uint64_t expires_at_unix_ms = 0,
+    bool surrendered = false) {
+  PortionRecordBuilder builder_(_fbb);
+  builder_.add_expires_at_unix_ms(expires_at_unix_ms);
+  builder_.add_slots(slots);
+  builder_.add_holder(holder);
+  builder_.add_surrendered(surrendered);
+  return builder_.Finish();
+}
+
+struct PortionRecord::Traits {
+  using type = PortionRecord;
+  static auto constexpr Create = CreatePortionRecord;
+};
+
+inline flatbuffers::Offset<PortionRecord> CreatePortionRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *holder = nullptr,
+    uint32_t slots = 0,
+    uint64_t expires_at_unix_ms = 0,
+    bool surrendered = false) {
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
+  return cyclamenstair::schema::CreatePortionRecord(
+      _fbb,
+      holder__,
+      slots,
+      expires_at_unix_ms,
+      surrendered);
+}
+
+flatbuffers::Offset<PortionRecord> CreatePortionRecord(flatbuffers::FlatBufferBuilder &_fbb, const PortionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LeasedPortionsRecordT : public flatbuffers::NativeTable {
+  typedef LeasedPortionsRecord TableType;
+  std::string limit{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::PortionRecordT>> portions{};
+  LeasedPortionsRecordT() = default;
+  LeasedPortionsRecordT(const LeasedPortionsRecordT &o);
+  LeasedPortionsRecordT(LeasedPortionsRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  LeasedPortionsRecordT &operator=(LeasedPortionsRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LeasedPortionsRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeasedPortionsRecordT NativeTableType;
+  typedef LeasedPortionsRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMIT = 4,
+    VT_PORTIONS = 6
+  };
+  const flatbuffers::String *limit() const {
+    return GetPointer<const flatbuffers::String *>(VT_LIMIT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>> *portions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>> *>(VT_PORTIONS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_LIMIT) &&
+           verifier.VerifyString(limit()) &&
+           VerifyOffset(verifier, VT_PORTIONS) &&
+           verifier.VerifyVector(portions()) &&
+           verifier.VerifyVectorOfTables(portions()) &&
+           verifier.EndTable();
+  }
+  LeasedPortionsRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeasedPortionsRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeasedPortionsRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeasedPortionsRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeasedPortionsRecordBuilder {
+  typedef LeasedPortionsRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limit(flatbuffers::Offset<flatbuffers::String> limit) {
+    fbb_.AddOffset(LeasedPortionsRecord::VT_LIMIT, limit);
+  }
+  void add_portions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>>> portions) {
+    fbb_.AddOffset(LeasedPortionsRecord::VT_PORTIONS, portions);
+  }
+  explicit LeasedPortionsRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeasedPortionsRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeasedPortionsRecord>(end);
+    fbb_.Required(o, LeasedPortionsRecord::VT_LIMIT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeasedPortionsRecord> CreateLeasedPortionsRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> limit = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>>> portions = 0) {
+  LeasedPortionsRecordBuilder builder_(_fbb);
+  builder_.add_portions(portions);
+  builder_.add_limit(limit);
+  return builder_.Finish();
+}
+
+struct LeasedPortionsRecord::Traits {
+  using type = LeasedPortionsRecord;
+  static auto constexpr Create = CreateLeasedPortionsRecord;
+};
+
+inline flatbuffers::Offset<LeasedPortionsRecord> CreateLeasedPortionsRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *limit = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>> *portions = nullptr) {
+  auto limit__ = limit ? _fbb.CreateString(limit) : 0;
+  auto portions__ = portions ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>>(*portions) : 0;
+  return cyclamenstair::schema::CreateLeasedPortionsRecord(
+      _fbb,
+      limit__,
+      portions__);
+}
+
+flatbuffers::Offset<LeasedPortionsRecord> CreateLeasedPortionsRecord(flatbuffers::FlatBufferBuilder &_fbb, const LeasedPortionsRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline ModelRecordT *ModelRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ModelRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -2225,6 +2811,70 @@
       _reason);
 }
 
+inline OpenOrderRecordT *OpenOrderRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OpenOrderRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OpenOrderRecord::UnPackTo(OpenOrderRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = sender(); if (_e) _o->sender = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = lost_attempt(); _o->lost_attempt = _e; }
+  { auto _e = closed(); _o->closed = _e; }
+  { auto _e = closed_instance(); if (_e) _o->closed_instance = _e->str(); }
+}
+
+inline flatbuffers::Offset<OpenOrderRecord> OpenOrderRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OpenOrderRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOpenOrderRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OpenOrderRecord> CreateOpenOrderRecord(flatbuffers::FlatBufferBuilder &_fbb, const OpenOrderRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OpenOrderRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _sender = _o->sender.empty() ? 0 : _fbb.CreateString(_o->sender);
+  auto _epoch = _o->epoch;
+  auto _answered = _o->answered;
+  auto _lost_attempt = _o->lost_attempt;
+  auto _closed = _o->closed;
+  auto _closed_instance = _o->closed_instance.empty() ? 0 : _fbb.CreateString(_o->closed_instance);
+  return cyclamenstair::schema::CreateOpenOrderRecord(
+      _fbb,
+      _kind,
+      _sender,
+      _epoch,
+      _answered,
+      _lost_attempt,
+      _closed,
+      _closed_instance);
+}
+
+inline ResidencyRecordT::ResidencyRecordT(const ResidencyRecordT &o)
+      : artifact(o.artifact),
+        base_model(o.base_model),
+        memory_bytes(o.memory_bytes),
+        state(o.state),
+        foreign(o.foreign) {
+  orders.reserve(o.orders.size());
+  for (const auto &orders_ : o.orders) { orders.emplace_back((orders_) ? new cyclamenstair::schema::OpenOrderRecordT(*orders_) : nullptr); }
+}
+
+inline ResidencyRecordT &ResidencyRecordT::operator=(ResidencyRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(artifact, o.artifact);
+  std::swap(base_model, o.base_model);
+  std::swap(memory_bytes, o.memory_bytes);
+  std::swap(state, o.state);
+  std::swap(foreign, o.foreign);
+  std::swap(orders, o.orders);
+  return *this;
+}
+
 inline ResidencyRecordT *ResidencyRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ResidencyRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -2235,11 +2885,11 @@
   (void)_o;
   (void)_resolver;
   { auto _e = artifact(); if (_e) _o->artifact = _e->str(); }
+  { auto _e = base_model(); if (_e) _o->base_model = _e->str(); }
   { auto _e = memory_bytes(); _o->memory_bytes = _e; }
   { auto _e = state(); _o->state = _e; }
-  { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = sender(); if (_e) _o->sender = _e->str(); }
-  { auto _e = unsettled(); _o->unsettled = _e; }
+  { auto _e = foreign(); _o->foreign = _e; }
+  { auto _e = orders(); if (_e) { _o->orders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->orders[_i] = std::unique_ptr<cyclamenstair::schema::OpenOrderRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ResidencyRecord> ResidencyRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2251,19 +2901,19 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResidencyRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _artifact = _fbb.CreateString(_o->artifact);
+  auto _base_model = _o->base_model.empty() ? 0 : _fbb.CreateString(_o->base_model);
   auto _memory_bytes = _o->memory_bytes;
   auto _state = _o->state;
-  auto _epoch = _o->epoch;
-  auto _sender = _o->sender.empty() ? 0 : _fbb.CreateString(_o->sender);
-  auto _unsettled = _o->unsettled;
+  auto _foreign = _o->foreign;
+  auto _orders = _o->orders.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::OpenOrderRecord>> (_o->orders.size(), [](size_t i, _VectorArgs *__va) { return CreateOpenOrderRecord(*__va->__fbb, __va->__o->orders[i].get(), __va->__rehasher); }, &_va ) : 0;
   return cyclamenstair::schema::CreateResidencyRecord(
       _fbb,
       _artifact,
+      _base_model,
       _memory_bytes,
       _state,
-      _epoch,
-      _sender,
-      _unsettled);
+      _foreign,
+      _orders);
 }
 
 inline TargetLedgerRecordT::TargetLedgerRecordT(const TargetLedgerRecordT &o)
@@ -2460,6 +3110,155 @@
       _artifacts);
 }
 
+inline ArtifactDemandRecordT *ArtifactDemandRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ArtifactDemandRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ArtifactDemandRecord::UnPackTo(ArtifactDemandRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = artifact(); if (_e) _o->artifact = _e->str(); }
+  { auto _e = fast(); _o->fast = _e; }
+  { auto _e = slow(); _o->slow = _e; }
+}
+
+inline flatbuffers::Offset<ArtifactDemandRecord> ArtifactDemandRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactDemandRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateArtifactDemandRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ArtifactDemandRecord> CreateArtifactDemandRecord(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactDemandRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ArtifactDemandRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _artifact = _fbb.CreateString(_o->artifact);
+  auto _fast = _o->fast;
+  auto _slow = _o->slow;
+  return cyclamenstair::schema::CreateArtifactDemandRecord(
+      _fbb,
+      _artifact,
+      _fast,
+      _slow);
+}
+
+inline DemandSummaryRecordT::DemandSummaryRecordT(const DemandSummaryRecordT &o)
+      : node(o.node) {
+  artifacts.reserve(o.artifacts.size());
+  for (const auto &artifacts_ : o.artifacts) { artifacts.emplace_back((artifacts_) ? new cyclamenstair::schema::ArtifactDemandRecordT(*artifacts_) : nullptr); }
+}
+
+inline DemandSummaryRecordT &DemandSummaryRecordT::operator=(DemandSummaryRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(artifacts, o.artifacts);
+  return *this;
+}
+
+inline DemandSummaryRecordT *DemandSummaryRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DemandSummaryRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DemandSummaryRecord::UnPackTo(DemandSummaryRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = artifacts(); if (_e) { _o->artifacts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->artifacts[_i] = std::unique_ptr<cyclamenstair::schema::ArtifactDemandRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DemandSummaryRecord> DemandSummaryRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandSummaryRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDemandSummaryRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DemandSummaryRecord> CreateDemandSummaryRecord(flatbuffers::FlatBufferBuilder &_fbb, const DemandSummaryRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DemandSummaryRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _artifacts = _o->artifacts.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactDemandRecord>> (_o->artifacts.size(), [](size_t i, _VectorArgs *__va) { return CreateArtifactDemandRecord(*__va->__fbb, __va->__o->artifacts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateDemandSummaryRecord(
+      _fbb,
+      _node,
+      _artifacts);
+}
+
+inline PortionRecordT *PortionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PortionRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PortionRecord::UnPackTo(PortionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = holder(); if (_e) _o->holder = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = expires_at_unix_ms(); _o->expires_at_unix_ms = _e; }
+  { auto _e = surrendered(); _o->surrendered = _e; }
+}
+
+inline flatbuffers::Offset<PortionRecord> PortionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PortionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePortionRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PortionRecord> CreatePortionRecord(flatbuffers::FlatBufferBuilder &_fbb, const PortionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PortionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _holder = _fbb.CreateString(_o->holder);
+  auto _slots = _o->slots;
+  auto _expires_at_unix_ms = _o->expires_at_unix_ms;
+  auto _surrendered = _o->surrendered;
+  return cyclamenstair::schema::CreatePortionRecord(
+      _fbb,
+      _holder,
+      _slots,
+      _expires_at_unix_ms,
+      _surrendered);
+}
+
+inline LeasedPortionsRecordT::LeasedPortionsRecordT(const LeasedPortionsRecordT &o)
+      : limit(o.limit) {
+  portions.reserve(o.portions.size());
+  for (const auto &portions_ : o.portions) { portions.emplace_back((portions_) ? new cyclamenstair::schema::PortionRecordT(*portions_) : nullptr); }
+}
+
+inline LeasedPortionsRecordT &LeasedPortionsRecordT::operator=(LeasedPortionsRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(limit, o.limit);
+  std::swap(portions, o.portions);
+  return *this;
+}
+
+inline LeasedPortionsRecordT *LeasedPortionsRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeasedPortionsRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeasedPortionsRecord::UnPackTo(LeasedPortionsRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = limit(); if (_e) _o->limit = _e->str(); }
+  { auto _e = portions(); if (_e) { _o->portions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->portions[_i] = std::unique_ptr<cyclamenstair::schema::PortionRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LeasedPortionsRecord> LeasedPortionsRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeasedPortionsRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeasedPortionsRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeasedPortionsRecord> CreateLeasedPortionsRecord(flatbuffers::FlatBufferBuilder &_fbb, const LeasedPortionsRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeasedPortionsRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _limit = _fbb.CreateString(_o->limit);
+  auto _portions = _o->portions.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::PortionRecord>> (_o->portions.size(), [](size_t i, _VectorArgs *__va) { return CreatePortionRecord(*__va->__fbb, __va->__o->portions[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateLeasedPortionsRecord(
+      _fbb,
+      _limit,
+      _portions);
+}
+
 inline const cyclamenstair::schema::PlanRecord *GetPlanRecord(const void *buf) {
   return flatbuffers::GetRoot<cyclamenstair::schema::PlanRecord>(buf);
 }
--- a/Cyclamenstair/Node/TargetOperator.cpp
+++ b/Cyclamenstair/Node/TargetOperator.cpp
@@ -39,13 +39,13 @@
     auto changed = m_ledger;
     if (report->instance != m_ledger.instance())
         m_hasAcknowledgedEpoch = false;
-    return !changed.reconcile(*report) || writeLedger(changed);
+    return !changed.reconcile(*report, m_vm.memoryBytes) || writeLedger(changed);
 }
 
 bool TargetOperator::load(const LoadRequest& request)
 {
     auto reserved = m_ledger;
-    if (const auto entry = reserved.beginLoad(request.artifact, request.memoryBytes, m_vm.memoryBytes); !entry) {
+    if (const auto entry = reserved.beginLoad(request.artifact, request.memoryBytes, m_vm.memoryBytes, request.baseModel); !entry) {
         logError(LogSeverity::Debug, "load_not_possible", entry.error());
         return false;
     }
@@ -75,9 +75,7 @@
 bool TargetOperator::unload(const std::string& artifact)
 {
     auto marked = m_ledger;
-    const auto* entry = marked.find(artifact);
-    const bool isRepeat = entry && entry->state == ResidencyState::Unloading && !entry->isUnsettled;
-    if (!isRepeat && !marked.beginUnload(artifact))
+    if (!marked.beginUnload(artifact))
         return false;
     if (!writeLedger(marked))
         return false;
--- a/Cyclamenstair/Residency/TargetLedger.cpp
+++ b/Cyclamenstair/Residency/TargetLedger.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-    Error ledgerError(ErrorKind kind, const std::string& target, std::string message)
-    {
-        return { kind, "residency.ledger", target, std::move(message) };
-    }
-
     bool reports(const TargetReport& report, std::string_view artifact)
     {
         return std::find(report.artifacts.begin(), report.artifacts.end(), artifact) != report.artifacts.end();
@@ -22,16 +17,16 @@
 Result<TargetLedger> TargetLedger::create(
     std::string target, std::string owner, uint64_t epoch, std::string instance, std::vector<ResidencyEntry> entries)
 {
-    if (target.empty())
-        return ledgerError(ErrorKind::InvalidInput, target, "the record names no target");
     TargetLedger ledger(std::move(target));
+    if (ledger.m_target.empty())
+        return Error { ErrorKind::InvalidInput, "residency.ledger", "", "the record names no target" };
     ledger.m_owner = std::move(owner);
     ledger.m_epoch = epoch;
     ledger.m_instance = std::move(instance);
     for (auto& entry : entries) {
         if (ledger.find(entry.artifact))
-            return ledgerError(
-                ErrorKind::InvalidInput, ledger.m_target, "artifact '" + entry.artifact + "' stands twice");
+            return Error { ErrorKind::InvalidInput, "residency.ledger", ledger.m_target,
+                "artifact '" + entry.artifact + "' stands twice" };
         ledger.m_entries.push_back(std::move(entry));
     }
     return ledger;
@@ -40,8 +35,10 @@
 uint64_t TargetLedger::reservedBytes() const
 {
     uint64_t sum = 0;
-    for (const auto& entry : m_entries)
-        sum += entry.memoryBytes;
+    for (const auto& entry : m_entries) {
+        if (entry.mayBeResident())
+            sum += entry.memoryBytes;
+    }
     return sum;
 }
 
@@ -57,118 +54,238 @@
     return const_cast<ResidencyEntry*>(std::as_const(*this).find(artifact));
 }
 
+Result<ResidencyEntry> TargetLedger::refuse(ErrorKind kind, const std::string& message) const
+{
+    return Error { kind, "residency.ledger", m_target, message };
+}
+
 bool TargetLedger::isReachable(std::string_view artifact) const
 {
     const auto* entry = find(artifact);
-    return entry && entry->state == ResidencyState::Resident && !entry->isUnsettled;
+    return entry && entry->mustBeResident() && (entry->baseModel.empty() || isReachable(entry->baseModel));
+}
+
+bool TargetLedger::hasUnsettledOrder() const { return !unsettledSenders().empty(); }
+
+bool TargetLedger::isUnsettled(std::string_view artifact) const
+{
+    const auto* entry = find(artifact);
+    return entry && std::any_of(entry->orders.begin(), entry->orders.end(), [&](const auto& order) {
+        return order.epoch != m_epoch || order.isAnswered;
+    });
+}
+
+const ResidencyEntry* TargetLedger::unansweredEntry() const
+{
+    const auto found = std::find_if(
+        m_entries.begin(), m_entries.end(), [&](const auto& entry) { return unansweredOrder(entry.artifact); });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+const OpenOrder* TargetLedger::unansweredOrder(std::string_view artifact) const
+{
+    const auto* entry = find(artifact);
+    if (!entry)
+        return nullptr;
+    const auto found = std::find_if(entry->orders.begin(), entry->orders.end(),
+        [&](const auto& order) { return order.epoch == m_epoch && !order.isAnswered; });
+    return found == entry->orders.end() ? nullptr : &*found;
 }
 
-bool TargetLedger::hasUnsettledOrder() const
+std::vector<std::string> TargetLedger::unsettledSenders() const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) { return entry.isUnsettled; });
+    std::vector<std::string> senders;
+    for (const auto& entry : m_entries) {
+        for (const auto& order : entry.orders) {
+            if (order.epoch != m_epoch && std::find(senders.begin(), senders.end(), order.sender) == senders.end())
+                senders.push_back(order.sender);
+        }
+    }
+    return senders;
 }
 
 void TargetLedger::takeOver(const std::string& owner)
 {
     m_owner = owner;
     ++m_epoch;
-    for (auto& entry : m_entries) {
-        if (entry.state != ResidencyState::Resident)
-            entry.isUnsettled = true;
+}
+
+Result<uint64_t> TargetLedger::release()
+{
+    for (const auto& entry : m_entries) {
+        for (const auto& order : entry.orders) {
+            if (order.epoch == m_epoch)
+                return Error { ErrorKind::Conflict, "residency.ledger", m_target,
+                    "an order for artifact '" + entry.artifact + "' is open" };
+        }
     }
+    m_owner.clear();
+    return m_epoch;
 }
 
-Result<ResidencyEntry> TargetLedger::beginLoad(
-    const std::string& artifact, uint64_t memoryBytes, uint64_t capacityBytes)
-{
-    if (auto* entry = findMutable(artifact)) {
-        // The memory is reserved already. Repeating the load makes the reservation real, whatever became of earlier
-        // orders.
-        if (entry->state == ResidencyState::Resident)
-            return ledgerError(ErrorKind::Conflict, m_target, "artifact '" + artifact + "' is resident");
-        entry->state = ResidencyState::Loading;
-        entry->epoch = m_epoch;
-        if (!entry->isUnsettled)
-            entry->sender = m_owner;
+std::optional<Result<ResidencyEntry>> TargetLedger::repeatOrder(const std::string& artifact, OrderKind kind)
+{
+    const auto* open = unansweredEntry();
+    if (!open)
+        return std::nullopt;
+    const auto* order = unansweredOrder(artifact);
+    if (order && order->kind == kind) {
+        auto* entry = findMutable(artifact);
+        for (auto& repeated : entry->orders) {
+            if (repeated.epoch == m_epoch && !repeated.isAnswered) {
+                repeated.isClosed = false;
+                repeated.closedInstance.clear();
+            }
+        }
         return *entry;
     }
-    if (memoryBytes > capacityBytes || reservedBytes() > capacityBytes - memoryBytes)
-        return ledgerError(ErrorKind::LimitExceeded, m_target, "no memory for artifact '" + artifact + "'");
-    m_entries.push_back({ artifact, memoryBytes, ResidencyState::Loading, m_epoch, m_owner, false });
+    // If the target ignores fencing, only one order may be without an answer, which bounds what one owner can leave
+    // unsettled.
+    if (order || m_ignoresFencing)
+        return refuse(ErrorKind::Conflict, "the order for artifact '" + open->artifact + "' has no answer yet");
+    return std::nullopt;
+}
+
+Result<ResidencyEntry> TargetLedger::beginLoad(
+    const std::string& artifact, uint64_t memoryBytes, uint64_t capacityBytes, const std::string& baseModel)
+{
+    if (auto repeated = repeatOrder(artifact, OrderKind::Load))
+        return *repeated;
+    if (std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) { return entry.isForeign; }))
+        return refuse(ErrorKind::Conflict, "the target holds an artifact that is not accounted for");
+    if (!baseModel.empty() && !isReachable(baseModel))
+        return refuse(ErrorKind::Conflict, "the base model of artifact '" + artifact + "' is not resident");
+    auto* entry = findMutable(artifact);
+    if (entry && entry->state == ResidencyState::Resident)
+        return refuse(ErrorKind::Conflict, "artifact '" + artifact + "' is resident");
+
+    // A reservation of an earlier order is used again, whatever became of that order.
+    const uint64_t needed = entry ? std::max(entry->memoryBytes, memoryBytes) : memoryBytes;
+    const uint64_t others = reservedBytes() - (entry && entry->mayBeResident() ? entry->memoryBytes : 0);
+    if (needed > capacityBytes || others > capacityBytes - needed)
+        return refuse(ErrorKind::LimitExceeded, "no memory for artifact '" + artifact + "'");
+    if (!entry)
+        entry = &m_entries.emplace_back();
+    entry->artifact = artifact;
+    entry->baseModel = baseModel;
+    entry->memoryBytes = needed;
+    entry->orders.push_back({ OrderKind::Load, m_owner, m_epoch, false, false, false, "" });
     assert(reservedBytes() <= capacityBytes);
-    return m_entries.back();
+    return *entry;
 }
 
 Result<ResidencyEntry> TargetLedger::beginUnload(const std::string& artifact)
 {
+    if (auto repeated = repeatOrder(artifact, OrderKind::Unload))
+        return *repeated;
     auto* entry = findMutable(artifact);
-    if (!entry || entry->state == ResidencyState::Loading)
-        return ledgerError(ErrorKind::Conflict, m_target, "artifact '" + artifact + "' is not resident");
-    if (entry->isUnsettled)
-        return ledgerError(
-            ErrorKind::Conflict, m_target, "an earlier order for artifact '" + artifact + "' is unsettled");
-    entry->state = ResidencyState::Unloading;
-    entry->epoch = m_epoch;
-    entry->sender = m_owner;
+    if (!entry || entry->state != ResidencyState::Resident)
+        return refuse(ErrorKind::Conflict, "artifact '" + artifact + "' is not resident");
+    // A late load could follow the unload, and a late unload could follow the next load.
+    if (!entry->orders.empty())
+        return refuse(ErrorKind::Conflict, "an earlier order for artifact '" + artifact + "' is unsettled");
+    for (const auto& other : m_entries) {
+        if (other.baseModel == artifact && other.mayBeResident())
+            return refuse(ErrorKind::Conflict, "adapter '" + other.artifact + "' needs artifact '" + artifact + "'");
+    }
+    entry->orders.push_back({ OrderKind::Unload, m_owner, m_epoch, false, false, false, "" });
     return *entry;
 }
 
-void TargetLedger::finishLoad(std::string_view artifact, bool isResident)
+void TargetLedger::finishLoad(std::string_view artifact, bool isDone) { finish(artifact, OrderKind::Load, isDone); }
+
+void TargetLedger::finishUnload(std::string_view artifact, bool isDone) { finish(artifact, OrderKind::Unload, isDone); }
+
+void TargetLedger::finish(std::string_view artifact, OrderKind kind, bool isDone)
 {
     auto* entry = findMutable(artifact);
-    if (!entry || entry->state != ResidencyState::Loading)
+    const auto* open = unansweredOrder(artifact);
+    if (!entry || !open || open->kind != kind)
         return;
-    if (isResident)
-        entry->state = ResidencyState::Resident;
-    else if (!entry->isUnsettled)
-        remove(artifact);
+    // An earlier attempt without an answer may still take effect after this answer.
+    const bool hasLostAttempt = open->hasLostAttempt;
+    std::erase_if(entry->orders, [&](OpenOrder& order) {
+        if (order.epoch != m_epoch)
+            return false;
+        if (order.isAnswered)
+            return hasLostAttempt && order.kind == kind; // The newer order of this kind stands for the older one.
+        order.isAnswered = true;
+        order.isClosed = true;
+        return !hasLostAttempt;
+    });
+    if (isDone) {
+        entry->state = kind == OrderKind::Load ? ResidencyState::Resident : ResidencyState::Absent;
+        entry->isForeign = entry->isForeign && kind == OrderKind::Load;
+    }
+    std::erase_if(m_entries, [](const auto& row) { return !row.mayBeResident() && row.orders.empty(); });
 }
 
-void TargetLedger::finishUnload(std::string_view artifact)
+void TargetLedger::loseAnswer(std::string_view artifact)
 {
-    const auto* entry = find(artifact);
-    if (entry && entry->state == ResidencyState::Unloading && !entry->isUnsettled)
-        remove(artifact);
+    auto* entry = findMutable(artifact);
+    if (!entry)
+        return;
+    for (auto& order : entry->orders) {
+        if (order.epoch == m_epoch && !order.isAnswered) {
+            order.hasLostAttempt = true;
+            order.isClosed = true;
+        }
+    }
 }
 
-void TargetLedger::settleSender(std::string_view sender, const TargetReport& report)
+void TargetLedger::settleSender(std::string_view sender, const TargetReport& report, uint64_t capacityBytes,
+    const std::vector<std::string>& unanswered)
 {
-    settle(report, [&](const auto& entry) { return entry.sender == sender; });
+    for (auto& entry : m_entries) {
+        const bool isAnswered = std::find(unanswered.begin(), unanswered.end(), entry.artifact) == unanswered.end();
+        std::erase_if(entry.orders, [&](OpenOrder& order) {
+            if (order.sender != sender || order.epoch == m_epoch)
+                return false;
+            order.isClosed = true;
+            return isAnswered && !order.hasLostAttempt;
+        });
+    }
+    reconcile(report, capacityBytes);
 }
 
-bool TargetLedger::reconcile(const TargetReport& report)
+void TargetLedger::closeSender(std::string_view sender)
 {
-    const auto before = m_entries;
-    const bool isNewInstance = report.instance != m_instance;
-    const auto previousInstance = std::exchange(m_instance, report.instance);
-    const bool enforcesPresentEpoch = report.acknowledgedEpoch == m_epoch && m_epoch != 0;
-
-    // A resident artifact that is gone was lost in a restart or by a late unload; its reservation stays for the reload.
     for (auto& entry : m_entries) {
-        if (entry.state == ResidencyState::Resident && !reports(report, entry.artifact))
-            entry.state = ResidencyState::Loading;
+        for (auto& order : entry.orders) {
+            if (order.sender == sender && order.epoch != m_epoch)
+                order.isClosed = true;
+        }
     }
-
-    // A target that enforces the present epoch refuses every order of the senders before it.
-    if (enforcesPresentEpoch)
-        settle(report, [](const auto&) { return true; });
-    return isNewInstance || previousInstance != m_instance || before != m_entries;
 }
 
-void TargetLedger::settle(const TargetReport& report, const std::function<bool(const ResidencyEntry&)>& isSettled)
+bool TargetLedger::isEnded(OpenOrder& order, const TargetReport& report) const
 {
-    std::erase_if(m_entries, [&](ResidencyEntry& entry) {
-        if (!entry.isUnsettled || !isSettled(entry))
-            return false;
-        entry.isUnsettled = false;
-        entry.state = ResidencyState::Resident;
-        return !reports(report, entry.artifact);
-    });
+    // A target that enforces the present epoch refuses every order of the owners before it.
+    if (order.epoch < m_epoch && report.acknowledgedEpoch == m_epoch)
+        return true;
+    if (!order.isClosed)
+        return false;
+    // The restart must follow the end of sending, because an order could have been sent to the new instance.
+    if (order.closedInstance.empty())
+        order.closedInstance = report.instance;
+    return order.closedInstance != report.instance;
 }
 
-void TargetLedger::remove(std::string_view artifact)
+bool TargetLedger::reconcile(const TargetReport& report, uint64_t capacityBytes)
 {
-    std::erase_if(m_entries, [&](const auto& entry) { return entry.artifact == artifact; });
+    const auto before = m_entries;
+    const auto previousInstance = std::exchange(m_instance, report.instance);
+    m_ignoresFencing = report.acknowledgedEpoch != m_epoch;
+    for (auto& entry : m_entries) {
+        std::erase_if(entry.orders, [&](OpenOrder& order) { return isEnded(order, report); });
+        entry.state = reports(report, entry.artifact) ? ResidencyState::Resident : ResidencyState::Absent;
+    }
+    for (const auto& artifact : report.artifacts) {
+        if (!find(artifact))
+            m_entries.push_back({ artifact, "", capacityBytes, ResidencyState::Resident, true, {} });
+    }
+    std::erase_if(m_entries, [](const auto& entry) { return !entry.mayBeResident() && entry.orders.empty(); });
+    return previousInstance != m_instance || before != m_entries;
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Transport/EngineClient.h
+++ b/Cyclamenstair/Transport/EngineClient.h
@@ -10,19 +10,6 @@
 
 namespace cyclamenstair {
 
-/// Kind of an order to an engine.
-enum class OrderKind : uint8_t {
-    Load,
-    Unload,
-};
-
-template <> struct EnumNames<OrderKind> {
-    static constexpr auto table = std::to_array<EnumName<OrderKind>>({
-        { OrderKind::Load, "load" },
-        { OrderKind::Unload, "unload" },
-    });
-};
-
 /// Order to load or unload an artifact.
 struct EngineOrder {
     OrderKind kind { OrderKind::Load };
