Add demand tracking and placement policies

Copies were assigned from the plan alone: free memory stayed unused and nothing ordered unloads after loads.

DemandTracker keeps a fast and a slow average per artifact. FollowDemandPolicy gives free memory to the highest present demand at each decision; HysteresisPolicy adds copies only for demand that both averages show and replaces one only after its dwell time by a model with twice the demand per copy. OrderPlanner orders the moves so that each step keeps the memory bound and the last reachable copy of every planned artifact.

--- /dev/null
+++ b/Cyclamenstair/Placement/PlacementPolicy.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <Cyclamenstair/Placement/FollowDemandPolicy.h>
+#include <Cyclamenstair/Placement/HysteresisPolicy.h>
+
+#include <variant>
+
+namespace cyclamenstair {
+
+/// Decides which orders bring a pool's targets to the plan and to the demand. The same sequence of inputs gives the
+/// same decisions.
+using PlacementPolicy = std::variant<FollowDemandPolicy, HysteresisPolicy>;
+
+/// Returns the policy's decision for `input`.
+inline PlacementDecision decidePlacement(PlacementPolicy& policy, const PlacementInput& input)
+{
+    return std::visit([&](auto& alternative) { return alternative.decide(input); }, policy);
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Placement/PoolAssignment.h
+++ b/Cyclamenstair/Placement/PoolAssignment.h
@@ -1,23 +1,9 @@
 #pragma once
 
-#include <Cyclamenstair/Plan/Plan.h>
-#include <Cyclamenstair/Residency/TargetLedger.h>
-
-#include <map>
-#include <string>
-#include <vector>
+#include <Cyclamenstair/Placement/PlacementTypes.h>
 
 namespace cyclamenstair {
 
-/// A target as placement sees it.
-struct PlacementTarget {
-    std::string target;
-    std::string failureDomain;
-    uint64_t capacityBytes { 0 };
-    bool isLeaving { false };
-    const TargetLedger* ledger { nullptr }; ///< What may be resident now.
-};
-
 /// Artifacts that each target should hold, and planned copies for which there is no memory.
 struct PoolAssignment {
     std::map<std::string, std::vector<std::string>> artifactsByTarget;
