Give each target a worker and share load limits in portions

All targets of a pool were prepared one after the other with 1 s time-outs, and a round waited for the slowest order, so one slow target held up the loads of all others.

Every order, also a repeated one, follows a compare-and-swap write of the ledger. Former owners are asked whether their orders are closed. Weight-store and adapter loads take slots of leased portions. Ownership and portions are given back on a planned stop. Demand is published by gossip.

--- a/Cyclamenstair/Codec/RecordCodec.cpp
+++ b/Cyclamenstair/Codec/RecordCodec.cpp
@@ -1,29 +1,12 @@
 #include <Cyclamenstair/Codec/RecordCodec.h>
 
+#include <Cyclamenstair/Codec/RecordBytes.h>
 #include <Cyclamenstair/Generated/Records_generated.h>
 
 namespace cyclamenstair {
 
 namespace {
 
-    template <typename Table> std::string packRecord(const typename Table::NativeTableType& native)
-    {
-        flatbuffers::FlatBufferBuilder builder;
-        builder.Finish(Table::Pack(builder, &native));
-        return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
-    }
-
-    template <typename Table> typename Table::NativeTableType unpackRecord(std::string_view bytes, const char* step)
-    {
-        const auto* data = reinterpret_cast<const uint8_t*>(bytes.data());
-        flatbuffers::Verifier verifier(data, bytes.size());
-        if (bytes.empty() || !verifier.VerifyBuffer<Table>(nullptr))
-            throw Exception({ ErrorKind::InvalidInput, step, "", "malformed record" });
-        typename Table::NativeTableType native;
-        flatbuffers::GetRoot<Table>(data)->UnPackTo(&native);
-        return native;
-    }
-
     schema::Priority toSchema(Priority priority) { return static_cast<schema::Priority>(priority); }
 
     Priority fromSchema(schema::Priority priority)
@@ -36,15 +19,6 @@
 
     Duration windowFrom(uint64_t count) { return milliseconds(static_cast<int64_t>(count)); }
 
-    template <typename Rows, typename Function> auto convertRows(const Rows& rows, Function&& convert)
-    {
-        std::vector<decltype(convert(*rows.begin()))> converted;
-        converted.reserve(rows.size());
-        for (const auto& row : rows)
-            converted.push_back(convert(row));
-        return converted;
-    }
-
     std::unique_ptr<schema::ModelRecordT> packModel(const ModelSpec& model)
     {
         auto record = std::make_unique<schema::ModelRecordT>();
--- a/Cyclamenstair/Generated/Records_generated.h
+++ b/Cyclamenstair/Generated/Records_generated.h
@@ -2297,7 +2297,6 @@
   std::string holder{};
   uint32_t slots = 0;
   uint64_t expires_at_unix_ms = 0;
-  bool surrendered = false;
 };
 
 /// Slots of a shared limit that one coordinator holds.
@@ -2308,8 +2307,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HOLDER = 4,
     VT_SLOTS = 6,
-    VT_EXPIRES_AT_UNIX_MS = 8,
-    VT_SURRENDERED = 10
+    VT_EXPIRES_AT_UNIX_MS = 8
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -2320,16 +2318,12 @@
   uint64_t expires_at_unix_ms() const {
     return GetField<uint64_t>(VT_EXPIRES_AT_UNIX_MS, 0);
   }
-  bool surrendered() const {
-    return GetField<uint8_t>(VT_SURRENDERED, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOLDER) &&
            verifier.VerifyString(holder()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint64_t>(verifier, VT_EXPIRES_AT_UNIX_MS, 8) &&
-           VerifyField<uint8_t>(verifier, VT_SURRENDERED, 1) &&
            verifier.EndTable();
   }
   PortionRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2350,9 +2344,6 @@
   void add_expires_at_unix_ms(uint64_t expires_at_unix_ms) {
     fbb_.AddElement<uint64_t>(PortionRecord::VT_EXPIRES_AT_UNIX_MS, expires_at_unix_ms, 0);
   }
-  void add_surrendered(bool surrendered) {
-    fbb_.AddElement<uint8_t>(PortionRecord::VT_SURRENDERED, static_cast<uint8_t>(surrendered), 0);
-  }
   explicit PortionRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2369,13 +2360,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> holder = 0,
     uint32_t slots = 0,
-    uint64_t expires_at_unix_ms = 0,
-    bool surrendered = false) {
+    uint64_t expires_at_unix_ms = 0) {
   PortionRecordBuilder builder_(_fbb);
   builder_.add_expires_at_unix_ms(expires_at_unix_ms);
   builder_.add_slots(slots);
   builder_.add_holder(holder);
-  builder_.add_surrendered(surrendered);
   return builder_.Finish();
 }
 
@@ -2388,15 +2377,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *holder = nullptr,
     uint32_t slots = 0,
-    uint64_t expires_at_unix_ms = 0,
-    bool surrendered = false) {
+    uint64_t expires_at_unix_ms = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   return cyclamenstair::schema::CreatePortionRecord(
       _fbb,
       holder__,
       slots,
-      expires_at_unix_ms,
-      surrendered);
+      expires_at_unix_ms);
 }
 
 flatbuffers::Offset<PortionRecord> CreatePortionRecord(flatbuffers::FlatBufferBuilder &_fbb, const PortionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3195,7 +3182,6 @@
   { auto _e = holder(); if (_e) _o->holder = _e->str(); }
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = expires_at_unix_ms(); _o->expires_at_unix_ms = _e; }
-  { auto _e = surrendered(); _o->surrendered = _e; }
 }
 
 inline flatbuffers::Offset<PortionRecord> PortionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PortionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3209,13 +3195,11 @@
   auto _holder = _fbb.CreateString(_o->holder);
   auto _slots = _o->slots;
   auto _expires_at_unix_ms = _o->expires_at_unix_ms;
-  auto _surrendered = _o->surrendered;
   return cyclamenstair::schema::CreatePortionRecord(
       _fbb,
       _holder,
       _slots,
-      _expires_at_unix_ms,
-      _surrendered);
+      _expires_at_unix_ms);
 }
 
 inline LeasedPortionsRecordT::LeasedPortionsRecordT(const LeasedPortionsRecordT &o)
--- a/Cyclamenstair/Node/Coordinator.cpp
+++ b/Cyclamenstair/Node/Coordinator.cpp
@@ -5,172 +5,270 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <algorithm>
-#include <future>
 
 namespace cyclamenstair {
 
 namespace {
 
-    constexpr Duration vmListTimeout = milliseconds(1000);
+    /// Gossip intervals after the start or a pause within which the heartbeats of the other members arrive.
+    constexpr int64_t settlingIntervals = 4;
 
-    LoadRequest loadRequest(const Plan& plan, const std::string& artifact)
+    PlacementPolicy policyFrom(schema::PlacementPolicyKind kind)
     {
-        if (const auto* model = plan.findModel(artifact))
-            return { artifact, "", model->memoryBytes };
-        if (const auto* adapter = plan.findAdapter(artifact))
-            return { artifact, adapter->model, adapter->memoryBytes };
-        return {};
+        if (kind == schema::PlacementPolicyKind::FollowDemand)
+            return FollowDemandPolicy {};
+        return HysteresisPolicy {};
     }
 
-    bool contains(const std::vector<std::string>& names, const std::string& name)
+    uint32_t shareOf(int32_t limit, size_t own, size_t all)
     {
-        return std::find(names.begin(), names.end(), name) != names.end();
+        if (own == 0 || limit <= 0)
+            return 0;
+        const auto total = static_cast<size_t>(limit);
+        return static_cast<uint32_t>((total * own + all - 1) / all);
     }
 
 } // namespace
 
-Coordinator::Coordinator(const schema::SettingsT& settings, std::string incarnation, StoreClient& store,
-    const PlanRegister& plans, GossipTable& gossip, TargetDirectory& directory)
+Coordinator::Coordinator(const schema::SettingsT& settings, const OrderEvidence& evidence, const VmListFollower& vms,
+    const DemandPublisher& demand, StoreClient& store, const PlanRegister& plans, GossipTable& gossip,
+    TargetDirectory& directory)
     : m_settings(settings)
-    , m_incarnation(std::move(incarnation))
+    , m_evidence(&evidence)
+    , m_vms(&vms)
+    , m_demand(&demand)
     , m_store(&store)
     , m_plans(&plans)
     , m_gossip(&gossip)
     , m_directory(&directory)
-    , m_vmList(settings.platform->vm_list_endpoint)
+    , m_weightLoads(store, "weight_loads/" + settings.node->region, evidence.incarnation(),
+          [&evidence](const std::string& holder) { return evidence.isVmGone(holder); })
+    , m_adapterLoads(store, "adapter_loads/" + settings.node->region, evidence.incarnation(),
+          [&evidence](const std::string& holder) { return evidence.isVmGone(holder); })
     , m_thread("coordinator", [this] { return step(); })
 {
 }
 
-void Coordinator::stop() { m_thread.stop(); }
+Coordinator::~Coordinator() { stop(); }
+
+void Coordinator::stop()
+{
+    m_thread.stop();
+    // All workers end their orders at the same time.
+    for (auto& [target, worker] : m_workers)
+        worker->setActive(false);
+    for (auto& [target, worker] : m_workers)
+        worker->stop();
+    m_weightLoads.surrender();
+    m_adapterLoads.surrender();
+}
 
 Duration Coordinator::step()
 {
-    readVmList();
-    for (const auto& [pool, vms] : ownPools()) {
-        if (vms.front().kind == VmKind::Service)
-            coordinateServices(vms);
-        else
-            coordinatePool(vms);
+    const auto interval = milliseconds(m_settings.placement->interval_ms);
+    const auto now = monotonicNow();
+    if (!isMembershipSettled(now))
+        return interval;
+    const auto vms = m_vms->vms();
+    const auto pools = ownPools(vms);
+    std::set<std::string> ownTargets;
+    for (const auto& [pool, rows] : pools) {
+        for (const auto& vm : rows) {
+            if (vm.kind == VmKind::Engine)
+                ownTargets.insert(vm.id);
+        }
+    }
+    updateWorkers(vms, ownTargets);
+    const auto allEngines = std::count_if(vms.begin(), vms.end(),
+        [&](const auto& vm) { return vm.kind == VmKind::Engine && vm.region == m_settings.node->region; });
+    renewPortions(ownTargets.size(), static_cast<size_t>(allEngines));
+    const auto plan = m_plans->plan();
+    for (const auto& [pool, rows] : pools) {
+        if (rows.front().kind == VmKind::Service)
+            coordinateServices(rows);
+        else if (plan)
+            decide(pool, rows, *plan, now);
     }
-    return milliseconds(m_settings.placement->interval_ms);
+    return interval;
 }
 
-void Coordinator::readVmList()
+bool Coordinator::isMembershipSettled(TimePoint now)
 {
-    auto vms = m_vmList.read(vmListTimeout);
-    if (!vms)
-        return;
-    m_vms = std::move(*vms);
-    std::vector<std::string> leaving;
-    for (const auto& vm : m_vms) {
-        if (vm.state == VmState::Leaving)
-            leaving.push_back(vm.id);
+    // After the start or a pause of the process the other members' heartbeats are unknown or old. Without this wait the
+    // node would take itself for the only member and take over every target.
+    const auto pauseLimit = milliseconds(m_settings.peer->member_timeout_ms) / 2;
+    const bool wasPaused = m_lastStep != TimePoint() && now - m_lastStep > pauseLimit;
+    if (m_lastStep == TimePoint() || wasPaused)
+        m_settledAt = now + settlingIntervals * milliseconds(m_settings.peer->gossip_interval_ms);
+    m_lastStep = now;
+    return now >= m_settledAt;
+}
+
+std::vector<std::string> Coordinator::members(TimePoint now) const
+{
+    std::vector<std::string> all;
+    std::vector<std::string> staying;
+    for (const auto& key :
+        m_gossip->recentKeys(memberKeyPrefix, milliseconds(m_settings.peer->member_timeout_ms), now)) {
+        const auto entry = m_gossip->find(key);
+        if (!entry)
+            continue;
+        all.push_back(key.substr(memberKeyPrefix.size()));
+        if (!decodeMember(entry->payload).isDraining)
+            staying.push_back(all.back());
     }
-    m_directory->markLeaving(leaving);
+    return staying.empty() ? all : staying;
 }
 
-Coordinator::Pools Coordinator::ownPools() const
+Coordinator::Pools Coordinator::ownPools(const std::vector<VmInfo>& vms) const
 {
     // Members whose heartbeat is recent share out the pools by rendezvous hashing.
-    std::vector<std::string> members;
-    for (const auto& key :
-        m_gossip->recentKeys(memberKeyPrefix, milliseconds(m_settings.peer->member_timeout_ms), monotonicNow()))
-        members.push_back(key.substr(memberKeyPrefix.size()));
+    const auto candidates = members(monotonicNow());
     Pools pools;
-    for (const auto& vm : m_vms) {
+    for (const auto& vm : vms) {
         if (vm.kind != VmKind::Node && vm.region == m_settings.node->region)
             pools[vm.pool].push_back(vm);
     }
-    std::erase_if(pools, [&](const auto& pool) { return rendezvousOwner(pool.first, members) != m_settings.node->id; });
+    std::erase_if(
+        pools, [&](const auto& pool) { return rendezvousOwner(pool.first, candidates) != m_settings.node->id; });
     return pools;
 }
 
 void Coordinator::coordinateServices(const std::vector<VmInfo>& vms)
 {
-    for (const auto& vm : vms)
-        publish(vm, "", 1, vm.services);
+    for (const auto& vm : vms) {
+        TargetStatus status { vm.id, TargetKind::Service, vm.address, vm.pool, vm.failureDomain, "", vm.memoryBytes,
+            vm.state == VmState::Leaving, vm.services };
+        publish(std::move(status), 1);
+    }
 }
 
-void Coordinator::coordinatePool(const std::vector<VmInfo>& vms)
+void Coordinator::updateWorkers(const std::vector<VmInfo>& vms, const std::set<std::string>& ownTargets)
 {
-    const auto plan = m_plans->plan();
-    if (!plan)
-        return;
-
-    // Take over the targets that can be ordered.
-    std::vector<TargetOperator*> engines;
     for (const auto& vm : vms) {
-        auto& engine = m_engines[vm.id];
-        if (!engine)
-            engine = std::make_unique<TargetOperator>(
-                *m_store, vm, m_incarnation, milliseconds(m_settings.placement->order_timeout_ms));
-        engine->setVm(vm);
-        if (engine->prepare())
-            engines.push_back(engine.get());
+        if (!ownTargets.contains(vm.id))
+            continue;
+        auto& worker = m_workers[vm.id];
+        if (worker && worker->snapshot().vm.address != vm.address) {
+            // A VM that was replaced under its id. The former worker goes once its order has ended.
+            worker->setActive(false);
+            if (worker->snapshot().isOwned)
+                continue;
+            worker.reset();
+        }
+        if (!worker) {
+            worker = std::make_unique<TargetWorker>(
+                *m_store, *m_evidence, vm,
+                TargetWorkerSettings { milliseconds(m_settings.placement->interval_ms),
+                    milliseconds(m_settings.placement->order_timeout_ms) },
+                [this](const TargetWorker& changed) { publishEngine(changed); },
+                [this](const PlacementOrder& order, bool) { endOrder(order); });
+        }
+        worker->setVm(vm);
+        worker->setActive(true);
     }
+    std::erase_if(m_workers, [&](const auto& row) {
+        if (ownTargets.contains(row.first))
+            return false;
+        row.second->setActive(false);
+        const bool isListed = std::any_of(vms.begin(), vms.end(), [&](const auto& vm) { return vm.id == row.first; });
+        return !isListed && !row.second->snapshot().isOwned;
+    });
+}
 
-    // Decide where each artifact belongs.
-    std::vector<PlacementTarget> targets;
-    for (const auto* engine : engines)
-        targets.push_back({ engine->vm().id, engine->vm().failureDomain, engine->vm().memoryBytes,
-            engine->vm().state == VmState::Leaving, &engine->ledger() });
-    auto assignment = assignArtifacts(*plan, targets);
-    for (const auto& artifact : assignment.unplaced)
-        logEvent(LogSeverity::Warning, "artifact_not_placed", { { "artifact", artifact } });
-
-    // Give the orders, one thread a target.
-    std::vector<std::future<void>> running;
-    for (auto* engine : engines) {
-        running.push_back(std::async(std::launch::async, [this, engine, &plan, &assignment] {
-            bringToPlan(*engine, *plan, assignment.artifactsByTarget[engine->vm().id]);
-        }));
+void Coordinator::renewPortions(size_t ownEngines, size_t allEngines)
+{
+    if (ownEngines == 0) {
+        m_weightLoads.surrender();
+        m_adapterLoads.surrender();
+        return;
     }
-    for (auto& order : running)
-        order.get();
+    const auto renew = [&](PortionKeeper& portion, int32_t limit) {
+        portion.renew(shareOf(limit, ownEngines, allEngines), static_cast<uint32_t>(limit));
+    };
+    renew(m_weightLoads, m_settings.platform->weight_loads_at_once);
+    renew(m_adapterLoads, m_settings.platform->adapter_loads_at_once);
 }
 
-void Coordinator::bringToPlan(TargetOperator& engine, const Plan& plan, const std::vector<std::string>& wanted)
+void Coordinator::decide(const std::string& pool, const std::vector<VmInfo>& vms, const Plan& plan, TimePoint now)
 {
-    const auto publishStatus = [&] {
-        std::vector<std::string> reachable;
-        for (const auto& entry : engine.ledger().entries()) {
-            if (engine.ledger().isReachable(entry.artifact))
-                reachable.push_back(entry.artifact);
-        }
-        publish(engine.vm(), engine.ledger().instance(), engine.ledger().epoch(), std::move(reachable));
-    };
-    publishStatus();
-    for (const auto& artifact : wanted) {
-        if (!engine.ledger().isReachable(artifact) && engine.load(loadRequest(plan, artifact)))
-            publishStatus();
+    std::vector<TargetSnapshot> snapshots;
+    for (const auto& vm : vms) {
+        const auto worker = m_workers.find(vm.id);
+        if (worker != m_workers.end())
+            snapshots.push_back(worker->second->snapshot());
     }
-    const auto entries = engine.ledger().entries();
-    for (const auto& entry : entries) {
-        if (contains(wanted, entry.artifact) || loadRequest(plan, entry.artifact).memoryBytes != 0)
+    PlacementInput input { &plan, {}, m_demand->fleetDemand(now),
+        { m_weightLoads.freeSlots(), m_adapterLoads.freeSlots() }, now };
+    for (const auto& snapshot : snapshots) {
+        // A target whose state is not known takes part in nothing.
+        if (snapshot.isOwned)
+            input.targets.push_back({ snapshot.vm.id, snapshot.vm.failureDomain, snapshot.vm.memoryBytes,
+                snapshot.isLeaving, &snapshot.ledger, snapshot.isOrderable });
+    }
+    auto& policy = m_policies.try_emplace(pool, policyFrom(m_settings.placement->policy)).first->second;
+    const auto decision = decidePlacement(policy, input);
+    auto& unplaced = m_unplaced[pool];
+    if (unplaced != decision.unplaced) {
+        for (const auto& artifact : decision.unplaced)
+            logEvent(LogSeverity::Warning, "artifact_not_placed", { { "artifact", artifact }, { "pool", pool } });
+        unplaced = decision.unplaced;
+    }
+    submit(decision.orders);
+}
+
+void Coordinator::submit(const std::vector<PlacementOrder>& orders)
+{
+    std::map<std::string, std::vector<PlacementOrder>> byTarget;
+    std::set<std::string> withoutSlot;
+    for (const auto& order : orders) {
+        // The later orders of a target rely on the earlier ones.
+        if (withoutSlot.contains(order.target))
             continue;
-        engine.unload(entry.artifact);
-        publishStatus();
+        if (order.kind == OrderKind::Load && !portionFor(order).tryAcquire())
+            withoutSlot.insert(order.target);
+        else
+            byTarget[order.target].push_back(order);
+    }
+    for (auto& [target, list] : byTarget)
+        m_workers.at(target)->submit(std::move(list));
+}
+
+void Coordinator::endOrder(const PlacementOrder& order)
+{
+    if (order.kind == OrderKind::Load)
+        portionFor(order).release();
+    m_thread.wake();
+}
+
+PortionKeeper& Coordinator::portionFor(const PlacementOrder& order)
+{
+    return order.baseModel.empty() ? m_weightLoads : m_adapterLoads;
+}
+
+void Coordinator::publishEngine(const TargetWorker& worker)
+{
+    // The snapshot is taken under the lock, so that an older one is never published over a newer one.
+    std::lock_guard lock(m_publishMutex);
+    const auto snapshot = worker.snapshot();
+    // Only the owner knows what must be resident.
+    if (!snapshot.isOwned)
+        return;
+    TargetStatus status { snapshot.vm.id, TargetKind::Engine, snapshot.vm.address, snapshot.vm.pool,
+        snapshot.vm.failureDomain, snapshot.ledger.instance(), snapshot.vm.memoryBytes, snapshot.isLeaving, {} };
+    for (const auto& entry : snapshot.ledger.entries()) {
+        if (snapshot.ledger.isReachable(entry.artifact))
+            status.artifacts.push_back(entry.artifact);
     }
+    publish(std::move(status), snapshot.ledger.epoch());
 }
 
-void Coordinator::publish(
-    const VmInfo& vm, const std::string& instance, uint64_t epoch, std::vector<std::string> artifacts)
+void Coordinator::publish(TargetStatus status, uint64_t epoch)
 {
-    TargetStatus status;
-    status.target = vm.id;
-    status.kind = vm.kind == VmKind::Service ? TargetKind::Service : TargetKind::Engine;
-    status.address = vm.address;
-    status.pool = vm.pool;
-    status.failureDomain = vm.failureDomain;
-    status.instance = instance;
-    status.memoryBytes = vm.memoryBytes;
-    status.isLeaving = vm.state == VmState::Leaving;
-    status.artifacts = std::move(artifacts);
-    const auto key = targetKeyPrefix + vm.id;
+    const auto key = targetKeyPrefix + status.target;
     auto encoded = encodeTargetStatus(status);
     const auto present = m_gossip->find(key);
-    if (present && present->payload == encoded && present->version.epoch >= epoch)
+    if (present && (present->version.epoch > epoch || (present->version.epoch == epoch && present->payload == encoded)))
         return;
     m_gossip->publish(key, epoch, std::move(encoded), monotonicNow());
     m_directory->update(status);
--- a/Cyclamenstair/Node/Coordinator.h
+++ b/Cyclamenstair/Node/Coordinator.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <Cyclamenstair/Generated/Settings_generated.h>
-#include <Cyclamenstair/Membership/GossipTable.h>
-#include <Cyclamenstair/Node/PeriodicThread.h>
-#include <Cyclamenstair/Node/TargetDirectory.h>
-#include <Cyclamenstair/Node/TargetOperator.h>
-#include <Cyclamenstair/Placement/PoolAssignment.h>
+#include <Cyclamenstair/Node/DemandPublisher.h>
+#include <Cyclamenstair/Node/OrderEvidence.h>
+#include <Cyclamenstair/Node/PortionKeeper.h>
+#include <Cyclamenstair/Node/TargetWorker.h>
+#include <Cyclamenstair/Placement/PlacementPolicy.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
 
 #include <map>
@@ -13,35 +12,53 @@
 
 namespace cyclamenstair {
 
-/// Brings the targets of the pools that this node coordinates to the plan and publishes their status.
+/// Decides on the targets of the pools that this node coordinates, hands the orders to the targets' workers and
+/// publishes the targets' status.
 class Coordinator {
 public:
-    Coordinator(const schema::SettingsT& settings, std::string incarnation, StoreClient& store,
-        const PlanRegister& plans, GossipTable& gossip, TargetDirectory& directory);
+    Coordinator(const schema::SettingsT& settings, const OrderEvidence& evidence, const VmListFollower& vms,
+        const DemandPublisher& demand, StoreClient& store, const PlanRegister& plans, GossipTable& gossip,
+        TargetDirectory& directory);
 
-    /// Ends the coordinator's thread; orders under way are finished.
+    ~Coordinator();
+
+    /// Ends the coordinator's threads; orders under way are finished and ownership is given back.
     void stop();
 
 private:
     using Pools = std::map<std::string, std::vector<VmInfo>>;
+    using Workers = std::map<std::string, std::unique_ptr<TargetWorker>>;
 
     Duration step();
-    void readVmList();
-    Pools ownPools() const;
+    bool isMembershipSettled(TimePoint now);
+    std::vector<std::string> members(TimePoint now) const;
+    Pools ownPools(const std::vector<VmInfo>& vms) const;
     void coordinateServices(const std::vector<VmInfo>& vms);
-    void coordinatePool(const std::vector<VmInfo>& vms);
-    void bringToPlan(TargetOperator& engine, const Plan& plan, const std::vector<std::string>& wanted);
-    void publish(const VmInfo& vm, const std::string& instance, uint64_t epoch, std::vector<std::string> artifacts);
+    void updateWorkers(const std::vector<VmInfo>& vms, const std::set<std::string>& ownTargets);
+    void renewPortions(size_t ownEngines, size_t allEngines);
+    void decide(const std::string& pool, const std::vector<VmInfo>& vms, const Plan& plan, TimePoint now);
+    void submit(const std::vector<PlacementOrder>& orders);
+    void endOrder(const PlacementOrder& order);
+    PortionKeeper& portionFor(const PlacementOrder& order);
+    void publishEngine(const TargetWorker& worker);
+    void publish(TargetStatus status, uint64_t epoch);
 
     schema::SettingsT m_settings;
-    std::string m_incarnation;
+    const OrderEvidence* m_evidence;
+    const VmListFollower* m_vms;
+    const DemandPublisher* m_demand;
     StoreClient* m_store;
     const PlanRegister* m_plans;
     GossipTable* m_gossip;
     TargetDirectory* m_directory;
-    VmListClient m_vmList;
-    std::vector<VmInfo> m_vms;
-    std::map<std::string, std::unique_ptr<TargetOperator>> m_engines;
+    PortionKeeper m_weightLoads;
+    PortionKeeper m_adapterLoads;
+    std::map<std::string, PlacementPolicy> m_policies; ///< By pool.
+    std::map<std::string, std::vector<std::string>> m_unplaced; ///< As logged last, by pool.
+    Workers m_workers; ///< By target.
+    TimePoint m_lastStep;
+    TimePoint m_settledAt;
+    std::mutex m_publishMutex; ///< Keeps an older status from being published over a newer one.
     PeriodicThread m_thread; // Last, so that the thread starts after and ends before everything else.
 };
 
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -82,18 +82,20 @@
 } // namespace
 
 Result<std::unique_ptr<FrontEnd>> FrontEnd::create(
-    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor)
+    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, DemandTracker& demand)
 {
-    std::unique_ptr<FrontEnd> frontEnd(new FrontEnd(settings, plans, executor));
+    std::unique_ptr<FrontEnd> frontEnd(new FrontEnd(settings, plans, executor, demand));
     if (const auto started = frontEnd->m_listener.start(); !started)
         return started.error();
     return frontEnd;
 }
 
-FrontEnd::FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor)
+FrontEnd::FrontEnd(
+    const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, DemandTracker& demand)
     : m_settings(settings)
     , m_plans(&plans)
     , m_executor(&executor)
+    , m_demand(&demand)
     , m_listener(listenerSettings(*settings.caller))
 {
     addRoutes();
@@ -212,6 +214,7 @@
     const auto model = fieldOr<std::string>(body, "model", "");
     if (!plan->findModel(model) && !plan->findAdapter(model))
         refuse(ErrorKind::NotFound, "request.parse", "model '" + model + "' is not in the plan");
+    m_demand->record(model, monotonicNow());
     auto request = requestFrom(http, caller, model);
     request.isStream = fieldOr(body, "stream", false);
     const auto maxTokens = fieldOr<int64_t>(body, "max_tokens", defaultMaxTokens);
--- a/Cyclamenstair/Node/FrontEnd.h
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Node/RequestExecutor.h>
+#include <Cyclamenstair/Placement/DemandTracker.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
 #include <Cyclamenstair/Transport/HttpListener.h>
 
@@ -18,7 +19,7 @@
 class FrontEnd {
 public:
     static Result<std::unique_ptr<FrontEnd>> create(
-        const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
+        const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, DemandTracker& demand);
     ~FrontEnd();
 
     /// From now on the readiness probe answers 503.
@@ -33,7 +34,8 @@
     void stop();
 
 private:
-    FrontEnd(const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor);
+    FrontEnd(
+        const schema::SettingsT& settings, const PlanRegister& plans, RequestExecutor& executor, DemandTracker& demand);
 
     void addRoutes();
     void handleProbe(bool isReadinessProbe, httplib::Response& response) const;
@@ -51,6 +53,7 @@
     schema::SettingsT m_settings;
     const PlanRegister* m_plans;
     RequestExecutor* m_executor;
+    DemandTracker* m_demand;
     std::atomic<bool> m_isReady { true };
     std::atomic<bool> m_isRefusing { false };
     std::atomic<int> m_callsInProgress { 0 };
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -47,8 +47,11 @@
     peer.node = settings.node->id;
     peer.fleetKey = fleetKey.value();
     peer.timeout = milliseconds(settings.peer->timeout_ms);
-    auto peerServer = PeerServer::create(peer,
-        [loop = &node->m_gossipLoop](const PeerMessage& request, const std::string&) { return loop->answer(request); });
+    auto peerServer = PeerServer::create(peer, [self = node.get()](const PeerMessage& request, const std::string&) {
+        if (const auto* query = std::get_if<OrderQueryMessage>(&request))
+            return self->answerOrderQuery(*query);
+        return self->m_gossipLoop.answer(request);
+    });
     if (!peerServer)
         return peerServer.error();
     node->m_peerServer = std::move(peerServer).value();
@@ -58,7 +61,7 @@
         return operatorApi.error();
     node->m_operatorApi = std::move(operatorApi).value();
 
-    auto frontEnd = FrontEnd::create(settings, node->m_plans, node->m_executor);
+    auto frontEnd = FrontEnd::create(settings, node->m_plans, node->m_executor, node->m_demand);
     if (!frontEnd)
         return frontEnd.error();
     node->m_frontEnd = std::move(frontEnd).value();
@@ -67,17 +70,27 @@
     return node;
 }
 
-Node::Node(const schema::SettingsT& settings, std::string fleetKey)
+Node::Node(const schema::SettingsT& settings, const std::string& fleetKey)
     : m_settings(settings)
     , m_incarnation(settings.node->id + "/" + randomId())
     , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
     , m_executor(settings, m_directory)
     , m_planFollower(m_store, m_plans, milliseconds(settings.store->watch_ms))
-    , m_gossipLoop(settings, m_incarnation, std::move(fleetKey), m_gossip, m_plans, m_directory)
-    , m_coordinator(settings, m_incarnation, m_store, m_plans, m_gossip, m_directory)
+    , m_gossipLoop(settings, m_incarnation, fleetKey, m_gossip, m_plans, m_directory)
+    , m_vms(settings.platform->vm_list_endpoint, milliseconds(settings.platform->poll_ms), m_directory)
+    , m_demandPublisher(settings.node->id, milliseconds(settings.peer->member_timeout_ms), m_demand, m_gossip)
+    , m_orderEvidence(settings, m_incarnation, fleetKey, m_gossip, m_vms, m_orders)
+    , m_coordinator(settings, m_orderEvidence, m_vms, m_demandPublisher, m_store, m_plans, m_gossip, m_directory)
 {
 }
 
+PeerMessage Node::answerOrderQuery(const OrderQueryMessage& query)
+{
+    if (query.incarnation != m_incarnation)
+        return OrderAnswerMessage {};
+    return OrderAnswerMessage { m_orders.close(query.target, query.epoch) };
+}
+
 void Node::stop()
 {
     logEvent(LogSeverity::Info, "node_stopping", { { "node", m_settings.node->id } });
@@ -90,6 +103,8 @@
     m_frontEnd->stop();
     m_operatorApi->stop();
     m_coordinator.stop();
+    m_demandPublisher.stop();
+    m_vms.stop();
     m_planFollower.stop();
     m_gossipLoop.stop();
     logEvent(LogSeverity::Info, "node_stopped", { { "node", m_settings.node->id } });
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -19,7 +19,10 @@
     void stop();
 
 private:
-    Node(const schema::SettingsT& settings, std::string fleetKey);
+    Node(const schema::SettingsT& settings, const std::string& fleetKey);
+
+    /// Answers whether this process's orders to a target are closed.
+    PeerMessage answerOrderQuery(const OrderQueryMessage& query);
 
     schema::SettingsT m_settings;
     std::string m_incarnation;
@@ -27,10 +30,15 @@
     PlanRegister m_plans;
     GossipTable m_gossip;
     TargetDirectory m_directory;
+    OrderBook m_orders;
+    DemandTracker m_demand;
     RequestExecutor m_executor;
     PlanFollower m_planFollower;
     GossipLoop m_gossipLoop;
     std::unique_ptr<PeerServer> m_peerServer;
+    VmListFollower m_vms;
+    DemandPublisher m_demandPublisher;
+    OrderEvidence m_orderEvidence;
     Coordinator m_coordinator;
     std::unique_ptr<OperatorApi> m_operatorApi;
     std::unique_ptr<FrontEnd> m_frontEnd;
--- a/Cyclamenstair/Node/TargetOperator.h
+++ b/Cyclamenstair/Node/TargetOperator.h
@@ -1,53 +1,54 @@
 #pragma once
 
-#include <Cyclamenstair/Residency/TargetLedger.h>
+#include <Cyclamenstair/Node/OrderEvidence.h>
+#include <Cyclamenstair/Placement/PlacementTypes.h>
 #include <Cyclamenstair/Store/StoreClient.h>
 #include <Cyclamenstair/Transport/EngineClient.h>
-#include <Cyclamenstair/Transport/VmListClient.h>
 
 namespace cyclamenstair {
 
-/// An artifact to load, with what the order needs.
-struct LoadRequest {
-    std::string artifact;
-    std::string baseModel; ///< Empty for a model.
-    uint64_t memoryBytes { 0 };
-};
-
 /// Owner of one engine: keeps its ledger in the store and gives it orders. Used by one thread at a time.
 class TargetOperator {
 public:
-    /// `sender` is the incarnation of this node, under which its orders are recorded.
-    TargetOperator(StoreClient& store, VmInfo vm, std::string sender, Duration orderTimeout);
+    TargetOperator(StoreClient& store, const OrderEvidence& evidence, VmInfo vm, Duration orderTimeout);
 
-    /// Takes ownership if needed and reconciles the ledger with the engine's report. Returns whether orders may be
-    /// given.
+    /// Takes ownership if needed, reconciles the ledger with the engine's report and settles orders of former owners.
+    /// Returns whether orders may be given.
     bool prepare();
 
-    /// Loads the artifact: reserve in the ledger, order, record the result. Returns whether it is resident.
-    bool load(const LoadRequest& request);
+    /// Gives an order: records it in the ledger, sends it, and records the result. Returns whether it was carried out.
+    bool carryOut(const PlacementOrder& order);
 
-    /// Unloads the artifact. Returns whether it is gone.
-    bool unload(const std::string& artifact);
+    /// Gives ownership back if no order is open; otherwise the next owner takes over. No order is given afterwards
+    /// without a new takeover.
+    void release();
 
+    bool isOwner() const { return m_isOwner; }
     const TargetLedger& ledger() const { return m_ledger; }
-    const VmInfo& vm() const { return m_vm; }
-    void setVm(const VmInfo& vm) { m_vm = vm; }
 
 private:
     bool readLedger();
     bool takeOwnership();
     bool writeLedger(const TargetLedger& changed);
 
+    /// Reads the engine's report after the engine acknowledged the present epoch, if it knows epochs.
+    std::optional<TargetReport> readReport();
+
+    /// Settles orders of former owners as far as there is evidence; `report` is read again where needed.
+    bool settleFormerOwners(TargetLedger& changed, TargetReport& report);
+    Result<ResidencyEntry> begin(TargetLedger& ledger, const PlacementOrder& order) const;
+
     StoreClient* m_store;
+    const OrderEvidence* m_evidence;
     VmInfo m_vm;
-    std::string m_sender;
     Duration m_orderTimeout;
     EngineClient m_engine;
     TargetLedger m_ledger;
     int64_t m_storeRevision { 0 };
     bool m_isOwner { false };
-    bool m_hasAcknowledgedEpoch { false };
+    TimePoint m_nextTakeover; ///< Earliest time of the next takeover.
+    TimePoint m_nextQuery; ///< Earliest time of the next question to former owners.
+    std::string m_unfencedInstance; ///< Instance of the engine that does not know epochs.
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Transport/EngineClient.cpp
+++ b/Cyclamenstair/Transport/EngineClient.cpp
@@ -46,13 +46,13 @@
                               .Post(path.c_str(), Json { { "parameters", parameters } }.dump(), "application/json");
     if (!response) {
         if (response.error() == httplib::Error::Connection)
-            return OrderRefused { "no connection" };
+            return OrderRefused { "no connection", false };
         return OrderUnknown { httplib::to_string(response.error()) };
     }
     if (response->status == httpOk)
         return OrderDone {};
     if (response->status >= 400 && response->status < 500)
-        return OrderRefused { messageOf(*response) };
+        return OrderRefused { messageOf(*response), true };
     return OrderUnknown { messageOf(*response) };
 }
 
@@ -75,6 +75,17 @@
     return report;
 }
 
+std::optional<bool> EngineClient::isLeaving(Duration limit) const
+{
+    const auto response = makeClient(m_address, limit).Get("/health");
+    if (!response || response->status != httpOk)
+        return std::nullopt;
+    const auto body = Json::parse(response->body, nullptr, false);
+    if (!body.is_object() || !body.contains("leaving") || !body["leaving"].is_boolean())
+        return std::nullopt;
+    return body["leaving"].get<bool>();
+}
+
 std::optional<uint64_t> EngineClient::acknowledgeEpoch(uint64_t epoch, Duration limit) const
 {
     const auto response = makeClient(m_address, limit)
--- a/Cyclamenstair/Transport/EngineClient.h
+++ b/Cyclamenstair/Transport/EngineClient.h
@@ -25,6 +25,7 @@
 /// The engine refused the order and did not carry it out.
 struct OrderRefused {
     std::string message;
+    bool isSent { true }; ///< False if no connection was made, so that the engine knows nothing of this attempt.
 };
 
 /// Nobody heard whether the engine carried out the order.
@@ -45,6 +46,9 @@
     /// Returns the engine's report, or no value if it does not answer.
     std::optional<TargetReport> report(Duration limit) const;
 
+    /// Returns whether the engine says that it is leaving, or no value if it does not answer.
+    std::optional<bool> isLeaving(Duration limit) const;
+
     /// Raises the engine's fencing number to `epoch`. Returns the number that it enforces from now on; 0 if it ignores
     /// fencing.
     std::optional<uint64_t> acknowledgeEpoch(uint64_t epoch, Duration limit) const;
--- /dev/null
+++ b/Tests/NodeTests/PlacementTests.cpp
@@ -0,0 +1,1 @@
+#include <Tests/Support/ProcessFleet.h>
