--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -218,6 +218,7 @@
     const auto model = fieldOr<std::string>(body, "model", "");
     if (!plan->findModel(model) && !plan->findAdapter(model))
         refuse(ErrorKind::NotFound, "request.parse", "model '" + model + "' is not in the plan");
+    m_parts.demand->record(model, monotonicNow());
     auto request = requestFrom(http, caller, model);
     request.isStream = fieldOr(body, "stream", false);
     const auto maxTokens = fieldOr<int64_t>(body, "max_tokens", defaultMaxTokens);
--- a/Cyclamenstair/Node/FrontEnd.h
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Node/AdmissionGate.h>
 #include <Cyclamenstair/Node/BookingExecutor.h>
 #include <Cyclamenstair/Node/CallerQuota.h>
+#include <Cyclamenstair/Placement/DemandTracker.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
 #include <Cyclamenstair/Transport/HttpListener.h>
 
@@ -22,6 +23,7 @@
     BookingExecutor* bookings;
     AdmissionGate* admission;
     CallerQuota* quota;
+    DemandTracker* demand;
 };
 
 /// HTTP listener for callers.
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -22,7 +22,10 @@
     void stop();
 
 private:
-    Node(const schema::SettingsT& settings, std::string fleetKey);
+    Node(const schema::SettingsT& settings, const std::string& fleetKey);
+
+    /// Answers a request of another node.
+    PeerMessage answerPeer(const PeerMessage& request);
 
     schema::SettingsT m_settings;
     std::string m_incarnation;
@@ -30,6 +33,8 @@
     PlanRegister m_plans;
     GossipTable m_gossip;
     TargetDirectory m_directory;
+    OrderBook m_orders;
+    DemandTracker m_demand;
     RequestExecutor m_executor;
     BookingExecutor m_bookings;
     AdmissionGate m_admission;
@@ -37,6 +42,9 @@
     PlanFollower m_planFollower;
     GossipLoop m_gossipLoop;
     std::unique_ptr<PeerServer> m_peerServer;
+    VmListFollower m_vms;
+    DemandPublisher m_demandPublisher;
+    OrderEvidence m_orderEvidence;
     Coordinator m_coordinator;
     std::unique_ptr<OperatorApi> m_operatorApi;
     std::unique_ptr<FrontEnd> m_frontEnd;
--- a/Tests/NodeTests/AdmissionTests.cpp
+++ b/Tests/NodeTests/AdmissionTests.cpp
@@ -61,7 +61,8 @@
                 httplib::Headers { { "Authorization", "Bearer " + token } }, body.dump(), "application/json");
             if (!response) {
                 std::cout << isStream << httplib::to_string(response.error()) << std::endl;
-                return {};}
+                return {};
+            }
             return { response->status, response->get_header_value("X-Outcome"),
                 response->get_header_value("X-Request-Id"), response->has_header("Retry-After"), Clock::now() - start };
         }
