--- a/Cyclamenstair/Transport/HttpListener.h
+++ b/Cyclamenstair/Transport/HttpListener.h
@@ -46,6 +46,7 @@
     std::unique_ptr<TlsIdentity> m_identity; // Before the server, whose TLS context refers to it.
     SSL_CTX* m_tlsContext { nullptr };
     std::unique_ptr<httplib::Server> m_server;
+    int m_socket { -1 }; ///< Listening socket, which the library owns.
     std::thread m_thread;
 };
 
