Find stragglers whose hedges win

Cause: in a trial with 2 of 12 engines 10x slower (200 requests/s, streams of 16 tokens, two nodes), one straggler kept getting work. Its attempts were cancelled 28 ms after their start when the hedge answered; with the floor of 5 ms that counted as 2.8 times the expected 7 ms, below the limit of 3. Constant probes cost 4% of requests an extra attempt.

Change: an attempt that is late is compared without the floor, since the time from which on it is late lies above the noise. The interval between probes doubles while they are slow.

--- a/Cyclamenstair/Node/LiveAttempt.cpp
+++ b/Cyclamenstair/Node/LiveAttempt.cpp
@@ -20,6 +20,13 @@
         return toSeconds(actual + comparisonFloor) / toSeconds(expected + comparisonFloor);
     }
 
+    /// Slowness of an attempt that is late. The time from which on it counts as late is above the noise, and a floor
+    /// would hide a straggler whose hedges win soon after that time.
+    double lateSlownessOf(Duration actual, Duration expected)
+    {
+        return toSeconds(actual) / std::max(1e-6, toSeconds(expected));
+    }
+
 } // namespace
 
 LiveAttempt::LiveAttempt(RequestPathState& state, const Request& request,
@@ -44,7 +51,7 @@
     const auto late = lateAt();
     if (const auto expected = expectedFirst(); !m_hasFirst && expected && late && now >= *late)
         m_state->detector.observe(
-            m_plan.pool, target(), SpeedKind::FirstToken, slownessOf(now - m_startedAt, *expected), now);
+            m_plan.pool, target(), SpeedKind::FirstToken, lateSlownessOf(now - m_startedAt, *expected), now);
     m_state->targets.cancelAttempt(target(), m_plan.work);
 }
 
@@ -118,7 +125,7 @@
 void LiveAttempt::reportWaiting(TimePoint now)
 {
     if (const auto expected = expectedFirst(); !m_hasFirst && expected)
-        m_state->detector.observeWaiting(m_plan.pool, target(), slownessOf(now - m_startedAt, *expected), now);
+        m_state->detector.observeWaiting(m_plan.pool, target(), lateSlownessOf(now - m_startedAt, *expected), now);
 }
 
 std::optional<TimePoint> LiveAttempt::lateAt() const
--- a/Cyclamenstair/Node/LiveAttempt.h
+++ b/Cyclamenstair/Node/LiveAttempt.h
@@ -44,7 +44,7 @@
     /// Ends the attempt without an answer. `isRefusal` means that the target answered properly that it did not run it.
     void fail(bool isRefusal, TimePoint now);
 
-    /// Tells the detector how long the attempt has waited for its first token.
+    /// Tells the detector how long the attempt, which is late, has waited for its first token.
     void reportWaiting(TimePoint now);
 
     /// Returns when the first token or the next one is late; no value while nothing is known about the model.
--- a/Cyclamenstair/Routing/StragglerDetector.cpp
+++ b/Cyclamenstair/Routing/StragglerDetector.cpp
@@ -75,9 +75,11 @@
 {
     return m_pools.withShard(pool, [&](Pools& pools) {
         auto& state = pools[pool][target];
-        if (!state.isOnProbation || now - state.lastProbe < m_settings.probeInterval)
+        if (!state.isOnProbation || now - state.lastProbe < state.probeInterval)
             return false;
         state.lastProbe = now;
+        // Each probe costs its caller time; a success brings the short interval back.
+        state.probeInterval = std::min(m_settings.maxProbeInterval, 2 * state.probeInterval);
         return true;
     });
 }
@@ -157,6 +159,7 @@
         state->isOnProbation = true;
         state->successfulProbes = 0;
         state->lastProbe = now;
+        state->probeInterval = m_settings.probeInterval;
     }
 }
 
@@ -174,7 +177,10 @@
         return;
     }
     // One answer gives one sample of each kind; only the first token's is counted.
-    if (kind == SpeedKind::FirstToken && ++state.successfulProbes >= m_settings.probesToReturn)
+    if (kind != SpeedKind::FirstToken)
+        return;
+    state.probeInterval = m_settings.probeInterval;
+    if (++state.successfulProbes >= m_settings.probesToReturn)
         state.isOnProbation = false;
 }
 
--- a/Cyclamenstair/Routing/StragglerDetector.h
+++ b/Cyclamenstair/Routing/StragglerDetector.h
@@ -31,7 +31,8 @@
     size_t minSamples { 3 }; ///< Answers that a judgement needs.
     uint32_t maxFailuresInARow { 2 }; ///< Failed attempts that put a target on probation.
     uint32_t probesToReturn { 3 }; ///< Successful probes in a row that end the probation.
-    Duration probeInterval { milliseconds(500) }; ///< Time between two probes of a target.
+    Duration probeInterval { milliseconds(500) }; ///< Time to the first probe and after a successful one.
+    Duration maxProbeInterval { milliseconds(4000) }; ///< The interval doubles up to this while probes are slow.
     Duration waitingValidity { milliseconds(1000) }; ///< Time for which a waiting attempt counts.
     Duration memberValidity { std::chrono::seconds(60) }; ///< Time for which a silent target counts as in the pool.
 };
@@ -86,6 +87,7 @@
         bool isOnProbation { false };
         uint32_t successfulProbes { 0 };
         TimePoint lastProbe;
+        Duration probeInterval { 0 };
     };
     using PoolState = std::map<std::string, TargetState>;
     using Pools = std::map<std::string, PoolState>;
--- a/Tests/RoutingTests/StragglerDetectorTests.cpp
+++ b/Tests/RoutingTests/StragglerDetectorTests.cpp
@@ -104,9 +104,10 @@
         StragglerDetector detector;
         answers(detector, 6, 1, 10, 3);
         auto now = start;
-        const auto probe = [&](double slowness) {
+        const auto probe = [&](double slowness, int64_t pauseMs = 500) {
+            now += milliseconds(pauseMs - 1);
             EXPECT_FALSE(detector.claimProbe(pool, name(0), now));
-            now += milliseconds(500);
+            now += milliseconds(1);
             EXPECT_TRUE(detector.claimProbe(pool, name(0), now));
             answer(detector, 0, slowness, now);
             return detector.onProbation(pool).empty();
@@ -114,7 +115,8 @@
         EXPECT_FALSE(probe(1));
         EXPECT_FALSE(probe(1));
         EXPECT_FALSE(probe(10));
-        EXPECT_FALSE(probe(1));
+        EXPECT_FALSE(probe(10, 1000));
+        EXPECT_FALSE(probe(1, 2000));
         EXPECT_FALSE(probe(1));
         EXPECT_TRUE(probe(1));
     }
