Hedge probes early and count overtaken attempts

Cause: a probe of a slow target was hedged as late as any attempt, and a cancelled probe with a short wait would have counted as a success.

Change: a probe is late after 1.5 times the expected time. An attempt that is cancelled while it is late is reported as overtaken: a lower bound that counts against the target and never ends its probation.

--- a/Cyclamenstair/Node/LiveAttempt.cpp
+++ b/Cyclamenstair/Node/LiveAttempt.cpp
@@ -50,8 +50,7 @@
     // A straggler whose hedges always win would give no answer; the wait so far is a lower bound of its time.
     const auto late = lateAt();
     if (const auto expected = expectedFirst(); !m_hasFirst && expected && late && now >= *late)
-        m_state->detector.observe(
-            m_plan.pool, target(), SpeedKind::FirstToken, lateSlownessOf(now - m_startedAt, *expected), now);
+        m_state->detector.observeOvertaken(m_plan.pool, target(), lateSlownessOf(now - m_startedAt, *expected), now);
     m_state->targets.cancelAttempt(target(), m_plan.work);
 }
 
@@ -133,7 +132,10 @@
     if (m_hasFirst)
         return m_isStream ? std::optional(m_lastProgress + m_state->estimator.stallAfter(m_artifact)) : std::nullopt;
     const auto expected = expectedFirst();
-    return expected ? std::optional(m_startedAt + m_state->estimator.lateAfter(*expected)) : std::nullopt;
+    if (!expected)
+        return std::nullopt;
+    return m_startedAt
+        + (m_plan.isProbe ? m_state->estimator.probeLateAfter(*expected) : m_state->estimator.lateAfter(*expected));
 }
 
 TimePoint LiveAttempt::silentAt() const
--- a/Cyclamenstair/Node/LiveAttempt.h
+++ b/Cyclamenstair/Node/LiveAttempt.h
@@ -14,6 +14,7 @@
     std::string pool;
     AttemptWork work; ///< Already recorded in the TargetTable.
     uint32_t resumeFrom { 0 }; ///< Tokens that the caller already has.
+    bool isProbe { false }; ///< The target is on probation.
 };
 
 /// An attempt that runs at a target. Feeds what it observes to the shared state. Used by one thread at a time.
--- a/Cyclamenstair/Node/RunningAnswer.cpp
+++ b/Cyclamenstair/Node/RunningAnswer.cpp
@@ -339,7 +339,8 @@
             m_state->retryBudget.countAttempt(candidate.target, now);
         else if (!isExtra)
             m_state->hedgeBudget.charge();
-        AttemptPlan plan { ++m_attempts, std::move(candidate), query.pool, m_work, m_delivered };
+        AttemptPlan plan { ++m_attempts, std::move(candidate), query.pool, m_work, m_delivered, false };
+        plan.isProbe = m_state->detector.isOnProbation(query.pool, plan.candidate.target);
         m_lastTarget = plan.candidate.target;
         if (plan.number > 1) {
             logEvent(LogSeverity::Debug, isExtra ? "attempt_hedged" : "attempt_repeated",
--- a/Cyclamenstair/Routing/StragglerDetector.cpp
+++ b/Cyclamenstair/Routing/StragglerDetector.cpp
@@ -41,6 +41,24 @@
     });
 }
 
+void StragglerDetector::observeOvertaken(
+    const std::string& pool, const std::string& target, double slowness, TimePoint now)
+{
+    m_pools.withShard(pool, [&](Pools& pools) {
+        auto& targets = pools[pool];
+        auto& state = targets[target];
+        state.lastSeen = now;
+        if (state.isOnProbation) {
+            state.successfulProbes = 0;
+            return;
+        }
+        state.first.add(slowness);
+        if (state.first.count() >= m_settings.minSamples)
+            state.firstMedian = state.first.median(0);
+        judge(targets, now);
+    });
+}
+
 void StragglerDetector::observeFailure(const std::string& pool, const std::string& target, TimePoint now)
 {
     m_pools.withShard(pool, [&](Pools& pools) {
@@ -84,6 +102,17 @@
     });
 }
 
+bool StragglerDetector::isOnProbation(const std::string& pool, const std::string& target) const
+{
+    return m_pools.withShard(pool, [&](const Pools& pools) {
+        const auto targets = pools.find(pool);
+        if (targets == pools.end())
+            return false;
+        const auto state = targets->second.find(target);
+        return state != targets->second.end() && state->second.isOnProbation;
+    });
+}
+
 std::vector<std::string> StragglerDetector::onProbation(const std::string& pool) const
 {
     return m_pools.withShard(pool, [&](const Pools& pools) {
--- a/Cyclamenstair/Routing/StragglerDetector.h
+++ b/Cyclamenstair/Routing/StragglerDetector.h
@@ -61,6 +61,10 @@
     /// Takes the slowness so far of an attempt that still waits for its first token.
     void observeWaiting(const std::string& pool, const std::string& target, double slowness, TimePoint now);
 
+    /// Takes the slowness so far of an attempt that was cancelled while it was late, because another one answered. It
+    /// is a lower bound and never counts as a successful probe.
+    void observeOvertaken(const std::string& pool, const std::string& target, double slowness, TimePoint now);
+
     /// Takes a failed attempt.
     void observeFailure(const std::string& pool, const std::string& target, TimePoint now);
 
@@ -71,6 +75,8 @@
     /// Returns whether a probe of the target is due, and counts it as sent if so.
     bool claimProbe(const std::string& pool, const std::string& target, TimePoint now);
 
+    bool isOnProbation(const std::string& pool, const std::string& target) const;
+
     /// Returns the targets of the pool on probation, sorted by id.
     std::vector<std::string> onProbation(const std::string& pool) const;
 
--- a/Cyclamenstair/Routing/WorkEstimator.cpp
+++ b/Cyclamenstair/Routing/WorkEstimator.cpp
@@ -94,6 +94,11 @@
     return std::max(m_settings.minLateTime, fromMicroseconds(m_settings.lateFactor * toMicroseconds(expected)));
 }
 
+Duration WorkEstimator::probeLateAfter(Duration expected) const
+{
+    return fromMicroseconds(m_settings.probeLateFactor * toMicroseconds(expected));
+}
+
 Duration WorkEstimator::stallAfter(const std::string& model) const
 {
     const double expected = medianFor(model, &ModelState::perToken).value_or(0);
--- a/Cyclamenstair/Routing/WorkEstimator.h
+++ b/Cyclamenstair/Routing/WorkEstimator.h
@@ -15,6 +15,7 @@
 struct WorkEstimatorSettings {
     double longWorkTokens { 512 }; ///< Expected tokens from which on work is long.
     double lateFactor { 3 }; ///< Multiple of the expected time from which on an answer is late.
+    double probeLateFactor { 1.5 }; ///< The same for a probe of a target that is expected to be slow.
     Duration minLateTime { milliseconds(20) }; ///< Shorter delays are noise of the network and the scheduler.
     double stallTokens { 20 }; ///< Expected token times without a token from which on a stream stalls.
     Duration minStallTime { milliseconds(300) }; ///< Engines pause between tokens while they prefill other prompts.
@@ -56,6 +57,9 @@
     /// Returns the time after which an answer that is expected after `expected` is late.
     Duration lateAfter(Duration expected) const;
 
+    /// Returns the time after which a probe's answer that is expected after `expected` is late.
+    Duration probeLateAfter(Duration expected) const;
+
     /// Returns the time without a token after which a stream stalls.
     Duration stallAfter(const std::string& model) const;
 
--- a/Tests/RoutingTests/StragglerDetectorTests.cpp
+++ b/Tests/RoutingTests/StragglerDetectorTests.cpp
@@ -121,6 +121,20 @@
         EXPECT_TRUE(probe(1));
     }
 
+    // Guards against a straggler that stays in use because each of its attempts is cancelled when the hedge answers,
+    // and against a probe that counts as a success because it was cancelled early.
+    TEST(StragglerDetector, OvertakenAttemptsCountAgainstTheTarget)
+    {
+        StragglerDetector detector;
+        answers(detector, 6, 0, 1, 3);
+        for (int i = 0; i < 4; ++i)
+            detector.observeOvertaken(pool, name(0), 4, start);
+        EXPECT_TRUE(detector.isOnProbation(pool, name(0)));
+        for (int i = 0; i < 10; ++i)
+            detector.observeOvertaken(pool, name(0), 1, start);
+        EXPECT_TRUE(detector.isOnProbation(pool, name(0)));
+    }
+
     // Guards against a slow target that is dear for others of the pool, or a factor that rewards fast answers of one.
     TEST(StragglerDetector, FactorsAreRelativeToThePool)
     {
