--- a/Cyclamenstair/Routing/StragglerDetector.cpp
+++ b/Cyclamenstair/Routing/StragglerDetector.cpp
@@ -168,6 +168,7 @@
 void StragglerDetector::judge(PoolState& pool, TimePoint now) const
 {
     // Each observation shifts the median, so that all targets are judged and not only the one that answered.
+    std::erase_if(pool, [&](const auto& entry) { return now - entry.second.lastSeen > m_settings.forgetAfter; });
     const auto baseline = baselineOf(pool, now);
     size_t members = 0;
     size_t onProbation = 0;
--- a/Cyclamenstair/Routing/StragglerDetector.h
+++ b/Cyclamenstair/Routing/StragglerDetector.h
@@ -34,6 +34,7 @@
     Duration probeInterval { milliseconds(500) }; ///< Time to the first probe and after a successful one.
     Duration maxProbeInterval { milliseconds(4000) }; ///< The interval doubles up to this while probes are slow.
     Duration waitingValidity { milliseconds(1000) }; ///< Time for which a waiting attempt counts.
+    Duration forgetAfter { std::chrono::seconds(600) }; ///< Time after which a silent target is forgotten.
     Duration memberValidity { std::chrono::seconds(60) }; ///< Time for which a silent target counts as in the pool.
 };
 
--- a/Tests/RoutingTests/BudgetTests.cpp
+++ b/Tests/RoutingTests/BudgetTests.cpp
@@ -10,7 +10,7 @@
     constexpr TimePoint start { Duration(1'000'000'000) };
 
     // Guards against hedges that add load beyond their share, at any time since the start.
-    RC_GTEST_PROP(HedgeBudget, neverExceedsItsShare, (std::vector<bool> steps))
+    RC_GTEST_PROP(HedgeBudget, neverExceedsItsShare, (const std::vector<bool>& steps))
     {
         const double share = *rc::gen::inRange(0, 100) / 100.0;
         HedgeBudget budget({ share, 16 });
@@ -41,7 +41,7 @@
     }
 
     // Guards against retries that multiply the load while targets fail, for one target and in all.
-    RC_GTEST_PROP(RetryBudget, neverExceedsItsAllowance, (std::vector<uint8_t> steps))
+    RC_GTEST_PROP(RetryBudget, neverExceedsItsAllowance, (const std::vector<uint8_t>& steps))
     {
         const RetryAllowance perTarget { 0.1, 2, 3 };
         const RetryAllowance total { 0.1, 3, 5 };
--- a/Tests/RoutingTests/RouterTests.cpp
+++ b/Tests/RoutingTests/RouterTests.cpp
@@ -134,7 +134,7 @@
         int toStraggler = 0;
         constexpr int picks = 1000; // One each 2 ms, so that 2 s allow 4 probes.
         for (int i = 0; i < picks; ++i)
-            toStraggler += *fixture.router.pick(all, query(start + milliseconds(2 * i)), random) == 1 ? 1 : 0;
+            toStraggler += *fixture.router.pick(all, query(start + 2 * i * milliseconds(1)), random) == 1 ? 1 : 0;
         RC_ASSERT(toStraggler >= 1);
         RC_ASSERT(toStraggler <= 4);
     }
@@ -202,7 +202,7 @@
     }
 
     // Guards against long jobs that fill every slot of a target, so that short work waits behind them.
-    RC_GTEST_PROP(TargetTable, longWorkIsBoundedAndShortWorkIsNot, (std::vector<bool> kinds))
+    RC_GTEST_PROP(TargetTable, longWorkIsBoundedAndShortWorkIsNot, (const std::vector<bool>& kinds))
     {
         TargetTable targets;
         uint32_t longCount = 0;
--- a/Tests/RoutingTests/StragglerDetectorTests.cpp
+++ b/Tests/RoutingTests/StragglerDetectorTests.cpp
@@ -83,7 +83,7 @@
         answers(detector, count, 0, 1, 1);
         for (int step = 0; step < steps; ++step) {
             const auto target = *rc::gen::inRange<size_t>(0, count);
-            const auto now = start + milliseconds(10 * step);
+            const auto now = start + step * milliseconds(10);
             switch (*rc::gen::inRange(0, 4)) {
             case 0:
                 detector.observeFailure(pool, name(target), now);
--- a/Tests/RoutingTests/WorkEstimatorTests.cpp
+++ b/Tests/RoutingTests/WorkEstimatorTests.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     // Guards against an estimate above the caller's own limit, whatever was observed.
-    RC_GTEST_PROP(WorkEstimator, staysWithinMaxTokens, (std::vector<uint16_t> lengths, uint16_t maxTokens))
+    RC_GTEST_PROP(WorkEstimator, staysWithinMaxTokens, (const std::vector<uint16_t>& lengths, uint16_t maxTokens))
     {
         WorkEstimator estimator;
         for (const auto length : lengths)
