--- a/Cyclamenstair/Node/LiveAttempt.h
+++ b/Cyclamenstair/Node/LiveAttempt.h
@@ -14,6 +14,7 @@
     std::string pool;
     AttemptWork work; ///< Already recorded in the TargetTable.
     uint32_t resumeFrom { 0 }; ///< Tokens that the caller already has.
+    bool isProbe { false }; ///< The target is on probation.
 };
 
 /// An attempt that runs at a target. Feeds what it observes to the shared state. Used by one thread at a time.
@@ -44,7 +45,7 @@
     /// Ends the attempt without an answer. `isRefusal` means that the target answered properly that it did not run it.
     void fail(bool isRefusal, TimePoint now);
 
-    /// Tells the detector how long the attempt has waited for its first token.
+    /// Tells the detector how long the attempt, which is late, has waited for its first token.
     void reportWaiting(TimePoint now);
 
     /// Returns when the first token or the next one is late; no value while nothing is known about the model.
--- a/Cyclamenstair/Routing/StragglerDetector.cpp
+++ b/Cyclamenstair/Routing/StragglerDetector.cpp
@@ -41,6 +41,24 @@
     });
 }
 
+void StragglerDetector::observeOvertaken(
+    const std::string& pool, const std::string& target, double slowness, TimePoint now)
+{
+    m_pools.withShard(pool, [&](Pools& pools) {
+        auto& targets = pools[pool];
+        auto& state = targets[target];
+        state.lastSeen = now;
+        if (state.isOnProbation) {
+            state.successfulProbes = 0;
+            return;
+        }
+        state.first.add(slowness);
+        if (state.first.count() >= m_settings.minSamples)
+            state.firstMedian = state.first.median(0);
+        judge(targets, now);
+    });
+}
+
 void StragglerDetector::observeFailure(const std::string& pool, const std::string& target, TimePoint now)
 {
     m_pools.withShard(pool, [&](Pools& pools) {
@@ -75,13 +93,26 @@
 {
     return m_pools.withShard(pool, [&](Pools& pools) {
         auto& state = pools[pool][target];
-        if (!state.isOnProbation || now - state.lastProbe < m_settings.probeInterval)
+        if (!state.isOnProbation || now - state.lastProbe < state.probeInterval)
             return false;
         state.lastProbe = now;
+        // Each probe costs its caller time; a success brings the short interval back.
+        state.probeInterval = std::min(m_settings.maxProbeInterval, 2 * state.probeInterval);
         return true;
     });
 }
 
+bool StragglerDetector::isOnProbation(const std::string& pool, const std::string& target) const
+{
+    return m_pools.withShard(pool, [&](const Pools& pools) {
+        const auto targets = pools.find(pool);
+        if (targets == pools.end())
+            return false;
+        const auto state = targets->second.find(target);
+        return state != targets->second.end() && state->second.isOnProbation;
+    });
+}
+
 std::vector<std::string> StragglerDetector::onProbation(const std::string& pool) const
 {
     return m_pools.withShard(pool, [&](const Pools& pools) {
@@ -137,6 +168,7 @@
 void StragglerDetector::judge(PoolState& pool, TimePoint now) const
 {
     // Each observation shifts the median, so that all targets are judged and not only the one that answered.
+    std::erase_if(pool, [&](const auto& entry) { return now - entry.second.lastSeen > m_settings.forgetAfter; });
     const auto baseline = baselineOf(pool, now);
     size_t members = 0;
     size_t onProbation = 0;
@@ -157,6 +189,7 @@
         state->isOnProbation = true;
         state->successfulProbes = 0;
         state->lastProbe = now;
+        state->probeInterval = m_settings.probeInterval;
     }
 }
 
@@ -174,7 +207,10 @@
         return;
     }
     // One answer gives one sample of each kind; only the first token's is counted.
-    if (kind == SpeedKind::FirstToken && ++state.successfulProbes >= m_settings.probesToReturn)
+    if (kind != SpeedKind::FirstToken)
+        return;
+    state.probeInterval = m_settings.probeInterval;
+    if (++state.successfulProbes >= m_settings.probesToReturn)
         state.isOnProbation = false;
 }
 
--- a/Cyclamenstair/Routing/StragglerDetector.h
+++ b/Cyclamenstair/Routing/StragglerDetector.h
@@ -31,8 +31,10 @@
     size_t minSamples { 3 }; ///< Answers that a judgement needs.
     uint32_t maxFailuresInARow { 2 }; ///< Failed attempts that put a target on probation.
     uint32_t probesToReturn { 3 }; ///< Successful probes in a row that end the probation.
-    Duration probeInterval { milliseconds(500) }; ///< Time between two probes of a target.
+    Duration probeInterval { milliseconds(500) }; ///< Time to the first probe and after a successful one.
+    Duration maxProbeInterval { milliseconds(4000) }; ///< The interval doubles up to this while probes are slow.
     Duration waitingValidity { milliseconds(1000) }; ///< Time for which a waiting attempt counts.
+    Duration forgetAfter { std::chrono::seconds(600) }; ///< Time after which a silent target is forgotten.
     Duration memberValidity { std::chrono::seconds(60) }; ///< Time for which a silent target counts as in the pool.
 };
 
@@ -60,6 +62,10 @@
     /// Takes the slowness so far of an attempt that still waits for its first token.
     void observeWaiting(const std::string& pool, const std::string& target, double slowness, TimePoint now);
 
+    /// Takes the slowness so far of an attempt that was cancelled while it was late, because another one answered. It
+    /// is a lower bound and never counts as a successful probe.
+    void observeOvertaken(const std::string& pool, const std::string& target, double slowness, TimePoint now);
+
     /// Takes a failed attempt.
     void observeFailure(const std::string& pool, const std::string& target, TimePoint now);
 
@@ -70,6 +76,8 @@
     /// Returns whether a probe of the target is due, and counts it as sent if so.
     bool claimProbe(const std::string& pool, const std::string& target, TimePoint now);
 
+    bool isOnProbation(const std::string& pool, const std::string& target) const;
+
     /// Returns the targets of the pool on probation, sorted by id.
     std::vector<std::string> onProbation(const std::string& pool) const;
 
@@ -86,6 +94,7 @@
         bool isOnProbation { false };
         uint32_t successfulProbes { 0 };
         TimePoint lastProbe;
+        Duration probeInterval { 0 };
     };
     using PoolState = std::map<std::string, TargetState>;
     using Pools = std::map<std::string, PoolState>;
--- a/Tests/RoutingTests/StragglerDetectorTests.cpp
+++ b/Tests/RoutingTests/StragglerDetectorTests.cpp
@@ -83,7 +83,7 @@
         answers(detector, count, 0, 1, 1);
         for (int step = 0; step < steps; ++step) {
             const auto target = *rc::gen::inRange<size_t>(0, count);
-            const auto now = start + milliseconds(10 * step);
+            const auto now = start + step * milliseconds(10);
             switch (*rc::gen::inRange(0, 4)) {
             case 0:
                 detector.observeFailure(pool, name(target), now);
@@ -104,9 +104,10 @@
         StragglerDetector detector;
         answers(detector, 6, 1, 10, 3);
         auto now = start;
-        const auto probe = [&](double slowness) {
+        const auto probe = [&](double slowness, int64_t pauseMs = 500) {
+            now += milliseconds(pauseMs - 1);
             EXPECT_FALSE(detector.claimProbe(pool, name(0), now));
-            now += milliseconds(500);
+            now += milliseconds(1);
             EXPECT_TRUE(detector.claimProbe(pool, name(0), now));
             answer(detector, 0, slowness, now);
             return detector.onProbation(pool).empty();
@@ -114,11 +115,26 @@
         EXPECT_FALSE(probe(1));
         EXPECT_FALSE(probe(1));
         EXPECT_FALSE(probe(10));
-        EXPECT_FALSE(probe(1));
+        EXPECT_FALSE(probe(10, 1000));
+        EXPECT_FALSE(probe(1, 2000));
         EXPECT_FALSE(probe(1));
         EXPECT_TRUE(probe(1));
     }
 
+    // Guards against a straggler that stays in use because each of its attempts is cancelled when the hedge answers,
+    // and against a probe that counts as a success because it was cancelled early.
+    TEST(StragglerDetector, OvertakenAttemptsCountAgainstTheTarget)
+    {
+        StragglerDetector detector;
+        answers(detector, 6, 0, 1, 3);
+        for (int i = 0; i < 4; ++i)
+            detector.observeOvertaken(pool, name(0), 4, start);
+        EXPECT_TRUE(detector.isOnProbation(pool, name(0)));
+        for (int i = 0; i < 10; ++i)
+            detector.observeOvertaken(pool, name(0), 1, start);
+        EXPECT_TRUE(detector.isOnProbation(pool, name(0)));
+    }
+
     // Guards against a slow target that is dear for others of the pool, or a factor that rewards fast answers of one.
     TEST(StragglerDetector, FactorsAreRelativeToThePool)
     {
