Keep one load going while an ended holder's portion blocks the limit

With the coordinator killed, its portion held the whole weight-store limit until its VM left the VM list, so that the next coordinator could load nothing: CoordinatorKilledInTheMiddleOfLoads at engines that honour fencing found models a, b and c unreachable for 30 s each.

A coordinator that is granted no slot now runs one load at a time, which can slow loads down but leaves no model unreachable. A later incarnation of the holder's node counts as evidence that the holder ended.

--- a/Cyclamenstair/Node/Coordinator.cpp
+++ b/Cyclamenstair/Node/Coordinator.cpp
@@ -42,9 +42,9 @@
     , m_gossip(&gossip)
     , m_directory(&directory)
     , m_weightLoads(store, "weight_loads/" + settings.node->region, evidence.incarnation(),
-          [&evidence](const std::string& holder) { return evidence.isVmGone(holder); })
+          [&evidence](const std::string& holder) { return evidence.hasEnded(holder); })
     , m_adapterLoads(store, "adapter_loads/" + settings.node->region, evidence.incarnation(),
-          [&evidence](const std::string& holder) { return evidence.isVmGone(holder); })
+          [&evidence](const std::string& holder) { return evidence.hasEnded(holder); })
     , m_thread("coordinator", [this] { return step(); })
 {
 }
--- a/Cyclamenstair/Node/OrderEvidence.cpp
+++ b/Cyclamenstair/Node/OrderEvidence.cpp
@@ -45,6 +45,14 @@
 
 bool OrderEvidence::isVmGone(const std::string& incarnation) const { return m_vms->isGone(nodeOf(incarnation)); }
 
+bool OrderEvidence::hasEnded(const std::string& incarnation) const
+{
+    if (isVmGone(incarnation))
+        return true;
+    const auto entry = m_gossip->find(memberKeyPrefix + nodeOf(incarnation));
+    return entry && decodeMember(entry->payload).incarnation != incarnation;
+}
+
 std::optional<OrderClosureState> OrderEvidence::askPeer(
     const std::string& address, const std::string& sender, const std::string& target, uint64_t epoch) const
 {
--- a/Cyclamenstair/Node/OrderEvidence.h
+++ b/Cyclamenstair/Node/OrderEvidence.h
@@ -31,6 +31,10 @@
     /// Returns whether the VM of the node incarnation left the VM list.
     bool isVmGone(const std::string& incarnation) const;
 
+    /// Returns whether the node incarnation's process has ended: its VM is gone, or the node runs a later incarnation,
+    /// which could not listen on the node's ports before.
+    bool hasEnded(const std::string& incarnation) const;
+
     const std::string& incarnation() const { return m_incarnation; }
     OrderBook& orders() const { return *m_orders; }
 
--- a/Cyclamenstair/Node/PortionKeeper.cpp
+++ b/Cyclamenstair/Node/PortionKeeper.cpp
@@ -55,7 +55,11 @@
     const auto slots = portions.renew(m_holder, wanted, inUse, total, unixMs() + toMilliseconds(leaseTime));
     if (!write(portions, revision))
         return;
-    setSlots(std::min(slots, wanted), now + leaseTime);
+    // While an ended holder's portion cannot be reclaimed, one load at a time goes on. It can exceed the limit by one
+    // per coordinator, which slows loads down; without it, models of the ended coordinator would stay unreachable.
+    if (slots == 0 && wanted > 0)
+        logEvent(LogSeverity::Warning, "portion_not_granted", { { "limit", m_limit }, { "holder", m_holder } });
+    setSlots(std::clamp(slots, std::min(1U, wanted), std::max(1U, wanted)), now + leaseTime);
     // A holder that got less than it wants asks again soon, because another holder may give slots back.
     m_nextRenewal = now + (slots < std::min(wanted, total) ? retryInterval : renewalInterval);
 }
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -146,6 +146,7 @@
         if (settings.ignoreFencing)
             arguments.emplace_back("--ignore-fencing");
         m_engines.push_back(startStandIn("standin-engine", m_enginePorts.back(), arguments));
+        m_engineArguments.push_back(arguments);
         m_vms.push_back({ { "id", "engine-" + std::to_string(i) }, { "kind", "engine" }, { "state", "live" },
             { "address", address(m_enginePorts.back()) }, { "region", "region-1" },
             { "failure_domain", "domain-" + std::to_string(i % 3) }, { "pool", "drafting" },
@@ -210,6 +211,13 @@
 
 void ProcessFleet::killNode(int node) { m_nodes[static_cast<size_t>(node)].process.reset(); }
 
+void ProcessFleet::restartEngine(int engine)
+{
+    const auto index = static_cast<size_t>(engine);
+    m_engines[index].reset();
+    m_engines[index] = startStandIn("standin-engine", m_enginePorts[index], m_engineArguments[index]);
+}
+
 int ProcessFleet::acceptPlan(const std::string& sheet, int node, const std::vector<std::string>& arguments)
 {
     const auto path = m_directory + "/sheet.csv";
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -70,6 +70,9 @@
     void startNode(int node);
     void killNode(int node);
 
+    /// Ends an engine at once and starts it again at the same address.
+    void restartEngine(int engine);
+
     /// Sends faults to a stand-in.
     static void setFaults(const std::string& address, const nlohmann::json& faults);
     static nlohmann::json getJson(const std::string& address, const std::string& path);
@@ -105,6 +108,7 @@
     std::vector<int> m_servicePorts;
     std::vector<std::unique_ptr<ChildProcess>> m_standIns;
     std::vector<std::unique_ptr<ChildProcess>> m_engines;
+    std::vector<std::vector<std::string>> m_engineArguments;
     std::vector<NodeSlot> m_nodes;
     nlohmann::json m_vms = nlohmann::json::array();
 };
