--- a/Cyclamenstair/Plan/SheetParser.cpp
+++ b/Cyclamenstair/Plan/SheetParser.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Plan/SheetParser.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <map>
@@ -53,6 +54,7 @@
             }
             // Models and adapters share one name space, because callers use both as the model of a request.
             const auto nameSpace = *kind == SheetRowKind::Adapter ? SheetRowKind::Model : *kind;
+            m_result.lines[{ *kind, row.name }] = line;
             const auto [previous, isNew] = m_lines.emplace(std::make_pair(nameSpace, row.name), line);
             if (!isNew)
                 addError("'" + row.name + "' already stands on line " + std::to_string(previous->second));
@@ -240,8 +242,61 @@
         }
     }
 
+    std::string memoryText(uint64_t bytes) { return std::to_string(bytes / bytesPerMib); }
+
+    std::string windowText(Duration window)
+    {
+        return window > Duration(0) ? std::to_string(toMilliseconds(window)) : "";
+    }
+
+    std::string joinNames(const std::vector<std::string>& names)
+    {
+        std::string text;
+        for (const auto& name : names)
+            text += (text.empty() ? "" : "|") + name;
+        return text;
+    }
+
+    std::string quoteField(const std::string& text)
+    {
+        std::string quoted = "\"";
+        for (const char c : text)
+            quoted += c == '"' ? std::string("\"\"") : std::string(1, c);
+        return quoted + "\"";
+    }
+
+    /// Shortest text that reads back to the same number.
+    std::string rateText(double rate)
+    {
+        if (rate == 0)
+            return "";
+        std::array<char, 32> text {};
+        const auto result = std::to_chars(text.data(), text.data() + text.size(), rate);
+        return { text.data(), result.ptr };
+    }
+
 } // namespace
 
+std::string SheetParser::write(const Plan& plan)
+{
+    std::ostringstream sheet;
+    sheet << "kind,name,model,memory_mib,replicas,priority,window_ms,repeatable,rate_per_s,burst,token_hash,allowed\n";
+    for (const auto& model : plan.models)
+        sheet << "model," << model.name << ",," << memoryText(model.memoryBytes) << ',' << model.replicas << ','
+              << nameOf(model.priority) << ',' << windowText(model.window) << ",,,,,\n";
+    for (const auto& adapter : plan.adapters)
+        sheet << "adapter," << adapter.name << ',' << adapter.model << ',' << memoryText(adapter.memoryBytes) << ','
+              << adapter.replicas << ',' << nameOf(adapter.priority) << ',' << windowText(adapter.window) << ",,,,,\n";
+    for (const auto& service : plan.services)
+        sheet << "service," << service.name << ",,,," << nameOf(service.priority) << ',' << windowText(service.window)
+              << ',' << (service.repeatable ? "yes" : "no") << ",,,,\n";
+    for (const auto& caller : plan.callers)
+        sheet << "caller," << caller.name << ",,,," << nameOf(caller.priority) << ',' << windowText(caller.window)
+              << ",," << rateText(caller.requestsPerSecond) << ',' << caller.burst << ','
+              << quoteField(caller.tokenHash) << ',' << joinNames(caller.allowed) << '\n';
+    return sheet.str();
+}
+
 SheetResult SheetParser::parse(std::string_view text)
 {
     SheetPass pass;
--- a/Cyclamenstair/Plan/SheetParser.h
+++ b/Cyclamenstair/Plan/SheetParser.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Error.h>
 #include <Cyclamenstair/Plan/Plan.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,10 +34,14 @@
     std::string message;
 };
 
+/// Lines of the rows of a sheet, by kind and name.
+using SheetLines = std::map<std::pair<SheetRowKind, std::string>, uint32_t>;
+
 /// Plan and findings of a sheet. The plan is present if there are no errors.
 struct SheetResult {
     std::optional<Plan> plan;
     std::vector<SheetFinding> errors;
+    SheetLines lines;
 };
 
 /// Parses a plan sheet: CSV with the header
@@ -49,6 +54,9 @@
 
     /// Returns the plan (revision 0, rows sorted by name) or all errors by line. Never throws on bad input.
     static SheetResult parse(std::string_view text);
+
+    /// Returns the plan as a sheet that parse() reads back to the same rows. Tokens appear as their hashes only.
+    static std::string write(const Plan& plan);
 };
 
 } // namespace cyclamenstair
