--- a/Cyclamenstair/Codec/PeerMessageCodec.cpp
+++ b/Cyclamenstair/Codec/PeerMessageCodec.cpp
@@ -4,6 +4,9 @@
 #include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Generated/Messages_generated.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace cyclamenstair {
 
 namespace {
@@ -21,6 +24,9 @@
             record->epoch = entry.version.epoch;
             record->version = entry.version.counter;
             record->payload = toBytes(entry.payload);
+            record->beat = entry.beat;
+            record->age_ms = static_cast<uint32_t>(
+                std::clamp<int64_t>(toMilliseconds(entry.age), 0, std::numeric_limits<uint32_t>::max()));
             records.push_back(std::move(record));
         }
         return records;
@@ -30,10 +36,48 @@
     {
         std::vector<GossipEntry> entries;
         for (const auto& record : records)
-            entries.push_back({ record->key, { record->epoch, record->version }, toText(record->payload) });
+            entries.push_back({ record->key, { record->epoch, record->version }, toText(record->payload), record->beat,
+                milliseconds(record->age_ms) });
         return entries;
     }
 
+    template <typename Table> void packBeats(const std::vector<GossipBeat>& beats, Table& table)
+    {
+        for (const auto& beat : beats) {
+            table.beat_states.push_back(beat.state);
+            table.beat_counts.push_back(beat.count);
+        }
+    }
+
+    template <typename Table> std::vector<GossipBeat> unpackBeats(const Table& table)
+    {
+        if (table.beat_states.size() != table.beat_counts.size())
+            throw Exception({ ErrorKind::InvalidInput, "peer.decode", "", "heartbeats of unequal count" });
+        std::vector<GossipBeat> beats;
+        for (size_t i = 0; i < table.beat_states.size(); ++i)
+            beats.push_back({ table.beat_states[i], table.beat_counts[i] });
+        return beats;
+    }
+
+    /// Packs texts as tables with one field `data`, because FlatBuffers has no vectors of vectors.
+    template <typename Table> std::vector<std::unique_ptr<Table>> packTexts(const std::vector<std::string>& texts)
+    {
+        std::vector<std::unique_ptr<Table>> records;
+        for (const auto& text : texts) {
+            records.push_back(std::make_unique<Table>());
+            records.back()->data = toBytes(text);
+        }
+        return records;
+    }
+
+    template <typename Table> std::vector<std::string> unpackTexts(const std::vector<std::unique_ptr<Table>>& records)
+    {
+        std::vector<std::string> texts;
+        for (const auto& record : records)
+            texts.push_back(toText(record->data));
+        return texts;
+    }
+
     schema::HelloT pack(const HelloMessage& message)
     {
         schema::HelloT table;
@@ -45,21 +89,20 @@
     schema::GossipRequestT pack(const GossipRequestMessage& message)
     {
         schema::GossipRequestT table;
-        for (const auto& row : message.digest) {
-            auto record = std::make_unique<schema::GossipVersionT>();
-            record->key = row.key;
-            record->epoch = row.version.epoch;
-            record->version = row.version.counter;
-            table.digest.push_back(std::move(record));
-        }
+        table.plan_revision = message.planRevision;
+        table.bucket_hashes = message.bucketHashes;
+        packBeats(message.beats, table);
         return table;
     }
 
     schema::GossipResponseT pack(const GossipResponseMessage& message)
     {
         schema::GossipResponseT table;
-        table.entries = packEntries(message.entries);
-        table.wanted = message.wanted;
+        table.plan_revision = message.planRevision;
+        table.buckets = message.buckets;
+        for (const auto& row : message.rows)
+            table.rows.emplace_back(row.keyHash, row.version.epoch, row.version.counter);
+        packBeats(message.beats, table);
         return table;
     }
 
@@ -67,6 +110,7 @@
     {
         schema::GossipPushT table;
         table.entries = packEntries(message.entries);
+        table.wanted = message.wanted;
         return table;
     }
 
@@ -74,6 +118,22 @@
     {
         schema::GossipPushAckT table;
         table.accepted = message.accepted;
+        table.entries = packEntries(message.entries);
+        return table;
+    }
+
+    schema::PlanAnnounceT pack(const PlanAnnounceMessage& message)
+    {
+        schema::PlanAnnounceT table;
+        table.revision = message.revision;
+        table.address = message.address;
+        return table;
+    }
+
+    schema::PlanAnnounceAckT pack(const PlanAnnounceAckMessage& message)
+    {
+        schema::PlanAnnounceAckT table;
+        table.revision = message.revision;
         return table;
     }
 
@@ -81,6 +141,8 @@
     {
         schema::PlanFetchRequestT table;
         table.known_revision = message.knownRevision;
+        table.revision = message.revision;
+        table.offset = message.offset;
         return table;
     }
 
@@ -88,7 +150,24 @@
     {
         schema::PlanFetchResponseT table;
         table.revision = message.revision;
-        table.plan = toBytes(message.encodedPlan);
+        table.deltas = packTexts<schema::PlanDeltaBytesT>(message.deltas);
+        table.part = toBytes(message.part);
+        table.offset = message.offset;
+        table.total_bytes = message.totalBytes;
+        return table;
+    }
+
+    schema::AuditFetchRequestT pack(const AuditFetchRequestMessage& message)
+    {
+        schema::AuditFetchRequestT table;
+        table.limit = message.limit;
+        return table;
+    }
+
+    schema::AuditFetchResponseT pack(const AuditFetchResponseMessage& message)
+    {
+        schema::AuditFetchResponseT table;
+        table.entries = packTexts<schema::AuditBytesT>(message.entries);
         return table;
     }
 
@@ -120,12 +199,22 @@
 
     GossipRequestMessage unpack(const schema::GossipRequestT& table)
     {
-        GossipRequestMessage message;
-        for (const auto& record : table.digest)
-            message.digest.push_back({ record->key, { record->epoch, record->version } });
+        return { table.plan_revision, table.bucket_hashes, unpackBeats(table) };
+    }
+
+    GossipResponseMessage unpack(const schema::GossipResponseT& table)
+    {
+        GossipResponseMessage message { table.plan_revision, table.buckets, {}, unpackBeats(table) };
+        for (const auto& row : table.rows)
+            message.rows.push_back({ row.key_hash(), { row.epoch(), row.version() } });
         return message;
     }
 
+    PlanFetchResponseMessage unpack(const schema::PlanFetchResponseT& table)
+    {
+        return { table.revision, unpackTexts(table.deltas), toText(table.part), table.offset, table.total_bytes };
+    }
+
     ClaimAnswerMessage unpack(const schema::ClaimAnswerT& table)
     {
         return { static_cast<ClaimProgress>(table.progress), table.status, table.content_type, table.body };
@@ -157,17 +246,25 @@
     case schema::Message::GossipRequest:
         return unpack(*message.AsGossipRequest());
     case schema::Message::GossipResponse:
-        return GossipResponseMessage { unpackEntries(message.AsGossipResponse()->entries),
-            message.AsGossipResponse()->wanted };
+        return unpack(*message.AsGossipResponse());
     case schema::Message::GossipPush:
-        return GossipPushMessage { unpackEntries(message.AsGossipPush()->entries) };
+        return GossipPushMessage { unpackEntries(message.AsGossipPush()->entries), message.AsGossipPush()->wanted };
     case schema::Message::GossipPushAck:
-        return GossipPushAckMessage { message.AsGossipPushAck()->accepted };
+        return GossipPushAckMessage { message.AsGossipPushAck()->accepted,
+            unpackEntries(message.AsGossipPushAck()->entries) };
+    case schema::Message::PlanAnnounce:
+        return PlanAnnounceMessage { message.AsPlanAnnounce()->revision, message.AsPlanAnnounce()->address };
+    case schema::Message::PlanAnnounceAck:
+        return PlanAnnounceAckMessage { message.AsPlanAnnounceAck()->revision };
     case schema::Message::PlanFetchRequest:
-        return PlanFetchRequestMessage { message.AsPlanFetchRequest()->known_revision };
+        return PlanFetchRequestMessage { message.AsPlanFetchRequest()->known_revision,
+            message.AsPlanFetchRequest()->revision, message.AsPlanFetchRequest()->offset };
     case schema::Message::PlanFetchResponse:
-        return PlanFetchResponseMessage { message.AsPlanFetchResponse()->revision,
-            toText(message.AsPlanFetchResponse()->plan) };
+        return unpack(*message.AsPlanFetchResponse());
+    case schema::Message::AuditFetchRequest:
+        return AuditFetchRequestMessage { message.AsAuditFetchRequest()->limit };
+    case schema::Message::AuditFetchResponse:
+        return AuditFetchResponseMessage { unpackTexts(message.AsAuditFetchResponse()->entries) };
     case schema::Message::ClaimQuery:
         return ClaimQueryMessage { message.AsClaimQuery()->key, message.AsClaimQuery()->token };
     case schema::Message::ClaimAnswer:
--- a/Cyclamenstair/Codec/PeerMessages.h
+++ b/Cyclamenstair/Codec/PeerMessages.h
@@ -15,35 +15,69 @@
     std::string nonce; ///< Random bytes that make each connection's authentication codes unique.
 };
 
-/// Versions that the sender holds.
+/// First message of an exchange: hashes of the sender's entries by bucket, and its latest heartbeats.
 struct GossipRequestMessage {
-    std::vector<GossipDigestRow> digest;
+    uint64_t planRevision { 0 };
+    std::vector<uint32_t> bucketHashes;
+    std::vector<GossipBeat> beats;
 };
 
-/// Entries that are newer at the answering node, and keys that it wants.
+/// Versions of the answering node's entries in the buckets that differ.
 struct GossipResponseMessage {
-    std::vector<GossipEntry> entries;
-    std::vector<std::string> wanted;
+    uint64_t planRevision { 0 };
+    std::vector<uint16_t> buckets;
+    std::vector<GossipRow> rows;
+    std::vector<GossipBeat> beats;
 };
 
-/// Entries that the answering node asked for.
+/// Entries that are newer at the asking node, and the hashes of the keys that it wants.
 struct GossipPushMessage {
     std::vector<GossipEntry> entries;
+    std::vector<uint64_t> wanted;
 };
 
+/// The entries that the asking node wanted.
 struct GossipPushAckMessage {
     uint32_t accepted { 0 };
+    std::vector<GossipEntry> entries;
 };
 
-/// Asks for the plan if the peer's revision is newer.
+/// The sender has a new revision of the plan, which can be fetched from `address`.
+struct PlanAnnounceMessage {
+    uint64_t revision { 0 };
+    std::string address;
+};
+
+struct PlanAnnounceAckMessage {
+    uint64_t revision { 0 };
+};
+
+/// Asks for a newer plan than `knownRevision`; `revision` and `offset` name the next part of a plan that comes in
+/// parts.
 struct PlanFetchRequestMessage {
     uint64_t knownRevision { 0 };
+    uint64_t revision { 0 };
+    uint64_t offset { 0 };
 };
 
-/// The peer's plan in encoded form; empty if it has none that is newer.
+/// Either the encoded deltas from the known revision on, or one part of the encoded plan; neither if there is none that
+/// is newer.
 struct PlanFetchResponseMessage {
     uint64_t revision { 0 };
-    std::string encodedPlan;
+    std::vector<std::string> deltas;
+    std::string part;
+    uint64_t offset { 0 };
+    uint64_t totalBytes { 0 };
+};
+
+/// Asks for the node's audit entries, the latest ones first.
+struct AuditFetchRequestMessage {
+    uint32_t limit { 0 };
+};
+
+/// Encoded audit entries.
+struct AuditFetchResponseMessage {
+    std::vector<std::string> entries;
 };
 
 /// Asks the node that made a booking claim for the claim's progress.
@@ -82,8 +116,8 @@
     std::string message;
 };
 
-using PeerMessage
-    = std::variant<HelloMessage, GossipRequestMessage, GossipResponseMessage, GossipPushMessage, GossipPushAckMessage,
-        PlanFetchRequestMessage, PlanFetchResponseMessage, ClaimQueryMessage, ClaimAnswerMessage, FailureMessage>;
+using PeerMessage = std::variant<HelloMessage, GossipRequestMessage, GossipResponseMessage, GossipPushMessage,
+    GossipPushAckMessage, PlanFetchRequestMessage, PlanFetchResponseMessage, ClaimQueryMessage, ClaimAnswerMessage,
+    FailureMessage, PlanAnnounceMessage, PlanAnnounceAckMessage, AuditFetchRequestMessage, AuditFetchResponseMessage>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Codec/RecordCodec.cpp
+++ b/Cyclamenstair/Codec/RecordCodec.cpp
@@ -114,30 +114,66 @@
             record->requests_per_second, record->burst, record->allowed };
     }
 
+    schema::PlanRecordT packPlan(const Plan& plan)
+    {
+        schema::PlanRecordT record;
+        record.revision = plan.revision;
+        record.models = convertRows(plan.models, packModel);
+        record.adapters = convertRows(plan.adapters, packAdapter);
+        record.services = convertRows(plan.services, packService);
+        record.callers = convertRows(plan.callers, packCaller);
+        return record;
+    }
+
+    Plan unpackPlan(const schema::PlanRecordT& record)
+    {
+        Plan plan;
+        plan.revision = record.revision;
+        plan.models = convertRows(record.models, unpackModel);
+        plan.adapters = convertRows(record.adapters, unpackAdapter);
+        plan.services = convertRows(record.services, unpackService);
+        plan.callers = convertRows(record.callers, unpackCaller);
+        plan.sortRows();
+        return plan;
+    }
+
 } // namespace
 
-std::string encodePlan(const Plan& plan)
+std::string encodePlan(const Plan& plan) { return packRecord<schema::PlanRecord>(packPlan(plan)); }
+
+Plan decodePlan(std::string_view bytes) { return unpackPlan(unpackRecord<schema::PlanRecord>(bytes, "plan.decode")); }
+
+std::string encodePlanDelta(const PlanDelta& delta)
+{
+    schema::PlanDeltaRecordT record;
+    record.revision = delta.revision;
+    record.changed = std::make_unique<schema::PlanRecordT>(packPlan(delta.changed));
+    record.removed_models = delta.removedModels;
+    record.removed_adapters = delta.removedAdapters;
+    record.removed_services = delta.removedServices;
+    record.removed_callers = delta.removedCallers;
+    return packRecord<schema::PlanDeltaRecord>(record);
+}
+
+PlanDelta decodePlanDelta(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::PlanDeltaRecord>(bytes, "plan_delta.decode");
+    return { record.revision, record.changed ? unpackPlan(*record.changed) : Plan(), record.removed_models,
+        record.removed_adapters, record.removed_services, record.removed_callers };
+}
+
+std::string encodeChunkSet(const ChunkSet& chunks)
 {
-    schema::PlanRecordT record;
-    record.revision = plan.revision;
-    record.models = convertRows(plan.models, packModel);
-    record.adapters = convertRows(plan.adapters, packAdapter);
-    record.services = convertRows(plan.services, packService);
-    record.callers = convertRows(plan.callers, packCaller);
-    return packRecord<schema::PlanRecord>(record);
+    schema::ChunkSetRecordT record;
+    record.since_unix_ms = chunks.sinceUnixMs;
+    record.chunk_count = chunks.chunkCount;
+    return packRecord<schema::ChunkSetRecord>(record);
 }
 
-Plan decodePlan(std::string_view bytes)
+ChunkSet decodeChunkSet(std::string_view bytes)
 {
-    const auto record = unpackRecord<schema::PlanRecord>(bytes, "plan.decode");
-    Plan plan;
-    plan.revision = record.revision;
-    plan.models = convertRows(record.models, unpackModel);
-    plan.adapters = convertRows(record.adapters, unpackAdapter);
-    plan.services = convertRows(record.services, unpackService);
-    plan.callers = convertRows(record.callers, unpackCaller);
-    plan.sortRows();
-    return plan;
+    const auto record = unpackRecord<schema::ChunkSetRecord>(bytes, "chunk_set.decode");
+    return { record.since_unix_ms, record.chunk_count };
 }
 
 std::string encodePlanHead(const PlanHead& head)
@@ -150,6 +186,7 @@
     record.accepted_by = head.acceptedBy;
     record.accepted_at_unix_ms = head.acceptedAtUnixMs;
     record.reason = head.reason;
+    record.snapshot_id = head.snapshotId;
     return packRecord<schema::PlanHeadRecord>(record);
 }
 
@@ -157,7 +194,7 @@
 {
     const auto record = unpackRecord<schema::PlanHeadRecord>(bytes, "plan_head.decode");
     return { record.revision, record.snapshot_revision, record.chunk_count, record.acceptance_id, record.accepted_by,
-        record.accepted_at_unix_ms, record.reason };
+        record.accepted_at_unix_ms, record.reason, record.snapshot_id };
 }
 
 std::string encodeLedger(const TargetLedger& ledger)
--- a/Cyclamenstair/Codec/RecordCodec.h
+++ b/Cyclamenstair/Codec/RecordCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Cyclamenstair/Plan/Plan.h>
+#include <Cyclamenstair/Plan/PlanDelta.h>
 #include <Cyclamenstair/Residency/TargetLedger.h>
 
 #include <string>
@@ -17,6 +17,13 @@
     std::string acceptedBy;
     uint64_t acceptedAtUnixMs { 0 };
     std::string reason;
+    std::string snapshotId; ///< Acceptance id under which the chunks of the snapshot are stored.
+};
+
+/// Chunks of a snapshot that the head does not name, because they are still being written or were replaced.
+struct ChunkSet {
+    uint64_t sinceUnixMs { 0 };
+    uint32_t chunkCount { 0 };
 };
 
 /// A node as its peers see it.
@@ -60,6 +67,12 @@
 std::string encodePlan(const Plan& plan);
 Plan decodePlan(std::string_view bytes);
 
+std::string encodePlanDelta(const PlanDelta& delta);
+PlanDelta decodePlanDelta(std::string_view bytes);
+
+std::string encodeChunkSet(const ChunkSet& chunks);
+ChunkSet decodeChunkSet(std::string_view bytes);
+
 std::string encodePlanHead(const PlanHead& head);
 PlanHead decodePlanHead(std::string_view bytes);
 
--- a/Cyclamenstair/Generated/Messages_generated.h
+++ b/Cyclamenstair/Generated/Messages_generated.h
@@ -20,14 +20,12 @@
 struct HelloBuilder;
 struct HelloT;
 
-struct GossipVersion;
-struct GossipVersionBuilder;
-struct GossipVersionT;
-
 struct GossipEntryRecord;
 struct GossipEntryRecordBuilder;
 struct GossipEntryRecordT;
 
+struct GossipRow;
+
 struct GossipRequest;
 struct GossipRequestBuilder;
 struct GossipRequestT;
@@ -44,14 +42,38 @@
 struct GossipPushAckBuilder;
 struct GossipPushAckT;
 
+struct PlanAnnounce;
+struct PlanAnnounceBuilder;
+struct PlanAnnounceT;
+
+struct PlanAnnounceAck;
+struct PlanAnnounceAckBuilder;
+struct PlanAnnounceAckT;
+
 struct PlanFetchRequest;
 struct PlanFetchRequestBuilder;
 struct PlanFetchRequestT;
 
+struct PlanDeltaBytes;
+struct PlanDeltaBytesBuilder;
+struct PlanDeltaBytesT;
+
 struct PlanFetchResponse;
 struct PlanFetchResponseBuilder;
 struct PlanFetchResponseT;
 
+struct AuditFetchRequest;
+struct AuditFetchRequestBuilder;
+struct AuditFetchRequestT;
+
+struct AuditBytes;
+struct AuditBytesBuilder;
+struct AuditBytesT;
+
+struct AuditFetchResponse;
+struct AuditFetchResponseBuilder;
+struct AuditFetchResponseT;
+
 struct ClaimQuery;
 struct ClaimQueryBuilder;
 struct ClaimQueryT;
@@ -116,11 +138,15 @@
   ClaimQuery = 8,
   ClaimAnswer = 9,
   Failure = 10,
+  PlanAnnounce = 11,
+  PlanAnnounceAck = 12,
+  AuditFetchRequest = 13,
+  AuditFetchResponse = 14,
   MIN = NONE,
-  MAX = Failure
+  MAX = AuditFetchResponse
 };
 
-inline const Message (&EnumValuesMessage())[11] {
+inline const Message (&EnumValuesMessage())[15] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -132,13 +158,17 @@
     Message::PlanFetchResponse,
     Message::ClaimQuery,
     Message::ClaimAnswer,
-    Message::Failure
+    Message::Failure,
+    Message::PlanAnnounce,
+    Message::PlanAnnounceAck,
+    Message::AuditFetchRequest,
+    Message::AuditFetchResponse
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[12] = {
+  static const char * const names[16] = {
     "NONE",
     "Hello",
     "GossipRequest",
@@ -150,13 +180,17 @@
     "ClaimQuery",
     "ClaimAnswer",
     "Failure",
+    "PlanAnnounce",
+    "PlanAnnounceAck",
+    "AuditFetchRequest",
+    "AuditFetchResponse",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Failure)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::AuditFetchResponse)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -205,6 +239,22 @@
   static const Message enum_value = Message::Failure;
 };
 
+template<> struct MessageTraits<cyclamenstair::schema::PlanAnnounce> {
+  static const Message enum_value = Message::PlanAnnounce;
+};
+
+template<> struct MessageTraits<cyclamenstair::schema::PlanAnnounceAck> {
+  static const Message enum_value = Message::PlanAnnounceAck;
+};
+
+template<> struct MessageTraits<cyclamenstair::schema::AuditFetchRequest> {
+  static const Message enum_value = Message::AuditFetchRequest;
+};
+
+template<> struct MessageTraits<cyclamenstair::schema::AuditFetchResponse> {
+  static const Message enum_value = Message::AuditFetchResponse;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -249,6 +299,22 @@
   static const Message enum_value = Message::Failure;
 };
 
+template<> struct MessageUnionTraits<cyclamenstair::schema::PlanAnnounceT> {
+  static const Message enum_value = Message::PlanAnnounce;
+};
+
+template<> struct MessageUnionTraits<cyclamenstair::schema::PlanAnnounceAckT> {
+  static const Message enum_value = Message::PlanAnnounceAck;
+};
+
+template<> struct MessageUnionTraits<cyclamenstair::schema::AuditFetchRequestT> {
+  static const Message enum_value = Message::AuditFetchRequest;
+};
+
+template<> struct MessageUnionTraits<cyclamenstair::schema::AuditFetchResponseT> {
+  static const Message enum_value = Message::AuditFetchResponse;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -359,11 +425,78 @@
     return type == Message::Failure ?
       reinterpret_cast<const cyclamenstair::schema::FailureT *>(value) : nullptr;
   }
+  cyclamenstair::schema::PlanAnnounceT *AsPlanAnnounce() {
+    return type == Message::PlanAnnounce ?
+      reinterpret_cast<cyclamenstair::schema::PlanAnnounceT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::PlanAnnounceT *AsPlanAnnounce() const {
+    return type == Message::PlanAnnounce ?
+      reinterpret_cast<const cyclamenstair::schema::PlanAnnounceT *>(value) : nullptr;
+  }
+  cyclamenstair::schema::PlanAnnounceAckT *AsPlanAnnounceAck() {
+    return type == Message::PlanAnnounceAck ?
+      reinterpret_cast<cyclamenstair::schema::PlanAnnounceAckT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::PlanAnnounceAckT *AsPlanAnnounceAck() const {
+    return type == Message::PlanAnnounceAck ?
+      reinterpret_cast<const cyclamenstair::schema::PlanAnnounceAckT *>(value) : nullptr;
+  }
+  cyclamenstair::schema::AuditFetchRequestT *AsAuditFetchRequest() {
+    return type == Message::AuditFetchRequest ?
+      reinterpret_cast<cyclamenstair::schema::AuditFetchRequestT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::AuditFetchRequestT *AsAuditFetchRequest() const {
+    return type == Message::AuditFetchRequest ?
+      reinterpret_cast<const cyclamenstair::schema::AuditFetchRequestT *>(value) : nullptr;
+  }
+  cyclamenstair::schema::AuditFetchResponseT *AsAuditFetchResponse() {
+    return type == Message::AuditFetchResponse ?
+      reinterpret_cast<cyclamenstair::schema::AuditFetchResponseT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::AuditFetchResponseT *AsAuditFetchResponse() const {
+    return type == Message::AuditFetchResponse ?
+      reinterpret_cast<const cyclamenstair::schema::AuditFetchResponseT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
+/// Version of an entry, whose key is given by its hash.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) GossipRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t key_hash_;
+  uint64_t epoch_;
+  uint64_t version_;
+
+ public:
+  struct Traits;
+  GossipRow()
+      : key_hash_(0),
+        epoch_(0),
+        version_(0) {
+  }
+  GossipRow(uint64_t _key_hash, uint64_t _epoch, uint64_t _version)
+      : key_hash_(flatbuffers::EndianScalar(_key_hash)),
+        epoch_(flatbuffers::EndianScalar(_epoch)),
+        version_(flatbuffers::EndianScalar(_version)) {
+  }
+  uint64_t key_hash() const {
+    return flatbuffers::EndianScalar(key_hash_);
+  }
+  uint64_t epoch() const {
+    return flatbuffers::EndianScalar(epoch_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+};
+FLATBUFFERS_STRUCT_END(GossipRow, 24);
+
+struct GossipRow::Traits {
+  using type = GossipRow;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   std::string node{};
@@ -448,107 +581,14 @@
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct GossipVersionT : public flatbuffers::NativeTable {
-  typedef GossipVersion TableType;
-  std::string key{};
-  uint64_t epoch = 0;
-  uint64_t version = 0;
-};
-
-struct GossipVersion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef GossipVersionT NativeTableType;
-  typedef GossipVersionBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KEY = 4,
-    VT_EPOCH = 6,
-    VT_VERSION = 8
-  };
-  const flatbuffers::String *key() const {
-    return GetPointer<const flatbuffers::String *>(VT_KEY);
-  }
-  uint64_t epoch() const {
-    return GetField<uint64_t>(VT_EPOCH, 0);
-  }
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_KEY) &&
-           verifier.VerifyString(key()) &&
-           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
-           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           verifier.EndTable();
-  }
-  GossipVersionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(GossipVersionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<GossipVersion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipVersionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct GossipVersionBuilder {
-  typedef GossipVersion Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(GossipVersion::VT_KEY, key);
-  }
-  void add_epoch(uint64_t epoch) {
-    fbb_.AddElement<uint64_t>(GossipVersion::VT_EPOCH, epoch, 0);
-  }
-  void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(GossipVersion::VT_VERSION, version, 0);
-  }
-  explicit GossipVersionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<GossipVersion> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<GossipVersion>(end);
-    fbb_.Required(o, GossipVersion::VT_KEY);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<GossipVersion> CreateGossipVersion(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> key = 0,
-    uint64_t epoch = 0,
-    uint64_t version = 0) {
-  GossipVersionBuilder builder_(_fbb);
-  builder_.add_version(version);
-  builder_.add_epoch(epoch);
-  builder_.add_key(key);
-  return builder_.Finish();
-}
-
-struct GossipVersion::Traits {
-  using type = GossipVersion;
-  static auto constexpr Create = CreateGossipVersion;
-};
-
-inline flatbuffers::Offset<GossipVersion> CreateGossipVersionDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *key = nullptr,
-    uint64_t epoch = 0,
-    uint64_t version = 0) {
-  auto key__ = key ? _fbb.CreateString(key) : 0;
-  return cyclamenstair::schema::CreateGossipVersion(
-      _fbb,
-      key__,
-      epoch,
-      version);
-}
-
-flatbuffers::Offset<GossipVersion> CreateGossipVersion(flatbuffers::FlatBufferBuilder &_fbb, const GossipVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct GossipEntryRecordT : public flatbuffers::NativeTable {
   typedef GossipEntryRecord TableType;
   std::string key{};
   uint64_t epoch = 0;
   uint64_t version = 0;
   std::vector<uint8_t> payload{};
+  uint32_t beat = 0;
+  uint32_t age_ms = 0;
 };
 
 struct GossipEntryRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -559,7 +599,9 @@
     VT_KEY = 4,
     VT_EPOCH = 6,
     VT_VERSION = 8,
-    VT_PAYLOAD = 10
+    VT_PAYLOAD = 10,
+    VT_BEAT = 12,
+    VT_AGE_MS = 14
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -573,6 +615,12 @@
   const flatbuffers::Vector<uint8_t> *payload() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
   }
+  uint32_t beat() const {
+    return GetField<uint32_t>(VT_BEAT, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_KEY) &&
@@ -581,6 +629,8 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffset(verifier, VT_PAYLOAD) &&
            verifier.VerifyVector(payload()) &&
+           VerifyField<uint32_t>(verifier, VT_BEAT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   GossipEntryRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -604,6 +654,12 @@
   void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
     fbb_.AddOffset(GossipEntryRecord::VT_PAYLOAD, payload);
   }
+  void add_beat(uint32_t beat) {
+    fbb_.AddElement<uint32_t>(GossipEntryRecord::VT_BEAT, beat, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(GossipEntryRecord::VT_AGE_MS, age_ms, 0);
+  }
   explicit GossipEntryRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -621,10 +677,14 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     uint64_t epoch = 0,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0,
+    uint32_t beat = 0,
+    uint32_t age_ms = 0) {
   GossipEntryRecordBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_epoch(epoch);
+  builder_.add_age_ms(age_ms);
+  builder_.add_beat(beat);
   builder_.add_payload(payload);
   builder_.add_key(key);
   return builder_.Finish();
@@ -640,7 +700,9 @@
     const char *key = nullptr,
     uint64_t epoch = 0,
     uint64_t version = 0,
-    const std::vector<uint8_t> *payload = nullptr) {
+    const std::vector<uint8_t> *payload = nullptr,
+    uint32_t beat = 0,
+    uint32_t age_ms = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
   return cyclamenstair::schema::CreateGossipEntryRecord(
@@ -648,36 +710,55 @@
       key__,
       epoch,
       version,
-      payload__);
+      payload__,
+      beat,
+      age_ms);
 }
 
 flatbuffers::Offset<GossipEntryRecord> CreateGossipEntryRecord(flatbuffers::FlatBufferBuilder &_fbb, const GossipEntryRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct GossipRequestT : public flatbuffers::NativeTable {
   typedef GossipRequest TableType;
-  std::vector<std::unique_ptr<cyclamenstair::schema::GossipVersionT>> digest{};
-  GossipRequestT() = default;
-  GossipRequestT(const GossipRequestT &o);
-  GossipRequestT(GossipRequestT&&) FLATBUFFERS_NOEXCEPT = default;
-  GossipRequestT &operator=(GossipRequestT o) FLATBUFFERS_NOEXCEPT;
+  uint64_t plan_revision = 0;
+  std::vector<uint32_t> bucket_hashes{};
+  std::vector<uint32_t> beat_states{};
+  std::vector<uint16_t> beat_counts{};
 };
 
-/// Versions that the sender holds.
+/// First message of an exchange: hashes of the sender's entries by bucket, and its latest heartbeats.
+/// A heartbeat is the hash of an entry's key and version, and the low 16 bits of its count. Two vectors take less room
+/// than one of padded structs.
 struct GossipRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GossipRequestT NativeTableType;
   typedef GossipRequestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_DIGEST = 4
+    VT_PLAN_REVISION = 4,
+    VT_BUCKET_HASHES = 6,
+    VT_BEAT_STATES = 8,
+    VT_BEAT_COUNTS = 10
   };
-  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>> *digest() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>> *>(VT_DIGEST);
+  uint64_t plan_revision() const {
+    return GetField<uint64_t>(VT_PLAN_REVISION, 0);
+  }
+  const flatbuffers::Vector<uint32_t> *bucket_hashes() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_BUCKET_HASHES);
+  }
+  const flatbuffers::Vector<uint32_t> *beat_states() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_BEAT_STATES);
+  }
+  const flatbuffers::Vector<uint16_t> *beat_counts() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_BEAT_COUNTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_DIGEST) &&
-           verifier.VerifyVector(digest()) &&
-           verifier.VerifyVectorOfTables(digest()) &&
+           VerifyField<uint64_t>(verifier, VT_PLAN_REVISION, 8) &&
+           VerifyOffset(verifier, VT_BUCKET_HASHES) &&
+           verifier.VerifyVector(bucket_hashes()) &&
+           VerifyOffset(verifier, VT_BEAT_STATES) &&
+           verifier.VerifyVector(beat_states()) &&
+           VerifyOffset(verifier, VT_BEAT_COUNTS) &&
+           verifier.VerifyVector(beat_counts()) &&
            verifier.EndTable();
   }
   GossipRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -689,8 +770,17 @@
   typedef GossipRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_digest(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>>> digest) {
-    fbb_.AddOffset(GossipRequest::VT_DIGEST, digest);
+  void add_plan_revision(uint64_t plan_revision) {
+    fbb_.AddElement<uint64_t>(GossipRequest::VT_PLAN_REVISION, plan_revision, 0);
+  }
+  void add_bucket_hashes(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> bucket_hashes) {
+    fbb_.AddOffset(GossipRequest::VT_BUCKET_HASHES, bucket_hashes);
+  }
+  void add_beat_states(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> beat_states) {
+    fbb_.AddOffset(GossipRequest::VT_BEAT_STATES, beat_states);
+  }
+  void add_beat_counts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> beat_counts) {
+    fbb_.AddOffset(GossipRequest::VT_BEAT_COUNTS, beat_counts);
   }
   explicit GossipRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -705,9 +795,15 @@
 
 inline flatbuffers::Offset<GossipRequest> CreateGossipRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>>> digest = 0) {
+    uint64_t plan_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> bucket_hashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> beat_states = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> beat_counts = 0) {
   GossipRequestBuilder builder_(_fbb);
-  builder_.add_digest(digest);
+  builder_.add_plan_revision(plan_revision);
+  builder_.add_beat_counts(beat_counts);
+  builder_.add_beat_states(beat_states);
+  builder_.add_bucket_hashes(bucket_hashes);
   return builder_.Finish();
 }
 
@@ -718,48 +814,70 @@
 
 inline flatbuffers::Offset<GossipRequest> CreateGossipRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>> *digest = nullptr) {
-  auto digest__ = digest ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>>(*digest) : 0;
+    uint64_t plan_revision = 0,
+    const std::vector<uint32_t> *bucket_hashes = nullptr,
+    const std::vector<uint32_t> *beat_states = nullptr,
+    const std::vector<uint16_t> *beat_counts = nullptr) {
+  auto bucket_hashes__ = bucket_hashes ? _fbb.CreateVector<uint32_t>(*bucket_hashes) : 0;
+  auto beat_states__ = beat_states ? _fbb.CreateVector<uint32_t>(*beat_states) : 0;
+  auto beat_counts__ = beat_counts ? _fbb.CreateVector<uint16_t>(*beat_counts) : 0;
   return cyclamenstair::schema::CreateGossipRequest(
       _fbb,
-      digest__);
+      plan_revision,
+      bucket_hashes__,
+      beat_states__,
+      beat_counts__);
 }
 
 flatbuffers::Offset<GossipRequest> CreateGossipRequest(flatbuffers::FlatBufferBuilder &_fbb, const GossipRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct GossipResponseT : public flatbuffers::NativeTable {
   typedef GossipResponse TableType;
-  std::vector<std::unique_ptr<cyclamenstair::schema::GossipEntryRecordT>> entries{};
-  std::vector<std::string> wanted{};
-  GossipResponseT() = default;
-  GossipResponseT(const GossipResponseT &o);
-  GossipResponseT(GossipResponseT&&) FLATBUFFERS_NOEXCEPT = default;
-  GossipResponseT &operator=(GossipResponseT o) FLATBUFFERS_NOEXCEPT;
+  uint64_t plan_revision = 0;
+  std::vector<uint16_t> buckets{};
+  std::vector<cyclamenstair::schema::GossipRow> rows{};
+  std::vector<uint32_t> beat_states{};
+  std::vector<uint16_t> beat_counts{};
 };
 
-/// Entries that are newer at the answering node, and keys that it wants.
+/// Versions of the answering node's entries in the buckets that differ.
 struct GossipResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GossipResponseT NativeTableType;
   typedef GossipResponseBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4,
-    VT_WANTED = 6
+    VT_PLAN_REVISION = 4,
+    VT_BUCKETS = 6,
+    VT_ROWS = 8,
+    VT_BEAT_STATES = 10,
+    VT_BEAT_COUNTS = 12
   };
-  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *>(VT_ENTRIES);
+  uint64_t plan_revision() const {
+    return GetField<uint64_t>(VT_PLAN_REVISION, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *buckets() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_BUCKETS);
+  }
+  const flatbuffers::Vector<const cyclamenstair::schema::GossipRow *> *rows() const {
+    return GetPointer<const flatbuffers::Vector<const cyclamenstair::schema::GossipRow *> *>(VT_ROWS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *wanted() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WANTED);
+  const flatbuffers::Vector<uint32_t> *beat_states() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_BEAT_STATES);
+  }
+  const flatbuffers::Vector<uint16_t> *beat_counts() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_BEAT_COUNTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ENTRIES) &&
-           verifier.VerifyVector(entries()) &&
-           verifier.VerifyVectorOfTables(entries()) &&
-           VerifyOffset(verifier, VT_WANTED) &&
-           verifier.VerifyVector(wanted()) &&
-           verifier.VerifyVectorOfStrings(wanted()) &&
+           VerifyField<uint64_t>(verifier, VT_PLAN_REVISION, 8) &&
+           VerifyOffset(verifier, VT_BUCKETS) &&
+           verifier.VerifyVector(buckets()) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           VerifyOffset(verifier, VT_BEAT_STATES) &&
+           verifier.VerifyVector(beat_states()) &&
+           VerifyOffset(verifier, VT_BEAT_COUNTS) &&
+           verifier.VerifyVector(beat_counts()) &&
            verifier.EndTable();
   }
   GossipResponseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -771,11 +889,20 @@
   typedef GossipResponse Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries) {
-    fbb_.AddOffset(GossipResponse::VT_ENTRIES, entries);
+  void add_plan_revision(uint64_t plan_revision) {
+    fbb_.AddElement<uint64_t>(GossipResponse::VT_PLAN_REVISION, plan_revision, 0);
+  }
+  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> buckets) {
+    fbb_.AddOffset(GossipResponse::VT_BUCKETS, buckets);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<const cyclamenstair::schema::GossipRow *>> rows) {
+    fbb_.AddOffset(GossipResponse::VT_ROWS, rows);
+  }
+  void add_beat_states(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> beat_states) {
+    fbb_.AddOffset(GossipResponse::VT_BEAT_STATES, beat_states);
   }
-  void add_wanted(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> wanted) {
-    fbb_.AddOffset(GossipResponse::VT_WANTED, wanted);
+  void add_beat_counts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> beat_counts) {
+    fbb_.AddOffset(GossipResponse::VT_BEAT_COUNTS, beat_counts);
   }
   explicit GossipResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -790,11 +917,17 @@
 
 inline flatbuffers::Offset<GossipResponse> CreateGossipResponse(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> wanted = 0) {
+    uint64_t plan_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> buckets = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const cyclamenstair::schema::GossipRow *>> rows = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> beat_states = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> beat_counts = 0) {
   GossipResponseBuilder builder_(_fbb);
-  builder_.add_wanted(wanted);
-  builder_.add_entries(entries);
+  builder_.add_plan_revision(plan_revision);
+  builder_.add_beat_counts(beat_counts);
+  builder_.add_beat_states(beat_states);
+  builder_.add_rows(rows);
+  builder_.add_buckets(buckets);
   return builder_.Finish();
 }
 
@@ -805,14 +938,22 @@
 
 inline flatbuffers::Offset<GossipResponse> CreateGossipResponseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *wanted = nullptr) {
-  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>(*entries) : 0;
-  auto wanted__ = wanted ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*wanted) : 0;
+    uint64_t plan_revision = 0,
+    const std::vector<uint16_t> *buckets = nullptr,
+    const std::vector<cyclamenstair::schema::GossipRow> *rows = nullptr,
+    const std::vector<uint32_t> *beat_states = nullptr,
+    const std::vector<uint16_t> *beat_counts = nullptr) {
+  auto buckets__ = buckets ? _fbb.CreateVector<uint16_t>(*buckets) : 0;
+  auto rows__ = rows ? _fbb.CreateVectorOfStructs<cyclamenstair::schema::GossipRow>(*rows) : 0;
+  auto beat_states__ = beat_states ? _fbb.CreateVector<uint32_t>(*beat_states) : 0;
+  auto beat_counts__ = beat_counts ? _fbb.CreateVector<uint16_t>(*beat_counts) : 0;
   return cyclamenstair::schema::CreateGossipResponse(
       _fbb,
-      entries__,
-      wanted__);
+      plan_revision,
+      buckets__,
+      rows__,
+      beat_states__,
+      beat_counts__);
 }
 
 flatbuffers::Offset<GossipResponse> CreateGossipResponse(flatbuffers::FlatBufferBuilder &_fbb, const GossipResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -820,28 +961,35 @@
 struct GossipPushT : public flatbuffers::NativeTable {
   typedef GossipPush TableType;
   std::vector<std::unique_ptr<cyclamenstair::schema::GossipEntryRecordT>> entries{};
+  std::vector<uint64_t> wanted{};
   GossipPushT() = default;
   GossipPushT(const GossipPushT &o);
   GossipPushT(GossipPushT&&) FLATBUFFERS_NOEXCEPT = default;
   GossipPushT &operator=(GossipPushT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// Entries that the answering node asked for.
+/// Entries that are newer at the asking node, and the hashes of the keys that it wants.
 struct GossipPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GossipPushT NativeTableType;
   typedef GossipPushBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4
+    VT_ENTRIES = 4,
+    VT_WANTED = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *>(VT_ENTRIES);
   }
+  const flatbuffers::Vector<uint64_t> *wanted() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_WANTED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyOffset(verifier, VT_WANTED) &&
+           verifier.VerifyVector(wanted()) &&
            verifier.EndTable();
   }
   GossipPushT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -856,6 +1004,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries) {
     fbb_.AddOffset(GossipPush::VT_ENTRIES, entries);
   }
+  void add_wanted(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted) {
+    fbb_.AddOffset(GossipPush::VT_WANTED, wanted);
+  }
   explicit GossipPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -869,8 +1020,10 @@
 
 inline flatbuffers::Offset<GossipPush> CreateGossipPush(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted = 0) {
   GossipPushBuilder builder_(_fbb);
+  builder_.add_wanted(wanted);
   builder_.add_entries(entries);
   return builder_.Finish();
 }
@@ -882,11 +1035,14 @@
 
 inline flatbuffers::Offset<GossipPush> CreateGossipPushDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries = nullptr,
+    const std::vector<uint64_t> *wanted = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>(*entries) : 0;
+  auto wanted__ = wanted ? _fbb.CreateVector<uint64_t>(*wanted) : 0;
   return cyclamenstair::schema::CreateGossipPush(
       _fbb,
-      entries__);
+      entries__,
+      wanted__);
 }
 
 flatbuffers::Offset<GossipPush> CreateGossipPush(flatbuffers::FlatBufferBuilder &_fbb, const GossipPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -894,21 +1050,34 @@
 struct GossipPushAckT : public flatbuffers::NativeTable {
   typedef GossipPushAck TableType;
   uint32_t accepted = 0;
+  std::vector<std::unique_ptr<cyclamenstair::schema::GossipEntryRecordT>> entries{};
+  GossipPushAckT() = default;
+  GossipPushAckT(const GossipPushAckT &o);
+  GossipPushAckT(GossipPushAckT&&) FLATBUFFERS_NOEXCEPT = default;
+  GossipPushAckT &operator=(GossipPushAckT o) FLATBUFFERS_NOEXCEPT;
 };
 
+/// The entries that the asking node wanted.
 struct GossipPushAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GossipPushAckT NativeTableType;
   typedef GossipPushAckBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ACCEPTED = 4
+    VT_ACCEPTED = 4,
+    VT_ENTRIES = 6
   };
   uint32_t accepted() const {
     return GetField<uint32_t>(VT_ACCEPTED, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *>(VT_ENTRIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_ACCEPTED, 4) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
            verifier.EndTable();
   }
   GossipPushAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -923,6 +1092,9 @@
   void add_accepted(uint32_t accepted) {
     fbb_.AddElement<uint32_t>(GossipPushAck::VT_ACCEPTED, accepted, 0);
   }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries) {
+    fbb_.AddOffset(GossipPushAck::VT_ENTRIES, entries);
+  }
   explicit GossipPushAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -936,8 +1108,10 @@
 
 inline flatbuffers::Offset<GossipPushAck> CreateGossipPushAck(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t accepted = 0) {
+    uint32_t accepted = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>> entries = 0) {
   GossipPushAckBuilder builder_(_fbb);
+  builder_.add_entries(entries);
   builder_.add_accepted(accepted);
   return builder_.Finish();
 }
@@ -947,27 +1121,192 @@
   static auto constexpr Create = CreateGossipPushAck;
 };
 
+inline flatbuffers::Offset<GossipPushAck> CreateGossipPushAckDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t accepted = 0,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>>(*entries) : 0;
+  return cyclamenstair::schema::CreateGossipPushAck(
+      _fbb,
+      accepted,
+      entries__);
+}
+
 flatbuffers::Offset<GossipPushAck> CreateGossipPushAck(flatbuffers::FlatBufferBuilder &_fbb, const GossipPushAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PlanAnnounceT : public flatbuffers::NativeTable {
+  typedef PlanAnnounce TableType;
+  uint64_t revision = 0;
+  std::string address{};
+};
+
+/// The sender has a new revision of the plan, which can be fetched from `address`.
+struct PlanAnnounce FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlanAnnounceT NativeTableType;
+  typedef PlanAnnounceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4,
+    VT_ADDRESS = 6
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           verifier.EndTable();
+  }
+  PlanAnnounceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlanAnnounceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlanAnnounce> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlanAnnounceBuilder {
+  typedef PlanAnnounce Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PlanAnnounce::VT_REVISION, revision, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PlanAnnounce::VT_ADDRESS, address);
+  }
+  explicit PlanAnnounceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlanAnnounce> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlanAnnounce>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlanAnnounce> CreatePlanAnnounce(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0) {
+  PlanAnnounceBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct PlanAnnounce::Traits {
+  using type = PlanAnnounce;
+  static auto constexpr Create = CreatePlanAnnounce;
+};
+
+inline flatbuffers::Offset<PlanAnnounce> CreatePlanAnnounceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    const char *address = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return cyclamenstair::schema::CreatePlanAnnounce(
+      _fbb,
+      revision,
+      address__);
+}
+
+flatbuffers::Offset<PlanAnnounce> CreatePlanAnnounce(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlanAnnounceAckT : public flatbuffers::NativeTable {
+  typedef PlanAnnounceAck TableType;
+  uint64_t revision = 0;
+};
+
+/// The receiver's revision at the time of the announcement.
+struct PlanAnnounceAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlanAnnounceAckT NativeTableType;
+  typedef PlanAnnounceAckBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+  PlanAnnounceAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlanAnnounceAckT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlanAnnounceAck> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceAckT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlanAnnounceAckBuilder {
+  typedef PlanAnnounceAck Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PlanAnnounceAck::VT_REVISION, revision, 0);
+  }
+  explicit PlanAnnounceAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlanAnnounceAck> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlanAnnounceAck>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlanAnnounceAck> CreatePlanAnnounceAck(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0) {
+  PlanAnnounceAckBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  return builder_.Finish();
+}
+
+struct PlanAnnounceAck::Traits {
+  using type = PlanAnnounceAck;
+  static auto constexpr Create = CreatePlanAnnounceAck;
+};
+
+flatbuffers::Offset<PlanAnnounceAck> CreatePlanAnnounceAck(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PlanFetchRequestT : public flatbuffers::NativeTable {
   typedef PlanFetchRequest TableType;
   uint64_t known_revision = 0;
+  uint64_t revision = 0;
+  uint64_t offset = 0;
 };
 
-/// Asks for the plan if the peer's revision is newer than `known_revision`.
+/// Asks for a newer plan than `known_revision`. A plan that comes in parts is asked for part by part: `revision` and
+/// `offset` then name the part.
 struct PlanFetchRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlanFetchRequestT NativeTableType;
   typedef PlanFetchRequestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KNOWN_REVISION = 4
+    VT_KNOWN_REVISION = 4,
+    VT_REVISION = 6,
+    VT_OFFSET = 8
   };
   uint64_t known_revision() const {
     return GetField<uint64_t>(VT_KNOWN_REVISION, 0);
   }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            verifier.EndTable();
   }
   PlanFetchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -982,6 +1321,12 @@
   void add_known_revision(uint64_t known_revision) {
     fbb_.AddElement<uint64_t>(PlanFetchRequest::VT_KNOWN_REVISION, known_revision, 0);
   }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PlanFetchRequest::VT_REVISION, revision, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(PlanFetchRequest::VT_OFFSET, offset, 0);
+  }
   explicit PlanFetchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -995,8 +1340,12 @@
 
 inline flatbuffers::Offset<PlanFetchRequest> CreatePlanFetchRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t known_revision = 0) {
+    uint64_t known_revision = 0,
+    uint64_t revision = 0,
+    uint64_t offset = 0) {
   PlanFetchRequestBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_revision(revision);
   builder_.add_known_revision(known_revision);
   return builder_.Finish();
 }
@@ -1008,87 +1357,403 @@
 
 flatbuffers::Offset<PlanFetchRequest> CreatePlanFetchRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PlanDeltaBytesT : public flatbuffers::NativeTable {
+  typedef PlanDeltaBytes TableType;
+  std::vector<uint8_t> data{};
+};
+
+/// One encoded PlanDeltaRecord.
+struct PlanDeltaBytes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlanDeltaBytesT NativeTableType;
+  typedef PlanDeltaBytesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA = 4
+  };
+  const flatbuffers::Vector<uint8_t> *data() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATA) &&
+           verifier.VerifyVector(data()) &&
+           verifier.EndTable();
+  }
+  PlanDeltaBytesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlanDeltaBytesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlanDeltaBytes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanDeltaBytesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlanDeltaBytesBuilder {
+  typedef PlanDeltaBytes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
+    fbb_.AddOffset(PlanDeltaBytes::VT_DATA, data);
+  }
+  explicit PlanDeltaBytesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlanDeltaBytes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlanDeltaBytes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlanDeltaBytes> CreatePlanDeltaBytes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+  PlanDeltaBytesBuilder builder_(_fbb);
+  builder_.add_data(data);
+  return builder_.Finish();
+}
+
+struct PlanDeltaBytes::Traits {
+  using type = PlanDeltaBytes;
+  static auto constexpr Create = CreatePlanDeltaBytes;
+};
+
+inline flatbuffers::Offset<PlanDeltaBytes> CreatePlanDeltaBytesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *data = nullptr) {
+  auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
+  return cyclamenstair::schema::CreatePlanDeltaBytes(
+      _fbb,
+      data__);
+}
+
+flatbuffers::Offset<PlanDeltaBytes> CreatePlanDeltaBytes(flatbuffers::FlatBufferBuilder &_fbb, const PlanDeltaBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PlanFetchResponseT : public flatbuffers::NativeTable {
   typedef PlanFetchResponse TableType;
   uint64_t revision = 0;
-  std::vector<uint8_t> plan{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::PlanDeltaBytesT>> deltas{};
+  std::vector<uint8_t> part{};
+  uint64_t offset = 0;
+  uint64_t total_bytes = 0;
+  PlanFetchResponseT() = default;
+  PlanFetchResponseT(const PlanFetchResponseT &o);
+  PlanFetchResponseT(PlanFetchResponseT&&) FLATBUFFERS_NOEXCEPT = default;
+  PlanFetchResponseT &operator=(PlanFetchResponseT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// The peer's plan as a PlanRecord buffer; empty if it has none that is newer.
+/// Either the deltas from the known revision on, or one part of the encoded plan; neither if there is none that is newer.
 struct PlanFetchResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlanFetchResponseT NativeTableType;
   typedef PlanFetchResponseBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4,
-    VT_PLAN = 6
+    VT_REVISION = 4,
+    VT_DELTAS = 6,
+    VT_PART = 8,
+    VT_OFFSET = 10,
+    VT_TOTAL_BYTES = 12
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>> *deltas() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>> *>(VT_DELTAS);
+  }
+  const flatbuffers::Vector<uint8_t> *part() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PART);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  uint64_t total_bytes() const {
+    return GetField<uint64_t>(VT_TOTAL_BYTES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_DELTAS) &&
+           verifier.VerifyVector(deltas()) &&
+           verifier.VerifyVectorOfTables(deltas()) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyVector(part()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL_BYTES, 8) &&
+           verifier.EndTable();
+  }
+  PlanFetchResponseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlanFetchResponseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlanFetchResponse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlanFetchResponseBuilder {
+  typedef PlanFetchResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PlanFetchResponse::VT_REVISION, revision, 0);
+  }
+  void add_deltas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>>> deltas) {
+    fbb_.AddOffset(PlanFetchResponse::VT_DELTAS, deltas);
+  }
+  void add_part(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> part) {
+    fbb_.AddOffset(PlanFetchResponse::VT_PART, part);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(PlanFetchResponse::VT_OFFSET, offset, 0);
+  }
+  void add_total_bytes(uint64_t total_bytes) {
+    fbb_.AddElement<uint64_t>(PlanFetchResponse::VT_TOTAL_BYTES, total_bytes, 0);
+  }
+  explicit PlanFetchResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlanFetchResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlanFetchResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlanFetchResponse> CreatePlanFetchResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>>> deltas = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> part = 0,
+    uint64_t offset = 0,
+    uint64_t total_bytes = 0) {
+  PlanFetchResponseBuilder builder_(_fbb);
+  builder_.add_total_bytes(total_bytes);
+  builder_.add_offset(offset);
+  builder_.add_revision(revision);
+  builder_.add_part(part);
+  builder_.add_deltas(deltas);
+  return builder_.Finish();
+}
+
+struct PlanFetchResponse::Traits {
+  using type = PlanFetchResponse;
+  static auto constexpr Create = CreatePlanFetchResponse;
+};
+
+inline flatbuffers::Offset<PlanFetchResponse> CreatePlanFetchResponseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>> *deltas = nullptr,
+    const std::vector<uint8_t> *part = nullptr,
+    uint64_t offset = 0,
+    uint64_t total_bytes = 0) {
+  auto deltas__ = deltas ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>>(*deltas) : 0;
+  auto part__ = part ? _fbb.CreateVector<uint8_t>(*part) : 0;
+  return cyclamenstair::schema::CreatePlanFetchResponse(
+      _fbb,
+      revision,
+      deltas__,
+      part__,
+      offset,
+      total_bytes);
+}
+
+flatbuffers::Offset<PlanFetchResponse> CreatePlanFetchResponse(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AuditFetchRequestT : public flatbuffers::NativeTable {
+  typedef AuditFetchRequest TableType;
+  uint32_t limit = 0;
+};
+
+/// Asks for the audit entries of the node, the latest ones first.
+struct AuditFetchRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AuditFetchRequestT NativeTableType;
+  typedef AuditFetchRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMIT = 4
+  };
+  uint32_t limit() const {
+    return GetField<uint32_t>(VT_LIMIT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
+           verifier.EndTable();
+  }
+  AuditFetchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AuditFetchRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AuditFetchRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AuditFetchRequestBuilder {
+  typedef AuditFetchRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limit(uint32_t limit) {
+    fbb_.AddElement<uint32_t>(AuditFetchRequest::VT_LIMIT, limit, 0);
+  }
+  explicit AuditFetchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AuditFetchRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AuditFetchRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AuditFetchRequest> CreateAuditFetchRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t limit = 0) {
+  AuditFetchRequestBuilder builder_(_fbb);
+  builder_.add_limit(limit);
+  return builder_.Finish();
+}
+
+struct AuditFetchRequest::Traits {
+  using type = AuditFetchRequest;
+  static auto constexpr Create = CreateAuditFetchRequest;
+};
+
+flatbuffers::Offset<AuditFetchRequest> CreateAuditFetchRequest(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AuditBytesT : public flatbuffers::NativeTable {
+  typedef AuditBytes TableType;
+  std::vector<uint8_t> data{};
+};
+
+/// One encoded AuditRecord.
+struct AuditBytes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AuditBytesT NativeTableType;
+  typedef AuditBytesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA = 4
+  };
+  const flatbuffers::Vector<uint8_t> *data() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATA) &&
+           verifier.VerifyVector(data()) &&
+           verifier.EndTable();
+  }
+  AuditBytesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AuditBytesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AuditBytes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditBytesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AuditBytesBuilder {
+  typedef AuditBytes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
+    fbb_.AddOffset(AuditBytes::VT_DATA, data);
+  }
+  explicit AuditBytesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AuditBytes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AuditBytes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AuditBytes> CreateAuditBytes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+  AuditBytesBuilder builder_(_fbb);
+  builder_.add_data(data);
+  return builder_.Finish();
+}
+
+struct AuditBytes::Traits {
+  using type = AuditBytes;
+  static auto constexpr Create = CreateAuditBytes;
+};
+
+inline flatbuffers::Offset<AuditBytes> CreateAuditBytesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *data = nullptr) {
+  auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
+  return cyclamenstair::schema::CreateAuditBytes(
+      _fbb,
+      data__);
+}
+
+flatbuffers::Offset<AuditBytes> CreateAuditBytes(flatbuffers::FlatBufferBuilder &_fbb, const AuditBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AuditFetchResponseT : public flatbuffers::NativeTable {
+  typedef AuditFetchResponse TableType;
+  std::vector<std::unique_ptr<cyclamenstair::schema::AuditBytesT>> entries{};
+  AuditFetchResponseT() = default;
+  AuditFetchResponseT(const AuditFetchResponseT &o);
+  AuditFetchResponseT(AuditFetchResponseT&&) FLATBUFFERS_NOEXCEPT = default;
+  AuditFetchResponseT &operator=(AuditFetchResponseT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AuditFetchResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AuditFetchResponseT NativeTableType;
+  typedef AuditFetchResponseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
   };
-  uint64_t revision() const {
-    return GetField<uint64_t>(VT_REVISION, 0);
-  }
-  const flatbuffers::Vector<uint8_t> *plan() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PLAN);
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>> *>(VT_ENTRIES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyOffset(verifier, VT_PLAN) &&
-           verifier.VerifyVector(plan()) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
            verifier.EndTable();
   }
-  PlanFetchResponseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(PlanFetchResponseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<PlanFetchResponse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  AuditFetchResponseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AuditFetchResponseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AuditFetchResponse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct PlanFetchResponseBuilder {
-  typedef PlanFetchResponse Table;
+struct AuditFetchResponseBuilder {
+  typedef AuditFetchResponse Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(PlanFetchResponse::VT_REVISION, revision, 0);
-  }
-  void add_plan(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> plan) {
-    fbb_.AddOffset(PlanFetchResponse::VT_PLAN, plan);
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>>> entries) {
+    fbb_.AddOffset(AuditFetchResponse::VT_ENTRIES, entries);
   }
-  explicit PlanFetchResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit AuditFetchResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<PlanFetchResponse> Finish() {
+  flatbuffers::Offset<AuditFetchResponse> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<PlanFetchResponse>(end);
+    auto o = flatbuffers::Offset<AuditFetchResponse>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<PlanFetchResponse> CreatePlanFetchResponse(
+inline flatbuffers::Offset<AuditFetchResponse> CreateAuditFetchResponse(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> plan = 0) {
-  PlanFetchResponseBuilder builder_(_fbb);
-  builder_.add_revision(revision);
-  builder_.add_plan(plan);
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>>> entries = 0) {
+  AuditFetchResponseBuilder builder_(_fbb);
+  builder_.add_entries(entries);
   return builder_.Finish();
 }
 
-struct PlanFetchResponse::Traits {
-  using type = PlanFetchResponse;
-  static auto constexpr Create = CreatePlanFetchResponse;
+struct AuditFetchResponse::Traits {
+  using type = AuditFetchResponse;
+  static auto constexpr Create = CreateAuditFetchResponse;
 };
 
-inline flatbuffers::Offset<PlanFetchResponse> CreatePlanFetchResponseDirect(
+inline flatbuffers::Offset<AuditFetchResponse> CreateAuditFetchResponseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    const std::vector<uint8_t> *plan = nullptr) {
-  auto plan__ = plan ? _fbb.CreateVector<uint8_t>(*plan) : 0;
-  return cyclamenstair::schema::CreatePlanFetchResponse(
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>>(*entries) : 0;
+  return cyclamenstair::schema::CreateAuditFetchResponse(
       _fbb,
-      revision,
-      plan__);
+      entries__);
 }
 
-flatbuffers::Offset<PlanFetchResponse> CreatePlanFetchResponse(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<AuditFetchResponse> CreateAuditFetchResponse(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct ClaimQueryT : public flatbuffers::NativeTable {
   typedef ClaimQuery TableType;
@@ -1416,6 +2081,18 @@
   const cyclamenstair::schema::Failure *message_as_Failure() const {
     return message_type() == cyclamenstair::schema::Message::Failure ? static_cast<const cyclamenstair::schema::Failure *>(message()) : nullptr;
   }
+  const cyclamenstair::schema::PlanAnnounce *message_as_PlanAnnounce() const {
+    return message_type() == cyclamenstair::schema::Message::PlanAnnounce ? static_cast<const cyclamenstair::schema::PlanAnnounce *>(message()) : nullptr;
+  }
+  const cyclamenstair::schema::PlanAnnounceAck *message_as_PlanAnnounceAck() const {
+    return message_type() == cyclamenstair::schema::Message::PlanAnnounceAck ? static_cast<const cyclamenstair::schema::PlanAnnounceAck *>(message()) : nullptr;
+  }
+  const cyclamenstair::schema::AuditFetchRequest *message_as_AuditFetchRequest() const {
+    return message_type() == cyclamenstair::schema::Message::AuditFetchRequest ? static_cast<const cyclamenstair::schema::AuditFetchRequest *>(message()) : nullptr;
+  }
+  const cyclamenstair::schema::AuditFetchResponse *message_as_AuditFetchResponse() const {
+    return message_type() == cyclamenstair::schema::Message::AuditFetchResponse ? static_cast<const cyclamenstair::schema::AuditFetchResponse *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -1468,6 +2145,22 @@
   return message_as_Failure();
 }
 
+template<> inline const cyclamenstair::schema::PlanAnnounce *Envelope::message_as<cyclamenstair::schema::PlanAnnounce>() const {
+  return message_as_PlanAnnounce();
+}
+
+template<> inline const cyclamenstair::schema::PlanAnnounceAck *Envelope::message_as<cyclamenstair::schema::PlanAnnounceAck>() const {
+  return message_as_PlanAnnounceAck();
+}
+
+template<> inline const cyclamenstair::schema::AuditFetchRequest *Envelope::message_as<cyclamenstair::schema::AuditFetchRequest>() const {
+  return message_as_AuditFetchRequest();
+}
+
+template<> inline const cyclamenstair::schema::AuditFetchResponse *Envelope::message_as<cyclamenstair::schema::AuditFetchResponse>() const {
+  return message_as_AuditFetchResponse();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1535,38 +2228,6 @@
       _nonce);
 }
 
-inline GossipVersionT *GossipVersion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<GossipVersionT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void GossipVersion::UnPackTo(GossipVersionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = key(); if (_e) _o->key = _e->str(); }
-  { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = version(); _o->version = _e; }
-}
-
-inline flatbuffers::Offset<GossipVersion> GossipVersion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipVersionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateGossipVersion(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<GossipVersion> CreateGossipVersion(flatbuffers::FlatBufferBuilder &_fbb, const GossipVersionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GossipVersionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _key = _fbb.CreateString(_o->key);
-  auto _epoch = _o->epoch;
-  auto _version = _o->version;
-  return cyclamenstair::schema::CreateGossipVersion(
-      _fbb,
-      _key,
-      _epoch,
-      _version);
-}
-
 inline GossipEntryRecordT *GossipEntryRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<GossipEntryRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -1580,6 +2241,8 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = version(); _o->version = _e; }
   { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+  { auto _e = beat(); _o->beat = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
 inline flatbuffers::Offset<GossipEntryRecord> GossipEntryRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipEntryRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1594,22 +2257,16 @@
   auto _epoch = _o->epoch;
   auto _version = _o->version;
   auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
+  auto _beat = _o->beat;
+  auto _age_ms = _o->age_ms;
   return cyclamenstair::schema::CreateGossipEntryRecord(
       _fbb,
       _key,
       _epoch,
       _version,
-      _payload);
-}
-
-inline GossipRequestT::GossipRequestT(const GossipRequestT &o) {
-  digest.reserve(o.digest.size());
-  for (const auto &digest_ : o.digest) { digest.emplace_back((digest_) ? new cyclamenstair::schema::GossipVersionT(*digest_) : nullptr); }
-}
-
-inline GossipRequestT &GossipRequestT::operator=(GossipRequestT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(digest, o.digest);
-  return *this;
+      _payload,
+      _beat,
+      _age_ms);
 }
 
 inline GossipRequestT *GossipRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1621,7 +2278,10 @@
 inline void GossipRequest::UnPackTo(GossipRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->digest[_i] = std::unique_ptr<cyclamenstair::schema::GossipVersionT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = plan_revision(); _o->plan_revision = _e; }
+  { auto _e = bucket_hashes(); if (_e) { _o->bucket_hashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bucket_hashes[_i] = _e->Get(_i); } } }
+  { auto _e = beat_states(); if (_e) { _o->beat_states.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->beat_states[_i] = _e->Get(_i); } } }
+  { auto _e = beat_counts(); if (_e) { _o->beat_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->beat_counts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GossipRequest> GossipRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1632,22 +2292,16 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GossipRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _digest = _o->digest.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipVersion>> (_o->digest.size(), [](size_t i, _VectorArgs *__va) { return CreateGossipVersion(*__va->__fbb, __va->__o->digest[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _plan_revision = _o->plan_revision;
+  auto _bucket_hashes = _o->bucket_hashes.size() ? _fbb.CreateVector(_o->bucket_hashes) : 0;
+  auto _beat_states = _o->beat_states.size() ? _fbb.CreateVector(_o->beat_states) : 0;
+  auto _beat_counts = _o->beat_counts.size() ? _fbb.CreateVector(_o->beat_counts) : 0;
   return cyclamenstair::schema::CreateGossipRequest(
       _fbb,
-      _digest);
-}
-
-inline GossipResponseT::GossipResponseT(const GossipResponseT &o)
-      : wanted(o.wanted) {
-  entries.reserve(o.entries.size());
-  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new cyclamenstair::schema::GossipEntryRecordT(*entries_) : nullptr); }
-}
-
-inline GossipResponseT &GossipResponseT::operator=(GossipResponseT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(entries, o.entries);
-  std::swap(wanted, o.wanted);
-  return *this;
+      _plan_revision,
+      _bucket_hashes,
+      _beat_states,
+      _beat_counts);
 }
 
 inline GossipResponseT *GossipResponse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1659,8 +2313,11 @@
 inline void GossipResponse::UnPackTo(GossipResponseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<cyclamenstair::schema::GossipEntryRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = wanted(); if (_e) { _o->wanted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->wanted[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = plan_revision(); _o->plan_revision = _e; }
+  { auto _e = buckets(); if (_e) { _o->buckets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->buckets[_i] = _e->Get(_i); } } }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = *_e->Get(_i); } } }
+  { auto _e = beat_states(); if (_e) { _o->beat_states.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->beat_states[_i] = _e->Get(_i); } } }
+  { auto _e = beat_counts(); if (_e) { _o->beat_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->beat_counts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GossipResponse> GossipResponse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1671,21 +2328,29 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GossipResponseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateGossipEntryRecord(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _wanted = _o->wanted.size() ? _fbb.CreateVectorOfStrings(_o->wanted) : 0;
+  auto _plan_revision = _o->plan_revision;
+  auto _buckets = _o->buckets.size() ? _fbb.CreateVector(_o->buckets) : 0;
+  auto _rows = _o->rows.size() ? _fbb.CreateVectorOfStructs(_o->rows) : 0;
+  auto _beat_states = _o->beat_states.size() ? _fbb.CreateVector(_o->beat_states) : 0;
+  auto _beat_counts = _o->beat_counts.size() ? _fbb.CreateVector(_o->beat_counts) : 0;
   return cyclamenstair::schema::CreateGossipResponse(
       _fbb,
-      _entries,
-      _wanted);
+      _plan_revision,
+      _buckets,
+      _rows,
+      _beat_states,
+      _beat_counts);
 }
 
-inline GossipPushT::GossipPushT(const GossipPushT &o) {
+inline GossipPushT::GossipPushT(const GossipPushT &o)
+      : wanted(o.wanted) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new cyclamenstair::schema::GossipEntryRecordT(*entries_) : nullptr); }
 }
 
 inline GossipPushT &GossipPushT::operator=(GossipPushT o) FLATBUFFERS_NOEXCEPT {
   std::swap(entries, o.entries);
+  std::swap(wanted, o.wanted);
   return *this;
 }
 
@@ -1699,6 +2364,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<cyclamenstair::schema::GossipEntryRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = wanted(); if (_e) { _o->wanted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->wanted[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GossipPush> GossipPush::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipPushT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1710,9 +2376,23 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GossipPushT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateGossipEntryRecord(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _wanted = _o->wanted.size() ? _fbb.CreateVector(_o->wanted) : 0;
   return cyclamenstair::schema::CreateGossipPush(
       _fbb,
-      _entries);
+      _entries,
+      _wanted);
+}
+
+inline GossipPushAckT::GossipPushAckT(const GossipPushAckT &o)
+      : accepted(o.accepted) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new cyclamenstair::schema::GossipEntryRecordT(*entries_) : nullptr); }
+}
+
+inline GossipPushAckT &GossipPushAckT::operator=(GossipPushAckT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(accepted, o.accepted);
+  std::swap(entries, o.entries);
+  return *this;
 }
 
 inline GossipPushAckT *GossipPushAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1725,6 +2405,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = accepted(); _o->accepted = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<cyclamenstair::schema::GossipEntryRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<GossipPushAck> GossipPushAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipPushAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1736,9 +2417,66 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GossipPushAckT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _accepted = _o->accepted;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::GossipEntryRecord>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateGossipEntryRecord(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   return cyclamenstair::schema::CreateGossipPushAck(
       _fbb,
-      _accepted);
+      _accepted,
+      _entries);
+}
+
+inline PlanAnnounceT *PlanAnnounce::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlanAnnounceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlanAnnounce::UnPackTo(PlanAnnounceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+}
+
+inline flatbuffers::Offset<PlanAnnounce> PlanAnnounce::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlanAnnounce(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlanAnnounce> CreatePlanAnnounce(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlanAnnounceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _revision = _o->revision;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  return cyclamenstair::schema::CreatePlanAnnounce(
+      _fbb,
+      _revision,
+      _address);
+}
+
+inline PlanAnnounceAckT *PlanAnnounceAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlanAnnounceAckT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlanAnnounceAck::UnPackTo(PlanAnnounceAckT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = revision(); _o->revision = _e; }
+}
+
+inline flatbuffers::Offset<PlanAnnounceAck> PlanAnnounceAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlanAnnounceAck(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlanAnnounceAck> CreatePlanAnnounceAck(flatbuffers::FlatBufferBuilder &_fbb, const PlanAnnounceAckT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlanAnnounceAckT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _revision = _o->revision;
+  return cyclamenstair::schema::CreatePlanAnnounceAck(
+      _fbb,
+      _revision);
 }
 
 inline PlanFetchRequestT *PlanFetchRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1751,6 +2489,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = known_revision(); _o->known_revision = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = offset(); _o->offset = _e; }
 }
 
 inline flatbuffers::Offset<PlanFetchRequest> PlanFetchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1762,9 +2502,57 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlanFetchRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _known_revision = _o->known_revision;
+  auto _revision = _o->revision;
+  auto _offset = _o->offset;
   return cyclamenstair::schema::CreatePlanFetchRequest(
       _fbb,
-      _known_revision);
+      _known_revision,
+      _revision,
+      _offset);
+}
+
+inline PlanDeltaBytesT *PlanDeltaBytes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlanDeltaBytesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlanDeltaBytes::UnPackTo(PlanDeltaBytesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+}
+
+inline flatbuffers::Offset<PlanDeltaBytes> PlanDeltaBytes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanDeltaBytesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlanDeltaBytes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlanDeltaBytes> CreatePlanDeltaBytes(flatbuffers::FlatBufferBuilder &_fbb, const PlanDeltaBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlanDeltaBytesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  return cyclamenstair::schema::CreatePlanDeltaBytes(
+      _fbb,
+      _data);
+}
+
+inline PlanFetchResponseT::PlanFetchResponseT(const PlanFetchResponseT &o)
+      : revision(o.revision),
+        part(o.part),
+        offset(o.offset),
+        total_bytes(o.total_bytes) {
+  deltas.reserve(o.deltas.size());
+  for (const auto &deltas_ : o.deltas) { deltas.emplace_back((deltas_) ? new cyclamenstair::schema::PlanDeltaBytesT(*deltas_) : nullptr); }
+}
+
+inline PlanFetchResponseT &PlanFetchResponseT::operator=(PlanFetchResponseT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(revision, o.revision);
+  std::swap(deltas, o.deltas);
+  std::swap(part, o.part);
+  std::swap(offset, o.offset);
+  std::swap(total_bytes, o.total_bytes);
+  return *this;
 }
 
 inline PlanFetchResponseT *PlanFetchResponse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1777,7 +2565,10 @@
   (void)_o;
   (void)_resolver;
   { auto _e = revision(); _o->revision = _e; }
-  { auto _e = plan(); if (_e) { _o->plan.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->plan.begin()); } }
+  { auto _e = deltas(); if (_e) { _o->deltas.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->deltas[_i] = std::unique_ptr<cyclamenstair::schema::PlanDeltaBytesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = part(); if (_e) { _o->part.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->part.begin()); } }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = total_bytes(); _o->total_bytes = _e; }
 }
 
 inline flatbuffers::Offset<PlanFetchResponse> PlanFetchResponse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanFetchResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1789,11 +2580,105 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlanFetchResponseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _revision = _o->revision;
-  auto _plan = _o->plan.size() ? _fbb.CreateVector(_o->plan) : 0;
+  auto _deltas = _o->deltas.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::PlanDeltaBytes>> (_o->deltas.size(), [](size_t i, _VectorArgs *__va) { return CreatePlanDeltaBytes(*__va->__fbb, __va->__o->deltas[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _part = _o->part.size() ? _fbb.CreateVector(_o->part) : 0;
+  auto _offset = _o->offset;
+  auto _total_bytes = _o->total_bytes;
   return cyclamenstair::schema::CreatePlanFetchResponse(
       _fbb,
       _revision,
-      _plan);
+      _deltas,
+      _part,
+      _offset,
+      _total_bytes);
+}
+
+inline AuditFetchRequestT *AuditFetchRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AuditFetchRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AuditFetchRequest::UnPackTo(AuditFetchRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = limit(); _o->limit = _e; }
+}
+
+inline flatbuffers::Offset<AuditFetchRequest> AuditFetchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAuditFetchRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AuditFetchRequest> CreateAuditFetchRequest(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AuditFetchRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _limit = _o->limit;
+  return cyclamenstair::schema::CreateAuditFetchRequest(
+      _fbb,
+      _limit);
+}
+
+inline AuditBytesT *AuditBytes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AuditBytesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AuditBytes::UnPackTo(AuditBytesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+}
+
+inline flatbuffers::Offset<AuditBytes> AuditBytes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditBytesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAuditBytes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AuditBytes> CreateAuditBytes(flatbuffers::FlatBufferBuilder &_fbb, const AuditBytesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AuditBytesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  return cyclamenstair::schema::CreateAuditBytes(
+      _fbb,
+      _data);
+}
+
+inline AuditFetchResponseT::AuditFetchResponseT(const AuditFetchResponseT &o) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new cyclamenstair::schema::AuditBytesT(*entries_) : nullptr); }
+}
+
+inline AuditFetchResponseT &AuditFetchResponseT::operator=(AuditFetchResponseT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(entries, o.entries);
+  return *this;
+}
+
+inline AuditFetchResponseT *AuditFetchResponse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AuditFetchResponseT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AuditFetchResponse::UnPackTo(AuditFetchResponseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<cyclamenstair::schema::AuditBytesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<AuditFetchResponse> AuditFetchResponse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAuditFetchResponse(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AuditFetchResponse> CreateAuditFetchResponse(flatbuffers::FlatBufferBuilder &_fbb, const AuditFetchResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AuditFetchResponseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::AuditBytes>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateAuditBytes(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateAuditFetchResponse(
+      _fbb,
+      _entries);
 }
 
 inline ClaimQueryT *ClaimQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1963,6 +2848,22 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::Failure *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::PlanAnnounce: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::PlanAnnounce *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::PlanAnnounceAck: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::PlanAnnounceAck *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::AuditFetchRequest: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::AuditFetchRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::AuditFetchResponse: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::AuditFetchResponse *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2022,6 +2923,22 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::Failure *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::PlanAnnounce: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::PlanAnnounce *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::PlanAnnounceAck: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::PlanAnnounceAck *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::AuditFetchRequest: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::AuditFetchRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::AuditFetchResponse: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::AuditFetchResponse *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2069,6 +2986,22 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::FailureT *>(value);
       return CreateFailure(_fbb, ptr, _rehasher).Union();
     }
+    case Message::PlanAnnounce: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::PlanAnnounceT *>(value);
+      return CreatePlanAnnounce(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::PlanAnnounceAck: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::PlanAnnounceAckT *>(value);
+      return CreatePlanAnnounceAck(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::AuditFetchRequest: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::AuditFetchRequestT *>(value);
+      return CreateAuditFetchRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::AuditFetchResponse: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::AuditFetchResponseT *>(value);
+      return CreateAuditFetchResponse(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2115,6 +3048,22 @@
       value = new cyclamenstair::schema::FailureT(*reinterpret_cast<cyclamenstair::schema::FailureT *>(u.value));
       break;
     }
+    case Message::PlanAnnounce: {
+      value = new cyclamenstair::schema::PlanAnnounceT(*reinterpret_cast<cyclamenstair::schema::PlanAnnounceT *>(u.value));
+      break;
+    }
+    case Message::PlanAnnounceAck: {
+      value = new cyclamenstair::schema::PlanAnnounceAckT(*reinterpret_cast<cyclamenstair::schema::PlanAnnounceAckT *>(u.value));
+      break;
+    }
+    case Message::AuditFetchRequest: {
+      value = new cyclamenstair::schema::AuditFetchRequestT(*reinterpret_cast<cyclamenstair::schema::AuditFetchRequestT *>(u.value));
+      break;
+    }
+    case Message::AuditFetchResponse: {
+      value = new cyclamenstair::schema::AuditFetchResponseT(*reinterpret_cast<cyclamenstair::schema::AuditFetchResponseT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2172,6 +3121,26 @@
       delete ptr;
       break;
     }
+    case Message::PlanAnnounce: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::PlanAnnounceT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::PlanAnnounceAck: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::PlanAnnounceAckT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::AuditFetchRequest: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::AuditFetchRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::AuditFetchResponse: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::AuditFetchResponseT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/Generated/Records_generated.h
+++ b/Cyclamenstair/Generated/Records_generated.h
@@ -44,6 +44,14 @@
 struct PlanHeadRecordBuilder;
 struct PlanHeadRecordT;
 
+struct ChunkSetRecord;
+struct ChunkSetRecordBuilder;
+struct ChunkSetRecordT;
+
+struct AuditRecord;
+struct AuditRecordBuilder;
+struct AuditRecordT;
+
 struct ResidencyRecord;
 struct ResidencyRecordBuilder;
 struct ResidencyRecordT;
@@ -97,6 +105,48 @@
   return EnumNamesPriority()[index];
 }
 
+enum class AuditKind : uint8_t {
+  Plan = 0,
+  Settings = 1,
+  Ownership = 2,
+  Move = 3,
+  Drain = 4,
+  Command = 5,
+  MIN = Plan,
+  MAX = Command
+};
+
+inline const AuditKind (&EnumValuesAuditKind())[6] {
+  static const AuditKind values[] = {
+    AuditKind::Plan,
+    AuditKind::Settings,
+    AuditKind::Ownership,
+    AuditKind::Move,
+    AuditKind::Drain,
+    AuditKind::Command
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesAuditKind() {
+  static const char * const names[7] = {
+    "Plan",
+    "Settings",
+    "Ownership",
+    "Move",
+    "Drain",
+    "Command",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameAuditKind(AuditKind e) {
+  if (flatbuffers::IsOutRange(e, AuditKind::Plan, AuditKind::Command)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesAuditKind()[index];
+}
+
 enum class ResidencyState : uint8_t {
   Loading = 0,
   Resident = 1,
@@ -1000,6 +1050,7 @@
   std::string accepted_by{};
   uint64_t accepted_at_unix_ms = 0;
   std::string reason{};
+  std::string snapshot_id{};
 };
 
 /// Names the plan in force.
@@ -1014,7 +1065,8 @@
     VT_ACCEPTANCE_ID = 10,
     VT_ACCEPTED_BY = 12,
     VT_ACCEPTED_AT_UNIX_MS = 14,
-    VT_REASON = 16
+    VT_REASON = 16,
+    VT_SNAPSHOT_ID = 18
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -1037,6 +1089,9 @@
   const flatbuffers::String *reason() const {
     return GetPointer<const flatbuffers::String *>(VT_REASON);
   }
+  const flatbuffers::String *snapshot_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_SNAPSHOT_ID);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -1049,6 +1104,8 @@
            VerifyField<uint64_t>(verifier, VT_ACCEPTED_AT_UNIX_MS, 8) &&
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
+           VerifyOffset(verifier, VT_SNAPSHOT_ID) &&
+           verifier.VerifyString(snapshot_id()) &&
            verifier.EndTable();
   }
   PlanHeadRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1081,6 +1138,9 @@
   void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
     fbb_.AddOffset(PlanHeadRecord::VT_REASON, reason);
   }
+  void add_snapshot_id(flatbuffers::Offset<flatbuffers::String> snapshot_id) {
+    fbb_.AddOffset(PlanHeadRecord::VT_SNAPSHOT_ID, snapshot_id);
+  }
   explicit PlanHeadRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1100,11 +1160,13 @@
     flatbuffers::Offset<flatbuffers::String> acceptance_id = 0,
     flatbuffers::Offset<flatbuffers::String> accepted_by = 0,
     uint64_t accepted_at_unix_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    flatbuffers::Offset<flatbuffers::String> snapshot_id = 0) {
   PlanHeadRecordBuilder builder_(_fbb);
   builder_.add_accepted_at_unix_ms(accepted_at_unix_ms);
   builder_.add_snapshot_revision(snapshot_revision);
   builder_.add_revision(revision);
+  builder_.add_snapshot_id(snapshot_id);
   builder_.add_reason(reason);
   builder_.add_accepted_by(accepted_by);
   builder_.add_acceptance_id(acceptance_id);
@@ -1125,10 +1187,12 @@
     const char *acceptance_id = nullptr,
     const char *accepted_by = nullptr,
     uint64_t accepted_at_unix_ms = 0,
-    const char *reason = nullptr) {
+    const char *reason = nullptr,
+    const char *snapshot_id = nullptr) {
   auto acceptance_id__ = acceptance_id ? _fbb.CreateString(acceptance_id) : 0;
   auto accepted_by__ = accepted_by ? _fbb.CreateString(accepted_by) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  auto snapshot_id__ = snapshot_id ? _fbb.CreateString(snapshot_id) : 0;
   return cyclamenstair::schema::CreatePlanHeadRecord(
       _fbb,
       revision,
@@ -1137,11 +1201,261 @@
       acceptance_id__,
       accepted_by__,
       accepted_at_unix_ms,
-      reason__);
+      reason__,
+      snapshot_id__);
 }
 
 flatbuffers::Offset<PlanHeadRecord> CreatePlanHeadRecord(flatbuffers::FlatBufferBuilder &_fbb, const PlanHeadRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ChunkSetRecordT : public flatbuffers::NativeTable {
+  typedef ChunkSetRecord TableType;
+  uint64_t since_unix_ms = 0;
+  uint32_t chunk_count = 0;
+};
+
+/// Chunks of a snapshot that the head does not name: not yet, because they are being written, or no longer.
+struct ChunkSetRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ChunkSetRecordT NativeTableType;
+  typedef ChunkSetRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SINCE_UNIX_MS = 4,
+    VT_CHUNK_COUNT = 6
+  };
+  uint64_t since_unix_ms() const {
+    return GetField<uint64_t>(VT_SINCE_UNIX_MS, 0);
+  }
+  uint32_t chunk_count() const {
+    return GetField<uint32_t>(VT_CHUNK_COUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE_UNIX_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CHUNK_COUNT, 4) &&
+           verifier.EndTable();
+  }
+  ChunkSetRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ChunkSetRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ChunkSetRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChunkSetRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ChunkSetRecordBuilder {
+  typedef ChunkSetRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_since_unix_ms(uint64_t since_unix_ms) {
+    fbb_.AddElement<uint64_t>(ChunkSetRecord::VT_SINCE_UNIX_MS, since_unix_ms, 0);
+  }
+  void add_chunk_count(uint32_t chunk_count) {
+    fbb_.AddElement<uint32_t>(ChunkSetRecord::VT_CHUNK_COUNT, chunk_count, 0);
+  }
+  explicit ChunkSetRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ChunkSetRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ChunkSetRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ChunkSetRecord> CreateChunkSetRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t since_unix_ms = 0,
+    uint32_t chunk_count = 0) {
+  ChunkSetRecordBuilder builder_(_fbb);
+  builder_.add_since_unix_ms(since_unix_ms);
+  builder_.add_chunk_count(chunk_count);
+  return builder_.Finish();
+}
+
+struct ChunkSetRecord::Traits {
+  using type = ChunkSetRecord;
+  static auto constexpr Create = CreateChunkSetRecord;
+};
+
+flatbuffers::Offset<ChunkSetRecord> CreateChunkSetRecord(flatbuffers::FlatBufferBuilder &_fbb, const ChunkSetRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AuditRecordT : public flatbuffers::NativeTable {
+  typedef AuditRecord TableType;
+  std::string node{};
+  uint64_t sequence = 0;
+  uint64_t at_unix_ms = 0;
+  cyclamenstair::schema::AuditKind kind = cyclamenstair::schema::AuditKind::Plan;
+  std::string who{};
+  std::string what{};
+  uint64_t from_revision = 0;
+  uint64_t to_revision = 0;
+  std::string why{};
+};
+
+/// One change, for the operators' audit.
+struct AuditRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AuditRecordT NativeTableType;
+  typedef AuditRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_SEQUENCE = 6,
+    VT_AT_UNIX_MS = 8,
+    VT_KIND = 10,
+    VT_WHO = 12,
+    VT_WHAT = 14,
+    VT_FROM_REVISION = 16,
+    VT_TO_REVISION = 18,
+    VT_WHY = 20
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t at_unix_ms() const {
+    return GetField<uint64_t>(VT_AT_UNIX_MS, 0);
+  }
+  cyclamenstair::schema::AuditKind kind() const {
+    return static_cast<cyclamenstair::schema::AuditKind>(GetField<uint8_t>(VT_KIND, 0));
+  }
+  const flatbuffers::String *who() const {
+    return GetPointer<const flatbuffers::String *>(VT_WHO);
+  }
+  const flatbuffers::String *what() const {
+    return GetPointer<const flatbuffers::String *>(VT_WHAT);
+  }
+  uint64_t from_revision() const {
+    return GetField<uint64_t>(VT_FROM_REVISION, 0);
+  }
+  uint64_t to_revision() const {
+    return GetField<uint64_t>(VT_TO_REVISION, 0);
+  }
+  const flatbuffers::String *why() const {
+    return GetPointer<const flatbuffers::String *>(VT_WHY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AT_UNIX_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_WHO) &&
+           verifier.VerifyString(who()) &&
+           VerifyOffset(verifier, VT_WHAT) &&
+           verifier.VerifyString(what()) &&
+           VerifyField<uint64_t>(verifier, VT_FROM_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO_REVISION, 8) &&
+           VerifyOffset(verifier, VT_WHY) &&
+           verifier.VerifyString(why()) &&
+           verifier.EndTable();
+  }
+  AuditRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AuditRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AuditRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AuditRecordBuilder {
+  typedef AuditRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(AuditRecord::VT_NODE, node);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(AuditRecord::VT_SEQUENCE, sequence, 0);
+  }
+  void add_at_unix_ms(uint64_t at_unix_ms) {
+    fbb_.AddElement<uint64_t>(AuditRecord::VT_AT_UNIX_MS, at_unix_ms, 0);
+  }
+  void add_kind(cyclamenstair::schema::AuditKind kind) {
+    fbb_.AddElement<uint8_t>(AuditRecord::VT_KIND, static_cast<uint8_t>(kind), 0);
+  }
+  void add_who(flatbuffers::Offset<flatbuffers::String> who) {
+    fbb_.AddOffset(AuditRecord::VT_WHO, who);
+  }
+  void add_what(flatbuffers::Offset<flatbuffers::String> what) {
+    fbb_.AddOffset(AuditRecord::VT_WHAT, what);
+  }
+  void add_from_revision(uint64_t from_revision) {
+    fbb_.AddElement<uint64_t>(AuditRecord::VT_FROM_REVISION, from_revision, 0);
+  }
+  void add_to_revision(uint64_t to_revision) {
+    fbb_.AddElement<uint64_t>(AuditRecord::VT_TO_REVISION, to_revision, 0);
+  }
+  void add_why(flatbuffers::Offset<flatbuffers::String> why) {
+    fbb_.AddOffset(AuditRecord::VT_WHY, why);
+  }
+  explicit AuditRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AuditRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AuditRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AuditRecord> CreateAuditRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    uint64_t sequence = 0,
+    uint64_t at_unix_ms = 0,
+    cyclamenstair::schema::AuditKind kind = cyclamenstair::schema::AuditKind::Plan,
+    flatbuffers::Offset<flatbuffers::String> who = 0,
+    flatbuffers::Offset<flatbuffers::String> what = 0,
+    uint64_t from_revision = 0,
+    uint64_t to_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> why = 0) {
+  AuditRecordBuilder builder_(_fbb);
+  builder_.add_to_revision(to_revision);
+  builder_.add_from_revision(from_revision);
+  builder_.add_at_unix_ms(at_unix_ms);
+  builder_.add_sequence(sequence);
+  builder_.add_why(why);
+  builder_.add_what(what);
+  builder_.add_who(who);
+  builder_.add_node(node);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct AuditRecord::Traits {
+  using type = AuditRecord;
+  static auto constexpr Create = CreateAuditRecord;
+};
+
+inline flatbuffers::Offset<AuditRecord> CreateAuditRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    uint64_t sequence = 0,
+    uint64_t at_unix_ms = 0,
+    cyclamenstair::schema::AuditKind kind = cyclamenstair::schema::AuditKind::Plan,
+    const char *who = nullptr,
+    const char *what = nullptr,
+    uint64_t from_revision = 0,
+    uint64_t to_revision = 0,
+    const char *why = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto who__ = who ? _fbb.CreateString(who) : 0;
+  auto what__ = what ? _fbb.CreateString(what) : 0;
+  auto why__ = why ? _fbb.CreateString(why) : 0;
+  return cyclamenstair::schema::CreateAuditRecord(
+      _fbb,
+      node__,
+      sequence,
+      at_unix_ms,
+      kind,
+      who__,
+      what__,
+      from_revision,
+      to_revision,
+      why__);
+}
+
+flatbuffers::Offset<AuditRecord> CreateAuditRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuditRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ResidencyRecordT : public flatbuffers::NativeTable {
   typedef ResidencyRecord TableType;
   std::string artifact{};
@@ -2197,6 +2511,7 @@
   { auto _e = accepted_by(); if (_e) _o->accepted_by = _e->str(); }
   { auto _e = accepted_at_unix_ms(); _o->accepted_at_unix_ms = _e; }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = snapshot_id(); if (_e) _o->snapshot_id = _e->str(); }
 }
 
 inline flatbuffers::Offset<PlanHeadRecord> PlanHeadRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlanHeadRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2214,6 +2529,7 @@
   auto _accepted_by = _o->accepted_by.empty() ? 0 : _fbb.CreateString(_o->accepted_by);
   auto _accepted_at_unix_ms = _o->accepted_at_unix_ms;
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _snapshot_id = _o->snapshot_id.empty() ? 0 : _fbb.CreateString(_o->snapshot_id);
   return cyclamenstair::schema::CreatePlanHeadRecord(
       _fbb,
       _revision,
@@ -2222,7 +2538,87 @@
       _acceptance_id,
       _accepted_by,
       _accepted_at_unix_ms,
-      _reason);
+      _reason,
+      _snapshot_id);
+}
+
+inline ChunkSetRecordT *ChunkSetRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ChunkSetRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ChunkSetRecord::UnPackTo(ChunkSetRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = since_unix_ms(); _o->since_unix_ms = _e; }
+  { auto _e = chunk_count(); _o->chunk_count = _e; }
+}
+
+inline flatbuffers::Offset<ChunkSetRecord> ChunkSetRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChunkSetRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateChunkSetRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ChunkSetRecord> CreateChunkSetRecord(flatbuffers::FlatBufferBuilder &_fbb, const ChunkSetRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ChunkSetRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _since_unix_ms = _o->since_unix_ms;
+  auto _chunk_count = _o->chunk_count;
+  return cyclamenstair::schema::CreateChunkSetRecord(
+      _fbb,
+      _since_unix_ms,
+      _chunk_count);
+}
+
+inline AuditRecordT *AuditRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AuditRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AuditRecord::UnPackTo(AuditRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = at_unix_ms(); _o->at_unix_ms = _e; }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = who(); if (_e) _o->who = _e->str(); }
+  { auto _e = what(); if (_e) _o->what = _e->str(); }
+  { auto _e = from_revision(); _o->from_revision = _e; }
+  { auto _e = to_revision(); _o->to_revision = _e; }
+  { auto _e = why(); if (_e) _o->why = _e->str(); }
+}
+
+inline flatbuffers::Offset<AuditRecord> AuditRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AuditRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAuditRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AuditRecord> CreateAuditRecord(flatbuffers::FlatBufferBuilder &_fbb, const AuditRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AuditRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _sequence = _o->sequence;
+  auto _at_unix_ms = _o->at_unix_ms;
+  auto _kind = _o->kind;
+  auto _who = _o->who.empty() ? 0 : _fbb.CreateString(_o->who);
+  auto _what = _o->what.empty() ? 0 : _fbb.CreateString(_o->what);
+  auto _from_revision = _o->from_revision;
+  auto _to_revision = _o->to_revision;
+  auto _why = _o->why.empty() ? 0 : _fbb.CreateString(_o->why);
+  return cyclamenstair::schema::CreateAuditRecord(
+      _fbb,
+      _node,
+      _sequence,
+      _at_unix_ms,
+      _kind,
+      _who,
+      _what,
+      _from_revision,
+      _to_revision,
+      _why);
 }
 
 inline ResidencyRecordT *ResidencyRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Node/Node.h>
 
 #include <Cyclamenstair/Core/Crypto.h>
+#include <Cyclamenstair/Node/GossipKeys.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <fstream>
@@ -11,6 +12,9 @@
 namespace {
 
     constexpr size_t minFleetKeyBytes = 16;
+    /// Members that have been silent for this many timeouts are dropped from the gossip table.
+    constexpr int memberRetentionTimeouts = 10;
+
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
     Result<std::string> readFleetKey(const std::string& path)
@@ -24,6 +28,18 @@
         return text.str();
     }
 
+    MemberInfo memberInfo(const schema::SettingsT& settings, const std::string& incarnation)
+    {
+        MemberInfo info;
+        info.node = settings.node->id;
+        info.incarnation = incarnation;
+        info.peerAddress = settings.peer->address + ":" + std::to_string(settings.peer->port);
+        info.operatorAddress = settings.operator_api->address + ":" + std::to_string(settings.operator_api->port);
+        info.region = settings.node->region;
+        info.failureDomain = settings.node->failure_domain;
+        return info;
+    }
+
     StoreClientSettings storeSettings(const schema::StoreSettingsT& settings)
     {
         StoreClientSettings result;
@@ -53,7 +69,9 @@
         return peerServer.error();
     node->m_peerServer = std::move(peerServer).value();
 
-    auto operatorApi = OperatorApi::create(settings, node->m_store, node->m_plans, node->m_gossip, node->m_directory);
+    auto operatorApi = OperatorApi::create(settings,
+        { &node->m_store, &node->m_plans, &node->m_planExchange, &node->m_gossip, &node->m_gossipLoop,
+            &node->m_directory, &node->m_peers, &node->m_audit });
     if (!operatorApi)
         return operatorApi.error();
     node->m_operatorApi = std::move(operatorApi).value();
@@ -71,9 +89,15 @@
     : m_settings(settings)
     , m_incarnation(settings.node->id + "/" + randomId())
     , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
+    , m_gossip({ { memberKeyPrefix, memberRetentionTimeouts * milliseconds(settings.peer->member_timeout_ms) } })
     , m_executor(settings, m_directory)
-    , m_planFollower(m_store, m_plans, milliseconds(settings.store->watch_ms))
-    , m_gossipLoop(settings, m_incarnation, std::move(fleetKey), m_gossip, m_plans, m_directory)
+    , m_audit(settings.node->id)
+    , m_planExchange(m_plans, m_audit)
+    , m_peers(settings, m_gossip)
+    , m_gossipLoop(
+          settings, m_incarnation, std::move(fleetKey), m_gossip, m_planExchange, m_directory, m_peers, m_audit)
+    , m_planFollower(m_store, m_planExchange, m_plans, milliseconds(settings.store->watch_ms))
+    , m_membershipLease(settings, memberInfo(settings, m_incarnation), m_store, m_peers)
     , m_coordinator(settings, m_incarnation, m_store, m_plans, m_gossip, m_directory)
 {
 }
@@ -91,6 +115,7 @@
     m_operatorApi->stop();
     m_coordinator.stop();
     m_planFollower.stop();
+    m_membershipLease.stop();
     m_gossipLoop.stop();
     logEvent(LogSeverity::Info, "node_stopped", { { "node", m_settings.node->id } });
 }
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Node/Coordinator.h>
 #include <Cyclamenstair/Node/FrontEnd.h>
 #include <Cyclamenstair/Node/GossipLoop.h>
+#include <Cyclamenstair/Node/MembershipLease.h>
 #include <Cyclamenstair/Node/OperatorApi.h>
 #include <Cyclamenstair/Node/PlanFollower.h>
 
@@ -28,8 +29,12 @@
     GossipTable m_gossip;
     TargetDirectory m_directory;
     RequestExecutor m_executor;
-    PlanFollower m_planFollower;
+    AuditTrail m_audit;
+    PlanExchange m_planExchange;
+    PeerDirectory m_peers;
     GossipLoop m_gossipLoop;
+    PlanFollower m_planFollower;
+    MembershipLease m_membershipLease;
     std::unique_ptr<PeerServer> m_peerServer;
     Coordinator m_coordinator;
     std::unique_ptr<OperatorApi> m_operatorApi;
--- a/Cyclamenstair/Node/OperatorApi.cpp
+++ b/Cyclamenstair/Node/OperatorApi.cpp
@@ -1,13 +1,12 @@
 #include <Cyclamenstair/Node/OperatorApi.h>
 
 #include <Cyclamenstair/Core/Crypto.h>
-#include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Node/GossipKeys.h>
 #include <Cyclamenstair/Node/HttpErrors.h>
-#include <Cyclamenstair/Plan/SheetParser.h>
+#include <Cyclamenstair/Node/OperatorJson.h>
 
+#include <algorithm>
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 
 namespace cyclamenstair {
 
@@ -16,46 +15,24 @@
     using Json = nlohmann::json;
 
     constexpr size_t operatorThreads = 8;
-
-    Json findingsJson(const std::vector<SheetFinding>& findings)
-    {
-        Json rows = Json::array();
-        for (const auto& finding : findings)
-            rows.push_back({ { "line", finding.line }, { "message", finding.message } });
-        return rows;
-    }
-
-    Json headJson(const PlanHead& head)
-    {
-        return { { "revision", head.revision }, { "acceptance_id", head.acceptanceId },
-            { "accepted_by", head.acceptedBy }, { "accepted_at_unix_ms", head.acceptedAtUnixMs },
-            { "reason", head.reason } };
-    }
-
-    void writeJson(httplib::Response& response, int status, const Json& body)
-    {
-        response.status = status;
-        response.set_content(body.dump(), "application/json");
-    }
+    constexpr size_t defaultAuditEntries = 100;
+    constexpr size_t maxAuditEntries = 1000;
 
 } // namespace
 
-Result<std::unique_ptr<OperatorApi>> OperatorApi::create(const schema::SettingsT& settings, StoreClient& store,
-    const PlanRegister& plans, const GossipTable& gossip, const TargetDirectory& directory)
+Result<std::unique_ptr<OperatorApi>> OperatorApi::create(
+    const schema::SettingsT& settings, const OperatorContext& context)
 {
-    std::unique_ptr<OperatorApi> api(new OperatorApi(settings, store, plans, gossip, directory));
+    std::unique_ptr<OperatorApi> api(new OperatorApi(settings, context));
     if (const auto started = api->m_listener.start(); !started)
         return started.error();
     return api;
 }
 
-OperatorApi::OperatorApi(const schema::SettingsT& settings, StoreClient& store, const PlanRegister& plans,
-    const GossipTable& gossip, const TargetDirectory& directory)
+OperatorApi::OperatorApi(const schema::SettingsT& settings, const OperatorContext& context)
     : m_settings(settings)
-    , m_plansInStore(store)
-    , m_plans(&plans)
-    , m_gossip(&gossip)
-    , m_directory(&directory)
+    , m_context(context)
+    , m_planApi(settings, context)
     , m_listener({ settings.operator_api->address, settings.operator_api->port, operatorThreads,
           static_cast<size_t>(settings.operator_api->max_body_bytes) })
 {
@@ -69,14 +46,22 @@
 void OperatorApi::addRoutes()
 {
     auto& http = m_listener.http();
-    http.Post("/operator/plan/accept", [this](const httplib::Request& http, httplib::Response& response) {
-        authenticate(http);
-        acceptPlan(http, response);
-    });
-    http.Get("/operator/status", [this](const httplib::Request& http, httplib::Response& response) {
-        authenticate(http);
-        showStatus(response);
-    });
+    const auto bind = [this](auto handler) {
+        return [this, handler](const httplib::Request& http, httplib::Response& response) {
+            authenticate(http);
+            handler(http, response);
+        };
+    };
+    http.Post(
+        "/operator/plan/accept", bind([this](const auto& http, auto& response) { m_planApi.accept(http, response); }));
+    http.Post(
+        "/operator/plan/check", bind([this](const auto& http, auto& response) { m_planApi.check(http, response); }));
+    http.Post(
+        "/operator/plan/diff", bind([this](const auto& http, auto& response) { m_planApi.diff(http, response); }));
+    http.Get("/operator/plan", bind([this](const auto&, auto& response) { m_planApi.show(response); }));
+    http.Get("/operator/plan/history", bind([this](const auto&, auto& response) { m_planApi.showHistory(response); }));
+    http.Get("/operator/status", bind([this](const auto&, auto& response) { showStatus(response); }));
+    http.Get("/operator/audit", bind([this](const auto& http, auto& response) { showAudit(http, response); }));
     http.set_exception_handler(
         [](const httplib::Request&, httplib::Response& response, const std::exception_ptr& thrown) {
             try {
@@ -98,55 +83,39 @@
             { ErrorKind::Unauthorized, "operator.authenticate", "", "the bearer token is missing or unknown" });
 }
 
-void OperatorApi::acceptPlan(const httplib::Request& http, httplib::Response& response)
-{
-    const auto sheet = SheetParser::parse(http.body);
-    if (!sheet.plan) {
-        writeJson(response, 422, { { "result", "refused" }, { "errors", findingsJson(sheet.errors) } });
-        return;
-    }
-    PlanProposal proposal;
-    proposal.plan = *sheet.plan;
-    proposal.expectedRevision = http.has_param("expected_revision")
-        ? std::strtoull(http.get_param_value("expected_revision").c_str(), nullptr, 10)
-        : m_plans->revision();
-    proposal.acceptanceId = http.has_param("acceptance_id") ? http.get_param_value("acceptance_id") : randomId();
-    proposal.acceptedBy = http.get_param_value("operator");
-    proposal.reason = http.get_param_value("reason");
-    std::visit(Overloaded {
-                   [&](const PlanAccepted& accepted) {
-                       writeJson(response, 200, { { "result", "accepted" }, { "head", headJson(accepted.head) } });
-                   },
-                   [&](const PlanConflict& conflict) {
-                       writeJson(response, 409, { { "result", "conflict" }, { "head", headJson(conflict.winner) } });
-                   },
-                   [&](const PlanNotAccepted& refused) {
-                       writeJson(response, 503, { { "result", "not_accepted" }, { "message", refused.message } });
-                   },
-                   [&](const PlanAcceptanceUnknown& unknown) {
-                       writeJson(response, 504, { { "result", "unknown" }, { "acceptance_id", unknown.acceptanceId } });
-                   },
-               },
-        m_plansInStore.accept(proposal));
-}
-
 void OperatorApi::showStatus(httplib::Response& response) const
 {
     Json targets = Json::array();
-    for (const auto& status : m_directory->targets()) {
+    for (const auto& status : m_context.directory->targets()) {
         targets.push_back({ { "target", status.target }, { "kind", nameOf(status.kind) }, { "address", status.address },
             { "pool", status.pool }, { "failure_domain", status.failureDomain }, { "leaving", status.isLeaving },
             { "artifacts", status.artifacts } });
     }
+    const auto now = monotonicNow();
     Json members = Json::array();
-    for (const auto& entry : m_gossip->entriesWithPrefix(memberKeyPrefix)) {
+    for (const auto& entry : m_context.gossip->liveEntries(memberKeyPrefix, now)) {
         const auto member = decodeMember(entry.payload);
+        const auto known = m_context.peers->members().find(member.node, now);
         members.push_back({ { "node", member.node }, { "peer_address", member.peerAddress },
-            { "failure_domain", member.failureDomain }, { "draining", member.isDraining } });
+            { "failure_domain", member.failureDomain }, { "draining", member.isDraining },
+            { "state", nameOf(known ? known->state : MemberState::Dead) } });
     }
     writeJson(response, 200,
-        { { "node", m_settings.node->id }, { "plan_revision", m_plans->revision() }, { "members", members },
+        { { "node", m_settings.node->id }, { "plan_revision", m_context.plans->revision() }, { "members", members },
             { "targets", targets } });
 }
 
+void OperatorApi::showAudit(const httplib::Request& http, httplib::Response& response) const
+{
+    const auto asked = std::strtoull(http.get_param_value("limit").c_str(), nullptr, 10);
+    const size_t limit = asked == 0 ? defaultAuditEntries : std::min<size_t>(asked, maxAuditEntries);
+    auto [entries, silent] = http.get_param_value("node") == "self"
+        ? std::make_pair(m_context.audit->latest(limit), std::vector<std::string>())
+        : m_context.gossipLoop->collectAudit(limit);
+    Json rows = Json::array();
+    for (const auto& entry : entries)
+        rows.push_back(auditJson(entry));
+    writeJson(response, 200, { { "entries", rows }, { "nodes_without_answer", silent } });
+}
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Node/OperatorApi.h
+++ b/Cyclamenstair/Node/OperatorApi.h
@@ -1,45 +1,34 @@
 #pragma once
 
-#include <Cyclamenstair/Generated/Settings_generated.h>
-#include <Cyclamenstair/Membership/GossipTable.h>
-#include <Cyclamenstair/Node/PlanRepository.h>
-#include <Cyclamenstair/Node/TargetDirectory.h>
-#include <Cyclamenstair/Plan/PlanRegister.h>
+#include <Cyclamenstair/Node/OperatorPlanApi.h>
 #include <Cyclamenstair/Transport/HttpListener.h>
 
 #include <memory>
 
-namespace httplib {
-struct Request;
-struct Response;
-} // namespace httplib
-
 namespace cyclamenstair {
 
 /// HTTP listener for operators.
 class OperatorApi {
 public:
-    static Result<std::unique_ptr<OperatorApi>> create(const schema::SettingsT& settings, StoreClient& store,
-        const PlanRegister& plans, const GossipTable& gossip, const TargetDirectory& directory);
+    static Result<std::unique_ptr<OperatorApi>> create(
+        const schema::SettingsT& settings, const OperatorContext& context);
     ~OperatorApi();
 
     void stop();
 
 private:
-    OperatorApi(const schema::SettingsT& settings, StoreClient& store, const PlanRegister& plans,
-        const GossipTable& gossip, const TargetDirectory& directory);
+    OperatorApi(const schema::SettingsT& settings, const OperatorContext& context);
 
     void addRoutes();
     /// Throws Exception if the operator's token is wrong.
     void authenticate(const httplib::Request& http) const;
-    void acceptPlan(const httplib::Request& http, httplib::Response& response);
     void showStatus(httplib::Response& response) const;
+    /// Shows the audit entries of all live nodes; the query `limit` bounds them, `node=self` asks no other node.
+    void showAudit(const httplib::Request& http, httplib::Response& response) const;
 
     schema::SettingsT m_settings;
-    PlanRepository m_plansInStore;
-    const PlanRegister* m_plans;
-    const GossipTable* m_gossip;
-    const TargetDirectory* m_directory;
+    OperatorContext m_context;
+    OperatorPlanApi m_planApi;
     HttpListener m_listener;
 };
 
--- /dev/null
+++ b/Cyclamenstair/Node/OperatorContext.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <Cyclamenstair/Node/GossipLoop.h>
+#include <Cyclamenstair/Store/StoreClient.h>
+
+namespace cyclamenstair {
+
+/// The parts of a node that the operators' listener shows and changes. They outlive it.
+struct OperatorContext {
+    StoreClient* store { nullptr };
+    const PlanRegister* plans { nullptr };
+    PlanExchange* planExchange { nullptr };
+    const GossipTable* gossip { nullptr };
+    const GossipLoop* gossipLoop { nullptr };
+    const TargetDirectory* directory { nullptr };
+    const PeerDirectory* peers { nullptr };
+    AuditTrail* audit { nullptr };
+};
+
+} // namespace cyclamenstair
