--- a/Cyclamenstair/Membership/GossipTable.h
+++ b/Cyclamenstair/Membership/GossipTable.h
@@ -65,8 +65,9 @@
 public:
     static constexpr size_t bucketCount = 32;
 
-    /// Heartbeats are passed on for this long. With exchanges every 500 ms and heartbeats every 2 s, 175 simulated nodes
-    /// had no live member that looked silent for 6 s in 100 s; with 1.5 s there was one, with 1 s there were more.
+    /// Heartbeats are passed on for this long. With exchanges every 500 ms and heartbeats every 2 s, 175 simulated
+    /// nodes had no live member that looked silent for 6 s in 100 s; with 1.5 s there was one, with 1 s there were
+    /// more.
     static constexpr Duration beatWindow = milliseconds(2500);
     static constexpr size_t maxBeatsInRequest = 64;
     static constexpr size_t maxBeatsInResponse = 128;
--- /dev/null
+++ b/Programs/ctl/PlanCommands.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <Programs/ctl/OperatorClient.h>
+
+#include <optional>
+
+namespace cyclamenstair::ctl {
+
+/// Arguments of `plan accept`.
+struct AcceptArguments {
+    std::string sheetPath;
+    std::string operatorName;
+    std::string reason;
+    std::optional<uint64_t> expectedRevision;
+    std::optional<std::string> acceptanceId; ///< Id of an earlier attempt that is repeated.
+};
+
+int acceptPlan(OperatorClient& client, const AcceptArguments& arguments, bool isJson);
+int checkPlan(OperatorClient& client, const std::string& sheetPath, bool isJson);
+int diffPlan(OperatorClient& client, const std::string& sheetPath, bool isJson);
+int showPlan(OperatorClient& client, bool isJson);
+int showPlanHistory(OperatorClient& client, bool isJson);
+
+} // namespace cyclamenstair::ctl
--- a/StandIns/StoreStandIn.cpp
+++ b/StandIns/StoreStandIn.cpp
@@ -3,6 +3,8 @@
 #include <Cyclamenstair/Core/Base64.h>
 #include <Cyclamenstair/Core/Overloaded.h>
 
+#include <thread>
+
 namespace cyclamenstair::standin {
 
 namespace {
@@ -133,6 +135,10 @@
             }
             // Checked in short waits, so that a client that went away frees the thread.
             while (!m_isStopping && sink.is_writable() && m_server.faults().value("down") == 0) {
+                if (m_server.faults().value("mute_watches") > 0) {
+                    std::this_thread::sleep_for(watchCheckInterval);
+                    continue;
+                }
                 const auto changed = m_store.waitForChange(prefix, revision, watchCheckInterval);
                 if (!changed)
                     continue;
--- a/StandIns/StoreStandIn.h
+++ b/StandIns/StoreStandIn.h
@@ -9,7 +9,8 @@
 
 /// Key-value store that speaks the part of the etcd v3 JSON gateway which the project uses.
 ///
-/// Faults: `lose_write_answers` (number of writes whose answer is lost after the effect).
+/// Faults: `lose_write_answers` (number of writes whose answer is lost after the effect), `mute_watches` (watches stay
+/// open and report nothing).
 class StoreStandIn {
 public:
     /// Port 0 lets the system choose.
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -11,6 +11,7 @@
 #include <httplib.h>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -180,7 +181,12 @@
         sections["caller"] = { { "port", std::to_string(slot.callerPort) } };
         sections["operator_api"]
             = { { "port", std::to_string(slot.operatorPort) }, { "token_hash", hashToken(operatorToken) } };
-        sections["peer"] = { { "port", std::to_string(slot.peerPort) }, { "seeds", seeds },
+        std::string ownSeeds = settings.seedsOf.contains(i) ? "" : seeds;
+        if (settings.seedsOf.contains(i)) {
+            for (const int seed : settings.seedsOf.at(i))
+                ownSeeds += (ownSeeds.empty() ? "" : ",") + address(m_nodes[static_cast<size_t>(seed)].peerPort);
+        }
+        sections["peer"] = { { "port", std::to_string(slot.peerPort) }, { "seeds", ownSeeds },
             { "fleet_key_file", keyPath }, { "gossip_interval_ms", "100" }, { "member_timeout_ms", "2000" } };
         sections["store"] = { { "endpoint", storeAddress() } };
         sections["platform"] = { { "vm_list_endpoint", platformAddress() } };
@@ -212,12 +218,22 @@
 
 int ProcessFleet::acceptPlan(const std::string& sheet, int node, const std::vector<std::string>& arguments)
 {
-    const auto path = m_directory + "/sheet.csv";
+    const auto path = m_directory + "/sheet-" + std::to_string(++m_toolRuns) + ".csv";
     std::ofstream(path) << sheet;
-    std::vector<std::string> all { "plan", "accept", path, "--node", operatorAddress(node), "--token", operatorToken };
+    std::vector<std::string> all { "plan", "accept", path };
     all.insert(all.end(), arguments.begin(), arguments.end());
-    ChildProcess tool("Programs/cyclamenstairctl", all, m_directory + "/ctl.log");
-    return tool.wait(startLimitMs).value_or(-1);
+    return runTool(std::move(all), node).first;
+}
+
+std::pair<int, std::string> ProcessFleet::runTool(std::vector<std::string> arguments, int node)
+{
+    const auto logPath = m_directory + "/ctl-" + std::to_string(++m_toolRuns) + ".log";
+    arguments.insert(arguments.end(), { "--node", operatorAddress(node), "--token", operatorToken });
+    ChildProcess tool("Programs/cyclamenstairctl", arguments, logPath);
+    const int status = tool.wait(startLimitMs).value_or(-1);
+    std::ostringstream text;
+    text << std::ifstream(logPath).rdbuf();
+    return { status, text.str() };
 }
 
 bool ProcessFleet::waitUntil(const std::function<bool()>& condition, int limitMs)
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <functional>
 
 #include <map>
@@ -40,6 +41,7 @@
     double tokenMs { 2 };
     uint32_t slots { 8 };
     std::map<std::string, std::string> nodeSettings; ///< Extra settings by "section.key".
+    std::map<int, std::vector<int>> seedsOf; ///< Nodes that a node has as seeds; all nodes for those without an entry.
 };
 
 /// Stand-ins and nodes as separate processes on loopback ports.
@@ -55,6 +57,9 @@
     bool waitUntil(const std::function<bool()>& condition, int limitMs);
     bool waitUntilReachable(const std::string& artifact, int node, int limitMs);
 
+    /// Runs cyclamenstairctl against node `node`; returns its exit status and the text it printed.
+    std::pair<int, std::string> runTool(std::vector<std::string> arguments, int node = 0);
+
     std::optional<nlohmann::json> status(int node);
     std::string callerAddress(int node) const { return address(m_nodes[static_cast<size_t>(node)].callerPort); }
     std::string operatorAddress(int node) const { return address(m_nodes[static_cast<size_t>(node)].operatorPort); }
@@ -107,6 +112,7 @@
     std::vector<std::unique_ptr<ChildProcess>> m_engines;
     std::vector<NodeSlot> m_nodes;
     nlohmann::json m_vms = nlohmann::json::array();
+    std::atomic<int> m_toolRuns { 0 };
 };
 
 } // namespace cyclamenstair::testing
