Give each port of a test fleet out once

The system had named the same free port twice before its first user bound it (seen in the node's settings file).

Change: the fleet keeps the ports that it gave out and asks again for a new one.

--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -28,6 +28,21 @@
     constexpr auto pollInterval = std::chrono::milliseconds(20);
     constexpr int startLimitMs = 10000;
 
+    /// Returns a port that is free at present.
+    int portOfSystem()
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in bound {};
+        bound.sin_family = AF_INET;
+        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(bound);
+        if (::bind(descriptor, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0)
+            throw std::runtime_error("no free port");
+        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
+        ::close(descriptor);
+        return ntohs(bound.sin_port);
+    }
+
     bool acceptsConnections(int port)
     {
         httplib::Client client("127.0.0.1", port);
@@ -109,16 +124,12 @@
 
 int ProcessFleet::freePort()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in bound {};
-    bound.sin_family = AF_INET;
-    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(bound);
-    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0)
-        throw std::runtime_error("no free port");
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
-    ::close(descriptor);
-    return ntohs(bound.sin_port);
+    // The system may name the same port again before its first user binds it.
+    int port = 0;
+    do {
+        port = portOfSystem();
+    } while (!m_ports.insert(port).second);
+    return port;
 }
 
 std::unique_ptr<ChildProcess> ProcessFleet::startStandIn(
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -103,6 +104,7 @@
     void writeNodeConfigs(const FleetSettings& settings);
     void publishVms();
 
+    std::set<int> m_ports; ///< Ports that were given out.
     std::string m_directory;
     int m_storePort;
     int m_platformPort;
