--- a/Cyclamenstair/Node/MembershipLease.cpp
+++ b/Cyclamenstair/Node/MembershipLease.cpp
@@ -11,6 +11,9 @@
     /// Each read costs a record for every member, so it is made only when a member is silent or no peer is known.
     constexpr Duration membersReadInterval = milliseconds(30000);
 
+    /// Interval while no peer is known. With the keep-alive and the plan's watch this is 0.5 calls/s.
+    constexpr Duration lonelyReadInterval = milliseconds(10000);
+
     constexpr Duration vmListTimeout = milliseconds(1000);
 
 } // namespace
@@ -101,7 +104,8 @@
 void MembershipLease::readMembersIfNeeded()
 {
     const auto now = monotonicNow();
-    if (m_membersReadAt && (now - *m_membersReadAt < membersReadInterval || m_peers->isComplete(now)))
+    const auto interval = m_peers->alivePeers(now).empty() ? lonelyReadInterval : membersReadInterval;
+    if (m_membersReadAt && (now - *m_membersReadAt < interval || m_peers->isComplete(now)))
         return;
     const auto read = m_store->range(recordPrefix, true);
     const auto* range = std::get_if<StoreRange>(&read);
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -105,6 +105,11 @@
 void Node::stop()
 {
     logEvent(LogSeverity::Info, "node_stopping", { { "node", m_settings.node->id } });
+    AuditEntry drain;
+    drain.kind = AuditKind::Drain;
+    drain.who = m_settings.node->id;
+    drain.what = "node stops";
+    m_audit.record(std::move(drain));
     m_gossipLoop.setDraining();
     m_frontEnd->announceStop();
     std::this_thread::sleep_for(milliseconds(m_settings.request->drain_notice_ms));
--- a/Tests/NodeTests/PlanSpreadTests.cpp
+++ b/Tests/NodeTests/PlanSpreadTests.cpp
@@ -108,6 +108,15 @@
         EXPECT_TRUE(waitForRevision(fleet, 1, planLimitMs, { 4 }));
     }
 
+    // Guards against nodes without seeds that never find each other.
+    TEST(PlanSpread, NodesWithoutSeedsFindPeersByTheStoresLeases)
+    {
+        auto settings = fleetOf(2);
+        settings.seedsOf = { { 0, {} }, { 1, {} } };
+        ProcessFleet fleet(settings);
+        EXPECT_TRUE(waitForMembers(fleet, 2));
+    }
+
     // Guards against two operators who both believe that their plan is in force.
     TEST(PlanSpread, OfTwoOperatorsOneWinsAndTheOtherHearsOfIt)
     {
