Bound gossip messages to a frame and accept plans that need no more memory

Cause: a new node in a fleet with 6,900 runners would have got all entries in one message larger than a frame and so never any. A plan that only changes callers was refused while lost targets made the plan in force too large.

Change: an exchange passes at most 512 KiB of entries. Memory findings are warnings if the plan needs no more than the one in force.

Conclusion: PlanTests, MembershipTests and CodecTests pass.

--- a/Cyclamenstair/Membership/GossipTable.cpp
+++ b/Cyclamenstair/Membership/GossipTable.cpp
@@ -20,6 +20,9 @@
         return static_cast<int16_t>(static_cast<uint16_t>(count - static_cast<uint16_t>(known)));
     }
 
+    /// Bytes of an entry in a message: key, payload and about 64 bytes for the rest.
+    size_t entryBytes(const GossipEntry& entry) { return entry.key.size() + entry.payload.size() + 64; }
+
     std::vector<bool> bucketSet(const std::vector<uint16_t>& buckets)
     {
         std::vector<bool> set(GossipTable::bucketCount, false);
@@ -200,14 +203,17 @@
     for (const auto& row : rows)
         theirs[row.keyHash] = row.version;
     GossipDifference difference;
+    size_t bytes = 0;
     m_shards.forEachShard([&](const Slots& slots) {
         for (const auto& [key, slot] : slots) {
             if (!compared[bucketOf(slot.keyHash)])
                 continue;
             const auto other = theirs.find(slot.keyHash);
             const bool isKnown = other != theirs.end();
-            if ((!isKnown || other->second < slot.version) && !isExpired(slot, now))
+            if ((!isKnown || other->second < slot.version) && !isExpired(slot, now) && bytes < maxEntryBytes) {
                 difference.newer.push_back(entryOf(key, slot, now));
+                bytes += entryBytes(difference.newer.back());
+            }
             // What is left in `theirs` is newer at the other side.
             if (isKnown && other->second <= slot.version)
                 theirs.erase(other);
@@ -222,10 +228,13 @@
 {
     const std::unordered_set<uint64_t> wanted(keyHashes.begin(), keyHashes.end());
     std::vector<GossipEntry> found;
+    size_t bytes = 0;
     m_shards.forEachShard([&](const Slots& slots) {
         for (const auto& [key, slot] : slots) {
-            if (wanted.contains(slot.keyHash) && !isExpired(slot, now))
-                found.push_back(entryOf(key, slot, now));
+            if (!wanted.contains(slot.keyHash) || isExpired(slot, now) || bytes >= maxEntryBytes)
+                continue;
+            found.push_back(entryOf(key, slot, now));
+            bytes += entryBytes(found.back());
         }
     });
     return found;
--- a/Cyclamenstair/Membership/GossipTable.h
+++ b/Cyclamenstair/Membership/GossipTable.h
@@ -70,6 +70,9 @@
     /// more.
     static constexpr Duration beatWindow = milliseconds(2500);
     static constexpr size_t maxBeatsInRequest = 64;
+
+    /// Keys and payloads in one message, which leaves half of a frame for the rest.
+    static constexpr size_t maxEntryBytes = 512 << 10;
     static constexpr size_t maxBeatsInResponse = 128;
 
     explicit GossipTable(std::vector<GossipRetention> retentions = {});
@@ -104,11 +107,12 @@
     /// Returns the versions of the entries in the given buckets.
     std::vector<GossipRow> rows(const std::vector<uint16_t>& buckets, TimePoint now) const;
 
-    /// Compares the own entries in `buckets` with the rows that another node has in them.
+    /// Compares the own entries in `buckets` with the rows that another node has in them. Entries beyond maxEntryBytes
+    /// are left for the next exchange.
     GossipDifference compare(
         const std::vector<uint16_t>& buckets, const std::vector<GossipRow>& rows, TimePoint now) const;
 
-    /// Returns the entries whose keys have the given hashes, with their age.
+    /// Returns the entries whose keys have the given hashes, with their age, up to maxEntryBytes.
     std::vector<GossipEntry> entriesByHash(const std::vector<uint64_t>& keyHashes, TimePoint now) const;
 
     /// Returns the heartbeats that advanced within `window` before `now` and are not in `known`, the latest first, at
--- a/Cyclamenstair/Plan/PlanValidator.cpp
+++ b/Cyclamenstair/Plan/PlanValidator.cpp
@@ -138,6 +138,19 @@
         return sorted;
     }
 
+    /// Returns whether each row needs at most what the row of the same name needs in the old plan.
+    template <typename Row> bool needsNoMore(const std::vector<Row>& rows, const std::vector<Row>& oldRows)
+    {
+        std::map<std::string, const Row*> old;
+        for (const auto& row : oldRows)
+            old[row.name] = &row;
+        return std::all_of(rows.begin(), rows.end(), [&](const Row& row) {
+            const auto found = old.find(row.name);
+            return found != old.end() && row.memoryBytes == found->second->memoryBytes
+                && row.replicas <= found->second->replicas;
+        });
+    }
+
     /// One check of a plan.
     class Check {
     public:
@@ -171,6 +184,16 @@
                 m_findings.errors.push_back({ line, std::move(message) });
         }
 
+        void addMemoryError(uint32_t line, std::string message)
+        {
+            const bool isNoWorse = m_inForce && needsNoMore(m_plan.models, m_inForce->models)
+                && needsNoMore(m_plan.adapters, m_inForce->adapters);
+            if (isNoWorse)
+                addWarning(line, std::move(message));
+            else
+                addError(line, std::move(message));
+        }
+
         void addWarning(uint32_t line, std::string message)
         {
             if (m_findings.warnings.size() < SheetParser::maxErrors)
@@ -249,7 +272,7 @@
                 }
             }
             for (auto& finding : unplaced)
-                addError(finding.line, std::move(finding.message));
+                addMemoryError(finding.line, std::move(finding.message));
             if (unplaced.empty())
                 checkOverlap(best);
             checkUse();
@@ -263,7 +286,7 @@
             for (const auto& model : m_plan.models) {
                 const auto line = lineOf(SheetRowKind::Model, model.name);
                 if (model.replicas > m_targets.size())
-                    addError(line,
+                    addMemoryError(line,
                         "model '" + model.name + "' has " + std::to_string(model.replicas) + " replicas, but there are "
                             + std::to_string(m_targets.size()) + " targets");
                 else if (model.replicas > domains.size())
--- a/Cyclamenstair/Plan/PlanValidator.h
+++ b/Cyclamenstair/Plan/PlanValidator.h
@@ -21,7 +21,8 @@
 ///
 /// All planned models and adapters must fit at the same time, because each stays resident whether it is asked for or
 /// not. The check packs them by two greedy rules and reports an error only if both fail, so it can refuse a plan that
-/// an exhaustive search would place.
+/// an exhaustive search would place. A plan that needs no more than the one in force is not refused for memory: after
+/// targets were lost, operators must still be able to change callers and to remove models. Its findings are warnings.
 class PlanValidator {
 public:
     /// Share of all memory above which the check warns: little is left for moves.
--- a/Tests/CodecTests/GossipSizeTests.cpp
+++ b/Tests/CodecTests/GossipSizeTests.cpp
@@ -126,6 +126,29 @@
         testing::Values(FleetSize { "today", 9, 16 }, FleetSize { "region", 175, 863 }),
         [](const auto& info) { return std::string(info.param.name); });
 
+    // Guards against a new node that never gets the entries, because they are larger than a frame: 6,900 runners.
+    TEST(GossipSize, ANewNodeGetsAllEntriesInMessagesThatFitAFrame)
+    {
+        constexpr size_t maxFrameBytes = (1 << 20) + (64 << 10);
+        GossipTable full;
+        GossipTable empty;
+        addTargets(full, 6900);
+        ASSERT_GT(stateBytes(full), maxFrameBytes);
+        int exchanges = 0;
+        for (; empty.size() < full.size() && exchanges < 10; ++exchanges) {
+            const auto buckets = full.differingBuckets(empty.bucketHashes(start), start);
+            const auto rows = full.rows(buckets, start);
+            EXPECT_LE(encodePeerMessage(GossipResponseMessage { 1, buckets, rows, {} }).size(), maxFrameBytes);
+            const auto difference = empty.compare(buckets, rows, start);
+            const GossipPushAckMessage ack { 0, full.entriesByHash(difference.wanted, start) };
+            EXPECT_LE(encodePeerMessage(ack).size(), maxFrameBytes);
+            for (const auto& entry : ack.entries)
+                empty.apply(entry, start);
+        }
+        EXPECT_EQ(empty.bucketHashes(start), full.bucketHashes(start));
+        std::cout << "6900 entries passed in " << exchanges << " exchanges\n";
+    }
+
     // Guards against an exchange that grows with the fleet if all 1,400 nodes were in one group: the cost of an
     // exchange has an upper limit, whatever differs among the heartbeats.
     TEST(GossipSize, ExchangeOf1400NodesStaysWithinTheNodesShare)
--- a/Tests/PlanTests/PlanValidatorTests.cpp
+++ b/Tests/PlanTests/PlanValidatorTests.cpp
@@ -54,7 +54,12 @@
             MemoryCase { { model("a", 8 * gib), model("b", 8 * gib), model("c", 8 * gib) },
                 { model("a", 7 * gib), model("b", 8 * gib), model("c", 8 * gib) }, "second copy of model 'a'" },
             MemoryCase { { model("a", 8 * gib), model("b", 8 * gib), model("c", 8 * gib) },
-                { model("a", 8 * gib), model("b", 8 * gib) }, "" }));
+                { model("a", 8 * gib), model("b", 8 * gib) }, "" },
+            // After targets were lost, the plan in force does not fit; fewer models than that are no reason to refuse.
+            MemoryCase { { model("a", 8 * gib, 2), model("b", 8 * gib, 2) },
+                { model("a", 8 * gib, 2), model("b", 8 * gib, 2), model("c", 8 * gib) }, "" },
+            MemoryCase { { model("a", 8 * gib, 2), model("b", 8 * gib, 2) },
+                { model("a", 8 * gib, 2), model("b", 8 * gib, 1) }, "has room for" }));
 
     TEST(PlanValidator, NamesLinesAndKeepsWarningsApart)
     {
