Give the tool's exit status a table and keep the frame tests current

Cause: the linter refused the exit codes' names, and the help listed them a second time. The message for plan parts has a new field before the part.

--- a/Cyclamenstair/Node/OperatorPlanApi.cpp
+++ b/Cyclamenstair/Node/OperatorPlanApi.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <httplib.h>
+#include <ranges>
 
 namespace cyclamenstair {
 
@@ -188,8 +189,8 @@
     if (!history)
         throw Exception({ ErrorKind::Unavailable, "operator.history", "", "the store is unavailable" });
     Json rows = Json::array();
-    for (auto head = history->rbegin(); head != history->rend(); ++head)
-        rows.push_back(headJson(*head));
+    for (const auto& head : std::ranges::reverse_view(*history))
+        rows.push_back(headJson(head));
     writeJson(response, 200, { { "history", rows } });
 }
 
--- a/Programs/Cyclamenstairctl.cpp
+++ b/Programs/Cyclamenstairctl.cpp
@@ -10,7 +10,7 @@
 using namespace cyclamenstair;
 using namespace cyclamenstair::ctl;
 
-constexpr const char* helpEnd = R"(
+constexpr const char* commandsHelp = R"(
 Commands:
   status                 members and targets as the node sees them
   plan accept SHEET      accept the sheet as the plan
@@ -20,15 +20,15 @@
   plan history           list the accepted plans
   audit                  list the last changes on all nodes
   hash-token TOKEN       print the salted hash of a token
-
-Exit status:
-  0  done
-  1  refused: the sheet has errors, the token is wrong, or the request is not valid
-  2  wrong usage of this tool
-  3  no answer from the node, the store is unavailable, or the outcome is unknown
-  4  another plan was accepted first
 )";
 
+void printHelp(const cxxopts::Options& options)
+{
+    std::cout << options.help() << commandsHelp << "\nExit status:\n";
+    for (const auto& row : EnumNames<ExitStatus>::table)
+        std::cout << "  " << static_cast<int>(row.value) << "  " << row.name << "\n";
+}
+
 AcceptArguments acceptArguments(const cxxopts::ParseResult& arguments, const std::string& sheetPath)
 {
     AcceptArguments result;
@@ -42,7 +42,7 @@
     return result;
 }
 
-int runPlanCommand(
+ExitStatus runPlanCommand(
     OperatorClient& client, const cxxopts::ParseResult& arguments, const std::vector<std::string>& words, bool isJson)
 {
     const auto& command = words[1];
@@ -57,14 +57,14 @@
     if (words.size() == 2 && command == "history")
         return showPlanHistory(client, isJson);
     std::cerr << "cyclamenstairctl: unknown plan command; see --help\n";
-    return exitUsage;
+    return ExitStatus::Usage;
 }
 
-int runCommand(const cxxopts::ParseResult& arguments, const std::vector<std::string>& words)
+ExitStatus runCommand(const cxxopts::ParseResult& arguments, const std::vector<std::string>& words)
 {
     if (words.size() == 2 && words[0] == "hash-token") {
         std::cout << hashToken(words[1]) << "\n";
-        return exitOk;
+        return ExitStatus::Ok;
     }
     auto token = arguments.count("token-file") ? readFile(arguments["token-file"].as<std::string>())
                                                : arguments["token"].as<std::string>();
@@ -78,7 +78,7 @@
     if (words.size() >= 2 && words[0] == "plan")
         return runPlanCommand(client, arguments, words, isJson);
     std::cerr << "cyclamenstairctl: unknown command; see --help\n";
-    return exitUsage;
+    return ExitStatus::Usage;
 }
 
 } // namespace
@@ -101,12 +101,12 @@
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") || !arguments.count("words")) {
-            std::cout << options.help() << helpEnd;
-            return arguments.count("help") ? exitOk : exitUsage;
+            printHelp(options);
+            return static_cast<int>(arguments.count("help") ? ExitStatus::Ok : ExitStatus::Usage);
         }
-        return runCommand(arguments, arguments["words"].as<std::vector<std::string>>());
+        return static_cast<int>(runCommand(arguments, arguments["words"].as<std::vector<std::string>>()));
     } catch (const std::exception& exception) {
         std::cerr << "cyclamenstairctl: " << exception.what() << "\n";
-        return exitUsage;
+        return static_cast<int>(ExitStatus::Usage);
     }
 }
--- a/Programs/ctl/OperatorClient.cpp
+++ b/Programs/ctl/OperatorClient.cpp
@@ -33,15 +33,15 @@
     return { result->status, result->body, nlohmann::json::parse(result->body, nullptr, false), result->headers };
 }
 
-int reportFailure(const OperatorAnswer& answer)
+ExitStatus reportFailure(const OperatorAnswer& answer)
 {
     if (answer.status == 0) {
         std::cerr << "no answer from the node\n";
-        return exitUnavailable;
+        return ExitStatus::Unavailable;
     }
     const auto message = answer.body.is_object() ? answer.body.value("message", "") : "";
     std::cerr << "the node answered HTTP " << answer.status << (message.empty() ? "" : ": ") << message << "\n";
-    return answer.status >= 400 && answer.status < 500 ? exitRefused : exitUnavailable;
+    return answer.status >= 400 && answer.status < 500 ? ExitStatus::Refused : ExitStatus::Unavailable;
 }
 
 std::string readFile(const std::string& path)
--- a/Programs/ctl/OperatorClient.h
+++ b/Programs/ctl/OperatorClient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Cyclamenstair/Core/EnumNames.h>
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -7,13 +9,13 @@
 
 namespace cyclamenstair::ctl {
 
-/// Exit status of the tool; listed in --help.
-enum ExitStatus : int {
-    exitOk = 0,
-    exitRefused = 1, ///< Refused: findings in the sheet, a wrong token, or the request is not valid.
-    exitUsage = 2,
-    exitUnavailable = 3, ///< No answer, the store is unavailable, or the outcome is unknown.
-    exitConflict = 4, ///< Another plan was accepted first.
+/// Exit status of the tool.
+enum class ExitStatus : int {
+    Ok = 0,
+    Refused = 1,
+    Usage = 2,
+    Unavailable = 3,
+    Conflict = 4,
 };
 
 /// Answer of a node to an operator's call; status 0 if there was none.
@@ -40,9 +42,24 @@
 };
 
 /// Prints why a call failed; returns the exit status.
-int reportFailure(const OperatorAnswer& answer);
+ExitStatus reportFailure(const OperatorAnswer& answer);
 
 /// Returns the file's content; throws std::runtime_error if it cannot be read.
 std::string readFile(const std::string& path);
 
 } // namespace cyclamenstair::ctl
+
+namespace cyclamenstair {
+
+/// Meanings as printed by --help.
+template <> struct EnumNames<ctl::ExitStatus> {
+    static constexpr auto table = std::to_array<EnumName<ctl::ExitStatus>>({
+        { ctl::ExitStatus::Ok, "done" },
+        { ctl::ExitStatus::Refused, "refused: the sheet has errors, the token is wrong, or the request is not valid" },
+        { ctl::ExitStatus::Usage, "wrong usage of this tool" },
+        { ctl::ExitStatus::Unavailable, "no answer, the store is unavailable, or the outcome is unknown" },
+        { ctl::ExitStatus::Conflict, "another plan was accepted first" },
+    });
+};
+
+} // namespace cyclamenstair
--- a/Programs/ctl/PlanCommands.cpp
+++ b/Programs/ctl/PlanCommands.cpp
@@ -27,7 +27,7 @@
         }
     }
 
-    int finishAccept(const OperatorAnswer& answer, const std::string& acceptanceId)
+    ExitStatus finishAccept(const OperatorAnswer& answer, const std::string& acceptanceId)
     {
         const auto result = answer.body.is_object() ? answer.body.value("result", "") : "";
         if (result.empty() && answer.status != 0)
@@ -35,30 +35,30 @@
         if (result == "accepted") {
             printFindings(answer.body);
             std::cout << "accepted as revision " << answer.body["head"]["revision"] << "\n";
-            return exitOk;
+            return ExitStatus::Ok;
         }
         if (result == "refused") {
             printFindings(answer.body);
             std::cerr << "plan not accepted: the sheet has errors\n";
-            return exitRefused;
+            return ExitStatus::Refused;
         }
         if (result == "conflict") {
             std::cerr << "plan not accepted: revision " << answer.body["head"]["revision"] << " was accepted first, by "
                       << answer.body["head"]["accepted_by"].get<std::string>() << "\n";
-            return exitConflict;
+            return ExitStatus::Conflict;
         }
         if (result == "not_accepted") {
             std::cerr << "plan not accepted: " << answer.body.value("message", "") << "\n";
-            return exitUnavailable;
+            return ExitStatus::Unavailable;
         }
         std::cerr << "it is not known whether the plan was accepted; repeat with --acceptance-id " << acceptanceId
                   << "\n";
-        return exitUnavailable;
+        return ExitStatus::Unavailable;
     }
 
     /// Posts the sheet to a dry run; returns the answer after printing its findings or the failure.
     std::optional<Json> dryRun(
-        OperatorClient& client, const std::string& path, const std::string& sheetPath, bool isJson, int& status)
+        OperatorClient& client, const std::string& path, const std::string& sheetPath, bool isJson, ExitStatus& status)
     {
         const auto answer = client.post(path, readFile(sheetPath), "text/csv");
         if (answer.status != 200 || !answer.body.is_object()) {
@@ -69,13 +69,13 @@
             std::cout << answer.body.dump(2) << "\n";
         else
             printFindings(answer.body);
-        status = answer.body.value("result", "") == "ok" ? exitOk : exitRefused;
+        status = answer.body.value("result", "") == "ok" ? ExitStatus::Ok : ExitStatus::Refused;
         return answer.body;
     }
 
 } // namespace
 
-int acceptPlan(OperatorClient& client, const AcceptArguments& arguments, bool isJson)
+ExitStatus acceptPlan(OperatorClient& client, const AcceptArguments& arguments, bool isJson)
 {
     const auto sheet = readFile(arguments.sheetPath);
     const auto acceptanceId = arguments.acceptanceId.value_or(randomId());
@@ -107,18 +107,18 @@
     return finishAccept(answer, acceptanceId);
 }
 
-int checkPlan(OperatorClient& client, const std::string& sheetPath, bool isJson)
+ExitStatus checkPlan(OperatorClient& client, const std::string& sheetPath, bool isJson)
 {
-    int status = exitOk;
+    ExitStatus status = ExitStatus::Ok;
     const auto body = dryRun(client, "/operator/plan/check", sheetPath, isJson, status);
     if (body && !isJson)
-        std::cout << (status == exitOk ? "the sheet can be accepted\n" : "the sheet has errors\n");
+        std::cout << (status == ExitStatus::Ok ? "the sheet can be accepted\n" : "the sheet has errors\n");
     return status;
 }
 
-int diffPlan(OperatorClient& client, const std::string& sheetPath, bool isJson)
+ExitStatus diffPlan(OperatorClient& client, const std::string& sheetPath, bool isJson)
 {
-    int status = exitOk;
+    ExitStatus status = ExitStatus::Ok;
     const auto body = dryRun(client, "/operator/plan/diff", sheetPath, isJson, status);
     if (!body || isJson || !body->contains("diff"))
         return status;
@@ -134,30 +134,30 @@
     return status;
 }
 
-int showPlan(OperatorClient& client, bool isJson)
+ExitStatus showPlan(OperatorClient& client, bool isJson)
 {
     const auto answer = client.get("/operator/plan");
     if (answer.status != 200)
         return reportFailure(answer);
     if (!isJson) {
         std::cout << answer.text;
-        return exitOk;
+        return ExitStatus::Ok;
     }
     const auto revision = answer.headers.find("X-Plan-Revision");
     std::cout << Json {
         { "revision", revision == answer.headers.end() ? 0 : std::stoull(revision->second) }, { "sheet", answer.text }
     }.dump(2) << "\n";
-    return exitOk;
+    return ExitStatus::Ok;
 }
 
-int showPlanHistory(OperatorClient& client, bool isJson)
+ExitStatus showPlanHistory(OperatorClient& client, bool isJson)
 {
     const auto answer = client.get("/operator/plan/history");
     if (answer.status != 200 || !answer.body.is_object())
         return reportFailure(answer);
     if (isJson) {
         std::cout << answer.body.dump(2) << "\n";
-        return exitOk;
+        return ExitStatus::Ok;
     }
     Table table({ "REVISION", "ACCEPTED AT", "BY", "REASON" });
     for (const auto& head : answer.body["history"])
@@ -165,7 +165,7 @@
             { std::to_string(head["revision"].get<uint64_t>()), timeText(head["accepted_at_unix_ms"].get<uint64_t>()),
                 head["accepted_by"].get<std::string>(), head["reason"].get<std::string>() });
     table.print();
-    return exitOk;
+    return ExitStatus::Ok;
 }
 
 } // namespace cyclamenstair::ctl
--- a/Programs/ctl/PlanCommands.h
+++ b/Programs/ctl/PlanCommands.h
@@ -15,10 +15,10 @@
     std::optional<std::string> acceptanceId; ///< Id of an earlier attempt that is repeated.
 };
 
-int acceptPlan(OperatorClient& client, const AcceptArguments& arguments, bool isJson);
-int checkPlan(OperatorClient& client, const std::string& sheetPath, bool isJson);
-int diffPlan(OperatorClient& client, const std::string& sheetPath, bool isJson);
-int showPlan(OperatorClient& client, bool isJson);
-int showPlanHistory(OperatorClient& client, bool isJson);
+ExitStatus acceptPlan(OperatorClient& client, const AcceptArguments& arguments, bool isJson);
+ExitStatus checkPlan(OperatorClient& client, const std::string& sheetPath, bool isJson);
+ExitStatus diffPlan(OperatorClient& client, const std::string& sheetPath, bool isJson);
+ExitStatus showPlan(OperatorClient& client, bool isJson);
+ExitStatus showPlanHistory(OperatorClient& client, bool isJson);
 
 } // namespace cyclamenstair::ctl
--- a/Programs/ctl/ViewCommands.cpp
+++ b/Programs/ctl/ViewCommands.cpp
@@ -6,14 +6,14 @@
 
 namespace cyclamenstair::ctl {
 
-int showStatus(OperatorClient& client, bool isJson)
+ExitStatus showStatus(OperatorClient& client, bool isJson)
 {
     const auto answer = client.get("/operator/status");
     if (answer.status != 200 || !answer.body.is_object())
         return reportFailure(answer);
     if (isJson) {
         std::cout << answer.body.dump(2) << "\n";
-        return exitOk;
+        return ExitStatus::Ok;
     }
     std::cout << "node " << answer.body["node"].get<std::string>() << ", plan revision " << answer.body["plan_revision"]
               << "\n\n";
@@ -32,17 +32,17 @@
             target["failure_domain"].get<std::string>(), target["leaving"].get<bool>() ? "yes" : "no", artifacts });
     }
     targets.print();
-    return exitOk;
+    return ExitStatus::Ok;
 }
 
-int showAudit(OperatorClient& client, uint32_t limit, bool isJson)
+ExitStatus showAudit(OperatorClient& client, uint32_t limit, bool isJson)
 {
     const auto answer = client.get("/operator/audit?limit=" + std::to_string(limit));
     if (answer.status != 200 || !answer.body.is_object())
         return reportFailure(answer);
     if (isJson) {
         std::cout << answer.body.dump(2) << "\n";
-        return exitOk;
+        return ExitStatus::Ok;
     }
     Table table({ "TIME", "NODE", "KIND", "WHO", "WHAT", "FROM", "TO", "WHY" });
     for (const auto& entry : answer.body["entries"])
@@ -53,7 +53,7 @@
     table.print();
     for (const auto& node : answer.body["nodes_without_answer"])
         std::cerr << "warning: no answer from " << node.get<std::string>() << "\n";
-    return exitOk;
+    return ExitStatus::Ok;
 }
 
 } // namespace cyclamenstair::ctl
--- a/Programs/ctl/ViewCommands.h
+++ b/Programs/ctl/ViewCommands.h
@@ -4,7 +4,7 @@
 
 namespace cyclamenstair::ctl {
 
-int showStatus(OperatorClient& client, bool isJson);
-int showAudit(OperatorClient& client, uint32_t limit, bool isJson);
+ExitStatus showStatus(OperatorClient& client, bool isJson);
+ExitStatus showAudit(OperatorClient& client, uint32_t limit, bool isJson);
 
 } // namespace cyclamenstair::ctl
--- a/Tests/TransportTests/FrameSocketTests.cpp
+++ b/Tests/TransportTests/FrameSocketTests.cpp
@@ -54,7 +54,7 @@
         auto socket = FrameSocket::connect(addressOf(*server), "client", fleetKey, milliseconds(2000));
         ASSERT_TRUE(socket);
         EXPECT_THROW(
-            socket.value().send(PlanFetchResponseMessage { 1, std::string(FrameSocket::maxFrameBytes + 1, 'x') }),
+            socket.value().send(PlanFetchResponseMessage { 1, {}, std::string(FrameSocket::maxFrameBytes + 1, 'x') }),
             Exception);
     }
 
