--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Crypto.h>
 #include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Node/GossipKeys.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <fstream>
@@ -12,6 +13,9 @@
 namespace {
 
     constexpr size_t minFleetKeyBytes = 16;
+    /// Members that have been silent for this many timeouts are dropped from the gossip table.
+    constexpr int memberRetentionTimeouts = 10;
+
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
     Result<std::string> readFleetKey(const std::string& path)
@@ -25,6 +29,18 @@
         return text.str();
     }
 
+    MemberInfo memberInfo(const schema::SettingsT& settings, const std::string& incarnation)
+    {
+        MemberInfo info;
+        info.node = settings.node->id;
+        info.incarnation = incarnation;
+        info.peerAddress = settings.peer->address + ":" + std::to_string(settings.peer->port);
+        info.operatorAddress = settings.operator_api->address + ":" + std::to_string(settings.operator_api->port);
+        info.region = settings.node->region;
+        info.failureDomain = settings.node->failure_domain;
+        return info;
+    }
+
     StoreClientSettings storeSettings(const schema::StoreSettingsT& settings)
     {
         StoreClientSettings result;
@@ -54,7 +70,9 @@
         return peerServer.error();
     node->m_peerServer = std::move(peerServer).value();
 
-    auto operatorApi = OperatorApi::create(settings, node->m_store, node->m_plans, node->m_gossip, node->m_directory);
+    auto operatorApi = OperatorApi::create(settings,
+        { &node->m_store, &node->m_plans, &node->m_planExchange, &node->m_gossip, &node->m_gossipLoop,
+            &node->m_directory, &node->m_peers, &node->m_audit });
     if (!operatorApi)
         return operatorApi.error();
     node->m_operatorApi = std::move(operatorApi).value();
@@ -73,12 +91,17 @@
     : m_settings(settings)
     , m_incarnation(settings.node->id + "/" + randomId())
     , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
+    , m_gossip({ { memberKeyPrefix, memberRetentionTimeouts * milliseconds(settings.peer->member_timeout_ms) } })
     , m_executor(settings, m_directory)
     , m_bookings(settings, m_incarnation, fleetKey, m_store, m_gossip, m_executor)
     , m_admission(settings, m_directory, m_gossip)
     , m_quota(settings.node->id, m_gossip)
-    , m_planFollower(m_store, m_plans, milliseconds(settings.store->watch_ms))
-    , m_gossipLoop(settings, m_incarnation, fleetKey, m_gossip, m_plans, m_directory)
+    , m_audit(settings.node->id)
+    , m_planExchange(m_plans, m_audit)
+    , m_peers(settings, m_gossip)
+    , m_gossipLoop(settings, m_incarnation, fleetKey, m_gossip, m_planExchange, m_directory, m_peers, m_audit)
+    , m_planFollower(m_store, m_planExchange, m_plans, milliseconds(settings.store->watch_ms))
+    , m_membershipLease(settings, memberInfo(settings, m_incarnation), m_store, m_peers)
     , m_vms(settings.platform->vm_list_endpoint, milliseconds(settings.platform->poll_ms), m_directory)
     , m_demandPublisher(settings.node->id, milliseconds(settings.peer->member_timeout_ms), m_demand, m_gossip)
     , m_orderEvidence(settings, m_incarnation, fleetKey, m_gossip, m_vms, m_orders)
@@ -103,6 +126,11 @@
 void Node::stop()
 {
     logEvent(LogSeverity::Info, "node_stopping", { { "node", m_settings.node->id } });
+    AuditEntry drain;
+    drain.kind = AuditKind::Drain;
+    drain.who = m_settings.node->id;
+    drain.what = "node stops";
+    m_audit.record(std::move(drain));
     m_gossipLoop.setDraining();
     m_frontEnd->announceStop();
     std::this_thread::sleep_for(milliseconds(m_settings.request->drain_notice_ms));
@@ -117,6 +145,7 @@
     m_demandPublisher.stop();
     m_vms.stop();
     m_planFollower.stop();
+    m_membershipLease.stop();
     m_gossipLoop.stop();
     logEvent(LogSeverity::Info, "node_stopped", { { "node", m_settings.node->id } });
 }
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -6,6 +6,7 @@
 #include <Cyclamenstair/Node/Coordinator.h>
 #include <Cyclamenstair/Node/FrontEnd.h>
 #include <Cyclamenstair/Node/GossipLoop.h>
+#include <Cyclamenstair/Node/MembershipLease.h>
 #include <Cyclamenstair/Node/OperatorApi.h>
 #include <Cyclamenstair/Node/PlanFollower.h>
 
@@ -39,8 +40,12 @@
     BookingExecutor m_bookings;
     AdmissionGate m_admission;
     CallerQuota m_quota;
-    PlanFollower m_planFollower;
+    AuditTrail m_audit;
+    PlanExchange m_planExchange;
+    PeerDirectory m_peers;
     GossipLoop m_gossipLoop;
+    PlanFollower m_planFollower;
+    MembershipLease m_membershipLease;
     std::unique_ptr<PeerServer> m_peerServer;
     VmListFollower m_vms;
     DemandPublisher m_demandPublisher;
--- a/cmake/CyclamenstairTargets.cmake
+++ b/cmake/CyclamenstairTargets.cmake
@@ -17,14 +17,25 @@
     install(TARGETS ${target} EXPORT CyclamenstairTargets ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
 endfunction()
 
-# Adds the test program of a library.
+# Adds the test program of a library. With SHARDS, ctest runs it in that many parts.
 function(cyclamenstair_tests NAME)
-    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "" "SHARDS" "SOURCES;DEPENDS" ${ARGN})
     set(target ${NAME}Tests)
     list(TRANSFORM ARG_SOURCES PREPEND ${CMAKE_CURRENT_SOURCE_DIR}/${target}/)
     add_executable(${target} ${ARG_SOURCES})
     target_link_libraries(${target} PRIVATE cyclamenstair::${NAME} ${ARG_DEPENDS} GTest::gmock GTest::gtest_main rapidcheck)
-    add_test(NAME ${target} COMMAND ${target})
-    # A fixed seed gives the same cases in each run; docs/testing.md names the command for other seeds.
-    set_tests_properties(${target} PROPERTIES TIMEOUT 120 ENVIRONMENT "RC_PARAMS=seed=20261204")
+    if(NOT ARG_SHARDS)
+        set(ARG_SHARDS 1)
+    endif()
+    math(EXPR last "${ARG_SHARDS} - 1")
+    foreach(shard RANGE ${last})
+        set(name ${target})
+        if(ARG_SHARDS GREATER 1)
+            set(name ${target}.${shard})
+        endif()
+        add_test(NAME ${name} COMMAND ${target})
+        # A fixed seed gives the same cases in each run; docs/testing.md names the command for other seeds.
+        set_tests_properties(${name} PROPERTIES TIMEOUT 180
+            ENVIRONMENT "RC_PARAMS=seed=20261204;GTEST_TOTAL_SHARDS=${ARG_SHARDS};GTEST_SHARD_INDEX=${shard}")
+    endforeach()
 endfunction()
