--- a/Cyclamenstair/Admission/AdmissionGroup.cpp
+++ b/Cyclamenstair/Admission/AdmissionGroup.cpp
@@ -72,9 +72,9 @@
 double AdmissionGroup::workBefore(const AdmissionRequest& request) const
 {
     const auto& queues = lane(request.workClass).queues;
-    const auto level = static_cast<size_t>(request.priority);
+    const auto level = levelOf(request.priority);
     double work = queues[level].workBefore(request.caller);
-    for (size_t higher = level + 1; higher < queues.size(); ++higher)
+    for (size_t higher = 0; higher < level; ++higher)
         work += queues[higher].work();
     return work;
 }
@@ -100,7 +100,7 @@
         return result;
     }
     if (mayStart(request.workClass) && lane.queued() == 0) {
-        lane.queues[static_cast<size_t>(request.priority)].charge(request);
+        lane.queues[levelOf(request.priority)].charge(request);
         ++lane.inFlight;
         result.decision = AdmissionGranted {};
         return result;
@@ -120,7 +120,7 @@
         result.decision = AdmissionRefused { AdmissionRefusal::QueueFull, retryAfter(request.workClass) };
         return result;
     }
-    lane.queues[static_cast<size_t>(request.priority)].push({ ticket, request });
+    lane.queues[levelOf(request.priority)].push({ ticket, request });
     result.decision = AdmissionQueued { latestStart };
     return result;
 }
@@ -130,8 +130,8 @@
 {
     // A request of lower priority gives way, then one of the caller that takes the most room.
     auto& queues = lane(request.workClass).queues;
-    const auto level = static_cast<size_t>(request.priority);
-    for (size_t lower = 0; lower < level; ++lower) {
+    const auto level = levelOf(request.priority);
+    for (size_t lower = queues.size() - 1; lower > level; --lower) {
         if (const auto removed = queues[lower].removeLast()) {
             verdicts.push_back(refuse(*removed, AdmissionRefusal::QueueFull, budget));
             return true;
@@ -178,14 +178,14 @@
     for (const auto& row : EnumNames<WorkClass>::table) {
         auto& queues = lane(row.value).queues;
         double higherWork = 0;
-        for (auto queue = queues.rbegin(); queue != queues.rend(); ++queue) {
-            const auto removed = queue->removeIf([&](const AdmissionRequest& request, double work) {
+        for (auto& queue : queues) {
+            const auto removed = queue.removeIf([&](const AdmissionRequest& request, double work) {
                 const auto start = now + waitEstimate(row.value, higherWork + work);
                 return start + serviceEstimate(request) > request.deadline;
             });
             for (const auto& queued : removed)
                 verdicts.push_back(refuse(queued, AdmissionRefusal::WindowTooShort, budget));
-            higherWork += queue->work();
+            higherWork += queue.work();
         }
     }
 }
@@ -200,8 +200,8 @@
     const size_t longShare = std::max<size_t>(1, limit() / 8);
     const bool isLong = canLong && (!canShort || lane(WorkClass::Long).inFlight < longShare);
     auto& lane = this->lane(isLong ? WorkClass::Long : WorkClass::Short);
-    for (auto queue = lane.queues.rbegin(); queue != lane.queues.rend(); ++queue) {
-        const auto next = queue->pop();
+    for (auto& queue : lane.queues) {
+        const auto next = queue.pop();
         if (!next)
             continue;
         const auto deadline = next->request.deadline;
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -76,7 +76,7 @@
     {
         // With the library's default of about one worker a core, short calls would wait behind long streams.
         return { settings.address, settings.port, static_cast<size_t>(settings.threads),
-            static_cast<size_t>(settings.max_body_bytes) };
+            static_cast<size_t>(settings.max_body_bytes), settings.tls_certificate, settings.tls_key };
     }
 
     bool mayUse(const CallerSpec& caller, const std::string& artifact)
@@ -312,6 +312,8 @@
             auto event = answer->next();
             if (const auto* data = std::get_if<AttemptData>(&event))
                 return sink.write(data->bytes.data(), data->bytes.size());
+            if (std::holds_alternative<AttemptPending>(event))
+                return true; // The library checks the caller's connection and calls again.
             if (!std::holds_alternative<AttemptEnd>(event))
                 return false; // The connection ends without the last chunk, which callers see as a broken answer.
             if (answer->head().status < firstErrorStatus)
