--- a/Cyclamenstair/Admission/AdmissionGroup.h
+++ b/Cyclamenstair/Admission/AdmissionGroup.h
@@ -32,7 +32,7 @@
 
     /// Requests of one work class.
     struct Lane {
-        std::array<FairQueue, priorityCount> queues; ///< By priority.
+        std::array<FairQueue, priorityCount> queues; ///< Highest priority first.
         size_t inFlight { 0 };
         double unitTime { 0 }; ///< Present average time of a unit of work in seconds.
         double unitDeviation { 0 }; ///< Present average distance from it in seconds.
@@ -41,6 +41,8 @@
         double queuedWork() const;
     };
 
+    static constexpr size_t levelOf(Priority priority) { return priorityCount - 1 - static_cast<size_t>(priority); }
+
     Lane& lane(WorkClass workClass) { return m_lanes[static_cast<size_t>(workClass)]; }
     const Lane& lane(WorkClass workClass) const { return m_lanes[static_cast<size_t>(workClass)]; }
 
