Replace up to a budget of copies per decision and react sooner

Demand that lasts reached additional copies late, because one copy at most was replaced per decision and each stayed for ten minutes. The dwell time is now 2 minutes, the ratio 1.5 and the least use of a load 10 requests, and a decision replaces as many copies as it may load.

--- a/Cyclamenstair/Node/Coordinator.cpp
+++ b/Cyclamenstair/Node/Coordinator.cpp
@@ -139,7 +139,7 @@
     for (const auto& vm : vms) {
         TargetStatus status { vm.id, TargetKind::Service, vm.address, vm.pool, vm.failureDomain, "", vm.memoryBytes,
             vm.state == VmState::Leaving, vm.services };
-        publish(std::move(status), 1);
+        publish(status, 1);
     }
 }
 
@@ -260,10 +260,10 @@
         if (snapshot.ledger.isReachable(entry.artifact))
             status.artifacts.push_back(entry.artifact);
     }
-    publish(std::move(status), snapshot.ledger.epoch());
+    publish(status, snapshot.ledger.epoch());
 }
 
-void Coordinator::publish(TargetStatus status, uint64_t epoch)
+void Coordinator::publish(const TargetStatus& status, uint64_t epoch)
 {
     const auto key = targetKeyPrefix + status.target;
     auto encoded = encodeTargetStatus(status);
--- a/Cyclamenstair/Node/Coordinator.h
+++ b/Cyclamenstair/Node/Coordinator.h
@@ -41,7 +41,7 @@
     void endOrder(const PlacementOrder& order);
     PortionKeeper& portionFor(const PlacementOrder& order);
     void publishEngine(const TargetWorker& worker);
-    void publish(TargetStatus status, uint64_t epoch);
+    void publish(const TargetStatus& status, uint64_t epoch);
 
     schema::SettingsT m_settings;
     const OrderEvidence* m_evidence;
--- a/Cyclamenstair/Node/TargetWorker.cpp
+++ b/Cyclamenstair/Node/TargetWorker.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-TargetWorker::TargetWorker(StoreClient& store, const OrderEvidence& evidence, VmInfo vm, TargetWorkerSettings settings,
-    OnChange onChange, OnOrderEnd onOrderEnd)
+TargetWorker::TargetWorker(StoreClient& store, const OrderEvidence& evidence, const VmInfo& vm,
+    TargetWorkerSettings settings, OnChange onChange, OnOrderEnd onOrderEnd)
     : m_settings(settings)
     , m_target(vm.id)
     , m_address(vm.address)
--- a/Cyclamenstair/Node/TargetWorker.h
+++ b/Cyclamenstair/Node/TargetWorker.h
@@ -33,7 +33,7 @@
     /// Called after each order, with whether it was carried out.
     using OnOrderEnd = std::function<void(const PlacementOrder&, bool isDone)>;
 
-    TargetWorker(StoreClient& store, const OrderEvidence& evidence, VmInfo vm, TargetWorkerSettings settings,
+    TargetWorker(StoreClient& store, const OrderEvidence& evidence, const VmInfo& vm, TargetWorkerSettings settings,
         OnChange onChange, OnOrderEnd onOrderEnd);
 
     /// Tells the worker to own its target, or to give ownership back once the order in progress has ended.
--- a/Cyclamenstair/Placement/CopyPlanner.cpp
+++ b/Cyclamenstair/Placement/CopyPlanner.cpp
@@ -167,6 +167,10 @@
     // The models with the highest demand per copy are tried in turn.
     const auto pressure
         = [&](const ModelSpec& row) { return demandOf(row.name).lasting() / std::max(1U, m_copyCounts[row.name]); };
+    const auto wanted = [&](const ModelSpec& row) {
+        return demandOf(row.name).possible() / std::max(1U, m_copyCounts[row.name] - 1);
+    };
+    const auto candidates = sortedBy(m_plan->models, [&](const auto& row) { return -wanted(row); });
     for (const auto& model : sortedBy(m_plan->models, pressure)) {
         if (pressure(model) <= least)
             return false;
@@ -174,12 +178,8 @@
             if (holds(slot, model.name) || slot.pinned.contains(model.name))
                 continue;
             // Gather copies beyond the plan, the least wanted first, until the new copy fits.
-            const auto wanted = [&](const ModelSpec& row) {
-                return demandOf(row.name).possible() / std::max(1U, m_copyCounts[row.name] - 1);
-            };
             std::vector<const ModelSpec*> removed;
             uint64_t room = slot.freeBytes;
-            auto candidates = sortedBy(m_plan->models, [&](const auto& row) { return -wanted(row); });
             for (const auto& candidate : candidates) {
                 if (room >= model.memoryBytes)
                     break;
@@ -189,7 +189,7 @@
                 if (!isExtra || pressure(model) <= ratio * wanted(candidate)
                     || !mayReplace(slot.target->target, candidate.name))
                     continue;
-                removed.push_back(m_plan->findModel(candidate.name));
+                removed.push_back(&candidate);
                 room += candidate.memoryBytes;
             }
             if (room < model.memoryBytes || removed.empty())
--- a/Cyclamenstair/Placement/HysteresisPolicy.cpp
+++ b/Cyclamenstair/Placement/HysteresisPolicy.cpp
@@ -16,13 +16,16 @@
     // An adapter's load does not use the weight store, so that any lasting demand is worth it.
     planner.addAdapterCopies(lasting, 0);
     planner.addModelCopies(lasting, leastForModel);
-    planner.replaceLeastWanted(
-        m_settings.replaceRatio, leastForModel, [&](const std::string& target, const std::string& artifact) {
-            const auto copies = m_since.find(target);
-            if (copies == m_since.end() || !copies->second.contains(artifact))
-                return false;
-            return input.now - copies->second.at(artifact) >= m_settings.minDwell;
-        });
+    const auto mayReplace = [&](const std::string& target, const std::string& artifact) {
+        const auto copies = m_since.find(target);
+        if (copies == m_since.end() || !copies->second.contains(artifact))
+            return false;
+        return input.now - copies->second.at(artifact) >= m_settings.minDwell;
+    };
+    for (uint32_t replaced = 0; replaced < input.budget.models; ++replaced) {
+        if (!planner.replaceLeastWanted(m_settings.replaceRatio, leastForModel, mayReplace))
+            break;
+    }
     return { OrderPlanner(input, planner.copies(), planner.plannedCopies()).plan(), planner.unplaced() };
 }
 
--- a/Cyclamenstair/Placement/HysteresisPolicy.h
+++ b/Cyclamenstair/Placement/HysteresisPolicy.h
@@ -6,9 +6,9 @@
 
 /// Settings of a HysteresisPolicy.
 struct HysteresisSettings {
-    Duration minDwell { milliseconds(600'000) }; ///< Time for which a copy beyond the plan stays in its place.
-    double replaceRatio { 2.0 }; ///< Demand per copy, relative to the replaced model's, that justifies a replacement.
-    double requestsPerLoad { 20.0 }; ///< Requests that a copy must serve within the dwell time to be worth its load.
+    Duration minDwell { milliseconds(120'000) }; ///< Time for which a copy beyond the plan stays in its place.
+    double replaceRatio { 1.5 }; ///< Demand per copy, relative to the replaced model's, that justifies a replacement.
+    double requestsPerLoad { 10.0 }; ///< Requests that a copy must serve within the dwell time to be worth its load.
 };
 
 /// Keeps copies where they are unless demand that has lasted justifies a load.
