Bring a target back that the VM list shows as live again

A status that arrived while the node's own VM list still showed the target as leaving stayed marked as leaving for good: LeavingTargetIsReplacedWithinSeconds failed once at engines that honour fencing. The published status is now kept and applied again when the list changes.

--- a/Cyclamenstair/Node/TargetDirectory.cpp
+++ b/Cyclamenstair/Node/TargetDirectory.cpp
@@ -12,6 +12,12 @@
 } // namespace
 
 void TargetDirectory::update(const TargetStatus& status)
+{
+    m_published.withShard(status.target, [&](Statuses& published) { published[status.target] = status; });
+    apply(status);
+}
+
+void TargetDirectory::apply(const TargetStatus& status)
 {
     auto latest = status;
     // A status that was published before the VM list showed the target as leaving does not bring it back.
@@ -40,16 +46,26 @@
 void TargetDirectory::markLeaving(const std::vector<std::string>& targets)
 {
     const std::set<std::string> leaving(targets.begin(), targets.end());
-    m_listedAsLeaving.forEachShard(
-        [&](auto& listed) { std::erase_if(listed, [&](const auto& target) { return !leaving.contains(target); }); });
+    std::vector<std::string> changed;
+    m_listedAsLeaving.forEachShard([&](auto& listed) {
+        for (const auto& target : listed) {
+            if (!leaving.contains(target))
+                changed.push_back(target);
+        }
+        std::erase_if(listed, [&](const auto& target) { return !leaving.contains(target); });
+    });
     for (const auto& target : targets) {
-        m_listedAsLeaving.withShard(target, [&](auto& listed) { listed.insert(target); });
-        const auto status = m_statuses.withShard(target, [&](const Statuses& statuses) {
-            const auto found = statuses.find(target);
-            return found == statuses.end() ? TargetStatus() : found->second;
+        if (m_listedAsLeaving.withShard(target, [&](auto& listed) { return listed.insert(target).second; }))
+            changed.push_back(target);
+    }
+    // A target that is on the list as live again has the state that its coordinator published.
+    for (const auto& target : changed) {
+        const auto status = m_published.withShard(target, [&](const Statuses& published) {
+            const auto found = published.find(target);
+            return found == published.end() ? TargetStatus() : found->second;
         });
-        if (!status.target.empty() && !status.isLeaving)
-            update(status);
+        if (!status.target.empty())
+            apply(status);
     }
 }
 
--- a/Cyclamenstair/Node/TargetDirectory.h
+++ b/Cyclamenstair/Node/TargetDirectory.h
@@ -41,9 +41,12 @@
     };
     using LeavingIndex = std::unordered_map<std::string, std::map<std::string, Leaving>>;
 
+    /// Puts the status in force, marked as leaving if the VM list shows the target as such.
+    void apply(const TargetStatus& status);
     void removeFromIndex(const TargetStatus& status);
     std::vector<RouteCandidate> recentlyLeaving(const std::string& artifact) const;
 
+    Sharded<std::string, Statuses> m_published; ///< As the coordinators published them, by target.
     Sharded<std::string, Statuses> m_statuses; ///< By target.
     Sharded<std::string, Index> m_index; ///< By artifact, then target.
     Sharded<std::string, LeavingIndex> m_leavingIndex; ///< By artifact, then target.
