Test that a head never names chunks that were not written

Cause: with the check of chunk writes removed on trial, all tests still passed: the concurrent test's large plans had one chunk, and its outages hit chunk and head alike.

Change: a test with plans of several chunks and outages of about one call; the concurrent test reads every accepted plan back.

--- a/Cyclamenstair/Node/OperatorPlanApi.cpp
+++ b/Cyclamenstair/Node/OperatorPlanApi.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <charconv>
 #include <httplib.h>
-#include <ranges>
 
 namespace cyclamenstair {
 
@@ -185,11 +184,12 @@
 
 void OperatorPlanApi::showHistory(httplib::Response& response)
 {
-    const auto history = m_repository.readHistory();
+    auto history = m_repository.readHistory();
     if (!history)
         throw Exception({ ErrorKind::Unavailable, "operator.history", "", "the store is unavailable" });
     Json rows = Json::array();
-    for (const auto& head : std::ranges::reverse_view(*history))
+    std::reverse(history->begin(), history->end());
+    for (const auto& head : *history)
         rows.push_back(headJson(head));
     writeJson(response, 200, { { "history", rows } });
 }
--- a/Tests/NodeTests/PlanRepositoryTests.cpp
+++ b/Tests/NodeTests/PlanRepositoryTests.cpp
@@ -72,6 +72,11 @@
             Random random(7);
             while (running > 0) {
                 users[randomIndex(random, users.size())]->faults.isDown = randomIndex(random, 3) == 0;
+                // Some last only for one call.
+                auto& brief = users[randomIndex(random, users.size())]->faults.isDown;
+                const bool wasDown = brief.exchange(true);
+                std::this_thread::yield();
+                brief = wasDown;
                 std::this_thread::sleep_for(std::chrono::microseconds(20));
             }
         });
@@ -89,7 +94,7 @@
                     }
                     const auto id = std::to_string(index) + "-" + std::to_string(attempt);
                     // Now and then a plan that differs in more rows than a delta is worth.
-                    const size_t models = randomIndex(random, 20) == 0 ? 3000 : 3;
+                    const size_t models = randomIndex(random, 6) == 0 ? 9000 : 3;
                     PlanProposal proposal { markedPlan(id, models), head->first.revision, id, "operator", "", false,
                         known };
                     auto answer = user.repository.accept(proposal);
@@ -141,6 +146,10 @@
         for (size_t i = 0; i < history->size(); ++i) {
             EXPECT_EQ((*history)[i].revision, i + 1);
             EXPECT_TRUE(revisionById.emplace((*history)[i].acceptanceId, (*history)[i].revision).second);
+            // All chunks are within the grace time, so every accepted plan is there as a whole.
+            const auto plan = reader.repository.readPlan((*history)[i]);
+            ASSERT_TRUE(plan) << "revision " << i + 1;
+            EXPECT_NE(plan->findService((*history)[i].acceptanceId), nullptr);
         }
         EXPECT_EQ(reader.repository.readHead()->first.revision, history->size());
         size_t accepted = 0;
@@ -160,6 +169,40 @@
         EXPECT_GT(accepted, static_cast<size_t>(attempts) / 2);
     }
 
+    // Guards against a head that names chunks which were not written: outages of a single call hit some of them.
+    TEST(PlanRepository, AnAcceptanceWithoutAllChunksNeverCounts)
+    {
+        MemoryStore store;
+        StoreUser user(store);
+        std::atomic<bool> isRunning { true };
+        std::thread outages([&] {
+            while (isRunning) {
+                user.faults.isDown = true;
+                std::this_thread::sleep_for(std::chrono::microseconds(20));
+                user.faults.isDown = false;
+                std::this_thread::sleep_for(std::chrono::microseconds(200));
+            }
+        });
+        uint64_t revision = 0;
+        for (int attempt = 0; attempt < 60; ++attempt) {
+            // Plans that differ in most rows are stored as snapshots, the large ones in several chunks.
+            const size_t models = attempt % 2 == 0 ? 20000 : 3;
+            const auto answer = accept(user.repository, revision, std::to_string(attempt), models);
+            if (const auto* accepted = std::get_if<PlanAccepted>(&answer))
+                revision = accepted->head.revision;
+        }
+        isRunning = false;
+        outages.join();
+        const auto history = user.repository.readHistory();
+        ASSERT_TRUE(history);
+        EXPECT_GT(history->size(), 0U);
+        for (const auto& head : *history) {
+            const auto plan = user.repository.readPlan(head);
+            ASSERT_TRUE(plan) << "revision " << head.revision;
+            EXPECT_NE(plan->findService(head.acceptanceId), nullptr);
+        }
+    }
+
     // Guards against a store that fills up with chunks, deltas or history, and against chunks that are removed while a
     // slow reader may need them.
     TEST(PlanRepository, KeepsWhatReadersNeedAndNoMore)
