Add the load program

Change: cyclamenstair-load starts stand-ins and nodes, sends a generated mix open loop and runs each scenario with the baseline and the default settings. It checks each answer and the targets' logs with the history checker, which the tests of concurrent runs share. The engine stand-in gets report_lag_ms.

--- /dev/null
+++ b/Benchmarks/LoadResult.cpp
@@ -0,0 +1,109 @@
+#include <Benchmarks/LoadResult.h>
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace cyclamenstair::load {
+
+using testing::CallEnd;
+
+void LoadResult::add(const Deployment& deployment, const std::vector<PlannedCall>& planned,
+    const std::vector<CallResult>& results, double from, double to)
+{
+    seconds = to - from;
+    for (size_t i = 0; i < planned.size(); ++i) {
+        const auto& call = planned[i];
+        const auto& result = results[i];
+        if (call.atSeconds < from || call.atSeconds >= to)
+            continue;
+        ++calls;
+        ++ends[result.record.end];
+        if (result.record.end != CallEnd::Complete)
+            continue;
+        const bool isRight = result.record.answer == result.record.expected;
+        if (isRight && result.latencyMs <= deployment.callers[call.caller].windowMs)
+            ++inWindow;
+        else
+            ++late;
+        if (call.kind == CallKind::Booking)
+            continue;
+        latency[call.workClass].add(result.latencyMs);
+        if (call.workClass == WorkClass::Short)
+            shortWaiting.add(std::max(0.0, result.latencyMs - deployment.engineMs(call.tokens)));
+    }
+    attainmentPerAccelerator = static_cast<double>(inWindow) / deployment.engines;
+    goodput = static_cast<double>(inWindow) / seconds;
+}
+
+uint64_t LoadResult::endCount(CallEnd end) const
+{
+    const auto found = ends.find(end);
+    return found == ends.end() ? 0 : found->second;
+}
+
+nlohmann::json LoadResult::toJson() const
+{
+    nlohmann::json json { { "name", name }, { "seconds", seconds }, { "calls", calls }, { "in_window", inWindow },
+        { "late", late }, { "attainment_per_accelerator", attainmentPerAccelerator }, { "goodput_per_s", goodput },
+        { "model_moves", modelMoves }, { "extra_attempts", extraAttempts },
+        { "short_waiting_ms", { { "p50", shortWaiting.percentile(0.5) }, { "p99", shortWaiting.percentile(0.99) } } },
+        { "broken_invariants", findings.size() } };
+    for (const auto& row : EnumNames<CallEnd>::table)
+        json["ends"][std::string(row.name)] = endCount(row.value);
+    for (const auto& [workClass, histogram] : latency)
+        json["latency_ms"][std::string(nameOf(workClass))]
+            = { { "count", histogram.count() }, { "p50", histogram.percentile(0.5) },
+                  { "p95", histogram.percentile(0.95) }, { "p99", histogram.percentile(0.99) } };
+    return json;
+}
+
+std::string tableOf(const std::vector<LoadResult>& results)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(0) << std::left << std::setw(34) << "run" << std::right;
+    for (const char* column : { "calls", "in win", "att/acc", "refused", "unknown", "broken", "gave up", "moves",
+             "extra", "s p50", "s p95", "s p99", "l p50", "l p95", "l p99", "w p50", "w p99" })
+        text << std::setw(8) << column;
+    text << "\n";
+    for (auto result : results) {
+        text << std::left << std::setw(34) << result.name << std::right;
+        const auto number = [&](auto value) { text << std::setw(8) << value; };
+        number(result.calls);
+        number(result.inWindow);
+        number(result.attainmentPerAccelerator);
+        for (const auto end : { CallEnd::NotRun, CallEnd::Unknown, CallEnd::Broken, CallEnd::NotSent })
+            number(result.endCount(end));
+        number(result.modelMoves);
+        number(result.extraAttempts);
+        for (const auto workClass : { WorkClass::Short, WorkClass::Long }) {
+            for (const double share : { 0.5, 0.95, 0.99 })
+                number(result.latency[workClass].percentile(share));
+        }
+        number(result.shortWaiting.percentile(0.5));
+        number(result.shortWaiting.percentile(0.99));
+        text << "\n";
+    }
+    text << "s, l: latency of short and long work in ms; w: waiting of short work in ms; gave up: window passed before "
+            "the call was sent\n";
+    return text.str();
+}
+
+nlohmann::json BoundCheck::toJson() const
+{
+    return { { "subject", subject }, { "measured", measured }, { "bound", bound },
+        { "relation", isUpperBound ? "<=" : ">=" }, { "met", isMet() } };
+}
+
+std::string linesOf(const std::vector<BoundCheck>& checks)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3);
+    for (const auto& check : checks)
+        text << std::left << std::setw(78) << check.subject << std::right << std::setw(9) << check.measured
+             << "  bound " << (check.isUpperBound ? "<= " : ">= ") << check.bound << "  "
+             << (check.isMet() ? "met" : "not met") << "\n";
+    return text.str();
+}
+
+} // namespace cyclamenstair::load
--- /dev/null
+++ b/Benchmarks/LogHistogram.cpp
@@ -0,0 +1,34 @@
+#include <Benchmarks/LogHistogram.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenstair::load {
+
+void LogHistogram::add(double ms)
+{
+    const double position = std::log2(std::max(ms, leastMs) / leastMs) * bucketsPerDoubling;
+    ++m_buckets[std::min(static_cast<size_t>(position), bucketCount - 1)];
+    ++m_count;
+}
+
+void LogHistogram::merge(const LogHistogram& other)
+{
+    for (size_t bucket = 0; bucket < bucketCount; ++bucket)
+        m_buckets[bucket] += other.m_buckets[bucket];
+    m_count += other.m_count;
+}
+
+double LogHistogram::percentile(double share) const
+{
+    const auto rank = static_cast<uint64_t>(std::ceil(share * static_cast<double>(m_count)));
+    uint64_t seen = 0;
+    for (size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        seen += m_buckets[bucket];
+        if (seen > 0 && seen >= rank)
+            return leastMs * std::exp2((static_cast<double>(bucket) + 0.5) / bucketsPerDoubling);
+    }
+    return 0;
+}
+
+} // namespace cyclamenstair::load
--- a/StandIns/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn.cpp
@@ -10,6 +10,7 @@
 
     constexpr size_t engineThreads = 160;
     constexpr double sleepStepMs = 20;
+    constexpr Duration maxReportLag = milliseconds(10000);
 
     std::string promptOf(const Json& body, bool isChat)
     {
@@ -166,7 +167,7 @@
     completion.resumeFrom = body.value("resume_from", 0U);
     completion.priority = body.value("priority", 0);
     completion.isChat = isChat;
-    response.set_header("X-Load", std::to_string(m_core.load()));
+    response.set_header("X-Load", std::to_string(reportedLoad()));
     if (m_server.faults().value("refuse") > 0 || !m_core.holds(completion.model)) {
         response.set_header("X-Not-Run", "true");
         writeJson(response, { { "error", "not available" } }, 503);
@@ -254,6 +255,25 @@
     });
 }
 
+uint32_t EngineStandIn::reportedLoad()
+{
+    const auto now = monotonicNow();
+    const auto load = m_core.load();
+    const auto lag = Duration(static_cast<int64_t>(m_server.faults().value("report_lag_ms") * 1000));
+    std::lock_guard lock(m_loadMutex);
+    m_pastLoads.emplace_back(now, load);
+    while (now - m_pastLoads.front().first > maxReportLag)
+        m_pastLoads.pop_front();
+    // The newest load that is at least as old as the lag; an engine that was idle until then reports 0.
+    uint32_t reported = 0;
+    for (const auto& [time, value] : m_pastLoads) {
+        if (now - time < lag)
+            break;
+        reported = value;
+    }
+    return reported;
+}
+
 void EngineStandIn::sleepScaled(double ms)
 {
     // Slept in steps, so that a change of the slow factor acts at once.
--- a/StandIns/EngineStandIn.h
+++ b/StandIns/EngineStandIn.h
@@ -3,6 +3,8 @@
 #include <StandIns/EngineCore.h>
 #include <StandIns/StandInServer.h>
 
+#include <deque>
+
 namespace cyclamenstair::standin {
 
 /// Returns the text of token `index` of the answer to `prompt` by `model`, by which checkers verify answers.
@@ -16,7 +18,7 @@
 /// Faults: `slow_factor` (multiplies all times), `lose_orders` (orders that have no effect and no answer),
 /// `lose_order_answers` (orders with effect but no answer), `late_orders` and `late_order_ms` (orders that get no
 /// answer and take effect later), `break_streams` (streams that end in the middle), `refuse` (completions are refused
-/// with X-Not-Run), `leaving` (the health answer says so).
+/// with X-Not-Run), `leaving` (the health answer says so), `report_lag_ms` (age of the load in X-Load).
 class EngineStandIn {
 public:
     explicit EngineStandIn(EngineSettings settings, int port = 0);
@@ -38,8 +40,11 @@
     void answerWhole(const Completion& completion, httplib::Response& response);
     void answerStream(const Completion& completion, httplib::Response& response);
     void sleepScaled(double ms);
+    uint32_t reportedLoad();
 
     EngineCore m_core;
+    std::mutex m_loadMutex;
+    std::deque<std::pair<TimePoint, uint32_t>> m_pastLoads; ///< Load at each request of the last seconds.
     std::vector<std::thread> m_lateOrders;
     StandInServer m_server;
 };
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -136,13 +136,15 @@
     m_storePort = freePort();
     m_standIns.push_back(startStandIn("standin-store", m_storePort, {}));
     m_platformPort = freePort();
-    m_standIns.push_back(
-        startStandIn("standin-platform", m_platformPort, { "--load-ms", "100", "--full-speed-loads", "3" }));
+    m_standIns.push_back(startStandIn("standin-platform", m_platformPort,
+        { "--load-ms", std::to_string(settings.weightLoadMs), "--full-speed-loads",
+            std::to_string(settings.weightLoadsAtOnce) }));
     constexpr uint64_t engineMemoryBytes = 16ULL << 30;
     for (int i = 0; i < settings.engines; ++i) {
         m_enginePorts.push_back(freePort());
-        std::vector<std::string> arguments { "--token-ms", std::to_string(settings.tokenMs), "--slots",
-            std::to_string(settings.slots), "--weight-store", platformAddress() };
+        std::vector<std::string> arguments { "--token-ms", std::to_string(settings.tokenMs), "--prefill-ms",
+            std::to_string(settings.prefillMs), "--slots", std::to_string(settings.slots), "--weight-store",
+            platformAddress() };
         if (settings.ignoreFencing)
             arguments.emplace_back("--ignore-fencing");
         m_engines.push_back(startStandIn("standin-engine", m_enginePorts.back(), arguments));
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -23,6 +23,7 @@
     ChildProcess& operator=(const ChildProcess&) = delete;
 
     void signal(int number);
+    pid_t id() const { return m_pid; }
 
     /// Waits for the end of the process; returns its exit status, or no value if it did not end in time.
     std::optional<int> wait(int limitMs);
@@ -38,7 +39,10 @@
     int services { 1 };
     bool ignoreFencing { false };
     double tokenMs { 2 };
+    double prefillMs { 4 };
     uint32_t slots { 8 };
+    double weightLoadMs { 100 };
+    int weightLoadsAtOnce { 3 };
     std::map<std::string, std::string> nodeSettings; ///< Extra settings by "section.key".
 };
 
@@ -70,6 +74,9 @@
     void startNode(int node);
     void killNode(int node);
 
+    /// Ends an engine at once; its address stays in the VM list.
+    void killEngine(int engine) { m_engines[static_cast<size_t>(engine)].reset(); }
+
     /// Sends faults to a stand-in.
     static void setFaults(const std::string& address, const nlohmann::json& faults);
     static nlohmann::json getJson(const std::string& address, const std::string& path);
