Add the history checker's tests and the history check of concurrent runs

Cause: no test looked at whole answers and at-most-once runs over concurrent calls while processes die.

Change: five runs of generated calls through three nodes, with a node paused and another killed, requests refused, service answers lost, streams broken, an engine killed, and all of them together.

--- a/Benchmarks/Deployment.cpp
+++ b/Benchmarks/Deployment.cpp
@@ -61,10 +61,11 @@
     std::ostringstream text;
     text << "kind,name,model,memory_mib,replicas,priority,window_ms,repeatable,rate_per_s,burst,token_hash,allowed\n";
     for (int i = 0; i < models; ++i)
-        text << "model," << modelName(i) << ",," << modelMib << "," << replicasOf(i) << ",normal,,,,,,\n";
+        text << "model," << modelName(i) << ",," << modelMib << "," << std::min(replicasOf(i), engines)
+             << ",normal,,,,,,\n";
     for (int i = 0; i < adapters; ++i)
-        text << "adapter," << adapterName(i) << "," << modelName(i % models) << "," << adapterMib
-             << ",2,normal,,,,,,\n";
+        text << "adapter," << adapterName(i) << "," << modelName(i % models) << "," << adapterMib << ","
+             << std::min(2, engines) << ",normal,,,,,,\n";
     text << "service," << serviceName << ",,,,high," << shortWindowMs << ",no,,,,\n";
     for (const auto& caller : callers)
         text << "caller," << caller.name << ",,,," << caller.priority << "," << caller.windowMs << ",,,,"
--- a/Benchmarks/LoadFleet.cpp
+++ b/Benchmarks/LoadFleet.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <iostream>
 #include <thread>
 
 namespace cyclamenstair::load {
@@ -91,8 +90,6 @@
     for (const auto& call : results)
         records.push_back(call.record);
     result.findings = checkHistory(records, logs, calls.size());
-    if (!result.findings.empty())
-        std::cerr << "Broken invariants in " << result.name << ":\n" << describe(result.findings);
     return result;
 }
 
--- a/Benchmarks/LoadMain.cpp
+++ b/Benchmarks/LoadMain.cpp
@@ -62,6 +62,10 @@
         json["time_scale"] = options.timeScale;
         std::ofstream(path) << json.dump(2) << "\n";
     }
+    for (const auto& result : report.results) {
+        if (!result.findings.empty())
+            std::cout << "broken invariants in " << result.name << ":\n" << testing::describe(result.findings);
+    }
     std::cout << (report.hasFindings() ? "BROKEN INVARIANTS, see above\n" : "no invariant was broken\n");
     return report.hasFindings() ? brokenInvariant : 0;
 }
--- /dev/null
+++ b/Tests/NodeTests/HistoryTests.cpp
@@ -0,0 +1,232 @@
+#include <Benchmarks/LoadFleet.h>
+#include <Tests/Support/HistoryChecker.h>
+
+#include <chrono>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace cyclamenstair::testing {
+
+namespace {
+
+    using load::CallResult;
+    using load::CallSender;
+    using load::Deployment;
+
+    constexpr uint64_t seed = 20261204;
+    constexpr double callsPerSecond = 70;
+    constexpr double runSeconds = 2;
+    constexpr size_t callers = 100;
+    constexpr int lastNode = 2;
+    constexpr int stopMs = 700;
+
+    Deployment historyDeployment()
+    {
+        auto deployment = Deployment::create(load::DeploymentKind::PrairieHours);
+        deployment.nodes = 3;
+        deployment.engines = 4;
+        deployment.services = 2;
+        deployment.models = 3;
+        deployment.adapters = 2;
+        deployment.weightLoadMs = 50;
+        // Windows of this size keep callers from giving up while faults act; windows are not checked here.
+        for (auto& caller : deployment.callers)
+            caller.windowMs = 20000;
+        return deployment;
+    }
+
+    /// A fault that acts at a time of the run.
+    struct Step {
+        double atSeconds;
+        std::function<void()> act;
+    };
+
+    /// Runs generated calls through three nodes while faults act, and checks the history of all calls. The fleet is
+    /// shared by the tests, because its start takes longer than a run; each test ends with all processes running.
+    class History : public ::testing::Test {
+    protected:
+        static void SetUpTestSuite()
+        {
+            s_fleet = std::make_unique<load::LoadFleet>(historyDeployment(), load::PolicyKind::Default);
+        }
+        static void TearDownTestSuite() { s_fleet.reset(); }
+
+        ProcessFleet& fleet() { return s_fleet->processes(); }
+
+        void setEngineFaults(int engine, const nlohmann::json& faults)
+        {
+            ProcessFleet::setFaults(fleet().engineAddress(engine), faults);
+        }
+
+        /// Ends an engine after its log has been read; runs that begin in between are not seen by the checks.
+        void killEngine(int engine)
+        {
+            readEngineLog(engine);
+            fleet().killEngine(engine);
+        }
+
+        void killLastNode()
+        {
+            m_nodeKilledAt = now();
+            fleet().killNode(lastNode);
+        }
+
+        /// Sends the calls, lets the steps act, and returns all findings.
+        std::vector<HistoryFinding> run(uint64_t runSeed, const std::vector<Step>& steps)
+        {
+            const auto deployment = historyDeployment();
+            load::MixSettings mix;
+            mix.seed = runSeed;
+            mix.longShare = 0.05;
+            mix.bookingShare = 0.15;
+            mix.streamShare = 0.5;
+            mix.rate = { { 0, callsPerSecond }, { runSeconds, callsPerSecond } };
+            const auto calls = generateCalls(deployment, mix);
+            std::vector<std::string> addresses;
+            for (int node = 0; node < deployment.nodes; ++node)
+                addresses.push_back(fleet().callerAddress(node));
+            m_start = std::chrono::steady_clock::now();
+            std::thread faults([&] {
+                for (const auto& step : steps) {
+                    std::this_thread::sleep_until(
+                        m_start + std::chrono::milliseconds(static_cast<int>(step.atSeconds * 1000)));
+                    step.act();
+                }
+            });
+            const auto results = CallSender(deployment, addresses).sendAll(calls, callers);
+            faults.join();
+            for (size_t engine = 0; engine < fleet().engineCount(); ++engine)
+                readEngineLog(static_cast<int>(engine));
+            for (int service = 0; service < deployment.services; ++service)
+                readServiceLog(service);
+            std::vector<CallRecord> records;
+            for (size_t i = 0; i < calls.size(); ++i) {
+                records.push_back(results[i].record);
+                records.back().mayBreak = mayBreak(calls[i], results[i]);
+            }
+            return checkHistory(records, m_logs, calls.size());
+        }
+
+    private:
+        double now() const { return std::chrono::duration<double>(std::chrono::steady_clock::now() - m_start).count(); }
+
+        /// Only the end of a node may break a connection, and only those that it held at that moment.
+        bool mayBreak(const load::PlannedCall& call, const CallResult& result) const
+        {
+            constexpr double slackSeconds = 0.1;
+            const bool isOfLastNode = call.number % fleetNodes() == lastNode;
+            return m_nodeKilledAt && isOfLastNode && call.atSeconds <= *m_nodeKilledAt + slackSeconds
+                && call.atSeconds + result.latencyMs / 1000 >= *m_nodeKilledAt - slackSeconds;
+        }
+
+        static uint64_t fleetNodes() { return s_fleet->processes().nodeCount(); }
+
+        void readEngineLog(int engine)
+        {
+            const auto log = ProcessFleet::getJson(fleet().engineAddress(engine), "/log");
+            for (const auto& run : log["runs"])
+                m_logs.requestIds.insert(run["request_id"].get<std::string>());
+        }
+
+        void readServiceLog(int service)
+        {
+            const auto log = ProcessFleet::getJson(fleet().serviceAddress(service), "/log");
+            for (const auto& id : log["request_ids"])
+                m_logs.requestIds.insert(id.get<std::string>());
+            for (const auto& [key, count] : log["runs_by_key"].items())
+                m_logs.runsByKey[key] += count.get<int>();
+        }
+
+        static inline std::unique_ptr<load::LoadFleet> s_fleet;
+        std::chrono::steady_clock::time_point m_start;
+        std::optional<double> m_nodeKilledAt;
+        TargetLogs m_logs;
+    };
+
+    // Guards against lost, doubled or mixed-up answers when a node is paused and another one dies during calls.
+    TEST_F(History, NodePausedAndNodeKilled)
+    {
+        const auto findings = run(seed,
+            { { 0.4, [&] { fleet().node(0).signal(SIGSTOP); } },
+                { 0.4 + stopMs / 1000.0, [&] { fleet().node(0).signal(SIGCONT); } }, { 1.4, [&] { killLastNode(); } },
+                { 1.8, [&] { fleet().startNode(lastNode); } } });
+        EXPECT_TRUE(findings.empty()) << describe(findings);
+    }
+
+    // Guards against false answers of "not run" and against bookings that run again after their answer was lost.
+    TEST_F(History, RequestsRefusedAndServiceAnswersLost)
+    {
+        const auto findings = run(seed + 1,
+            { { 0.3,
+                  [&] {
+                      setEngineFaults(0, { { "refuse", 1 } });
+                      setEngineFaults(1, { { "refuse", 1 } });
+                      ProcessFleet::setFaults(fleet().serviceAddress(0), { { "lose_service_answers", 4 } });
+                  } },
+                { 1.0,
+                    [&] {
+                        setEngineFaults(2, { { "refuse", 1 } });
+                    } },
+                { 1.4,
+                    [&] {
+                        setEngineFaults(3, { { "refuse", 1 } });
+                    } },
+                { 1.8, [&] {
+                     for (int engine = 0; engine < 4; ++engine)
+                         setEngineFaults(engine, { { "refuse", 0 } });
+                 } } });
+        EXPECT_TRUE(findings.empty()) << describe(findings);
+    }
+
+    // Guards against answers that are lost or cut short because a stream from the engine broke.
+    TEST_F(History, StreamsBroken)
+    {
+        const auto findings = run(seed + 2,
+            { { 0.3,
+                  [&] {
+                      setEngineFaults(0, { { "break_streams", 3 } });
+                  } },
+                { 0.8,
+                    [&] {
+                        setEngineFaults(1, { { "break_streams", 3 } });
+                    } },
+                { 1.3, [&] {
+                     setEngineFaults(2, { { "break_streams", 3 } });
+                 } } });
+        for (int engine = 0; engine < 4; ++engine)
+            setEngineFaults(engine, { { "break_streams", 0 } });
+        EXPECT_TRUE(findings.empty()) << describe(findings);
+    }
+
+    // Guards against answers that are lost, cut short or mixed up because an engine died while it ran requests.
+    TEST_F(History, EngineKilled)
+    {
+        const auto findings
+            = run(seed + 3, { { 0.8, [&] { killEngine(3); } }, { 1.6, [&] { fleet().startEngine(3); } } });
+        EXPECT_TRUE(findings.empty()) << describe(findings);
+    }
+
+    // Guards against broken invariants that only show when faults coincide.
+    TEST_F(History, AllFaultsTogether)
+    {
+        const auto findings = run(seed + 4,
+            { { 0.3,
+                  [&] {
+                      setEngineFaults(0, { { "break_streams", 2 } });
+                      setEngineFaults(1, { { "refuse", 1 } });
+                      ProcessFleet::setFaults(fleet().serviceAddress(1), { { "lose_service_answers", 2 } });
+                  } },
+                { 0.6, [&] { fleet().node(1).signal(SIGSTOP); } }, { 0.8, [&] { killEngine(3); } },
+                { 1.1, [&] { killLastNode(); } }, { 1.3, [&] { fleet().node(1).signal(SIGCONT); } },
+                { 1.4,
+                    [&] {
+                        setEngineFaults(1, { { "refuse", 0 } });
+                    } },
+                { 1.6, [&] { fleet().startEngine(3); } }, { 1.7, [&] { fleet().startNode(lastNode); } } });
+        EXPECT_TRUE(findings.empty()) << describe(findings);
+    }
+
+} // namespace
+
+} // namespace cyclamenstair::testing
--- a/Tests/Support/HistoryChecker.cpp
+++ b/Tests/Support/HistoryChecker.cpp
@@ -49,7 +49,8 @@
                 break;
             case CallEnd::Broken:
                 if (!record.mayBreak)
-                    add(HistoryFault::Lost, record, "the connection broke although the node lived");
+                    add(HistoryFault::Lost, record,
+                        "broken although the node lived: " + record.answer.substr(0, shownBytes));
                 break;
             case CallEnd::Unknown:
                 // Work that may be repeated is repeated until it is answered (design page, 6.2).
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -140,14 +140,15 @@
         { "--load-ms", std::to_string(settings.weightLoadMs), "--full-speed-loads",
             std::to_string(settings.weightLoadsAtOnce) }));
     constexpr uint64_t engineMemoryBytes = 16ULL << 30;
+    m_engineArguments
+        = { "--token-ms", std::to_string(settings.tokenMs), "--prefill-ms", std::to_string(settings.prefillMs),
+              "--slots", std::to_string(settings.slots), "--weight-store", platformAddress() };
+    if (settings.ignoreFencing)
+        m_engineArguments.emplace_back("--ignore-fencing");
+    m_engines.resize(static_cast<size_t>(settings.engines));
     for (int i = 0; i < settings.engines; ++i) {
         m_enginePorts.push_back(freePort());
-        std::vector<std::string> arguments { "--token-ms", std::to_string(settings.tokenMs), "--prefill-ms",
-            std::to_string(settings.prefillMs), "--slots", std::to_string(settings.slots), "--weight-store",
-            platformAddress() };
-        if (settings.ignoreFencing)
-            arguments.emplace_back("--ignore-fencing");
-        m_engines.push_back(startStandIn("standin-engine", m_enginePorts.back(), arguments));
+        startEngine(i);
         m_vms.push_back({ { "id", "engine-" + std::to_string(i) }, { "kind", "engine" }, { "state", "live" },
             { "address", address(m_enginePorts.back()) }, { "region", "region-1" },
             { "failure_domain", "domain-" + std::to_string(i % 3) }, { "pool", "drafting" },
@@ -164,6 +165,12 @@
     publishVms();
 }
 
+void ProcessFleet::startEngine(int engine)
+{
+    const auto index = static_cast<size_t>(engine);
+    m_engines[index] = startStandIn("standin-engine", m_enginePorts[index], m_engineArguments);
+}
+
 void ProcessFleet::writeNodeConfigs(const FleetSettings& settings)
 {
     const auto keyPath = m_directory + "/fleet.key";
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -74,7 +74,8 @@
     void startNode(int node);
     void killNode(int node);
 
-    /// Ends an engine at once; its address stays in the VM list.
+    /// Starts an engine, or ends it at once; its address stays in the VM list.
+    void startEngine(int engine);
     void killEngine(int engine) { m_engines[static_cast<size_t>(engine)].reset(); }
 
     /// Sends faults to a stand-in.
@@ -112,6 +113,7 @@
     std::vector<int> m_servicePorts;
     std::vector<std::unique_ptr<ChildProcess>> m_standIns;
     std::vector<std::unique_ptr<ChildProcess>> m_engines;
+    std::vector<std::string> m_engineArguments;
     std::vector<NodeSlot> m_nodes;
     nlohmann::json m_vms = nlohmann::json::array();
 };
