--- a/Benchmarks/Deployment.cpp
+++ b/Benchmarks/Deployment.cpp
@@ -92,6 +92,8 @@
         settings.nodeSettings["routing.policy"] = "RoundRobin";
         settings.nodeSettings["admission.policy"] = "AcceptAll";
     }
+    for (const auto& [name, value] : nodeSettings)
+        settings.nodeSettings[name] = value;
     return settings;
 }
 
--- a/Benchmarks/Deployment.h
+++ b/Benchmarks/Deployment.h
@@ -49,6 +49,7 @@
     int longWorkTokens { 64 }; ///< Setting request.long_work_tokens, scaled like the windows.
     std::string serviceName { "bookings" };
     std::vector<LoadCaller> callers;
+    std::map<std::string, std::string> nodeSettings; ///< Further settings of the nodes by "section.key".
 
     /// Returns the names of all models, then adapters, by falling popularity.
     std::vector<std::string> artifacts() const;
--- a/Benchmarks/LoadMain.cpp
+++ b/Benchmarks/LoadMain.cpp
@@ -29,7 +29,9 @@
         "deployment", "prairie-hours or puppy-walker", cxxopts::value<std::string>()->default_value("prairie-hours"))(
         "seed", "Seed of the mix", cxxopts::value<uint64_t>()->default_value("20261204"))(
         "time-scale", "Factor for the lengths of all phases", cxxopts::value<double>()->default_value("1"))(
-        "threads", "Calls that can be in flight", cxxopts::value<size_t>()->default_value("500"))(
+        "threads", "Calls that can be in flight", cxxopts::value<size_t>()->default_value("500"))("set",
+        "Further setting of the nodes as SECTION.KEY=VALUE, for both policies",
+        cxxopts::value<std::vector<std::string>>())(
         "json", "File for the figures", cxxopts::value<std::string>()->default_value(""))("h,help", "Print this help");
     options.parse_positional({ "scenario" });
     options.positional_help("SCENARIO");
@@ -50,6 +52,16 @@
     options.seed = arguments["seed"].as<uint64_t>();
     options.timeScale = arguments["time-scale"].as<double>();
     options.threads = arguments["threads"].as<size_t>();
+    if (arguments.count("set")) {
+        for (const auto& setting : arguments["set"].as<std::vector<std::string>>()) {
+            const auto equals = setting.find('=');
+            if (equals == std::string::npos || setting.find('.') > equals) {
+                std::cerr << "'" << setting << "' is not SECTION.KEY=VALUE.\n";
+                return usageError;
+            }
+            options.nodeSettings[setting.substr(0, equals)] = setting.substr(equals + 1);
+        }
+    }
     const auto report = runScenario(*scenario, options);
     std::cout << "scenario " << name << ", deployment " << nameOf(*deployment) << ", seed " << options.seed
               << ", time scale " << options.timeScale << "\n"
--- a/Benchmarks/NodeCost.cpp
+++ b/Benchmarks/NodeCost.cpp
@@ -123,6 +123,23 @@
             m_json["requests_per_s_per_core"] = perCore;
         }
 
+        void measureTokenTime()
+        {
+            setSlowFactor(0.5);
+            std::vector<CostPoint> points;
+            constexpr int streams = 16;
+            for (const uint32_t tokens : { 64U, 256U, 512U }) {
+                const double before = processorSeconds(m_process);
+                std::vector<std::thread> open;
+                for (int i = 0; i < streams; ++i)
+                    open.emplace_back([&] { check(m_node.send(completion(m_number++, tokens, true))); });
+                for (auto& thread : open)
+                    thread.join();
+                points.push_back({ static_cast<double>(streams * tokens), processorSeconds(m_process) - before });
+            }
+            report("processor time of the node, s against streamed tokens", "s/token", "token_processor_s", points, 1);
+        }
+
         void measureStreams()
         {
             setSlowFactor(1);
@@ -209,9 +226,10 @@
         nlohmann::json m_json;
     };
 
-    Deployment smallDeployment(DeploymentKind kind)
+    Deployment smallDeployment(const ScenarioOptions& options)
     {
-        auto deployment = Deployment::create(kind);
+        auto deployment = Deployment::create(options.deployment);
+        deployment.nodeSettings = options.nodeSettings;
         deployment.nodes = 1;
         deployment.engines = 1;
         deployment.services = 1;
@@ -252,9 +270,10 @@
 {
     ScenarioReport report;
     for (const auto policy : { PolicyKind::Baseline, PolicyKind::Default }) {
-        NodeCostRun run(smallDeployment(options.deployment), policy, options.timeScale);
+        NodeCostRun run(smallDeployment(options), policy, options.timeScale);
         run.measureLatency();
         run.measureProcessorTime();
+        run.measureTokenTime();
         run.measureStreams();
         run.finish(report);
     }
--- a/Benchmarks/Scenario.cpp
+++ b/Benchmarks/Scenario.cpp
@@ -26,6 +26,13 @@
         return s_policies;
     }
 
+    Deployment deploymentOf(const ScenarioOptions& options)
+    {
+        auto deployment = Deployment::create(options.deployment);
+        deployment.nodeSettings = options.nodeSettings;
+        return deployment;
+    }
+
     MixSettings mixOf(const ScenarioOptions& options, uint64_t run)
     {
         MixSettings mix;
@@ -45,7 +52,7 @@
 
     ScenarioReport runCrest(const ScenarioOptions& options)
     {
-        const auto deployment = Deployment::create(options.deployment);
+        const auto deployment = deploymentOf(options);
         ScenarioReport report;
         for (const auto policy : policies()) {
             LoadFleet fleet(deployment, policy);
@@ -80,7 +87,7 @@
 
     ScenarioReport runStragglers(const ScenarioOptions& options)
     {
-        const auto deployment = Deployment::create(options.deployment);
+        const auto deployment = deploymentOf(options);
         ScenarioReport report;
         const double before = 2;
         const double slowSeconds = 20 * options.timeScale;
@@ -118,7 +125,7 @@
 
     ScenarioReport runLongWork(const ScenarioOptions& options)
     {
-        const auto deployment = Deployment::create(options.deployment);
+        const auto deployment = deploymentOf(options);
         ScenarioReport report;
         const double seconds = 10 * options.timeScale;
         for (const auto policy : policies()) {
@@ -149,7 +156,7 @@
 
     ScenarioReport runOverload(const ScenarioOptions& options)
     {
-        const auto deployment = Deployment::create(options.deployment);
+        const auto deployment = deploymentOf(options);
         ScenarioReport report;
         const double seconds = 8 * options.timeScale;
         for (const auto policy : policies()) {
--- a/Benchmarks/Scenario.h
+++ b/Benchmarks/Scenario.h
@@ -2,7 +2,9 @@
 
 #include <Benchmarks/LoadFleet.h>
 
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -15,6 +17,7 @@
     uint64_t seed { 20261204 };
     double timeScale { 1 }; ///< Factor for the lengths of all phases; below 1 for trials.
     size_t threads { 500 }; ///< Calls that the load generator can have in flight.
+    std::map<std::string, std::string> nodeSettings; ///< Further settings of the nodes by "section.key".
 };
 
 /// Results of a scenario.
