--- a/Benchmarks/Scenario.cpp
+++ b/Benchmarks/Scenario.cpp
@@ -164,7 +164,8 @@
             for (const int load : { 1, 3 }) {
                 RunSettings run;
                 run.name = "overload: " + std::to_string(load) + " x capacity";
-                run.threads = options.threads;
+                // With too few threads, callers would give up before their calls reach a node.
+                run.threads = options.threads * static_cast<size_t>(load);
                 run.mix = mixOf(options, static_cast<uint64_t>(load));
                 run.mix.longShare = longShare;
                 run.mix.rate = constantRate(rateFor(deployment, run.mix, load), seconds);
--- a/Tests/NodeTests/HistoryTests.cpp
+++ b/Tests/NodeTests/HistoryTests.cpp
@@ -48,11 +48,11 @@
     protected:
         static void SetUpTestSuite()
         {
-            s_fleet = std::make_unique<load::LoadFleet>(historyDeployment(), load::PolicyKind::Default);
+            sharedFleet = std::make_unique<load::LoadFleet>(historyDeployment(), load::PolicyKind::Default);
         }
-        static void TearDownTestSuite() { s_fleet.reset(); }
+        static void TearDownTestSuite() { sharedFleet.reset(); }
 
-        ProcessFleet& fleet() { return s_fleet->processes(); }
+        ProcessFleet& fleet() { return sharedFleet->processes(); }
 
         void setEngineFaults(int engine, const nlohmann::json& faults)
         {
@@ -120,7 +120,7 @@
                 && call.atSeconds + result.latencyMs / 1000 >= *m_nodeKilledAt - slackSeconds;
         }
 
-        static uint64_t fleetNodes() { return s_fleet->processes().nodeCount(); }
+        static uint64_t fleetNodes() { return sharedFleet->processes().nodeCount(); }
 
         void readEngineLog(int engine)
         {
@@ -138,7 +138,7 @@
                 m_logs.runsByKey[key] += count.get<int>();
         }
 
-        static inline std::unique_ptr<load::LoadFleet> s_fleet;
+        static inline std::unique_ptr<load::LoadFleet> sharedFleet;
         std::chrono::steady_clock::time_point m_start;
         std::optional<double> m_nodeKilledAt;
         TargetLogs m_logs;
