--- a/Tests/NodeTests/HistoryTests.cpp
+++ b/Tests/NodeTests/HistoryTests.cpp
@@ -15,7 +15,7 @@
     using load::Deployment;
 
     constexpr uint64_t seed = 20261204;
-    constexpr double callsPerSecond = 70;
+    constexpr double callsPerSecond = 60;
     constexpr double runSeconds = 2;
     constexpr size_t callers = 100;
     constexpr int lastNode = 2;
@@ -59,11 +59,14 @@
             ProcessFleet::setFaults(fleet().engineAddress(engine), faults);
         }
 
-        /// Ends an engine after its log has been read; runs that begin in between are not seen by the checks.
+        /// Ends an engine while it runs at least two requests. Its log is read just before; runs that begin in between
+        /// are not seen by the checks.
         void killEngine(int engine)
         {
-            readEngineLog(engine);
+            constexpr int limitMs = 1000;
+            const bool isBusy = fleet().waitUntil([&] { return readEngineLog(engine) >= 2; }, limitMs);
             fleet().killEngine(engine);
+            EXPECT_TRUE(isBusy) << "the engine ran too few requests for the test to say anything";
         }
 
         void killLastNode()
@@ -78,7 +81,7 @@
             const auto deployment = historyDeployment();
             load::MixSettings mix;
             mix.seed = runSeed;
-            mix.longShare = 0.05;
+            mix.longShare = 0.1;
             mix.bookingShare = 0.15;
             mix.streamShare = 0.5;
             mix.rate = { { 0, callsPerSecond }, { runSeconds, callsPerSecond } };
@@ -122,11 +125,16 @@
 
         static uint64_t fleetNodes() { return sharedFleet->processes().nodeCount(); }
 
-        void readEngineLog(int engine)
+        /// Adds the log to the logs of the history and returns the number of requests that run.
+        int readEngineLog(int engine)
         {
             const auto log = ProcessFleet::getJson(fleet().engineAddress(engine), "/log");
-            for (const auto& run : log["runs"])
+            int running = 0;
+            for (const auto& run : log["runs"]) {
                 m_logs.requestIds.insert(run["request_id"].get<std::string>());
+                running += run["finished"].get<bool>() || run["cancelled"].get<bool>() ? 0 : 1;
+            }
+            return running;
         }
 
         void readServiceLog(int service)
