--- a/Benchmarks/Perf/PerfSamples.cpp
+++ b/Benchmarks/Perf/PerfSamples.cpp
@@ -82,8 +82,6 @@
         entry.artifact = "artifact-" + std::to_string(i);
         entry.memoryBytes = 64 * mib;
         entry.state = ResidencyState::Resident;
-        entry.epoch = 7;
-        entry.sender = "node-1/0123456789abcdef0123456789abcdef";
         rows.push_back(std::move(entry));
     }
     return TargetLedger::create(
