--- a/StandIns/EngineStandIn.h
+++ b/StandIns/EngineStandIn.h
@@ -3,6 +3,8 @@
 #include <StandIns/EngineCore.h>
 #include <StandIns/StandInServer.h>
 
+#include <deque>
+
 namespace cyclamenstair::standin {
 
 /// Returns the text of token `index` of the answer to `prompt` by `model`, by which checkers verify answers.
@@ -17,7 +19,8 @@
 /// `lose_order_answers` (orders with effect but no answer), `late_orders` and `late_order_ms` (orders that get no
 /// answer and take effect later), `break_streams` (streams that end in the middle), `stall_streams` (streams that fall
 /// silent in the middle), `fail_completions` (completions that run and are answered with status 500), `refuse`
-/// (completions are refused with X-Not-Run), `leaving` (the health answer says so).
+/// (completions are refused with X-Not-Run), `leaving` (the health answer says so), `report_lag_ms` (age of the
+/// load in X-Load).
 ///
 /// `POST /v1/cancel` with `request_id` cancels all attempts of a request, and with `attempt` as well only that one.
 class EngineStandIn {
@@ -42,8 +45,11 @@
     void answerStream(const Completion& completion, httplib::Response& response);
     void waitUntilAbandoned(const Completion& completion, const httplib::DataSink& sink);
     void sleepScaled(double ms);
+    uint32_t reportedLoad();
 
     EngineCore m_core;
+    std::mutex m_loadMutex;
+    std::deque<std::pair<TimePoint, uint32_t>> m_pastLoads; ///< Load at each request of the last seconds.
     std::vector<std::thread> m_lateOrders;
     StandInServer m_server;
 };
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -148,17 +148,19 @@
     m_storePort = freePort();
     m_standIns.push_back(startStandIn("standin-store", m_storePort, {}));
     m_platformPort = freePort();
-    m_standIns.push_back(
-        startStandIn("standin-platform", m_platformPort, { "--load-ms", "100", "--full-speed-loads", "3" }));
+    m_standIns.push_back(startStandIn("standin-platform", m_platformPort,
+        { "--load-ms", std::to_string(settings.weightLoadMs), "--full-speed-loads",
+            std::to_string(settings.weightLoadsAtOnce) }));
     constexpr uint64_t engineMemoryBytes = 16ULL << 30;
+    m_engineArguments
+        = { "--token-ms", std::to_string(settings.tokenMs), "--prefill-ms", std::to_string(settings.prefillMs),
+              "--slots", std::to_string(settings.slots), "--weight-store", platformAddress() };
+    if (settings.ignoreFencing)
+        m_engineArguments.emplace_back("--ignore-fencing");
+    m_engines.resize(static_cast<size_t>(settings.engines));
     for (int i = 0; i < settings.engines; ++i) {
         m_enginePorts.push_back(freePort());
-        std::vector<std::string> arguments { "--token-ms", std::to_string(settings.tokenMs), "--slots",
-            std::to_string(settings.slots), "--weight-store", platformAddress() };
-        if (settings.ignoreFencing)
-            arguments.emplace_back("--ignore-fencing");
-        m_engines.push_back(startStandIn("standin-engine", m_enginePorts.back(), arguments));
-        m_engineArguments.push_back(arguments);
+        startEngine(i);
         m_vms.push_back({ { "id", "engine-" + std::to_string(i) }, { "kind", "engine" }, { "state", "live" },
             { "address", address(m_enginePorts.back()) }, { "region", "region-1" },
             { "failure_domain", "domain-" + std::to_string(i % 3) }, { "pool", "drafting" },
@@ -175,6 +177,12 @@
     publishVms();
 }
 
+void ProcessFleet::startEngine(int engine)
+{
+    const auto index = static_cast<size_t>(engine);
+    m_engines[index] = startStandIn("standin-engine", m_enginePorts[index], m_engineArguments);
+}
+
 void ProcessFleet::writeNodeConfigs(const FleetSettings& settings)
 {
     const auto keyPath = m_directory + "/fleet.key";
@@ -230,9 +238,8 @@
 
 void ProcessFleet::restartEngine(int engine)
 {
-    const auto index = static_cast<size_t>(engine);
-    m_engines[index].reset();
-    m_engines[index] = startStandIn("standin-engine", m_enginePorts[index], m_engineArguments[index]);
+    killEngine(engine);
+    startEngine(engine);
 }
 
 int ProcessFleet::acceptPlan(const std::string& sheet, int node, const std::vector<std::string>& arguments)
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -25,6 +25,7 @@
     ChildProcess& operator=(const ChildProcess&) = delete;
 
     void signal(int number);
+    pid_t id() const { return m_pid; }
 
     /// Waits for the end of the process; returns its exit status, or no value if it did not end in time.
     std::optional<int> wait(int limitMs);
@@ -40,7 +41,10 @@
     int services { 1 };
     bool ignoreFencing { false };
     double tokenMs { 2 };
+    double prefillMs { 4 };
     uint32_t slots { 8 };
+    double weightLoadMs { 100 };
+    int weightLoadsAtOnce { 3 };
     std::map<std::string, std::string> nodeSettings; ///< Extra settings by "section.key".
     std::map<int, std::vector<int>> seedsOf; ///< Nodes that a node has as seeds; all nodes for those without an entry.
 };
@@ -76,6 +80,10 @@
     void startNode(int node);
     void killNode(int node);
 
+    /// Starts an engine, or ends it at once; its address stays in the VM list.
+    void startEngine(int engine);
+    void killEngine(int engine) { m_engines[static_cast<size_t>(engine)].reset(); }
+
     /// Ends an engine at once and starts it again at the same address.
     void restartEngine(int engine);
 
@@ -115,7 +123,7 @@
     std::vector<int> m_servicePorts;
     std::vector<std::unique_ptr<ChildProcess>> m_standIns;
     std::vector<std::unique_ptr<ChildProcess>> m_engines;
-    std::vector<std::vector<std::string>> m_engineArguments;
+    std::vector<std::string> m_engineArguments;
     std::vector<NodeSlot> m_nodes;
     nlohmann::json m_vms = nlohmann::json::array();
     std::atomic<int> m_toolRuns { 0 };
