Measure the bucket exchange of the gossip table

Cause: the performance program measured the exchange of all keys and versions, which the bucket hashes have replaced, and did not build. Change: benchmarks for request, answer and first entries of the new exchange. Conclusion: docs/CAPACITY.md must be worked out again from these slopes.

--- a/Benchmarks/Perf/GossipPerf.cpp
+++ b/Benchmarks/Perf/GossipPerf.cpp
@@ -18,59 +18,83 @@
             benchmark->Arg(entries);
     }
 
-    void gossipDigest(benchmark::State& state)
+    GossipRequestMessage requestOf(const GossipTable& table)
+    {
+        const auto now = monotonicNow();
+        return { 1, table.bucketHashes(now),
+            table.freshBeats(GossipTable::beatWindow, GossipTable::maxBeatsInRequest, now) };
+    }
+
+    /// The answering side: rows of the buckets that differ.
+    GossipResponseMessage answer(const GossipTable& table, const GossipRequestMessage& request)
+    {
+        const auto now = monotonicNow();
+        auto buckets = table.differingBuckets(request.bucketHashes, now);
+        auto rows = table.rows(buckets, now);
+        return { 1, std::move(buckets), std::move(rows),
+            table.freshBeats(GossipTable::beatWindow, GossipTable::maxBeatsInResponse, now, request.beats) };
+    }
+
+    /// First message of an exchange: hashes of all buckets and fresh heartbeats.
+    void gossipRequest(benchmark::State& state)
     {
         GossipTable table;
         fillGossipTable(table, static_cast<int>(state.range(0)));
         size_t bytes = 0;
         for (auto _ : state)
-            bytes = encodePeerMessage(GossipRequestMessage { table.digest() }).size();
+            bytes = encodePeerMessage(requestOf(table)).size();
         state.counters["bytes"] = static_cast<double>(bytes);
     }
-    BENCHMARK(gossipDigest)->Apply(entryCounts);
+    BENCHMARK(gossipRequest)->Apply(entryCounts);
 
-    /// The answering side when nothing differs.
-    void gossipCompareEqual(benchmark::State& state)
+    /// The answer when nothing differs.
+    void gossipAnswerEqual(benchmark::State& state)
     {
         GossipTable table;
         fillGossipTable(table, static_cast<int>(state.range(0)));
-        const auto digest = encodePeerMessage(GossipRequestMessage { table.digest() });
+        const auto request = encodePeerMessage(requestOf(table));
+        size_t bytes = 0;
         for (auto _ : state) {
-            const auto message = decodePeerMessage(digest);
-            benchmark::DoNotOptimize(table.compare(std::get<GossipRequestMessage>(message).digest));
+            const auto message = decodePeerMessage(request);
+            bytes = encodePeerMessage(answer(table, std::get<GossipRequestMessage>(message))).size();
         }
+        state.counters["bytes"] = static_cast<double>(bytes);
     }
-    BENCHMARK(gossipCompareEqual)->Apply(entryCounts);
+    BENCHMARK(gossipAnswerEqual)->Apply(entryCounts);
 
-    /// Bytes of all entries, as a node receives them that has just started.
-    void gossipFullResponse(benchmark::State& state)
+    /// The answer when one entry differs: versions of the entries in its bucket.
+    void gossipAnswerOneDiffers(benchmark::State& state)
     {
         GossipTable table;
         fillGossipTable(table, static_cast<int>(state.range(0)));
+        const auto request = requestOf(table);
+        table.publish("target/changed", 2, "status", monotonicNow());
         size_t bytes = 0;
-        for (auto _ : state) {
-            auto difference = table.compare({});
-            bytes = encodePeerMessage(GossipResponseMessage { std::move(difference.newer), {} }).size();
-        }
+        for (auto _ : state)
+            bytes = encodePeerMessage(answer(table, request)).size();
         state.counters["bytes"] = static_cast<double>(bytes);
-        state.counters["fits_in_frame"] = bytes <= FrameSocket::maxFrameBytes ? 1 : 0;
     }
-    BENCHMARK(gossipFullResponse)->Apply(entryCounts);
+    BENCHMARK(gossipAnswerOneDiffers)->Apply(entryCounts);
 
-    /// Bytes of the heartbeats of the given number of members, which are newer at one side of nearly every exchange.
-    void gossipHeartbeats(benchmark::State& state)
+    /// Bytes of all entries that fit one message, as a node receives them that has just started.
+    void gossipFirstEntries(benchmark::State& state)
     {
         GossipTable table;
-        for (int i = 0; i < state.range(0); ++i)
-            table.publish("member/node-" + std::to_string(i), 1, encodeMember(sampleMember(i)), monotonicNow());
+        fillGossipTable(table, static_cast<int>(state.range(0)));
+        const GossipTable empty;
         size_t bytes = 0;
+        size_t entries = 0;
         for (auto _ : state) {
-            auto difference = table.compare({});
-            bytes = encodePeerMessage(GossipResponseMessage { std::move(difference.newer), {} }).size();
+            const auto now = monotonicNow();
+            const auto buckets = empty.differingBuckets(table.bucketHashes(now), now);
+            auto difference = table.compare(buckets, {}, now);
+            entries = difference.newer.size();
+            bytes = encodePeerMessage(GossipPushMessage { std::move(difference.newer), {} }).size();
         }
         state.counters["bytes"] = static_cast<double>(bytes);
+        state.counters["entries"] = static_cast<double>(entries);
     }
-    BENCHMARK(gossipHeartbeats)->Arg(7)->Arg(44)->Arg(175)->Arg(1400);
+    BENCHMARK(gossipFirstEntries)->Apply(entryCounts);
 
     /// One exchange of equal tables over a new connection on loopback: processor time of both sides together.
     void gossipExchange(benchmark::State& state)
@@ -82,18 +106,12 @@
         settings.fleetKey = fleetKey;
         const auto server
             = PeerServer::create(settings, [&](const PeerMessage& request, const std::string&) -> PeerMessage {
-                  const auto* message = std::get_if<GossipRequestMessage>(&request);
-                  if (!message)
-                      return PlanFetchResponseMessage { 1, "" };
-                  auto difference = table.compare(message->digest);
-                  return GossipResponseMessage { std::move(difference.newer), std::move(difference.wanted) };
+                  return answer(table, std::get<GossipRequestMessage>(request));
               }).value();
         const auto address = "127.0.0.1:" + std::to_string(server->port());
         for (auto _ : state) {
             auto socket = FrameSocket::connect(address, "client", fleetKey, milliseconds(1000));
-            socket.value().send(GossipRequestMessage { table.digest() });
-            benchmark::DoNotOptimize(socket.value().receive());
-            socket.value().send(PlanFetchRequestMessage { 1 });
+            socket.value().send(requestOf(table));
             benchmark::DoNotOptimize(socket.value().receive());
         }
     }
--- a/Benchmarks/Perf/RequestPerf.cpp
+++ b/Benchmarks/Perf/RequestPerf.cpp
@@ -41,7 +41,7 @@
     /// Encoding and authenticating a frame that carries a plan of the given size.
     void frameWithCode(benchmark::State& state)
     {
-        const PlanFetchResponseMessage message { 1, std::string(static_cast<size_t>(state.range(0)), 'x') };
+        const PlanFetchResponseMessage message { 1, {}, std::string(static_cast<size_t>(state.range(0)), 'x'), 0, 0 };
         for (auto _ : state)
             benchmark::DoNotOptimize(hmacSha256("0123456789abcdef", encodePeerMessage(message)));
     }
