Record what callers see in metrics, and reload settings on SIGHUP

The schema marked keys as reloadable that no part read again. Change: NodeMetrics for outcomes, refusals by step, latency by class, queue time, moves, store calls, members and targets; SIGHUP takes over log level, operator token and certificates and names the keys that need a restart. Conclusion: moving the parts to LiveSettings is left for later.

--- a/Benchmarks/LoadFleet.cpp
+++ b/Benchmarks/LoadFleet.cpp
@@ -71,7 +71,7 @@
 
 int64_t LoadFleet::weightLoads()
 {
-    return ProcessFleet::getJson(m_processes.platformAddress(), "/loads").value("loads", int64_t(0));
+    return ProcessFleet::fetchJson(m_processes.platformAddress(), "/loads").value("loads", int64_t(0));
 }
 
 LoadResult LoadFleet::run(const RunSettings& settings)
@@ -116,7 +116,7 @@
     testing::TargetLogs logs;
     int64_t runs = 0;
     for (int engine = 0; engine < m_deployment.engines; ++engine) {
-        const auto log = ProcessFleet::getJson(m_processes.engineAddress(engine), "/log");
+        const auto log = ProcessFleet::fetchJson(m_processes.engineAddress(engine), "/log");
         for (const auto& run : log["runs"]) {
             const auto id = run["request_id"].get<std::string>();
             logs.requestIds.insert(id);
@@ -128,7 +128,7 @@
         requests += ownIds.contains(id) ? 1 : 0;
     result.extraAttempts = runs - requests;
     for (int service = 0; service < m_deployment.services; ++service) {
-        const auto log = ProcessFleet::getJson(m_processes.serviceAddress(service), "/log");
+        const auto log = ProcessFleet::fetchJson(m_processes.serviceAddress(service), "/log");
         for (const auto& id : log["request_ids"])
             logs.requestIds.insert(id.get<std::string>());
         for (const auto& [key, count] : log["runs_by_key"].items())
--- a/Benchmarks/LoadMain.cpp
+++ b/Benchmarks/LoadMain.cpp
@@ -27,8 +27,10 @@
             + names);
     options.add_options()("scenario", "Scenario", cxxopts::value<std::string>())(
         "deployment", "prairie-hours or puppy-walker", cxxopts::value<std::string>()->default_value("prairie-hours"))(
-        "seed", "Seed of the mix", cxxopts::value<uint64_t>()->default_value("20261204"))(
-        "time-scale", "Factor for the lengths of all phases", cxxopts::value<double>()->default_value("1"))(
+        "seed", "Seed of the mix", cxxopts::value<uint64_t>()->default_value("20261204"))("time-scale",
+        "Factor for the lengths of all phases", cxxopts::value<double>()->default_value("1"))("crest-load",
+        "Load at the top of the crest, as a multiple of the engines' capacity",
+        cxxopts::value<double>()->default_value("1.2"))(
         "threads", "Calls that can be in flight", cxxopts::value<size_t>()->default_value("500"))("set",
         "Further setting of the nodes as SECTION.KEY=VALUE, for both policies",
         cxxopts::value<std::vector<std::string>>())(
@@ -51,6 +53,7 @@
     options.deployment = *deployment;
     options.seed = arguments["seed"].as<uint64_t>();
     options.timeScale = arguments["time-scale"].as<double>();
+    options.crestLoad = arguments["crest-load"].as<double>();
     options.threads = arguments["threads"].as<size_t>();
     if (arguments.count("set")) {
         for (const auto& setting : arguments["set"].as<std::vector<std::string>>()) {
--- a/Benchmarks/Scenario.cpp
+++ b/Benchmarks/Scenario.cpp
@@ -12,7 +12,6 @@
 namespace {
 
     constexpr double longShare = 0.1;
-    constexpr double crestLoad = 1.2;
     constexpr double stragglerLoad = 0.4;
     constexpr double longWorkLoad = 0.65;
     constexpr double slowFactor = 10;
@@ -61,7 +60,7 @@
             run.threads = options.threads;
             run.mix = mixOf(options, 0);
             run.mix.longShare = longShare;
-            const double top = rateFor(deployment, run.mix, crestLoad);
+            const double top = rateFor(deployment, run.mix, options.crestLoad);
             // The swing itself keeps its 2 s at every time scale.
             const double swingAt = 3 * options.timeScale;
             const double topUntil = swingAt + 2 + 6 * options.timeScale;
--- a/Benchmarks/Scenario.h
+++ b/Benchmarks/Scenario.h
@@ -16,6 +16,7 @@
     DeploymentKind deployment { DeploymentKind::PrairieHours };
     uint64_t seed { 20261204 };
     double timeScale { 1 }; ///< Factor for the lengths of all phases; below 1 for trials.
+    double crestLoad { 1.2 }; ///< Load at the top of the swing, as a multiple of the engines' capacity.
     size_t threads { 500 }; ///< Calls that the load generator can have in flight.
     std::map<std::string, std::string> nodeSettings; ///< Further settings of the nodes by "section.key".
 };
@@ -32,7 +33,7 @@
     nlohmann::json toJson() const;
 };
 
-/// Tenfold swing within 2 s, up to 1.2 times the engines' capacity.
+/// Tenfold swing within 2 s, up to `crestLoad` times the engines' capacity.
 struct CrestScenario {
     static constexpr std::string_view name = "crest";
 };
--- a/Cyclamenstair/Node/Coordinator.cpp
+++ b/Cyclamenstair/Node/Coordinator.cpp
@@ -32,7 +32,7 @@
 
 Coordinator::Coordinator(const schema::SettingsT& settings, const OrderEvidence& evidence, const VmListFollower& vms,
     const DemandPublisher& demand, StoreClient& store, const PlanRegister& plans, GossipTable& gossip,
-    TargetDirectory& directory)
+    TargetDirectory& directory, Metrics& metrics)
     : m_settings(settings)
     , m_evidence(&evidence)
     , m_vms(&vms)
@@ -41,6 +41,7 @@
     , m_plans(&plans)
     , m_gossip(&gossip)
     , m_directory(&directory)
+    , m_metrics(&metrics)
     , m_weightLoads(store, "weight_loads/" + settings.node->region, evidence.incarnation(),
           [&evidence](const std::string& holder) { return evidence.hasEnded(holder); })
     , m_adapterLoads(store, "adapter_loads/" + settings.node->region, evidence.incarnation(),
@@ -162,7 +163,11 @@
                 TargetWorkerSettings { milliseconds(m_settings.placement->interval_ms),
                     milliseconds(m_settings.placement->order_timeout_ms) },
                 [this](const TargetWorker& changed) { publishEngine(changed); },
-                [this](const PlacementOrder& order, bool) { endOrder(order); });
+                [this](const PlacementOrder& order, bool isDone) {
+                    if (isDone)
+                        m_metrics->add(Metric::Moves, std::string(nameOf(order.kind)));
+                    endOrder(order);
+                });
         }
         worker->setVm(vm);
         worker->setActive(true);
--- a/Cyclamenstair/Node/Coordinator.h
+++ b/Cyclamenstair/Node/Coordinator.h
@@ -6,6 +6,7 @@
 #include <Cyclamenstair/Node/TargetWorker.h>
 #include <Cyclamenstair/Placement/PlacementPolicy.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
+#include <Cyclamenstair/Telemetry/Metrics.h>
 
 #include <map>
 #include <memory>
@@ -18,7 +19,7 @@
 public:
     Coordinator(const schema::SettingsT& settings, const OrderEvidence& evidence, const VmListFollower& vms,
         const DemandPublisher& demand, StoreClient& store, const PlanRegister& plans, GossipTable& gossip,
-        TargetDirectory& directory);
+        TargetDirectory& directory, Metrics& metrics);
 
     ~Coordinator();
 
@@ -51,6 +52,7 @@
     const PlanRegister* m_plans;
     GossipTable* m_gossip;
     TargetDirectory* m_directory;
+    Metrics* m_metrics;
     PortionKeeper m_weightLoads;
     PortionKeeper m_adapterLoads;
     std::map<std::string, PlacementPolicy> m_policies; ///< By pool.
--- a/Cyclamenstair/Node/FrontEnd.cpp
+++ b/Cyclamenstair/Node/FrontEnd.cpp
@@ -127,11 +127,15 @@
     http.Post(servicePath, service);
     http.Put(servicePath, service);
     http.Delete(servicePath, service);
+    http.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
+        response.set_content(m_parts.metrics->text(m_callsInProgress), "text/plain; version=0.0.4");
+    });
     http.set_exception_handler(
-        [](const httplib::Request&, httplib::Response& response, const std::exception_ptr& thrown) {
+        [this](const httplib::Request&, httplib::Response& response, const std::exception_ptr& thrown) {
             try {
                 std::rethrow_exception(thrown);
             } catch (const Exception& exception) {
+                m_parts.metrics->recordFailure(RequestOutcome::NotRun, exception.error());
                 writeError(response, randomId(), exception.error());
             } catch (const std::exception& exception) {
                 logEvent(LogSeverity::Error, "request_failed", { { "message", exception.what() } });
@@ -250,16 +254,18 @@
     const Request& request, const CallerSpec& caller, double work, httplib::Response& response)
 {
     if (const auto wait = m_parts.quota->take(caller, m_parts.admission->liveNodes())) {
-        writeFailure(response, request.id,
+        answerFailure(request,
             { RequestOutcome::NotRun,
-                { ErrorKind::LimitExceeded, "request.quota", "", "the caller's request rate is used up" }, *wait });
+                { ErrorKind::LimitExceeded, "request.quota", "", "the caller's request rate is used up" }, *wait },
+            response);
         return;
     }
     auto entered = m_parts.admission->enter(request, work);
     if (const auto* failure = std::get_if<RequestFailure>(&entered)) {
-        writeFailure(response, request.id, *failure);
+        answerFailure(request, *failure, response);
         return;
     }
+    m_parts.metrics->recordAdmitted(request);
     auto& pass = std::get<std::unique_ptr<AdmissionGate::Pass>>(entered);
     try {
         if (request.isStream)
@@ -269,23 +275,31 @@
     } catch (const std::exception& exception) {
         // The request may have been sent, so that "not run" would be a guess.
         logEvent(LogSeverity::Error, "request_failed", { { "request", request.id }, { "message", exception.what() } });
-        writeFailure(response, request.id,
-            { RequestOutcome::Unknown, { ErrorKind::Internal, "request.handle", "", "internal error" }, Duration(0) });
+        answerFailure(request,
+            { RequestOutcome::Unknown, { ErrorKind::Internal, "request.handle", "", "internal error" }, Duration(0) },
+            response);
     }
 }
 
+void FrontEnd::answerFailure(const Request& request, const RequestFailure& failure, httplib::Response& response)
+{
+    m_parts.metrics->recordFailure(failure.outcome, failure.error);
+    writeFailure(response, request.id, failure);
+}
+
 void FrontEnd::answerWhole(const Request& request, AdmissionGate::Pass& pass, httplib::Response& response)
 {
     // Only calls that a target answered now count as observations, not repeated answers.
     const auto onAnswer = [&](Duration serviceTime) { pass.markComplete(serviceTime); };
     auto result = request.isRepeatable ? m_parts.executor->run(request) : m_parts.bookings->run(request, onAnswer);
     if (const auto* failure = std::get_if<RequestFailure>(&result)) {
-        writeFailure(response, request.id, *failure);
+        answerFailure(request, *failure, response);
         return;
     }
     const auto& answer = std::get<WholeAnswer>(result);
     if (request.isRepeatable && answer.status < firstErrorStatus)
         pass.markComplete();
+    m_parts.metrics->recordComplete(request);
     response.status = answer.status;
     response.set_header("X-Outcome", std::string(nameOf(RequestOutcome::Complete)));
     response.set_header("X-Request-Id", request.id);
@@ -297,19 +311,20 @@
 {
     auto started = m_parts.executor->start(request);
     if (const auto* failure = std::get_if<RequestFailure>(&started)) {
-        writeFailure(response, request.id, *failure);
+        answerFailure(request, *failure, response);
         return;
     }
     // Shared, because the library copies the provider that owns the running answer. The last copy frees the place.
     const std::shared_ptr<RunningAnswer> answer = std::move(std::get<std::unique_ptr<RunningAnswer>>(started));
     const std::shared_ptr<AdmissionGate::Pass> place = std::move(pass);
     const auto guard = std::make_shared<CallGuard>(m_callsInProgress);
+    m_parts.metrics->recordFirstByte(request);
     response.status = answer->head().status;
     // Holds if the stream ends with its last chunk; a broken stream ends without it.
     response.set_header("X-Outcome", std::string(nameOf(RequestOutcome::Complete)));
     response.set_header("X-Request-Id", request.id);
     response.set_chunked_content_provider(
-        answer->head().contentType, [answer, place, guard](size_t, httplib::DataSink& sink) {
+        answer->head().contentType, [this, request, answer, place, guard](size_t, httplib::DataSink& sink) {
             auto event = answer->next();
             if (const auto* data = std::get_if<AttemptData>(&event))
                 return sink.write(data->bytes.data(), data->bytes.size());
@@ -319,6 +334,7 @@
                 return false; // The connection ends without the last chunk, which callers see as a broken answer.
             if (answer->head().status < firstErrorStatus)
                 place->markComplete();
+            m_parts.metrics->recordComplete(request);
             sink.done();
             return true;
         });
--- a/Cyclamenstair/Node/FrontEnd.h
+++ b/Cyclamenstair/Node/FrontEnd.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Node/AdmissionGate.h>
 #include <Cyclamenstair/Node/BookingExecutor.h>
 #include <Cyclamenstair/Node/CallerQuota.h>
+#include <Cyclamenstair/Node/NodeMetrics.h>
 #include <Cyclamenstair/Placement/DemandTracker.h>
 #include <Cyclamenstair/Plan/PlanRegister.h>
 #include <Cyclamenstair/Transport/HttpListener.h>
@@ -24,6 +25,7 @@
     AdmissionGate* admission;
     CallerQuota* quota;
     DemandTracker* demand;
+    NodeMetrics* metrics;
 };
 
 /// HTTP listener for callers.
@@ -59,6 +61,7 @@
     /// Takes the request through the caller's limit and admission, then answers it. `work` is the expected work in
     /// tokens.
     void admitAndAnswer(const Request& request, const CallerSpec& caller, double work, httplib::Response& response);
+    void answerFailure(const Request& request, const RequestFailure& failure, httplib::Response& response);
     void answerWhole(const Request& request, AdmissionGate::Pass& pass, httplib::Response& response);
     void answerStream(const Request& request, std::unique_ptr<AdmissionGate::Pass> pass, httplib::Response& response);
 
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -72,13 +72,14 @@
 
     auto operatorApi = OperatorApi::create(settings,
         { &node->m_store, &node->m_plans, &node->m_planExchange, &node->m_gossip, &node->m_gossipLoop,
-            &node->m_directory, &node->m_peers, &node->m_audit });
+            &node->m_directory, &node->m_peers, &node->m_audit, &node->m_liveSettings });
     if (!operatorApi)
         return operatorApi.error();
     node->m_operatorApi = std::move(operatorApi).value();
 
     auto frontEnd = FrontEnd::create(settings, node->m_plans,
-        { &node->m_executor, &node->m_bookings, &node->m_admission, &node->m_quota, &node->m_demand });
+        { &node->m_executor, &node->m_bookings, &node->m_admission, &node->m_quota, &node->m_demand,
+            &node->m_nodeMetrics });
     if (!frontEnd)
         return frontEnd.error();
     node->m_frontEnd = std::move(frontEnd).value();
@@ -89,9 +90,11 @@
 
 Node::Node(const schema::SettingsT& settings, const std::string& fleetKey)
     : m_settings(settings)
+    , m_liveSettings(settings)
     , m_incarnation(settings.node->id + "/" + randomId())
     , m_store(EtcdBackend(settings.store->endpoint), storeSettings(*settings.store))
     , m_gossip({ { memberKeyPrefix, memberRetentionTimeouts * milliseconds(settings.peer->member_timeout_ms) } })
+    , m_nodeMetrics(m_metrics, m_store, m_plans, m_gossip, m_directory, milliseconds(settings.peer->member_timeout_ms))
     , m_executor(settings, m_directory)
     , m_bookings(settings, m_incarnation, fleetKey, m_store, m_gossip, m_executor)
     , m_admission(settings, m_directory, m_gossip)
@@ -105,7 +108,8 @@
     , m_vms(settings.platform->vm_list_endpoint, milliseconds(settings.platform->poll_ms), m_directory)
     , m_demandPublisher(settings.node->id, milliseconds(settings.peer->member_timeout_ms), m_demand, m_gossip)
     , m_orderEvidence(settings, m_incarnation, fleetKey, m_gossip, m_vms, m_orders)
-    , m_coordinator(settings, m_orderEvidence, m_vms, m_demandPublisher, m_store, m_plans, m_gossip, m_directory)
+    , m_coordinator(
+          settings, m_orderEvidence, m_vms, m_demandPublisher, m_store, m_plans, m_gossip, m_directory, m_metrics)
 {
 }
 
@@ -123,6 +127,21 @@
         request);
 }
 
+void Node::reload(const schema::SettingsT& settings)
+{
+    const auto reload = m_liveSettings.reload(settings);
+    for (const auto& key : reload.applied)
+        logEvent(LogSeverity::Info, "settings_reloaded", { { "key", key } });
+    for (const auto& key : reload.needRestart)
+        logEvent(LogSeverity::Warning, "settings_need_restart", { { "key", key } });
+    const auto current = m_liveSettings.current();
+    configureLog(static_cast<LogSeverity>(current->log->level));
+    for (const auto& error : { m_frontEnd->reloadCertificate(), m_operatorApi->reloadCertificate() }) {
+        if (error)
+            logError(LogSeverity::Error, "certificate_not_reloaded", *error);
+    }
+}
+
 void Node::stop()
 {
     logEvent(LogSeverity::Info, "node_stopping", { { "node", m_settings.node->id } });
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -7,8 +7,10 @@
 #include <Cyclamenstair/Node/FrontEnd.h>
 #include <Cyclamenstair/Node/GossipLoop.h>
 #include <Cyclamenstair/Node/MembershipLease.h>
+#include <Cyclamenstair/Node/NodeMetrics.h>
 #include <Cyclamenstair/Node/OperatorApi.h>
 #include <Cyclamenstair/Node/PlanFollower.h>
+#include <Cyclamenstair/Settings/LiveSettings.h>
 
 namespace cyclamenstair {
 
@@ -22,6 +24,9 @@
     /// all parts.
     void stop();
 
+    /// Takes over the reloadable keys of `settings` and reads the TLS certificates again.
+    void reload(const schema::SettingsT& settings);
+
 private:
     Node(const schema::SettingsT& settings, const std::string& fleetKey);
 
@@ -29,11 +34,14 @@
     PeerMessage answerPeer(const PeerMessage& request);
 
     schema::SettingsT m_settings;
+    LiveSettings m_liveSettings;
     std::string m_incarnation;
+    Metrics m_metrics;
     StoreClient m_store;
     PlanRegister m_plans;
     GossipTable m_gossip;
     TargetDirectory m_directory;
+    NodeMetrics m_nodeMetrics;
     OrderBook m_orders;
     DemandTracker m_demand;
     RequestExecutor m_executor;
--- a/Cyclamenstair/Node/OperatorApi.cpp
+++ b/Cyclamenstair/Node/OperatorApi.cpp
@@ -84,7 +84,7 @@
 {
     const auto header = http.get_header_value("Authorization");
     if (!header.starts_with("Bearer ")
-        || !verifyToken(std::string_view(header).substr(7), m_settings.operator_api->token_hash))
+        || !verifyToken(std::string_view(header).substr(7), m_context.settings->current()->operator_api->token_hash))
         throw Exception(
             { ErrorKind::Unauthorized, "operator.authenticate", "", "the bearer token is missing or unknown" });
 }
--- a/Cyclamenstair/Node/OperatorContext.h
+++ b/Cyclamenstair/Node/OperatorContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Node/GossipLoop.h>
+#include <Cyclamenstair/Settings/LiveSettings.h>
 #include <Cyclamenstair/Store/StoreClient.h>
 
 namespace cyclamenstair {
@@ -15,6 +16,7 @@
     const TargetDirectory* directory { nullptr };
     const PeerDirectory* peers { nullptr };
     AuditTrail* audit { nullptr };
+    const LiveSettings* settings { nullptr };
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -44,8 +44,6 @@
         return { MetricKind::Summary, "class", "Time from arrival to the end of the answer." };
     case Metric::QueueSeconds:
         return { MetricKind::Summary, "class", "Time that requests waited in the node." };
-    case Metric::Attempts:
-        return { MetricKind::Counter, "kind", "Attempts at targets: first, retry, hedge or resume." };
     case Metric::FirstByteSeconds:
         return { MetricKind::Summary, "class", "Time from arrival to the first byte of the answer." };
     case Metric::Moves:
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -26,7 +26,16 @@
     return signals;
 }
 
-int runNode(const schema::SettingsT& settings)
+void reload(Node& node, const std::string& path)
+{
+    const auto settings = SettingsReader::createFromFile(path);
+    if (settings)
+        node.reload(settings.value());
+    else
+        logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
+}
+
+int runNode(const schema::SettingsT& settings, const std::string& path)
 {
     const auto signals = blockSignals();
     configureLog(static_cast<LogSeverity>(settings.log->level));
@@ -36,9 +45,8 @@
         return exitFailure;
     }
     int received = 0;
-    do {
-        sigwait(&signals, &received);
-    } while (received == SIGHUP);
+    while (sigwait(&signals, &received) == 0 && received == SIGHUP)
+        reload(*node.value(), path);
     node.value()->stop();
     return exitOk;
 }
@@ -78,7 +86,7 @@
             std::cout << "settings are valid\n";
             return exitOk;
         }
-        return runNode(settings.value());
+        return runNode(settings.value(), arguments["config"].as<std::string>());
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
         return exitUsage;
--- a/Tests/NodeTests/AdmissionTests.cpp
+++ b/Tests/NodeTests/AdmissionTests.cpp
@@ -102,7 +102,7 @@
         for (const auto& reply : others)
             EXPECT_EQ(reply.status, 200);
         std::set<std::string> sent;
-        for (const auto& run : ProcessFleet::getJson(m_fleet.engineAddress(0), "/log")["runs"])
+        for (const auto& run : ProcessFleet::fetchJson(m_fleet.engineAddress(0), "/log")["runs"])
             sent.insert(run["request_id"].get<std::string>());
         std::vector<Clock::duration> served;
         std::vector<Clock::duration> refused;
--- a/Tests/NodeTests/BookingTests.cpp
+++ b/Tests/NodeTests/BookingTests.cpp
@@ -67,7 +67,7 @@
                 response->get_header_value("X-Request-Id"), response->has_header("Retry-After") };
         }
 
-        Json serviceLog() { return ProcessFleet::getJson(m_fleet.serviceAddress(0), "/log"); }
+        Json serviceLog() { return ProcessFleet::fetchJson(m_fleet.serviceAddress(0), "/log"); }
         int runs(const std::string& key) { return serviceLog()["runs_by_key"].value(key, 0); }
 
         void expectNotInServiceLog(const Reply& reply)
--- a/Tests/NodeTests/HistoryTests.cpp
+++ b/Tests/NodeTests/HistoryTests.cpp
@@ -128,7 +128,7 @@
         /// Adds the log to the logs of the history and returns the number of requests that run.
         int readEngineLog(int engine)
         {
-            const auto log = ProcessFleet::getJson(fleet().engineAddress(engine), "/log");
+            const auto log = ProcessFleet::fetchJson(fleet().engineAddress(engine), "/log");
             int running = 0;
             for (const auto& run : log["runs"]) {
                 m_logs.requestIds.insert(run["request_id"].get<std::string>());
@@ -139,7 +139,7 @@
 
         void readServiceLog(int service)
         {
-            const auto log = ProcessFleet::getJson(fleet().serviceAddress(service), "/log");
+            const auto log = ProcessFleet::fetchJson(fleet().serviceAddress(service), "/log");
             for (const auto& id : log["request_ids"])
                 m_logs.requestIds.insert(id.get<std::string>());
             for (const auto& [key, count] : log["runs_by_key"].items())
--- a/Tests/NodeTests/PlacementTests.cpp
+++ b/Tests/NodeTests/PlacementTests.cpp
@@ -63,7 +63,7 @@
         void expectNoOvercommit()
         {
             for (int engine = 0; engine < 3; ++engine) {
-                const auto log = ProcessFleet::getJson(m_fleet.engineAddress(engine), "/log");
+                const auto log = ProcessFleet::fetchJson(m_fleet.engineAddress(engine), "/log");
                 EXPECT_EQ(log["overcommits"], 0) << log["artifacts"].dump();
             }
         }
@@ -138,7 +138,7 @@
         m_fleet.restartEngine(engine);
         EXPECT_TRUE(m_fleet.waitUntil(
             [&] {
-                const auto log = ProcessFleet::getJson(m_fleet.engineAddress(engine), "/log");
+                const auto log = ProcessFleet::fetchJson(m_fleet.engineAddress(engine), "/log");
                 return log["artifacts"].size() == 1;
             },
             reachLimitMs));
--- a/Tests/NodeTests/PlanSpreadTests.cpp
+++ b/Tests/NodeTests/PlanSpreadTests.cpp
@@ -236,7 +236,7 @@
         ASSERT_TRUE(waitForRevision(fleet, 1, planLimitMs, { 0, 1, 2 }));
         for (int node = 0; node < nodes; ++node)
             ASSERT_TRUE(fleet.waitUntilReachable("draft", node, settleLimitMs));
-        const auto calls = [&] { return ProcessFleet::getJson(fleet.storeAddress(), "/calls")["calls"].get<int>(); };
+        const auto calls = [&] { return ProcessFleet::fetchJson(fleet.storeAddress(), "/calls")["calls"].get<int>(); };
         const int before = calls();
         std::this_thread::sleep_for(std::chrono::seconds(seconds));
         const int made = calls() - before;
--- a/Tests/NodeTests/RequestPathTests.cpp
+++ b/Tests/NodeTests/RequestPathTests.cpp
@@ -61,7 +61,7 @@
             return count;
         }
 
-        Json log(int engine) { return ProcessFleet::getJson(m_fleet->engineAddress(engine), "/log"); }
+        Json log(int engine) { return ProcessFleet::fetchJson(m_fleet->engineAddress(engine), "/log"); }
 
         void setFaults(int engine, const Json& faults)
         {
@@ -270,7 +270,7 @@
         EXPECT_EQ(answer->get_header_value("X-Outcome"), "unknown");
         int count = 0;
         for (int service = 0; service < 2; ++service)
-            count += ProcessFleet::getJson(m_fleet->serviceAddress(service), "/log")["runs_by_key"].value("key-1", 0);
+            count += ProcessFleet::fetchJson(m_fleet->serviceAddress(service), "/log")["runs_by_key"].value("key-1", 0);
         EXPECT_EQ(count, 1);
         // Reads may be repeated: the other service or the next attempt answers.
         const auto read = client().Get("/services/roster/rows", headers());
--- a/Tests/NodeTests/ThinPathTests.cpp
+++ b/Tests/NodeTests/ThinPathTests.cpp
@@ -104,6 +104,25 @@
         EXPECT_EQ((*m_fleet.status(0))["plan_revision"], 1);
     }
 
+    // Guards against metrics that miss what callers saw, and against a reload that ends the daemon or is ignored.
+    TEST_F(ThinPath, MetricsCountOutcomesAndReloadTakesTheNewOperatorToken)
+    {
+        httplib::Client client("http://" + m_fleet.callerAddress(0));
+        ASSERT_EQ(complete(m_fleet.callerAddress(0), { { "model", "draft" }, { "prompt", "x" } })->status, 200);
+        ASSERT_EQ(
+            client.Post("/v1/completions", callerHeaders(), "{\"model\":\"none\"}", "application/json")->status, 404);
+        const auto metrics = client.Get("/metrics")->body;
+        EXPECT_NE(metrics.find("cyclamenstair_requests_total{outcome=\"complete\"} 1\n"), std::string::npos) << metrics;
+        EXPECT_NE(metrics.find("cyclamenstair_refusals_total{reason=\"request.parse\"} 1\n"), std::string::npos)
+            << metrics;
+        EXPECT_NE(metrics.find("cyclamenstair_plan_revision 1\n"), std::string::npos) << metrics;
+
+        m_fleet.changeSetting(0, "token_hash", hashToken("another-token"));
+        m_fleet.node(0).signal(SIGHUP);
+        EXPECT_TRUE(m_fleet.waitUntil([&] { return !m_fleet.status(0); }, 5000));
+        EXPECT_EQ(complete(m_fleet.callerAddress(0), { { "model", "draft" }, { "prompt", "y" } })->status, 200);
+    }
+
     // Guards against a planned stop that cuts off a running stream.
     TEST_F(ThinPath, PlannedStopLetsRunningStreamsEnd)
     {
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -225,6 +225,18 @@
     }
 }
 
+void ProcessFleet::changeSetting(int node, const std::string& key, const std::string& value)
+{
+    const auto& path = m_nodes[static_cast<size_t>(node)].configPath;
+    std::ifstream before(path);
+    const auto prefix = key + " = ";
+    std::string text;
+    for (std::string line; std::getline(before, line);)
+        text.append(line.starts_with(prefix) ? prefix + value : line).append("\n");
+    before.close();
+    std::ofstream(path) << text;
+}
+
 void ProcessFleet::startNode(int node)
 {
     auto& slot = m_nodes[static_cast<size_t>(node)];
@@ -309,7 +321,7 @@
         throw std::runtime_error("no answer from the stand-in at " + address);
 }
 
-Json ProcessFleet::getJson(const std::string& address, const std::string& path)
+Json ProcessFleet::fetchJson(const std::string& address, const std::string& path)
 {
     httplib::Client client("http://" + address);
     const auto response = client.Get(path.c_str());
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -77,6 +77,9 @@
 
     ChildProcess& node(int node) { return *m_nodes[static_cast<size_t>(node)].process; }
     ChildProcess& engine(int engine) { return *m_engines[static_cast<size_t>(engine)]; }
+    /// Replaces the value of a key in the settings file of a node, which must hold the key once.
+    void changeSetting(int node, const std::string& key, const std::string& value);
+
     void startNode(int node);
     void killNode(int node);
 
@@ -89,7 +92,7 @@
 
     /// Sends faults to a stand-in.
     static void setFaults(const std::string& address, const nlohmann::json& faults);
-    static nlohmann::json getJson(const std::string& address, const std::string& path);
+    static nlohmann::json fetchJson(const std::string& address, const std::string& path);
 
     /// Replaces the state of a VM in the VM list.
     void setVmState(const std::string& id, const std::string& state);
