--- /dev/null
+++ b/Cyclamenstair/Control/LoadWindow.cpp
@@ -0,0 +1,12 @@
+#include <Cyclamenstair/Control/LoadWindow.h>
+
+namespace cyclamenstair {
+
+bool LoadWindow::mayLoad(double loadsPerSecond, TimePoint now)
+{
+    while (!m_loads.empty() && now - m_loads.front() >= window)
+        m_loads.pop_front();
+    return now >= m_fullUntil && static_cast<double>(m_loads.size()) + 1 <= loadsPerSecond * toSeconds(window);
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Control/OrderLease.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <Cyclamenstair/Core/Time.h>
+
+#include <cstdint>
+
+namespace cyclamenstair {
+
+/// Settings of an OrderLease.
+struct OrderLeaseSettings {
+    Duration timeToLive { milliseconds(2000) }; ///< Of the lease in the store, from the arrival of a renewal there.
+    /// Time after the sending of the last successful renewal during which orders may be given. Shorter than the time to
+    /// live, so that the store has not given the lease to another node.
+    Duration validity { milliseconds(1500) };
+    /// Wait between taking the lease and the first order. Engines accept no orders of two nodes within this time; the
+    /// platform's bound plus a margin for orders on their way.
+    Duration takeoverWait { milliseconds(3300) };
+};
+
+/// Whether this node may give orders. Times are of a clock that counts suspended time, so that a node that was paused
+/// does not believe that it still holds the lease.
+class OrderLease {
+public:
+    explicit OrderLease(OrderLeaseSettings settings)
+        : m_settings(settings)
+    {
+    }
+
+    /// The holder's key was created by this node, under a renewal sent at `sentAt`.
+    void taken(int64_t fencingNumber, TimePoint sentAt, TimePoint now);
+
+    /// A renewal that was sent at `sentAt` succeeded.
+    void renewed(TimePoint sentAt);
+
+    /// The lease is over.
+    void lost() { m_fencingNumber = 0; }
+
+    bool isHeld() const { return m_fencingNumber != 0; }
+
+    /// Returns whether an order may be sent now.
+    bool mayOrder(TimePoint now) const;
+
+    /// Returns whether the lease has surely lapsed for want of renewals.
+    bool hasLapsed(TimePoint now) const { return isHeld() && now - m_renewedAt >= m_settings.timeToLive; }
+
+    int64_t fencingNumber() const { return m_fencingNumber; }
+
+private:
+    OrderLeaseSettings m_settings;
+    int64_t m_fencingNumber { 0 }; ///< 0 while the lease is not held.
+    TimePoint m_renewedAt;
+    TimePoint m_ordersFrom;
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -0,0 +1,200 @@
+#include <Cyclamenstair/Control/ResidencyPlanner.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace cyclamenstair {
+
+ResidencyPlanner::ResidencyPlanner(const PlannerInput& input, const ResidencyPlannerSettings& settings)
+    : m_input(&input)
+    , m_settings(&settings)
+    , m_weightLoads(input.weightLoads)
+{
+    countCopies();
+}
+
+std::vector<TargetOrder> ResidencyPlanner::plan()
+{
+    placeModels();
+    placeAdapters();
+    return std::move(m_orders);
+}
+
+void ResidencyPlanner::countCopies()
+{
+    const auto& profile = *m_input->engine;
+    for (const auto& model : profile.models) {
+        ModelState state { &model };
+        if (profile.adapterSlots > 0)
+            state.leastCopies = std::max(1U, (model.adapterCount + profile.adapterSlots - 1) / profile.adapterSlots);
+        m_models.emplace(model.name, state);
+    }
+    for (const auto& [artifact, demand] : m_input->demand) {
+        const auto model = m_models.find(artifact.model);
+        if (artifact.service == m_input->service && model != m_models.end())
+            model->second.busy += demand.inProgress;
+    }
+    for (const auto& target : m_input->targets) {
+        Engine engine { &target,
+            target.isOrderable && !target.isLeaving && !target.report.isBusy && target.loadingModel.empty() };
+        engine.adapterPlaces = target.report.incomingAdapters;
+        for (const auto& held : target.report.models) {
+            const auto model = m_models.find(held.name);
+            if (model == m_models.end())
+                continue;
+            engine.usedMib += model->second.model->weightsMib
+                + model->second.model->adapterMib * static_cast<double>(held.adapters.size());
+            engine.adapterPlaces += static_cast<uint32_t>(held.adapters.size());
+            model->second.copies += target.isLeaving ? 0 : 1;
+        }
+        if (const auto loading = m_models.find(target.loadingModel);
+            loading != m_models.end() && !holds(engine, target.loadingModel)) {
+            engine.usedMib += loading->second.model->weightsMib;
+            loading->second.copies += target.isLeaving ? 0 : 1;
+        }
+        m_engines.push_back(engine);
+    }
+}
+
+void ResidencyPlanner::placeModels()
+{
+    // Models without a copy first, then those with the most requests for each copy.
+    std::vector<ModelState*> wanted;
+    for (auto& [name, state] : m_models)
+        wanted.push_back(&state);
+    std::stable_sort(wanted.begin(), wanted.end(), [](const ModelState* a, const ModelState* b) {
+        if ((a->copies == 0) != (b->copies == 0))
+            return a->copies == 0;
+        return a->busy / std::max(1U, a->copies) > b->busy / std::max(1U, b->copies);
+    });
+    for (auto* state : wanted) {
+        const bool isMissing = state->copies == 0;
+        const bool isShort = state->copies < state->leastCopies;
+        const bool isBusy = state->busy > m_settings->busyPerCopy * state->copies;
+        if (isMissing || isShort || isBusy)
+            placeCopy(*state);
+    }
+}
+
+bool ResidencyPlanner::placeCopy(ModelState& wanted)
+{
+    if (auto* engine = engineWithRoom(wanted)) {
+        if (!engine->target->report.cachedModels.contains(wanted.model->name))
+            --m_weightLoads;
+        engine->usedMib += wanted.model->weightsMib;
+        ++wanted.copies;
+        order(*engine, OrderKind::Load, wanted.model->name, {},
+            wanted.copies == 1 ? MoveReason::PlannedCopy : MoveReason::Demand);
+        return true;
+    }
+    const auto [engine, victim] = leastWantedCopy(wanted);
+    if (!engine)
+        return false;
+    --victim->copies;
+    order(*engine, OrderKind::Unload, victim->model->name, {}, MoveReason::MakeRoom);
+    return true;
+}
+
+ResidencyPlanner::Engine* ResidencyPlanner::engineWithRoom(const ModelState& wanted)
+{
+    Engine* best = nullptr;
+    for (auto& engine : m_engines) {
+        const bool hasRoom = engine.usedMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
+        if (!hasRoom || !mayLoad(engine, wanted))
+            continue;
+        const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
+        const bool isBestCached = best && best->target->report.cachedModels.contains(wanted.model->name);
+        if (!best || (isCached && !isBestCached)
+            || (isCached == isBestCached && engine.target->report.running < best->target->report.running))
+            best = &engine;
+    }
+    return best;
+}
+
+std::pair<ResidencyPlanner::Engine*, ResidencyPlanner::ModelState*> ResidencyPlanner::leastWantedCopy(
+    const ModelState& wanted)
+{
+    Engine* bestEngine = nullptr;
+    ModelState* bestVictim = nullptr;
+    double bestCost = wanted.copies == 0 ? std::numeric_limits<double>::infinity()
+                                         : wanted.busy / wanted.copies / m_settings->moveAdvantage;
+    for (auto& engine : m_engines) {
+        if (!mayLoad(engine, wanted))
+            continue;
+        for (const auto& held : engine.target->report.models) {
+            const auto victim = m_models.find(held.name);
+            if (victim == m_models.end() || victim->second.copies <= victim->second.leastCopies)
+                continue;
+            auto& state = victim->second;
+            const bool makesRoom
+                = engine.usedMib - state.model->weightsMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
+            const double cost = state.busy / (state.copies - 1);
+            const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
+            // Among equals, an engine that has the weights at hand.
+            const double rank = cost - (isCached ? 0.5 : 0);
+            if (makesRoom && rank < bestCost) {
+                bestEngine = &engine;
+                bestVictim = &state;
+                bestCost = rank;
+            }
+        }
+    }
+    return { bestEngine, bestVictim };
+}
+
+void ResidencyPlanner::placeAdapters()
+{
+    uint32_t inTransit = 0;
+    for (const auto& engine : m_engines)
+        inTransit += engine.target->report.incomingAdapters;
+    for (const auto& [name, state] : m_models) {
+        for (uint32_t number = 1; number <= state.model->adapterCount; ++number) {
+            if (inTransit >= m_settings->adapterOrdersAtOnce)
+                return;
+            const auto adapter = "a" + std::to_string(number);
+            Engine* best = nullptr;
+            bool isHeld = false;
+            for (auto& engine : m_engines) {
+                const auto& models = engine.target->report.models;
+                const auto held
+                    = std::find_if(models.begin(), models.end(), [&](const auto& model) { return model.name == name; });
+                if (held == models.end() || engine.target->isLeaving)
+                    continue;
+                isHeld = isHeld || held->adapters.contains(adapter);
+                const bool canTake = engine.target->isOrderable && !engine.isOrdered
+                    && engine.adapterPlaces < m_input->engine->adapterSlots
+                    && engine.target->report.incomingAdapters < m_settings->adaptersInTransitPerTarget
+                    && engine.usedMib + state.model->adapterMib <= m_input->engine->weightsMib;
+                if (canTake && (!best || engine.adapterPlaces < best->adapterPlaces))
+                    best = &engine;
+            }
+            if (isHeld || !best)
+                continue;
+            best->usedMib += state.model->adapterMib;
+            ++best->adapterPlaces;
+            ++inTransit;
+            order(*best, OrderKind::Load, name, adapter, MoveReason::PlannedCopy);
+        }
+    }
+}
+
+bool ResidencyPlanner::holds(const Engine& engine, const std::string& model) const
+{
+    const auto& models = engine.target->report.models;
+    return std::any_of(models.begin(), models.end(), [&](const auto& held) { return held.name == model; });
+}
+
+bool ResidencyPlanner::mayLoad(const Engine& engine, const ModelState& wanted) const
+{
+    const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
+    return engine.isFree && !engine.isOrdered && !holds(engine, wanted.model->name) && (isCached || m_weightLoads > 0);
+}
+
+void ResidencyPlanner::order(
+    Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason)
+{
+    engine.isOrdered = true;
+    m_orders.push_back({ engine.target->id, kind, model, adapter, reason });
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <Cyclamenstair/Catalog/ServiceCatalog.h>
+#include <Cyclamenstair/Control/EngineReport.h>
+#include <Cyclamenstair/Control/TargetOrder.h>
+#include <Cyclamenstair/Fleet/DemandCounter.h>
+
+namespace cyclamenstair {
+
+/// Settings of a ResidencyPlanner.
+struct ResidencyPlannerSettings {
+    /// A further copy is made only if the load per copy is this many times what the model that makes room for it would
+    /// then have per copy, so that noise in the demand moves nothing.
+    double moveAdvantage { 2.0 };
+    /// Requests in progress per copy below which a model needs no further copy.
+    double busyPerCopy { 6.0 };
+    uint32_t adaptersInTransitPerTarget { 4 }; ///< Limit of the engines.
+    uint32_t adapterOrdersAtOnce { 12 }; ///< Over all targets; more slow each other down at the weight store.
+};
+
+/// A target as the planner sees it.
+struct PlannerTarget {
+    std::string id;
+    bool isLeaving { false };
+    bool isOrderable { true }; ///< False while an order is unanswered or no recent report is known.
+    EngineReport report;
+    std::string loadingModel; ///< Model of an accepted load that the report does not show yet.
+};
+
+/// What the planner decides on, for one service.
+struct PlannerInput {
+    std::string service;
+    const EngineProfile* engine { nullptr };
+    std::vector<PlannerTarget> targets;
+    std::map<ArtifactKey, ArtifactLoad> demand; ///< Over all nodes.
+    uint32_t weightLoads { 0 }; ///< Loads from the weight store that may begin now.
+};
+
+/// Decides which models and adapters the engines of a service hold.
+///
+/// Every model keeps a copy; models with many requests in progress get further ones in place of the least wanted
+/// copies. Every adapter of a model that is held is placed before it is asked for. Orders never exceed a target's
+/// memory or adapter places as reported.
+class ResidencyPlanner {
+public:
+    ResidencyPlanner(const PlannerInput& input, const ResidencyPlannerSettings& settings);
+
+    /// Returns at most one order for each target.
+    std::vector<TargetOrder> plan();
+
+private:
+    struct Engine {
+        const PlannerTarget* target;
+        bool isFree; ///< Can take a model order now.
+        bool isOrdered { false };
+        double usedMib { 0 };
+        uint32_t adapterPlaces { 0 }; ///< Adapter places that are used or reserved.
+    };
+    struct ModelState {
+        const CatalogModel* model;
+        uint32_t copies { 0 }; ///< On targets that stay, loads in progress included.
+        double busy { 0 }; ///< Requests in progress or waiting.
+        uint32_t leastCopies { 1 }; ///< Copies needed to have places for all adapters.
+    };
+
+    void countCopies();
+    void placeModels();
+    void placeAdapters();
+    bool placeCopy(ModelState& wanted);
+    Engine* engineWithRoom(const ModelState& wanted);
+    /// Returns the engine and the model whose copy is least wanted, if it is wanted less than a further copy of
+    /// `wanted`.
+    std::pair<Engine*, ModelState*> leastWantedCopy(const ModelState& wanted);
+    bool holds(const Engine& engine, const std::string& model) const;
+    bool mayLoad(const Engine& engine, const ModelState& wanted) const;
+    void order(Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason);
+
+    const PlannerInput* m_input;
+    const ResidencyPlannerSettings* m_settings;
+    std::vector<Engine> m_engines;
+    std::map<std::string, ModelState> m_models;
+    uint32_t m_weightLoads;
+    std::vector<TargetOrder> m_orders;
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Control/TargetOrder.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Cyclamenstair/Placement/PlacementTypes.h>
+
+namespace cyclamenstair {
+
+/// Order to load or unload a model, or an adapter of a model, at a target.
+struct TargetOrder {
+    std::string target;
+    OrderKind kind { OrderKind::Load };
+    std::string model;
+    std::string adapter; ///< Empty for the model itself.
+    MoveReason reason { MoveReason::PlannedCopy };
+};
+
+/// Right under which an order is given.
+struct OrderRight {
+    std::string holder;
+    int64_t fencingNumber { 0 };
+    int64_t expectedOrders { 0 }; ///< Orders that the target has accepted so far; it refuses if they differ.
+};
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Core/Time.h
+++ b/Cyclamenstair/Core/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace cyclamenstair {
 
@@ -13,6 +14,15 @@
 /// Reads the monotonic clock. Only code that does I/O calls this function.
 inline TimePoint monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
+/// Reads a monotonic clock that, unlike monotonicNow(), also counts the time for which the machine was suspended.
+inline TimePoint suspendAwareNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 /// Converts whole milliseconds to a Duration.
 constexpr Duration milliseconds(int64_t count) { return std::chrono::milliseconds(count); }
 
--- /dev/null
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -0,0 +1,185 @@
+#include <Cyclamenstair/Entry/EntryNode.h>
+
+#include <Cyclamenstair/Entry/RequestExchange.h>
+#include <Cyclamenstair/Http/Endpoint.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <platform/RequestCodec.h>
+
+#include <algorithm>
+
+namespace cyclamenstair {
+
+namespace {
+
+    /// Time from the turn of the readiness probe until connections are closed after their answers: two probes, one each
+    /// second, and a margin.
+    constexpr Duration drainNotice = milliseconds(2500);
+    /// Part of the grace period that is left for the end of the process.
+    constexpr Duration endMargin = milliseconds(500);
+    /// Time between two looks at the requests in progress during a stop.
+    constexpr Duration stopPollInterval = milliseconds(50);
+    /// Margin over the targets' own bound between the orders of two nodes, for orders on their way.
+    constexpr Duration orderGapMargin = milliseconds(300);
+    /// Time to live of the order lease: short, so that a new holder is found soon, and at least what the store grants.
+    constexpr Duration leaseTimeToLive = milliseconds(2000);
+    constexpr double leaseValidityShare = 0.75;
+
+    OrderLeaseSettings leaseSettings(const schema::ControlSettingsT& control)
+    {
+        OrderLeaseSettings settings;
+        settings.timeToLive = std::max(leaseTimeToLive, milliseconds(control.min_lease_ms));
+        settings.validity = std::chrono::duration_cast<Duration>(settings.timeToLive * leaseValidityShare);
+        settings.takeoverWait = milliseconds(control.order_gap_ms) + orderGapMargin;
+        return settings;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<EntryNode>> EntryNode::create(const schema::SettingsT& settings)
+{
+    const auto store = parseEndpoint(settings.control->store);
+    if (!store)
+        return store.error();
+    std::unique_ptr<EntryNode> node(new EntryNode(settings, store.value()));
+    std::vector<EventLoop*> loops;
+    for (const auto& loop : node->m_loops)
+        loops.push_back(&loop->loop());
+    auto* const self = node.get();
+    auto callers = self->listen(settings.entry->listen, loops,
+        [self](size_t loop, const std::shared_ptr<ServerConnection>& from, HttpRequest request) {
+            RequestExchange::begin(*self->m_loops[loop], from, std::move(request));
+        });
+    if (!callers)
+        return callers.error();
+    auto probes = self->listen(settings.entry->ready_listen, { &self->m_controlLoop },
+        [self](size_t, const std::shared_ptr<ServerConnection>& from, const HttpRequest& request) {
+            self->answerProbe(from, request);
+        });
+    if (!probes)
+        return probes.error();
+    self->m_callers = std::move(callers).value();
+    self->m_probes = std::move(probes).value();
+    if (!settings.entry->metrics_listen.empty()) {
+        auto metrics = self->listen(settings.entry->metrics_listen, { &self->m_controlLoop },
+            [self](size_t, const std::shared_ptr<ServerConnection>& from, const HttpRequest&) {
+                self->answerMetrics(from);
+            });
+        if (!metrics)
+            return metrics.error();
+        self->m_metricsListener = std::move(metrics).value();
+        self->m_metricsListener->start();
+    }
+    self->m_callers->start();
+    self->m_probes->start();
+    for (auto* loop : loops)
+        loop->start();
+    self->m_controlLoop.post([self] {
+        self->m_catalog.start();
+        self->m_targets.start();
+        self->m_holder.start();
+        self->m_dispatcher.start();
+        self->m_status.start();
+    });
+    self->m_controlLoop.start();
+    logEvent(LogSeverity::Info, "node_started",
+        { { "node", settings.node->id }, { "listen", settings.entry->listen }, { "store", settings.control->store } });
+    return node;
+}
+
+EntryNode::EntryNode(const schema::SettingsT& settings, boost::asio::ip::tcp::endpoint store)
+    : m_settings(settings)
+    , m_state(settings)
+    , m_store(m_controlLoop.context(), std::move(store), settings.control->store, {})
+    , m_catalog(m_controlLoop.context(), m_store, m_state)
+    , m_targets(m_controlLoop.context(), m_store, m_state)
+    , m_holder(m_controlLoop.context(), m_store, settings.node->id, leaseSettings(*settings.control),
+          std::random_device {}())
+    , m_dispatcher(m_controlLoop.context(), m_store, m_holder, m_state)
+    , m_status(m_controlLoop.context(), m_store, m_state)
+{
+    std::random_device seeds;
+    for (int i = 0; i < settings.entry->loops; ++i)
+        m_loops.push_back(std::make_unique<RequestLoop>(m_state, seeds()));
+}
+
+EntryNode::~EntryNode()
+{
+    m_controlLoop.stop();
+    for (const auto& loop : m_loops)
+        loop->loop().stop();
+}
+
+void EntryNode::stop()
+{
+    const auto begin = monotonicNow();
+    const auto grace = Duration(static_cast<int64_t>(m_settings.entry->grace_s * 1e6)) - endMargin;
+    logEvent(LogSeverity::Info, "node_stopping",
+        { { "requests_in_progress", std::to_string(m_state.requestsInProgress.load()) } });
+    m_state.isStopping = true;
+    m_controlLoop.post([this] {
+        m_holder.stop();
+        m_status.stop();
+    });
+    std::this_thread::sleep_for(std::min(drainNotice, grace / 2));
+    m_callers->closeConnections();
+    waitForRequests(begin + grace);
+    m_loops.front()->loop().post([this] { m_callers->stopAccepting(); });
+    waitForRequests(begin + grace);
+    logEvent(LogSeverity::Info, "node_stopped",
+        { { "requests_cut", std::to_string(m_state.requestsInProgress.load()) },
+            { "elapsed_ms", std::to_string(toMilliseconds(monotonicNow() - begin)) } });
+}
+
+Result<std::unique_ptr<ServerListener>> EntryNode::listen(
+    const std::string& address, std::vector<EventLoop*> loops, ServerListener::RequestHandler handler)
+{
+    return ServerListener::create(
+        address, std::move(loops), [this] { return callerLimits(); }, std::move(handler));
+}
+
+void EntryNode::answerProbe(const std::shared_ptr<ServerConnection>& from, const HttpRequest& request)
+{
+    constexpr uint32_t ok = 200;
+    constexpr uint32_t notFound = 404;
+    constexpr uint32_t unavailable = 503;
+    const uint32_t status = !isReadinessProbe(request) ? notFound : m_state.isReady() ? ok : unavailable;
+    from->answer({ status, {}, {} }, {});
+}
+
+void EntryNode::answerMetrics(const std::shared_ptr<ServerConnection>& from)
+{
+    constexpr uint32_t ok = 200;
+    m_state.metrics.set(Metric::CallsInProgress, m_state.requestsInProgress.load());
+    m_state.metrics.set(Metric::Targets, static_cast<double>(m_state.targets.records().size()));
+    const auto current = m_state.catalog.current();
+    m_state.metrics.set(Metric::PlanRevision, current ? static_cast<double>(current->catalog.version) : 0);
+    from->answer({ ok, {}, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_state.metrics.prometheusText());
+}
+
+ServerConnectionLimits EntryNode::callerLimits() const
+{
+    ServerConnectionLimits limits;
+    if (const auto current = m_state.catalog.current()) {
+        const auto& stated = current->catalog.limits;
+        limits.maxHeadBytes = stated.maxHeaderBytes;
+        limits.maxBodyBytes = stated.maxBodyBytes;
+        limits.headTimeout = stated.headerTimeout;
+        limits.idleTimeout = stated.idleTimeout;
+    }
+    return limits;
+}
+
+void EntryNode::waitForRequests(TimePoint until)
+{
+    // A connection that was accepted before the notice may still send its first request.
+    constexpr Duration quiet = milliseconds(300);
+    auto busyAt = monotonicNow();
+    while (monotonicNow() < until && monotonicNow() - busyAt < quiet) {
+        std::this_thread::sleep_for(stopPollInterval);
+        if (m_state.requestsInProgress > 0)
+            busyAt = monotonicNow();
+    }
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Cyclamenstair/Catalog/CatalogRegister.h>
+#include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Fleet/TargetRegistry.h>
+#include <Cyclamenstair/Generated/Settings_generated.h>
+#include <Cyclamenstair/RequestFlow/RequestMachine.h>
+#include <Cyclamenstair/Routing/RetryBudget.h>
+#include <Cyclamenstair/Telemetry/Metrics.h>
+
+#include <atomic>
+
+namespace cyclamenstair {
+
+/// State that the request loops and the control loop share.
+struct EntryState {
+    explicit EntryState(const schema::SettingsT& settings);
+
+    std::string nodeId;
+    RequestFlowSettings flowSettings;
+    CatalogRegister catalog;
+    TargetRegistry targets;
+    DemandCounter demand;
+    RetryBudget retries;
+    Metrics metrics;
+    std::atomic<bool> areTargetsKnown { false };
+    std::atomic<bool> isStopping { false };
+    std::atomic<uint32_t> requestsInProgress { 0 };
+
+    /// Returns whether the node should get new connections.
+    bool isReady() const { return !isStopping && areTargetsKnown && catalog.current() != nullptr; }
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -0,0 +1,264 @@
+#include <Cyclamenstair/Entry/OrderDispatcher.h>
+
+#include <Cyclamenstair/Codec/NodeStatusCodec.h>
+#include <Cyclamenstair/Entry/StatusPublisher.h>
+#include <Cyclamenstair/Http/Endpoint.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenstair {
+
+namespace {
+
+    /// Time between two rounds of planning.
+    constexpr Duration tickInterval = milliseconds(250);
+    /// Time between two reads of the nodes' demand; each is a billed store call.
+    constexpr Duration demandInterval = milliseconds(500);
+    /// Time between two reports of a target at rest; each is billed as a probe.
+    constexpr Duration reportInterval = milliseconds(1500);
+    /// Time between two reports of a target that carries out an order.
+    constexpr Duration busyReportInterval = milliseconds(300);
+    /// A report shows the state of up to this long ago, so one that was asked for sooner after an order says nothing of
+    /// it.
+    constexpr Duration reportLag = milliseconds(400);
+    constexpr Duration reportTimeout = milliseconds(500);
+    /// A report older than this is no ground for an order.
+    constexpr Duration reportValidity = milliseconds(4000);
+    constexpr Duration orderTimeout = milliseconds(700);
+
+} // namespace
+
+OrderDispatcher::OrderDispatcher(
+    boost::asio::io_context& context, PlatformStore& store, OrderHolder& holder, EntryState& state)
+    : m_timer(context)
+    , m_store(&store)
+    , m_holder(&holder)
+    , m_state(&state)
+    , m_caller(context, ClientConnectionSettings {})
+{
+}
+
+void OrderDispatcher::tick()
+{
+    if (m_holder->lease().isHeld()) {
+        const auto now = monotonicNow();
+        if (!m_loads)
+            m_loads = std::make_unique<LoadWindow>(now);
+        m_records = m_state->targets.records();
+        if (now - m_demandAskedAt >= demandInterval)
+            readDemand();
+        askTargets();
+        if (m_holder->mayOrder())
+            plan();
+    } else if (m_loads) {
+        m_loads.reset();
+        m_known.clear();
+    }
+    scheduleTick();
+}
+
+void OrderDispatcher::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+void OrderDispatcher::readDemand()
+{
+    m_demandAskedAt = monotonicNow();
+    m_store->range(StatusPublisher::keyPrefix(), [this](const StoreReadOutcome& outcome) {
+        const auto* range = std::get_if<StoreRange>(&outcome);
+        if (!range)
+            return;
+        m_demand.clear();
+        for (const auto& record : range->records) {
+            try {
+                for (const auto& [artifact, demand] : decodeNodeStatus(record.value).demands) {
+                    auto& sum = m_demand[artifact];
+                    sum.arrivalsPerSecond += demand.arrivalsPerSecond;
+                    sum.inProgress += demand.inProgress;
+                    sum.waiting += demand.waiting;
+                }
+            } catch (const Exception& exception) {
+                logError(LogSeverity::Warning, "node_status_rejected", exception.error());
+            }
+        }
+    });
+}
+
+void OrderDispatcher::askTargets()
+{
+    const auto current = m_state->catalog.current();
+    if (!current)
+        return;
+    const auto now = monotonicNow();
+    for (const auto& record : m_records) {
+        const auto service = current->catalog.services.find(record.service);
+        if (service == current->catalog.services.end() || !service->second.engine)
+            continue;
+        auto& known = m_known[record.id];
+        const bool isBusy = known.report.isBusy || !known.loadingModel.empty() || known.orderedAt > known.reportedAt;
+        const auto interval = isBusy ? busyReportInterval : reportInterval;
+        if (!known.isAsking && !known.isOrdering && (!known.hasReport || now - known.reportedAt >= interval))
+            ask(record);
+    }
+}
+
+void OrderDispatcher::ask(const TargetRecord& record)
+{
+    const auto endpoint = parseEndpoint(record.address);
+    if (!endpoint) {
+        logError(LogSeverity::Warning, "target_address_malformed", endpoint.error());
+        return;
+    }
+    m_known[record.id].isAsking = true;
+    m_caller.call(endpoint.value(), encodeReportCall(record.address), reportTimeout,
+        [this, record, askedAt = monotonicNow()](const HttpOutcome& outcome) { onReport(record, askedAt, outcome); });
+}
+
+void OrderDispatcher::onReport(const TargetRecord& record, TimePoint askedAt, const HttpOutcome& outcome)
+{
+    auto& known = m_known[record.id];
+    known.isAsking = false;
+    known.reportedAt = askedAt;
+    const auto* answer = std::get_if<HttpAnswer>(&outcome);
+    const auto report
+        = answer ? decodeReport(answer->body) : Error { ErrorKind::Unavailable, "report.read", record.id, "no answer" };
+    if (!report) {
+        logError(LogSeverity::Warning, "report_missing", report.error());
+        known.hasReport = false;
+        return;
+    }
+    if (known.isOrdering || askedAt < known.orderedAt + reportLag)
+        return;
+    known.report = report.value();
+    known.hasReport = true;
+    if (!known.report.isBusy)
+        known.loadingModel.clear();
+    m_state->targets.noteModels(record.service, record.id, known.report.models);
+}
+
+void OrderDispatcher::plan()
+{
+    const auto current = m_state->catalog.current();
+    if (!current)
+        return;
+    for (const auto& [name, service] : current->catalog.services) {
+        if (service.engine)
+            planService(service);
+    }
+}
+
+void OrderDispatcher::planService(const CatalogService& service)
+{
+    const auto now = monotonicNow();
+    PlannerInput input { service.name, &*service.engine, {}, m_demand, 0 };
+    uint32_t loading = 0;
+    for (const auto& record : m_records) {
+        const auto known = m_known.find(record.id);
+        if (record.service != service.name || known == m_known.end())
+            continue;
+        const auto& state = known->second;
+        loading += !state.loadingModel.empty() && state.isLoadingFromStore ? 1 : 0;
+        // Without a report it is unknown what the target holds; its entry still tells which models have a copy.
+        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report, state.loadingModel };
+        if (!state.hasReport)
+            target.report.models = record.models;
+        target.isOrderable = state.hasReport && !state.isOrdering && now - state.reportedAt < reportValidity
+            && state.reportedAt >= state.orderedAt;
+        input.targets.push_back(std::move(target));
+    }
+    const auto& models = service.engine->models;
+    const auto slowest = std::max_element(
+        models.begin(), models.end(), [](const auto& a, const auto& b) { return a.loadTime < b.loadTime; });
+    // As many loads run at once as the rate sustains; more would only slow each other down.
+    const auto atOnce = models.empty()
+        ? 1U
+        : std::max(1U, static_cast<uint32_t>(service.engine->loadsPerSecond * toSeconds(slowest->loadTime)));
+    if (loading < atOnce && m_loads->mayLoad(service.engine->loadsPerSecond, now))
+        input.weightLoads = 1;
+    for (const auto& order : ResidencyPlanner(input, m_plannerSettings).plan()) {
+        const auto record = std::find_if(
+            m_records.begin(), m_records.end(), [&](const auto& candidate) { return candidate.id == order.target; });
+        send(*record, order, service.engine->loadsPerSecond);
+    }
+}
+
+void OrderDispatcher::send(const TargetRecord& record, const TargetOrder& order, double loadsPerSecond)
+{
+    const auto now = monotonicNow();
+    auto& known = m_known[record.id];
+    const auto endpoint = parseEndpoint(record.address);
+    const bool isModelLoad = order.kind == OrderKind::Load && order.adapter.empty();
+    const bool isFromStore = isModelLoad && !known.report.cachedModels.contains(order.model);
+    if (!endpoint || (isFromStore && !m_loads->mayLoad(loadsPerSecond, now)))
+        return;
+    if (isFromStore)
+        m_loads->count(now);
+    known.isOrdering = true;
+    known.orderedAt = now;
+    known.isLoadingFromStore = isFromStore;
+    const OrderRight right { m_state->nodeId, m_holder->lease().fencingNumber(), known.report.ordersAccepted };
+    logEvent(LogSeverity::Info, "order_sent",
+        { { "target", order.target }, { "kind", std::string(nameOf(order.kind)) }, { "model", order.model },
+            { "adapter", order.adapter }, { "reason", std::string(nameOf(order.reason)) },
+            { "fence", std::to_string(right.fencingNumber) }, { "expected", std::to_string(right.expectedOrders) } });
+    // The lease is looked at right before the bytes are written: a node that was paused must not send.
+    if (!m_holder->mayOrder()) {
+        known.isOrdering = false;
+        return;
+    }
+    m_caller.call(endpoint.value(), encodeOrderCall(record.address, order, right), orderTimeout,
+        [this, record, order](const HttpOutcome& outcome) { onAnswer(record, order, outcome); });
+}
+
+void OrderDispatcher::onAnswer(const TargetRecord& record, const TargetOrder& order, const HttpOutcome& outcome)
+{
+    auto& known = m_known[record.id];
+    known.isOrdering = false;
+    const auto* answer = std::get_if<HttpAnswer>(&outcome);
+    if (!answer) {
+        // It may be carried out at any time; the next report shows whether it has been.
+        logEvent(LogSeverity::Warning, "order_unanswered", { { "target", record.id }, { "model", order.model } });
+        known.orderedAt = monotonicNow();
+        return;
+    }
+    const auto result = decodeOrderAnswer(answer->head.status);
+    logEvent(LogSeverity::Info, "order_answered",
+        { { "target", record.id }, { "model", order.model }, { "adapter", order.adapter },
+            { "answer", std::string(nameOf(result)) }, { "status", std::to_string(answer->head.status) } });
+    m_state->metrics.add(Metric::Moves, std::string(nameOf(result)));
+    if (result == OrderAnswer::Accepted) {
+        noteAccepted(known, order);
+    } else if (result == OrderAnswer::OldFence) {
+        m_holder->abandon("a target has seen a newer fencing number");
+    }
+}
+
+void OrderDispatcher::noteAccepted(Known& known, const TargetOrder& order)
+{
+    auto& report = known.report;
+    ++report.ordersAccepted;
+    const auto held = std::find_if(
+        report.models.begin(), report.models.end(), [&](const HeldModel& model) { return model.name == order.model; });
+    if (!order.adapter.empty()) {
+        if (held != report.models.end())
+            held->adapters.insert(order.adapter);
+        ++report.incomingAdapters;
+        // Further adapters may follow at once; the report is kept up here until the next one.
+        known.orderedAt = known.reportedAt;
+        return;
+    }
+    report.isBusy = true;
+    if (order.kind == OrderKind::Load)
+        known.loadingModel = order.model;
+    else if (held != report.models.end())
+        report.models.erase(held);
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <Cyclamenstair/Control/LoadWindow.h>
+#include <Cyclamenstair/Control/ResidencyPlanner.h>
+#include <Cyclamenstair/Entry/EntryState.h>
+#include <Cyclamenstair/Entry/OrderHolder.h>
+
+#include <platform/TargetCodec.h>
+
+namespace cyclamenstair {
+
+/// Reads the targets' reports, plans what they should hold, and gives the orders, while this node holds the order
+/// lease. Belongs to one event loop.
+class OrderDispatcher {
+public:
+    OrderDispatcher(boost::asio::io_context& context, PlatformStore& store, OrderHolder& holder, EntryState& state);
+
+    void start() { tick(); }
+
+private:
+    /// What this holder knows of a target.
+    struct Known {
+        EngineReport report;
+        TimePoint reportedAt; ///< When the report was asked for.
+        TimePoint orderedAt; ///< Last order that was sent.
+        bool hasReport { false };
+        bool isAsking { false };
+        bool isOrdering { false };
+        std::string loadingModel;
+        bool isLoadingFromStore { false };
+    };
+
+    void tick();
+    void scheduleTick();
+    void readDemand();
+    void askTargets();
+    void ask(const TargetRecord& record);
+    void onReport(const TargetRecord& record, TimePoint askedAt, const HttpOutcome& outcome);
+    void plan();
+    void planService(const CatalogService& service);
+    void send(const TargetRecord& record, const TargetOrder& order, double loadsPerSecond);
+    void onAnswer(const TargetRecord& record, const TargetOrder& order, const HttpOutcome& outcome);
+    static void noteAccepted(Known& known, const TargetOrder& order);
+
+    boost::asio::steady_timer m_timer;
+    PlatformStore* m_store;
+    OrderHolder* m_holder;
+    EntryState* m_state;
+    HttpCaller m_caller;
+    ResidencyPlannerSettings m_plannerSettings;
+    std::vector<TargetRecord> m_records;
+    std::map<std::string, Known> m_known;
+    std::map<ArtifactKey, ArtifactLoad> m_demand;
+    std::unique_ptr<LoadWindow> m_loads; ///< Of the present time as holder; none while the lease is not held.
+    TimePoint m_demandAskedAt;
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -0,0 +1,205 @@
+#include <Cyclamenstair/Entry/RequestExchange.h>
+
+#include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Http/Endpoint.h>
+
+#include <platform/RequestCodec.h>
+
+#include <boost/asio/post.hpp>
+
+namespace cyclamenstair {
+
+namespace {
+
+    RequestFacts factsOf(const CallerRequest& decoded, const Route& route, Random& random, TimePoint now)
+    {
+        RequestFacts facts;
+        facts.id = decoded.id;
+        facts.route = route;
+        facts.service = serviceFor(route, randomUnit(random));
+        facts.model = decoded.model;
+        facts.adapter = decoded.adapter;
+        facts.promptTokens = decoded.promptTokens;
+        facts.outputTokens = decoded.expectedOutputTokens.value_or(decoded.maxOutputTokens);
+        facts.receivedAt = now;
+        facts.callerPatience = decoded.patience;
+        return facts;
+    }
+
+} // namespace
+
+void RequestExchange::begin(RequestLoop& loop, const std::shared_ptr<ServerConnection>& caller, HttpRequest request)
+{
+    const auto decoded = decodeRequest(request);
+    const auto current = loop.state().catalog.current();
+    const Route* route = current ? current->routes.find(decoded.host, decoded.path) : nullptr;
+    if (!route) {
+        logEvent(LogSeverity::Info, "request_without_route",
+            { { "request", decoded.id }, { "host", decoded.host }, { "path", decoded.path },
+                { "catalog", current ? std::to_string(current->catalog.version) : "none" } });
+        caller->answer(encodeNoRoute(current != nullptr, decoded.id), {});
+        return;
+    }
+    auto exchange = std::make_shared<RequestExchange>(
+        loop, caller, std::move(request), factsOf(decoded, *route, loop.random(), monotonicNow()));
+    exchange->start();
+}
+
+RequestExchange::RequestExchange(
+    RequestLoop& loop, std::shared_ptr<ServerConnection> caller, HttpRequest request, RequestFacts facts)
+    : m_loop(&loop)
+    , m_caller(std::move(caller))
+    , m_request(std::move(request))
+    , m_machine(std::move(facts), loop.state().flowSettings,
+          { &loop.state().targets, &loop.state().retries, &loop.state().demand, &loop.random() })
+    , m_timer(loop.loop().context())
+{
+    ++loop.state().requestsInProgress;
+}
+
+RequestExchange::~RequestExchange() { --m_loop->state().requestsInProgress; }
+
+void RequestExchange::start()
+{
+    m_caller->setLeaveHandler([self = shared_from_this()] { self->handle(CallerLeft {}); });
+    perform(m_machine.start(monotonicNow()));
+}
+
+void RequestExchange::handle(const RequestEvent& event)
+{
+    if (std::holds_alternative<CallerLeft>(event))
+        log("caller_left", { { "elapsed_ms", elapsedText() } });
+    perform(m_machine.handle(event, monotonicNow()));
+}
+
+void RequestExchange::perform(std::vector<RequestAction> actions)
+{
+    for (const auto& action : actions)
+        std::visit([this](const auto& alternative) { perform(alternative); }, action);
+    if (m_machine.isOver()) {
+        boost::system::error_code ec;
+        m_timer.cancel(ec);
+        m_caller->setLeaveHandler(nullptr);
+    } else {
+        armTimer();
+    }
+}
+
+void RequestExchange::perform(const StartAttempt& action)
+{
+    closeAttempt();
+    m_acquired = action.target;
+    log("attempt_started",
+        { { "attempt", std::to_string(action.attempt) }, { "target", action.target.id },
+            { "address", action.target.address }, { "time_left_ms", std::to_string(toMilliseconds(action.timeLeft)) },
+            { "resume_after", action.resumeAfter.value_or("") } });
+    const auto endpoint = parseEndpoint(action.target.address);
+    if (!endpoint) {
+        logError(LogSeverity::Warning, "target_address_malformed", endpoint.error());
+        boost::asio::post(m_loop->loop().context(), [self = shared_from_this(), attempt = action.attempt] {
+            self->handle(AttemptLost { attempt, false });
+        });
+        return;
+    }
+    m_target = m_loop->pool().take(endpoint.value(), monotonicNow());
+    m_target->send(encodeRequest(encodeAttempt(m_request, action, !m_machine.facts().model.empty())),
+        m_request.method == "HEAD", [self = shared_from_this(), attempt = action.attempt](ClientEvent event) {
+            self->onTargetEvent(attempt, std::move(event));
+        });
+}
+
+void RequestExchange::perform(const CancelAttempt& action)
+{
+    log("attempt_cancelled", { { "attempt", std::to_string(action.attempt) }, { "target", m_acquired.id } });
+    closeAttempt();
+}
+
+void RequestExchange::perform(const ForwardHead& action) { m_caller->sendHead(m_head, action.bodyBytes); }
+
+void RequestExchange::perform(const ForwardData& action) { m_caller->sendData(action.data); }
+
+void RequestExchange::perform(const FinishAnswer&)
+{
+    log("answered",
+        { { "status", std::to_string(m_head.status) }, { "target", m_acquired.id }, { "elapsed_ms", elapsedText() } });
+    m_loop->state().metrics.add(Metric::Requests, std::to_string(m_head.status));
+    m_caller->setLeaveHandler(nullptr);
+    m_caller->finish();
+}
+
+void RequestExchange::perform(const BreakAnswer&)
+{
+    log("answer_broken_off", { { "target", m_acquired.id }, { "elapsed_ms", elapsedText() } });
+    m_loop->state().metrics.add(Metric::Requests, "broken_off");
+    m_caller->abort();
+}
+
+void RequestExchange::perform(const AnswerByNode& action)
+{
+    log("answered_by_node",
+        { { "outcome", std::string(nameOf(action.answer)) }, { "reason", action.reason }, { "target", m_acquired.id },
+            { "elapsed_ms", elapsedText() } });
+    m_loop->state().metrics.add(Metric::Refusals, action.reason);
+    m_caller->setLeaveHandler(nullptr);
+    m_caller->answer(encodeOwnAnswer(action, m_machine.facts().id), {});
+}
+
+void RequestExchange::onTargetEvent(uint32_t attempt, ClientEvent event)
+{
+    std::visit(Overloaded {
+                   [&](AnswerHeadRead& read) {
+                       const auto head = decodeAnswerHead(read.head, m_machine.facts().id);
+                       // The head of the first answer stays; a stream that goes on elsewhere adds events only.
+                       if (!m_machine.isHeadSent())
+                           m_head = std::move(read.head);
+                       handle(AnswerBegan { attempt, head });
+                   },
+                   [&](AnswerDataRead& read) {
+                       handle(AnswerContinued { attempt, std::move(read.data) });
+                   },
+                   [&](AnswerComplete&) {
+                       if (m_target)
+                           m_loop->pool().giveBack(std::exchange(m_target, nullptr), monotonicNow());
+                       handle(AnswerEnded { attempt });
+                   },
+                   [&](CallFailed& failure) {
+                       m_target.reset();
+                       log("attempt_failed",
+                           { { "attempt", std::to_string(attempt) }, { "target", m_acquired.id },
+                               { "was_sent", failure.wasSent ? "true" : "false" }, { "step", failure.error.step },
+                               { "message", failure.error.message } });
+                       handle(AttemptLost { attempt, failure.wasSent });
+                   },
+               },
+        event);
+}
+
+void RequestExchange::closeAttempt()
+{
+    if (m_target)
+        std::exchange(m_target, nullptr)->close();
+}
+
+void RequestExchange::armTimer()
+{
+    const auto wake = m_machine.wakeAt();
+    if (!wake || m_timer.expiry() == *wake)
+        return;
+    m_timer.expires_at(*wake);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec)
+            self->handle(TimerFired {});
+    });
+}
+
+void RequestExchange::log(std::string_view event, std::initializer_list<LogField> fields)
+{
+    logRequestEvent(m_machine.facts().id, event, fields);
+}
+
+std::string RequestExchange::elapsedText() const
+{
+    return std::to_string(toMilliseconds(monotonicNow() - m_machine.facts().receivedAt));
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Entry/StoreFollower.cpp
@@ -0,0 +1,88 @@
+#include <Cyclamenstair/Entry/StoreFollower.h>
+
+#include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <algorithm>
+
+namespace cyclamenstair {
+
+StoreFollower::StoreFollower(boost::asio::io_context& context, PlatformStore& store, std::string prefix,
+    Handlers handlers, StoreFollowerSettings settings)
+    : m_store(&store)
+    , m_prefix(std::move(prefix))
+    , m_handlers(std::move(handlers))
+    , m_settings(settings)
+    , m_timer(context)
+    , m_delay(settings.retryDelay)
+{
+}
+
+void StoreFollower::read()
+{
+    m_store->range(m_prefix, [this](const StoreReadOutcome& outcome) {
+        if (const auto* unavailable = std::get_if<StoreUnavailable>(&outcome)) {
+            m_revision = 0;
+            onFailure(unavailable->message);
+            return;
+        }
+        const auto& range = std::get<StoreRange>(outcome);
+        if (!m_isConnected)
+            logEvent(LogSeverity::Info, "store_regained", { { "prefix", m_prefix } });
+        m_isConnected = true;
+        m_delay = m_settings.retryDelay;
+        m_revision = range.revision;
+        m_handlers.onRead(range);
+        watch();
+    });
+}
+
+void StoreFollower::watch()
+{
+    m_store->watch(
+        m_prefix, m_revision, m_settings.watchWait, [this](const StoreWatchOutcome& outcome) { onWatch(outcome); });
+}
+
+void StoreFollower::onWatch(const StoreWatchOutcome& outcome)
+{
+    std::visit(Overloaded {
+                   [&](const StoreChanges& changes) {
+                       if (!m_isConnected)
+                           logEvent(LogSeverity::Info, "store_regained", { { "prefix", m_prefix } });
+                       m_isConnected = true;
+                       m_delay = m_settings.retryDelay;
+                       for (const auto& change : changes.changes)
+                           m_handlers.onChange(change);
+                       m_revision = std::max(m_revision, changes.revision);
+                       after(m_settings.pause, &StoreFollower::watch);
+                   },
+                   [&](const StoreHistoryLost&) {
+                       logEvent(LogSeverity::Info, "store_history_lost",
+                           { { "prefix", m_prefix }, { "revision", std::to_string(m_revision) } });
+                       read();
+                   },
+                   [&](const StoreUnavailable& unavailable) { onFailure(unavailable.message); },
+               },
+        outcome);
+}
+
+void StoreFollower::onFailure(const std::string& message)
+{
+    if (m_isConnected)
+        logEvent(LogSeverity::Warning, "store_lost", { { "prefix", m_prefix }, { "message", message } });
+    m_isConnected = false;
+    // After an outage entries may have lapsed without a change that a watch would report, so everything is read again.
+    after(m_delay, &StoreFollower::read);
+    m_delay = std::min(m_delay * 2, m_settings.retryLimit);
+}
+
+void StoreFollower::after(Duration delay, void (StoreFollower::*next)())
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this, next](const boost::system::error_code& ec) {
+        if (!ec)
+            (this->*next)();
+    });
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Fleet/DemandCounter.cpp
@@ -0,0 +1,57 @@
+#include <Cyclamenstair/Fleet/DemandCounter.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenstair {
+
+void DemandCounter::countArrival(const ArtifactKey& artifact, TimePoint now)
+{
+    m_counts.withShard(artifact.model, [&](auto& counts) {
+        auto& count = counts[artifact];
+        decay(count, now);
+        count.arrivals += 1;
+        ++count.inProgress;
+    });
+}
+
+void DemandCounter::countEnd(const ArtifactKey& artifact)
+{
+    m_counts.withShard(artifact.model, [&](auto& counts) {
+        auto& count = counts[artifact];
+        count.inProgress = std::max(0, count.inProgress - 1);
+    });
+}
+
+void DemandCounter::countWaiting(const ArtifactKey& artifact, int change)
+{
+    m_counts.withShard(artifact.model, [&](auto& counts) {
+        auto& count = counts[artifact];
+        count.waiting = std::max(0, count.waiting + change);
+    });
+}
+
+std::map<ArtifactKey, ArtifactLoad> DemandCounter::demand(TimePoint now)
+{
+    constexpr double negligibleArrivalsPerSecond = 0.02;
+    std::map<ArtifactKey, ArtifactLoad> demand;
+    m_counts.forEachShard([&](auto& counts) {
+        for (auto& [artifact, count] : counts) {
+            decay(count, now);
+            const double rate = count.arrivals / toSeconds(averagingTime);
+            if (rate > negligibleArrivalsPerSecond || count.inProgress > 0)
+                demand[artifact]
+                    = { rate, static_cast<uint32_t>(count.inProgress), static_cast<uint32_t>(count.waiting) };
+        }
+    });
+    return demand;
+}
+
+void DemandCounter::decay(Count& count, TimePoint now)
+{
+    if (now > count.at)
+        count.arrivals *= std::exp(-toSeconds(now - count.at) / toSeconds(averagingTime));
+    count.at = now;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -0,0 +1,188 @@
+#include <Cyclamenstair/Fleet/TargetRegistry.h>
+
+#include <algorithm>
+
+namespace cyclamenstair {
+
+namespace {
+
+    /// Cost added to a target that is suspected, so that it is chosen only if all others are, too.
+    constexpr double suspectCost = 1000;
+    /// Cost added to a target that has just refused for lack of room; below that of a suspected one.
+    constexpr double fullCost = 100;
+    /// Longest suspicion after failures in a row, as a multiple of the first one.
+    constexpr uint32_t maxSuspicionFactor = 4;
+
+} // namespace
+
+void TargetRegistry::update(const TargetRecord& record, int64_t revision)
+{
+    m_services.withShard(record.service, [&](auto& services) {
+        auto& target = services[record.service][record.id];
+        if (revision <= target.revision)
+            return;
+        const bool isSameRun
+            = target.record.startedUnixMs == record.startedUnixMs && target.record.address == record.address;
+        if (!isSameRun) {
+            target.suspectUntil = {};
+            target.fullUntil = {};
+            target.absentUntil.clear();
+            target.failuresInARow = 0;
+        }
+        target.record = record;
+        target.revision = revision;
+    });
+}
+
+void TargetRegistry::remove(const std::string& id, int64_t revision)
+{
+    m_services.forEachShard([&](auto& services) {
+        for (auto& [service, targets] : services)
+            std::erase_if(
+                targets, [&](const auto& entry) { return entry.first == id && entry.second.revision < revision; });
+    });
+}
+
+void TargetRegistry::replaceAll(const std::vector<std::pair<TargetRecord, int64_t>>& records, int64_t revision)
+{
+    std::set<std::string> present;
+    for (const auto& [record, recordRevision] : records) {
+        present.insert(record.id);
+        update(record, recordRevision);
+    }
+    m_services.forEachShard([&](auto& services) {
+        for (auto& [service, targets] : services)
+            std::erase_if(targets,
+                [&](const auto& entry) { return !present.contains(entry.first) && entry.second.revision <= revision; });
+    });
+}
+
+AcquireOutcome TargetRegistry::acquire(const TargetQuery& query, TimePoint now, Random& random)
+{
+    return m_services.withShard(query.service, [&](auto& services) -> AcquireOutcome {
+        const auto service = services.find(query.service);
+        if (service == services.end())
+            return TargetShortage::NoTarget;
+        TargetState* best = nullptr;
+        double bestCost = 0;
+        bool isAnyReady = false;
+        bool isModelHeld = false;
+        for (auto& [id, target] : service->second) {
+            if (target.record.phase != TargetPhase::Ready || query.excluded.contains(id))
+                continue;
+            isAnyReady = true;
+            if (!query.model.empty()) {
+                isModelHeld = isModelHeld || target.record.holds(query.model, {});
+                if (!target.record.holds(query.model, query.adapter))
+                    continue;
+                const auto absent = target.absentUntil.find(artifactOf(query));
+                if (absent != target.absentUntil.end() && absent->second > now)
+                    continue;
+            }
+            // The random part breaks ties differently on each node.
+            const double cost = costOf(target, query, now) + randomUnit(random) * 0.01;
+            if (!best || cost < bestCost) {
+                best = &target;
+                bestCost = cost;
+            }
+        }
+        if (!best) {
+            if (!isAnyReady)
+                return TargetShortage::NoTarget;
+            return isModelHeld && !query.adapter.empty() ? TargetShortage::AdapterAbsent : TargetShortage::ModelAbsent;
+        }
+        ++best->inFlight;
+        best->tokensInFlight += query.tokens;
+        return AcquiredTarget { best->record.id, best->record.address, query.service, query.tokens };
+    });
+}
+
+void TargetRegistry::release(
+    const AcquiredTarget& target, const TargetQuery& query, TargetVerdict verdict, TimePoint now)
+{
+    m_services.withShard(target.service, [&](auto& services) {
+        auto& targets = services[target.service];
+        const auto found = targets.find(target.id);
+        if (found == targets.end())
+            return;
+        auto& state = found->second;
+        state.inFlight -= std::min(state.inFlight, 1U);
+        state.tokensInFlight = std::max(0.0, state.tokensInFlight - target.tokens);
+        switch (verdict) {
+        case TargetVerdict::Good:
+            state.failuresInARow = 0;
+            state.suspectUntil = {};
+            break;
+        case TargetVerdict::Full:
+            state.fullUntil = now + m_settings.fullPause;
+            break;
+        case TargetVerdict::Absent:
+            if (query.model.empty())
+                state.suspectUntil = now + m_settings.suspicion;
+            else
+                state.absentUntil[artifactOf(query)] = now + m_settings.absentPause;
+            break;
+        case TargetVerdict::Failed:
+            state.failuresInARow = std::min(state.failuresInARow + 1, maxSuspicionFactor);
+            state.suspectUntil = now + m_settings.suspicion * state.failuresInARow;
+            break;
+        case TargetVerdict::NoVerdict:
+            break;
+        }
+    });
+}
+
+std::vector<TargetRecord> TargetRegistry::records() const
+{
+    std::vector<TargetRecord> records;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            for (const auto& [id, target] : targets)
+                records.push_back(target.record);
+        }
+    });
+    return records;
+}
+
+void TargetRegistry::noteModels(const std::string& service, const std::string& id, const std::vector<HeldModel>& models)
+{
+    m_services.withShard(service, [&](auto& services) {
+        const auto targets = services.find(service);
+        if (targets == services.end())
+            return;
+        const auto target = targets->second.find(id);
+        if (target != targets->second.end())
+            target->second.record.models = models;
+    });
+}
+
+std::map<std::string, uint32_t> TargetRegistry::inFlight() const
+{
+    std::map<std::string, uint32_t> counts;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            for (const auto& [id, target] : targets)
+                counts[id] = target.inFlight;
+        }
+    });
+    return counts;
+}
+
+std::string TargetRegistry::artifactOf(const TargetQuery& query)
+{
+    return query.adapter.empty() ? query.model : query.model + "/" + query.adapter;
+}
+
+double TargetRegistry::costOf(const TargetState& target, const TargetQuery&, TimePoint now) const
+{
+    double cost = (target.inFlight + 1.0) / std::max(1U, target.record.slots);
+    if (target.record.failureDomain != m_settings.failureDomain)
+        cost += m_settings.remoteHandicap;
+    if (target.suspectUntil > now)
+        cost += suspectCost;
+    if (target.fullUntil > now)
+        cost += fullCost;
+    return cost;
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Generated/Records_generated.h
+++ b/Cyclamenstair/Generated/Records_generated.h
@@ -100,6 +100,14 @@
 struct LeasedPortionsRecordBuilder;
 struct LeasedPortionsRecordT;
 
+struct ArtifactLoadRecord;
+struct ArtifactLoadRecordBuilder;
+struct ArtifactLoadRecordT;
+
+struct NodeStatusRecord;
+struct NodeStatusRecordBuilder;
+struct NodeStatusRecordT;
+
 enum class Priority : uint8_t {
   Low = 0,
   Normal = 1,
@@ -2962,6 +2970,237 @@
 
 flatbuffers::Offset<LeasedPortionsRecord> CreateLeasedPortionsRecord(flatbuffers::FlatBufferBuilder &_fbb, const LeasedPortionsRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ArtifactLoadRecordT : public flatbuffers::NativeTable {
+  typedef ArtifactLoadRecord TableType;
+  std::string service{};
+  std::string model{};
+  std::string adapter{};
+  double arrivals_per_second = 0.0;
+  uint32_t in_progress = 0;
+  uint32_t waiting = 0;
+};
+
+/// Demand for a model or adapter at one node.
+struct ArtifactLoadRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ArtifactLoadRecordT NativeTableType;
+  typedef ArtifactLoadRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_MODEL = 6,
+    VT_ADAPTER = 8,
+    VT_ARRIVALS_PER_SECOND = 10,
+    VT_IN_PROGRESS = 12,
+    VT_WAITING = 14
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  const flatbuffers::String *adapter() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADAPTER);
+  }
+  double arrivals_per_second() const {
+    return GetField<double>(VT_ARRIVALS_PER_SECOND, 0.0);
+  }
+  uint32_t in_progress() const {
+    return GetField<uint32_t>(VT_IN_PROGRESS, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyOffsetRequired(verifier, VT_ADAPTER) &&
+           verifier.VerifyString(adapter()) &&
+           VerifyField<double>(verifier, VT_ARRIVALS_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_IN_PROGRESS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           verifier.EndTable();
+  }
+  ArtifactLoadRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ArtifactLoadRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ArtifactLoadRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactLoadRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ArtifactLoadRecordBuilder {
+  typedef ArtifactLoadRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ArtifactLoadRecord::VT_SERVICE, service);
+  }
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(ArtifactLoadRecord::VT_MODEL, model);
+  }
+  void add_adapter(flatbuffers::Offset<flatbuffers::String> adapter) {
+    fbb_.AddOffset(ArtifactLoadRecord::VT_ADAPTER, adapter);
+  }
+  void add_arrivals_per_second(double arrivals_per_second) {
+    fbb_.AddElement<double>(ArtifactLoadRecord::VT_ARRIVALS_PER_SECOND, arrivals_per_second, 0.0);
+  }
+  void add_in_progress(uint32_t in_progress) {
+    fbb_.AddElement<uint32_t>(ArtifactLoadRecord::VT_IN_PROGRESS, in_progress, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(ArtifactLoadRecord::VT_WAITING, waiting, 0);
+  }
+  explicit ArtifactLoadRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ArtifactLoadRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ArtifactLoadRecord>(end);
+    fbb_.Required(o, ArtifactLoadRecord::VT_SERVICE);
+    fbb_.Required(o, ArtifactLoadRecord::VT_MODEL);
+    fbb_.Required(o, ArtifactLoadRecord::VT_ADAPTER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ArtifactLoadRecord> CreateArtifactLoadRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    flatbuffers::Offset<flatbuffers::String> adapter = 0,
+    double arrivals_per_second = 0.0,
+    uint32_t in_progress = 0,
+    uint32_t waiting = 0) {
+  ArtifactLoadRecordBuilder builder_(_fbb);
+  builder_.add_arrivals_per_second(arrivals_per_second);
+  builder_.add_waiting(waiting);
+  builder_.add_in_progress(in_progress);
+  builder_.add_adapter(adapter);
+  builder_.add_model(model);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct ArtifactLoadRecord::Traits {
+  using type = ArtifactLoadRecord;
+  static auto constexpr Create = CreateArtifactLoadRecord;
+};
+
+inline flatbuffers::Offset<ArtifactLoadRecord> CreateArtifactLoadRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *model = nullptr,
+    const char *adapter = nullptr,
+    double arrivals_per_second = 0.0,
+    uint32_t in_progress = 0,
+    uint32_t waiting = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  auto adapter__ = adapter ? _fbb.CreateString(adapter) : 0;
+  return cyclamenstair::schema::CreateArtifactLoadRecord(
+      _fbb,
+      service__,
+      model__,
+      adapter__,
+      arrivals_per_second,
+      in_progress,
+      waiting);
+}
+
+flatbuffers::Offset<ArtifactLoadRecord> CreateArtifactLoadRecord(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactLoadRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct NodeStatusRecordT : public flatbuffers::NativeTable {
+  typedef NodeStatusRecord TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::ArtifactLoadRecordT>> demands{};
+  NodeStatusRecordT() = default;
+  NodeStatusRecordT(const NodeStatusRecordT &o);
+  NodeStatusRecordT(NodeStatusRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  NodeStatusRecordT &operator=(NodeStatusRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a node tells the holder of the order lease.
+struct NodeStatusRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NodeStatusRecordT NativeTableType;
+  typedef NodeStatusRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_DEMANDS = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>> *>(VT_DEMANDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           verifier.EndTable();
+  }
+  NodeStatusRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(NodeStatusRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<NodeStatusRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeStatusRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct NodeStatusRecordBuilder {
+  typedef NodeStatusRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(NodeStatusRecord::VT_NODE, node);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>>> demands) {
+    fbb_.AddOffset(NodeStatusRecord::VT_DEMANDS, demands);
+  }
+  explicit NodeStatusRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NodeStatusRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NodeStatusRecord>(end);
+    fbb_.Required(o, NodeStatusRecord::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NodeStatusRecord> CreateNodeStatusRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>>> demands = 0) {
+  NodeStatusRecordBuilder builder_(_fbb);
+  builder_.add_demands(demands);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct NodeStatusRecord::Traits {
+  using type = NodeStatusRecord;
+  static auto constexpr Create = CreateNodeStatusRecord;
+};
+
+inline flatbuffers::Offset<NodeStatusRecord> CreateNodeStatusRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>> *demands = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>>(*demands) : 0;
+  return cyclamenstair::schema::CreateNodeStatusRecord(
+      _fbb,
+      node__,
+      demands__);
+}
+
+flatbuffers::Offset<NodeStatusRecord> CreateNodeStatusRecord(flatbuffers::FlatBufferBuilder &_fbb, const NodeStatusRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline ModelRecordT *ModelRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ModelRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -3875,6 +4114,88 @@
       _portions);
 }
 
+inline ArtifactLoadRecordT *ArtifactLoadRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ArtifactLoadRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ArtifactLoadRecord::UnPackTo(ArtifactLoadRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = adapter(); if (_e) _o->adapter = _e->str(); }
+  { auto _e = arrivals_per_second(); _o->arrivals_per_second = _e; }
+  { auto _e = in_progress(); _o->in_progress = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+}
+
+inline flatbuffers::Offset<ArtifactLoadRecord> ArtifactLoadRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactLoadRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateArtifactLoadRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ArtifactLoadRecord> CreateArtifactLoadRecord(flatbuffers::FlatBufferBuilder &_fbb, const ArtifactLoadRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ArtifactLoadRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _fbb.CreateString(_o->service);
+  auto _model = _fbb.CreateString(_o->model);
+  auto _adapter = _fbb.CreateString(_o->adapter);
+  auto _arrivals_per_second = _o->arrivals_per_second;
+  auto _in_progress = _o->in_progress;
+  auto _waiting = _o->waiting;
+  return cyclamenstair::schema::CreateArtifactLoadRecord(
+      _fbb,
+      _service,
+      _model,
+      _adapter,
+      _arrivals_per_second,
+      _in_progress,
+      _waiting);
+}
+
+inline NodeStatusRecordT::NodeStatusRecordT(const NodeStatusRecordT &o)
+      : node(o.node) {
+  demands.reserve(o.demands.size());
+  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new cyclamenstair::schema::ArtifactLoadRecordT(*demands_) : nullptr); }
+}
+
+inline NodeStatusRecordT &NodeStatusRecordT::operator=(NodeStatusRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(demands, o.demands);
+  return *this;
+}
+
+inline NodeStatusRecordT *NodeStatusRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<NodeStatusRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void NodeStatusRecord::UnPackTo(NodeStatusRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<cyclamenstair::schema::ArtifactLoadRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<NodeStatusRecord> NodeStatusRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeStatusRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateNodeStatusRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<NodeStatusRecord> CreateNodeStatusRecord(flatbuffers::FlatBufferBuilder &_fbb, const NodeStatusRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NodeStatusRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRecord>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateArtifactLoadRecord(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateNodeStatusRecord(
+      _fbb,
+      _node,
+      _demands);
+}
+
 inline const cyclamenstair::schema::PlanRecord *GetPlanRecord(const void *buf) {
   return flatbuffers::GetRoot<cyclamenstair::schema::PlanRecord>(buf);
 }
--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -56,6 +56,14 @@
 struct PlacementSettingsBuilder;
 struct PlacementSettingsT;
 
+struct EntrySettings;
+struct EntrySettingsBuilder;
+struct EntrySettingsT;
+
+struct ControlSettings;
+struct ControlSettingsBuilder;
+struct ControlSettingsT;
+
 struct LogSettings;
 struct LogSettingsBuilder;
 struct LogSettingsT;
@@ -157,6 +165,36 @@
   return EnumNamesPlacementPolicyKind()[index];
 }
 
+enum class NodeMode : uint8_t {
+  Planned = 0,
+  Registered = 1,
+  MIN = Planned,
+  MAX = Registered
+};
+
+inline const NodeMode (&EnumValuesNodeMode())[2] {
+  static const NodeMode values[] = {
+    NodeMode::Planned,
+    NodeMode::Registered
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesNodeMode() {
+  static const char * const names[3] = {
+    "Planned",
+    "Registered",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameNodeMode(NodeMode e) {
+  if (flatbuffers::IsOutRange(e, NodeMode::Planned, NodeMode::Registered)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesNodeMode()[index];
+}
+
 enum class LogLevel : uint8_t {
   Debug = 0,
   Info = 1,
@@ -198,6 +236,7 @@
   std::string id{};
   std::string region{};
   std::string failure_domain{};
+  cyclamenstair::schema::NodeMode mode = cyclamenstair::schema::NodeMode::Planned;
 };
 
 /// Identity of the node.
@@ -208,7 +247,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_REGION = 6,
-    VT_FAILURE_DOMAIN = 8
+    VT_FAILURE_DOMAIN = 8,
+    VT_MODE = 10
   };
   /// Unique id of the VM, as in the VM list.
   const flatbuffers::String *id() const {
@@ -222,6 +262,11 @@
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
   }
+  /// Planned: targets come from the VM list, models from plan sheets. Registered: targets and catalog come from the store
+  /// (docs/platform.md); the sections entry and control apply.
+  cyclamenstair::schema::NodeMode mode() const {
+    return static_cast<cyclamenstair::schema::NodeMode>(GetField<uint8_t>(VT_MODE, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -230,6 +275,7 @@
            verifier.VerifyString(region()) &&
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
+           VerifyField<uint8_t>(verifier, VT_MODE, 1) &&
            verifier.EndTable();
   }
   NodeSettingsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -250,6 +296,9 @@
   void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
     fbb_.AddOffset(NodeSettings::VT_FAILURE_DOMAIN, failure_domain);
   }
+  void add_mode(cyclamenstair::schema::NodeMode mode) {
+    fbb_.AddElement<uint8_t>(NodeSettings::VT_MODE, static_cast<uint8_t>(mode), 0);
+  }
   explicit NodeSettingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -265,11 +314,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
-    flatbuffers::Offset<flatbuffers::String> failure_domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    cyclamenstair::schema::NodeMode mode = cyclamenstair::schema::NodeMode::Planned) {
   NodeSettingsBuilder builder_(_fbb);
   builder_.add_failure_domain(failure_domain);
   builder_.add_region(region);
   builder_.add_id(id);
+  builder_.add_mode(mode);
   return builder_.Finish();
 }
 
@@ -282,7 +333,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     const char *region = nullptr,
-    const char *failure_domain = nullptr) {
+    const char *failure_domain = nullptr,
+    cyclamenstair::schema::NodeMode mode = cyclamenstair::schema::NodeMode::Planned) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
@@ -290,7 +342,8 @@
       _fbb,
       id__,
       region__,
-      failure_domain__);
+      failure_domain__,
+      mode);
 }
 
 flatbuffers::Offset<NodeSettings> CreateNodeSettings(flatbuffers::FlatBufferBuilder &_fbb, const NodeSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1353,6 +1406,290 @@
 
 flatbuffers::Offset<PlacementSettings> CreatePlacementSettings(flatbuffers::FlatBufferBuilder &_fbb, const PlacementSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EntrySettingsT : public flatbuffers::NativeTable {
+  typedef EntrySettings TableType;
+  std::string listen{};
+  std::string ready_listen{};
+  std::string metrics_listen{};
+  int32_t loops = 2;
+  double grace_s = 8.0;
+  double retry_ratio = 0.2;
+  int32_t retry_slack = 58;
+  double retry_window_s = 10.0;
+  int32_t retry_nodes = 16;
+};
+
+/// Front end of a node in mode Registered.
+struct EntrySettings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntrySettingsT NativeTableType;
+  typedef EntrySettingsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LISTEN = 4,
+    VT_READY_LISTEN = 6,
+    VT_METRICS_LISTEN = 8,
+    VT_LOOPS = 10,
+    VT_GRACE_S = 12,
+    VT_RETRY_RATIO = 14,
+    VT_RETRY_SLACK = 16,
+    VT_RETRY_WINDOW_S = 18,
+    VT_RETRY_NODES = 20
+  };
+  /// Address for callers as IP:PORT.
+  const flatbuffers::String *listen() const {
+    return GetPointer<const flatbuffers::String *>(VT_LISTEN);
+  }
+  /// Address of the readiness probe as IP:PORT.
+  const flatbuffers::String *ready_listen() const {
+    return GetPointer<const flatbuffers::String *>(VT_READY_LISTEN);
+  }
+  /// Address of the metrics as IP:PORT; empty for none.
+  const flatbuffers::String *metrics_listen() const {
+    return GetPointer<const flatbuffers::String *>(VT_METRICS_LISTEN);
+  }
+  /// Event loops that serve callers.
+  int32_t loops() const {
+    return GetField<int32_t>(VT_LOOPS, 2);
+  }
+  /// Time from SIGTERM to the end of the process; running answers are cut off then.
+  double grace_s() const {
+    return GetField<double>(VT_GRACE_S, 8.0);
+  }
+  /// Extra attempts that all nodes together may make, as a share of a service's requests.
+  double retry_ratio() const {
+    return GetField<double>(VT_RETRY_RATIO, 0.2);
+  }
+  /// Extra attempts that all nodes together may make beyond that share.
+  int32_t retry_slack() const {
+    return GetField<int32_t>(VT_RETRY_SLACK, 58);
+  }
+  /// Time over which the extra attempts are counted.
+  double retry_window_s() const {
+    return GetField<double>(VT_RETRY_WINDOW_S, 10.0);
+  }
+  /// Nodes among which the extra attempts are divided.
+  int32_t retry_nodes() const {
+    return GetField<int32_t>(VT_RETRY_NODES, 16);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LISTEN) &&
+           verifier.VerifyString(listen()) &&
+           VerifyOffset(verifier, VT_READY_LISTEN) &&
+           verifier.VerifyString(ready_listen()) &&
+           VerifyOffset(verifier, VT_METRICS_LISTEN) &&
+           verifier.VerifyString(metrics_listen()) &&
+           VerifyField<int32_t>(verifier, VT_LOOPS, 4) &&
+           VerifyField<double>(verifier, VT_GRACE_S, 8) &&
+           VerifyField<double>(verifier, VT_RETRY_RATIO, 8) &&
+           VerifyField<int32_t>(verifier, VT_RETRY_SLACK, 4) &&
+           VerifyField<double>(verifier, VT_RETRY_WINDOW_S, 8) &&
+           VerifyField<int32_t>(verifier, VT_RETRY_NODES, 4) &&
+           verifier.EndTable();
+  }
+  EntrySettingsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntrySettingsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntrySettings> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntrySettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EntrySettingsBuilder {
+  typedef EntrySettings Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_listen(flatbuffers::Offset<flatbuffers::String> listen) {
+    fbb_.AddOffset(EntrySettings::VT_LISTEN, listen);
+  }
+  void add_ready_listen(flatbuffers::Offset<flatbuffers::String> ready_listen) {
+    fbb_.AddOffset(EntrySettings::VT_READY_LISTEN, ready_listen);
+  }
+  void add_metrics_listen(flatbuffers::Offset<flatbuffers::String> metrics_listen) {
+    fbb_.AddOffset(EntrySettings::VT_METRICS_LISTEN, metrics_listen);
+  }
+  void add_loops(int32_t loops) {
+    fbb_.AddElement<int32_t>(EntrySettings::VT_LOOPS, loops, 2);
+  }
+  void add_grace_s(double grace_s) {
+    fbb_.AddElement<double>(EntrySettings::VT_GRACE_S, grace_s, 8.0);
+  }
+  void add_retry_ratio(double retry_ratio) {
+    fbb_.AddElement<double>(EntrySettings::VT_RETRY_RATIO, retry_ratio, 0.2);
+  }
+  void add_retry_slack(int32_t retry_slack) {
+    fbb_.AddElement<int32_t>(EntrySettings::VT_RETRY_SLACK, retry_slack, 58);
+  }
+  void add_retry_window_s(double retry_window_s) {
+    fbb_.AddElement<double>(EntrySettings::VT_RETRY_WINDOW_S, retry_window_s, 10.0);
+  }
+  void add_retry_nodes(int32_t retry_nodes) {
+    fbb_.AddElement<int32_t>(EntrySettings::VT_RETRY_NODES, retry_nodes, 16);
+  }
+  explicit EntrySettingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntrySettings> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntrySettings>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntrySettings> CreateEntrySettings(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> listen = 0,
+    flatbuffers::Offset<flatbuffers::String> ready_listen = 0,
+    flatbuffers::Offset<flatbuffers::String> metrics_listen = 0,
+    int32_t loops = 2,
+    double grace_s = 8.0,
+    double retry_ratio = 0.2,
+    int32_t retry_slack = 58,
+    double retry_window_s = 10.0,
+    int32_t retry_nodes = 16) {
+  EntrySettingsBuilder builder_(_fbb);
+  builder_.add_retry_window_s(retry_window_s);
+  builder_.add_retry_ratio(retry_ratio);
+  builder_.add_grace_s(grace_s);
+  builder_.add_retry_nodes(retry_nodes);
+  builder_.add_retry_slack(retry_slack);
+  builder_.add_loops(loops);
+  builder_.add_metrics_listen(metrics_listen);
+  builder_.add_ready_listen(ready_listen);
+  builder_.add_listen(listen);
+  return builder_.Finish();
+}
+
+struct EntrySettings::Traits {
+  using type = EntrySettings;
+  static auto constexpr Create = CreateEntrySettings;
+};
+
+inline flatbuffers::Offset<EntrySettings> CreateEntrySettingsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *listen = nullptr,
+    const char *ready_listen = nullptr,
+    const char *metrics_listen = nullptr,
+    int32_t loops = 2,
+    double grace_s = 8.0,
+    double retry_ratio = 0.2,
+    int32_t retry_slack = 58,
+    double retry_window_s = 10.0,
+    int32_t retry_nodes = 16) {
+  auto listen__ = listen ? _fbb.CreateString(listen) : 0;
+  auto ready_listen__ = ready_listen ? _fbb.CreateString(ready_listen) : 0;
+  auto metrics_listen__ = metrics_listen ? _fbb.CreateString(metrics_listen) : 0;
+  return cyclamenstair::schema::CreateEntrySettings(
+      _fbb,
+      listen__,
+      ready_listen__,
+      metrics_listen__,
+      loops,
+      grace_s,
+      retry_ratio,
+      retry_slack,
+      retry_window_s,
+      retry_nodes);
+}
+
+flatbuffers::Offset<EntrySettings> CreateEntrySettings(flatbuffers::FlatBufferBuilder &_fbb, const EntrySettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ControlSettingsT : public flatbuffers::NativeTable {
+  typedef ControlSettings TableType;
+  std::string store{};
+  int32_t order_gap_ms = 3000;
+  int32_t min_lease_ms = 1000;
+};
+
+/// Orders to targets in mode Registered.
+struct ControlSettings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ControlSettingsT NativeTableType;
+  typedef ControlSettingsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STORE = 4,
+    VT_ORDER_GAP_MS = 6,
+    VT_MIN_LEASE_MS = 8
+  };
+  /// Address of the platform's store as IP:PORT.
+  const flatbuffers::String *store() const {
+    return GetPointer<const flatbuffers::String *>(VT_STORE);
+  }
+  /// Shortest time between orders of two nodes that the targets accept.
+  int32_t order_gap_ms() const {
+    return GetField<int32_t>(VT_ORDER_GAP_MS, 3000);
+  }
+  /// Shortest time to live that the store grants a lease.
+  int32_t min_lease_ms() const {
+    return GetField<int32_t>(VT_MIN_LEASE_MS, 1000);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_STORE) &&
+           verifier.VerifyString(store()) &&
+           VerifyField<int32_t>(verifier, VT_ORDER_GAP_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_MIN_LEASE_MS, 4) &&
+           verifier.EndTable();
+  }
+  ControlSettingsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ControlSettingsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ControlSettings> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlSettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ControlSettingsBuilder {
+  typedef ControlSettings Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_store(flatbuffers::Offset<flatbuffers::String> store) {
+    fbb_.AddOffset(ControlSettings::VT_STORE, store);
+  }
+  void add_order_gap_ms(int32_t order_gap_ms) {
+    fbb_.AddElement<int32_t>(ControlSettings::VT_ORDER_GAP_MS, order_gap_ms, 3000);
+  }
+  void add_min_lease_ms(int32_t min_lease_ms) {
+    fbb_.AddElement<int32_t>(ControlSettings::VT_MIN_LEASE_MS, min_lease_ms, 1000);
+  }
+  explicit ControlSettingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ControlSettings> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ControlSettings>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ControlSettings> CreateControlSettings(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> store = 0,
+    int32_t order_gap_ms = 3000,
+    int32_t min_lease_ms = 1000) {
+  ControlSettingsBuilder builder_(_fbb);
+  builder_.add_min_lease_ms(min_lease_ms);
+  builder_.add_order_gap_ms(order_gap_ms);
+  builder_.add_store(store);
+  return builder_.Finish();
+}
+
+struct ControlSettings::Traits {
+  using type = ControlSettings;
+  static auto constexpr Create = CreateControlSettings;
+};
+
+inline flatbuffers::Offset<ControlSettings> CreateControlSettingsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *store = nullptr,
+    int32_t order_gap_ms = 3000,
+    int32_t min_lease_ms = 1000) {
+  auto store__ = store ? _fbb.CreateString(store) : 0;
+  return cyclamenstair::schema::CreateControlSettings(
+      _fbb,
+      store__,
+      order_gap_ms,
+      min_lease_ms);
+}
+
+flatbuffers::Offset<ControlSettings> CreateControlSettings(flatbuffers::FlatBufferBuilder &_fbb, const ControlSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LogSettingsT : public flatbuffers::NativeTable {
   typedef LogSettings TableType;
   cyclamenstair::schema::LogLevel level = cyclamenstair::schema::LogLevel::Info;
@@ -1425,6 +1762,8 @@
   std::unique_ptr<cyclamenstair::schema::RoutingSettingsT> routing{};
   std::unique_ptr<cyclamenstair::schema::AdmissionSettingsT> admission{};
   std::unique_ptr<cyclamenstair::schema::PlacementSettingsT> placement{};
+  std::unique_ptr<cyclamenstair::schema::EntrySettingsT> entry{};
+  std::unique_ptr<cyclamenstair::schema::ControlSettingsT> control{};
   std::unique_ptr<cyclamenstair::schema::LogSettingsT> log{};
   SettingsT() = default;
   SettingsT(const SettingsT &o);
@@ -1447,7 +1786,9 @@
     VT_ROUTING = 18,
     VT_ADMISSION = 20,
     VT_PLACEMENT = 22,
-    VT_LOG = 24
+    VT_ENTRY = 24,
+    VT_CONTROL = 26,
+    VT_LOG = 28
   };
   const cyclamenstair::schema::NodeSettings *node() const {
     return GetPointer<const cyclamenstair::schema::NodeSettings *>(VT_NODE);
@@ -1479,6 +1820,12 @@
   const cyclamenstair::schema::PlacementSettings *placement() const {
     return GetPointer<const cyclamenstair::schema::PlacementSettings *>(VT_PLACEMENT);
   }
+  const cyclamenstair::schema::EntrySettings *entry() const {
+    return GetPointer<const cyclamenstair::schema::EntrySettings *>(VT_ENTRY);
+  }
+  const cyclamenstair::schema::ControlSettings *control() const {
+    return GetPointer<const cyclamenstair::schema::ControlSettings *>(VT_CONTROL);
+  }
   const cyclamenstair::schema::LogSettings *log() const {
     return GetPointer<const cyclamenstair::schema::LogSettings *>(VT_LOG);
   }
@@ -1504,6 +1851,10 @@
            verifier.VerifyTable(admission()) &&
            VerifyOffset(verifier, VT_PLACEMENT) &&
            verifier.VerifyTable(placement()) &&
+           VerifyOffset(verifier, VT_ENTRY) &&
+           verifier.VerifyTable(entry()) &&
+           VerifyOffset(verifier, VT_CONTROL) &&
+           verifier.VerifyTable(control()) &&
            VerifyOffset(verifier, VT_LOG) &&
            verifier.VerifyTable(log()) &&
            verifier.EndTable();
@@ -1547,6 +1898,12 @@
   void add_placement(flatbuffers::Offset<cyclamenstair::schema::PlacementSettings> placement) {
     fbb_.AddOffset(Settings::VT_PLACEMENT, placement);
   }
+  void add_entry(flatbuffers::Offset<cyclamenstair::schema::EntrySettings> entry) {
+    fbb_.AddOffset(Settings::VT_ENTRY, entry);
+  }
+  void add_control(flatbuffers::Offset<cyclamenstair::schema::ControlSettings> control) {
+    fbb_.AddOffset(Settings::VT_CONTROL, control);
+  }
   void add_log(flatbuffers::Offset<cyclamenstair::schema::LogSettings> log) {
     fbb_.AddOffset(Settings::VT_LOG, log);
   }
@@ -1573,9 +1930,13 @@
     flatbuffers::Offset<cyclamenstair::schema::RoutingSettings> routing = 0,
     flatbuffers::Offset<cyclamenstair::schema::AdmissionSettings> admission = 0,
     flatbuffers::Offset<cyclamenstair::schema::PlacementSettings> placement = 0,
+    flatbuffers::Offset<cyclamenstair::schema::EntrySettings> entry = 0,
+    flatbuffers::Offset<cyclamenstair::schema::ControlSettings> control = 0,
     flatbuffers::Offset<cyclamenstair::schema::LogSettings> log = 0) {
   SettingsBuilder builder_(_fbb);
   builder_.add_log(log);
+  builder_.add_control(control);
+  builder_.add_entry(entry);
   builder_.add_placement(placement);
   builder_.add_admission(admission);
   builder_.add_routing(routing);
@@ -1608,6 +1969,7 @@
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
+  { auto _e = mode(); _o->mode = _e; }
 }
 
 inline flatbuffers::Offset<NodeSettings> NodeSettings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeSettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1621,11 +1983,13 @@
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
+  auto _mode = _o->mode;
   return cyclamenstair::schema::CreateNodeSettings(
       _fbb,
       _id,
       _region,
-      _failure_domain);
+      _failure_domain,
+      _mode);
 }
 
 inline CallerSettingsT *CallerSettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1964,6 +2328,88 @@
       _order_timeout_ms);
 }
 
+inline EntrySettingsT *EntrySettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntrySettingsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EntrySettings::UnPackTo(EntrySettingsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = listen(); if (_e) _o->listen = _e->str(); }
+  { auto _e = ready_listen(); if (_e) _o->ready_listen = _e->str(); }
+  { auto _e = metrics_listen(); if (_e) _o->metrics_listen = _e->str(); }
+  { auto _e = loops(); _o->loops = _e; }
+  { auto _e = grace_s(); _o->grace_s = _e; }
+  { auto _e = retry_ratio(); _o->retry_ratio = _e; }
+  { auto _e = retry_slack(); _o->retry_slack = _e; }
+  { auto _e = retry_window_s(); _o->retry_window_s = _e; }
+  { auto _e = retry_nodes(); _o->retry_nodes = _e; }
+}
+
+inline flatbuffers::Offset<EntrySettings> EntrySettings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntrySettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntrySettings(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EntrySettings> CreateEntrySettings(flatbuffers::FlatBufferBuilder &_fbb, const EntrySettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntrySettingsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _listen = _o->listen.empty() ? 0 : _fbb.CreateString(_o->listen);
+  auto _ready_listen = _o->ready_listen.empty() ? 0 : _fbb.CreateString(_o->ready_listen);
+  auto _metrics_listen = _o->metrics_listen.empty() ? 0 : _fbb.CreateString(_o->metrics_listen);
+  auto _loops = _o->loops;
+  auto _grace_s = _o->grace_s;
+  auto _retry_ratio = _o->retry_ratio;
+  auto _retry_slack = _o->retry_slack;
+  auto _retry_window_s = _o->retry_window_s;
+  auto _retry_nodes = _o->retry_nodes;
+  return cyclamenstair::schema::CreateEntrySettings(
+      _fbb,
+      _listen,
+      _ready_listen,
+      _metrics_listen,
+      _loops,
+      _grace_s,
+      _retry_ratio,
+      _retry_slack,
+      _retry_window_s,
+      _retry_nodes);
+}
+
+inline ControlSettingsT *ControlSettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ControlSettingsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ControlSettings::UnPackTo(ControlSettingsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = store(); if (_e) _o->store = _e->str(); }
+  { auto _e = order_gap_ms(); _o->order_gap_ms = _e; }
+  { auto _e = min_lease_ms(); _o->min_lease_ms = _e; }
+}
+
+inline flatbuffers::Offset<ControlSettings> ControlSettings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlSettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateControlSettings(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ControlSettings> CreateControlSettings(flatbuffers::FlatBufferBuilder &_fbb, const ControlSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ControlSettingsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _store = _o->store.empty() ? 0 : _fbb.CreateString(_o->store);
+  auto _order_gap_ms = _o->order_gap_ms;
+  auto _min_lease_ms = _o->min_lease_ms;
+  return cyclamenstair::schema::CreateControlSettings(
+      _fbb,
+      _store,
+      _order_gap_ms,
+      _min_lease_ms);
+}
+
 inline LogSettingsT *LogSettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LogSettingsT>();
   UnPackTo(_o.get(), _resolver);
@@ -2001,6 +2447,8 @@
         routing((o.routing) ? new cyclamenstair::schema::RoutingSettingsT(*o.routing) : nullptr),
         admission((o.admission) ? new cyclamenstair::schema::AdmissionSettingsT(*o.admission) : nullptr),
         placement((o.placement) ? new cyclamenstair::schema::PlacementSettingsT(*o.placement) : nullptr),
+        entry((o.entry) ? new cyclamenstair::schema::EntrySettingsT(*o.entry) : nullptr),
+        control((o.control) ? new cyclamenstair::schema::ControlSettingsT(*o.control) : nullptr),
         log((o.log) ? new cyclamenstair::schema::LogSettingsT(*o.log) : nullptr) {
 }
 
@@ -2015,6 +2463,8 @@
   std::swap(routing, o.routing);
   std::swap(admission, o.admission);
   std::swap(placement, o.placement);
+  std::swap(entry, o.entry);
+  std::swap(control, o.control);
   std::swap(log, o.log);
   return *this;
 }
@@ -2038,6 +2488,8 @@
   { auto _e = routing(); if (_e) _o->routing = std::unique_ptr<cyclamenstair::schema::RoutingSettingsT>(_e->UnPack(_resolver)); }
   { auto _e = admission(); if (_e) _o->admission = std::unique_ptr<cyclamenstair::schema::AdmissionSettingsT>(_e->UnPack(_resolver)); }
   { auto _e = placement(); if (_e) _o->placement = std::unique_ptr<cyclamenstair::schema::PlacementSettingsT>(_e->UnPack(_resolver)); }
+  { auto _e = entry(); if (_e) _o->entry = std::unique_ptr<cyclamenstair::schema::EntrySettingsT>(_e->UnPack(_resolver)); }
+  { auto _e = control(); if (_e) _o->control = std::unique_ptr<cyclamenstair::schema::ControlSettingsT>(_e->UnPack(_resolver)); }
   { auto _e = log(); if (_e) _o->log = std::unique_ptr<cyclamenstair::schema::LogSettingsT>(_e->UnPack(_resolver)); }
 }
 
@@ -2059,6 +2511,8 @@
   auto _routing = _o->routing ? CreateRoutingSettings(_fbb, _o->routing.get(), _rehasher) : 0;
   auto _admission = _o->admission ? CreateAdmissionSettings(_fbb, _o->admission.get(), _rehasher) : 0;
   auto _placement = _o->placement ? CreatePlacementSettings(_fbb, _o->placement.get(), _rehasher) : 0;
+  auto _entry = _o->entry ? CreateEntrySettings(_fbb, _o->entry.get(), _rehasher) : 0;
+  auto _control = _o->control ? CreateControlSettings(_fbb, _o->control.get(), _rehasher) : 0;
   auto _log = _o->log ? CreateLogSettings(_fbb, _o->log.get(), _rehasher) : 0;
   return cyclamenstair::schema::CreateSettings(
       _fbb,
@@ -2072,6 +2526,8 @@
       _routing,
       _admission,
       _placement,
+      _entry,
+      _control,
       _log);
 }
 
--- /dev/null
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -0,0 +1,238 @@
+#include <Cyclamenstair/Http/ClientConnection.h>
+
+#include <Cyclamenstair/Http/SocketOptions.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <charconv>
+
+namespace cyclamenstair {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    /// Part of the server's idle limit that is left unused, because the server may close while a request is on its way.
+    constexpr Duration idleMargin = milliseconds(1000);
+
+    std::string describe(const boost::asio::ip::tcp::endpoint& endpoint)
+    {
+        return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    }
+
+} // namespace
+
+ClientConnection::ClientConnection(
+    boost::asio::io_context& context, boost::asio::ip::tcp::endpoint server, const ClientConnectionSettings& settings)
+    : m_socket(context)
+    , m_connectTimer(context)
+    , m_server(std::move(server))
+    , m_settings(&settings)
+{
+}
+
+void ClientConnection::send(std::string requestBytes, bool isHead, Handler handler)
+{
+    m_output = std::move(requestBytes);
+    m_isHead = isHead;
+    m_handler = std::move(handler);
+    m_wasSent = false;
+    m_keepsAlive = true;
+    startParser();
+    if (m_isOpen)
+        write();
+    else
+        connect();
+}
+
+void ClientConnection::close()
+{
+    m_handler = nullptr;
+    m_isClosed = true;
+    m_isOpen = false;
+    boost::system::error_code ec;
+    m_connectTimer.cancel(ec);
+    m_socket.close(ec);
+}
+
+bool ClientConnection::isReusable(TimePoint now) const
+{
+    return m_isOpen && !m_isClosed && !m_handler && !m_isWriting && m_keepsAlive && m_input.empty()
+        && now < m_idleUntil;
+}
+
+void ClientConnection::connect()
+{
+    m_connectTimer.expires_after(m_settings->connectTimeout);
+    m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec && !self->m_isOpen && !self->m_isClosed)
+            self->fail("http.connect", "timed out");
+    });
+    m_socket.async_connect(m_server, [self = shared_from_this()](const boost::system::error_code& ec) {
+        if (self->m_isClosed)
+            return;
+        boost::system::error_code ignored;
+        self->m_connectTimer.cancel(ignored);
+        if (ec) {
+            self->fail("http.connect", ec.message());
+            return;
+        }
+        self->m_isOpen = true;
+        configureSocket(self->m_socket, self->m_settings->silence);
+        self->read();
+        self->write();
+    });
+}
+
+void ClientConnection::write()
+{
+    // Once the write has been handed to the system, any part of it may reach the server.
+    m_wasSent = true;
+    m_isWriting = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
+        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
+            self->m_isWriting = false;
+            // The server may answer and stop reading before it has the whole body; the answer is still read.
+            if (ec && !self->m_isClosed && !self->m_isHeadEmitted && !self->m_isReading)
+                self->fail("http.write", ec.message());
+        });
+}
+
+void ClientConnection::read()
+{
+    m_isReading = true;
+    m_socket.async_read_some(
+        boost::asio::buffer(m_buffer), [self = shared_from_this()](const boost::system::error_code& ec, size_t bytes) {
+            self->m_isReading = false;
+            if (!self->m_isClosed)
+                self->onRead(ec, bytes);
+        });
+}
+
+void ClientConnection::onRead(const boost::system::error_code& ec, size_t bytes)
+{
+    if (!m_handler) {
+        // Bytes or an end on an idle connection belong to no request.
+        close();
+        return;
+    }
+    if (ec == boost::asio::error::eof) {
+        boost::system::error_code parserError;
+        if (m_parser->got_some())
+            m_parser->put_eof(parserError);
+        if (m_parser->is_done() && !parserError) {
+            m_keepsAlive = false;
+            onParsed();
+            return;
+        }
+    }
+    if (ec) {
+        fail("http.read", ec.message());
+        return;
+    }
+    m_input.append(m_buffer.data(), bytes);
+    const auto self = shared_from_this();
+    parse();
+    if (!m_isClosed && !m_isReading)
+        read();
+}
+
+void ClientConnection::parse()
+{
+    while (!m_input.empty() && m_handler && !m_parser->is_done()) {
+        boost::system::error_code ec;
+        const size_t used = m_parser->put(boost::asio::buffer(m_input), ec);
+        m_input.erase(0, used);
+        if (ec == http::error::need_more)
+            ec = {};
+        if (ec) {
+            fail("http.parse", ec.message());
+            return;
+        }
+        // Interim answers precede the real one.
+        if (m_parser->is_done()
+            && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
+            startParser();
+            continue;
+        }
+        if (used == 0)
+            break;
+        onParsed();
+    }
+}
+
+void ClientConnection::onParsed()
+{
+    if (!m_parser->is_header_done())
+        return;
+    if (!m_isHeadEmitted)
+        emitHead();
+    if (m_handler)
+        emitData();
+    if (m_handler && m_parser->is_done())
+        complete();
+}
+
+void ClientConnection::emitHead()
+{
+    m_isHeadEmitted = true;
+    const auto& message = m_parser->get();
+    m_keepsAlive = m_keepsAlive && m_parser->keep_alive();
+    noteKeepAlive(message);
+    HttpAnswerHead head { message.result_int(), std::string(message.reason()), endToEndFields(message) };
+    const auto handler = m_handler;
+    handler(AnswerHeadRead { std::move(head) });
+}
+
+void ClientConnection::emitData()
+{
+    auto& body = m_parser->get().body();
+    if (body.empty())
+        return;
+    const auto handler = m_handler;
+    handler(AnswerDataRead { std::exchange(body, {}) });
+}
+
+void ClientConnection::complete()
+{
+    // Further bytes, or an answer before the request was written, leave the connection in an unknown state.
+    if (!m_input.empty() || m_isWriting)
+        m_keepsAlive = false;
+    const auto handler = std::exchange(m_handler, nullptr);
+    handler(AnswerComplete {});
+}
+
+void ClientConnection::noteKeepAlive(const http::fields& fields)
+{
+    Duration limit = m_settings->maxIdle;
+    const auto text = std::string(fields[http::field::keep_alive]);
+    constexpr std::string_view name = "timeout=";
+    if (const auto start = text.find(name); start != std::string::npos) {
+        int seconds = 0;
+        std::from_chars(text.data() + start + name.size(), text.data() + text.size(), seconds);
+        limit = std::chrono::seconds(seconds) - idleMargin;
+    }
+    m_idleUntil = monotonicNow() + limit;
+}
+
+void ClientConnection::fail(const std::string& step, const std::string& message)
+{
+    const auto handler = std::exchange(m_handler, nullptr);
+    const bool wasSent = m_wasSent;
+    close();
+    if (handler)
+        handler(CallFailed { wasSent, { ErrorKind::Unavailable, step, describe(m_server), message } });
+}
+
+void ClientConnection::startParser()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->eager(true);
+    m_parser->header_limit(m_settings->maxHeadBytes);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHead);
+    m_isHeadEmitted = false;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/Http/HttpMessage.cpp
@@ -0,0 +1,103 @@
+#include <Cyclamenstair/Http/HttpMessage.h>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace cyclamenstair {
+
+namespace {
+
+    using boost::beast::iequals;
+
+    /// Fields of one connection, which are not passed on.
+    constexpr auto connectionFields
+        = std::to_array<std::string_view>({ "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
+            "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect" });
+
+    boost::beast::string_view toBeast(std::string_view text) { return { text.data(), text.size() }; }
+
+    bool isNamedBy(const boost::beast::http::fields& fields, boost::beast::string_view name)
+    {
+        const auto range = fields.equal_range(boost::beast::http::field::connection);
+        for (auto field = range.first; field != range.second; ++field) {
+            const boost::beast::http::token_list tokens(field->value());
+            if (std::any_of(tokens.begin(), tokens.end(), [&](const auto& token) { return iequals(token, name); }))
+                return true;
+        }
+        return false;
+    }
+
+    void appendFields(std::string& text, const HeaderFields& fields)
+    {
+        for (const auto& [name, value] : fields)
+            text.append(name).append(": ").append(value).append("\r\n");
+    }
+
+} // namespace
+
+std::optional<std::string> fieldValue(const HeaderFields& fields, std::string_view name)
+{
+    const auto found = std::find_if(
+        fields.begin(), fields.end(), [&](const auto& field) { return iequals(field.first, toBeast(name)); });
+    return found == fields.end() ? std::nullopt : std::optional(found->second);
+}
+
+HeaderFields endToEndFields(const boost::beast::http::fields& fields)
+{
+    HeaderFields kept;
+    for (const auto& field : fields) {
+        const auto name = field.name_string();
+        const bool isOfConnection = std::any_of(connectionFields.begin(), connectionFields.end(),
+            [&](std::string_view connectionField) { return iequals(name, toBeast(connectionField)); });
+        if (!isOfConnection && !isNamedBy(fields, name))
+            kept.emplace_back(std::string(name), std::string(field.value()));
+    }
+    return kept;
+}
+
+std::string encodeRequest(const HttpRequest& request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    appendFields(text, request.fields);
+    if (request.hasBody)
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+std::string encodeHead(const HttpAnswerHead& head, std::optional<uint64_t> bodyBytes, bool isLast)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    if (head.reason.empty()) {
+        const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(head.status));
+        text.append(reason.data(), reason.size());
+    } else {
+        text += head.reason;
+    }
+    text += "\r\n";
+    appendFields(text, head.fields);
+    if (bodyBytes)
+        text += "Content-Length: " + std::to_string(*bodyBytes) + "\r\n";
+    else
+        text += "Transfer-Encoding: chunked\r\n";
+    if (isLast)
+        text += "Connection: close\r\n";
+    return text + "\r\n";
+}
+
+std::string encodeChunk(std::string_view data)
+{
+    std::array<char, 24> size {};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    std::string text(size.data(), static_cast<size_t>(length));
+    text.append(data).append("\r\n");
+    return text;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Cyclamenstair/RequestFlow/RequestFacts.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <Cyclamenstair/Catalog/Route.h>
+
+#include <optional>
+
+namespace cyclamenstair {
+
+/// What decisions need to know of a request.
+struct RequestFacts {
+    std::string id; ///< The caller's id of this try.
+    Route route;
+    std::string service; ///< Chosen by the route's shares.
+    std::string model; ///< Empty for plain services.
+    std::string adapter; ///< Empty for the model itself.
+    double promptTokens { 0 };
+    double outputTokens { 0 }; ///< Expected or largest number of output tokens.
+    TimePoint receivedAt;
+    std::optional<Duration> callerPatience; ///< Time that the caller waits, counted from the receipt.
+};
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Store/StoreTypes.h
+++ b/Cyclamenstair/Store/StoreTypes.h
@@ -89,6 +89,23 @@
 
 using StoreReadOutcome = std::variant<StoreRange, StoreUnavailable>;
 
+/// A write or a deletion that a watch reports.
+struct StoreChange {
+    StoreRecord record; ///< Of a deletion only the key and the revision are set.
+    bool isDeleted { false };
+};
+
+/// Changes after the revision that a watch was started from; empty if there were none in its time.
+struct StoreChanges {
+    std::vector<StoreChange> changes;
+    int64_t revision { 0 }; ///< Revision from which the next watch goes on.
+};
+
+/// The store no longer has the history from the revision on; the records must be read in full.
+struct StoreHistoryLost { };
+
+using StoreWatchOutcome = std::variant<StoreChanges, StoreHistoryLost, StoreUnavailable>;
+
 /// Kind of a call to the store, as counted in metrics.
 enum class StoreCallKind : uint8_t {
     Range,
--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -4,7 +4,6 @@
 
 #include <iostream>
 #include <mutex>
-#include <sstream>
 
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
@@ -49,19 +48,38 @@
         return text + '"';
     }
 
+    /// Lines about requests that a process writes at most: ten lines for each of 100 requests a second.
+    constexpr LogLimiterSettings requestLineLimit { 1000, std::chrono::seconds(1), 16 };
+
     void writeLine(LogSeverity severity, const std::string& line)
     {
         static boost::log::sources::severity_logger_mt<BoostSeverity> s_logger;
         BOOST_LOG_SEV(s_logger, toBoost(severity)) << line;
     }
 
+    std::string beginLine(LogSeverity severity, std::string_view event)
+    {
+        std::string line = "time=";
+        line += boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time());
+        line.append("Z level=").append(nameOf(severity)).append(" event=").append(event);
+        return line;
+    }
+
+    void appendFields(std::string& line, std::initializer_list<LogField> fields, uint64_t suppressed)
+    {
+        for (const auto& field : fields)
+            line.append(" ").append(field.name).append("=").append(quoteIfNeeded(field.value));
+        if (suppressed > 0)
+            line += " suppressed=" + std::to_string(suppressed);
+    }
+
 } // namespace
 
 void configureLog(LogSeverity lowest)
 {
     static std::once_flag s_once;
     std::call_once(s_once, [] {
-        boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true,
+        boost::log::add_console_log(std::cout, boost::log::keywords::auto_flush = true,
             boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage);
     });
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(lowest));
@@ -83,14 +101,21 @@
             return;
         suppressed = *admitted;
     }
-    std::ostringstream line;
-    line << "time=" << boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time())
-         << "Z level=" << nameOf(severity) << " event=" << event;
-    for (const auto& field : fields)
-        line << ' ' << field.name << '=' << quoteIfNeeded(field.value);
-    if (suppressed > 0)
-        line << " suppressed=" << suppressed;
-    writeLine(severity, line.str());
+    auto line = beginLine(severity, event);
+    appendFields(line, fields, suppressed);
+    writeLine(severity, line);
+}
+
+void logRequestEvent(const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields)
+{
+    static LogLimiter s_limiter(requestLineLimit);
+    const auto suppressed = s_limiter.admit("request", monotonicNow());
+    if (!suppressed)
+        return;
+    auto line = beginLine(LogSeverity::Info, event);
+    line += " request=" + quoteIfNeeded(requestId);
+    appendFields(line, fields, *suppressed);
+    writeLine(LogSeverity::Info, line);
 }
 
 void logError(LogSeverity severity, std::string_view event, const Error& error)
--- a/Cyclamenstair/Telemetry/Log.h
+++ b/Cyclamenstair/Telemetry/Log.h
@@ -33,7 +33,7 @@
     std::string value;
 };
 
-/// Sets up output to the standard error stream; lines below `lowest` are dropped. Can be called again to change the
+/// Sets up output to the standard output stream; lines below `lowest` are dropped. Can be called again to change the
 /// level.
 void configureLog(LogSeverity lowest);
 
@@ -41,6 +41,10 @@
 /// passed. Warnings and errors that repeat are limited; the next line tells how many were suppressed.
 void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Writes one line about a request, which begins with its id. Above a rate for the process such lines are dropped; the
+/// next one that is written tells how many.
+void logRequestEvent(const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields = {});
+
 /// Writes a line with the kind, step, peer and message of `error`.
 void logError(LogSeverity severity, std::string_view event, const Error& error);
 
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -1,3 +1,4 @@
+#include <Cyclamenstair/Entry/EntryNode.h>
 #include <Cyclamenstair/Node/Node.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/Log.h>
@@ -26,28 +27,44 @@
     return signals;
 }
 
-void reload(Node& node, const std::string& path)
+/// Reads the settings again. A node in mode Registered takes over the log level; its other settings need a restart.
+void reload(const std::unique_ptr<Node>& node, const std::string& path)
 {
     const auto settings = SettingsReader::createFromFile(path);
-    if (settings)
-        node.reload(settings.value());
-    else
+    if (!settings) {
         logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
+        return;
+    }
+    if (node) {
+        node->reload(settings.value());
+        return;
+    }
+    configureLog(static_cast<LogSeverity>(settings.value().log->level));
+    logEvent(LogSeverity::Info, "settings_reloaded", { { "file", path } });
 }
 
 int runNode(const schema::SettingsT& settings, const std::string& path)
 {
     const auto signals = blockSignals();
     configureLog(static_cast<LogSeverity>(settings.log->level));
-    auto node = Node::create(settings);
-    if (!node) {
-        logError(LogSeverity::Error, "node_not_started", node.error());
+    std::unique_ptr<Node> node;
+    std::unique_ptr<EntryNode> entryNode;
+    try {
+        if (settings.node->mode == schema::NodeMode::Registered)
+            entryNode = EntryNode::create(settings).value();
+        else
+            node = Node::create(settings).value();
+    } catch (const Exception& exception) {
+        logError(LogSeverity::Error, "node_not_started", exception.error());
         return exitFailure;
     }
     int received = 0;
     while (sigwait(&signals, &received) == 0 && received == SIGHUP)
-        reload(*node.value(), path);
-    node.value()->stop();
+        reload(node, path);
+    if (node)
+        node->stop();
+    if (entryNode)
+        entryNode->stop();
     return exitOk;
 }
 
