Refuse new requests late in a planned stop, and call the store less often

Node status was renewed with every write. Change: requests are refused as not run from 2.9 s after the begin of a stop; leases of node status are renewed every 3 s and changes within 200 ms share a watch.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -15,6 +15,8 @@
     /// Time from the turn of the readiness probe until connections are closed after their answers: two probes, one each
     /// second, and a margin.
     constexpr Duration drainNotice = milliseconds(2500);
+    /// Time from the begin of a stop until new requests are refused; later ones might not end within the grace period.
+    constexpr Duration refuseNotice = milliseconds(2900);
     /// Part of the grace period that is left for the end of the process.
     constexpr Duration endMargin = milliseconds(500);
     /// Time between two looks at the requests in progress during a stop.
@@ -123,8 +125,8 @@
     });
     std::this_thread::sleep_for(std::min(drainNotice, grace / 2));
     m_callers->closeConnections();
-    waitForRequests(begin + grace);
-    m_loops.front()->loop().post([this] { m_callers->stopAccepting(); });
+    std::this_thread::sleep_until(begin + std::min(refuseNotice, grace / 2));
+    m_state.isRefusing = true;
     waitForRequests(begin + grace);
     logEvent(LogSeverity::Info, "node_stopped",
         { { "requests_cut", std::to_string(m_state.requestsInProgress.load()) },
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -25,6 +25,7 @@
     Metrics metrics;
     std::atomic<bool> areTargetsKnown { false };
     std::atomic<bool> isStopping { false };
+    std::atomic<bool> isRefusing { false }; ///< New requests are refused, because the process ends before they would.
     std::atomic<uint32_t> requestsInProgress { 0 };
 
     /// Returns whether the node should get new connections.
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -31,6 +31,12 @@
 void RequestExchange::begin(RequestLoop& loop, const std::shared_ptr<ServerConnection>& caller, HttpRequest request)
 {
     const auto decoded = decodeRequest(request);
+    if (loop.state().isRefusing) {
+        logRequestEvent(decoded.id, "answered_by_node", { { "outcome", "not_run" }, { "reason", "stopping" } });
+        caller->answer(
+            encodeOwnAnswer({ OwnAnswer::NotRun, "stopping", loop.state().flowSettings.fullRetryAfter }, decoded.id), {});
+        return;
+    }
     const auto current = loop.state().catalog.current();
     const Route* route = current ? current->routes.find(decoded.host, decoded.path) : nullptr;
     if (!route) {
--- a/Cyclamenstair/Entry/StatusPublisher.cpp
+++ b/Cyclamenstair/Entry/StatusPublisher.cpp
@@ -9,10 +9,11 @@
 namespace {
 
     /// Time between two looks at the demand; each write is a billed store call.
-    constexpr Duration interval = milliseconds(700);
+    constexpr Duration interval = milliseconds(1000);
     /// A status that does not change is written again after this time, and its lease lapses after the second.
     constexpr Duration longestInterval = milliseconds(3000);
     constexpr Duration statusTimeToLive = milliseconds(10000);
+    constexpr Duration renewalInterval = milliseconds(3000);
     /// Changes of the requests in progress for a model, beyond which the status is written.
     constexpr double relevantChange = 0.25;
     constexpr double relevantRequests = 2;
@@ -66,7 +67,8 @@
             // The lease may have lapsed during an outage.
             logEvent(LogSeverity::Info, "status_rejected", { { "message", refused->message } });
             m_leaseId = 0;
-        } else if (m_leaseId != 0) {
+        } else if (m_leaseId != 0 && monotonicNow() - m_renewedAt > renewalInterval) {
+            m_renewedAt = monotonicNow();
             m_store->keepLeaseAlive(m_leaseId, [this](StoreLeaseOutcome lease) {
                 if (lease == StoreLeaseOutcome::Expired)
                     m_leaseId = 0;
--- a/Cyclamenstair/Entry/StatusPublisher.h
+++ b/Cyclamenstair/Entry/StatusPublisher.h
@@ -31,6 +31,7 @@
     EntryState* m_state;
     NodeStatus m_published;
     TimePoint m_publishedAt;
+    TimePoint m_renewedAt;
     int64_t m_leaseId { 0 };
 };
 
--- a/Cyclamenstair/Entry/StoreFollower.h
+++ b/Cyclamenstair/Entry/StoreFollower.h
@@ -8,7 +8,7 @@
 struct StoreFollowerSettings {
     Duration watchWait { milliseconds(
         5000) }; ///< A watch that went silent is noticed after this and a call's time-out.
-    Duration pause { milliseconds(60) }; ///< Between two watches, so that changes in quick succession share a call.
+    Duration pause { milliseconds(200) }; ///< Between two watches, so that changes in quick succession share a call.
     Duration retryDelay { milliseconds(200) }; ///< After a call that failed; doubles up to retryLimit.
     Duration retryLimit { milliseconds(800) }; ///< Well below the time in which changes must be in force.
 };
