Follow the count of accepted orders, and reserve room that was made for a model

A report from before the last adapter order replaced the newer knowledge, so each later order named an old count; adapter orders were sent to engines that were loading a model. Room that was made for one model was taken by another one, so copies went to and fro. Planning began while targets were still registering.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -52,6 +52,10 @@
             engine.usedMib += loading->second.model->weightsMib;
             loading->second.copies += target.isLeaving ? 0 : 1;
         }
+        // A copy for which room was made is on its way, unless its engine is lost.
+        if (const auto reserved = m_models.find(target.reservedFor); reserved != m_models.end() && !target.isLeaving
+            && !holds(engine, target.reservedFor) && target.loadingModel != target.reservedFor)
+            reserved->second.onTheWay += 1;
         m_engines.push_back(engine);
     }
 }
@@ -68,31 +72,39 @@
         return a->busy / std::max(1U, a->copies) > b->busy / std::max(1U, b->copies);
     });
     for (auto* state : wanted) {
-        const bool isMissing = state->copies == 0;
+        if (state->onTheWay > 0) {
+            if (auto* engine = engineWithRoom(*state))
+                loadCopy(*engine, *state);
+            continue;
+        }
         const bool isShort = state->copies < state->leastCopies;
         const bool isBusy = state->busy > m_settings->busyPerCopy * state->copies;
-        if (isMissing || isShort || isBusy)
+        if (isShort || isBusy)
             placeCopy(*state);
     }
 }
 
-bool ResidencyPlanner::placeCopy(ModelState& wanted)
+void ResidencyPlanner::placeCopy(ModelState& wanted)
 {
     if (auto* engine = engineWithRoom(wanted)) {
-        if (!engine->target->report.cachedModels.contains(wanted.model->name))
-            --m_weightLoads;
-        engine->usedMib += wanted.model->weightsMib;
-        ++wanted.copies;
-        order(*engine, OrderKind::Load, wanted.model->name, {},
-            wanted.copies == 1 ? MoveReason::PlannedCopy : MoveReason::Demand);
-        return true;
+        loadCopy(*engine, wanted);
+        return;
     }
     const auto [engine, victim] = leastWantedCopy(wanted);
     if (!engine)
-        return false;
+        return;
     --victim->copies;
-    order(*engine, OrderKind::Unload, victim->model->name, {}, MoveReason::MakeRoom);
-    return true;
+    order(*engine, OrderKind::Unload, victim->model->name, {}, MoveReason::MakeRoom, wanted.model->name);
+}
+
+void ResidencyPlanner::loadCopy(Engine& engine, ModelState& wanted)
+{
+    if (!engine.target->report.cachedModels.contains(wanted.model->name))
+        --m_weightLoads;
+    engine.usedMib += wanted.model->weightsMib;
+    ++wanted.copies;
+    order(engine, OrderKind::Load, wanted.model->name, {},
+        wanted.copies == 1 ? MoveReason::PlannedCopy : MoveReason::Demand);
 }
 
 ResidencyPlanner::Engine* ResidencyPlanner::engineWithRoom(const ModelState& wanted)
@@ -161,7 +173,7 @@
                 if (held == models.end() || engine.target->isLeaving)
                     continue;
                 isHeld = isHeld || held->adapters.contains(adapter);
-                const bool canTake = engine.target->isOrderable && !engine.isOrdered
+                const bool canTake = engine.target->isOrderable && !engine.isOrdered && !engine.target->report.isBusy
                     && engine.adapterPlaces < m_input->engine->adapterSlots
                     && engine.target->report.incomingAdapters < m_settings->adaptersInTransitPerTarget
                     && engine.usedMib + state.model->adapterMib <= m_input->engine->weightsMib;
@@ -186,15 +198,18 @@
 
 bool ResidencyPlanner::mayLoad(const Engine& engine, const ModelState& wanted) const
 {
-    const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
-    return engine.isFree && !engine.isOrdered && !holds(engine, wanted.model->name) && (isCached || m_weightLoads > 0);
+    const auto& name = wanted.model->name;
+    const auto& reservedFor = engine.target->reservedFor;
+    const bool isCached = engine.target->report.cachedModels.contains(name);
+    return engine.isFree && !engine.isOrdered && !holds(engine, name) && (reservedFor.empty() || reservedFor == name)
+        && (isCached || m_weightLoads > 0);
 }
 
-void ResidencyPlanner::order(
-    Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason)
+void ResidencyPlanner::order(Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter,
+    MoveReason reason, const std::string& roomFor)
 {
     engine.isOrdered = true;
-    m_orders.push_back({ engine.target->id, kind, model, adapter, reason });
+    m_orders.push_back({ engine.target->id, kind, model, adapter, reason, roomFor });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -25,6 +25,7 @@
     bool isOrderable { true }; ///< False while an order is unanswered or no recent report is known.
     EngineReport report;
     std::string loadingModel; ///< Model of an accepted load that the report does not show yet.
+    std::string reservedFor; ///< Model for which room was made here; no other is loaded meanwhile.
 };
 
 /// What the planner decides on, for one service.
@@ -59,6 +60,7 @@
     struct ModelState {
         const CatalogModel* model;
         uint32_t copies { 0 }; ///< On targets that stay, loads in progress included.
+        uint32_t onTheWay { 0 }; ///< Copies for which room was made.
         double busy { 0 }; ///< Requests in progress or waiting.
         uint32_t leastCopies { 1 }; ///< Copies needed to have places for all adapters.
     };
@@ -66,14 +68,16 @@
     void countCopies();
     void placeModels();
     void placeAdapters();
-    bool placeCopy(ModelState& wanted);
+    void placeCopy(ModelState& wanted);
+    void loadCopy(Engine& engine, ModelState& wanted);
     Engine* engineWithRoom(const ModelState& wanted);
     /// Returns the engine and the model whose copy is least wanted, if it is wanted less than a further copy of
     /// `wanted`.
     std::pair<Engine*, ModelState*> leastWantedCopy(const ModelState& wanted);
     bool holds(const Engine& engine, const std::string& model) const;
     bool mayLoad(const Engine& engine, const ModelState& wanted) const;
-    void order(Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason);
+    void order(Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason,
+        const std::string& roomFor = {});
 
     const PlannerInput* m_input;
     const ResidencyPlannerSettings* m_settings;
--- a/Cyclamenstair/Control/TargetOrder.h
+++ b/Cyclamenstair/Control/TargetOrder.h
@@ -11,6 +11,7 @@
     std::string model;
     std::string adapter; ///< Empty for the model itself.
     MoveReason reason { MoveReason::PlannedCopy };
+    std::string roomFor; ///< Model for which an unload makes room; empty for loads.
 };
 
 /// Right under which an order is given.
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -27,6 +27,11 @@
     /// A report older than this is no ground for an order.
     constexpr Duration reportValidity = milliseconds(4000);
     constexpr Duration orderTimeout = milliseconds(700);
+    /// Targets register one after the other at the begin and after an outage of the store. Planning waits until none
+    /// has come for this long, so that models are not loaded that are about to be seen elsewhere.
+    constexpr Duration arrivalPause = milliseconds(1500);
+    /// Longest wait for targets to register.
+    constexpr Duration maxArrivalWait = milliseconds(6000);
 
 } // namespace
 
@@ -44,13 +49,16 @@
 {
     if (m_holder->lease().isHeld()) {
         const auto now = monotonicNow();
-        if (!m_loads)
+        if (!m_loads) {
             m_loads = std::make_unique<LoadWindow>(now);
+            m_heldSince = now;
+            m_lastArrival = now;
+        }
         m_records = m_state->targets.records();
         if (now - m_demandAskedAt >= demandInterval)
             readDemand();
         askTargets();
-        if (m_holder->mayOrder())
+        if (m_holder->mayOrder() && isSettled(now))
             plan();
     } else if (m_loads) {
         m_loads.reset();
@@ -59,6 +67,15 @@
     scheduleTick();
 }
 
+bool OrderDispatcher::isSettled(TimePoint now)
+{
+    for (const auto& record : m_records) {
+        if (m_known.try_emplace(record.id).second)
+            m_lastArrival = now;
+    }
+    return now - m_lastArrival >= arrivalPause || now - m_heldSince >= maxArrivalWait;
+}
+
 void OrderDispatcher::scheduleTick()
 {
     m_timer.expires_after(tickInterval);
@@ -102,9 +119,10 @@
         if (service == current->catalog.services.end() || !service->second.engine)
             continue;
         auto& known = m_known[record.id];
-        const bool isBusy = known.report.isBusy || !known.loadingModel.empty() || known.orderedAt > known.reportedAt;
+        const bool isBusy
+            = known.report.isBusy || !known.loadingModel.empty() || known.uncertainUntil > known.reportedAt;
         const auto interval = isBusy ? busyReportInterval : reportInterval;
-        if (!known.isAsking && !known.isOrdering && (!known.hasReport || now - known.reportedAt >= interval))
+        if (!known.isAsking && !known.isOrdering && now - known.askedAt >= interval)
             ask(record);
     }
 }
@@ -116,16 +134,17 @@
         logError(LogSeverity::Warning, "target_address_malformed", endpoint.error());
         return;
     }
-    m_known[record.id].isAsking = true;
+    auto& known = m_known[record.id];
+    known.isAsking = true;
+    known.askedAt = monotonicNow();
     m_caller.call(endpoint.value(), encodeReportCall(record.address), reportTimeout,
-        [this, record, askedAt = monotonicNow()](const HttpOutcome& outcome) { onReport(record, askedAt, outcome); });
+        [this, record, askedAt = known.askedAt](const HttpOutcome& outcome) { onReport(record, askedAt, outcome); });
 }
 
 void OrderDispatcher::onReport(const TargetRecord& record, TimePoint askedAt, const HttpOutcome& outcome)
 {
     auto& known = m_known[record.id];
     known.isAsking = false;
-    known.reportedAt = askedAt;
     const auto* answer = std::get_if<HttpAnswer>(&outcome);
     const auto report
         = answer ? decodeReport(answer->body) : Error { ErrorKind::Unavailable, "report.read", record.id, "no answer" };
@@ -134,13 +153,20 @@
         known.hasReport = false;
         return;
     }
-    if (known.isOrdering || askedAt < known.orderedAt + reportLag)
+    const auto& fresh = report.value();
+    const bool isSameRun = known.hasReport && fresh.startedUnixMs == known.report.startedUnixMs;
+    const bool isBehind = isSameRun && fresh.ordersAccepted < known.report.ordersAccepted;
+    if (known.isOrdering || askedAt < known.uncertainUntil || isBehind)
         return;
-    known.report = report.value();
+    known.report = fresh;
+    known.reportedAt = askedAt;
     known.hasReport = true;
-    if (!known.report.isBusy)
+    if (!fresh.isBusy) {
+        if (known.loadingModel == known.reservedFor)
+            known.reservedFor.clear();
         known.loadingModel.clear();
-    m_state->targets.noteModels(record.service, record.id, known.report.models);
+    }
+    m_state->targets.noteModels(record.service, record.id, fresh.models);
 }
 
 void OrderDispatcher::plan()
@@ -166,11 +192,12 @@
         const auto& state = known->second;
         loading += !state.loadingModel.empty() && state.isLoadingFromStore ? 1 : 0;
         // Without a report it is unknown what the target holds; its entry still tells which models have a copy.
-        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report, state.loadingModel };
+        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report, state.loadingModel,
+            state.reservedFor };
         if (!state.hasReport)
             target.report.models = record.models;
         target.isOrderable = state.hasReport && !state.isOrdering && now - state.reportedAt < reportValidity
-            && state.reportedAt >= state.orderedAt;
+            && state.reportedAt >= state.uncertainUntil;
         input.targets.push_back(std::move(target));
     }
     const auto& models = service.engine->models;
@@ -201,8 +228,9 @@
     if (isFromStore)
         m_loads->count(now);
     known.isOrdering = true;
-    known.orderedAt = now;
     known.isLoadingFromStore = isFromStore;
+    if (order.adapter.empty())
+        known.reservedFor = order.kind == OrderKind::Unload ? order.roomFor : std::string();
     const OrderRight right { m_state->nodeId, m_holder->lease().fencingNumber(), known.report.ordersAccepted };
     logEvent(LogSeverity::Info, "order_sent",
         { { "target", order.target }, { "kind", std::string(nameOf(order.kind)) }, { "model", order.model },
@@ -225,7 +253,7 @@
     if (!answer) {
         // It may be carried out at any time; the next report shows whether it has been.
         logEvent(LogSeverity::Warning, "order_unanswered", { { "target", record.id }, { "model", order.model } });
-        known.orderedAt = monotonicNow();
+        known.uncertainUntil = monotonicNow() + reportLag;
         return;
     }
     const auto result = decodeOrderAnswer(answer->head.status);
@@ -235,7 +263,10 @@
     m_state->metrics.add(Metric::Moves, std::string(nameOf(result)));
     if (result == OrderAnswer::Accepted) {
         noteAccepted(known, order);
-    } else if (result == OrderAnswer::OldFence) {
+        return;
+    }
+    known.uncertainUntil = monotonicNow() + reportLag;
+    if (result == OrderAnswer::OldFence) {
         m_holder->abandon("a target has seen a newer fencing number");
     }
 }
@@ -250,8 +281,6 @@
         if (held != report.models.end())
             held->adapters.insert(order.adapter);
         ++report.incomingAdapters;
-        // Further adapters may follow at once; the report is kept up here until the next one.
-        known.orderedAt = known.reportedAt;
         return;
     }
     report.isBusy = true;
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -21,13 +21,16 @@
     /// What this holder knows of a target.
     struct Known {
         EngineReport report;
-        TimePoint reportedAt; ///< When the report was asked for.
-        TimePoint orderedAt; ///< Last order that was sent.
+        TimePoint askedAt; ///< Last time that a report was asked for.
+        TimePoint reportedAt; ///< When the report in `report` was asked for.
+        /// Reports asked for before this time say nothing of the last order, as it was not answered with an acceptance.
+        TimePoint uncertainUntil;
         bool hasReport { false };
         bool isAsking { false };
         bool isOrdering { false };
         std::string loadingModel;
         bool isLoadingFromStore { false };
+        std::string reservedFor; ///< Model for which room was made.
     };
 
     void tick();
@@ -35,6 +38,7 @@
     void readDemand();
     void askTargets();
     void ask(const TargetRecord& record);
+    bool isSettled(TimePoint now);
     void onReport(const TargetRecord& record, TimePoint askedAt, const HttpOutcome& outcome);
     void plan();
     void planService(const CatalogService& service);
@@ -53,6 +57,8 @@
     std::map<ArtifactKey, ArtifactLoad> m_demand;
     std::unique_ptr<LoadWindow> m_loads; ///< Of the present time as holder; none while the lease is not held.
     TimePoint m_demandAskedAt;
+    TimePoint m_heldSince; ///< When this node was first seen to hold the lease.
+    TimePoint m_lastArrival; ///< When a target was last seen for the first time.
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -34,7 +34,8 @@
     if (loop.state().isRefusing) {
         logRequestEvent(decoded.id, "answered_by_node", { { "outcome", "not_run" }, { "reason", "stopping" } });
         caller->answer(
-            encodeOwnAnswer({ OwnAnswer::NotRun, "stopping", loop.state().flowSettings.fullRetryAfter }, decoded.id), {});
+            encodeOwnAnswer({ OwnAnswer::NotRun, "stopping", loop.state().flowSettings.fullRetryAfter }, decoded.id),
+            {});
         return;
     }
     const auto current = loop.state().catalog.current();
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -114,7 +114,11 @@
             state.suspectUntil = {};
             break;
         case TargetVerdict::Full:
-            state.fullUntil = now + m_settings.fullPause;
+            // An engine also refuses requests for a model that it is about to unload, and serves its other models.
+            if (query.model.empty())
+                state.fullUntil = now + m_settings.fullPause;
+            else
+                state.absentUntil[artifactOf(query)] = now + m_settings.fullPause;
             break;
         case TargetVerdict::Absent:
             if (query.model.empty())
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -19,7 +19,7 @@
     /// Time for which a target that failed to connect, or cut an answer off, gets no requests if others are there.
     Duration suspicion { milliseconds(1500) };
     /// Time for which a target that refused a request for lack of room gets no requests if others are there.
-    Duration fullPause { milliseconds(150) };
+    Duration fullPause { milliseconds(250) };
     /// Time after a refusal for a missing model during which the target's entry is not believed for that model.
     Duration absentPause { milliseconds(1500) };
 };
