Test the new libraries, and read answers of any stated length

The property test of the request machine found that a second head of one attempt was taken. Change: an explicit limit; heads are taken once; test programs for Catalog, Fleet, RequestFlow, Http, Control, Platform and Entry, with stand-ins of the store and of registered targets.

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <charconv>
+#include <limits>
 
 namespace cyclamenstair {
 
@@ -230,7 +231,7 @@
     m_parser = std::make_unique<Parser>();
     m_parser->eager(true);
     m_parser->header_limit(m_settings->maxHeadBytes);
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
     m_parser->skip(m_isHead);
     m_isHeadEmitted = false;
 }
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -53,7 +53,7 @@
 
 void RequestMachine::on(const AnswerBegan& event, TimePoint now, Actions& actions)
 {
-    if (!isPresent(event.attempt))
+    if (!isPresent(event.attempt) || m_phase != Phase::Sent)
         return;
     const auto& head = event.head;
     m_lastProgress = now;
@@ -101,7 +101,7 @@
 
 void RequestMachine::on(const AnswerContinued& event, TimePoint now, Actions& actions)
 {
-    if (!isPresent(event.attempt))
+    if (!isPresent(event.attempt) || m_phase == Phase::Sent)
         return;
     m_lastProgress = now;
     if (m_phase == Phase::Holding) {
@@ -126,6 +126,10 @@
 {
     if (!isPresent(event.attempt))
         return;
+    if (m_phase == Phase::Sent) {
+        on(AttemptLost { event.attempt, true }, now, actions);
+        return;
+    }
     if (m_phase == Phase::Holding) {
         actions.emplace_back(ForwardHead { m_attempt, m_held.size() });
         if (!m_held.empty())
--- /dev/null
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -0,0 +1,210 @@
+#include <StandIns/RegistryStoreStandIn.h>
+
+#include <StandIns/LoopbackPort.h>
+
+#include <Cyclamenstair/Core/Base64.h>
+
+#include <nlohmann/json.hpp>
+
+namespace cyclamenstair {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr uint32_t ok = 200;
+    constexpr uint32_t notFound = 404;
+    constexpr uint32_t conditionFailed = 412;
+    constexpr uint32_t unavailable = 503;
+    constexpr Duration tickInterval = milliseconds(5);
+
+    std::string parameter(const std::string& target, const std::string& name)
+    {
+        const auto start = target.find(name + "=");
+        if (start == std::string::npos)
+            return {};
+        const auto begin = start + name.size() + 1;
+        return target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    int64_t numberAfter(const std::string& target, const std::string& prefix)
+    {
+        return target.starts_with(prefix) ? std::stoll(target.substr(prefix.size())) : 0;
+    }
+
+} // namespace
+
+RegistryStoreStandIn::RegistryStoreStandIn()
+    : m_timer(m_loop.context())
+    , m_address(freeLoopbackAddress())
+{
+    auto listener = ServerListener::create(
+        m_address, { &m_loop }, [] { return ServerConnectionLimits {}; },
+        [this](size_t, const std::shared_ptr<ServerConnection>& caller, const HttpRequest& request) {
+            handle(caller, request);
+        });
+    m_listener = std::move(listener).value();
+    m_listener->start();
+    m_loop.post([this] { tick(); });
+    m_loop.start();
+}
+
+RegistryStoreStandIn::~RegistryStoreStandIn() { m_loop.stop(); }
+
+void RegistryStoreStandIn::put(const std::string& key, const std::string& value)
+{
+    std::lock_guard lock(m_mutex);
+    write(key, value, 0);
+}
+
+void RegistryStoreStandIn::remove(const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    erase(key);
+}
+
+std::optional<std::string> RegistryStoreStandIn::value(const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    const auto item = m_items.find(key);
+    return item == m_items.end() ? std::nullopt : std::optional(item->second.value);
+}
+
+void RegistryStoreStandIn::handle(const std::shared_ptr<ServerConnection>& caller, const HttpRequest& request)
+{
+    std::lock_guard lock(m_mutex);
+    const auto& target = request.target;
+    std::pair<uint32_t, std::string> answer { notFound, "{}" };
+    if (m_isDown) {
+        answer = { unavailable, "{}" };
+    } else if (target.starts_with("/cyclamenstair/kv-range")) {
+        answer = range(parameter(target, "path_prefix"));
+    } else if (target.starts_with("/cyclamenstair/kv-watch")) {
+        m_watches.push_back({ caller, parameter(target, "path_prefix"), std::stoll(parameter(target, "after")),
+            monotonicNow() + milliseconds(std::stoll(parameter(target, "wait_ms"))) });
+        return;
+    } else if (target == "/cyclamenstair/kv-txn") {
+        answer = transact(request.body);
+    } else if (target == "/cyclamenstair/kv-lease") {
+        answer = grant(request.body);
+    } else if (target.starts_with("/cyclamenstair/kv-keep/")) {
+        answer = keepAlive(numberAfter(target, "/cyclamenstair/kv-keep/"));
+    } else if (target.starts_with("/cyclamenstair/kv-lease-end/")) {
+        m_leases[numberAfter(target, "/cyclamenstair/kv-lease-end/")].expiry = {};
+        answer = { ok, "{}" };
+    }
+    caller->answer({ answer.first, {}, { { "Content-Type", "application/json" } } }, answer.second);
+}
+
+std::pair<uint32_t, std::string> RegistryStoreStandIn::range(const std::string& prefix)
+{
+    Json items = Json::array();
+    for (const auto& [key, item] : m_items) {
+        if (key.starts_with(prefix))
+            items.push_back({ { "key", key }, { "value", encodeBase64(item.value) }, { "revision", item.revision },
+                { "created_rev", item.created }, { "lease", item.lease } });
+    }
+    return { ok, Json({ { "items", items }, { "has_more", false }, { "store_revision", m_revision } }).dump() };
+}
+
+std::pair<uint32_t, std::string> RegistryStoreStandIn::transact(const std::string& body)
+{
+    const auto json = Json::parse(body);
+    for (const auto& expected : json.at("expected")) {
+        const auto item = m_items.find(expected.at("key").get<std::string>());
+        const int64_t revision = item == m_items.end() ? 0 : item->second.revision;
+        if (revision != expected.at("revision").get<int64_t>())
+            return { conditionFailed, R"({"items":[]})" };
+    }
+    for (const auto& put : json.at("set_keys")) {
+        const auto lease = put.value("lease", int64_t { 0 });
+        if (lease != 0 && !m_leases.contains(lease))
+            return { notFound, "{}" };
+        write(put.at("key"), decodeBase64(put.at("value").get<std::string>()), lease);
+    }
+    for (const auto& key : json.at("remove"))
+        erase(key);
+    return { ok, Json({ { "revision", m_revision } }).dump() };
+}
+
+std::pair<uint32_t, std::string> RegistryStoreStandIn::grant(const std::string& body)
+{
+    const auto ms = Json::parse(body).at("ttl_ms").get<int64_t>();
+    const auto lease = m_nextLease++;
+    m_leases[lease] = { milliseconds(ms), monotonicNow() + milliseconds(ms) };
+    return { ok, Json({ { "lease", lease }, { "ttl_ms", ms } }).dump() };
+}
+
+std::pair<uint32_t, std::string> RegistryStoreStandIn::keepAlive(int64_t lease)
+{
+    const auto found = m_leases.find(lease);
+    if (found == m_leases.end())
+        return { notFound, "{}" };
+    found->second.expiry = monotonicNow() + found->second.timeToLive;
+    return { ok, Json({ { "ttl_ms", toMilliseconds(found->second.timeToLive) } }).dump() };
+}
+
+void RegistryStoreStandIn::write(const std::string& key, const std::string& value, int64_t lease)
+{
+    auto& item = m_items[key];
+    ++m_revision;
+    item = { value, m_revision, item.created == 0 ? m_revision : item.created, lease };
+    m_changes.push_back({ key, item, false });
+}
+
+void RegistryStoreStandIn::erase(const std::string& key)
+{
+    if (m_items.erase(key) == 0)
+        return;
+    ++m_revision;
+    m_changes.push_back({ key, { {}, m_revision, 0, 0 }, true });
+}
+
+void RegistryStoreStandIn::tick()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        const auto now = monotonicNow();
+        std::vector<std::string> lapsed;
+        for (const auto& [key, item] : m_items) {
+            const auto lease = m_leases.find(item.lease);
+            if (lease != m_leases.end() && lease->second.expiry <= now)
+                lapsed.push_back(key);
+        }
+        for (const auto& key : lapsed)
+            erase(key);
+        std::erase_if(m_leases, [&](const auto& lease) { return lease.second.expiry <= now; });
+        std::erase_if(m_watches, [this](const Watch& watch) { return answerWatch(watch); });
+    }
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+bool RegistryStoreStandIn::answerWatch(const Watch& watch)
+{
+    if (m_isDown) {
+        watch.caller->abort();
+        return true;
+    }
+    Json events = Json::array();
+    for (const auto& change : m_changes) {
+        if (change.item.revision <= watch.after || !change.key.starts_with(watch.prefix))
+            continue;
+        if (change.isDeleted)
+            events.push_back({ { "key", change.key }, { "revision", change.item.revision }, { "deleted", true } });
+        else
+            events.push_back({ { "key", change.key }, { "value", encodeBase64(change.item.value) },
+                { "revision", change.item.revision }, { "created_rev", change.item.created },
+                { "lease", change.item.lease } });
+    }
+    if (events.empty() && monotonicNow() < watch.until)
+        return false;
+    watch.caller->answer({ ok, {}, { { "Content-Type", "application/json" } } },
+        Json({ { "events", events }, { "store_revision", m_revision } }).dump());
+    return true;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -0,0 +1,167 @@
+#include <Cyclamenstair/Control/ResidencyPlanner.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace cyclamenstair;
+
+namespace {
+
+constexpr double modelMib = 70;
+
+EngineProfile profile(size_t models, uint32_t adaptersOfFirst = 0)
+{
+    EngineProfile engine;
+    engine.weightsMib = 230;
+    engine.adapterSlots = 8;
+    engine.loadsPerSecond = 1.5;
+    for (size_t i = 0; i < models; ++i)
+        engine.models.push_back(
+            { "m" + std::to_string(i), modelMib, milliseconds(2000), i == 0 ? adaptersOfFirst : 0, 0.5 });
+    return engine;
+}
+
+PlannerTarget target(const std::string& id, const std::vector<std::string>& models)
+{
+    PlannerTarget target;
+    target.id = id;
+    for (const auto& model : models)
+        target.report.models.push_back({ model, {} });
+    return target;
+}
+
+std::vector<TargetOrder> plan(const PlannerInput& input)
+{
+    const ResidencyPlannerSettings settings;
+    return ResidencyPlanner(input, settings).plan();
+}
+
+PlannerInput inputOf(const EngineProfile& engine, std::vector<PlannerTarget> targets)
+{
+    return { "drafting", &engine, std::move(targets), {}, 1 };
+}
+
+} // namespace
+
+TEST(ResidencyPlanner, LoadsAModelWithoutACopy)
+{
+    const auto engine = profile(2);
+    const auto orders = plan(inputOf(engine, { target("i-1", { "m0" }) }));
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Load);
+    EXPECT_EQ(orders[0].model, "m1");
+}
+
+// The weight store's rate bounds loads that are not at hand; those that are at hand are free.
+TEST(ResidencyPlanner, LoadsFromTheWeightStoreOnlyWithinItsRate)
+{
+    const auto engine = profile(2);
+    auto input = inputOf(engine, { target("i-1", { "m0" }) });
+    input.weightLoads = 0;
+    EXPECT_TRUE(plan(input).empty());
+    input.targets[0].report.cachedModels = { "m1" };
+    EXPECT_EQ(plan(input).size(), 1U);
+}
+
+TEST(ResidencyPlanner, MakesRoomForABusyModelByTheLeastWantedCopy)
+{
+    const auto engine = profile(5);
+    auto input = inputOf(engine,
+        { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m1", "m3", "m4" }),
+            target("i-3", { "m3", "m2", "m4" }) });
+    input.demand[{ "drafting", "m0", {} }] = { 1, 40, 0 };
+    input.demand[{ "drafting", "m3", {} }] = { 1, 30, 0 };
+    const auto orders = plan(input);
+    ASSERT_FALSE(orders.empty());
+    EXPECT_EQ(orders[0].kind, OrderKind::Unload);
+    EXPECT_NE(orders[0].model, "m3");
+    EXPECT_NE(orders[0].target, "i-1");
+    EXPECT_EQ(orders[0].roomFor, "m0");
+}
+
+// Room that was made for one model must not be taken by another, or copies go to and fro.
+TEST(ResidencyPlanner, ReservedRoomIsUsedForItsModel)
+{
+    const auto engine = profile(4);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1" }), target("i-2", { "m2", "m3", "m1" }) });
+    input.targets[0].reservedFor = "m2";
+    input.demand[{ "drafting", "m3", {} }] = { 1, 90, 0 };
+    input.demand[{ "drafting", "m2", {} }] = { 1, 40, 0 };
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Load);
+    EXPECT_EQ(orders[0].model, "m2");
+}
+
+// The last copy of a model stays, whatever the demand for others.
+TEST(ResidencyPlanner, KeepsTheLastCopy)
+{
+    const auto engine = profile(3);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1", "m2" }) });
+    input.demand[{ "drafting", "m0", {} }] = { 1, 1000, 0 };
+    EXPECT_TRUE(plan(input).empty());
+}
+
+TEST(ResidencyPlanner, PlacesEveryAdapterBeforeItIsAskedFor)
+{
+    const auto engine = profile(1, 3);
+    auto input = inputOf(engine, { target("i-1", { "m0" }), target("i-2", { "m0" }) });
+    std::set<std::string> placed;
+    for (int round = 0; round < 4; ++round) {
+        for (const auto& order : plan(input)) {
+            ASSERT_FALSE(order.adapter.empty());
+            placed.insert(order.adapter);
+            for (auto& candidate : input.targets) {
+                if (candidate.id == order.target)
+                    candidate.report.models[0].adapters.insert(order.adapter);
+            }
+        }
+    }
+    EXPECT_EQ(placed, (std::set<std::string> { "a1", "a2", "a3" }));
+}
+
+// An engine that is given more than it can hold crashes.
+RC_GTEST_PROP(ResidencyPlannerProperties, NeverExceedsAnEngine, ())
+{
+    const auto modelCount = static_cast<size_t>(*rc::gen::inRange(1, 8));
+    const auto engine = profile(modelCount, static_cast<uint32_t>(*rc::gen::inRange(0, 20)));
+    auto input = inputOf(engine, {});
+    const auto targets = *rc::gen::inRange(1, 5);
+    for (int i = 0; i < targets; ++i) {
+        auto added = target("i-" + std::to_string(i), {});
+        for (int held = *rc::gen::inRange(0, 4); held > 0; --held) {
+            const auto name = "m" + std::to_string(*rc::gen::inRange<size_t>(0, modelCount));
+            const bool isNew = std::none_of(added.report.models.begin(), added.report.models.end(),
+                [&](const auto& model) { return model.name == name; });
+            if (isNew)
+                added.report.models.push_back({ name, {} });
+        }
+        added.isOrderable = *rc::gen::arbitrary<bool>();
+        added.isLeaving = *rc::gen::arbitrary<bool>();
+        added.report.isBusy = *rc::gen::arbitrary<bool>();
+        added.report.incomingAdapters = *rc::gen::inRange(0U, 5U);
+        input.targets.push_back(std::move(added));
+    }
+    for (size_t i = 0; i < modelCount; ++i)
+        input.demand[{ "drafting", "m" + std::to_string(i), {} }] = { 1, *rc::gen::inRange(0U, 100U), 0 };
+
+    std::set<std::string> ordered;
+    for (const auto& order : plan(input)) {
+        RC_ASSERT(ordered.insert(order.target).second);
+        const auto& at = *std::find_if(input.targets.begin(), input.targets.end(),
+            [&](const auto& candidate) { return candidate.id == order.target; });
+        RC_ASSERT(at.isOrderable);
+        RC_ASSERT(!at.isLeaving);
+        RC_ASSERT(!at.report.isBusy);
+        double used = order.kind == OrderKind::Load && order.adapter.empty() ? modelMib : 0;
+        size_t adapters = at.report.incomingAdapters + (order.adapter.empty() ? 0 : 1);
+        for (const auto& model : at.report.models) {
+            used += modelMib + 0.5 * static_cast<double>(model.adapters.size());
+            adapters += model.adapters.size();
+        }
+        if (order.kind == OrderKind::Load) {
+            RC_ASSERT(used <= engine.weightsMib);
+            RC_ASSERT(order.adapter.empty() || adapters <= engine.adapterSlots);
+        }
+    }
+}
