--- /dev/null
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -0,0 +1,102 @@
+#include <Cyclamenstair/Codec/EntryMessages.h>
+
+#include <Cyclamenstair/Codec/RecordBytes.h>
+#include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Generated/Entry_generated.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace cyclamenstair {
+
+namespace {
+
+    schema::LoadShareT toRecord(const LoadShare& share)
+    {
+        schema::LoadShareT record;
+        record.node = share.node;
+        for (const auto& [target, inFlight] : share.inFlight) {
+            auto row = std::make_unique<schema::TargetLoadRowT>();
+            row->target = target;
+            row->in_flight = static_cast<uint16_t>(std::min<uint32_t>(inFlight, std::numeric_limits<uint16_t>::max()));
+            record.targets.push_back(std::move(row));
+        }
+        for (const auto& [artifact, load] : share.demands) {
+            auto row = std::make_unique<schema::ArtifactLoadRowT>();
+            row->service = artifact.service;
+            row->model = artifact.model;
+            row->adapter = artifact.adapter;
+            row->arrivals_per_second = static_cast<float>(load.arrivalsPerSecond);
+            row->in_progress = load.inProgress;
+            row->waiting = load.waiting;
+            record.demands.push_back(std::move(row));
+        }
+        return record;
+    }
+
+    schema::SnapshotT toRecord(const Snapshot& snapshot)
+    {
+        schema::SnapshotT record;
+        record.catalog = snapshot.catalog;
+        record.targets_known = snapshot.areTargetsKnown;
+        for (const auto& target : snapshot.targets) {
+            auto row = std::make_unique<schema::TargetEntryRowT>();
+            row->id = target.id;
+            row->entry = target.entry;
+            row->revision = target.revision;
+            record.targets.push_back(std::move(row));
+        }
+        return record;
+    }
+
+    LoadShare fromRecord(const schema::LoadShareT& record)
+    {
+        LoadShare share;
+        share.node = record.node;
+        for (const auto& row : record.targets)
+            share.inFlight[row->target] = row->in_flight;
+        for (const auto& row : record.demands)
+            share.demands[{ row->service, row->model, row->adapter }]
+                = { row->arrivals_per_second, row->in_progress, row->waiting };
+        return share;
+    }
+
+    Snapshot fromRecord(const schema::SnapshotT& record)
+    {
+        Snapshot snapshot { record.catalog, {}, record.targets_known };
+        for (const auto& row : record.targets)
+            snapshot.targets.push_back({ row->id, row->entry, row->revision });
+        return snapshot;
+    }
+
+} // namespace
+
+std::string encodeEntryMessage(const EntryMessage& message)
+{
+    schema::EntryMessageT record;
+    std::visit(Overloaded {
+                   [&](const LoadShare& share) { record.content.Set(toRecord(share)); },
+                   [&](const SnapshotRequest& request) {
+                       schema::SnapshotRequestT content;
+                       content.node = request.node;
+                       record.content.Set(std::move(content));
+                   },
+                   [&](const Snapshot& snapshot) { record.content.Set(toRecord(snapshot)); },
+               },
+        message);
+    return packRecord<schema::EntryMessage>(record);
+}
+
+EntryMessage decodeEntryMessage(std::string_view bytes)
+{
+    const auto record = unpackRecord<schema::EntryMessage>(bytes, "entry_message.decode");
+    if (const auto* share = record.content.AsLoadShare())
+        return fromRecord(*share);
+    if (const auto* request = record.content.AsSnapshotRequest())
+        return SnapshotRequest { request->node };
+    if (const auto* snapshot = record.content.AsSnapshot())
+        return fromRecord(*snapshot);
+    throw Exception({ ErrorKind::InvalidInput, "entry_message.decode", "", "message without content" });
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -7,6 +7,7 @@
 #include <platform/RequestCodec.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace cyclamenstair {
 
@@ -44,6 +45,8 @@
     if (!store)
         return store.error();
     std::unique_ptr<EntryNode> node(new EntryNode(settings, store.value()));
+    if (auto error = node->joinPeers())
+        return *error;
     std::vector<EventLoop*> loops;
     for (const auto& loop : node->m_loops)
         loops.push_back(&loop->loop());
@@ -79,9 +82,10 @@
     self->m_controlLoop.post([self] {
         self->m_catalog.start();
         self->m_targets.start();
-        self->m_holder.start();
-        self->m_dispatcher.start();
-        self->m_status.start();
+        self->m_control->start();
+        self->m_mesh->start();
+        self->m_dispatcher->start();
+        self->m_registrar.start();
     });
     self->m_controlLoop.start();
     logEvent(LogSeverity::Info, "node_started",
@@ -97,14 +101,35 @@
     , m_targets(m_controlLoop.context(), m_store, m_state)
     , m_holder(m_controlLoop.context(), m_store, settings.node->id, leaseSettings(*settings.control),
           std::random_device {}())
-    , m_dispatcher(m_controlLoop.context(), m_store, m_holder, m_state)
-    , m_status(m_controlLoop.context(), m_store, m_state)
+    , m_registrar(m_controlLoop.context(), m_store, settings.node->id, settings.entry->peer_listen)
 {
     std::random_device seeds;
     for (int i = 0; i < settings.entry->loops; ++i)
         m_loops.push_back(std::make_unique<RequestLoop>(m_state, seeds()));
 }
 
+std::optional<Error> EntryNode::joinPeers()
+{
+    std::vector<std::string> seeds;
+    std::istringstream list(m_settings.entry->seeds);
+    for (std::string seed; std::getline(list, seed, ',');)
+        seeds.push_back(seed);
+    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, m_settings.entry->peer_listen, seeds,
+        { [this] { return Snapshot { m_catalog.text(), m_targets.entries(), m_state.areTargetsKnown }; },
+            [this](const Snapshot& snapshot) {
+                if (!snapshot.catalog.empty())
+                    m_catalog.take(snapshot.catalog, "peer");
+                if (snapshot.areTargetsKnown)
+                    m_targets.take(snapshot.targets);
+            } });
+    if (!mesh)
+        return mesh.error();
+    m_mesh = std::move(mesh).value();
+    m_control = std::make_unique<ControlFollower>(m_controlLoop.context(), m_store, m_holder, *m_mesh);
+    m_dispatcher = std::make_unique<OrderDispatcher>(m_controlLoop.context(), m_holder, *m_mesh, m_state);
+    return std::nullopt;
+}
+
 EntryNode::~EntryNode()
 {
     m_controlLoop.stop();
@@ -121,7 +146,7 @@
     m_state.isStopping = true;
     m_controlLoop.post([this] {
         m_holder.stop();
-        m_status.stop();
+        m_registrar.stop();
     });
     std::this_thread::sleep_for(std::min(drainNotice, grace / 2));
     m_callers->closeConnections();
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <Cyclamenstair/Entry/CatalogFollower.h>
+#include <Cyclamenstair/Entry/ControlFollower.h>
+#include <Cyclamenstair/Entry/NodeRegistrar.h>
 #include <Cyclamenstair/Entry/OrderDispatcher.h>
 #include <Cyclamenstair/Entry/RequestLoop.h>
-#include <Cyclamenstair/Entry/StatusPublisher.h>
 #include <Cyclamenstair/Entry/TargetFollower.h>
 #include <Cyclamenstair/Http/ServerListener.h>
 
@@ -26,6 +27,9 @@
 private:
     EntryNode(const schema::SettingsT& settings, boost::asio::ip::tcp::endpoint store);
 
+    /// Binds the address for peers and makes the parts that talk to other nodes.
+    std::optional<Error> joinPeers();
+
     Result<std::unique_ptr<ServerListener>> listen(
         const std::string& address, std::vector<EventLoop*> loops, ServerListener::RequestHandler handler);
     void answerProbe(const std::shared_ptr<ServerConnection>& from, const HttpRequest& request);
@@ -41,8 +45,10 @@
     CatalogFollower m_catalog;
     TargetFollower m_targets;
     OrderHolder m_holder;
-    OrderDispatcher m_dispatcher;
-    StatusPublisher m_status;
+    NodeRegistrar m_registrar;
+    std::unique_ptr<PeerMesh> m_mesh;
+    std::unique_ptr<ControlFollower> m_control;
+    std::unique_ptr<OrderDispatcher> m_dispatcher;
     std::unique_ptr<ServerListener> m_callers;
     std::unique_ptr<ServerListener> m_probes;
     std::unique_ptr<ServerListener> m_metricsListener;
--- /dev/null
+++ b/Cyclamenstair/Entry/NodeRegistrar.cpp
@@ -0,0 +1,83 @@
+#include <Cyclamenstair/Entry/NodeRegistrar.h>
+
+#include <Cyclamenstair/Telemetry/Log.h>
+
+namespace cyclamenstair {
+
+namespace {
+
+    /// Time after which the entry of a node that died is gone. Peers only waste attempts to connect to it meanwhile.
+    constexpr Duration entryTimeToLive = milliseconds(10000);
+    constexpr Duration renewalInterval = milliseconds(4000);
+    constexpr Duration retryDelay = milliseconds(1000);
+
+} // namespace
+
+const std::string NodeRegistrar::keyPrefix = "control/nodes/";
+
+NodeRegistrar::NodeRegistrar(
+    boost::asio::io_context& context, PlatformStore& store, std::string nodeId, std::string address)
+    : m_timer(context)
+    , m_store(&store)
+    , m_nodeId(std::move(nodeId))
+    , m_address(std::move(address))
+{
+}
+
+void NodeRegistrar::stop()
+{
+    boost::system::error_code ec;
+    m_timer.cancel(ec);
+    if (m_leaseId != 0)
+        m_store->endLease(m_leaseId);
+}
+
+void NodeRegistrar::tick()
+{
+    if (m_leaseId != 0) {
+        renew();
+        return;
+    }
+    m_store->grantLease(entryTimeToLive, [this](std::optional<int64_t> leaseId) {
+        if (leaseId)
+            write(*leaseId);
+        else
+            after(retryDelay);
+    });
+}
+
+void NodeRegistrar::write(int64_t leaseId)
+{
+    const StoreTransaction transaction { {}, { StorePut { keyPrefix + m_nodeId, m_address, leaseId } } };
+    m_store->transact(transaction, [this, leaseId](const StoreWriteOutcome& outcome) {
+        if (std::holds_alternative<StoreApplied>(outcome)) {
+            m_leaseId = leaseId;
+            after(renewalInterval);
+        } else {
+            m_store->endLease(leaseId);
+            after(retryDelay);
+        }
+    });
+}
+
+void NodeRegistrar::renew()
+{
+    m_store->keepLeaseAlive(m_leaseId, [this](StoreLeaseOutcome outcome) {
+        if (outcome == StoreLeaseOutcome::Expired) {
+            logEvent(LogSeverity::Info, "node_entry_lapsed", { { "node", m_nodeId } });
+            m_leaseId = 0;
+        }
+        after(outcome == StoreLeaseOutcome::Alive ? renewalInterval : retryDelay);
+    });
+}
+
+void NodeRegistrar::after(Duration delay)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -1,7 +1,5 @@
 #include <Cyclamenstair/Entry/OrderDispatcher.h>
 
-#include <Cyclamenstair/Codec/NodeStatusCodec.h>
-#include <Cyclamenstair/Entry/StatusPublisher.h>
 #include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
@@ -14,8 +12,6 @@
 
     /// Time between two rounds of planning.
     constexpr Duration tickInterval = milliseconds(250);
-    /// Time between two reads of the nodes' demand; each is a billed store call.
-    constexpr Duration demandInterval = milliseconds(500);
     /// Time between two reports of a target at rest; each is billed as a probe.
     constexpr Duration reportInterval = milliseconds(1500);
     /// Time between two reports of a target that carries out an order.
@@ -36,10 +32,10 @@
 } // namespace
 
 OrderDispatcher::OrderDispatcher(
-    boost::asio::io_context& context, PlatformStore& store, OrderHolder& holder, EntryState& state)
+    boost::asio::io_context& context, OrderHolder& holder, PeerMesh& mesh, EntryState& state)
     : m_timer(context)
-    , m_store(&store)
     , m_holder(&holder)
+    , m_mesh(&mesh)
     , m_state(&state)
     , m_caller(context, ClientConnectionSettings {})
 {
@@ -55,8 +51,6 @@
             m_lastArrival = now;
         }
         m_records = m_state->targets.records();
-        if (now - m_demandAskedAt >= demandInterval)
-            readDemand();
         askTargets();
         if (m_holder->mayOrder() && isSettled(now))
             plan();
@@ -85,29 +79,6 @@
     });
 }
 
-void OrderDispatcher::readDemand()
-{
-    m_demandAskedAt = monotonicNow();
-    m_store->range(StatusPublisher::keyPrefix(), [this](const StoreReadOutcome& outcome) {
-        const auto* range = std::get_if<StoreRange>(&outcome);
-        if (!range)
-            return;
-        m_demand.clear();
-        for (const auto& record : range->records) {
-            try {
-                for (const auto& [artifact, demand] : decodeNodeStatus(record.value).demands) {
-                    auto& sum = m_demand[artifact];
-                    sum.arrivalsPerSecond += demand.arrivalsPerSecond;
-                    sum.inProgress += demand.inProgress;
-                    sum.waiting += demand.waiting;
-                }
-            } catch (const Exception& exception) {
-                logError(LogSeverity::Warning, "node_status_rejected", exception.error());
-            }
-        }
-    });
-}
-
 void OrderDispatcher::askTargets()
 {
     const auto current = m_state->catalog.current();
@@ -183,7 +154,7 @@
 void OrderDispatcher::planService(const CatalogService& service)
 {
     const auto now = monotonicNow();
-    PlannerInput input { service.name, &*service.engine, {}, m_demand, 0 };
+    PlannerInput input { service.name, &*service.engine, {}, m_mesh->demand(), 0 };
     uint32_t loading = 0;
     for (const auto& record : m_records) {
         const auto known = m_known.find(record.id);
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -4,6 +4,8 @@
 #include <Cyclamenstair/Control/ResidencyPlanner.h>
 #include <Cyclamenstair/Entry/EntryState.h>
 #include <Cyclamenstair/Entry/OrderHolder.h>
+#include <Cyclamenstair/Entry/PeerMesh.h>
+#include <Cyclamenstair/Http/HttpCaller.h>
 
 #include <platform/TargetCodec.h>
 
@@ -13,7 +15,7 @@
 /// lease. Belongs to one event loop.
 class OrderDispatcher {
 public:
-    OrderDispatcher(boost::asio::io_context& context, PlatformStore& store, OrderHolder& holder, EntryState& state);
+    OrderDispatcher(boost::asio::io_context& context, OrderHolder& holder, PeerMesh& mesh, EntryState& state);
 
     void start() { tick(); }
 
@@ -35,7 +37,6 @@
 
     void tick();
     void scheduleTick();
-    void readDemand();
     void askTargets();
     void ask(const TargetRecord& record);
     bool isSettled(TimePoint now);
@@ -47,16 +48,14 @@
     static void noteAccepted(Known& known, const TargetOrder& order);
 
     boost::asio::steady_timer m_timer;
-    PlatformStore* m_store;
     OrderHolder* m_holder;
+    PeerMesh* m_mesh;
     EntryState* m_state;
     HttpCaller m_caller;
     ResidencyPlannerSettings m_plannerSettings;
     std::vector<TargetRecord> m_records;
     std::map<std::string, Known> m_known;
-    std::map<ArtifactKey, ArtifactLoad> m_demand;
     std::unique_ptr<LoadWindow> m_loads; ///< Of the present time as holder; none while the lease is not held.
-    TimePoint m_demandAskedAt;
     TimePoint m_heldSince; ///< When this node was first seen to hold the lease.
     TimePoint m_lastArrival; ///< When a target was last seen for the first time.
 };
--- a/Cyclamenstair/Entry/OrderHolder.cpp
+++ b/Cyclamenstair/Entry/OrderHolder.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    const std::string holderPrefix = "control/";
-    const std::string holderKey = "control/holder";
     /// Spread of the nodes' attempts to take a free key, so that one of them usually meets no other.
     constexpr Duration takeSpread = milliseconds(300);
     /// Wait after an attempt that failed.
@@ -17,6 +15,8 @@
 
 } // namespace
 
+const std::string OrderHolder::key = "control/holder";
+
 OrderHolder::OrderHolder(boost::asio::io_context& context, PlatformStore& store, std::string nodeId,
     OrderLeaseSettings settings, uint64_t seed)
     : m_timer(context)
@@ -24,25 +24,10 @@
     , m_nodeId(std::move(nodeId))
     , m_settings(settings)
     , m_lease(settings)
-    , m_follower(context, store, holderPrefix,
-          { [this](const StoreRange& range) {
-               std::string holder;
-               for (const auto& record : range.records) {
-                   if (record.key == holderKey)
-                       holder = record.value;
-               }
-               onHolder(holder);
-           },
-              [this](const StoreChange& change) {
-                  if (change.record.key == holderKey)
-                      onHolder(change.record.value);
-              } })
     , m_random(seed)
 {
 }
 
-void OrderHolder::start() { m_follower.start(); }
-
 void OrderHolder::stop()
 {
     m_isStopping = true;
@@ -103,7 +88,7 @@
 
 void OrderHolder::create(int64_t leaseId, TimePoint sentAt)
 {
-    StoreTransaction transaction { { { holderKey, 0 } }, { StorePut { holderKey, m_nodeId, leaseId } } };
+    StoreTransaction transaction { { { key, 0 } }, { StorePut { key, m_nodeId, leaseId } } };
     m_store->transact(transaction, [this, leaseId, sentAt](const StoreWriteOutcome& outcome) {
         m_isTaking = false;
         const auto* applied = std::get_if<StoreApplied>(&outcome);
--- a/Cyclamenstair/Entry/OrderHolder.h
+++ b/Cyclamenstair/Entry/OrderHolder.h
@@ -2,7 +2,7 @@
 
 #include <Cyclamenstair/Control/OrderLease.h>
 #include <Cyclamenstair/Core/Random.h>
-#include <Cyclamenstair/Entry/StoreFollower.h>
+#include <platform/PlatformStore.h>
 
 namespace cyclamenstair {
 
@@ -13,7 +13,11 @@
     OrderHolder(boost::asio::io_context& context, PlatformStore& store, std::string nodeId, OrderLeaseSettings settings,
         uint64_t seed);
 
-    void start();
+    /// Key of the node that holds the lease.
+    static const std::string key;
+
+    /// Takes the node named by the key; empty if the key is absent.
+    void onHolder(const std::string& holder);
 
     /// Gives the lease up.
     void stop();
@@ -27,7 +31,6 @@
     const OrderLease& lease() const { return m_lease; }
 
 private:
-    void onHolder(const std::string& holder);
     void scheduleTake();
     void take();
     void create(int64_t leaseId, TimePoint sentAt);
@@ -41,7 +44,6 @@
     std::string m_nodeId;
     OrderLeaseSettings m_settings;
     OrderLease m_lease;
-    StoreFollower m_follower;
     Random m_random;
     std::string m_holder; ///< Node named by the holder's key; empty if the key is absent.
     bool m_isHolderKnown { false };
--- a/Cyclamenstair/Fleet/DemandCounter.h
+++ b/Cyclamenstair/Fleet/DemandCounter.h
@@ -22,6 +22,8 @@
     double arrivalsPerSecond { 0 }; ///< Smoothed over DemandCounter::averagingTime.
     uint32_t inProgress { 0 }; ///< Requests that have arrived and are not over. Grows with the queue of a model.
     uint32_t waiting { 0 }; ///< Requests among them for which no target holds the artifact.
+
+    bool operator==(const ArtifactLoad&) const = default;
 };
 
 /// Counts the work that arrives for each artifact. State is sharded by model. Callable from many threads.
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -80,7 +80,7 @@
                     continue;
             }
             // The random part breaks ties differently on each node.
-            const double cost = costOf(target, query, now) + randomUnit(random) * 0.01;
+            const double cost = costOf(target, now) + randomUnit(random) * 0.01;
             if (!best || cost < bestCost) {
                 best = &target;
                 bestCost = cost;
@@ -160,6 +160,22 @@
     });
 }
 
+void TargetRegistry::noteRemote(
+    const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now)
+{
+    m_services.forEachShard([&](auto& services) {
+        for (auto& [service, targets] : services) {
+            for (auto& [id, target] : targets) {
+                const auto load = inFlight.find(id);
+                if (load == inFlight.end())
+                    target.remote.erase(node);
+                else
+                    target.remote[node] = { load->second, now };
+            }
+        }
+    });
+}
+
 std::map<std::string, uint32_t> TargetRegistry::inFlight() const
 {
     std::map<std::string, uint32_t> counts;
@@ -177,9 +193,17 @@
     return query.adapter.empty() ? query.model : query.model + "/" + query.adapter;
 }
 
-double TargetRegistry::costOf(const TargetState& target, const TargetQuery&, TimePoint now) const
+uint32_t TargetRegistry::remoteInFlight(const TargetState& target, TimePoint now) const
+{
+    uint32_t sum = 0;
+    for (const auto& [node, load] : target.remote)
+        sum += now - load.at < m_settings.remoteValidity ? load.inFlight : 0;
+    return sum;
+}
+
+double TargetRegistry::costOf(const TargetState& target, TimePoint now) const
 {
-    double cost = (target.inFlight + 1.0) / std::max(1U, target.record.slots);
+    double cost = (target.inFlight + remoteInFlight(target, now) + 1.0) / std::max(1U, target.record.slots);
     if (target.record.failureDomain != m_settings.failureDomain)
         cost += m_settings.remoteHandicap;
     if (target.suspectUntil > now)
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -20,6 +20,8 @@
     Duration suspicion { milliseconds(1500) };
     /// Time for which a target that refused a request for lack of room gets no requests if others are there.
     Duration fullPause { milliseconds(250) };
+    /// Time for which another node's load is counted after it was heard of.
+    Duration remoteValidity { milliseconds(2000) };
     /// Time after a refusal for a missing model during which the target's entry is not believed for that model.
     Duration absentPause { milliseconds(1500) };
 };
@@ -108,10 +110,17 @@
     /// Takes a newer statement of what a target holds than its entry, for example an order that was carried out.
     void noteModels(const std::string& service, const std::string& id, const std::vector<HeldModel>& models);
 
+    /// Takes what another node has in flight, by target id. It lapses after TargetRegistrySettings::remoteValidity.
+    void noteRemote(const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now);
+
     /// Returns the requests in flight by target id.
     std::map<std::string, uint32_t> inFlight() const;
 
 private:
+    struct RemoteLoad {
+        uint32_t inFlight { 0 };
+        TimePoint at;
+    };
     struct TargetState {
         TargetRecord record;
         int64_t revision { 0 };
@@ -121,11 +130,13 @@
         TimePoint fullUntil;
         std::map<std::string, TimePoint> absentUntil; ///< By model, or model and adapter.
         uint32_t failuresInARow { 0 };
+        std::map<std::string, RemoteLoad> remote; ///< By node id.
     };
     using Targets = std::map<std::string, TargetState>;
 
     static std::string artifactOf(const TargetQuery& query);
-    double costOf(const TargetState& target, const TargetQuery& query, TimePoint now) const;
+    double costOf(const TargetState& target, TimePoint now) const;
+    uint32_t remoteInFlight(const TargetState& target, TimePoint now) const;
 
     TargetRegistrySettings m_settings;
     Sharded<std::string, std::map<std::string, Targets>> m_services;
--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -1410,6 +1410,8 @@
   typedef EntrySettings TableType;
   std::string listen{};
   std::string ready_listen{};
+  std::string peer_listen{};
+  std::string seeds{};
   std::string metrics_listen{};
   int32_t loops = 2;
   double grace_s = 8.0;
@@ -1427,13 +1429,15 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LISTEN = 4,
     VT_READY_LISTEN = 6,
-    VT_METRICS_LISTEN = 8,
-    VT_LOOPS = 10,
-    VT_GRACE_S = 12,
-    VT_RETRY_RATIO = 14,
-    VT_RETRY_SLACK = 16,
-    VT_RETRY_WINDOW_S = 18,
-    VT_RETRY_NODES = 20
+    VT_PEER_LISTEN = 8,
+    VT_SEEDS = 10,
+    VT_METRICS_LISTEN = 12,
+    VT_LOOPS = 14,
+    VT_GRACE_S = 16,
+    VT_RETRY_RATIO = 18,
+    VT_RETRY_SLACK = 20,
+    VT_RETRY_WINDOW_S = 22,
+    VT_RETRY_NODES = 24
   };
   /// Address for callers as IP:PORT.
   const flatbuffers::String *listen() const {
@@ -1443,6 +1447,14 @@
   const flatbuffers::String *ready_listen() const {
     return GetPointer<const flatbuffers::String *>(VT_READY_LISTEN);
   }
+  /// Address for other nodes as IP:PORT; empty for a node on its own.
+  const flatbuffers::String *peer_listen() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_LISTEN);
+  }
+  /// Addresses of other nodes to contact first, as comma-separated IP:PORT. The store names the others.
+  const flatbuffers::String *seeds() const {
+    return GetPointer<const flatbuffers::String *>(VT_SEEDS);
+  }
   /// Address of the metrics as IP:PORT; empty for none.
   const flatbuffers::String *metrics_listen() const {
     return GetPointer<const flatbuffers::String *>(VT_METRICS_LISTEN);
@@ -1477,6 +1489,10 @@
            verifier.VerifyString(listen()) &&
            VerifyOffset(verifier, VT_READY_LISTEN) &&
            verifier.VerifyString(ready_listen()) &&
+           VerifyOffset(verifier, VT_PEER_LISTEN) &&
+           verifier.VerifyString(peer_listen()) &&
+           VerifyOffset(verifier, VT_SEEDS) &&
+           verifier.VerifyString(seeds()) &&
            VerifyOffset(verifier, VT_METRICS_LISTEN) &&
            verifier.VerifyString(metrics_listen()) &&
            VerifyField<int32_t>(verifier, VT_LOOPS, 4) &&
@@ -1502,6 +1518,12 @@
   void add_ready_listen(flatbuffers::Offset<flatbuffers::String> ready_listen) {
     fbb_.AddOffset(EntrySettings::VT_READY_LISTEN, ready_listen);
   }
+  void add_peer_listen(flatbuffers::Offset<flatbuffers::String> peer_listen) {
+    fbb_.AddOffset(EntrySettings::VT_PEER_LISTEN, peer_listen);
+  }
+  void add_seeds(flatbuffers::Offset<flatbuffers::String> seeds) {
+    fbb_.AddOffset(EntrySettings::VT_SEEDS, seeds);
+  }
   void add_metrics_listen(flatbuffers::Offset<flatbuffers::String> metrics_listen) {
     fbb_.AddOffset(EntrySettings::VT_METRICS_LISTEN, metrics_listen);
   }
@@ -1538,6 +1560,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> listen = 0,
     flatbuffers::Offset<flatbuffers::String> ready_listen = 0,
+    flatbuffers::Offset<flatbuffers::String> peer_listen = 0,
+    flatbuffers::Offset<flatbuffers::String> seeds = 0,
     flatbuffers::Offset<flatbuffers::String> metrics_listen = 0,
     int32_t loops = 2,
     double grace_s = 8.0,
@@ -1553,6 +1577,8 @@
   builder_.add_retry_slack(retry_slack);
   builder_.add_loops(loops);
   builder_.add_metrics_listen(metrics_listen);
+  builder_.add_seeds(seeds);
+  builder_.add_peer_listen(peer_listen);
   builder_.add_ready_listen(ready_listen);
   builder_.add_listen(listen);
   return builder_.Finish();
@@ -1567,6 +1593,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *listen = nullptr,
     const char *ready_listen = nullptr,
+    const char *peer_listen = nullptr,
+    const char *seeds = nullptr,
     const char *metrics_listen = nullptr,
     int32_t loops = 2,
     double grace_s = 8.0,
@@ -1576,11 +1604,15 @@
     int32_t retry_nodes = 16) {
   auto listen__ = listen ? _fbb.CreateString(listen) : 0;
   auto ready_listen__ = ready_listen ? _fbb.CreateString(ready_listen) : 0;
+  auto peer_listen__ = peer_listen ? _fbb.CreateString(peer_listen) : 0;
+  auto seeds__ = seeds ? _fbb.CreateString(seeds) : 0;
   auto metrics_listen__ = metrics_listen ? _fbb.CreateString(metrics_listen) : 0;
   return cyclamenstair::schema::CreateEntrySettings(
       _fbb,
       listen__,
       ready_listen__,
+      peer_listen__,
+      seeds__,
       metrics_listen__,
       loops,
       grace_s,
@@ -2339,6 +2371,8 @@
   (void)_resolver;
   { auto _e = listen(); if (_e) _o->listen = _e->str(); }
   { auto _e = ready_listen(); if (_e) _o->ready_listen = _e->str(); }
+  { auto _e = peer_listen(); if (_e) _o->peer_listen = _e->str(); }
+  { auto _e = seeds(); if (_e) _o->seeds = _e->str(); }
   { auto _e = metrics_listen(); if (_e) _o->metrics_listen = _e->str(); }
   { auto _e = loops(); _o->loops = _e; }
   { auto _e = grace_s(); _o->grace_s = _e; }
@@ -2358,6 +2392,8 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntrySettingsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _listen = _o->listen.empty() ? 0 : _fbb.CreateString(_o->listen);
   auto _ready_listen = _o->ready_listen.empty() ? 0 : _fbb.CreateString(_o->ready_listen);
+  auto _peer_listen = _o->peer_listen.empty() ? 0 : _fbb.CreateString(_o->peer_listen);
+  auto _seeds = _o->seeds.empty() ? 0 : _fbb.CreateString(_o->seeds);
   auto _metrics_listen = _o->metrics_listen.empty() ? 0 : _fbb.CreateString(_o->metrics_listen);
   auto _loops = _o->loops;
   auto _grace_s = _o->grace_s;
@@ -2369,6 +2405,8 @@
       _fbb,
       _listen,
       _ready_listen,
+      _peer_listen,
+      _seeds,
       _metrics_listen,
       _loops,
       _grace_s,
--- /dev/null
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -0,0 +1,132 @@
+#include <Cyclamenstair/Peering/FrameChannel.h>
+
+#include <Cyclamenstair/Http/SocketOptions.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace cyclamenstair {
+
+namespace {
+
+    std::string header(uint32_t length)
+    {
+        return { static_cast<char>(length >> 24), static_cast<char>(length >> 16), static_cast<char>(length >> 8),
+            static_cast<char>(length) };
+    }
+
+} // namespace
+
+FrameChannel::FrameChannel(boost::asio::ip::tcp::socket socket, Handlers handlers)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_handlers(std::move(handlers))
+{
+}
+
+void FrameChannel::connect(const boost::asio::ip::tcp::endpoint& peer)
+{
+    m_timer.expires_after(connectTimeout);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec && !self->m_isOpen)
+            self->fail();
+    });
+    m_socket.async_connect(peer, [self = shared_from_this()](const boost::system::error_code& ec) {
+        if (self->m_isClosed)
+            return;
+        if (ec)
+            self->fail();
+        else
+            self->start();
+    });
+}
+
+void FrameChannel::start()
+{
+    boost::system::error_code ec;
+    m_timer.cancel(ec);
+    configureSocket(m_socket, silence);
+    m_isOpen = true;
+    readHeader();
+    if (!m_queue.empty())
+        write();
+}
+
+void FrameChannel::send(const std::string& content)
+{
+    if (m_isClosed || m_queue.size() + content.size() > maxQueuedBytes)
+        return;
+    m_queue += header(static_cast<uint32_t>(content.size()));
+    m_queue += content;
+    if (m_isOpen && m_writing.empty())
+        write();
+}
+
+void FrameChannel::close()
+{
+    m_handlers = {};
+    m_isClosed = true;
+    m_isOpen = false;
+    boost::system::error_code ec;
+    m_timer.cancel(ec);
+    m_socket.close(ec);
+}
+
+void FrameChannel::readHeader()
+{
+    boost::asio::async_read(
+        m_socket, boost::asio::buffer(m_header), [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
+            if (self->m_isClosed)
+                return;
+            const auto& bytes = self->m_header;
+            const uint32_t length = uint32_t { bytes[0] } << 24 | uint32_t { bytes[1] } << 16 | uint32_t { bytes[2] } << 8
+                | uint32_t { bytes[3] };
+            if (ec || length > maxFrameBytes)
+                self->fail();
+            else
+                self->readContent(length);
+        });
+}
+
+void FrameChannel::readContent(uint32_t length)
+{
+    m_content.resize(length);
+    boost::asio::async_read(m_socket, boost::asio::buffer(m_content),
+        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
+            if (self->m_isClosed)
+                return;
+            if (ec) {
+                self->fail();
+                return;
+            }
+            const auto onFrame = self->m_handlers.onFrame;
+            onFrame(self, self->m_content);
+            if (!self->m_isClosed)
+                self->readHeader();
+        });
+}
+
+void FrameChannel::write()
+{
+    m_writing = std::exchange(m_queue, {});
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
+            self->m_writing.clear();
+            if (self->m_isClosed)
+                return;
+            if (ec)
+                self->fail();
+            else if (!self->m_queue.empty())
+                self->write();
+        });
+}
+
+void FrameChannel::fail()
+{
+    const auto onClosed = m_handlers.onClosed;
+    close();
+    if (onClosed)
+        onClosed();
+}
+
+} // namespace cyclamenstair
