Count no copy that is being unloaded, and take the order lease over sooner

A holder that was cut off was replaced after 5.5 s. Change: accepted unloads are remembered until a report shows the engine idle; renewals every 200 ms, validity 600 ms, and the wait of a new holder counts the time between the end of the validity and the end of the lease. Logs name route and artifact.

--- a/Cyclamenstair/Control/OrderLease.h
+++ b/Cyclamenstair/Control/OrderLease.h
@@ -8,13 +8,13 @@
 
 /// Settings of an OrderLease.
 struct OrderLeaseSettings {
-    Duration timeToLive { milliseconds(2000) }; ///< Of the lease in the store, from the arrival of a renewal there.
+    Duration timeToLive { milliseconds(1200) }; ///< Of the lease in the store, from the arrival of a renewal there.
     /// Time after the sending of the last successful renewal during which orders may be given. Shorter than the time to
     /// live, so that the store has not given the lease to another node.
-    Duration validity { milliseconds(1500) };
-    /// Wait between taking the lease and the first order. Engines accept no orders of two nodes within this time; the
-    /// platform's bound plus a margin for orders on their way.
-    Duration takeoverWait { milliseconds(3300) };
+    Duration validity { milliseconds(600) };
+    /// Wait between taking the lease and the first order. Engines accept no orders of two nodes within a bound, which
+    /// the platform states; the time from the end of the validity to the end of the lease counts towards it.
+    Duration takeoverWait { milliseconds(2700) };
 };
 
 /// Whether this node may give orders. Times are of a clock that counts suspended time, so that a node that was paused
--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -36,7 +36,8 @@
     }
     for (const auto& target : m_input->targets) {
         Engine engine { &target,
-            target.isOrderable && !target.isLeaving && !target.report.isBusy && target.loadingModel.empty() };
+            target.isOrderable && !target.isLeaving && !target.report.isBusy && target.loadingModel.empty()
+                && target.unloadingModel.empty() };
         engine.adapterPlaces = target.report.incomingAdapters;
         for (const auto& held : target.report.models) {
             const auto model = m_models.find(held.name);
@@ -45,7 +46,7 @@
             engine.usedMib += model->second.model->weightsMib
                 + model->second.model->adapterMib * static_cast<double>(held.adapters.size());
             engine.adapterPlaces += static_cast<uint32_t>(held.adapters.size());
-            model->second.copies += target.isLeaving ? 0 : 1;
+            model->second.copies += target.isLeaving || held.name == target.unloadingModel ? 0 : 1;
         }
         if (const auto loading = m_models.find(target.loadingModel);
             loading != m_models.end() && !holds(engine, target.loadingModel)) {
@@ -209,7 +210,8 @@
     MoveReason reason, const std::string& roomFor)
 {
     engine.isOrdered = true;
-    m_orders.push_back({ engine.target->id, kind, model, adapter, reason, roomFor });
+    const auto& served = m_models.at(roomFor.empty() ? model : roomFor);
+    m_orders.push_back({ engine.target->id, kind, model, adapter, reason, served.busy, served.copies, roomFor });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -24,6 +24,7 @@
     bool isLeaving { false };
     bool isOrderable { true }; ///< False while an order is unanswered or no recent report is known.
     EngineReport report;
+    std::string unloadingModel; ///< Model of an accepted unload; it is reported until its last request has ended.
     std::string loadingModel; ///< Model of an accepted load that the report does not show yet.
     std::string reservedFor; ///< Model for which room was made here; no other is loaded meanwhile.
 };
--- a/Cyclamenstair/Control/TargetOrder.h
+++ b/Cyclamenstair/Control/TargetOrder.h
@@ -11,6 +11,8 @@
     std::string model;
     std::string adapter; ///< Empty for the model itself.
     MoveReason reason { MoveReason::PlannedCopy };
+    double demand { 0 }; ///< Requests in progress for the model that the order serves, over all nodes.
+    uint32_t copies { 0 }; ///< Copies of that model, with this one.
     std::string roomFor; ///< Model for which an unload makes room; empty for loads.
 };
 
--- a/Cyclamenstair/Entry/CatalogFollower.cpp
+++ b/Cyclamenstair/Entry/CatalogFollower.cpp
@@ -40,7 +40,8 @@
     if (!m_state->catalog.offer(std::move(catalog).value()))
         return;
     m_text = text;
-    logEvent(LogSeverity::Info, "catalog_in_force", { { "version", version }, { "routes", routes }, { "source", source } });
+    logEvent(
+        LogSeverity::Info, "catalog_in_force", { { "version", version }, { "routes", routes }, { "source", source } });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -25,15 +25,16 @@
     /// Margin over the targets' own bound between the orders of two nodes, for orders on their way.
     constexpr Duration orderGapMargin = milliseconds(300);
     /// Time to live of the order lease: short, so that a new holder is found soon, and at least what the store grants.
-    constexpr Duration leaseTimeToLive = milliseconds(2000);
-    constexpr double leaseValidityShare = 0.75;
+    constexpr Duration leaseTimeToLive = milliseconds(1200);
+    constexpr double leaseValidityShare = 0.5;
 
     OrderLeaseSettings leaseSettings(const schema::ControlSettingsT& control)
     {
         OrderLeaseSettings settings;
         settings.timeToLive = std::max(leaseTimeToLive, milliseconds(control.min_lease_ms));
         settings.validity = std::chrono::duration_cast<Duration>(settings.timeToLive * leaseValidityShare);
-        settings.takeoverWait = milliseconds(control.order_gap_ms) + orderGapMargin;
+        settings.takeoverWait = std::max(orderGapMargin,
+            milliseconds(control.order_gap_ms) - (settings.timeToLive - settings.validity) + orderGapMargin);
         return settings;
     }
 
@@ -115,7 +116,9 @@
     for (std::string seed; std::getline(list, seed, ',');)
         seeds.push_back(seed);
     auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, m_settings.entry->peer_listen, seeds,
-        { [this] { return Snapshot { m_catalog.text(), m_targets.entries(), m_state.areTargetsKnown }; },
+        { [this] {
+             return Snapshot { m_catalog.text(), m_targets.entries(), m_state.areTargetsKnown };
+         },
             [this](const Snapshot& snapshot) {
                 if (!snapshot.catalog.empty())
                     m_catalog.take(snapshot.catalog, "peer");
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -90,8 +90,7 @@
         if (service == current->catalog.services.end() || !service->second.engine)
             continue;
         auto& known = m_known[record.id];
-        const bool isBusy
-            = known.report.isBusy || !known.loadingModel.empty() || known.uncertainUntil > known.reportedAt;
+        const bool isBusy = known.report.isBusy || known.uncertainUntil > known.reportedAt;
         const auto interval = isBusy ? busyReportInterval : reportInterval;
         if (!known.isAsking && !known.isOrdering && now - known.askedAt >= interval)
             ask(record);
@@ -136,6 +135,7 @@
         if (known.loadingModel == known.reservedFor)
             known.reservedFor.clear();
         known.loadingModel.clear();
+        known.unloadingModel.clear();
     }
     m_state->targets.noteModels(record.service, record.id, fresh.models);
 }
@@ -163,8 +163,8 @@
         const auto& state = known->second;
         loading += !state.loadingModel.empty() && state.isLoadingFromStore ? 1 : 0;
         // Without a report it is unknown what the target holds; its entry still tells which models have a copy.
-        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report, state.loadingModel,
-            state.reservedFor };
+        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report, state.unloadingModel,
+            state.loadingModel, state.reservedFor };
         if (!state.hasReport)
             target.report.models = record.models;
         target.isOrderable = state.hasReport && !state.isOrdering && now - state.reportedAt < reportValidity
@@ -206,6 +206,8 @@
     logEvent(LogSeverity::Info, "order_sent",
         { { "target", order.target }, { "kind", std::string(nameOf(order.kind)) }, { "model", order.model },
             { "adapter", order.adapter }, { "reason", std::string(nameOf(order.reason)) },
+            { "demand", std::to_string(static_cast<int64_t>(order.demand)) },
+            { "copies", std::to_string(order.copies) }, { "room_for", order.roomFor },
             { "fence", std::to_string(right.fencingNumber) }, { "expected", std::to_string(right.expectedOrders) } });
     // The lease is looked at right before the bytes are written: a node that was paused must not send.
     if (!m_holder->mayOrder()) {
@@ -257,8 +259,8 @@
     report.isBusy = true;
     if (order.kind == OrderKind::Load)
         known.loadingModel = order.model;
-    else if (held != report.models.end())
-        report.models.erase(held);
+    else
+        known.unloadingModel = order.model;
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -30,7 +30,8 @@
         bool hasReport { false };
         bool isAsking { false };
         bool isOrdering { false };
-        std::string loadingModel;
+        std::string loadingModel; ///< Of an accepted order that a report does not show as done.
+        std::string unloadingModel;
         bool isLoadingFromStore { false };
         std::string reservedFor; ///< Model for which room was made.
     };
--- a/Cyclamenstair/Entry/OrderHolder.cpp
+++ b/Cyclamenstair/Entry/OrderHolder.cpp
@@ -10,8 +10,8 @@
     constexpr Duration takeSpread = milliseconds(300);
     /// Wait after an attempt that failed.
     constexpr Duration takeRetryDelay = milliseconds(500);
-    /// Three renewals fit into the lease's validity.
-    constexpr Duration renewalInterval = milliseconds(450);
+    /// Three renewals fit into the lease's validity. They are billed at a tenth of a call.
+    constexpr Duration renewalInterval = milliseconds(200);
 
 } // namespace
 
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    /// Time between two looks at the load. Requests arrive every few milliseconds over all nodes; traffic between failure
-    /// domains is billed.
+    /// Time between two looks at the load. Requests arrive every few milliseconds over all nodes; traffic between
+    /// failure domains is billed.
     constexpr Duration shareInterval = milliseconds(150);
     /// A share that does not change is sent again after this time, so that it does not lapse at the receiver.
     constexpr Duration longestShareInterval = milliseconds(900);
@@ -41,7 +41,8 @@
         if (ec)
             return Error { ErrorKind::Unavailable, "peer.listen", listen, ec.message() };
     }
-    return std::unique_ptr<PeerMesh>(new PeerMesh(context, state, listen, seeds, std::move(snapshots), std::move(acceptor)));
+    return std::unique_ptr<PeerMesh>(
+        new PeerMesh(context, state, listen, seeds, std::move(snapshots), std::move(acceptor)));
 }
 
 PeerMesh::PeerMesh(boost::asio::io_context& context, EntryState& state, std::string address,
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -97,7 +97,8 @@
     closeAttempt();
     m_acquired = action.target;
     log("attempt_started",
-        { { "attempt", std::to_string(action.attempt) }, { "target", action.target.id },
+        { { "route", m_machine.facts().route.name }, { "artifact", artifactText() },
+            { "attempt", std::to_string(action.attempt) }, { "target", action.target.id },
             { "address", action.target.address }, { "time_left_ms", std::to_string(toMilliseconds(action.timeLeft)) },
             { "resume_after", action.resumeAfter.value_or("") } });
     const auto endpoint = parseEndpoint(action.target.address);
@@ -144,7 +145,8 @@
 void RequestExchange::perform(const AnswerByNode& action)
 {
     log("answered_by_node",
-        { { "outcome", std::string(nameOf(action.answer)) }, { "reason", action.reason }, { "target", m_acquired.id },
+        { { "route", m_machine.facts().route.name }, { "artifact", artifactText() },
+            { "outcome", std::string(nameOf(action.answer)) }, { "reason", action.reason }, { "target", m_acquired.id },
             { "elapsed_ms", elapsedText() } });
     m_loop->state().metrics.add(Metric::Refusals, action.reason);
     m_caller->setLeaveHandler(nullptr);
@@ -204,6 +206,12 @@
     logRequestEvent(m_machine.facts().id, event, fields);
 }
 
+std::string RequestExchange::artifactText() const
+{
+    const auto& facts = m_machine.facts();
+    return facts.adapter.empty() ? facts.model : facts.model + "/" + facts.adapter;
+}
+
 std::string RequestExchange::elapsedText() const
 {
     return std::to_string(toMilliseconds(monotonicNow() - m_machine.facts().receivedAt));
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -34,6 +34,7 @@
     void closeAttempt();
     void armTimer();
     void log(std::string_view event, std::initializer_list<LogField> fields);
+    std::string artifactText() const;
     std::string elapsedText() const;
 
     RequestLoop* m_loop;
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -160,8 +160,7 @@
     });
 }
 
-void TargetRegistry::noteRemote(
-    const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now)
+void TargetRegistry::noteRemote(const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now)
 {
     m_services.forEachShard([&](auto& services) {
         for (auto& [service, targets] : services) {
--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -74,13 +74,13 @@
 
 void FrameChannel::readHeader()
 {
-    boost::asio::async_read(
-        m_socket, boost::asio::buffer(m_header), [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
+    boost::asio::async_read(m_socket, boost::asio::buffer(m_header),
+        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
             if (self->m_isClosed)
                 return;
             const auto& bytes = self->m_header;
-            const uint32_t length = uint32_t { bytes[0] } << 24 | uint32_t { bytes[1] } << 16 | uint32_t { bytes[2] } << 8
-                | uint32_t { bytes[3] };
+            const uint32_t length = uint32_t { bytes[0] } << 24 | uint32_t { bytes[1] } << 16
+                | uint32_t { bytes[2] } << 8 | uint32_t { bytes[3] };
             if (ec || length > maxFrameBytes)
                 self->fail();
             else
--- a/Cyclamenstair/Peering/FrameChannel.h
+++ b/Cyclamenstair/Peering/FrameChannel.h
@@ -15,7 +15,8 @@
 namespace cyclamenstair {
 
 /// Connection between two nodes that carries frames in both directions: a length of 4 bytes in network order and the
-/// content. Belongs to one event loop. Handlers of asynchronous operations outlive their owner, hence the shared ownership.
+/// content. Belongs to one event loop. Handlers of asynchronous operations outlive their owner, hence the shared
+/// ownership.
 class FrameChannel : public std::enable_shared_from_this<FrameChannel> {
 public:
     struct Handlers {
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -246,7 +246,7 @@
         seekTarget(now, actions);
         return;
     }
-    giveUp(m_mayHaveRun ? OwnAnswer::Failed : OwnAnswer::NotRun, reason, actions);
+    giveUp(m_mayHaveRun ? OwnAnswer::Failed : OwnAnswer::NotRun, reason, now, actions);
 }
 
 bool RequestMachine::takeRetry(TimePoint now)
@@ -261,7 +261,7 @@
     // registration.
     const auto patience = std::chrono::duration_cast<Duration>(m_facts.route.targetLatency * m_settings->waitShare);
     if (m_sends > 0 || now >= m_facts.receivedAt + patience) {
-        giveUp(m_mayHaveRun ? OwnAnswer::Failed : OwnAnswer::NotRun, std::string(nameOf(shortage)), actions);
+        giveUp(m_mayHaveRun ? OwnAnswer::Failed : OwnAnswer::NotRun, std::string(nameOf(shortage)), now, actions);
         return;
     }
     setWaitingCount(true);
@@ -276,14 +276,15 @@
     m_isCountedAsWaiting = isWaiting;
 }
 
-void RequestMachine::giveUp(OwnAnswer answer, const std::string& reason, Actions& actions)
+void RequestMachine::giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions)
 {
     if (m_isHeadSent) {
         actions.emplace_back(BreakAnswer {});
     } else {
         AnswerByNode own { answer, reason, std::nullopt };
         if (answer == OwnAnswer::NotRun)
-            own.retryAfter = m_attempt == 0 ? m_settings->absentRetryAfter : m_settings->fullRetryAfter;
+            own.retryAfter = std::min(m_attempt == 0 ? m_settings->absentRetryAfter : m_settings->fullRetryAfter,
+                std::chrono::duration_cast<Duration>((deadline() - now) * m_settings->retryAfterShare));
         actions.emplace_back(std::move(own));
     }
     finish();
@@ -296,7 +297,7 @@
         actions.emplace_back(CancelAttempt { m_attempt });
         endAttempt(TargetVerdict::NoVerdict, now);
     }
-    giveUp(isAttemptRunning || m_mayHaveRun ? OwnAnswer::TimedOut : OwnAnswer::NotRun, "deadline", actions);
+    giveUp(isAttemptRunning || m_mayHaveRun ? OwnAnswer::TimedOut : OwnAnswer::NotRun, "deadline", now, actions);
 }
 
 void RequestMachine::finish()
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -18,10 +18,12 @@
     /// Longest wait for a target, as a share of the route's target latency. A caller that is told early can try again;
     /// one that is held up loses its time.
     double waitShare { 0.5 };
-    /// Time after which a caller may come back when no target holds what it needs; about one load.
-    Duration absentRetryAfter { milliseconds(1500) };
+    /// Time after which a caller may come back when no target holds what it needs: a decision, an unload and a load.
+    Duration absentRetryAfter { milliseconds(3000) };
     /// Time after which a caller may come back when targets are full.
-    Duration fullRetryAfter { milliseconds(300) };
+    Duration fullRetryAfter { milliseconds(1000) };
+    /// Largest part of the caller's time that it is asked to stay away.
+    double retryAfterShare { 0.3 };
     /// Largest answer that is held back until it is complete, so that one that breaks off can be replaced.
     size_t maxHeldBytes { 65536 };
     /// Silence within a resumable stream, as a multiple of the route's gap target, after which it goes on elsewhere.
@@ -86,7 +88,7 @@
     bool takeRetry(TimePoint now);
     void waitForTarget(TargetShortage shortage, TimePoint now, Actions& actions);
     void setWaitingCount(bool isWaiting);
-    void giveUp(OwnAnswer answer, const std::string& reason, Actions& actions);
+    void giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions);
     void timeOut(TimePoint now, Actions& actions);
     void finish();
     ArtifactKey artifact() const { return { m_facts.service, m_facts.model, m_facts.adapter }; }
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -26,7 +26,8 @@
     EXPECT_EQ(decoded.targets[0].entry, "entry");
     EXPECT_EQ(decoded.targets[0].revision, 12);
     EXPECT_TRUE(decoded.areTargetsKnown);
-    EXPECT_EQ(std::get<SnapshotRequest>(decodeEntryMessage(encodeEntryMessage(SnapshotRequest { "node-2" }))).node, "node-2");
+    EXPECT_EQ(
+        std::get<SnapshotRequest>(decodeEntryMessage(encodeEntryMessage(SnapshotRequest { "node-2" }))).node, "node-2");
 }
 
 // A stranger can connect to a node's port and send anything.
--- a/Tests/ControlTests/OrderLeaseTests.cpp
+++ b/Tests/ControlTests/OrderLeaseTests.cpp
@@ -21,10 +21,10 @@
     OrderLease lease({});
     EXPECT_FALSE(lease.mayOrder(start));
     lease.taken(7, start, start);
-    EXPECT_FALSE(lease.mayOrder(start + milliseconds(1000)));
-    lease.renewed(start + milliseconds(3000));
-    EXPECT_FALSE(lease.mayOrder(start + milliseconds(3200)));
-    EXPECT_TRUE(lease.mayOrder(start + milliseconds(3400)));
+    EXPECT_FALSE(lease.mayOrder(start + milliseconds(500)));
+    lease.renewed(start + milliseconds(2600));
+    EXPECT_FALSE(lease.mayOrder(start + milliseconds(2650)));
+    EXPECT_TRUE(lease.mayOrder(start + milliseconds(2750)));
 }
 
 // A holder that was suspended, or whose renewals fail, must stop before the store gives the lease to another node.
@@ -33,12 +33,12 @@
     OrderLease lease({});
     lease.taken(7, start, start);
     lease.renewed(start + milliseconds(4000));
-    EXPECT_TRUE(lease.mayOrder(start + milliseconds(5000)));
-    EXPECT_FALSE(lease.mayOrder(start + milliseconds(5600)));
-    EXPECT_TRUE(lease.hasLapsed(start + milliseconds(6000)));
+    EXPECT_TRUE(lease.mayOrder(start + milliseconds(4500)));
+    EXPECT_FALSE(lease.mayOrder(start + milliseconds(4700)));
+    EXPECT_TRUE(lease.hasLapsed(start + milliseconds(5200)));
     // The answer to an earlier renewal that comes late does not prolong the lease.
     lease.renewed(start + milliseconds(3500));
-    EXPECT_FALSE(lease.mayOrder(start + milliseconds(5600)));
+    EXPECT_FALSE(lease.mayOrder(start + milliseconds(4700)));
     lease.lost();
     EXPECT_FALSE(lease.isHeld());
 }
@@ -88,7 +88,7 @@
                 node.nextRenewal = now;
             }
             if (node.lease.isHeld() && now >= node.nextRenewal) {
-                node.nextRenewal = now + milliseconds(450);
+                node.nextRenewal = now + milliseconds(200);
                 const bool isAlive = store.holder == i && node.lease.fencingNumber() == store.revision;
                 const bool isAnswerLost = random() % 4 == 0;
                 if (isAlive)
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -102,6 +102,18 @@
     EXPECT_TRUE(plan(input).empty());
 }
 
+// An engine reports a model until the last request of an accepted unload has ended; it is no copy that another model's
+// move may count on.
+TEST(ResidencyPlanner, ModelThatIsBeingUnloadedIsNoCopy)
+{
+    const auto engine = profile(4);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m3", "m2" }) });
+    input.targets[0].unloadingModel = "m0";
+    input.demand[{ "drafting", "m1", {} }] = { 1, 90, 0 };
+    for (const auto& order : plan(input))
+        EXPECT_FALSE(order.kind == OrderKind::Unload && order.model == "m0");
+}
+
 TEST(ResidencyPlanner, PlacesEveryAdapterBeforeItIsAskedFor)
 {
     const auto engine = profile(1, 3);
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -76,7 +76,7 @@
 TEST(TargetCodec, OrderNamesItsRight)
 {
     const auto call = encodeOrderCall(
-        "1.2.3.4:5", { "i-1", OrderKind::Load, "m", "a1", MoveReason::Demand, {} }, { "node-1", 41, 2 });
+        "1.2.3.4:5", { "i-1", OrderKind::Load, "m", "a1", MoveReason::Demand, 0, 0, {} }, { "node-1", 41, 2 });
     EXPECT_EQ(fieldValue(call.fields, "cyclamenstair-expect-instance"), "i-1");
     EXPECT_EQ(
         call.body, R"({"adapter":"a1","expected":2,"fence":41,"holder":"node-1","model":"m","operation":"load"})");
