Place adapters that are asked for first, in place of idle ones

Nodes learned of a loaded adapter from the engine's next entry, up to 1.2 s later. Change: adapters with requests come first and replace one that nobody asks for; the holder tells the other nodes what an engine holds 60 ms after its order; the holder plans every 100 ms.

--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -49,6 +49,28 @@
         return record;
     }
 
+    schema::ResidencyNoticeT toRecord(const ResidencyNotice& notice)
+    {
+        schema::ResidencyNoticeT record;
+        record.target = notice.target;
+        record.service = notice.service;
+        for (const auto& model : notice.models) {
+            auto row = std::make_unique<schema::HeldModelRowT>();
+            row->name = model.name;
+            row->adapters.assign(model.adapters.begin(), model.adapters.end());
+            record.models.push_back(std::move(row));
+        }
+        return record;
+    }
+
+    ResidencyNotice fromRecord(const schema::ResidencyNoticeT& record)
+    {
+        ResidencyNotice notice { record.target, record.service, {} };
+        for (const auto& row : record.models)
+            notice.models.push_back({ row->name, { row->adapters.begin(), row->adapters.end() } });
+        return notice;
+    }
+
     LoadShare fromRecord(const schema::LoadShareT& record)
     {
         LoadShare share;
@@ -82,6 +104,7 @@
                        record.content.Set(std::move(content));
                    },
                    [&](const Snapshot& snapshot) { record.content.Set(toRecord(snapshot)); },
+                   [&](const ResidencyNotice& notice) { record.content.Set(toRecord(notice)); },
                },
         message);
     return packRecord<schema::EntryMessage>(record);
@@ -96,6 +119,8 @@
         return SnapshotRequest { request->node };
     if (const auto* snapshot = record.content.AsSnapshot())
         return fromRecord(*snapshot);
+    if (const auto* notice = record.content.AsResidencyNotice())
+        return fromRecord(*notice);
     throw Exception({ ErrorKind::InvalidInput, "entry_message.decode", "", "message without content" });
 }
 
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Fleet/TargetRecord.h>
 
 #include <string_view>
 #include <variant>
@@ -36,7 +37,15 @@
     bool areTargetsKnown { false };
 };
 
-using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot>;
+/// What a target holds after an order, from the node that gave it. It reaches the other nodes sooner than the target's
+/// entry in the store.
+struct ResidencyNotice {
+    std::string target;
+    std::string service;
+    std::vector<HeldModel> models;
+};
+
+using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice>;
 
 /// Returns the bytes of a message between nodes.
 std::string encodeEntryMessage(const EntryMessage& message);
--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -157,38 +157,85 @@
 
 void ResidencyPlanner::placeAdapters()
 {
-    uint32_t inTransit = 0;
     for (const auto& engine : m_engines)
-        inTransit += engine.target->report.incomingAdapters;
+        m_adaptersInTransit += engine.target->report.incomingAdapters + (engine.target->hasIncomingAdapter ? 1 : 0);
+    // Adapters that requests ask for first, then the others, so that they are there before they are asked for.
+    for (const auto& [artifact, load] : m_input->demand) {
+        const auto model = m_models.find(artifact.model);
+        if (artifact.service == m_input->service && !artifact.adapter.empty() && model != m_models.end())
+            placeAdapter(model->second, artifact.adapter, true);
+    }
     for (const auto& [name, state] : m_models) {
-        for (uint32_t number = 1; number <= state.model->adapterCount; ++number) {
-            if (inTransit >= m_settings->adapterOrdersAtOnce)
-                return;
-            const auto adapter = "a" + std::to_string(number);
-            Engine* best = nullptr;
-            bool isHeld = false;
-            for (auto& engine : m_engines) {
-                const auto& models = engine.target->report.models;
-                const auto held
-                    = std::find_if(models.begin(), models.end(), [&](const auto& model) { return model.name == name; });
-                if (held == models.end() || engine.target->isLeaving)
-                    continue;
-                isHeld = isHeld || held->adapters.contains(adapter);
-                const bool canTake = engine.target->isOrderable && !engine.isOrdered && !engine.target->report.isBusy
-                    && engine.adapterPlaces < m_input->engine->adapterSlots
-                    && engine.target->report.incomingAdapters < m_settings->adaptersInTransitPerTarget
-                    && engine.usedMib + state.model->adapterMib <= m_input->engine->weightsMib;
-                if (canTake && (!best || engine.adapterPlaces < best->adapterPlaces))
-                    best = &engine;
+        for (uint32_t number = 1; number <= state.model->adapterCount; ++number)
+            placeAdapter(state, "a" + std::to_string(number), false);
+    }
+}
+
+void ResidencyPlanner::placeAdapter(const ModelState& state, const std::string& adapter, bool isAskedFor)
+{
+    if (m_adaptersInTransit >= m_settings->adapterOrdersAtOnce)
+        return;
+    const auto& name = state.model->name;
+    Engine* best = nullptr;
+    bool isFull = false;
+    for (auto& engine : m_engines) {
+        const auto& models = engine.target->report.models;
+        const auto held
+            = std::find_if(models.begin(), models.end(), [&](const auto& model) { return model.name == name; });
+        if (held == models.end() || engine.target->isLeaving || name == engine.target->unloadingModel)
+            continue;
+        if (held->adapters.contains(adapter))
+            return;
+        const bool canBeOrdered = engine.target->isOrderable && !engine.isOrdered && !engine.target->report.isBusy
+            && !engine.target->hasIncomingAdapter
+            && engine.target->report.incomingAdapters < m_settings->adaptersInTransitPerTarget;
+        const bool hasPlace = engine.adapterPlaces < m_input->engine->adapterSlots
+            && engine.usedMib + state.model->adapterMib <= m_input->engine->weightsMib;
+        isFull = isFull || (canBeOrdered && !hasPlace);
+        if (canBeOrdered && hasPlace && (!best || engine.adapterPlaces < best->adapterPlaces))
+            best = &engine;
+    }
+    if (best) {
+        best->usedMib += state.model->adapterMib;
+        ++best->adapterPlaces;
+        ++m_adaptersInTransit;
+        order(*best, OrderKind::Load, name, adapter, isAskedFor ? MoveReason::Demand : MoveReason::PlannedCopy);
+    } else if (isFull && isAskedFor) {
+        evictAdapter(name);
+    }
+}
+
+void ResidencyPlanner::evictAdapter(const std::string& model)
+{
+    Engine* bestEngine = nullptr;
+    const HeldModel* bestModel = nullptr;
+    const std::string* bestAdapter = nullptr;
+    double least = std::numeric_limits<double>::infinity();
+    for (auto& engine : m_engines) {
+        if (!engine.target->isOrderable || engine.isOrdered || engine.target->report.isBusy
+            || engine.target->hasIncomingAdapter || engine.target->isLeaving || !holds(engine, model))
+            continue;
+        for (const auto& held : engine.target->report.models) {
+            for (const auto& adapter : held.adapters) {
+                const double wanted = arrivals(held.name, adapter);
+                if (wanted < least) {
+                    least = wanted;
+                    bestEngine = &engine;
+                    bestModel = &held;
+                    bestAdapter = &adapter;
+                }
             }
-            if (isHeld || !best)
-                continue;
-            best->usedMib += state.model->adapterMib;
-            ++best->adapterPlaces;
-            ++inTransit;
-            order(*best, OrderKind::Load, name, adapter, MoveReason::PlannedCopy);
         }
     }
+    // An adapter that is in use stays: its requests would be the next to wait.
+    if (bestEngine && least == 0)
+        order(*bestEngine, OrderKind::Unload, bestModel->name, *bestAdapter, MoveReason::MakeRoom);
+}
+
+double ResidencyPlanner::arrivals(const std::string& model, const std::string& adapter) const
+{
+    const auto load = m_input->demand.find({ m_input->service, model, adapter });
+    return load == m_input->demand.end() ? 0 : load->second.arrivalsPerSecond + load->second.inProgress;
 }
 
 bool ResidencyPlanner::holds(const Engine& engine, const std::string& model) const
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -24,6 +24,7 @@
     bool isLeaving { false };
     bool isOrderable { true }; ///< False while an order is unanswered or no recent report is known.
     EngineReport report;
+    bool hasIncomingAdapter { false }; ///< One was ordered a moment ago; the next waits for it.
     std::string unloadingModel; ///< Model of an accepted unload; it is reported until its last request has ended.
     std::string loadingModel; ///< Model of an accepted load that the report does not show yet.
     std::string reservedFor; ///< Model for which room was made here; no other is loaded meanwhile.
@@ -69,6 +70,9 @@
     void countCopies();
     void placeModels();
     void placeAdapters();
+    void placeAdapter(const ModelState& state, const std::string& adapter, bool isAskedFor);
+    void evictAdapter(const std::string& model);
+    double arrivals(const std::string& model, const std::string& adapter) const;
     void placeCopy(ModelState& wanted);
     void loadCopy(Engine& engine, ModelState& wanted);
     Engine* engineWithRoom(const ModelState& wanted);
@@ -85,6 +89,7 @@
     std::vector<Engine> m_engines;
     std::map<std::string, ModelState> m_models;
     uint32_t m_weightLoads;
+    uint32_t m_adaptersInTransit { 0 };
     std::vector<TargetOrder> m_orders;
 };
 
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     /// Time between two rounds of planning.
-    constexpr Duration tickInterval = milliseconds(250);
+    constexpr Duration tickInterval = milliseconds(100);
     /// Time between two reports of a target at rest; each is billed as a probe.
     constexpr Duration reportInterval = milliseconds(1500);
     /// Time between two reports of a target that carries out an order.
@@ -22,6 +22,8 @@
     constexpr Duration reportTimeout = milliseconds(500);
     /// A report older than this is no ground for an order.
     constexpr Duration reportValidity = milliseconds(4000);
+    /// Time for which an ordered adapter counts as on its way when no report shows it.
+    constexpr Duration adapterTransit = milliseconds(60);
     constexpr Duration orderTimeout = milliseconds(700);
     /// Targets register one after the other at the begin and after an outage of the store. Planning waits until none
     /// has come for this long, so that models are not loaded that are about to be seen elsewhere.
@@ -163,8 +165,8 @@
         const auto& state = known->second;
         loading += !state.loadingModel.empty() && state.isLoadingFromStore ? 1 : 0;
         // Without a report it is unknown what the target holds; its entry still tells which models have a copy.
-        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report, state.unloadingModel,
-            state.loadingModel, state.reservedFor };
+        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report,
+            now < state.incomingUntil, state.unloadingModel, state.loadingModel, state.reservedFor };
         if (!state.hasReport)
             target.report.models = record.models;
         target.isOrderable = state.hasReport && !state.isOrdering && now - state.reportedAt < reportValidity
@@ -234,8 +236,11 @@
         { { "target", record.id }, { "model", order.model }, { "adapter", order.adapter },
             { "answer", std::string(nameOf(result)) }, { "status", std::to_string(answer->head.status) } });
     m_state->metrics.add(Metric::Moves, std::string(nameOf(result)));
-    if (result == OrderAnswer::Accepted) {
+    const bool isAdapterUnload = order.kind == OrderKind::Unload && !order.adapter.empty();
+    if (result == OrderAnswer::Accepted || (isAdapterUnload && result == OrderAnswer::AlreadyHolds)) {
         noteAccepted(known, order);
+        if (!order.adapter.empty())
+            m_mesh->announce({ record.id, record.service, known.report.models });
         return;
     }
     known.uncertainUntil = monotonicNow() + reportLag;
@@ -251,9 +256,14 @@
     const auto held = std::find_if(
         report.models.begin(), report.models.end(), [&](const HeldModel& model) { return model.name == order.model; });
     if (!order.adapter.empty()) {
-        if (held != report.models.end())
-            held->adapters.insert(order.adapter);
-        ++report.incomingAdapters;
+        if (held == report.models.end())
+            return;
+        if (order.kind == OrderKind::Unload) {
+            held->adapters.erase(order.adapter);
+            return;
+        }
+        held->adapters.insert(order.adapter);
+        known.incomingUntil = monotonicNow() + adapterTransit;
         return;
     }
     report.isBusy = true;
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -33,6 +33,7 @@
         std::string loadingModel; ///< Of an accepted order that a report does not show as done.
         std::string unloadingModel;
         bool isLoadingFromStore { false };
+        TimePoint incomingUntil; ///< An adapter that was ordered is on its way until then.
         std::string reservedFor; ///< Model for which room was made.
     };
 
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -13,11 +13,13 @@
 
     /// Time between two looks at the load. Requests arrive every few milliseconds over all nodes; traffic between
     /// failure domains is billed.
-    constexpr Duration shareInterval = milliseconds(150);
+    constexpr Duration shareInterval = milliseconds(100);
     /// A share that does not change is sent again after this time, so that it does not lapse at the receiver.
     constexpr Duration longestShareInterval = milliseconds(900);
     /// Demand that was not heard of for this long is of a node that is gone.
     constexpr Duration demandValidity = milliseconds(2500);
+    /// Time from an order for an adapter until the target holds it; requests that come sooner are turned away.
+    constexpr Duration adapterLoadTime = milliseconds(60);
     constexpr Duration connectInterval = milliseconds(1000);
 
 } // namespace
@@ -108,6 +110,7 @@
     const auto now = monotonicNow();
     connectLinks(now);
     shareLoad(now);
+    sendNotices(now);
     if (!m_state->areTargetsKnown || !m_state->catalog.current())
         askForSnapshot();
     m_timer.expires_after(shareInterval);
@@ -175,6 +178,34 @@
     }
 }
 
+void PeerMesh::announce(ResidencyNotice notice)
+{
+    auto target = notice.target;
+    m_notices[std::move(target)] = { monotonicNow(), std::move(notice) };
+}
+
+void PeerMesh::sendNotices(TimePoint now)
+{
+    for (auto entry = m_notices.begin(); entry != m_notices.end();) {
+        const auto& [orderedAt, notice] = entry->second;
+        if (now - orderedAt < adapterLoadTime) {
+            ++entry;
+            continue;
+        }
+        m_state->targets.noteModels(notice.service, notice.target, notice.models);
+        broadcast(encodeEntryMessage(notice));
+        entry = m_notices.erase(entry);
+    }
+}
+
+void PeerMesh::broadcast(const std::string& frame)
+{
+    for (const auto& [address, link] : m_links) {
+        if (link.channel && link.channel->isOpen())
+            link.channel->send(frame);
+    }
+}
+
 void PeerMesh::askForSnapshot()
 {
     for (auto& [address, link] : m_links) {
@@ -220,6 +251,11 @@
     }
 }
 
+void PeerMesh::on(const std::shared_ptr<FrameChannel>&, const ResidencyNotice& notice)
+{
+    m_state->targets.noteModels(notice.service, notice.target, notice.models);
+}
+
 bool PeerMesh::isHolderAt(const std::string& address) const
 {
     const auto holder = m_nodes.find(m_holder);
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -31,6 +31,9 @@
     /// Takes the id of the node that holds the order lease; it alone gets this node's demand.
     void setHolder(std::string holder) { m_holder = std::move(holder); }
 
+    /// Tells the other nodes, shortly after, what a target holds.
+    void announce(ResidencyNotice notice);
+
     /// Returns the demand over all nodes that were heard of lately, this node included.
     std::map<ArtifactKey, ArtifactLoad> demand() const;
 
@@ -57,6 +60,9 @@
     void on(const std::shared_ptr<FrameChannel>& from, const LoadShare& share);
     void on(const std::shared_ptr<FrameChannel>& from, const SnapshotRequest& request);
     void on(const std::shared_ptr<FrameChannel>& from, const Snapshot& snapshot);
+    void on(const std::shared_ptr<FrameChannel>& from, const ResidencyNotice& notice);
+    void sendNotices(TimePoint now);
+    void broadcast(const std::string& frame);
     bool isHolderAt(const std::string& address) const;
 
     boost::asio::io_context* m_context;
@@ -71,6 +77,7 @@
     std::set<std::shared_ptr<FrameChannel>> m_accepted;
     std::map<std::string, PeerDemand> m_demands; ///< By node id.
     std::string m_holder;
+    std::map<std::string, std::pair<TimePoint, ResidencyNotice>> m_notices; ///< By target, with the time of the order.
     LoadShare m_shared;
     TimePoint m_sharedAt;
 };
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -40,6 +40,14 @@
 struct SnapshotBuilder;
 struct SnapshotT;
 
+struct HeldModelRow;
+struct HeldModelRowBuilder;
+struct HeldModelRowT;
+
+struct ResidencyNotice;
+struct ResidencyNoticeBuilder;
+struct ResidencyNoticeT;
+
 struct EntryMessage;
 struct EntryMessageBuilder;
 struct EntryMessageT;
@@ -49,33 +57,36 @@
   LoadShare = 1,
   SnapshotRequest = 2,
   Snapshot = 3,
+  ResidencyNotice = 4,
   MIN = NONE,
-  MAX = Snapshot
+  MAX = ResidencyNotice
 };
 
-inline const EntryContent (&EnumValuesEntryContent())[4] {
+inline const EntryContent (&EnumValuesEntryContent())[5] {
   static const EntryContent values[] = {
     EntryContent::NONE,
     EntryContent::LoadShare,
     EntryContent::SnapshotRequest,
-    EntryContent::Snapshot
+    EntryContent::Snapshot,
+    EntryContent::ResidencyNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntryContent() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "NONE",
     "LoadShare",
     "SnapshotRequest",
     "Snapshot",
+    "ResidencyNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntryContent(EntryContent e) {
-  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::Snapshot)) return "";
+  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::ResidencyNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntryContent()[index];
 }
@@ -96,6 +107,10 @@
   static const EntryContent enum_value = EntryContent::Snapshot;
 };
 
+template<> struct EntryContentTraits<cyclamenstair::schema::ResidencyNotice> {
+  static const EntryContent enum_value = EntryContent::ResidencyNotice;
+};
+
 template<typename T> struct EntryContentUnionTraits {
   static const EntryContent enum_value = EntryContent::NONE;
 };
@@ -112,6 +127,10 @@
   static const EntryContent enum_value = EntryContent::Snapshot;
 };
 
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::ResidencyNoticeT> {
+  static const EntryContent enum_value = EntryContent::ResidencyNotice;
+};
+
 struct EntryContentUnion {
   EntryContent type;
   void *value;
@@ -166,6 +185,14 @@
     return type == EntryContent::Snapshot ?
       reinterpret_cast<const cyclamenstair::schema::SnapshotT *>(value) : nullptr;
   }
+  cyclamenstair::schema::ResidencyNoticeT *AsResidencyNotice() {
+    return type == EntryContent::ResidencyNotice ?
+      reinterpret_cast<cyclamenstair::schema::ResidencyNoticeT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::ResidencyNoticeT *AsResidencyNotice() const {
+    return type == EntryContent::ResidencyNotice ?
+      reinterpret_cast<const cyclamenstair::schema::ResidencyNoticeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyEntryContent(flatbuffers::Verifier &verifier, const void *obj, EntryContent type);
@@ -772,6 +799,198 @@
 
 flatbuffers::Offset<Snapshot> CreateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct HeldModelRowT : public flatbuffers::NativeTable {
+  typedef HeldModelRow TableType;
+  std::string name{};
+  std::vector<std::string> adapters{};
+};
+
+/// A model with its adapters.
+struct HeldModelRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeldModelRowT NativeTableType;
+  typedef HeldModelRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_ADAPTERS = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *adapters() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ADAPTERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_ADAPTERS) &&
+           verifier.VerifyVector(adapters()) &&
+           verifier.VerifyVectorOfStrings(adapters()) &&
+           verifier.EndTable();
+  }
+  HeldModelRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeldModelRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HeldModelRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeldModelRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeldModelRowBuilder {
+  typedef HeldModelRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(HeldModelRow::VT_NAME, name);
+  }
+  void add_adapters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> adapters) {
+    fbb_.AddOffset(HeldModelRow::VT_ADAPTERS, adapters);
+  }
+  explicit HeldModelRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeldModelRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeldModelRow>(end);
+    fbb_.Required(o, HeldModelRow::VT_NAME);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeldModelRow> CreateHeldModelRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> adapters = 0) {
+  HeldModelRowBuilder builder_(_fbb);
+  builder_.add_adapters(adapters);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct HeldModelRow::Traits {
+  using type = HeldModelRow;
+  static auto constexpr Create = CreateHeldModelRow;
+};
+
+inline flatbuffers::Offset<HeldModelRow> CreateHeldModelRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *adapters = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto adapters__ = adapters ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*adapters) : 0;
+  return cyclamenstair::schema::CreateHeldModelRow(
+      _fbb,
+      name__,
+      adapters__);
+}
+
+flatbuffers::Offset<HeldModelRow> CreateHeldModelRow(flatbuffers::FlatBufferBuilder &_fbb, const HeldModelRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ResidencyNoticeT : public flatbuffers::NativeTable {
+  typedef ResidencyNotice TableType;
+  std::string target{};
+  std::string service{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::HeldModelRowT>> models{};
+  ResidencyNoticeT() = default;
+  ResidencyNoticeT(const ResidencyNoticeT &o);
+  ResidencyNoticeT(ResidencyNoticeT&&) FLATBUFFERS_NOEXCEPT = default;
+  ResidencyNoticeT &operator=(ResidencyNoticeT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a target holds after an order, from the node that gave it.
+struct ResidencyNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ResidencyNoticeT NativeTableType;
+  typedef ResidencyNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_SERVICE = 6,
+    VT_MODELS = 8
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>> *models() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>> *>(VT_MODELS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_MODELS) &&
+           verifier.VerifyVector(models()) &&
+           verifier.VerifyVectorOfTables(models()) &&
+           verifier.EndTable();
+  }
+  ResidencyNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ResidencyNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ResidencyNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ResidencyNoticeBuilder {
+  typedef ResidencyNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(ResidencyNotice::VT_TARGET, target);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ResidencyNotice::VT_SERVICE, service);
+  }
+  void add_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>>> models) {
+    fbb_.AddOffset(ResidencyNotice::VT_MODELS, models);
+  }
+  explicit ResidencyNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ResidencyNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ResidencyNotice>(end);
+    fbb_.Required(o, ResidencyNotice::VT_TARGET);
+    fbb_.Required(o, ResidencyNotice::VT_SERVICE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ResidencyNotice> CreateResidencyNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>>> models = 0) {
+  ResidencyNoticeBuilder builder_(_fbb);
+  builder_.add_models(models);
+  builder_.add_service(service);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct ResidencyNotice::Traits {
+  using type = ResidencyNotice;
+  static auto constexpr Create = CreateResidencyNotice;
+};
+
+inline flatbuffers::Offset<ResidencyNotice> CreateResidencyNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    const char *service = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>> *models = nullptr) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>>(*models) : 0;
+  return cyclamenstair::schema::CreateResidencyNotice(
+      _fbb,
+      target__,
+      service__,
+      models__);
+}
+
+flatbuffers::Offset<ResidencyNotice> CreateResidencyNotice(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EntryMessageT : public flatbuffers::NativeTable {
   typedef EntryMessage TableType;
   cyclamenstair::schema::EntryContentUnion content{};
@@ -801,6 +1020,9 @@
   const cyclamenstair::schema::Snapshot *content_as_Snapshot() const {
     return content_type() == cyclamenstair::schema::EntryContent::Snapshot ? static_cast<const cyclamenstair::schema::Snapshot *>(content()) : nullptr;
   }
+  const cyclamenstair::schema::ResidencyNotice *content_as_ResidencyNotice() const {
+    return content_type() == cyclamenstair::schema::EntryContent::ResidencyNotice ? static_cast<const cyclamenstair::schema::ResidencyNotice *>(content()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONTENT_TYPE, 1) &&
@@ -825,6 +1047,10 @@
   return content_as_Snapshot();
 }
 
+template<> inline const cyclamenstair::schema::ResidencyNotice *EntryMessage::content_as<cyclamenstair::schema::ResidencyNotice>() const {
+  return content_as_ResidencyNotice();
+}
+
 struct EntryMessageBuilder {
   typedef EntryMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1084,6 +1310,81 @@
       _targets_known);
 }
 
+inline HeldModelRowT *HeldModelRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HeldModelRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HeldModelRow::UnPackTo(HeldModelRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = adapters(); if (_e) { _o->adapters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapters[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<HeldModelRow> HeldModelRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeldModelRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeldModelRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HeldModelRow> CreateHeldModelRow(flatbuffers::FlatBufferBuilder &_fbb, const HeldModelRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeldModelRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _fbb.CreateString(_o->name);
+  auto _adapters = _o->adapters.size() ? _fbb.CreateVectorOfStrings(_o->adapters) : 0;
+  return cyclamenstair::schema::CreateHeldModelRow(
+      _fbb,
+      _name,
+      _adapters);
+}
+
+inline ResidencyNoticeT::ResidencyNoticeT(const ResidencyNoticeT &o)
+      : target(o.target),
+        service(o.service) {
+  models.reserve(o.models.size());
+  for (const auto &models_ : o.models) { models.emplace_back((models_) ? new cyclamenstair::schema::HeldModelRowT(*models_) : nullptr); }
+}
+
+inline ResidencyNoticeT &ResidencyNoticeT::operator=(ResidencyNoticeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(target, o.target);
+  std::swap(service, o.service);
+  std::swap(models, o.models);
+  return *this;
+}
+
+inline ResidencyNoticeT *ResidencyNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ResidencyNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ResidencyNotice::UnPackTo(ResidencyNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = models(); if (_e) { _o->models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->models[_i] = std::unique_ptr<cyclamenstair::schema::HeldModelRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ResidencyNotice> ResidencyNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateResidencyNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ResidencyNotice> CreateResidencyNotice(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResidencyNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _fbb.CreateString(_o->target);
+  auto _service = _fbb.CreateString(_o->service);
+  auto _models = _o->models.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::HeldModelRow>> (_o->models.size(), [](size_t i, _VectorArgs *__va) { return CreateHeldModelRow(*__va->__fbb, __va->__o->models[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateResidencyNotice(
+      _fbb,
+      _target,
+      _service,
+      _models);
+}
+
 inline EntryMessageT *EntryMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EntryMessageT>();
   UnPackTo(_o.get(), _resolver);
@@ -1130,6 +1431,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::Snapshot *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case EntryContent::ResidencyNotice: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::ResidencyNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1161,6 +1466,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::Snapshot *>(obj);
       return ptr->UnPack(resolver);
     }
+    case EntryContent::ResidencyNotice: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::ResidencyNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1180,6 +1489,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::SnapshotT *>(value);
       return CreateSnapshot(_fbb, ptr, _rehasher).Union();
     }
+    case EntryContent::ResidencyNotice: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::ResidencyNoticeT *>(value);
+      return CreateResidencyNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1198,6 +1511,10 @@
       value = new cyclamenstair::schema::SnapshotT(*reinterpret_cast<cyclamenstair::schema::SnapshotT *>(u.value));
       break;
     }
+    case EntryContent::ResidencyNotice: {
+      value = new cyclamenstair::schema::ResidencyNoticeT(*reinterpret_cast<cyclamenstair::schema::ResidencyNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1220,6 +1537,11 @@
       delete ptr;
       break;
     }
+    case EntryContent::ResidencyNotice: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::ResidencyNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -19,9 +19,9 @@
     /// one that is held up loses its time.
     double waitShare { 0.5 };
     /// Time after which a caller may come back when no target holds what it needs: a decision, an unload and a load.
-    Duration absentRetryAfter { milliseconds(3000) };
+    Duration absentRetryAfter { milliseconds(1500) };
     /// Time after which a caller may come back when targets are full.
-    Duration fullRetryAfter { milliseconds(1000) };
+    Duration fullRetryAfter { milliseconds(300) };
     /// Largest part of the caller's time that it is asked to stay away.
     double retryAfterShare { 0.3 };
     /// Largest answer that is held back until it is complete, so that one that breaks off can be replaced.
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -30,6 +30,16 @@
         std::get<SnapshotRequest>(decodeEntryMessage(encodeEntryMessage(SnapshotRequest { "node-2" }))).node, "node-2");
 }
 
+TEST(EntryMessageCodec, KeepsAResidencyNotice)
+{
+    const ResidencyNotice notice { "i-1", "drafting", { { "draft", { "a1", "a2" } } } };
+    const auto decoded = std::get<ResidencyNotice>(decodeEntryMessage(encodeEntryMessage(notice)));
+    EXPECT_EQ(decoded.target, "i-1");
+    EXPECT_EQ(decoded.service, "drafting");
+    ASSERT_EQ(decoded.models.size(), 1U);
+    EXPECT_EQ(decoded.models[0].adapters, (std::set<std::string> { "a1", "a2" }));
+}
+
 // A stranger can connect to a node's port and send anything.
 TEST(EntryMessageCodec, RejectsMalformedBytes)
 {
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -132,6 +132,25 @@
     EXPECT_EQ(placed, (std::set<std::string> { "a1", "a2", "a3" }));
 }
 
+// Adapters that nobody asks for must not keep out those that requests wait for.
+TEST(ResidencyPlanner, AskedForAdapterReplacesAnIdleOne)
+{
+    const auto engine = profile(1, 9);
+    auto input = inputOf(engine, { target("i-1", { "m0" }) });
+    for (int number = 1; number <= 8; ++number)
+        input.targets[0].report.models[0].adapters.insert("a" + std::to_string(number));
+    EXPECT_TRUE(plan(input).empty());
+    for (int number = 2; number <= 9; ++number)
+        input.demand[{ "drafting", "m0", "a" + std::to_string(number) }] = { 0.5, 1, 0 };
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Unload);
+    EXPECT_EQ(orders[0].adapter, "a1");
+    // If all are in use, none is taken away.
+    input.demand[{ "drafting", "m0", "a1" }] = { 0.5, 1, 0 };
+    EXPECT_TRUE(plan(input).empty());
+}
+
 // An engine that is given more than it can hold crashes.
 RC_GTEST_PROP(ResidencyPlannerProperties, NeverExceedsAnEngine, ())
 {
