Place adapters before further copies of models

Change: adapters with requests, then models without a copy, then the other adapters, then further copies.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -15,8 +15,12 @@
 
 std::vector<TargetOrder> ResidencyPlanner::plan()
 {
-    placeModels();
-    placeAdapters();
+    // An engine takes no other order while it loads a model, which can take ten seconds, so adapters go before further
+    // copies; each takes some ten milliseconds.
+    placeAskedForAdapters();
+    placeMissingModels();
+    placeOtherAdapters();
+    placeFurtherCopies();
     return std::move(m_orders);
 }
 
@@ -61,26 +65,31 @@
     }
 }
 
-void ResidencyPlanner::placeModels()
+void ResidencyPlanner::placeMissingModels()
 {
-    // Models without a copy first, then those with the most requests for each copy.
+    for (auto& [name, state] : m_models) {
+        if (state.onTheWay > 0) {
+            if (auto* engine = engineWithRoom(state))
+                loadCopy(*engine, state);
+        } else if (state.copies == 0) {
+            placeCopy(state);
+        }
+    }
+}
+
+void ResidencyPlanner::placeFurtherCopies()
+{
+    // Those with the most requests for each copy first.
     std::vector<ModelState*> wanted;
     for (auto& [name, state] : m_models)
         wanted.push_back(&state);
     std::stable_sort(wanted.begin(), wanted.end(), [](const ModelState* a, const ModelState* b) {
-        if ((a->copies == 0) != (b->copies == 0))
-            return a->copies == 0;
         return a->busy / std::max(1U, a->copies) > b->busy / std::max(1U, b->copies);
     });
     for (auto* state : wanted) {
-        if (state->onTheWay > 0) {
-            if (auto* engine = engineWithRoom(*state))
-                loadCopy(*engine, *state);
-            continue;
-        }
         const bool isShort = state->copies < state->leastCopies;
         const bool isBusy = state->busy > m_settings->busyPerCopy * state->copies;
-        if (isShort || isBusy)
+        if (state->copies > 0 && state->onTheWay == 0 && (isShort || isBusy))
             placeCopy(*state);
     }
 }
@@ -155,16 +164,19 @@
     return { bestEngine, bestVictim };
 }
 
-void ResidencyPlanner::placeAdapters()
+void ResidencyPlanner::placeAskedForAdapters()
 {
     for (const auto& engine : m_engines)
         m_adaptersInTransit += engine.target->report.incomingAdapters + (engine.target->hasIncomingAdapter ? 1 : 0);
-    // Adapters that requests ask for first, then the others, so that they are there before they are asked for.
     for (const auto& [artifact, load] : m_input->demand) {
         const auto model = m_models.find(artifact.model);
         if (artifact.service == m_input->service && !artifact.adapter.empty() && model != m_models.end())
             placeAdapter(model->second, artifact.adapter, true);
     }
+}
+
+void ResidencyPlanner::placeOtherAdapters()
+{
     for (const auto& [name, state] : m_models) {
         for (uint32_t number = 1; number <= state.model->adapterCount; ++number)
             placeAdapter(state, "a" + std::to_string(number), false);
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -68,8 +68,10 @@
     };
 
     void countCopies();
-    void placeModels();
-    void placeAdapters();
+    void placeAskedForAdapters();
+    void placeMissingModels();
+    void placeOtherAdapters();
+    void placeFurtherCopies();
     void placeAdapter(const ModelState& state, const std::string& adapter, bool isAskedFor);
     void evictAdapter(const std::string& model);
     double arrivals(const std::string& model, const std::string& adapter) const;
