Bring several copies of a busy model at once

One further copy at a time was made, each after an unload that waits for running requests; loads for the sake of adapter places used up the weight store's rate; a quiet model had been given seven copies. Change: copies on their way count, so several can be under way; a copy is added above twelve requests a copy instead of six; copies for adapter places wait while a model is busy; of equal engines the one with fewer runs is unloaded; a stop ends one second before the grace period, as three processes were killed at its end.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -60,7 +60,7 @@
         // A copy for which room was made is on its way, unless its engine is lost.
         if (const auto reserved = m_models.find(target.reservedFor); reserved != m_models.end() && !target.isLeaving
             && !holds(engine, target.reservedFor) && target.loadingModel != target.reservedFor)
-            reserved->second.onTheWay += 1;
+            reserved->second.reserved += 1;
         m_engines.push_back(engine);
     }
 }
@@ -68,7 +68,7 @@
 void ResidencyPlanner::placeMissingModels()
 {
     for (auto& [name, state] : m_models) {
-        if (state.onTheWay > 0) {
+        if (state.reserved > 0) {
             if (auto* engine = engineWithRoom(state))
                 loadCopy(*engine, state);
         } else if (state.copies == 0) {
@@ -83,13 +83,16 @@
     std::vector<ModelState*> wanted;
     for (auto& [name, state] : m_models)
         wanted.push_back(&state);
-    std::stable_sort(wanted.begin(), wanted.end(), [](const ModelState* a, const ModelState* b) {
-        return a->busy / std::max(1U, a->copies) > b->busy / std::max(1U, b->copies);
-    });
+    std::stable_sort(wanted.begin(), wanted.end(),
+        [](const ModelState* a, const ModelState* b) { return busyShare(*a) > busyShare(*b); });
     for (auto* state : wanted) {
-        const bool isShort = state->copies < state->leastCopies;
-        const bool isBusy = state->busy > m_settings->busyPerCopy * state->copies;
-        if (state->copies > 0 && state->onTheWay == 0 && (isShort || isBusy))
+        if (state->copies == 0)
+            continue;
+        // Copies for the sake of adapter places use the weight store's rate only if no busy model needs it.
+        const bool isShort = state->copies + state->reserved < state->leastCopies
+            && busyShare(*wanted.front()) <= m_settings->busyPerCopy;
+        const bool isBusy = busyShare(*state) > m_settings->busyPerCopy;
+        if (isShort || isBusy)
             placeCopy(*state);
     }
 }
@@ -104,6 +107,7 @@
     if (!engine)
         return;
     --victim->copies;
+    ++wanted.reserved;
     order(*engine, OrderKind::Unload, victim->model->name, {}, MoveReason::MakeRoom, wanted.model->name);
 }
 
@@ -113,6 +117,8 @@
         --m_weightLoads;
     engine.usedMib += wanted.model->weightsMib;
     ++wanted.copies;
+    if (engine.target->reservedFor == wanted.model->name)
+        --wanted.reserved;
     order(engine, OrderKind::Load, wanted.model->name, {},
         wanted.copies == 1 ? MoveReason::PlannedCopy : MoveReason::Demand);
 }
@@ -138,8 +144,8 @@
 {
     Engine* bestEngine = nullptr;
     ModelState* bestVictim = nullptr;
-    double bestCost = wanted.copies == 0 ? std::numeric_limits<double>::infinity()
-                                         : wanted.busy / wanted.copies / m_settings->moveAdvantage;
+    double bestCost
+        = wanted.copies == 0 ? std::numeric_limits<double>::infinity() : busyShare(wanted) / m_settings->moveAdvantage;
     for (auto& engine : m_engines) {
         if (!mayLoad(engine, wanted))
             continue;
@@ -152,8 +158,8 @@
                 = engine.usedMib - state.model->weightsMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
             const double cost = state.busy / (state.copies - 1);
             const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
-            // Among equals, an engine that has the weights at hand.
-            const double rank = cost - (isCached ? 0.5 : 0);
+            // Among equals, an engine that has the weights at hand, and one with few runs that the unload waits for.
+            const double rank = cost - (isCached ? 0.5 : 0) + engine.target->report.running * 0.01;
             if (makesRoom && rank < bestCost) {
                 bestEngine = &engine;
                 bestVictim = &state;
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -5,6 +5,8 @@
 #include <Cyclamenstair/Control/TargetOrder.h>
 #include <Cyclamenstair/Fleet/DemandCounter.h>
 
+#include <algorithm>
+
 namespace cyclamenstair {
 
 /// Settings of a ResidencyPlanner.
@@ -12,8 +14,9 @@
     /// A further copy is made only if the load per copy is this many times what the model that makes room for it would
     /// then have per copy, so that noise in the demand moves nothing.
     double moveAdvantage { 2.0 };
-    /// Requests in progress per copy below which a model needs no further copy.
-    double busyPerCopy { 6.0 };
+    /// Requests in progress per copy below which a model needs no further copy. An engine runs 64 at once, of up to
+    /// three models.
+    double busyPerCopy { 12.0 };
     uint32_t adaptersInTransitPerTarget { 4 }; ///< Limit of the engines.
     uint32_t adapterOrdersAtOnce { 12 }; ///< Over all targets; more slow each other down at the weight store.
 };
@@ -62,7 +65,7 @@
     struct ModelState {
         const CatalogModel* model;
         uint32_t copies { 0 }; ///< On targets that stay, loads in progress included.
-        uint32_t onTheWay { 0 }; ///< Copies for which room was made.
+        uint32_t reserved { 0 }; ///< Copies for which room was made and whose load has not begun.
         double busy { 0 }; ///< Requests in progress or waiting.
         uint32_t leastCopies { 1 }; ///< Copies needed to have places for all adapters.
     };
@@ -86,6 +89,12 @@
     void order(Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason,
         const std::string& roomFor = {});
 
+    /// Returns the requests in progress for each copy, present or on its way.
+    static double busyShare(const ModelState& state)
+    {
+        return state.busy / std::max(1U, state.copies + state.reserved);
+    }
+
     const PlannerInput* m_input;
     const ResidencyPlannerSettings* m_settings;
     std::vector<Engine> m_engines;
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -19,7 +19,7 @@
     /// Time from the begin of a stop until new requests are refused; later ones might not end within the grace period.
     constexpr Duration refuseNotice = milliseconds(2900);
     /// Part of the grace period that is left for the end of the process.
-    constexpr Duration endMargin = milliseconds(500);
+    constexpr Duration endMargin = milliseconds(1000);
     /// Time between two looks at the requests in progress during a stop.
     constexpr Duration stopPollInterval = milliseconds(50);
     /// Margin over the targets' own bound between the orders of two nodes, for orders on their way.
