Send repeatable work elsewhere when its first answer does not come

Change: a safe request, or a resumable stream, without a first part of its answer for 2.4 times the target latency goes to another target within the route's attempts and the budget; a stream that failed counts against its engine. Ruled out: overload as the only cause; the engine of that request ran fewer than twelve requests. The property test found that a loss reported as not sent after an answer had begun led to a second run; the machine no longer believes it.

--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -73,7 +73,8 @@
     const bool isFailure = head.status >= firstFailureStatus;
     if (isFailure && m_facts.route.mayRepeat() && !m_isHeadSent && takeRetry(now)) {
         actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetVerdict::NoVerdict, now);
+        // A share of a plain service's answers are failures of the request itself; an engine's point to the engine.
+        endAttempt(isStream() ? TargetVerdict::Failed : TargetVerdict::NoVerdict, now);
         m_mayHaveRun = true;
         seekTarget(now, actions);
         return;
@@ -147,7 +148,8 @@
     if (!isPresent(event.attempt))
         return;
     endAttempt(TargetVerdict::Failed, now);
-    if (!event.wasSent) {
+    // An answer that began shows that the request was sent.
+    if (!event.wasSent && m_phase == Phase::Sent) {
         // The attempt reached nobody, so it counts neither against the route's attempts nor against the budget.
         --m_sends;
         seekTarget(now, actions);
@@ -240,7 +242,8 @@
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     m_held.clear();
     m_events.takeRest();
-    const bool isBroken = m_isHeadSent && !(isStream() && !m_lastEventId.empty());
+    // A stream can go on after its last whole event, or begin again if the caller has none.
+    const bool isBroken = m_isHeadSent && !isStream();
     const bool mayRepeat = !m_mayHaveRun || m_facts.route.mayRepeat();
     if (!isBroken && mayRepeat && takeRetry(now)) {
         seekTarget(now, actions);
@@ -319,11 +322,16 @@
 
 std::optional<TimePoint> RequestMachine::silenceLimit() const
 {
-    const bool isWithinStream = m_phase == Phase::Forwarding && isStream() && !m_lastEventId.empty();
-    if (!isWithinStream || !m_facts.route.isResumable || m_sends >= m_facts.route.maxAttempts)
+    const auto& route = m_facts.route;
+    const bool isBegun = m_isHeadSent && !(isStream() && m_lastEventId.empty());
+    if (!m_target || !route.mayRepeat() || m_sends >= route.maxAttempts || (isBegun && !isStream()))
         return std::nullopt;
-    const auto silence = std::chrono::duration_cast<Duration>(m_facts.route.gapTarget * m_settings->silenceFactor);
-    return m_lastProgress + std::max(silence, m_settings->minSilence);
+    const auto times
+        = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
+    const auto silence = isBegun
+        ? std::max(times(route.gapTarget, m_settings->silenceFactor), m_settings->minSilence)
+        : std::max(times(route.targetLatency, m_settings->firstSilenceFactor), m_settings->minFirstSilence);
+    return m_lastProgress + silence;
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -28,8 +28,13 @@
     size_t maxHeldBytes { 65536 };
     /// Silence within a resumable stream, as a multiple of the route's gap target, after which it goes on elsewhere.
     double silenceFactor { 4 };
-    /// Shortest silence that counts; shorter ones occur when a target reads long prompts.
+    /// Shortest silence within a stream that counts; shorter ones occur when a target reads long prompts.
     Duration minSilence { milliseconds(1000) };
+    /// Time without the first part of an answer, as a multiple of the route's target latency, after which repeatable
+    /// work goes to another target. Callers leave after four times the target latency.
+    double firstSilenceFactor { 2.4 };
+    /// Shortest such time; plain services answer within it under load.
+    Duration minFirstSilence { milliseconds(400) };
 };
 
 /// Shared decisions that a request takes part in.
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -188,6 +188,30 @@
     EXPECT_TRUE(find<StartAttempt>(actions));
 }
 
+// A target that runs a request and never answers must not cost the caller all of its time.
+TEST(RequestMachine, RepeatableWorkWithoutAnAnswerGoesElsewhere)
+{
+    Bench bench(RepeatRule::Stream, true);
+    (void)bench.machine->start(start);
+    (void)bench.machine->handle(AnswerBegan { 1, good() }, start);
+    EXPECT_EQ(bench.machine->wakeAt(), start + milliseconds(1440));
+    const auto actions = bench.machine->handle(TimerFired {}, start + milliseconds(1440));
+    EXPECT_TRUE(find<CancelAttempt>(actions));
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_FALSE(find<StartAttempt>(actions)->resumeAfter);
+    // The caller already has a head; the second target's is not sent again.
+    EXPECT_FALSE(find<ForwardHead>(bench.machine->handle(AnswerBegan { 2, good() }, start + milliseconds(1500))));
+    EXPECT_EQ(forwarded(bench.machine->handle(AnswerContinued { 2, "id: 1\ndata: x\n\n" }, start + milliseconds(1500))),
+        "id: 1\ndata: x\n\n");
+}
+
+TEST(RequestMachine, WorkThatRunsOnceWaitsForItsAnswer)
+{
+    Bench bench(RepeatRule::Once);
+    (void)bench.machine->start(start);
+    EXPECT_EQ(bench.machine->wakeAt(), start + milliseconds(5000));
+}
+
 TEST(RequestMachine, LeavingCallerEndsTheAttempt)
 {
     Bench bench(RepeatRule::Safe);
@@ -199,7 +223,7 @@
 
 TEST(RequestMachine, RouteTimeoutEndsWithAFinalAnswer)
 {
-    Bench bench(RepeatRule::Safe);
+    Bench bench(RepeatRule::Safe, false, 1);
     (void)bench.machine->start(start);
     EXPECT_EQ(bench.machine->wakeAt(), start + milliseconds(5000));
     const auto actions = bench.machine->handle(TimerFired {}, start + milliseconds(5000));
