Give a slow attempt up only when another target takes its request

Found with cyclamenstairctl explain, which this commit adds. Also: a refused unload left its room reserved for ever. Change: the other target is acquired before the attempt is cancelled; a target's failure is passed on when there is none; reserved room is used by its model alone, is given up after 15 s and when its unload is refused; engines with few runs make room first.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -5,6 +5,16 @@
 
 namespace cyclamenstair {
 
+namespace {
+
+    /// What a running request at an engine adds to the cost of an unload there, which waits for the model's runs, in
+    /// requests per copy.
+    constexpr double waitPerRun = 0.1;
+    /// What weights that are at hand take off the cost, as their load is several times faster.
+    constexpr double cachedAdvantage = 0.5;
+
+} // namespace
+
 ResidencyPlanner::ResidencyPlanner(const PlannerInput& input, const ResidencyPlannerSettings& settings)
     : m_input(&input)
     , m_settings(&settings)
@@ -68,12 +78,14 @@
 void ResidencyPlanner::placeMissingModels()
 {
     for (auto& [name, state] : m_models) {
-        if (state.reserved > 0) {
-            if (auto* engine = engineWithRoom(state))
-                loadCopy(*engine, state);
-        } else if (state.copies == 0) {
-            placeCopy(state);
+        // Room that was made for the model is used first, and by it alone.
+        for (auto& engine : m_engines) {
+            const bool hasRoom = engine.usedMib + state.model->weightsMib <= m_input->engine->weightsMib;
+            if (engine.target->reservedFor == name && hasRoom && mayLoad(engine, state))
+                loadCopy(engine, state);
         }
+        if (state.copies + state.reserved == 0)
+            placeCopy(state);
     }
 }
 
@@ -128,7 +140,7 @@
     Engine* best = nullptr;
     for (auto& engine : m_engines) {
         const bool hasRoom = engine.usedMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
-        if (!hasRoom || !mayLoad(engine, wanted))
+        if (!hasRoom || !engine.target->reservedFor.empty() || !mayLoad(engine, wanted))
             continue;
         const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
         const bool isBestCached = best && best->target->report.cachedModels.contains(wanted.model->name);
@@ -147,7 +159,7 @@
     double bestCost
         = wanted.copies == 0 ? std::numeric_limits<double>::infinity() : busyShare(wanted) / m_settings->moveAdvantage;
     for (auto& engine : m_engines) {
-        if (!mayLoad(engine, wanted))
+        if (!engine.target->reservedFor.empty() || !mayLoad(engine, wanted))
             continue;
         for (const auto& held : engine.target->report.models) {
             const auto victim = m_models.find(held.name);
@@ -159,7 +171,7 @@
             const double cost = state.busy / (state.copies - 1);
             const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
             // Among equals, an engine that has the weights at hand, and one with few runs that the unload waits for.
-            const double rank = cost - (isCached ? 0.5 : 0) + engine.target->report.running * 0.01;
+            const double rank = cost - (isCached ? cachedAdvantage : 0) + engine.target->report.running * waitPerRun;
             if (makesRoom && rank < bestCost) {
                 bestEngine = &engine;
                 bestVictim = &state;
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -22,6 +22,9 @@
     constexpr Duration reportTimeout = milliseconds(500);
     /// A report older than this is no ground for an order.
     constexpr Duration reportValidity = milliseconds(4000);
+    /// Time for which room is kept for a model: the longest runs that an unload waits for, and a wait for the weight
+    /// store.
+    constexpr Duration reservationLimit = milliseconds(15000);
     /// Time for which an ordered adapter counts as on its way when no report shows it.
     constexpr Duration adapterTransit = milliseconds(60);
     constexpr Duration orderTimeout = milliseconds(700);
@@ -162,7 +165,9 @@
         const auto known = m_known.find(record.id);
         if (record.service != service.name || known == m_known.end())
             continue;
-        const auto& state = known->second;
+        auto& state = known->second;
+        if (now - state.reservedAt > reservationLimit)
+            state.reservedFor.clear();
         loading += !state.loadingModel.empty() && state.isLoadingFromStore ? 1 : 0;
         // Without a report it is unknown what the target holds; its entry still tells which models have a copy.
         PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report,
@@ -204,6 +209,7 @@
     known.isLoadingFromStore = isFromStore;
     if (order.adapter.empty())
         known.reservedFor = order.kind == OrderKind::Unload ? order.roomFor : std::string();
+    known.reservedAt = now;
     const OrderRight right { m_state->nodeId, m_holder->lease().fencingNumber(), known.report.ordersAccepted };
     logEvent(LogSeverity::Info, "order_sent",
         { { "target", order.target }, { "kind", std::string(nameOf(order.kind)) }, { "model", order.model },
@@ -244,6 +250,7 @@
         return;
     }
     known.uncertainUntil = monotonicNow() + reportLag;
+    known.reservedFor.clear();
     if (result == OrderAnswer::OldFence) {
         m_holder->abandon("a target has seen a newer fencing number");
     }
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -35,6 +35,7 @@
         bool isLoadingFromStore { false };
         TimePoint incomingUntil; ///< An adapter that was ordered is on its way until then.
         std::string reservedFor; ///< Model for which room was made.
+        TimePoint reservedAt;
     };
 
     void tick();
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -71,13 +71,12 @@
         return;
     }
     const bool isFailure = head.status >= firstFailureStatus;
-    if (isFailure && m_facts.route.mayRepeat() && !m_isHeadSent && takeRetry(now)) {
-        actions.emplace_back(CancelAttempt { m_attempt });
-        // A share of a plain service's answers are failures of the request itself; an engine's point to the engine.
-        endAttempt(isStream() ? TargetVerdict::Failed : TargetVerdict::NoVerdict, now);
-        m_mayHaveRun = true;
-        seekTarget(now, actions);
-        return;
+    if (isFailure && m_facts.route.mayRepeat() && !m_isHeadSent) {
+        if (const auto other = acquireAlternative(now)) {
+            // A share of a plain service's answers are failures of the request itself; an engine's point to the engine.
+            switchTo(*other, isStream() ? TargetVerdict::Failed : TargetVerdict::NoVerdict, now, actions);
+            return;
+        }
     }
     if (m_isHeadSent) {
         // A stream goes on at this target, under the head of the first one.
@@ -178,17 +177,38 @@
         return;
     }
     const auto limit = silenceLimit();
-    if (limit && now >= *limit && takeRetry(now)) {
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetVerdict::Failed, now);
-        m_mayHaveRun = true;
+    if (!limit || now < *limit)
+        return;
+    if (const auto other = acquireAlternative(now)) {
         m_events.takeRest();
-        seekTarget(now, actions);
-    } else if (limit && now >= *limit) {
+        switchTo(*other, TargetVerdict::Failed, now, actions);
+    } else {
         m_lastProgress = now;
     }
 }
 
+std::optional<AcquiredTarget> RequestMachine::acquireAlternative(TimePoint now)
+{
+    if (m_sends >= m_facts.route.maxAttempts)
+        return std::nullopt;
+    const auto outcome = m_services.targets->acquire(m_query, now, *m_services.random);
+    const auto* target = std::get_if<AcquiredTarget>(&outcome);
+    if (!target)
+        return std::nullopt;
+    if (m_services.retries->take(m_facts.service, now))
+        return *target;
+    m_services.targets->release(*target, m_query, TargetVerdict::NoVerdict, now);
+    return std::nullopt;
+}
+
+void RequestMachine::switchTo(const AcquiredTarget& target, TargetVerdict verdict, TimePoint now, Actions& actions)
+{
+    actions.emplace_back(CancelAttempt { m_attempt });
+    endAttempt(verdict, now);
+    m_mayHaveRun = true;
+    beginAttempt(target, now, actions);
+}
+
 void RequestMachine::seekTarget(TimePoint now, Actions& actions)
 {
     if (now >= deadline()) {
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -91,6 +91,11 @@
     /// The present attempt ended without an answer that can be passed on; `mayHaveRun` if its target did not deny it.
     void replaceAttempt(bool mayHaveRun, const std::string& reason, TimePoint now, Actions& actions);
     bool takeRetry(TimePoint now);
+    /// Returns another target for a request whose attempt still runs, or no value if none can take it or the budget is
+    /// used up: an attempt is not given up for nothing.
+    std::optional<AcquiredTarget> acquireAlternative(TimePoint now);
+    /// Ends the present attempt and begins one at `target`.
+    void switchTo(const AcquiredTarget& target, TargetVerdict verdict, TimePoint now, Actions& actions);
     void waitForTarget(TargetShortage shortage, TimePoint now, Actions& actions);
     void setWaitingCount(bool isWaiting);
     void giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions);
--- a/Programs/Cyclamenstairctl.cpp
+++ b/Programs/Cyclamenstairctl.cpp
@@ -1,4 +1,5 @@
 #include <Cyclamenstair/Core/Crypto.h>
+#include <Programs/ctl/ExplainCommand.h>
 #include <Programs/ctl/PlanCommands.h>
 #include <Programs/ctl/ViewCommands.h>
 
@@ -20,6 +21,7 @@
   plan history           list the accepted plans
   audit                  list the last changes on all nodes
   hash-token TOKEN       print the salted hash of a token
+  explain ID LOG...      print what the processes' logs say of a request
 )";
 
 void printHelp(const cxxopts::Options& options)
@@ -66,6 +68,8 @@
         std::cout << hashToken(words[1]) << "\n";
         return ExitStatus::Ok;
     }
+    if (words.size() >= 3 && words[0] == "explain")
+        return explainRequest(words[1], { words.begin() + 2, words.end() });
     auto token = arguments.count("token-file") ? readFile(arguments["token-file"].as<std::string>())
                                                : arguments["token"].as<std::string>();
     token.erase(token.find_last_not_of(" \r\n") + 1);
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -205,6 +205,33 @@
         "id: 1\ndata: x\n\n");
 }
 
+// An attempt that is slow must not be given up when no other target can take the request.
+TEST(RequestMachine, SilentAttemptIsKeptWithoutAnAlternative)
+{
+    Bench bench(RepeatRule::Stream, true);
+    const auto used = find<StartAttempt>(bench.machine->start(start))->target.id;
+    for (const char* id : { "i-1", "i-2", "i-3" }) {
+        if (id != used)
+            bench.targets.remove(id, 2);
+    }
+    EXPECT_TRUE(bench.machine->handle(TimerFired {}, start + milliseconds(1440)).empty());
+    EXPECT_FALSE(bench.machine->isOver());
+    EXPECT_TRUE(find<ForwardHead>(bench.machine->handle(AnswerBegan { 1, good() }, start + milliseconds(1900))));
+}
+
+// A target's failure is passed on, not replaced by the node's own, when no other target can take the request.
+TEST(RequestMachine, FailureIsPassedOnWithoutAnAlternative)
+{
+    Bench bench(RepeatRule::Safe);
+    const auto used = find<StartAttempt>(bench.machine->start(start))->target.id;
+    for (const char* id : { "i-1", "i-2", "i-3" }) {
+        if (id != used)
+            bench.targets.remove(id, 2);
+    }
+    (void)bench.machine->handle(AnswerBegan { 1, failed() }, start);
+    EXPECT_TRUE(find<FinishAnswer>(bench.machine->handle(AnswerEnded { 1 }, start)));
+}
+
 TEST(RequestMachine, WorkThatRunsOnceWaitsForItsAnswer)
 {
     Bench bench(RepeatRule::Once);
