--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -79,7 +79,7 @@
     perform(m_machine.handle(event, monotonicNow()));
 }
 
-void RequestExchange::perform(std::vector<RequestAction> actions)
+void RequestExchange::perform(const std::vector<RequestAction>& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& alternative) { perform(alternative); }, action);
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -22,7 +22,7 @@
 private:
     void start();
     void handle(const RequestEvent& event);
-    void perform(std::vector<RequestAction> actions);
+    void perform(const std::vector<RequestAction>& actions);
     void perform(const StartAttempt& action);
     void perform(const CancelAttempt& action);
     void perform(const ForwardHead& action);
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -60,7 +60,10 @@
 {
     if (data.empty() || m_isHeadRequest)
         return;
-    enqueue(m_isChunked ? encodeChunk(data) : std::string(data));
+    if (m_isChunked)
+        enqueue(encodeChunk(data));
+    else
+        enqueue(data);
 }
 
 void ServerConnection::finish()
@@ -68,7 +71,7 @@
     if (m_isClosed)
         return;
     if (m_isChunked && !m_isHeadRequest)
-        enqueue(std::string(lastChunk));
+        enqueue(lastChunk);
     m_leaveHandler = nullptr;
     m_hasServed = true;
     if (isLastAnswer())
@@ -206,7 +209,7 @@
     read();
 }
 
-void ServerConnection::enqueue(std::string bytes)
+void ServerConnection::enqueue(std::string_view bytes)
 {
     if (m_isClosed)
         return;
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -73,7 +73,7 @@
     void onRequest();
     void refuse(uint32_t status);
     void nextRequest();
-    void enqueue(std::string bytes);
+    void enqueue(std::string_view bytes);
     void write();
     void onWritten(const boost::system::error_code& ec);
     void beginClosing();
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -158,7 +158,8 @@
              "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
              "Content-Length: -5\r\n", "Content-Length: 5, 6\r\n", "Transfer-Encoding : chunked\r\n" }) {
         EchoServer server;
-        const auto answer = exchangeBytes(server.address, "POST /x HTTP/1.1\r\nHost: a\r\n" + head + "\r\n" + smuggled);
+        const auto answer = exchangeBytes(server.address,
+            std::string("POST /x HTTP/1.1\r\nHost: a\r\n").append(head).append("\r\n").append(smuggled));
         EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << head << answer;
         EXPECT_EQ(server.requests, 0) << head;
     }
