--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -19,8 +19,6 @@
         facts.service = serviceFor(route, randomUnit(random));
         facts.model = decoded.model;
         facts.adapter = decoded.adapter;
-        facts.promptTokens = decoded.promptTokens;
-        facts.outputTokens = decoded.expectedOutputTokens.value_or(decoded.maxOutputTokens);
         facts.receivedAt = now;
         facts.callerPatience = decoded.patience;
         return facts;
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -92,8 +92,7 @@
             return isModelHeld && !query.adapter.empty() ? TargetShortage::AdapterAbsent : TargetShortage::ModelAbsent;
         }
         ++best->inFlight;
-        best->tokensInFlight += query.tokens;
-        return AcquiredTarget { best->record.id, best->record.address, query.service, query.tokens };
+        return AcquiredTarget { best->record.id, best->record.address, query.service };
     });
 }
 
@@ -107,7 +106,6 @@
             return;
         auto& state = found->second;
         state.inFlight -= std::min(state.inFlight, 1U);
-        state.tokensInFlight = std::max(0.0, state.tokensInFlight - target.tokens);
         switch (verdict) {
         case TargetVerdict::Good:
             state.failuresInARow = 0;
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -32,7 +32,6 @@
     std::string model; ///< Empty for plain services.
     std::string adapter; ///< Empty for the model itself.
     std::set<std::string> excluded; ///< Instances that have had the request.
-    double tokens { 0 }; ///< Prompt and expected output.
 };
 
 /// A target with one request counted as in flight.
@@ -40,7 +39,6 @@
     std::string id;
     std::string address;
     std::string service;
-    double tokens { 0 };
 };
 
 /// Why no target was acquired.
@@ -125,7 +123,6 @@
         TargetRecord record;
         int64_t revision { 0 };
         uint32_t inFlight { 0 };
-        double tokensInFlight { 0 };
         TimePoint suspectUntil;
         TimePoint fullUntil;
         std::map<std::string, TimePoint> absentUntil; ///< By model, or model and adapter.
--- a/Cyclamenstair/Node/EventSplitter.h
+++ b/Cyclamenstair/Node/EventSplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Cyclamenstair/RequestFlow/EventBoundary.h>
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,15 +24,15 @@
     /// Longest event; a longer one is an error of the target.
     static constexpr size_t maxEventBytes = 1 << 20;
 
-    void append(std::string_view bytes) { m_bytes += bytes; }
+    void append(std::string_view bytes) { m_events.append(bytes); }
 
     /// Returns the next whole event, or no value if more bytes are needed.
     std::optional<StreamEvent> next();
 
-    bool isTooLong() const { return m_bytes.size() > maxEventBytes; }
+    bool isTooLong() const { return m_events.size() > maxEventBytes; }
 
 private:
-    std::string m_bytes;
+    EventBoundary m_events;
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/EventBoundary.cpp
+++ b/Cyclamenstair/RequestFlow/EventBoundary.cpp
@@ -2,29 +2,22 @@
 
 namespace cyclamenstair {
 
-namespace {
-
-    /// Returns the value of the event's "id" field.
-    std::string idOf(std::string_view event)
-    {
-        constexpr std::string_view field = "id:";
-        while (!event.empty()) {
-            const auto end = event.find('\n');
-            auto line = event.substr(0, end);
-            event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-            if (!line.starts_with(field))
-                continue;
-            line.remove_prefix(field.size());
-            if (line.starts_with(' '))
-                line.remove_prefix(1);
-            if (line.ends_with('\r'))
-                line.remove_suffix(1);
-            return std::string(line);
-        }
-        return {};
+std::string eventField(std::string_view event, std::string_view name)
+{
+    std::string value;
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        auto line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.starts_with(name) || line.size() == name.size() || line[name.size()] != ':')
+            continue;
+        line.remove_prefix(name.size() + 1);
+        value += line.starts_with(' ') ? line.substr(1) : line;
     }
-
-} // namespace
+    return value;
+}
 
 std::optional<WholeEvent> EventBoundary::next()
 {
@@ -38,7 +31,7 @@
         return std::nullopt;
     WholeEvent event;
     event.text = m_bytes.substr(0, end + length);
-    event.id = idOf(event.text);
+    event.id = eventField(event.text, "id");
     m_bytes.erase(0, end + length);
     return event;
 }
--- a/Cyclamenstair/RequestFlow/RequestFacts.h
+++ b/Cyclamenstair/RequestFlow/RequestFacts.h
@@ -13,8 +13,6 @@
     std::string service; ///< Chosen by the route's shares.
     std::string model; ///< Empty for plain services.
     std::string adapter; ///< Empty for the model itself.
-    double promptTokens { 0 };
-    double outputTokens { 0 }; ///< Expected or largest number of output tokens.
     TimePoint receivedAt;
     std::optional<Duration> callerPatience; ///< Time that the caller waits, counted from the receipt.
 };
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -19,7 +19,7 @@
     , m_settings(&settings)
     , m_services(services)
 {
-    m_query = { m_facts.service, m_facts.model, m_facts.adapter, {}, m_facts.promptTokens + m_facts.outputTokens };
+    m_query = { m_facts.service, m_facts.model, m_facts.adapter, {} };
 }
 
 std::vector<RequestAction> RequestMachine::start(TimePoint now)
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -33,7 +33,7 @@
 
     TargetRegistry registry { { .failureDomain = "domain-1" } };
     Random random { 20261204 };
-    TargetQuery draft { "drafting", "draft", {}, {}, 100 };
+    TargetQuery draft { "drafting", "draft", {}, {} };
 };
 
 } // namespace
@@ -73,10 +73,10 @@
 TEST_F(TargetRegistryTest, NamesWhatIsMissing)
 {
     registry.update(engine("i-1"), 1);
-    EXPECT_EQ(acquiredId({ "drafting", "other", {}, {}, 0 }), "model_absent");
-    EXPECT_EQ(acquiredId({ "drafting", "draft", "a9", {}, 0 }), "adapter_absent");
-    EXPECT_EQ(acquiredId({ "unknown", {}, {}, {}, 0 }), "no_target");
-    EXPECT_EQ(acquiredId({ "drafting", "draft", "a1", { "i-1" }, 0 }), "no_target");
+    EXPECT_EQ(acquiredId({ "drafting", "other", {}, {} }), "model_absent");
+    EXPECT_EQ(acquiredId({ "drafting", "draft", "a9", {} }), "adapter_absent");
+    EXPECT_EQ(acquiredId({ "unknown", {}, {}, {} }), "no_target");
+    EXPECT_EQ(acquiredId({ "drafting", "draft", "a1", { "i-1" } }), "no_target");
 }
 
 TEST_F(TargetRegistryTest, ChoosesTheLeastLoadedTarget)
@@ -95,7 +95,7 @@
 {
     registry.update(engine("i-1"), 1);
     registry.update(engine("i-2"), 2);
-    registry.release({ "i-1", "", "drafting", 0 }, draft, TargetVerdict::Failed, now);
+    registry.release({ "i-1", "", "drafting" }, draft, TargetVerdict::Failed, now);
     for (int i = 0; i < 8; ++i)
         EXPECT_EQ(acquiredId(draft), "i-2");
     registry.remove("i-2", 3);
@@ -106,9 +106,9 @@
 TEST_F(TargetRegistryTest, RefusalForAModelPausesThatModelOnly)
 {
     registry.update(engine("i-1", { { "draft", {} }, { "summary", {} } }), 1);
-    registry.release({ "i-1", "", "drafting", 0 }, draft, TargetVerdict::Full, now);
+    registry.release({ "i-1", "", "drafting" }, draft, TargetVerdict::Full, now);
     EXPECT_EQ(acquiredId(draft), "model_absent");
-    EXPECT_EQ(acquiredId({ "drafting", "summary", {}, {}, 0 }), "i-1");
+    EXPECT_EQ(acquiredId({ "drafting", "summary", {}, {} }), "i-1");
     EXPECT_EQ(acquiredId(draft, now + std::chrono::seconds(1)), "i-1");
 }
 
@@ -121,6 +121,17 @@
     EXPECT_EQ(registry.inFlight().at("i-1"), 0U);
 }
 
+// Each node sees a part of the requests only; what the others have in flight counts until it is out of date.
+TEST_F(TargetRegistryTest, CountsWhatOtherNodesHaveInFlight)
+{
+    registry.update(engine("i-1"), 1);
+    registry.update(engine("i-2"), 2);
+    registry.noteRemote("node-2", { { "i-1", 6 } }, now);
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(acquiredId(draft), "i-2");
+    EXPECT_EQ(acquiredId(draft, now + std::chrono::seconds(3)), "i-1");
+}
+
 TEST(DemandCounter, CountsRequestsInProgressAndForgetsOldArrivals)
 {
     DemandCounter demand;
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -104,15 +104,13 @@
     EXPECT_EQ(decoded.path, "/x/1");
     EXPECT_EQ(decoded.model, "m");
     EXPECT_EQ(decoded.adapter, "a2");
-    EXPECT_EQ(decoded.promptTokens, 1460);
-    EXPECT_EQ(decoded.maxOutputTokens, 80);
     EXPECT_EQ(decoded.patience, milliseconds(1500));
 }
 
 // Fields that only the system may set must not reach a target from a caller; all others must, unchanged.
 TEST(RequestCodec, AttemptCarriesTheSystemsFieldsOnly)
 {
-    const StartAttempt attempt { 1, { "i-7", "1.2.3.4:5", "s", 0 }, milliseconds(900), std::nullopt, 1 };
+    const StartAttempt attempt { 1, { "i-7", "1.2.3.4:5", "s" }, milliseconds(900), std::nullopt, 1 };
     const auto encoded = encodeAttempt(callerRequest(), attempt, true);
     EXPECT_EQ(encoded.target, "/x/1?q=2");
     EXPECT_EQ(encoded.body, "body");
@@ -126,7 +124,7 @@
 
 TEST(RequestCodec, ResumedAttemptNamesTheLastEvent)
 {
-    const StartAttempt attempt { 2, { "i-7", "1.2.3.4:5", "s", 0 }, milliseconds(900), "9", 1 };
+    const StartAttempt attempt { 2, { "i-7", "1.2.3.4:5", "s" }, milliseconds(900), "9", 1 };
     const auto encoded = encodeAttempt(callerRequest(), attempt, true);
     EXPECT_EQ(fieldValue(encoded.fields, "Last-Event-Id"), "9");
     EXPECT_EQ(std::count_if(encoded.fields.begin(), encoded.fields.end(),
