--- a/Cyclamenstair/Telemetry/RequestStory.cpp
+++ b/Cyclamenstair/Telemetry/RequestStory.cpp
@@ -25,6 +25,7 @@
 
 void RequestStory::read(const std::string& source, std::istream& log)
 {
+    const std::string prefix = source + ": ";
     std::map<std::string, std::string> targetStates;
     for (std::string line; std::getline(log, line);) {
         const auto time = fieldOf(line, "time");
@@ -41,8 +42,8 @@
             continue;
         const auto state = targetStates.find(target);
         if (event == "attempt_started" && state != targetStates.end())
-            m_lines.push_back({ time, m_lines.size(), source + ":   state of the target: " + state->second });
-        m_lines.push_back({ time, m_lines.size(), source + ": " + line });
+            m_lines.push_back({ time, m_lines.size(), prefix + "  state of the target: " + state->second });
+        m_lines.push_back({ time, m_lines.size(), prefix + line });
     }
 }
 
