--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -262,8 +262,7 @@
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
   }
-  /// Planned: targets come from the VM list, models from plan sheets. Registered: targets and catalog come from the store
-  /// (docs/platform.md); the sections entry and control apply.
+  /// Source of targets: VM list and plan sheets (Planned), or the store, with sections entry and control (Registered).
   cyclamenstair::schema::NodeMode mode() const {
     return static_cast<cyclamenstair::schema::NodeMode>(GetField<uint8_t>(VT_MODE, 0));
   }
