Give test programs ports of their own

Each test program asked the system for a free port, closed it and passed it on, so two of the programs that run at once could get the same port, and an outgoing connection could take it before its server did. When two fleets shared an engine, the start was not noticed as wrong, because the other fleet's engine answered the check.

Change: ports come from blocks below the range of outgoing connections; a process claims a block by binding its first port for as long as it runs. A program that ends at its start is reported at once with the end of its log, and each fleet has its own key. The same function serves the stand-ins; the second copy in the test support goes.

Also removed: ServerListener::stopAccepting and EngineReport::queued, which nothing used. OrderAnswer moves to Control, where orders are defined.

--- a/Cyclamenstair/Control/EngineReport.h
+++ b/Cyclamenstair/Control/EngineReport.h
@@ -12,7 +12,6 @@
     bool isBusy { false }; ///< A model order is in progress.
     int64_t ordersAccepted { 0 }; ///< Since the target's start.
     int64_t startedUnixMs { 0 };
-    uint32_t queued { 0 };
     uint32_t running { 0 };
 };
 
--- a/Cyclamenstair/Control/TargetOrder.h
+++ b/Cyclamenstair/Control/TargetOrder.h
@@ -23,4 +23,23 @@
     int64_t expectedOrders { 0 }; ///< Orders that the target has accepted so far; it refuses if they differ.
 };
 
+/// How a target answered an order.
+enum class OrderAnswer : uint8_t {
+    Accepted, ///< It is being carried out.
+    AlreadyHolds,
+    Conflict, ///< Another order is in progress, or orders have been accepted that the sender does not know of.
+    OldFence, ///< A newer holder has given orders.
+    Refused, ///< Any other refusal; nothing was done.
+};
+
+template <> struct EnumNames<OrderAnswer> {
+    static constexpr auto table = std::to_array<EnumName<OrderAnswer>>({
+        { OrderAnswer::Accepted, "accepted" },
+        { OrderAnswer::AlreadyHolds, "already_holds" },
+        { OrderAnswer::Conflict, "conflict" },
+        { OrderAnswer::OldFence, "old_fence" },
+        { OrderAnswer::Refused, "refused" },
+    });
+};
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Http/ServerListener.cpp
+++ b/Cyclamenstair/Http/ServerListener.cpp
@@ -44,12 +44,6 @@
     m_loops.front()->post([this] { accept(); });
 }
 
-void ServerListener::stopAccepting()
-{
-    boost::system::error_code ec;
-    m_acceptor.close(ec);
-}
-
 void ServerListener::closeConnections()
 {
     for (size_t loop = 0; loop < m_loops.size(); ++loop) {
--- a/Cyclamenstair/Http/ServerListener.h
+++ b/Cyclamenstair/Http/ServerListener.h
@@ -25,9 +25,6 @@
     /// Begins to accept.
     void start();
 
-    /// Stops accepting. Must run on the first loop.
-    void stopAccepting();
-
     /// Makes each connection's present or next answer its last. Posts to the loops.
     void closeConnections();
 
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -1,18 +1,16 @@
 #include <Tests/Support/ProcessFleet.h>
 
 #include <Cyclamenstair/Core/Crypto.h>
+#include <StandIns/LoopbackPort.h>
 
-#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <httplib.h>
-#include <netinet/in.h>
 #include <spawn.h>
 #include <sstream>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -28,19 +26,16 @@
     constexpr auto pollInterval = std::chrono::milliseconds(20);
     constexpr int startLimitMs = 10000;
 
-    /// Returns a port that is free at present.
-    int portOfSystem()
+    /// Size of the end of a log that a failure quotes.
+    constexpr size_t quotedLogBytes = 2000;
+
+    /// Returns the end of the process's log, for the message of a failed start.
+    std::string endOfLog(const std::string& path)
     {
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in bound {};
-        bound.sin_family = AF_INET;
-        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(bound);
-        if (::bind(descriptor, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0)
-            throw std::runtime_error("no free port");
-        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
-        ::close(descriptor);
-        return ntohs(bound.sin_port);
+        std::ostringstream text;
+        text << std::ifstream(path).rdbuf();
+        auto log = text.str();
+        return log.size() > quotedLogBytes ? log.substr(log.size() - quotedLogBytes) : log;
     }
 
     bool acceptsConnections(int port)
@@ -84,15 +79,22 @@
         ::kill(m_pid, number);
 }
 
+bool ChildProcess::hasEnded()
+{
+    int status = 0;
+    if (m_pid >= 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        m_pid = -1;
+        m_exitStatus = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+    return m_pid < 0;
+}
+
 std::optional<int> ChildProcess::wait(int limitMs)
 {
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(limitMs);
     do {
-        int status = 0;
-        if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
-            m_pid = -1;
-            return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-        }
+        if (hasEnded())
+            return m_exitStatus;
         std::this_thread::sleep_for(pollInterval);
     } while (std::chrono::steady_clock::now() < deadline);
     return std::nullopt;
@@ -122,32 +124,23 @@
         std::filesystem::remove_all(m_directory, ignored);
 }
 
-int ProcessFleet::freePort()
-{
-    // The system may name the same port again before its first user binds it.
-    int port = 0;
-    do {
-        port = portOfSystem();
-    } while (!m_ports.insert(port).second);
-    return port;
-}
-
 std::unique_ptr<ChildProcess> ProcessFleet::startStandIn(
     const std::string& program, int port, std::vector<std::string> arguments)
 {
     arguments.insert(arguments.end(), { "--port", std::to_string(port) });
-    auto process
-        = std::make_unique<ChildProcess>("StandIns/" + program, arguments, m_directory + "/" + program + ".log");
-    if (!waitUntil([&] { return acceptsConnections(port); }, startLimitMs))
-        throw std::runtime_error(program + " did not start");
+    const auto logPath = m_directory + "/" + program + "-" + std::to_string(port) + ".log";
+    auto process = std::make_unique<ChildProcess>("StandIns/" + program, arguments, logPath);
+    if (!waitUntil([&] { return acceptsConnections(port) || process->hasEnded(); }, startLimitMs)
+        || process->hasEnded())
+        throw std::runtime_error(program + " did not start; its log ends with: " + endOfLog(logPath));
     return process;
 }
 
 void ProcessFleet::startStandIns(const FleetSettings& settings)
 {
-    m_storePort = freePort();
+    m_storePort = freeLoopbackPort();
     m_standIns.push_back(startStandIn("standin-store", m_storePort, {}));
-    m_platformPort = freePort();
+    m_platformPort = freeLoopbackPort();
     m_standIns.push_back(startStandIn("standin-platform", m_platformPort,
         { "--load-ms", std::to_string(settings.weightLoadMs), "--full-speed-loads",
             std::to_string(settings.weightLoadsAtOnce) }));
@@ -159,7 +152,7 @@
         m_engineArguments.emplace_back("--ignore-fencing");
     m_engines.resize(static_cast<size_t>(settings.engines));
     for (int i = 0; i < settings.engines; ++i) {
-        m_enginePorts.push_back(freePort());
+        m_enginePorts.push_back(freeLoopbackPort());
         startEngine(i);
         m_vms.push_back({ { "id", "engine-" + std::to_string(i) }, { "kind", "engine" }, { "state", "live" },
             { "address", address(m_enginePorts.back()) }, { "region", "region-1" },
@@ -167,7 +160,7 @@
             { "memory_bytes", engineMemoryBytes } });
     }
     for (int i = 0; i < settings.services; ++i) {
-        m_servicePorts.push_back(freePort());
+        m_servicePorts.push_back(freeLoopbackPort());
         m_standIns.push_back(startStandIn("standin-service", m_servicePorts.back(), {}));
         m_vms.push_back({ { "id", "service-" + std::to_string(i) }, { "kind", "service" }, { "state", "live" },
             { "address", address(m_servicePorts.back()) }, { "region", "region-1" },
@@ -186,11 +179,13 @@
 void ProcessFleet::writeNodeConfigs(const FleetSettings& settings)
 {
     const auto keyPath = m_directory + "/fleet.key";
-    std::ofstream(keyPath) << "0123456789abcdef0123456789abcdef";
+    // Each fleet has its own key, so that it never talks to the nodes of another one.
+    std::ofstream(keyPath) << sha256Hex(m_directory).substr(0, 32);
     std::string seeds;
     for (int i = 0; i < settings.nodes; ++i) {
-        m_nodes.push_back({ m_directory + "/node-" + std::to_string(i) + ".ini",
-            m_directory + "/node-" + std::to_string(i) + ".log", freePort(), freePort(), freePort(), nullptr });
+        m_nodes.push_back(
+            { m_directory + "/node-" + std::to_string(i) + ".ini", m_directory + "/node-" + std::to_string(i) + ".log",
+                freeLoopbackPort(), freeLoopbackPort(), freeLoopbackPort(), nullptr });
         seeds += (i ? "," : "") + address(m_nodes.back().peerPort);
     }
     for (int i = 0; i < settings.nodes; ++i) {
@@ -242,8 +237,10 @@
     auto& slot = m_nodes[static_cast<size_t>(node)];
     slot.process = std::make_unique<ChildProcess>(
         "Programs/cyclamenstaird", std::vector<std::string> { "--config", slot.configPath }, slot.logPath);
-    if (!waitUntil([&] { return acceptsConnections(slot.callerPort); }, startLimitMs))
-        throw std::runtime_error("node " + std::to_string(node) + " did not start; see " + slot.logPath);
+    if (!waitUntil([&] { return acceptsConnections(slot.callerPort) || slot.process->hasEnded(); }, startLimitMs)
+        || slot.process->hasEnded())
+        throw std::runtime_error(
+            "node " + std::to_string(node) + " did not start; its log ends with: " + endOfLog(slot.logPath));
 }
 
 void ProcessFleet::killNode(int node) { m_nodes[static_cast<size_t>(node)].process.reset(); }
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -27,11 +26,15 @@
     void signal(int number);
     pid_t id() const { return m_pid; }
 
+    /// Returns whether the process has ended.
+    bool hasEnded();
+
     /// Waits for the end of the process; returns its exit status, or no value if it did not end in time.
     std::optional<int> wait(int limitMs);
 
 private:
     pid_t m_pid { -1 };
+    int m_exitStatus { 0 }; ///< Valid after the end; 128 and more for a signal.
 };
 
 /// Settings of a ProcessFleet.
@@ -111,14 +114,12 @@
     };
 
     static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
-    int freePort();
     std::unique_ptr<ChildProcess> startStandIn(
         const std::string& program, int port, std::vector<std::string> arguments);
     void startStandIns(const FleetSettings& settings);
     void writeNodeConfigs(const FleetSettings& settings);
     void publishVms();
 
-    std::set<int> m_ports; ///< Ports that were given out.
     std::string m_directory;
     int m_storePort;
     int m_platformPort;
