Make room where few requests run, and follow residency without the store

Change: the holder knows the requests in flight by target and model (LoadShare) and takes the copy with the fewest; idle missing models displace no busy copy and wait if an engine has room; asked-for missing models go first; targets that miss two reports hold no copy, and suspects are asked sooner; changes of residency are told to all nodes; a model that is being unloaded gets no more requests; a lease is renewed until the store says that it ended; a new holder may begin three loads in its first window, which stays within the platform's bound (test over two holders).

--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+    /// Returns a count as the schema holds it.
+    uint16_t boundedCount(uint32_t count)
+    {
+        return static_cast<uint16_t>(std::min<uint32_t>(count, std::numeric_limits<uint16_t>::max()));
+    }
+
     schema::LoadShareT toRecord(const LoadShare& share)
     {
         schema::LoadShareT record;
@@ -18,7 +24,7 @@
         for (const auto& [target, inFlight] : share.inFlight) {
             auto row = std::make_unique<schema::TargetLoadRowT>();
             row->target = target;
-            row->in_flight = static_cast<uint16_t>(std::min<uint32_t>(inFlight, std::numeric_limits<uint16_t>::max()));
+            row->in_flight = boundedCount(inFlight);
             record.targets.push_back(std::move(row));
         }
         for (const auto& [artifact, load] : share.demands) {
@@ -31,6 +37,15 @@
             row->waiting = load.waiting;
             record.demands.push_back(std::move(row));
         }
+        for (const auto& [target, models] : share.modelRuns) {
+            for (const auto& [model, inFlight] : models) {
+                auto row = std::make_unique<schema::ModelRunsRowT>();
+                row->target = target;
+                row->model = model;
+                row->in_flight = boundedCount(inFlight);
+                record.model_runs.push_back(std::move(row));
+            }
+        }
         return record;
     }
 
@@ -80,6 +95,8 @@
         for (const auto& row : record.demands)
             share.demands[{ row->service, row->model, row->adapter }]
                 = { row->arrivals_per_second, row->in_progress, row->waiting };
+        for (const auto& row : record.model_runs)
+            share.modelRuns[row->target][row->model] = row->in_flight;
         return share;
     }
 
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -14,6 +14,7 @@
     std::string node;
     std::map<std::string, uint32_t> inFlight; ///< By target id.
     std::map<ArtifactKey, ArtifactLoad> demands; ///< Sent to the holder of the order lease only.
+    ModelRuns modelRuns; ///< Sent to the holder of the order lease only.
 
     bool operator==(const LoadShare&) const = default;
 };
--- a/Cyclamenstair/Control/LoadWindow.cpp
+++ b/Cyclamenstair/Control/LoadWindow.cpp
@@ -6,7 +6,9 @@
 {
     while (!m_loads.empty() && now - m_loads.front() >= window)
         m_loads.pop_front();
-    return now >= m_fullUntil && static_cast<double>(m_loads.size()) + 1 <= loadsPerSecond * toSeconds(window);
+    if (now < m_firstWindowEnd && m_loads.size() >= firstWindowLoads)
+        return false;
+    return static_cast<double>(m_loads.size()) + 1 <= loadsPerSecond * toSeconds(window);
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Control/LoadWindow.h
+++ b/Cyclamenstair/Control/LoadWindow.h
@@ -7,15 +7,19 @@
 
 namespace cyclamenstair {
 
-/// Bounds loads from the weight store over a sliding window. Starts as if the window were full, because a former holder
-/// may have just given its orders.
+/// Bounds loads from the weight store over a sliding window. In the first window only a few are allowed, because a
+/// former holder may have used its share just before.
 class LoadWindow {
 public:
     /// Length of the window over which the weight store's rate holds.
     static constexpr Duration window = std::chrono::seconds(5);
 
+    /// Loads in the first window. The platform tolerates three beyond the rate in a window, and the first order of a
+    /// new holder comes so late that the loads of no third one fall into the same window.
+    static constexpr size_t firstWindowLoads = 3;
+
     explicit LoadWindow(TimePoint start)
-        : m_fullUntil(start + window)
+        : m_firstWindowEnd(start + window)
     {
     }
 
@@ -26,7 +30,7 @@
     void count(TimePoint now) { m_loads.push_back(now); }
 
 private:
-    TimePoint m_fullUntil;
+    TimePoint m_firstWindowEnd;
     std::deque<TimePoint> m_loads;
 };
 
--- a/Cyclamenstair/Control/OrderLease.h
+++ b/Cyclamenstair/Control/OrderLease.h
@@ -29,7 +29,8 @@
     /// The holder's key was created by this node, under a renewal sent at `sentAt`.
     void taken(int64_t fencingNumber, TimePoint sentAt, TimePoint now);
 
-    /// A renewal that was sent at `sentAt` succeeded.
+    /// A renewal that was sent at `sentAt` succeeded, after any time: the store renews only a lease that never ended,
+    /// so no other node has had the key meanwhile.
     void renewed(TimePoint sentAt);
 
     /// The lease is over.
@@ -40,9 +41,6 @@
     /// Returns whether an order may be sent now.
     bool mayOrder(TimePoint now) const;
 
-    /// Returns whether the lease has surely lapsed for want of renewals.
-    bool hasLapsed(TimePoint now) const { return isHeld() && now - m_renewedAt >= m_settings.timeToLive; }
-
     int64_t fencingNumber() const { return m_fencingNumber; }
 
 private:
--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    /// What a running request at an engine adds to the cost of an unload there, which waits for the model's runs, in
-    /// requests per copy.
-    constexpr double waitPerRun = 0.1;
+    /// What a request in flight for a model at an engine adds to the cost of an unload there, in requests per copy. The
+    /// unload waits for the last of them, some seconds, and the engine takes no other order meanwhile.
+    constexpr double waitPerRun = 2;
     /// What weights that are at hand take off the cost, as their load is several times faster.
     constexpr double cachedAdvantage = 0.5;
 
@@ -28,9 +28,11 @@
     // An engine takes no other order while it loads a model, which can take ten seconds, so adapters go before further
     // copies; each takes some ten milliseconds.
     placeAskedForAdapters();
-    placeMissingModels();
+    useReservedRoom();
+    placeMissingModels(true);
     placeOtherAdapters();
     placeFurtherCopies();
+    placeMissingModels(false);
     return std::move(m_orders);
 }
 
@@ -47,6 +49,8 @@
         const auto model = m_models.find(artifact.model);
         if (artifact.service == m_input->service && model != m_models.end())
             model->second.busy += demand.inProgress;
+        if (artifact.service == m_input->service && model != m_models.end())
+            model->second.isAskedFor = true;
     }
     for (const auto& target : m_input->targets) {
         Engine engine { &target,
@@ -60,43 +64,61 @@
             engine.usedMib += model->second.model->weightsMib
                 + model->second.model->adapterMib * static_cast<double>(held.adapters.size());
             engine.adapterPlaces += static_cast<uint32_t>(held.adapters.size());
-            model->second.copies += target.isLeaving || held.name == target.unloadingModel ? 0 : 1;
+            const bool isGoing = target.isLeaving || !target.isReachable || held.name == target.unloadingModel;
+            model->second.copies += isGoing ? 0 : 1;
+            model->second.usable += isGoing || held.name == target.loadingModel ? 0 : 1;
         }
         if (const auto loading = m_models.find(target.loadingModel);
             loading != m_models.end() && !holds(engine, target.loadingModel)) {
             engine.usedMib += loading->second.model->weightsMib;
-            loading->second.copies += target.isLeaving ? 0 : 1;
+            loading->second.copies += target.isLeaving || !target.isReachable ? 0 : 1;
         }
         // A copy for which room was made is on its way, unless its engine is lost.
         if (const auto reserved = m_models.find(target.reservedFor); reserved != m_models.end() && !target.isLeaving
-            && !holds(engine, target.reservedFor) && target.loadingModel != target.reservedFor)
+            && target.isReachable && !holds(engine, target.reservedFor) && target.loadingModel != target.reservedFor)
             reserved->second.reserved += 1;
         m_engines.push_back(engine);
     }
 }
 
-void ResidencyPlanner::placeMissingModels()
+void ResidencyPlanner::useReservedRoom()
 {
-    for (auto& [name, state] : m_models) {
-        // Room that was made for the model is used first, and by it alone.
-        for (auto& engine : m_engines) {
-            const bool hasRoom = engine.usedMib + state.model->weightsMib <= m_input->engine->weightsMib;
-            if (engine.target->reservedFor == name && hasRoom && mayLoad(engine, state))
-                loadCopy(engine, state);
-        }
-        if (state.copies + state.reserved == 0)
-            placeCopy(state);
+    for (auto& engine : m_engines) {
+        const auto reserved = m_models.find(engine.target->reservedFor);
+        if (reserved == m_models.end())
+            continue;
+        const bool hasRoom = engine.usedMib + reserved->second.model->weightsMib <= m_input->engine->weightsMib;
+        if (hasRoom && mayLoad(engine, reserved->second))
+            loadCopy(engine, reserved->second);
     }
 }
 
-void ResidencyPlanner::placeFurtherCopies()
+std::vector<ResidencyPlanner::ModelState*> ResidencyPlanner::busiestModels()
 {
-    // Those with the most requests for each copy first.
-    std::vector<ModelState*> wanted;
+    std::vector<ModelState*> models;
     for (auto& [name, state] : m_models)
-        wanted.push_back(&state);
-    std::stable_sort(wanted.begin(), wanted.end(),
+        models.push_back(&state);
+    std::stable_sort(models.begin(), models.end(),
         [](const ModelState* a, const ModelState* b) { return busyShare(*a) > busyShare(*b); });
+    return models;
+}
+
+void ResidencyPlanner::placeMissingModels(bool areAskedFor)
+{
+    for (auto* state : busiestModels()) {
+        if (state->copies > 0 || state->isAskedFor != areAskedFor)
+            continue;
+        // Room that is being made may be a long wait, so room elsewhere is taken if there is any.
+        if (state->reserved == 0)
+            placeCopy(*state);
+        else if (auto* engine = engineWithRoom(*state))
+            loadCopy(*engine, *state);
+    }
+}
+
+void ResidencyPlanner::placeFurtherCopies()
+{
+    const auto wanted = busiestModels();
     for (auto* state : wanted) {
         if (state->copies == 0)
             continue;
@@ -115,10 +137,13 @@
         loadCopy(*engine, wanted);
         return;
     }
+    if (isRoomAhead(wanted))
+        return;
     const auto [engine, victim] = leastWantedCopy(wanted);
     if (!engine)
         return;
     --victim->copies;
+    --victim->usable;
     ++wanted.reserved;
     order(*engine, OrderKind::Unload, victim->model->name, {}, MoveReason::MakeRoom, wanted.model->name);
 }
@@ -151,31 +176,55 @@
     return best;
 }
 
+bool ResidencyPlanner::isRoomAhead(const ModelState& wanted) const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const Engine& engine) {
+        return engine.target->isOrderable && !engine.target->isLeaving && engine.target->reservedFor.empty()
+            && !holds(engine, wanted.model->name)
+            && engine.usedMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
+    });
+}
+
+double ResidencyPlanner::yieldLimit(const ModelState& wanted) const
+{
+    if (wanted.copies > 0)
+        return busyShare(wanted) / m_settings->moveAdvantage;
+    return wanted.isAskedFor ? m_settings->mostBusyPerCopy : m_settings->busyPerCopy;
+}
+
+uint32_t ResidencyPlanner::runsOf(const Engine& engine, const std::string& model)
+{
+    const auto runs = engine.target->modelRuns.find(model);
+    return runs == engine.target->modelRuns.end() ? 0 : runs->second;
+}
+
 std::pair<ResidencyPlanner::Engine*, ResidencyPlanner::ModelState*> ResidencyPlanner::leastWantedCopy(
     const ModelState& wanted)
 {
     Engine* bestEngine = nullptr;
     ModelState* bestVictim = nullptr;
-    double bestCost
-        = wanted.copies == 0 ? std::numeric_limits<double>::infinity() : busyShare(wanted) / m_settings->moveAdvantage;
+    double bestCost = std::numeric_limits<double>::infinity();
+    const double limit = yieldLimit(wanted);
     for (auto& engine : m_engines) {
         if (!engine.target->reservedFor.empty() || !mayLoad(engine, wanted))
             continue;
+        const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
         for (const auto& held : engine.target->report.models) {
             const auto victim = m_models.find(held.name);
             if (victim == m_models.end() || victim->second.copies <= victim->second.leastCopies)
                 continue;
             auto& state = victim->second;
+            // A copy that is being loaded replaces none that serves.
+            if (state.usable <= 1)
+                continue;
             const bool makesRoom
                 = engine.usedMib - state.model->weightsMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
-            const double cost = state.busy / (state.copies - 1);
-            const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
-            // Among equals, an engine that has the weights at hand, and one with few runs that the unload waits for.
-            const double rank = cost - (isCached ? cachedAdvantage : 0) + engine.target->report.running * waitPerRun;
-            if (makesRoom && rank < bestCost) {
+            const double shareAfter = state.busy / (state.usable - 1);
+            const double cost = shareAfter + runsOf(engine, held.name) * waitPerRun - (isCached ? cachedAdvantage : 0);
+            if (makesRoom && shareAfter < limit && cost < bestCost) {
                 bestEngine = &engine;
                 bestVictim = &state;
-                bestCost = rank;
+                bestCost = cost;
             }
         }
     }
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -17,6 +17,9 @@
     /// Requests in progress per copy below which a model needs no further copy. An engine runs 64 at once, of up to
     /// three models.
     double busyPerCopy { 12.0 };
+    /// Requests in progress that the other copies of a model may have each, at most, after one is given up for a model
+    /// without a copy. The slots of an engine: beyond them, requests for the model that yields would wait instead.
+    double mostBusyPerCopy { 64.0 };
     uint32_t adaptersInTransitPerTarget { 4 }; ///< Limit of the engines.
     uint32_t adapterOrdersAtOnce { 12 }; ///< Over all targets; more slow each other down at the weight store.
 };
@@ -26,7 +29,10 @@
     std::string id;
     bool isLeaving { false };
     bool isOrderable { true }; ///< False while an order is unanswered or no recent report is known.
+    /// False for a target that does not answer; its copies are not counted, so that lost models are placed elsewhere.
+    bool isReachable { true };
     EngineReport report;
+    std::map<std::string, uint32_t> modelRuns; ///< Requests in flight by model, over all nodes.
     bool hasIncomingAdapter { false }; ///< One was ordered a moment ago; the next waits for it.
     std::string unloadingModel; ///< Model of an accepted unload; it is reported until its last request has ended.
     std::string loadingModel; ///< Model of an accepted load that the report does not show yet.
@@ -65,25 +71,37 @@
     struct ModelState {
         const CatalogModel* model;
         uint32_t copies { 0 }; ///< On targets that stay, loads in progress included.
+        uint32_t usable { 0 }; ///< Copies among them that serve requests now.
         uint32_t reserved { 0 }; ///< Copies for which room was made and whose load has not begun.
         double busy { 0 }; ///< Requests in progress or waiting.
+        bool isAskedFor { false }; ///< Requests arrived lately.
         uint32_t leastCopies { 1 }; ///< Copies needed to have places for all adapters.
     };
 
     void countCopies();
     void placeAskedForAdapters();
-    void placeMissingModels();
+    /// Loads models into room that was made for them.
+    void useReservedRoom();
+    /// Places models without a copy, those that are asked for or the others.
+    void placeMissingModels(bool areAskedFor);
     void placeOtherAdapters();
     void placeFurtherCopies();
+    /// Returns the models, those with the most requests for each copy first.
+    std::vector<ModelState*> busiestModels();
     void placeAdapter(const ModelState& state, const std::string& adapter, bool isAskedFor);
     void evictAdapter(const std::string& model);
     double arrivals(const std::string& model, const std::string& adapter) const;
     void placeCopy(ModelState& wanted);
     void loadCopy(Engine& engine, ModelState& wanted);
     Engine* engineWithRoom(const ModelState& wanted);
-    /// Returns the engine and the model whose copy is least wanted, if it is wanted less than a further copy of
-    /// `wanted`.
+    /// Returns whether an engine has room for the model, now or once the weight store's rate allows a load.
+    bool isRoomAhead(const ModelState& wanted) const;
+    /// Returns the engine and the model whose copy makes room soonest, among those that are wanted less than a further
+    /// copy of `wanted`.
     std::pair<Engine*, ModelState*> leastWantedCopy(const ModelState& wanted);
+    /// Returns the requests per copy below which other models give a copy up for `wanted`.
+    double yieldLimit(const ModelState& wanted) const;
+    static uint32_t runsOf(const Engine& engine, const std::string& model);
     bool holds(const Engine& engine, const std::string& model) const;
     bool mayLoad(const Engine& engine, const ModelState& wanted) const;
     void order(Engine& engine, OrderKind kind, const std::string& model, const std::string& adapter, MoveReason reason,
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -12,14 +12,16 @@
 
     /// Time between two rounds of planning.
     constexpr Duration tickInterval = milliseconds(100);
-    /// Time between two reports of a target at rest; each is billed as a probe.
-    constexpr Duration reportInterval = milliseconds(1500);
-    /// Time between two reports of a target that carries out an order.
+    /// Time between two reports of a target at rest; each is billed as a probe, and a lost target is noticed by them.
+    constexpr Duration reportInterval = milliseconds(800);
+    /// Time between two reports of a target that carries out an order, or that failed a request or a report lately.
     constexpr Duration busyReportInterval = milliseconds(300);
     /// A report shows the state of up to this long ago, so one that was asked for sooner after an order says nothing of
     /// it.
     constexpr Duration reportLag = milliseconds(400);
     constexpr Duration reportTimeout = milliseconds(500);
+    /// A target that missed this many reports in a row is taken for lost. One report can be lost with its connection.
+    constexpr uint32_t missedReportsOfLost = 2;
     /// A report older than this is no ground for an order.
     constexpr Duration reportValidity = milliseconds(4000);
     /// Time for which room is kept for a model: the longest runs that an unload waits for, and a wait for the weight
@@ -90,13 +92,15 @@
     if (!current)
         return;
     const auto now = monotonicNow();
+    const auto suspects = m_state->targets.suspects(now);
     for (const auto& record : m_records) {
         const auto service = current->catalog.services.find(record.service);
         if (service == current->catalog.services.end() || !service->second.engine)
             continue;
         auto& known = m_known[record.id];
-        const bool isBusy = known.report.isBusy || known.uncertainUntil > known.reportedAt;
-        const auto interval = isBusy ? busyReportInterval : reportInterval;
+        const bool isInDoubt = known.report.isBusy || known.missedReports > 0 || suspects.contains(record.id)
+            || known.uncertainUntil > known.reportedAt;
+        const auto interval = isInDoubt ? busyReportInterval : reportInterval;
         if (!known.isAsking && !known.isOrdering && now - known.askedAt >= interval)
             ask(record);
     }
@@ -126,8 +130,10 @@
     if (!report) {
         logError(LogSeverity::Warning, "report_missing", report.error());
         known.hasReport = false;
+        ++known.missedReports;
         return;
     }
+    known.missedReports = 0;
     const auto& fresh = report.value();
     const bool isSameRun = known.hasReport && fresh.startedUnixMs == known.report.startedUnixMs;
     const bool isBehind = isSameRun && fresh.ordersAccepted < known.report.ordersAccepted;
@@ -142,7 +148,20 @@
         known.loadingModel.clear();
         known.unloadingModel.clear();
     }
-    m_state->targets.noteModels(record.service, record.id, fresh.models);
+    m_state->targets.noteModels(record.service, record.id, modelsThatStay(known));
+    announceModels(record, known);
+}
+
+void OrderDispatcher::announceModels(const TargetRecord& record, Known& known)
+{
+    const auto models = modelsThatStay(known);
+    std::set<std::string> names;
+    for (const auto& model : models)
+        names.insert(model.name);
+    if (names == known.announcedModels)
+        return;
+    known.announcedModels = std::move(names);
+    m_mesh->announce({ record.id, record.service, models });
 }
 
 void OrderDispatcher::plan()
@@ -160,6 +179,7 @@
 {
     const auto now = monotonicNow();
     PlannerInput input { service.name, &*service.engine, {}, m_mesh->demand(), 0 };
+    const auto modelRuns = m_mesh->modelRuns();
     uint32_t loading = 0;
     for (const auto& record : m_records) {
         const auto known = m_known.find(record.id);
@@ -170,8 +190,11 @@
             state.reservedFor.clear();
         loading += !state.loadingModel.empty() && state.isLoadingFromStore ? 1 : 0;
         // Without a report it is unknown what the target holds; its entry still tells which models have a copy.
-        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false, state.report,
-            now < state.incomingUntil, state.unloadingModel, state.loadingModel, state.reservedFor };
+        PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false,
+            state.missedReports < missedReportsOfLost, state.report, {}, now < state.incomingUntil,
+            state.unloadingModel, state.loadingModel, state.reservedFor };
+        if (const auto runs = modelRuns.find(record.id); runs != modelRuns.end())
+            target.modelRuns = runs->second;
         if (!state.hasReport)
             target.report.models = record.models;
         target.isOrderable = state.hasReport && !state.isOrdering && now - state.reportedAt < reportValidity
@@ -245,8 +268,11 @@
     const bool isAdapterUnload = order.kind == OrderKind::Unload && !order.adapter.empty();
     if (result == OrderAnswer::Accepted || (isAdapterUnload && result == OrderAnswer::AlreadyHolds)) {
         noteAccepted(known, order);
+        // A model that is being unloaded gets no more requests: the engine would turn them away.
         if (!order.adapter.empty())
-            m_mesh->announce({ record.id, record.service, known.report.models });
+            m_mesh->announce({ record.id, record.service, modelsThatStay(known) });
+        else
+            announceModels(record, known);
         return;
     }
     known.uncertainUntil = monotonicNow() + reportLag;
@@ -256,6 +282,13 @@
     }
 }
 
+std::vector<HeldModel> OrderDispatcher::modelsThatStay(const Known& known)
+{
+    auto models = known.report.models;
+    std::erase_if(models, [&](const HeldModel& model) { return model.name == known.unloadingModel; });
+    return models;
+}
+
 void OrderDispatcher::noteAccepted(Known& known, const TargetOrder& order)
 {
     auto& report = known.report;
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -28,6 +28,8 @@
         /// Reports asked for before this time say nothing of the last order, as it was not answered with an acceptance.
         TimePoint uncertainUntil;
         bool hasReport { false };
+        std::set<std::string> announcedModels; ///< Those that the other nodes were last told of.
+        uint32_t missedReports { 0 }; ///< Calls for a report in a row that failed.
         bool isAsking { false };
         bool isOrdering { false };
         std::string loadingModel; ///< Of an accepted order that a report does not show as done.
@@ -48,6 +50,11 @@
     void planService(const CatalogService& service);
     void send(const TargetRecord& record, const TargetOrder& order, double loadsPerSecond);
     void onAnswer(const TargetRecord& record, const TargetOrder& order, const HttpOutcome& outcome);
+    /// Tells the other nodes which models a target holds, if that has changed. They hear of it from the store, too,
+    /// unless that is away.
+    void announceModels(const TargetRecord& record, Known& known);
+    /// Returns what a target holds without a model that is being unloaded.
+    static std::vector<HeldModel> modelsThatStay(const Known& known);
     static void noteAccepted(Known& known, const TargetOrder& order);
 
     boost::asio::steady_timer m_timer;
--- a/Cyclamenstair/Entry/OrderHolder.cpp
+++ b/Cyclamenstair/Entry/OrderHolder.cpp
@@ -131,7 +131,8 @@
         return;
     if (outcome == StoreLeaseOutcome::Alive)
         m_lease.renewed(sentAt);
-    if (outcome == StoreLeaseOutcome::Expired || m_lease.hasLapsed(suspendAwareNow())) {
+    // While the store does not answer, the lease may pause there, so it is renewed until the store says that it ended.
+    if (outcome == StoreLeaseOutcome::Expired) {
         loseLease(std::string(nameOf(outcome)));
         return;
     }
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -86,6 +86,21 @@
     return sum;
 }
 
+ModelRuns PeerMesh::modelRuns() const
+{
+    const auto now = monotonicNow();
+    auto sum = m_state->targets.modelRuns();
+    for (const auto& [node, peer] : m_demands) {
+        if (now - peer.at > demandValidity)
+            continue;
+        for (const auto& [target, models] : peer.modelRuns) {
+            for (const auto& [model, inFlight] : models)
+                sum[target][model] += inFlight;
+        }
+    }
+    return sum;
+}
+
 void PeerMesh::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
@@ -163,7 +178,7 @@
 
 void PeerMesh::shareLoad(TimePoint now)
 {
-    LoadShare share { m_state->nodeId, m_state->targets.inFlight(), {} };
+    LoadShare share { m_state->nodeId, m_state->targets.inFlight(), {}, {} };
     std::erase_if(share.inFlight, [](const auto& entry) { return entry.second == 0; });
     if (share == m_shared && now - m_sharedAt < longestShareInterval)
         return;
@@ -171,6 +186,7 @@
     m_sharedAt = now;
     const auto forAll = encodeEntryMessage(share);
     share.demands = m_state->demand.demand(now);
+    share.modelRuns = m_state->targets.modelRuns();
     const auto forHolder = encodeEntryMessage(share);
     for (const auto& [address, link] : m_links) {
         if (link.channel && link.channel->isOpen())
@@ -231,7 +247,7 @@
     const auto now = monotonicNow();
     m_state->targets.noteRemote(share.node, share.inFlight, now);
     if (!share.demands.empty())
-        m_demands[share.node] = { share.demands, now };
+        m_demands[share.node] = { share.demands, share.modelRuns, now };
     std::erase_if(m_demands, [&](const auto& peer) { return now - peer.second.at > demandValidity; });
 }
 
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -37,6 +37,9 @@
     /// Returns the demand over all nodes that were heard of lately, this node included.
     std::map<ArtifactKey, ArtifactLoad> demand() const;
 
+    /// Returns the requests in flight by target and model, over all nodes that were heard of lately.
+    ModelRuns modelRuns() const;
+
 private:
     struct Link {
         std::shared_ptr<FrameChannel> channel;
@@ -45,6 +48,7 @@
     };
     struct PeerDemand {
         std::map<ArtifactKey, ArtifactLoad> demands;
+        ModelRuns modelRuns;
         TimePoint at;
     };
 
--- a/Cyclamenstair/Fleet/TargetRecord.h
+++ b/Cyclamenstair/Fleet/TargetRecord.h
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Core/Time.h>
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
     std::set<std::string> adapters;
 };
 
+/// Requests in flight by target id and model.
+using ModelRuns = std::map<std::string, std::map<std::string, uint32_t>>;
+
 /// A target as it registered itself.
 struct TargetRecord {
     std::string id; ///< Instance; a restart mostly gets a new one.
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -92,6 +92,8 @@
             return isModelHeld && !query.adapter.empty() ? TargetShortage::AdapterAbsent : TargetShortage::ModelAbsent;
         }
         ++best->inFlight;
+        if (!query.model.empty())
+            ++best->modelRuns[query.model];
         return AcquiredTarget { best->record.id, best->record.address, query.service };
     });
 }
@@ -106,6 +108,8 @@
             return;
         auto& state = found->second;
         state.inFlight -= std::min(state.inFlight, 1U);
+        if (const auto runs = state.modelRuns.find(query.model); runs != state.modelRuns.end() && --runs->second == 0)
+            state.modelRuns.erase(runs);
         switch (verdict) {
         case TargetVerdict::Good:
             state.failuresInARow = 0;
@@ -173,6 +177,20 @@
     });
 }
 
+std::set<std::string> TargetRegistry::suspects(TimePoint now) const
+{
+    std::set<std::string> ids;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            for (const auto& [id, target] : targets) {
+                if (target.suspectUntil > now)
+                    ids.insert(id);
+            }
+        }
+    });
+    return ids;
+}
+
 std::map<std::string, uint32_t> TargetRegistry::inFlight() const
 {
     std::map<std::string, uint32_t> counts;
@@ -185,6 +203,20 @@
     return counts;
 }
 
+ModelRuns TargetRegistry::modelRuns() const
+{
+    ModelRuns runs;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            for (const auto& [id, target] : targets) {
+                if (!target.modelRuns.empty())
+                    runs[id] = target.modelRuns;
+            }
+        }
+    });
+    return runs;
+}
+
 std::string TargetRegistry::artifactOf(const TargetQuery& query)
 {
     return query.adapter.empty() ? query.model : query.model + "/" + query.adapter;
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -111,9 +111,15 @@
     /// Takes what another node has in flight, by target id. It lapses after TargetRegistrySettings::remoteValidity.
     void noteRemote(const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now);
 
+    /// Returns the targets that failed this node's last requests and get none for that reason.
+    std::set<std::string> suspects(TimePoint now) const;
+
     /// Returns the requests in flight by target id.
     std::map<std::string, uint32_t> inFlight() const;
 
+    /// Returns the requests in flight by target id and model.
+    ModelRuns modelRuns() const;
+
 private:
     struct RemoteLoad {
         uint32_t inFlight { 0 };
@@ -123,6 +129,7 @@
         TargetRecord record;
         int64_t revision { 0 };
         uint32_t inFlight { 0 };
+        std::map<std::string, uint32_t> modelRuns; ///< Requests in flight by model.
         TimePoint suspectUntil;
         TimePoint fullUntil;
         std::map<std::string, TimePoint> absentUntil; ///< By model, or model and adapter.
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -24,6 +24,10 @@
 struct TargetLoadRowBuilder;
 struct TargetLoadRowT;
 
+struct ModelRunsRow;
+struct ModelRunsRowBuilder;
+struct ModelRunsRowT;
+
 struct LoadShare;
 struct LoadShareBuilder;
 struct LoadShareT;
@@ -422,18 +426,118 @@
 
 flatbuffers::Offset<TargetLoadRow> CreateTargetLoadRow(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ModelRunsRowT : public flatbuffers::NativeTable {
+  typedef ModelRunsRow TableType;
+  std::string target{};
+  std::string model{};
+  uint16_t in_flight = 0;
+};
+
+/// Requests of one node in flight for one model at a target.
+struct ModelRunsRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ModelRunsRowT NativeTableType;
+  typedef ModelRunsRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_MODEL = 6,
+    VT_IN_FLIGHT = 8
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  uint16_t in_flight() const {
+    return GetField<uint16_t>(VT_IN_FLIGHT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<uint16_t>(verifier, VT_IN_FLIGHT, 2) &&
+           verifier.EndTable();
+  }
+  ModelRunsRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ModelRunsRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ModelRunsRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ModelRunsRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ModelRunsRowBuilder {
+  typedef ModelRunsRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(ModelRunsRow::VT_TARGET, target);
+  }
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(ModelRunsRow::VT_MODEL, model);
+  }
+  void add_in_flight(uint16_t in_flight) {
+    fbb_.AddElement<uint16_t>(ModelRunsRow::VT_IN_FLIGHT, in_flight, 0);
+  }
+  explicit ModelRunsRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ModelRunsRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ModelRunsRow>(end);
+    fbb_.Required(o, ModelRunsRow::VT_TARGET);
+    fbb_.Required(o, ModelRunsRow::VT_MODEL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ModelRunsRow> CreateModelRunsRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    uint16_t in_flight = 0) {
+  ModelRunsRowBuilder builder_(_fbb);
+  builder_.add_model(model);
+  builder_.add_target(target);
+  builder_.add_in_flight(in_flight);
+  return builder_.Finish();
+}
+
+struct ModelRunsRow::Traits {
+  using type = ModelRunsRow;
+  static auto constexpr Create = CreateModelRunsRow;
+};
+
+inline flatbuffers::Offset<ModelRunsRow> CreateModelRunsRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    const char *model = nullptr,
+    uint16_t in_flight = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return cyclamenstair::schema::CreateModelRunsRow(
+      _fbb,
+      target__,
+      model__,
+      in_flight);
+}
+
+flatbuffers::Offset<ModelRunsRow> CreateModelRunsRow(flatbuffers::FlatBufferBuilder &_fbb, const ModelRunsRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LoadShareT : public flatbuffers::NativeTable {
   typedef LoadShare TableType;
   std::string node{};
   std::vector<std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>> targets{};
   std::vector<std::unique_ptr<cyclamenstair::schema::ArtifactLoadRowT>> demands{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::ModelRunsRowT>> model_runs{};
   LoadShareT() = default;
   LoadShareT(const LoadShareT &o);
   LoadShareT(LoadShareT&&) FLATBUFFERS_NOEXCEPT = default;
   LoadShareT &operator=(LoadShareT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// What a node has in flight, and, for the holder of the order lease, its demand.
+/// What a node has in flight, and, for the holder of the order lease, its demand and its requests by target and model.
 struct LoadShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadShareT NativeTableType;
   typedef LoadShareBuilder Builder;
@@ -441,7 +545,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
     VT_TARGETS = 6,
-    VT_DEMANDS = 8
+    VT_DEMANDS = 8,
+    VT_MODEL_RUNS = 10
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -452,6 +557,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *demands() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *>(VT_DEMANDS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *model_runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *>(VT_MODEL_RUNS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NODE) &&
@@ -462,6 +570,9 @@
            VerifyOffset(verifier, VT_DEMANDS) &&
            verifier.VerifyVector(demands()) &&
            verifier.VerifyVectorOfTables(demands()) &&
+           VerifyOffset(verifier, VT_MODEL_RUNS) &&
+           verifier.VerifyVector(model_runs()) &&
+           verifier.VerifyVectorOfTables(model_runs()) &&
            verifier.EndTable();
   }
   LoadShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -482,6 +593,9 @@
   void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands) {
     fbb_.AddOffset(LoadShare::VT_DEMANDS, demands);
   }
+  void add_model_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>> model_runs) {
+    fbb_.AddOffset(LoadShare::VT_MODEL_RUNS, model_runs);
+  }
   explicit LoadShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -498,8 +612,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>> model_runs = 0) {
   LoadShareBuilder builder_(_fbb);
+  builder_.add_model_runs(model_runs);
   builder_.add_demands(demands);
   builder_.add_targets(targets);
   builder_.add_node(node);
@@ -515,15 +631,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr,
-    const std::vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *demands = nullptr) {
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *demands = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *model_runs = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
   auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>(*demands) : 0;
+  auto model_runs__ = model_runs ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>(*model_runs) : 0;
   return cyclamenstair::schema::CreateLoadShare(
       _fbb,
       node__,
       targets__,
-      demands__);
+      demands__,
+      model_runs__);
 }
 
 flatbuffers::Offset<LoadShare> CreateLoadShare(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1159,18 +1278,53 @@
       _in_flight);
 }
 
+inline ModelRunsRowT *ModelRunsRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ModelRunsRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ModelRunsRow::UnPackTo(ModelRunsRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = in_flight(); _o->in_flight = _e; }
+}
+
+inline flatbuffers::Offset<ModelRunsRow> ModelRunsRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ModelRunsRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateModelRunsRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ModelRunsRow> CreateModelRunsRow(flatbuffers::FlatBufferBuilder &_fbb, const ModelRunsRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ModelRunsRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _fbb.CreateString(_o->target);
+  auto _model = _fbb.CreateString(_o->model);
+  auto _in_flight = _o->in_flight;
+  return cyclamenstair::schema::CreateModelRunsRow(
+      _fbb,
+      _target,
+      _model,
+      _in_flight);
+}
+
 inline LoadShareT::LoadShareT(const LoadShareT &o)
       : node(o.node) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetLoadRowT(*targets_) : nullptr); }
   demands.reserve(o.demands.size());
   for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new cyclamenstair::schema::ArtifactLoadRowT(*demands_) : nullptr); }
+  model_runs.reserve(o.model_runs.size());
+  for (const auto &model_runs_ : o.model_runs) { model_runs.emplace_back((model_runs_) ? new cyclamenstair::schema::ModelRunsRowT(*model_runs_) : nullptr); }
 }
 
 inline LoadShareT &LoadShareT::operator=(LoadShareT o) FLATBUFFERS_NOEXCEPT {
   std::swap(node, o.node);
   std::swap(targets, o.targets);
   std::swap(demands, o.demands);
+  std::swap(model_runs, o.model_runs);
   return *this;
 }
 
@@ -1186,6 +1340,7 @@
   { auto _e = node(); if (_e) _o->node = _e->str(); }
   { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<cyclamenstair::schema::ArtifactLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = model_runs(); if (_e) { _o->model_runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->model_runs[_i] = std::unique_ptr<cyclamenstair::schema::ModelRunsRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<LoadShare> LoadShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1199,11 +1354,13 @@
   auto _node = _fbb.CreateString(_o->node);
   auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetLoadRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateArtifactLoadRow(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _model_runs = _o->model_runs.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> (_o->model_runs.size(), [](size_t i, _VectorArgs *__va) { return CreateModelRunsRow(*__va->__fbb, __va->__o->model_runs[i].get(), __va->__rehasher); }, &_va ) : 0;
   return cyclamenstair::schema::CreateLoadShare(
       _fbb,
       _node,
       _targets,
-      _demands);
+      _demands,
+      _model_runs);
 }
 
 inline SnapshotRequestT *SnapshotRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -93,6 +93,100 @@
     EXPECT_EQ(orders[0].model, "m2");
 }
 
+// An unload waits for the model's requests at the engine, so a copy that runs none makes room at once.
+TEST(ResidencyPlanner, MakesRoomWhereTheFewestRequestsRun)
+{
+    const auto engine = profile(5);
+    auto input = inputOf(engine,
+        { target("i-1", { "m0", "m3", "m4" }), target("i-2", { "m1", "m2", "m3" }),
+            target("i-3", { "m1", "m2", "m4" }) });
+    input.demand[{ "drafting", "m0", {} }] = { 1, 40, 0 };
+    input.demand[{ "drafting", "m1", {} }] = { 1, 4, 0 };
+    input.demand[{ "drafting", "m2", {} }] = { 1, 4, 0 };
+    input.demand[{ "drafting", "m3", {} }] = { 1, 4, 0 };
+    input.demand[{ "drafting", "m4", {} }] = { 1, 4, 0 };
+    input.targets[1].modelRuns = { { "m1", 2 }, { "m2", 2 }, { "m3", 4 } };
+    input.targets[2].modelRuns = { { "m1", 2 }, { "m2", 2 } };
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Unload);
+    EXPECT_EQ(orders[0].target, "i-3");
+    EXPECT_EQ(orders[0].model, "m4");
+}
+
+// After a crash, models that nobody asks for must not take the place of copies that many requests use.
+TEST(ResidencyPlanner, IdleMissingModelDisplacesNoBusyCopy)
+{
+    const auto engine = profile(4);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m1", "m2" }) });
+    for (const auto* model : { "m0", "m1", "m2" })
+        input.demand[{ "drafting", model, {} }] = { 9, 50, 0 };
+    EXPECT_TRUE(plan(input).empty());
+    input.demand[{ "drafting", "m3", {} }] = { 1, 1, 1 };
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].roomFor, "m3");
+}
+
+// A restarted engine has room, but the weight store's rate may not allow a load yet; no copy is given up meanwhile.
+TEST(ResidencyPlanner, WaitsForAnEngineWithRoom)
+{
+    const auto engine = profile(4);
+    auto input = inputOf(
+        engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m1", "m2" }), target("i-3", {}) });
+    input.demand[{ "drafting", "m3", {} }] = { 1, 1, 1 };
+    input.targets[0].report.cachedModels = { "m3" };
+    input.weightLoads = 0;
+    EXPECT_TRUE(plan(input).empty());
+    input.weightLoads = 1;
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].target, "i-3");
+    EXPECT_EQ(orders[0].kind, OrderKind::Load);
+}
+
+// The entry of a crashed engine stays in the store for seconds; its copies must not keep a model from being placed.
+TEST(ResidencyPlanner, LostTargetHoldsNoCopy)
+{
+    const auto engine = profile(2);
+    auto input = inputOf(engine, { target("i-1", { "m0" }), target("i-2", { "m1" }) });
+    input.targets[1].isOrderable = false;
+    EXPECT_TRUE(plan(input).empty());
+    input.targets[1].isReachable = false;
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].model, "m1");
+    EXPECT_EQ(orders[0].target, "i-1");
+}
+
+// An unload can wait many seconds for its last request; a model without a copy must not wait for it if an engine has
+// room.
+TEST(ResidencyPlanner, MissingModelTakesRoomElsewhere)
+{
+    const auto engine = profile(4);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", {}) });
+    input.targets[0].report.isBusy = true;
+    input.targets[0].reservedFor = "m3";
+    input.targets[0].unloadingModel = "m0";
+    input.demand[{ "drafting", "m3", {} }] = { 1, 9, 9 };
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].target, "i-2");
+    EXPECT_EQ(orders[0].model, "m3");
+}
+
+// A load takes seconds, or fails with its engine; until then the model would be served nowhere.
+TEST(ResidencyPlanner, CopyThatIsBeingLoadedReplacesNone)
+{
+    const auto engine = profile(4);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m3", "m1" }) });
+    input.targets[1].loadingModel = "m0";
+    input.targets[1].report.isBusy = true;
+    input.demand[{ "drafting", "m3", {} }] = { 1, 90, 0 };
+    for (const auto& order : plan(input))
+        EXPECT_NE(order.model, "m0");
+}
+
 // The last copy of a model stays, whatever the demand for others.
 TEST(ResidencyPlanner, KeepsTheLastCopy)
 {
