Hold prompts back while an engine has enough unread ones before it

Cause: on Puppy Walker half of the streams that began in time (p50 of the first event 0.18 s) were late by a pause: an engine reads up to 2,048 prompt tokens in a step of some 100 ms, an event takes three steps, and the bound is 300 ms, so three full steps in a row make all streams at the engine late. Routing counted requests only, of which a prompt is the dearest part.

Change: targets' loads hold the prompt tokens that are sent and not yet answered, of this node and, by LoadShare, of the others. A first attempt waits for up to 0.4 of the target latency while every holder of the model has 1,800 tokens before it with it; the tokens also count as load in the choice. Room that is left on engines gets second copies of models that have one, within half of the rate.

Ruled out: first events that are late (p50 0.1 to 0.2 s), refusals (4%).

--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -21,10 +21,11 @@
     {
         schema::LoadShareT record;
         record.node = share.node;
-        for (const auto& [target, inFlight] : share.inFlight) {
+        for (const auto& [target, load] : share.loads) {
             auto row = std::make_unique<schema::TargetLoadRowT>();
             row->target = target;
-            row->in_flight = boundedCount(inFlight);
+            row->in_flight = boundedCount(load.inFlight);
+            row->unread_tokens = load.unreadTokens;
             record.targets.push_back(std::move(row));
         }
         for (const auto& [artifact, load] : share.demands) {
@@ -91,7 +92,7 @@
         LoadShare share;
         share.node = record.node;
         for (const auto& row : record.targets)
-            share.inFlight[row->target] = row->in_flight;
+            share.loads[row->target] = { row->in_flight, row->unread_tokens };
         for (const auto& row : record.demands)
             share.demands[{ row->service, row->model, row->adapter }]
                 = { row->arrivals_per_second, row->in_progress, row->waiting };
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -12,7 +12,7 @@
 /// What a node has in flight at each target, and its demand.
 struct LoadShare {
     std::string node;
-    std::map<std::string, uint32_t> inFlight; ///< By target id.
+    std::map<std::string, TargetUse> loads; ///< By target id.
     std::map<ArtifactKey, ArtifactLoad> demands; ///< Sent to the holder of the order lease only.
     ModelRuns modelRuns; ///< Sent to the holder of the order lease only.
 
--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -33,6 +33,7 @@
     placeOtherAdapters();
     placeFurtherCopies();
     placeMissingModels(false);
+    placeSpareCopies();
     return std::move(m_orders);
 }
 
@@ -131,6 +132,21 @@
     }
 }
 
+void ResidencyPlanner::placeSpareCopies()
+{
+    if (m_input->spareLoads == 0 || !m_orders.empty())
+        return;
+    // Adapters are made for models that callers use directly, whose demand moves most.
+    ModelState* best = nullptr;
+    for (auto* state : busiestModels()) {
+        const bool isSingle = state->copies == 1 && state->reserved == 0;
+        if (isSingle && engineWithRoom(*state) && (!best || state->model->adapterCount > best->model->adapterCount))
+            best = state;
+    }
+    if (best)
+        loadCopy(*engineWithRoom(*best), *best);
+}
+
 void ResidencyPlanner::placeCopy(ModelState& wanted)
 {
     if (auto* engine = engineWithRoom(wanted)) {
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -46,6 +46,7 @@
     std::vector<PlannerTarget> targets;
     std::map<ArtifactKey, ArtifactLoad> demand; ///< Over all nodes.
     uint32_t weightLoads { 0 }; ///< Loads from the weight store that may begin now.
+    uint32_t spareLoads { 0 }; ///< Loads among them that may be spent on copies that no request waits for.
 };
 
 /// Decides which models and adapters the engines of a service hold.
@@ -86,6 +87,8 @@
     void placeMissingModels(bool areAskedFor);
     void placeOtherAdapters();
     void placeFurtherCopies();
+    /// Fills room that is left with second copies, so that demand that moves to a model finds one without a wait.
+    void placeSpareCopies();
     /// Returns the models, those with the most requests for each copy first.
     std::vector<ModelState*> busiestModels();
     void placeAdapter(const ModelState& state, const std::string& adapter, bool isAskedFor);
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -189,7 +189,7 @@
 void OrderDispatcher::planService(const CatalogService& service)
 {
     const auto now = monotonicNow();
-    PlannerInput input { service.name, &*service.engine, {}, m_mesh->demand(), 0 };
+    PlannerInput input { service.name, &*service.engine, {}, m_mesh->demand(), 0, 0 };
     const auto modelRuns = m_mesh->modelRuns();
     uint32_t loading = 0;
     for (const auto& record : m_records) {
@@ -221,6 +221,9 @@
         : std::max(1U, static_cast<uint32_t>(service.engine->loadsPerSecond * toSeconds(slowest->loadTime)));
     if (loading < atOnce && m_loads->mayLoad(service.engine->loadsPerSecond, now))
         input.weightLoads = 1;
+    // Half of the rate stays free for models that requests wait for.
+    if (input.weightLoads > 0 && loading * 2 < atOnce && m_loads->mayLoad(service.engine->loadsPerSecond / 2, now))
+        input.spareLoads = 1;
     for (const auto& order : ResidencyPlanner(input, m_plannerSettings).plan()) {
         const auto record = std::find_if(
             m_records.begin(), m_records.end(), [&](const auto& candidate) { return candidate.id == order.target; });
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -178,8 +178,8 @@
 
 void PeerMesh::shareLoad(TimePoint now)
 {
-    LoadShare share { m_state->nodeId, m_state->targets.inFlight(), {}, {} };
-    std::erase_if(share.inFlight, [](const auto& entry) { return entry.second == 0; });
+    LoadShare share { m_state->nodeId, m_state->targets.loads(), {}, {} };
+    std::erase_if(share.loads, [](const auto& entry) { return entry.second.inFlight == 0; });
     if (share == m_shared && now - m_sharedAt < longestShareInterval)
         return;
     m_shared = share;
@@ -245,7 +245,7 @@
 void PeerMesh::on(const std::shared_ptr<FrameChannel>&, const LoadShare& share)
 {
     const auto now = monotonicNow();
-    m_state->targets.noteRemote(share.node, share.inFlight, now);
+    m_state->targets.noteRemote(share.node, share.loads, now);
     if (!share.demands.empty())
         m_demands[share.node] = { share.demands, share.modelRuns, now };
     std::erase_if(m_demands, [&](const auto& peer) { return now - peer.second.at > demandValidity; });
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -19,6 +19,7 @@
         facts.service = serviceFor(route, randomUnit(random));
         facts.model = decoded.model;
         facts.adapter = decoded.adapter;
+        facts.promptTokens = decoded.promptTokens;
         facts.receivedAt = now;
         facts.callerPatience = decoded.patience;
         return facts;
--- a/Cyclamenstair/Fleet/TargetRecord.h
+++ b/Cyclamenstair/Fleet/TargetRecord.h
@@ -30,6 +30,14 @@
     std::set<std::string> adapters;
 };
 
+/// Requests of one node at a target.
+struct TargetUse {
+    uint32_t inFlight { 0 };
+    uint32_t unreadTokens { 0 }; ///< Prompt tokens of those that the target has not begun to answer.
+
+    bool operator==(const TargetUse&) const = default;
+};
+
 /// Requests in flight by target id and model.
 using ModelRuns = std::map<std::string, std::map<std::string, uint32_t>>;
 
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -67,6 +67,7 @@
         double bestCost = 0;
         bool isAnyReady = false;
         bool isModelHeld = false;
+        bool isAnyUnread = false;
         for (auto& [id, target] : service->second) {
             if (target.record.phase != TargetPhase::Ready || query.excluded.contains(id))
                 continue;
@@ -79,6 +80,10 @@
                 if (absent != target.absentUntil.end() && absent->second > now)
                     continue;
             }
+            if (query.mayWait && isReading(target, query, now)) {
+                isAnyUnread = true;
+                continue;
+            }
             // The random part breaks ties differently on each node.
             const double cost = costOf(target, now) + randomUnit(random) * 0.01;
             if (!best || cost < bestCost) {
@@ -89,15 +94,29 @@
         if (!best) {
             if (!isAnyReady)
                 return TargetShortage::NoTarget;
+            if (isAnyUnread)
+                return TargetShortage::PromptsUnread;
             return isModelHeld && !query.adapter.empty() ? TargetShortage::AdapterAbsent : TargetShortage::ModelAbsent;
         }
-        ++best->inFlight;
+        ++best->load.inFlight;
+        best->load.unreadTokens += query.promptTokens;
         if (!query.model.empty())
             ++best->modelRuns[query.model];
-        return AcquiredTarget { best->record.id, best->record.address, query.service };
+        return AcquiredTarget { best->record.id, best->record.address, query.service, query.promptTokens };
     });
 }
 
+void TargetRegistry::notePromptRead(AcquiredTarget& target)
+{
+    m_services.withShard(target.service, [&](auto& services) {
+        auto& targets = services[target.service];
+        const auto found = targets.find(target.id);
+        if (found != targets.end())
+            found->second.load.unreadTokens -= std::min(found->second.load.unreadTokens, target.unreadTokens);
+    });
+    target.unreadTokens = 0;
+}
+
 void TargetRegistry::release(
     const AcquiredTarget& target, const TargetQuery& query, TargetVerdict verdict, TimePoint now)
 {
@@ -107,7 +126,8 @@
         if (found == targets.end())
             return;
         auto& state = found->second;
-        state.inFlight -= std::min(state.inFlight, 1U);
+        state.load.inFlight -= std::min(state.load.inFlight, 1U);
+        state.load.unreadTokens -= std::min(state.load.unreadTokens, target.unreadTokens);
         if (const auto runs = state.modelRuns.find(query.model); runs != state.modelRuns.end() && --runs->second == 0)
             state.modelRuns.erase(runs);
         switch (verdict) {
@@ -162,13 +182,13 @@
     });
 }
 
-void TargetRegistry::noteRemote(const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now)
+void TargetRegistry::noteRemote(const std::string& node, const std::map<std::string, TargetUse>& loads, TimePoint now)
 {
     m_services.forEachShard([&](auto& services) {
         for (auto& [service, targets] : services) {
             for (auto& [id, target] : targets) {
-                const auto load = inFlight.find(id);
-                if (load == inFlight.end())
+                const auto load = loads.find(id);
+                if (load == loads.end())
                     target.remote.erase(node);
                 else
                     target.remote[node] = { load->second, now };
@@ -191,16 +211,16 @@
     return ids;
 }
 
-std::map<std::string, uint32_t> TargetRegistry::inFlight() const
+std::map<std::string, TargetUse> TargetRegistry::loads() const
 {
-    std::map<std::string, uint32_t> counts;
+    std::map<std::string, TargetUse> loads;
     m_services.forEachShard([&](const auto& services) {
         for (const auto& [service, targets] : services) {
             for (const auto& [id, target] : targets)
-                counts[id] = target.inFlight;
+                loads[id] = target.load;
         }
     });
-    return counts;
+    return loads;
 }
 
 ModelRuns TargetRegistry::modelRuns() const
@@ -222,17 +242,29 @@
     return query.adapter.empty() ? query.model : query.model + "/" + query.adapter;
 }
 
-uint32_t TargetRegistry::remoteInFlight(const TargetState& target, TimePoint now) const
+TargetUse TargetRegistry::totalLoad(const TargetState& target, TimePoint now) const
 {
-    uint32_t sum = 0;
-    for (const auto& [node, load] : target.remote)
-        sum += now - load.at < m_settings.remoteValidity ? load.inFlight : 0;
+    TargetUse sum = target.load;
+    for (const auto& [node, remote] : target.remote) {
+        if (now - remote.at >= m_settings.remoteValidity)
+            continue;
+        sum.inFlight += remote.load.inFlight;
+        sum.unreadTokens += remote.load.unreadTokens;
+    }
     return sum;
 }
 
+bool TargetRegistry::isReading(const TargetState& target, const TargetQuery& query, TimePoint now) const
+{
+    const auto unread = totalLoad(target, now).unreadTokens;
+    return unread > 0 && unread + query.promptTokens > m_settings.maxUnreadTokens;
+}
+
 double TargetRegistry::costOf(const TargetState& target, TimePoint now) const
 {
-    double cost = (target.inFlight + remoteInFlight(target, now) + 1.0) / std::max(1U, target.record.slots);
+    const auto load = totalLoad(target, now);
+    double cost = (load.inFlight + 1.0) / std::max(1U, target.record.slots);
+    cost += static_cast<double>(load.unreadTokens) / m_settings.maxUnreadTokens * m_settings.unreadWeight;
     if (target.record.failureDomain != m_settings.failureDomain)
         cost += m_settings.remoteHandicap;
     if (target.suspectUntil > now)
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -22,6 +22,12 @@
     Duration fullPause { milliseconds(250) };
     /// Time for which another node's load is counted after it was heard of.
     Duration remoteValidity { milliseconds(2000) };
+    /// Prompt tokens that an engine may have before it unread when it is sent another prompt. A step reads up to 2,048
+    /// tokens in some 100 ms, and an event of three steps is on time within 300 ms.
+    uint32_t maxUnreadTokens { 1800 };
+    /// Load, in requests per slot, that this many unread tokens count as. They take as much of an engine's time as a
+    /// tenth of its running requests.
+    double unreadWeight { 0.1 };
     /// Time after a refusal for a missing model during which the target's entry is not believed for that model.
     Duration absentPause { milliseconds(1500) };
 };
@@ -32,6 +38,8 @@
     std::string model; ///< Empty for plain services.
     std::string adapter; ///< Empty for the model itself.
     std::set<std::string> excluded; ///< Instances that have had the request.
+    uint32_t promptTokens { 0 }; ///< 0 if unknown, and for plain services.
+    bool mayWait { false }; ///< Whether targets that have enough prompts before them are left out.
 };
 
 /// A target with one request counted as in flight.
@@ -39,6 +47,7 @@
     std::string id;
     std::string address;
     std::string service;
+    uint32_t unreadTokens { 0 }; ///< Prompt tokens that the target is counted to have before it for the request.
 };
 
 /// Why no target was acquired.
@@ -46,6 +55,7 @@
     NoTarget, ///< No ready target of the service is known, or all have had the request.
     ModelAbsent, ///< No ready target holds the model.
     AdapterAbsent, ///< Targets hold the model, but none the adapter.
+    PromptsUnread, ///< Targets hold what is needed, but have enough prompts before them.
 };
 
 template <> struct EnumNames<TargetShortage> {
@@ -53,6 +63,7 @@
         { TargetShortage::NoTarget, "no_target" },
         { TargetShortage::ModelAbsent, "model_absent" },
         { TargetShortage::AdapterAbsent, "adapter_absent" },
+        { TargetShortage::PromptsUnread, "prompts_unread" },
     });
 };
 
@@ -99,6 +110,9 @@
     /// Chooses the least loaded usable target and counts the request as in flight there.
     AcquireOutcome acquire(const TargetQuery& query, TimePoint now, Random& random);
 
+    /// Notes that the target has read the request's prompt.
+    void notePromptRead(AcquiredTarget& target);
+
     /// Ends the request's count at the target.
     void release(const AcquiredTarget& target, const TargetQuery& query, TargetVerdict verdict, TimePoint now);
 
@@ -109,26 +123,26 @@
     void noteModels(const std::string& service, const std::string& id, const std::vector<HeldModel>& models);
 
     /// Takes what another node has in flight, by target id. It lapses after TargetRegistrySettings::remoteValidity.
-    void noteRemote(const std::string& node, const std::map<std::string, uint32_t>& inFlight, TimePoint now);
+    void noteRemote(const std::string& node, const std::map<std::string, TargetUse>& loads, TimePoint now);
 
     /// Returns the targets that failed this node's last requests and get none for that reason.
     std::set<std::string> suspects(TimePoint now) const;
 
-    /// Returns the requests in flight by target id.
-    std::map<std::string, uint32_t> inFlight() const;
+    /// Returns this node's load by target id.
+    std::map<std::string, TargetUse> loads() const;
 
     /// Returns the requests in flight by target id and model.
     ModelRuns modelRuns() const;
 
 private:
     struct RemoteLoad {
-        uint32_t inFlight { 0 };
+        TargetUse load;
         TimePoint at;
     };
     struct TargetState {
         TargetRecord record;
         int64_t revision { 0 };
-        uint32_t inFlight { 0 };
+        TargetUse load;
         std::map<std::string, uint32_t> modelRuns; ///< Requests in flight by model.
         TimePoint suspectUntil;
         TimePoint fullUntil;
@@ -139,8 +153,11 @@
     using Targets = std::map<std::string, TargetState>;
 
     static std::string artifactOf(const TargetQuery& query);
+    /// Returns whether the target has as many prompts before it as are read without delaying its streams.
+    bool isReading(const TargetState& target, const TargetQuery& query, TimePoint now) const;
     double costOf(const TargetState& target, TimePoint now) const;
-    uint32_t remoteInFlight(const TargetState& target, TimePoint now) const;
+    /// Returns the load of all nodes at the target.
+    TargetUse totalLoad(const TargetState& target, TimePoint now) const;
 
     TargetRegistrySettings m_settings;
     Sharded<std::string, std::map<std::string, Targets>> m_services;
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -347,6 +347,7 @@
   typedef TargetLoadRow TableType;
   std::string target{};
   uint16_t in_flight = 0;
+  uint32_t unread_tokens = 0;
 };
 
 /// Requests of one node in flight at a target.
@@ -356,7 +357,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
-    VT_IN_FLIGHT = 6
+    VT_IN_FLIGHT = 6,
+    VT_UNREAD_TOKENS = 8
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -364,11 +366,16 @@
   uint16_t in_flight() const {
     return GetField<uint16_t>(VT_IN_FLIGHT, 0);
   }
+  /// Prompt tokens of requests that the target has not begun to answer.
+  uint32_t unread_tokens() const {
+    return GetField<uint32_t>(VT_UNREAD_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
            VerifyField<uint16_t>(verifier, VT_IN_FLIGHT, 2) &&
+           VerifyField<uint32_t>(verifier, VT_UNREAD_TOKENS, 4) &&
            verifier.EndTable();
   }
   TargetLoadRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -386,6 +393,9 @@
   void add_in_flight(uint16_t in_flight) {
     fbb_.AddElement<uint16_t>(TargetLoadRow::VT_IN_FLIGHT, in_flight, 0);
   }
+  void add_unread_tokens(uint32_t unread_tokens) {
+    fbb_.AddElement<uint32_t>(TargetLoadRow::VT_UNREAD_TOKENS, unread_tokens, 0);
+  }
   explicit TargetLoadRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -401,8 +411,10 @@
 inline flatbuffers::Offset<TargetLoadRow> CreateTargetLoadRow(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
-    uint16_t in_flight = 0) {
+    uint16_t in_flight = 0,
+    uint32_t unread_tokens = 0) {
   TargetLoadRowBuilder builder_(_fbb);
+  builder_.add_unread_tokens(unread_tokens);
   builder_.add_target(target);
   builder_.add_in_flight(in_flight);
   return builder_.Finish();
@@ -416,12 +428,14 @@
 inline flatbuffers::Offset<TargetLoadRow> CreateTargetLoadRowDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
-    uint16_t in_flight = 0) {
+    uint16_t in_flight = 0,
+    uint32_t unread_tokens = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return cyclamenstair::schema::CreateTargetLoadRow(
       _fbb,
       target__,
-      in_flight);
+      in_flight,
+      unread_tokens);
 }
 
 flatbuffers::Offset<TargetLoadRow> CreateTargetLoadRow(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1260,6 +1274,7 @@
   (void)_resolver;
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = in_flight(); _o->in_flight = _e; }
+  { auto _e = unread_tokens(); _o->unread_tokens = _e; }
 }
 
 inline flatbuffers::Offset<TargetLoadRow> TargetLoadRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1272,10 +1287,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetLoadRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _target = _fbb.CreateString(_o->target);
   auto _in_flight = _o->in_flight;
+  auto _unread_tokens = _o->unread_tokens;
   return cyclamenstair::schema::CreateTargetLoadRow(
       _fbb,
       _target,
-      _in_flight);
+      _in_flight,
+      _unread_tokens);
 }
 
 inline ModelRunsRowT *ModelRunsRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -19,7 +19,7 @@
     , m_settings(&settings)
     , m_services(services)
 {
-    m_query = { m_facts.service, m_facts.model, m_facts.adapter, {} };
+    m_query = { m_facts.service, m_facts.model, m_facts.adapter, {}, m_facts.promptTokens, false };
 }
 
 std::vector<RequestAction> RequestMachine::start(TimePoint now)
@@ -57,6 +57,7 @@
         return;
     const auto& head = event.head;
     m_lastProgress = now;
+    m_services.targets->notePromptRead(*m_target);
     if (!head.isOwn || (isSuccess(head.status) && !head.hasReceipt)) {
         // An answer to another request, or bytes that no target vouches for. Its connection cannot be used any more.
         actions.emplace_back(CancelAttempt { m_attempt });
@@ -215,6 +216,9 @@
         timeOut(now, actions);
         return;
     }
+    const auto patience
+        = std::chrono::duration_cast<Duration>(m_facts.route.targetLatency * m_settings->promptWaitShare);
+    m_query.mayWait = m_facts.promptTokens > 0 && m_sends == 0 && now < m_facts.receivedAt + patience;
     std::visit(Overloaded {
                    [&](const AcquiredTarget& target) { beginAttempt(target, now, actions); },
                    [&](TargetShortage shortage) { waitForTarget(shortage, now, actions); },
@@ -231,6 +235,7 @@
     ++m_attempt;
     ++m_sends;
     m_query.excluded.insert(target.id);
+    m_query.mayWait = false;
     m_phase = Phase::Sent;
     m_lastProgress = now;
     StartAttempt start { m_attempt, target, deadline() - now, std::nullopt, std::min(m_facts.route.priority, 9U) };
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -18,6 +18,9 @@
     /// Longest wait for a target, as a share of the route's target latency. A caller that is told early can try again;
     /// one that is held up loses its time.
     double waitShare { 0.5 };
+    /// Longest wait for a target that has fewer prompts before it, as a share of the route's target latency. The target
+    /// needs the rest for the prompt itself.
+    double promptWaitShare { 0.4 };
     /// Time after which a caller may come back when no target holds what it needs: a decision, an unload and a load.
     Duration absentRetryAfter { milliseconds(1500) };
     /// Time after which a caller may come back when targets are full.
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -7,11 +7,11 @@
 
 TEST(EntryMessageCodec, KeepsALoadShare)
 {
-    const LoadShare share { "node-1", { { "i-1", 4 } }, { { { "drafting", "draft", "a1" }, { 2.5, 7, 3 } } },
+    const LoadShare share { "node-1", { { "i-1", { 4, 2600 } } }, { { { "drafting", "draft", "a1" }, { 2.5, 7, 3 } } },
         { { "i-1", { { "draft", 3 } } } } };
     const auto decoded = std::get<LoadShare>(decodeEntryMessage(encodeEntryMessage(share)));
     EXPECT_EQ(decoded.node, "node-1");
-    EXPECT_EQ(decoded.inFlight, share.inFlight);
+    EXPECT_EQ(decoded.loads, share.loads);
     EXPECT_EQ(decoded.modelRuns, share.modelRuns);
     ASSERT_EQ(decoded.demands.size(), 1U);
     const auto& [artifact, load] = *decoded.demands.begin();
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -38,7 +38,7 @@
 
 PlannerInput inputOf(const EngineProfile& engine, std::vector<PlannerTarget> targets)
 {
-    return { "drafting", &engine, std::move(targets), {}, 1 };
+    return { "drafting", &engine, std::move(targets), {}, 1, 0 };
 }
 
 } // namespace
@@ -175,6 +175,20 @@
     EXPECT_EQ(orders[0].model, "m3");
 }
 
+// A load takes up to ten seconds, so demand that moves to a model with one copy would wait for the second one.
+TEST(ResidencyPlanner, RoomThatIsLeftGetsSecondCopies)
+{
+    const auto engine = profile(3);
+    auto input = inputOf(engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0" }) });
+    EXPECT_TRUE(plan(input).empty());
+    input.spareLoads = 1;
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Load);
+    EXPECT_EQ(orders[0].target, "i-2");
+    EXPECT_NE(orders[0].model, "m0");
+}
+
 // A load takes seconds, or fails with its engine; until then the model would be served nowhere.
 TEST(ResidencyPlanner, CopyThatIsBeingLoadedReplacesNone)
 {
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -46,12 +46,12 @@
     }
 
     /// Starts a node and waits until it is ready.
-    std::unique_ptr<EntryNode> startNode(const std::string& id = "node-1")
+    std::unique_ptr<EntryNode> startNode(const std::string& id = "node-1", const std::string& peers = {})
     {
         auto settings = SettingsReader::create("[node]\nmode = Registered\nid = " + id + "\n[entry]\nlisten = "
             + (front = freeLoopbackAddress()) + "\nready_listen = " + (ready = freeLoopbackAddress())
-            + "\nmetrics_listen = " + (metrics = freeLoopbackAddress())
-            + "\ngrace_s = 8\n[control]\nstore = " + store.address() + "\norder_gap_ms = 200\n");
+            + "\nmetrics_listen = " + (metrics = freeLoopbackAddress()) + "\ngrace_s = 8\n" + peers
+            + "[control]\nstore = " + store.address() + "\norder_gap_ms = 200\n");
         auto node = EntryNode::create(settings.value());
         EXPECT_TRUE(node) << node.error().describe();
         EXPECT_TRUE(eventually([&] { return probe() == 200; }));
@@ -276,6 +276,30 @@
     EXPECT_TRUE(eventually([&] { return request("/safe/x", "s").body.starts_with("i-2"); }));
 }
 
+// All processes may be killed while the store is away; a node that starts then serves with what a peer has read.
+TEST_F(EntryNodeTest, StartsFromAPeerWhileTheStoreIsDown)
+{
+    const auto peer = freeLoopbackAddress();
+    const auto first = startNode("node-1", "peer_listen = " + peer + "\n");
+    store.setDown(true);
+    const auto second = startNode("node-2", "peer_listen = " + freeLoopbackAddress() + "\nseeds = " + peer + "\n");
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(request("/safe/x", "r-" + std::to_string(i)).head.status, 200U);
+}
+
+// Nodes that were all killed serve again from the store alone, at new addresses.
+TEST_F(EntryNodeTest, ServesAgainAfterAllNodesWereKilled)
+{
+    std::vector<std::unique_ptr<EntryNode>> nodes;
+    for (const auto* id : { "node-1", "node-2" })
+        nodes.push_back(startNode(id));
+    nodes.clear();
+    for (const auto* id : { "node-1", "node-2" })
+        nodes.push_back(startNode(id));
+    EXPECT_EQ(request("/safe/x", "r-1").head.status, 200U);
+    EXPECT_TRUE(eventually([&] { return store.value("control/holder").has_value(); }));
+}
+
 // A planned stop turns the probe, and cuts off no request in progress.
 TEST_F(EntryNodeTest, PlannedStopLetsRequestsEnd)
 {
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -116,9 +116,9 @@
 {
     registry.update(engine("i-1"), 1);
     const auto target = std::get<AcquiredTarget>(acquire(draft));
-    EXPECT_EQ(registry.inFlight().at("i-1"), 1U);
+    EXPECT_EQ(registry.loads().at("i-1").inFlight, 1U);
     registry.release(target, draft, TargetVerdict::Good, now);
-    EXPECT_EQ(registry.inFlight().at("i-1"), 0U);
+    EXPECT_EQ(registry.loads().at("i-1").inFlight, 0U);
 }
 
 // Each node sees a part of the requests only; what the others have in flight counts until it is out of date.
@@ -126,12 +126,47 @@
 {
     registry.update(engine("i-1"), 1);
     registry.update(engine("i-2"), 2);
-    registry.noteRemote("node-2", { { "i-1", 6 } }, now);
+    registry.noteRemote("node-2", { { "i-1", { 6, 0 } } }, now);
     for (int i = 0; i < 6; ++i)
         EXPECT_EQ(acquiredId(draft), "i-2");
     EXPECT_EQ(acquiredId(draft, now + std::chrono::seconds(3)), "i-1");
 }
 
+// Prompts that an engine reads one after the other hold up the events of all its streams.
+TEST_F(TargetRegistryTest, PromptsWaitWhileAnEngineHasEnoughBeforeIt)
+{
+    registry.update(engine("i-1"), 1);
+    TargetQuery query = draft;
+    query.promptTokens = 1500;
+    query.mayWait = true;
+    auto first = std::get<AcquiredTarget>(acquire(query));
+    EXPECT_EQ(acquiredId(query), "prompts_unread");
+    registry.notePromptRead(first);
+    EXPECT_EQ(first.unreadTokens, 0U);
+    const auto second = std::get<AcquiredTarget>(acquire(query));
+    EXPECT_EQ(acquiredId(query), "prompts_unread");
+    // A request whose time is short does not wait.
+    query.mayWait = false;
+    EXPECT_EQ(acquiredId(query), "i-1");
+    query.mayWait = true;
+    registry.release(second, query, TargetVerdict::Good, now);
+    registry.release(first, query, TargetVerdict::Good, now);
+    EXPECT_EQ(registry.loads().at("i-1").unreadTokens, 1500U);
+}
+
+// A prompt that is longer than the limit is read alone; it must not wait for ever.
+TEST_F(TargetRegistryTest, LongPromptGoesToAnEngineThatReadsNothing)
+{
+    registry.update(engine("i-1"), 1);
+    registry.update(engine("i-2"), 2);
+    registry.noteRemote("node-2", { { "i-1", { 1, 900 } } }, now);
+    TargetQuery query = draft;
+    query.promptTokens = 4000;
+    query.mayWait = true;
+    EXPECT_EQ(acquiredId(query), "i-2");
+    EXPECT_EQ(acquiredId(query), "prompts_unread");
+}
+
 TEST(DemandCounter, CountsRequestsInProgressAndForgetsOldArrivals)
 {
     DemandCounter demand;
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -104,6 +104,7 @@
     EXPECT_EQ(decoded.path, "/x/1");
     EXPECT_EQ(decoded.model, "m");
     EXPECT_EQ(decoded.adapter, "a2");
+    EXPECT_EQ(decoded.promptTokens, 1460U);
     EXPECT_EQ(decoded.patience, milliseconds(1500));
 }
 
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -52,7 +52,12 @@
         facts.route.timeout = milliseconds(5000);
         facts.route.targetLatency = milliseconds(600);
         facts.route.gapTarget = milliseconds(300);
-        machine = std::make_unique<RequestMachine>(
+        machine = machineFor(facts);
+    }
+
+    std::unique_ptr<RequestMachine> machineFor(const RequestFacts& facts)
+    {
+        return std::make_unique<RequestMachine>(
             facts, settings, RequestServices { &targets, &retries, &demand, &random });
     }
 
@@ -83,6 +88,29 @@
     EXPECT_TRUE(bench.machine->isOver());
 }
 
+// A prompt waits for an engine that has read the ones before it, but goes before its own time is over.
+TEST(RequestMachine, PromptWaitsForAShareOfItsTime)
+{
+    Bench bench(RepeatRule::Once);
+    RequestFacts facts = bench.machine->facts();
+    facts.promptTokens = 1500;
+    std::vector<std::unique_ptr<RequestMachine>> reading;
+    for (int i = 0; i < 3; ++i) {
+        reading.push_back(bench.machineFor(facts));
+        ASSERT_TRUE(find<StartAttempt>(reading.back()->start(start)));
+    }
+    const auto next = bench.machineFor(facts);
+    const auto last = bench.machineFor(facts);
+    EXPECT_TRUE(next->start(start).empty());
+    EXPECT_TRUE(last->start(start).empty());
+    // A target that has read its prompt takes the next one.
+    (void)reading[0]->handle(AnswerBegan { 1, good() }, start + milliseconds(50));
+    EXPECT_TRUE(find<StartAttempt>(next->handle(TimerFired {}, start + milliseconds(60))));
+    EXPECT_FALSE(find<StartAttempt>(last->handle(TimerFired {}, start + milliseconds(60))));
+    const auto patience = milliseconds(240);
+    EXPECT_TRUE(find<StartAttempt>(last->handle(TimerFired {}, start + patience)));
+}
+
 // A booking whose connection broke after it was sent may have run: it is neither sent again nor refused as not run.
 TEST(RequestMachine, SentWorkThatRunsOnceIsNotRepeated)
 {
@@ -360,7 +388,7 @@
     RC_ASSERT(seen.ends <= 1);
     if (!bench.machine->isOver())
         (void)bench.machine->handle(CallerLeft {}, now);
-    for (const auto& [id, inFlight] : bench.targets.inFlight())
-        RC_ASSERT(inFlight == 0);
+    for (const auto& [id, load] : bench.targets.loads())
+        RC_ASSERT(load.inFlight == 0);
     RC_ASSERT(!bench.machine->wakeAt().has_value());
 }
