Test what the last read found unguarded

Cause: reading the change line by line, no test failed without the notice that tells other nodes of a finished load, the counts by model that the planner gets, the suspects that are asked sooner, or the division in RetryBudget itself. Change: a test for each. A variable in a test hid a member of its fixture. Ruled out: a change of behaviour; the code differs in comments only.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -8,7 +8,8 @@
 namespace {
 
     /// What a request in flight for a model at an engine adds to the cost of an unload there, in requests per copy. The
-    /// unload waits for the last of them, some seconds, and the engine takes no other order meanwhile.
+    /// unload waits for the last of them, some seconds, and the engine takes no other order meanwhile. High enough that
+    /// among models of similar demand a copy that runs nothing goes first.
     constexpr double waitPerRun = 2;
     /// What weights that are at hand take off the cost, as their load is several times faster.
     constexpr double cachedAdvantage = 0.5;
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -25,8 +25,8 @@
     /// Prompt tokens that an engine may have before it unread when it is sent another prompt. A step reads up to 2,048
     /// tokens in some 100 ms, and an event of three steps is on time within 300 ms.
     uint32_t maxUnreadTokens { 1800 };
-    /// Load, in requests per slot, that this many unread tokens count as. They take as much of an engine's time as a
-    /// tenth of its running requests.
+    /// Load, in requests per slot, that this many unread tokens count as. They are read within some 100 ms, while
+    /// running requests stay for seconds, so they decide among targets that are about equally loaded only.
     double unreadWeight { 0.1 };
     /// Time after a refusal for a missing model during which the target's entry is not believed for that model.
     Duration absentPause { milliseconds(1500) };
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -280,9 +280,9 @@
 TEST_F(EntryNodeTest, StartsFromAPeerWhileTheStoreIsDown)
 {
     const auto peer = freeLoopbackAddress();
-    const auto first = startNode("node-1", "peer_listen = " + peer + "\n");
+    const auto known = startNode("node-1", "peer_listen = " + peer + "\n");
     store.setDown(true);
-    const auto second = startNode("node-2", "peer_listen = " + freeLoopbackAddress() + "\nseeds = " + peer + "\n");
+    const auto started = startNode("node-2", "peer_listen = " + freeLoopbackAddress() + "\nseeds = " + peer + "\n");
     for (int i = 0; i < 5; ++i)
         EXPECT_EQ(request("/safe/x", "r-" + std::to_string(i)).head.status, 200U);
 }
@@ -313,6 +313,24 @@
     EXPECT_EQ(runsOf("after"), 0);
 }
 
+// While the store is away it tells nobody that a load is done; the other nodes must hear of it from the holder. The
+// entry of this engine is written once and never names the second model.
+TEST_F(EntryNodeTest, OtherNodesHearOfALoadFromTheHolder)
+{
+    const auto peer = freeLoopbackAddress();
+    const auto holder = startNode("node-1", "peer_listen = " + peer + "\n");
+    EXPECT_TRUE(eventually([&] { return store.value("control/holder") == "node-1"; }));
+    const auto other = startNode("node-2", "peer_listen = " + freeLoopbackAddress() + "\nseeds = " + peer + "\n");
+    RegisteredTargetStandIn engine { "i-7", "drafting", { "m1" } };
+    registerTarget(engine);
+    EXPECT_TRUE(eventually([&] { return engine.models().contains("m2"); }));
+    int sent = 0;
+    EXPECT_TRUE(eventually([&] {
+        const auto id = "m-" + std::to_string(++sent);
+        return request("/model/stream", id, { { "Cyclamenstair-Model", "m2" } }).head.status == 200;
+    }));
+}
+
 // One node at a time orders loads, with a fencing number that grows when another takes over.
 TEST_F(EntryNodeTest, HolderLoadsMissingModelsAndIsReplaced)
 {
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -132,6 +132,29 @@
     EXPECT_EQ(acquiredId(draft, now + std::chrono::seconds(3)), "i-1");
 }
 
+// The holder of the order lease takes room where few requests run, so it must know them by model, also when they end.
+TEST_F(TargetRegistryTest, CountsRequestsByModel)
+{
+    registry.update(engine("i-1", { { "draft", {} }, { "summary", {} } }), 1);
+    const TargetQuery summary { "drafting", "summary", {}, {} };
+    const auto target = std::get<AcquiredTarget>(acquire(draft));
+    (void)acquire(summary);
+    (void)acquire(summary);
+    EXPECT_EQ(registry.modelRuns(), (ModelRuns { { "i-1", { { "draft", 1 }, { "summary", 2 } } } }));
+    registry.release(target, draft, TargetVerdict::Good, now);
+    EXPECT_EQ(registry.modelRuns(), (ModelRuns { { "i-1", { { "summary", 2 } } } }));
+}
+
+// A target that fails requests is asked for a report soon; one that works again is not.
+TEST_F(TargetRegistryTest, FailedTargetIsSuspectUntilItWorks)
+{
+    registry.update(engine("i-1"), 1);
+    registry.release(std::get<AcquiredTarget>(acquire(draft)), draft, TargetVerdict::Failed, now);
+    EXPECT_EQ(registry.suspects(now), (std::set<std::string> { "i-1" }));
+    registry.release(std::get<AcquiredTarget>(acquire(draft)), draft, TargetVerdict::Good, now);
+    EXPECT_TRUE(registry.suspects(now).empty());
+}
+
 // Prompts that an engine reads one after the other hold up the events of all its streams.
 TEST_F(TargetRegistryTest, PromptsWaitWhileAnEngineHasEnoughBeforeIt)
 {
--- a/Tests/RoutingTests/BudgetTests.cpp
+++ b/Tests/RoutingTests/BudgetTests.cpp
@@ -67,6 +67,23 @@
         }
     }
 
+    // Guards against many nodes that each round a part of less than one retry up to a whole one.
+    TEST(RetryBudget, PartsBelowHalfARetryComeFromAttemptsOnly)
+    {
+        RetryBudget budget({ 0.25, 1, 8 }, { 1, 1e6, 1e6 });
+        budget.setNodes(4);
+        EXPECT_TRUE(budget.take("target", start));
+        EXPECT_TRUE(budget.take("target", start));
+        EXPECT_FALSE(budget.take("target", start));
+        budget.setNodes(20);
+        const auto later = start + std::chrono::minutes(10);
+        EXPECT_FALSE(budget.take("target", later));
+        for (int i = 0; i < 4; ++i)
+            budget.countAttempt("target", later);
+        EXPECT_TRUE(budget.take("target", later));
+        EXPECT_FALSE(budget.take("target", later));
+    }
+
     // Guards against a quiet node whose requests can never be repeated.
     TEST(RetryBudget, RefillsWithTimeAlone)
     {
