Spend weight loads on models that requests wait for

An engine that was loading another model for 9 s had room, so no room was made elsewhere. Only an engine that is free now counts as room for a model that is asked for. - Four of eight loads in that window were for models without a request, and three had been refused (421, the engine had restarted under another id). From 1.5 arrivals a second on a model has two, which yield only to a model without any. - A model with 31 adapters kept four copies after demand had left it. Adapters load within 30 ms, so places for all of them are kept only while the model is asked for. An order's answer of 5xx no longer counts as a refusal: the engine may have begun.

--- a/Cyclamenstair/Control/LoadWindow.cpp
+++ b/Cyclamenstair/Control/LoadWindow.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Control/LoadWindow.h>
 
+#include <algorithm>
+
 namespace cyclamenstair {
 
 bool LoadWindow::mayLoad(double loadsPerSecond, TimePoint now)
@@ -11,4 +13,11 @@
     return static_cast<double>(m_loads.size()) + 1 <= loadsPerSecond * toSeconds(window);
 }
 
+void LoadWindow::takeBack(TimePoint countedAt)
+{
+    const auto counted = std::find(m_loads.begin(), m_loads.end(), countedAt);
+    if (counted != m_loads.end())
+        m_loads.erase(counted);
+}
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Control/LoadWindow.h
+++ b/Cyclamenstair/Control/LoadWindow.h
@@ -29,6 +29,9 @@
     /// Counts a load that was ordered, or may have been.
     void count(TimePoint now) { m_loads.push_back(now); }
 
+    /// Takes back the load counted at `countedAt`, which the target refused.
+    void takeBack(TimePoint countedAt);
+
 private:
     TimePoint m_firstWindowEnd;
     std::deque<TimePoint> m_loads;
--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -33,6 +33,8 @@
     placeMissingModels(true);
     placeOtherAdapters();
     placeFurtherCopies();
+    // Loads that no request waits for leave a part of the weight store's rate free for those that may come.
+    m_weightLoads = std::min(m_weightLoads, m_input->spareLoads);
     placeMissingModels(false);
     placeSpareCopies();
     return std::move(m_orders);
@@ -42,17 +44,24 @@
 {
     const auto& profile = *m_input->engine;
     for (const auto& model : profile.models) {
-        ModelState state { &model };
-        if (profile.adapterSlots > 0)
-            state.leastCopies = std::max(1U, (model.adapterCount + profile.adapterSlots - 1) / profile.adapterSlots);
-        m_models.emplace(model.name, state);
+        m_models.emplace(model.name, ModelState { &model });
     }
     for (const auto& [artifact, demand] : m_input->demand) {
         const auto model = m_models.find(artifact.model);
-        if (artifact.service == m_input->service && model != m_models.end())
-            model->second.busy += demand.inProgress;
-        if (artifact.service == m_input->service && model != m_models.end())
-            model->second.isAskedFor = true;
+        if (artifact.service != m_input->service || model == m_models.end())
+            continue;
+        auto& state = model->second;
+        state.busy += demand.inProgress;
+        state.arrivalsPerSecond += demand.arrivalsPerSecond;
+        state.isAskedFor = true;
+        // An adapter is loaded within milliseconds, so a model that nobody asks for needs no places for all of its own.
+        if (profile.adapterSlots > 0)
+            state.leastCopies
+                = std::max(1U, (state.model->adapterCount + profile.adapterSlots - 1) / profile.adapterSlots);
+    }
+    for (auto& [name, state] : m_models) {
+        const bool needsSecond = state.arrivalsPerSecond >= m_settings->arrivalsForSecondCopy;
+        state.steadyCopies = std::max(needsSecond ? 2U : 1U, state.leastCopies);
     }
     for (const auto& target : m_input->targets) {
         Engine engine { &target,
@@ -121,12 +130,13 @@
 void ResidencyPlanner::placeFurtherCopies()
 {
     const auto wanted = busiestModels();
+    const bool isNoneBusy = busyShare(*wanted.front()) <= m_settings->busyPerCopy;
     for (auto* state : wanted) {
         if (state->copies == 0)
             continue;
-        // Copies for the sake of adapter places use the weight store's rate only if no busy model needs it.
-        const bool isShort = state->copies + state->reserved < state->leastCopies
-            && busyShare(*wanted.front()) <= m_settings->busyPerCopy;
+        // Busy models come first in the use of the weight store's rate.
+        const bool isShort
+            = state->copies + state->reserved < state->steadyCopies && (isNoneBusy || m_input->spareLoads > 0);
         const bool isBusy = busyShare(*state) > m_settings->busyPerCopy;
         if (isShort || isBusy)
             placeCopy(*state);
@@ -196,7 +206,9 @@
 bool ResidencyPlanner::isRoomAhead(const ModelState& wanted) const
 {
     return std::any_of(m_engines.begin(), m_engines.end(), [&](const Engine& engine) {
-        return engine.target->isOrderable && !engine.target->isLeaving && engine.target->reservedFor.empty()
+        // An engine in the middle of a load keeps a model waiting that is asked for.
+        const bool isInTime = engine.isFree || !wanted.isAskedFor;
+        return isInTime && engine.target->isOrderable && !engine.target->isLeaving && engine.target->reservedFor.empty()
             && !holds(engine, wanted.model->name)
             && engine.usedMib + wanted.model->weightsMib <= m_input->engine->weightsMib;
     });
@@ -228,9 +240,12 @@
         const bool isCached = engine.target->report.cachedModels.contains(wanted.model->name);
         for (const auto& held : engine.target->report.models) {
             const auto victim = m_models.find(held.name);
-            if (victim == m_models.end() || victim->second.copies <= victim->second.leastCopies)
+            if (victim == m_models.end())
                 continue;
             auto& state = victim->second;
+            // A second copy yields to a model without one only.
+            if (state.copies <= (wanted.copies > 0 ? state.steadyCopies : state.leastCopies))
+                continue;
             // A copy that is being loaded replaces none that serves.
             if (state.usable <= 1)
                 continue;
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -20,6 +20,9 @@
     /// Requests in progress that the other copies of a model may have each, at most, after one is given up for a model
     /// without a copy. The slots of an engine: beyond them, requests for the model that yields would wait instead.
     double mostBusyPerCopy { 64.0 };
+    /// Arrivals a second from which on a model has at least two copies, so that it is served when an engine is lost and
+    /// while further copies are made for a rise. A few percent of the requests of a service.
+    double arrivalsForSecondCopy { 1.5 };
     uint32_t adaptersInTransitPerTarget { 4 }; ///< Limit of the engines.
     uint32_t adapterOrdersAtOnce { 12 }; ///< Over all targets; more slow each other down at the weight store.
 };
@@ -46,7 +49,7 @@
     std::vector<PlannerTarget> targets;
     std::map<ArtifactKey, ArtifactLoad> demand; ///< Over all nodes.
     uint32_t weightLoads { 0 }; ///< Loads from the weight store that may begin now.
-    uint32_t spareLoads { 0 }; ///< Loads among them that may be spent on copies that no request waits for.
+    uint32_t spareLoads { 0 }; ///< Loads among them that may be spent on models that no request waits for.
 };
 
 /// Decides which models and adapters the engines of a service hold.
@@ -75,8 +78,10 @@
         uint32_t usable { 0 }; ///< Copies among them that serve requests now.
         uint32_t reserved { 0 }; ///< Copies for which room was made and whose load has not begun.
         double busy { 0 }; ///< Requests in progress or waiting.
+        double arrivalsPerSecond { 0 };
         bool isAskedFor { false }; ///< Requests arrived lately.
-        uint32_t leastCopies { 1 }; ///< Copies needed to have places for all adapters.
+        uint32_t leastCopies { 1 }; ///< Copies needed to have places for all adapters, while the model is asked for.
+        uint32_t steadyCopies { 1 }; ///< Copies that the model has while no busy model needs the weight store's rate.
     };
 
     void countCopies();
--- a/Cyclamenstair/Control/TargetOrder.h
+++ b/Cyclamenstair/Control/TargetOrder.h
@@ -30,6 +30,7 @@
     Conflict, ///< Another order is in progress, or orders have been accepted that the sender does not know of.
     OldFence, ///< A newer holder has given orders.
     Refused, ///< Any other refusal; nothing was done.
+    Unclear, ///< Any other answer; the order may be carried out.
 };
 
 template <> struct EnumNames<OrderAnswer> {
@@ -39,6 +40,7 @@
         { OrderAnswer::Conflict, "conflict" },
         { OrderAnswer::OldFence, "old_fence" },
         { OrderAnswer::Refused, "refused" },
+        { OrderAnswer::Unclear, "unclear" },
     });
 };
 
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -260,10 +260,11 @@
         return;
     }
     m_caller.call(endpoint.value(), encodeOrderCall(record.address, order, right), orderTimeout,
-        [this, record, order](const HttpOutcome& outcome) { onAnswer(record, order, outcome); });
+        [this, record, order, now](const HttpOutcome& outcome) { onAnswer(record, order, now, outcome); });
 }
 
-void OrderDispatcher::onAnswer(const TargetRecord& record, const TargetOrder& order, const HttpOutcome& outcome)
+void OrderDispatcher::onAnswer(
+    const TargetRecord& record, const TargetOrder& order, TimePoint sentAt, const HttpOutcome& outcome)
 {
     auto& known = m_known[record.id];
     known.isOrdering = false;
@@ -289,6 +290,9 @@
             announceModels(record, known);
         return;
     }
+    // A refused load did not begin, so it takes nothing of the weight store's rate.
+    if (result != OrderAnswer::Unclear && known.isLoadingFromStore && m_loads)
+        m_loads->takeBack(sentAt);
     known.uncertainUntil = monotonicNow() + reportLag;
     known.reservedFor.clear();
     if (result == OrderAnswer::OldFence) {
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -52,7 +52,7 @@
     void plan();
     void planService(const CatalogService& service);
     void send(const TargetRecord& record, const TargetOrder& order, double loadsPerSecond);
-    void onAnswer(const TargetRecord& record, const TargetOrder& order, const HttpOutcome& outcome);
+    void onAnswer(const TargetRecord& record, const TargetOrder& order, TimePoint sentAt, const HttpOutcome& outcome);
     /// Tells the other nodes which models a target holds, if that has changed. They hear of it from the store, too,
     /// unless that is away.
     void announceModels(const TargetRecord& record, Known& known);
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -126,15 +126,25 @@
 void RequestExchange::perform(const ForwardHead& action)
 {
     observe(Metric::FirstByteSeconds);
+    m_firstByteAt = monotonicNow();
+    m_lastByteAt = m_firstByteAt;
     m_caller->sendHead(m_head, action.bodyBytes);
 }
 
-void RequestExchange::perform(const ForwardData& action) { m_caller->sendData(action.data); }
+void RequestExchange::perform(const ForwardData& action)
+{
+    const auto now = monotonicNow();
+    m_longestPause = std::max(m_longestPause, now - m_lastByteAt);
+    m_lastByteAt = now;
+    m_caller->sendData(action.data);
+}
 
 void RequestExchange::perform(const FinishAnswer&)
 {
     log("answered",
-        { { "status", std::to_string(m_head.status) }, { "target", m_acquired.id }, { "elapsed_ms", elapsedText() } });
+        { { "status", std::to_string(m_head.status) }, { "target", m_acquired.id },
+            { "first_byte_ms", std::to_string(toMilliseconds(m_firstByteAt - m_machine.facts().receivedAt)) },
+            { "longest_pause_ms", std::to_string(toMilliseconds(m_longestPause)) }, { "elapsed_ms", elapsedText() } });
     m_loop->state().metrics.add(Metric::Requests, std::to_string(m_head.status));
     observe(Metric::RequestSeconds);
     m_caller->setLeaveHandler(nullptr);
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -47,6 +47,9 @@
     std::shared_ptr<ClientConnection> m_target;
     AcquiredTarget m_acquired;
     HttpAnswerHead m_head; ///< Of the present attempt's answer.
+    TimePoint m_firstByteAt; ///< When the head was sent to the caller.
+    TimePoint m_lastByteAt;
+    Duration m_longestPause { 0 }; ///< Between parts of the answer, as sent to the caller.
 };
 
 } // namespace cyclamenstair
--- a/Tests/ControlTests/OrderLeaseTests.cpp
+++ b/Tests/ControlTests/OrderLeaseTests.cpp
@@ -150,3 +150,17 @@
         EXPECT_LE(static_cast<double>(inWindow), bound);
     }
 }
+
+// Guards against a rate that is used up by orders which targets refused, for example because they had just restarted.
+TEST(LoadWindow, RefusedLoadsTakeNothingOfTheRate)
+{
+    const TimePoint start;
+    LoadWindow loads(start);
+    const auto later = start + LoadWindow::window;
+    EXPECT_TRUE(loads.mayLoad(0.2, later));
+    loads.count(later);
+    EXPECT_FALSE(loads.mayLoad(0.2, later));
+    loads.takeBack(later);
+    EXPECT_TRUE(loads.mayLoad(0.2, later));
+    loads.takeBack(later);
+}
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -46,12 +46,76 @@
 TEST(ResidencyPlanner, LoadsAModelWithoutACopy)
 {
     const auto engine = profile(2);
-    const auto orders = plan(inputOf(engine, { target("i-1", { "m0" }) }));
+    auto input = inputOf(engine, { target("i-1", { "m0" }) });
+    input.spareLoads = 1;
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Load);
+    EXPECT_EQ(orders[0].model, "m1");
+}
+
+// Guards against a rate that is used up by models that nobody asks for, just before one is asked for that was lost.
+TEST(ResidencyPlanner, ModelThatNobodyAsksForLeavesAPartOfTheRate)
+{
+    const auto engine = profile(2);
+    auto input = inputOf(engine, { target("i-1", { "m0" }) });
+    EXPECT_TRUE(plan(input).empty());
+    input.demand[{ "drafting", "m1", {} }] = { 1, 1, 1 };
+    EXPECT_EQ(plan(input).size(), 1U);
+}
+
+// Guards against a model that is lost with its only engine while many ask for it; a load takes up to ten seconds.
+TEST(ResidencyPlanner, ModelThatIsAskedForOftenGetsASecondCopy)
+{
+    const auto engine = profile(5);
+    auto input = inputOf(
+        engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m3" }), target("i-3", { "m4" }) });
+    input.demand[{ "drafting", "m1", {} }] = { 0.2, 1, 0 };
+    EXPECT_TRUE(plan(input).empty());
+    input.demand[{ "drafting", "m1", {} }] = { 9, 5, 0 };
+    const auto orders = plan(input);
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(orders[0].kind, OrderKind::Load);
     EXPECT_EQ(orders[0].model, "m1");
 }
 
+// An engine takes no order for the seconds of a load, so its room does not help a model that is asked for.
+TEST(ResidencyPlanner, RoomOfABusyEngineKeepsNoRequestsWaiting)
+{
+    const auto engine = profile(5);
+    auto input = inputOf(
+        engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m1", "m2" }), target("i-3", { "m3" }) });
+    input.targets[2].report.isBusy = true;
+    input.targets[2].loadingModel = "m3";
+    input.demand[{ "drafting", "m4", {} }] = { 1, 9, 9 };
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, OrderKind::Unload);
+    EXPECT_EQ(orders[0].roomFor, "m4");
+}
+
+// Guards against places that stay taken for the adapters of a model after demand has left it.
+TEST(ResidencyPlanner, AdapterPlacesAreKeptOnlyForModelsThatAreAskedFor)
+{
+    const auto engine = profile(4, 24);
+    auto input = inputOf(engine,
+        { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m1", "m3" }),
+            target("i-3", { "m0", "m1", "m3" }) });
+    input.demand[{ "drafting", "m2", {} }] = { 9, 90, 0 };
+    for (auto& target : input.targets)
+        target.hasIncomingAdapter = true; // No adapter can be ordered, so that the round goes to models.
+    const auto displaced = [&] {
+        for (const auto& order : plan(input)) {
+            if (order.kind == OrderKind::Unload && order.roomFor == "m2")
+                return order.model;
+        }
+        return std::string();
+    };
+    EXPECT_EQ(displaced(), "m0");
+    input.demand[{ "drafting", "m0", {} }] = { 1, 1, 0 };
+    EXPECT_EQ(displaced(), "m1");
+}
+
 // The weight store's rate bounds loads that are not at hand; those that are at hand are free.
 TEST(ResidencyPlanner, LoadsFromTheWeightStoreOnlyWithinItsRate)
 {
@@ -151,6 +215,7 @@
     const auto engine = profile(2);
     auto input = inputOf(engine, { target("i-1", { "m0" }), target("i-2", { "m1" }) });
     input.targets[1].isOrderable = false;
+    input.demand[{ "drafting", "m1", {} }] = { 1, 1, 0 };
     EXPECT_TRUE(plan(input).empty());
     input.targets[1].isReachable = false;
     const auto orders = plan(input);
