Begin at a stopping node what ends before the node does

Where fewer than half of a zone's nodes are ready the platform sends connections to all of them, so a stopping node gets new callers until its end. Change: 2.9 s after the notice a request is refused only if its deadline lies after the end of the grace period. After the requests have ended, the node refuses all new ones and waits for those that came in between. The deadline of a request moved from RequestMachine to RequestFacts, which both need.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -16,7 +16,8 @@
     /// Time from the turn of the readiness probe until connections are closed after their answers: two probes, one each
     /// second, and a margin.
     constexpr Duration drainNotice = milliseconds(2500);
-    /// Time from the begin of a stop until new requests are refused; later ones might not end within the grace period.
+    /// Time from the begin of a stop until new requests are refused that might not end within the grace period. Callers
+    /// still come: a zone with few ready nodes gets connections at all of its nodes.
     constexpr Duration refuseNotice = milliseconds(2900);
     /// Part of the grace period that is left for the end of the process.
     constexpr Duration endMargin = milliseconds(1000);
@@ -154,8 +155,11 @@
     std::this_thread::sleep_for(std::min(drainNotice, grace / 2));
     m_callers->closeConnections();
     std::this_thread::sleep_until(begin + std::min(refuseNotice, grace / 2));
-    m_state.isRefusing = true;
-    waitForRequests(begin + grace);
+    const auto end = begin + grace;
+    m_state.workEndsBy = end;
+    waitForRequests(end);
+    m_state.workEndsBy = TimePoint::min();
+    waitForRequests(end);
     logEvent(LogSeverity::Info, "node_stopped",
         { { "requests_cut", std::to_string(m_state.requestsInProgress.load()) },
             { "elapsed_ms", std::to_string(toMilliseconds(monotonicNow() - begin)) } });
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -25,12 +25,16 @@
     Metrics metrics;
     std::atomic<bool> areTargetsKnown { false };
     std::atomic<bool> isStopping { false };
-    std::atomic<bool> isRefusing { false }; ///< New requests are refused, because the process ends before they would.
+    /// New requests that may last longer are refused, because the process ends before.
+    std::atomic<TimePoint> workEndsBy { TimePoint::max() };
     std::atomic<uint32_t> requestsInProgress { 0 };
 
     /// Takes the number of nodes that are known; they share the allowance for extra attempts.
     void noteNodes(size_t known);
 
+    /// Returns whether a request with the given deadline ends before the process does.
+    bool mayBegin(TimePoint deadline) const { return deadline <= workEndsBy.load(); }
+
     /// Returns whether the node should get new connections.
     bool isReady() const { return !isStopping && areTargetsKnown && catalog.current() != nullptr; }
 
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -30,13 +30,6 @@
 void RequestExchange::begin(RequestLoop& loop, const std::shared_ptr<ServerConnection>& caller, HttpRequest request)
 {
     const auto decoded = decodeRequest(request);
-    if (loop.state().isRefusing) {
-        logRequestEvent(decoded.id, "answered_by_node", { { "outcome", "not_run" }, { "reason", "stopping" } });
-        caller->answer(
-            encodeOwnAnswer({ OwnAnswer::NotRun, "stopping", loop.state().flowSettings.fullRetryAfter }, decoded.id),
-            {});
-        return;
-    }
     const auto current = loop.state().catalog.current();
     const Route* route = current ? current->routes.find(decoded.host, decoded.path) : nullptr;
     if (!route) {
@@ -46,9 +39,16 @@
         caller->answer(encodeNoRoute(current != nullptr, decoded.id), {});
         return;
     }
-    auto exchange = std::make_shared<RequestExchange>(
-        loop, caller, std::move(request), factsOf(decoded, *route, loop.random(), monotonicNow()));
-    exchange->start();
+    auto facts = factsOf(decoded, *route, loop.random(), monotonicNow());
+    if (!loop.state().mayBegin(facts.deadline())) {
+        logRequestEvent(decoded.id, "answered_by_node",
+            { { "route", route->name }, { "outcome", "not_run" }, { "reason", "stopping" } });
+        loop.state().metrics.add(Metric::Refusals, "stopping");
+        // Other nodes can take the request at once.
+        caller->answer(encodeOwnAnswer({ OwnAnswer::NotRun, "stopping", Duration(0) }, decoded.id), {});
+        return;
+    }
+    std::make_shared<RequestExchange>(loop, caller, std::move(request), std::move(facts))->start();
 }
 
 RequestExchange::RequestExchange(
--- a/Cyclamenstair/RequestFlow/RequestFacts.h
+++ b/Cyclamenstair/RequestFlow/RequestFacts.h
@@ -16,6 +16,9 @@
     uint32_t promptTokens { 0 }; ///< As the caller states them; 0 if it does not.
     TimePoint receivedAt;
     std::optional<Duration> callerPatience; ///< Time that the caller waits, counted from the receipt.
+
+    /// Returns when the request must have its final answer.
+    TimePoint deadline() const;
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -43,7 +43,7 @@
 {
     if (m_phase == Phase::Over)
         return std::nullopt;
-    TimePoint wake = deadline();
+    TimePoint wake = m_facts.deadline();
     if (m_phase == Phase::Waiting)
         wake = std::min(wake, m_nextSearch);
     if (const auto limit = silenceLimit())
@@ -169,7 +169,7 @@
 
 void RequestMachine::on(const TimerFired&, TimePoint now, Actions& actions)
 {
-    if (now >= deadline()) {
+    if (now >= m_facts.deadline()) {
         timeOut(now, actions);
         return;
     }
@@ -212,7 +212,7 @@
 
 void RequestMachine::seekTarget(TimePoint now, Actions& actions)
 {
-    if (now >= deadline()) {
+    if (now >= m_facts.deadline()) {
         timeOut(now, actions);
         return;
     }
@@ -238,7 +238,8 @@
     m_query.mayWait = false;
     m_phase = Phase::Sent;
     m_lastProgress = now;
-    StartAttempt start { m_attempt, target, deadline() - now, std::nullopt, std::min(m_facts.route.priority, 9U) };
+    StartAttempt start { m_attempt, target, m_facts.deadline() - now, std::nullopt,
+        std::min(m_facts.route.priority, 9U) };
     if (!m_lastEventId.empty())
         start.resumeAfter = m_lastEventId;
     actions.emplace_back(std::move(start));
@@ -312,7 +313,7 @@
         AnswerByNode own { answer, reason, std::nullopt };
         if (answer == OwnAnswer::NotRun)
             own.retryAfter = std::min(m_attempt == 0 ? m_settings->absentRetryAfter : m_settings->fullRetryAfter,
-                std::chrono::duration_cast<Duration>((deadline() - now) * m_settings->retryAfterShare));
+                std::chrono::duration_cast<Duration>((m_facts.deadline() - now) * m_settings->retryAfterShare));
         actions.emplace_back(std::move(own));
     }
     finish();
@@ -336,15 +337,6 @@
     m_phase = Phase::Over;
 }
 
-TimePoint RequestMachine::deadline() const
-{
-    auto limit = m_facts.callerPatience;
-    if (m_facts.route.timeout > Duration::zero())
-        limit = std::min(limit.value_or(m_facts.route.timeout), m_facts.route.timeout);
-    constexpr Duration unboundedRequest = std::chrono::minutes(10);
-    return m_facts.receivedAt + limit.value_or(unboundedRequest);
-}
-
 std::optional<TimePoint> RequestMachine::silenceLimit() const
 {
     const auto& route = m_facts.route;
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -107,7 +107,6 @@
     ArtifactKey artifact() const { return { m_facts.service, m_facts.model, m_facts.adapter }; }
     bool isPresent(uint32_t attempt) const { return m_target && attempt == m_attempt; }
     bool isStream() const { return m_facts.route.repeatRule == RepeatRule::Stream; }
-    TimePoint deadline() const;
     std::optional<TimePoint> silenceLimit() const;
 
     RequestFacts m_facts;
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -308,11 +308,25 @@
     EXPECT_TRUE(eventually([&] { return probe() == 503; }));
     EXPECT_EQ(request("/safe/x", "during").head.status, 200U);
     stopped.wait();
-    // Later ones are refused, as they might not end in time.
     EXPECT_EQ(request("/safe/x", "after").head.status, 503U);
     EXPECT_EQ(runsOf("after"), 0);
 }
 
+// Guards against a stopping node that turns away what it could still answer, and against one that begins what it would
+// cut off. Callers keep coming where few nodes of their zone are ready.
+TEST_F(EntryNodeTest, StoppingNodeBeginsWhatEndsInTime)
+{
+    auto node = startNode();
+    auto stopped = std::async(std::launch::async, [&] { node->stop(); });
+    EXPECT_TRUE(eventually([&] { return request("/stream/x", "long").head.status == 503U; }));
+    EXPECT_EQ(request("/safe/x", "short").head.status, 200U);
+    const auto refused = request("/stream/x", "late");
+    EXPECT_EQ(refused.head.status, 503U);
+    EXPECT_EQ(fieldValue(refused.head.fields, "Retry-After"), "0.000");
+    EXPECT_EQ(runsOf("late"), 0);
+    stopped.wait();
+}
+
 // While the store is away it tells nobody that a load is done; the other nodes must hear of it from the holder. The
 // entry of this engine is written once and never names the second model.
 TEST_F(EntryNodeTest, OtherNodesHearOfALoadFromTheHolder)
