Plan a pool only once the state of its engines is known

The coordinator then plans without it and places its model on another engine. If the first engine ignores fencing and its order had no answer, both places stay reserved for good and the third model finds none. Change: a pool is not planned while the record or the report of one of its engines is missing, at most for 5 s. After that the engine takes part in nothing, as before, but now also if it was read once: its models were kept there for ever, unless the VM list dropped it.

TakeoverWaitsForAnEngineThatIsNotRead/IgnoreFencing failed before with the symptom above.

--- a/Cyclamenstair/Node/Coordinator.cpp
+++ b/Cyclamenstair/Node/Coordinator.cpp
@@ -13,6 +13,11 @@
     /// Gossip intervals after the start or a pause within which the heartbeats of the other members arrive.
     constexpr int64_t settlingIntervals = 4;
 
+    /// Longest time for which a pool is not planned because the state of one of its engines is not known. Its models
+    /// would be placed a second time, and where the engine ignores fencing both places stay reserved. The state is read
+    /// again within a second or two unless the engine or the store is lost; then its models are placed elsewhere.
+    constexpr Duration unreadLimit = milliseconds(5000);
+
     PlacementPolicy policyFrom(schema::PlacementPolicyKind kind)
     {
         if (kind == schema::PlacementPolicyKind::FollowDemand)
@@ -146,6 +151,7 @@
 
 void Coordinator::updateWorkers(const std::vector<VmInfo>& vms, const std::set<std::string>& ownTargets)
 {
+    std::erase_if(m_unreadSince, [&](const auto& row) { return !ownTargets.contains(row.first); });
     for (const auto& vm : vms) {
         if (!ownTargets.contains(vm.id))
             continue;
@@ -198,18 +204,27 @@
 void Coordinator::decide(const std::string& pool, const std::vector<VmInfo>& vms, const Plan& plan, TimePoint now)
 {
     std::vector<TargetSnapshot> snapshots;
+    bool isStateMissing = false;
     for (const auto& vm : vms) {
         const auto worker = m_workers.find(vm.id);
-        if (worker != m_workers.end())
-            snapshots.push_back(worker->second->snapshot());
+        if (worker == m_workers.end())
+            continue;
+        auto snapshot = worker->second->snapshot();
+        // A target whose state is not known takes part in nothing.
+        if (snapshot.isOwned && snapshot.isRead) {
+            m_unreadSince.erase(vm.id);
+            snapshots.push_back(std::move(snapshot));
+        } else {
+            isStateMissing |= now - m_unreadSince.try_emplace(vm.id, now).first->second < unreadLimit;
+        }
     }
+    if (isStateMissing)
+        return;
     PlacementInput input { &plan, {}, m_demand->fleetDemand(now),
         { m_weightLoads.freeSlots(), m_adapterLoads.freeSlots() }, now };
     for (const auto& snapshot : snapshots) {
-        // A target whose state is not known takes part in nothing.
-        if (snapshot.isOwned)
-            input.targets.push_back({ snapshot.vm.id, snapshot.vm.failureDomain, snapshot.vm.memoryBytes,
-                snapshot.isLeaving, &snapshot.ledger, snapshot.isOrderable });
+        input.targets.push_back({ snapshot.vm.id, snapshot.vm.failureDomain, snapshot.vm.memoryBytes,
+            snapshot.isLeaving, &snapshot.ledger, snapshot.isOrderable });
     }
     auto& policy = m_policies.try_emplace(pool, policyFrom(m_settings.placement->policy)).first->second;
     const auto decision = decidePlacement(policy, input);
--- a/Cyclamenstair/Node/Coordinator.h
+++ b/Cyclamenstair/Node/Coordinator.h
@@ -58,6 +58,7 @@
     std::map<std::string, PlacementPolicy> m_policies; ///< By pool.
     std::map<std::string, std::vector<std::string>> m_unplaced; ///< As logged last, by pool.
     Workers m_workers; ///< By target.
+    std::map<std::string, TimePoint> m_unreadSince; ///< Since when the target's state is not known, by target.
     TimePoint m_lastStep;
     TimePoint m_settledAt;
     std::mutex m_publishMutex; ///< Keeps an older status from being published over a newer one.
--- a/Cyclamenstair/Node/TargetWorker.cpp
+++ b/Cyclamenstair/Node/TargetWorker.cpp
@@ -22,7 +22,7 @@
     , m_onChange(std::move(onChange))
     , m_onOrderEnd(std::move(onOrderEnd))
     , m_operator(store, evidence, vm, settings.orderTimeout)
-    , m_snapshot { vm, false, false, vm.state == VmState::Leaving, TargetLedger(vm.id) }
+    , m_snapshot { vm, false, false, false, vm.state == VmState::Leaving, TargetLedger(vm.id) }
     , m_isLeavingInList(vm.state == VmState::Leaving)
     , m_healthThread("target_health", [this] { return readHealth(); })
     , m_thread("target", [this] { return step(); })
@@ -80,11 +80,13 @@
         dropOrders();
         if (m_operator.isOwner()) {
             m_operator.release();
+            setRead(false);
             updateSnapshot(false);
         }
         return inactiveInterval;
     }
     const bool isPrepared = m_operator.prepare();
+    setRead(isPrepared);
     if (isPrepared)
         carryOutOrders();
     else
@@ -146,6 +148,12 @@
     return healthInterval;
 }
 
+void TargetWorker::setRead(bool isRead)
+{
+    std::lock_guard lock(m_mutex);
+    m_snapshot.isRead = isRead;
+}
+
 void TargetWorker::updateSnapshot(bool isPrepared)
 {
     {
--- a/Cyclamenstair/Node/TargetWorker.h
+++ b/Cyclamenstair/Node/TargetWorker.h
@@ -13,6 +13,7 @@
 struct TargetSnapshot {
     VmInfo vm;
     bool isOwned { false }; ///< This node may order the target.
+    bool isRead { false }; ///< Owned, and the last report that was asked for could be read.
     bool isOrderable { false }; ///< Owned, its report could be read, and no order is waiting or in progress.
     bool isLeaving { false }; ///< The VM list or the engine says so.
     TargetLedger ledger;
@@ -57,6 +58,7 @@
     void dropOrders();
     std::optional<PlacementOrder> nextOrder();
     void updateSnapshot(bool isPrepared);
+    void setRead(bool isRead);
 
     TargetWorkerSettings m_settings;
     std::string m_target;
--- a/Tests/NodeTests/PlacementTests.cpp
+++ b/Tests/NodeTests/PlacementTests.cpp
@@ -60,9 +60,14 @@
                 EXPECT_TRUE(m_fleet.waitUntilReachable(artifact, node, reachLimitMs)) << artifact;
         }
 
-        void expectNoOvercommit()
+        void expectNoOvercommit() { expectNoOvercommitBut(""); }
+
+        /// Checks the engines but the given one, which does not answer.
+        void expectNoOvercommitBut(const std::string& lost)
         {
             for (int engine = 0; engine < 3; ++engine) {
+                if (lost == "engine-" + std::to_string(engine))
+                    continue;
                 const auto log = ProcessFleet::fetchJson(m_fleet.engineAddress(engine), "/log");
                 EXPECT_EQ(log["overcommits"], 0) << log["artifacts"].dump();
             }
@@ -110,6 +115,23 @@
         expectReachable({ "a", "b", "c" }, otherNode());
     }
 
+    // Guards against a takeover that places a model elsewhere before it has read the engine that may yet load it. If
+    // that engine ignores fencing, both places stay reserved and a third model finds none.
+    TEST_P(PlacementProcesses, TakeoverWaitsForAnEngineThatIsNotRead)
+    {
+        setEngineFaults({ { "late_orders", 1 }, { "late_order_ms", 6000 } });
+        ASSERT_EQ(m_fleet.acceptPlan(sheetOf({ "a", "b" })), 0);
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+        m_fleet.killNode(coordinator());
+        // Equal engines are filled in the order of the VM list.
+        m_fleet.engine(0).signal(SIGSTOP);
+        ASSERT_EQ(m_fleet.acceptPlan(sheetOf({ "a", "b", "c" }), otherNode()), 0);
+        std::this_thread::sleep_for(std::chrono::milliseconds(5000));
+        m_fleet.engine(0).signal(SIGCONT);
+        expectReachable({ "a", "b", "c" }, otherNode());
+        expectNoOvercommit();
+    }
+
     // Guards against orders of a coordinator that wakes after another node took its targets over.
     TEST_P(PlacementProcesses, CoordinatorPausedBeyondTheTakeover)
     {
@@ -183,6 +205,26 @@
         expectNoOvercommit();
     }
 
+    // Guards against a model that stays with a lost engine which the VM list still names.
+    TEST_P(PlacementProcesses, ModelOfALostEngineIsPlacedElsewhere)
+    {
+        ASSERT_EQ(m_fleet.acceptPlan(sheetOf({ "a", "b" })), 0);
+        expectReachable({ "a", "b" }, otherNode());
+        const auto lost = holderOf("a", otherNode());
+        m_fleet.killEngine(std::stoi(lost.substr(std::string("engine-").size())));
+        EXPECT_TRUE(m_fleet.waitUntil(
+            [&] {
+                const auto status = m_fleet.status(otherNode());
+                return status
+                    && std::any_of((*status)["targets"].begin(), (*status)["targets"].end(), [&](const auto& target) {
+                           const auto& held = target["artifacts"];
+                           return target["target"] != lost && std::find(held.begin(), held.end(), "a") != held.end();
+                       });
+            },
+            reachLimitMs));
+        expectNoOvercommitBut(lost);
+    }
+
     // Guards against a hand-over that waits for the heartbeat's time-out although the coordinator stops as planned.
     TEST_P(PlacementProcesses, StoppedCoordinatorGivesItsTargetsBack)
     {
