Log the answers of targets that are not passed on

The line `attempt_answered` now has the status and what the target states. RefusedWorkIsAnsweredAsNotRun checks it.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+    constexpr uint32_t firstErrorStatus = 400;
+
     RequestFacts factsOf(const CallerRequest& decoded, const Route& route, Random& random, TimePoint now)
     {
         RequestFacts facts;
@@ -174,6 +176,7 @@
     std::visit(Overloaded {
                    [&](AnswerHeadRead& read) {
                        const auto head = decodeAnswerHead(read.head, m_machine.facts().id);
+                       logFailedAnswer(attempt, head);
                        // The head of the first answer stays; a stream that goes on elsewhere adds events only.
                        if (!m_machine.isHeadSent())
                            m_head = std::move(read.head);
@@ -199,6 +202,19 @@
         event);
 }
 
+void RequestExchange::logFailedAnswer(uint32_t attempt, const AnswerFacts& head)
+{
+    const bool isSuccess = head.status < firstErrorStatus && head.isOwn && head.hasReceipt;
+    if (isSuccess)
+        return;
+    const auto text = [](bool value) { return value ? "true" : "false"; };
+    log("attempt_answered",
+        { { "attempt", std::to_string(attempt) }, { "target", m_acquired.id },
+            { "status", std::to_string(head.status) }, { "not_run", text(head.isNotRun) },
+            { "other_instance", text(head.isOtherInstance) }, { "own", text(head.isOwn) },
+            { "receipt", text(head.hasReceipt) } });
+}
+
 void RequestExchange::closeAttempt()
 {
     if (m_target)
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -31,6 +31,8 @@
     void perform(const BreakAnswer& action);
     void perform(const AnswerByNode& action);
     void onTargetEvent(uint32_t attempt, ClientEvent event);
+    /// Logs an answer that is not the target's own success, before the machine decides what becomes of it.
+    void logFailedAnswer(uint32_t attempt, const AnswerFacts& head);
     void closeAttempt();
     void armTimer();
     void log(std::string_view event, std::initializer_list<LogField> fields);
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -173,8 +173,10 @@
     }
 }
 
+// The log must show why a target's answer was not passed on.
 TEST_F(EntryNodeTest, RefusedWorkIsAnsweredAsNotRun)
 {
+    testing::internal::CaptureStdout();
     const auto node = startNode();
     first.setBehaviour(TargetBehaviour::Refuse);
     second.setBehaviour(TargetBehaviour::Refuse);
@@ -182,6 +184,9 @@
     EXPECT_EQ(answer.head.status, 503U);
     EXPECT_TRUE(fieldValue(answer.head.fields, "Retry-After"));
     EXPECT_EQ(runsOf("r-1"), 0);
+    const auto log = testing::internal::GetCapturedStdout();
+    EXPECT_NE(log.find("event=attempt_answered request=r-1"), std::string::npos);
+    EXPECT_NE(log.find("status=503 not_run=true"), std::string::npos);
 }
 
 // An answer that belongs to another request must not reach the caller.
