Ask callers back after the load of a missing model

Cause: a caller refused for a missing model was told to come back after 1.5 s, or less than a third of its time. Change: the time to come back is that of the decision plus the model's load time, at most 0.6 of the time that the caller has left (0.3 before). RequestFacts has the load time, from the catalog.

RequestMachine.CallerComesBackAfterTheLoadOfAMissingModel is new.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -7,13 +7,27 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace cyclamenstair {
 
 namespace {
 
     constexpr uint32_t firstErrorStatus = 400;
 
-    RequestFacts factsOf(const CallerRequest& decoded, const Route& route, Random& random, TimePoint now)
+    Duration loadTimeOf(const ServiceCatalog& catalog, const std::string& serviceName, const std::string& modelName)
+    {
+        const auto service = catalog.services.find(serviceName);
+        if (service == catalog.services.end() || !service->second.engine)
+            return {};
+        const auto& models = service->second.engine->models;
+        const auto model
+            = std::find_if(models.begin(), models.end(), [&](const auto& row) { return row.name == modelName; });
+        return model == models.end() ? Duration(0) : model->loadTime;
+    }
+
+    RequestFacts factsOf(
+        const CallerRequest& decoded, const ServiceCatalog& catalog, const Route& route, Random& random, TimePoint now)
     {
         RequestFacts facts;
         facts.id = decoded.id;
@@ -21,6 +35,7 @@
         facts.service = serviceFor(route, randomUnit(random));
         facts.model = decoded.model;
         facts.adapter = decoded.adapter;
+        facts.modelLoadTime = loadTimeOf(catalog, facts.service, facts.model);
         facts.promptTokens = decoded.promptTokens;
         facts.receivedAt = now;
         facts.callerPatience = decoded.patience;
@@ -41,7 +56,7 @@
         caller->answer(encodeNoRoute(current != nullptr, decoded.id), {});
         return;
     }
-    auto facts = factsOf(decoded, *route, loop.random(), monotonicNow());
+    auto facts = factsOf(decoded, current->catalog, *route, loop.random(), monotonicNow());
     if (!loop.state().mayBegin(facts.deadline())) {
         logRequestEvent(decoded.id, "answered_by_node",
             { { "route", route->name }, { "outcome", "not_run" }, { "reason", "stopping" } });
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -312,13 +312,21 @@
     } else {
         AnswerByNode own { answer, reason, std::nullopt };
         if (answer == OwnAnswer::NotRun)
-            own.retryAfter = std::min(m_attempt == 0 ? m_settings->absentRetryAfter : m_settings->fullRetryAfter,
-                std::chrono::duration_cast<Duration>((m_facts.deadline() - now) * m_settings->retryAfterShare));
+            own.retryAfter = retryAfter(reason, now);
         actions.emplace_back(std::move(own));
     }
     finish();
 }
 
+Duration RequestMachine::retryAfter(const std::string& reason, TimePoint now) const
+{
+    auto wait = m_attempt == 0 ? m_settings->absentRetryAfter : m_settings->fullRetryAfter;
+    if (reason == nameOf(TargetShortage::ModelAbsent))
+        wait += m_facts.modelLoadTime;
+    return std::min(
+        wait, std::chrono::duration_cast<Duration>((m_facts.deadline() - now) * m_settings->retryAfterShare));
+}
+
 void RequestMachine::timeOut(TimePoint now, Actions& actions)
 {
     const bool isAttemptRunning = m_target.has_value();
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -21,12 +21,13 @@
     /// Longest wait for a target that has fewer prompts before it, as a share of the route's target latency. The target
     /// needs the rest for the prompt itself.
     double promptWaitShare { 0.4 };
-    /// Time after which a caller may come back when no target holds what it needs: a decision, an unload and a load.
+    /// Time after which a caller may come back when no target holds what it needs, beside the load of a model: a
+    /// decision and an unload, or the arrival of a target.
     Duration absentRetryAfter { milliseconds(1500) };
     /// Time after which a caller may come back when targets are full.
     Duration fullRetryAfter { milliseconds(300) };
-    /// Largest part of the caller's time that it is asked to stay away.
-    double retryAfterShare { 0.3 };
+    /// Largest part of the rest of the caller's time that it is asked to stay away; the remainder is for the answer.
+    double retryAfterShare { 0.6 };
     /// Largest answer that is held back until it is complete, so that one that breaks off can be replaced.
     size_t maxHeldBytes { 65536 };
     /// Silence within a resumable stream, as a multiple of the route's gap target, after which it goes on elsewhere.
@@ -102,6 +103,8 @@
     void waitForTarget(TargetShortage shortage, TimePoint now, Actions& actions);
     void setWaitingCount(bool isWaiting);
     void giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions);
+    /// Returns when a caller whose request has not run may come back.
+    Duration retryAfter(const std::string& reason, TimePoint now) const;
     void timeOut(TimePoint now, Actions& actions);
     void finish();
     ArtifactKey artifact() const { return { m_facts.service, m_facts.model, m_facts.adapter }; }
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -88,6 +88,28 @@
     EXPECT_TRUE(bench.machine->isOver());
 }
 
+// Guards against a caller that comes back while the model is still being loaded and is refused once more.
+TEST(RequestMachine, CallerComesBackAfterTheLoadOfAMissingModel)
+{
+    Bench bench(RepeatRule::Stream);
+    RequestFacts facts = bench.machine->facts();
+    facts.model = "m";
+    facts.callerPatience = milliseconds(10000);
+    facts.route.timeout = milliseconds(10000);
+    const auto waitFor = [&](Duration loadTime) {
+        facts.modelLoadTime = loadTime;
+        const auto machine = bench.machineFor(facts);
+        EXPECT_FALSE(find<AnswerByNode>(machine->start(start)));
+        const auto actions = machine->handle(TimerFired {}, start + milliseconds(300));
+        const auto* answer = find<AnswerByNode>(actions);
+        EXPECT_TRUE(answer && answer->answer == OwnAnswer::NotRun);
+        return answer ? answer->retryAfter.value_or(Duration(0)) : Duration(0);
+    };
+    EXPECT_EQ(waitFor(milliseconds(2300)), milliseconds(3800));
+    // Enough of its time is left for the answer.
+    EXPECT_EQ(waitFor(milliseconds(9000)), (milliseconds(10000) - milliseconds(300)) * 6 / 10);
+}
+
 // A prompt waits for an engine that has read the ones before it, but goes before its own time is over.
 TEST(RequestMachine, PromptWaitsForAShareOfItsTime)
 {
