Choose the time to come back by the typed shortage

RequestMachine compared the text of the reason with the name of a shortage. It passes the shortage on now; no decision changed.

--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -290,7 +290,8 @@
     // registration.
     const auto patience = std::chrono::duration_cast<Duration>(m_facts.route.targetLatency * m_settings->waitShare);
     if (m_sends > 0 || now >= m_facts.receivedAt + patience) {
-        giveUp(m_mayHaveRun ? OwnAnswer::Failed : OwnAnswer::NotRun, std::string(nameOf(shortage)), now, actions);
+        giveUp(m_mayHaveRun ? OwnAnswer::Failed : OwnAnswer::NotRun, std::string(nameOf(shortage)), now, actions,
+            shortage);
         return;
     }
     setWaitingCount(true);
@@ -305,23 +306,24 @@
     m_isCountedAsWaiting = isWaiting;
 }
 
-void RequestMachine::giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions)
+void RequestMachine::giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions,
+    std::optional<TargetShortage> shortage)
 {
     if (m_isHeadSent) {
         actions.emplace_back(BreakAnswer {});
     } else {
         AnswerByNode own { answer, reason, std::nullopt };
         if (answer == OwnAnswer::NotRun)
-            own.retryAfter = retryAfter(reason, now);
+            own.retryAfter = retryAfter(shortage, now);
         actions.emplace_back(std::move(own));
     }
     finish();
 }
 
-Duration RequestMachine::retryAfter(const std::string& reason, TimePoint now) const
+Duration RequestMachine::retryAfter(std::optional<TargetShortage> shortage, TimePoint now) const
 {
     auto wait = m_attempt == 0 ? m_settings->absentRetryAfter : m_settings->fullRetryAfter;
-    if (reason == nameOf(TargetShortage::ModelAbsent))
+    if (shortage == TargetShortage::ModelAbsent)
         wait += m_facts.modelLoadTime;
     return std::min(
         wait, std::chrono::duration_cast<Duration>((m_facts.deadline() - now) * m_settings->retryAfterShare));
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -102,9 +102,11 @@
     void switchTo(const AcquiredTarget& target, TargetVerdict verdict, TimePoint now, Actions& actions);
     void waitForTarget(TargetShortage shortage, TimePoint now, Actions& actions);
     void setWaitingCount(bool isWaiting);
-    void giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions);
+    /// Ends the request with an answer of the node; `shortage` is what it waited for in vain.
+    void giveUp(OwnAnswer answer, const std::string& reason, TimePoint now, Actions& actions,
+        std::optional<TargetShortage> shortage = std::nullopt);
     /// Returns when a caller whose request has not run may come back.
-    Duration retryAfter(const std::string& reason, TimePoint now) const;
+    Duration retryAfter(std::optional<TargetShortage> shortage, TimePoint now) const;
     void timeOut(TimePoint now, Actions& actions);
     void finish();
     ArtifactKey artifact() const { return { m_facts.service, m_facts.model, m_facts.adapter }; }
