--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -130,13 +130,13 @@
 void ResidencyPlanner::placeFurtherCopies()
 {
     const auto wanted = busiestModels();
-    const bool isNoneBusy = busyShare(*wanted.front()) <= m_settings->busyPerCopy;
+    const bool isAnyBusy = busyShare(*wanted.front()) > m_settings->busyPerCopy;
     for (auto* state : wanted) {
         if (state->copies == 0)
             continue;
         // Busy models come first in the use of the weight store's rate.
         const bool isShort
-            = state->copies + state->reserved < state->steadyCopies && (isNoneBusy || m_input->spareLoads > 0);
+            = state->copies + state->reserved < state->steadyCopies && (!isAnyBusy || m_input->spareLoads > 0);
         const bool isBusy = busyShare(*state) > m_settings->busyPerCopy;
         if (isShort || isBusy)
             placeCopy(*state);
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -152,11 +152,11 @@
         m_holder.stop();
         m_registrar.stop();
     });
-    // Callers are led elsewhere.
+    // Serves as before until the platform sends new connections elsewhere.
     std::this_thread::sleep_for(std::min(drainNotice, grace / 2));
     m_callers->closeConnections();
     std::this_thread::sleep_until(begin + std::min(refuseNotice, grace / 2));
-    // What still comes is begun if it ends in time; at last nothing is.
+    // Begins only requests that end in time, and at last none.
     const auto end = begin + grace;
     m_state.workEndsBy = end;
     waitForRequests(end);
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -14,6 +14,7 @@
     constexpr uint32_t accepted = 202;
     constexpr uint32_t conflict = 409;
     constexpr uint32_t oldFence = 412;
+    constexpr uint32_t otherInstance = 421;
     constexpr uint32_t misdirected = 421;
     constexpr uint32_t unavailable = 503;
     constexpr int streamEvents = 5;
@@ -144,6 +145,11 @@
 
 void RegisteredTargetStandIn::takeOrder(const std::shared_ptr<ServerConnection>& caller, const std::string& body)
 {
+    if (m_isRefusingOrders) {
+        ++m_refusedOrders;
+        caller->answer({ otherInstance, {}, {} }, {});
+        return;
+    }
     const auto order = Json::parse(body);
     std::lock_guard lock(m_mutex);
     const auto fence = order.at("fence").get<int64_t>();
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -44,6 +44,12 @@
 
     void setBehaviour(TargetBehaviour behaviour) { m_behaviour = behaviour; }
 
+    /// From now on all orders are refused, as by another instance at the target's address.
+    void refuseOrders() { m_isRefusingOrders = true; }
+
+    /// Returns the number of orders that were refused that way.
+    int refusedOrders() const { return m_refusedOrders; }
+
     /// Ids of the requests that ran, with how often each did.
     std::map<std::string, int> runs();
 
@@ -70,6 +76,8 @@
     std::unique_ptr<ServerListener> m_listener;
     std::atomic<TargetBehaviour> m_behaviour { TargetBehaviour::Answer };
     std::atomic<int> m_abandoned { 0 };
+    std::atomic<bool> m_isRefusingOrders { false };
+    std::atomic<int> m_refusedOrders { 0 };
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
     std::set<std::string> m_models;
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -79,6 +79,34 @@
     EXPECT_EQ(orders[0].model, "m1");
 }
 
+// Guards against second copies that are made for safety while requests of a busy model wait for the rate.
+TEST(ResidencyPlanner, SecondCopyWaitsForBusyModels)
+{
+    const auto engine = profile(5);
+    auto input = inputOf(
+        engine, { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m0", "m3" }), target("i-3", { "m4", "m0" }) });
+    input.demand[{ "drafting", "m0", {} }] = { 50, 300, 0 };
+    input.demand[{ "drafting", "m1", {} }] = { 9, 5, 0 };
+    EXPECT_TRUE(plan(input).empty());
+    input.spareLoads = 1;
+    const auto orders = plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].model, "m1");
+}
+
+// Guards against a second copy that is given up for a further copy of a busy model, and made again right after.
+TEST(ResidencyPlanner, SecondCopyYieldsToNoFurtherCopy)
+{
+    const auto engine = profile(6);
+    auto input = inputOf(engine,
+        { target("i-1", { "m0", "m1", "m2" }), target("i-2", { "m1", "m3", "m4" }),
+            target("i-3", { "m0", "m5", "m3" }) });
+    input.demand[{ "drafting", "m0", {} }] = { 50, 300, 0 };
+    for (const auto* model : { "m1", "m3" })
+        input.demand[{ "drafting", model, {} }] = { 9, 5, 0 };
+    EXPECT_TRUE(plan(input).empty());
+}
+
 // An engine takes no order for the seconds of a load, so its room does not help a model that is asked for.
 TEST(ResidencyPlanner, RoomOfABusyEngineKeepsNoRequestsWaiting)
 {
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -1,3 +1,4 @@
+#include <Cyclamenstair/Control/LoadWindow.h>
 #include <Cyclamenstair/Entry/EntryNode.h>
 #include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
@@ -16,7 +17,7 @@
 
 constexpr auto patience = std::chrono::seconds(20);
 
-std::string catalogText(int version, const std::string& plainService = "plain")
+std::string catalogText(int version, const std::string& plainService = "plain", const std::string& loadsPerSecond = "4")
 {
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[
       {"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","timeout_ms":3000,"target_latency_ms":2000,"service":")"
@@ -25,7 +26,8 @@
       {"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":2000,"service":"plain","max_attempts":2,"resumable":true,"gap_target_ms":300},
       {"name":"model","host":"h","path_prefix":"/model/","kind":"streaming","timeout_ms":9000,"target_latency_ms":9000,"service":"drafting","max_attempts":2,"resumable":true,"gap_target_ms":300}],
      "services":[{"name":"plain","max_conns":100},{"name":"drafting","max_conns":100,"engine":{"slots":8,"kv_capacity":1000,
-       "weights_mb":230,"adapter_slots":8,"loads_per_s":4,
+       "weights_mb":230,"adapter_slots":8,"loads_per_s":)"
+        + loadsPerSecond + R"(,
        "models":[{"name":"m1","weights_mb":70,"load_s":0.1},{"name":"m2","weights_mb":70,"load_s":0.1}]}}],
      "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
@@ -200,10 +202,16 @@
 
 TEST_F(EntryNodeTest, BrokenStreamGoesOnWithoutAGap)
 {
+    testing::internal::CaptureStdout();
     const auto node = startNode();
     first.setBehaviour(TargetBehaviour::Cut);
     for (int i = 0; i < 4; ++i)
         EXPECT_EQ(request("/stream/x", "s-" + std::to_string(i)).body, wholeStream);
+    // The log tells how late the answer was, and why.
+    const auto log = testing::internal::GetCapturedStdout();
+    EXPECT_NE(log.find("event=answered request=s-3"), std::string::npos);
+    EXPECT_NE(log.find("first_byte_ms="), std::string::npos);
+    EXPECT_NE(log.find("longest_pause_ms="), std::string::npos);
 }
 
 // A stream that cannot go on ends visibly incomplete.
@@ -328,10 +336,33 @@
     const auto refused = request("/stream/x", "late");
     EXPECT_EQ(refused.head.status, 503U);
     EXPECT_EQ(fieldValue(refused.head.fields, "Retry-After"), "0.000");
+    EXPECT_NE(get(metrics, "/metrics").body.find("\"stopping\""), std::string::npos);
     EXPECT_EQ(runsOf("late"), 0);
     stopped.wait();
 }
 
+// Guards against orders that a target refused and that still use up the weight store's rate, here one load in 5 s, and
+// against a caller that is asked back before the model can be there.
+TEST_F(EntryNodeTest, RefusedLoadIsOrderedAgain)
+{
+    store.put("op/config", catalogText(1, "plain", "0.2"));
+    RegisteredTargetStandIn engine { "i-7", "drafting", { "m1" } };
+    engine.refuseOrders();
+    registerTarget(engine);
+    const auto node = startNode();
+    auto answer = std::async(std::launch::async, [&] {
+        return request("/model/stream", "missing", { { "Cyclamenstair-Model", "m2" } });
+    });
+    EXPECT_TRUE(eventually([&] { return engine.refusedOrders() >= 1; }));
+    const auto first = std::chrono::steady_clock::now();
+    EXPECT_TRUE(eventually([&] { return engine.refusedOrders() >= 2; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - first, LoadWindow::window);
+    const auto refused = answer.get();
+    EXPECT_EQ(refused.head.status, 503U);
+    // The decision and the load of 0.1 s.
+    EXPECT_EQ(fieldValue(refused.head.fields, "Retry-After"), "1.600");
+}
+
 // While the store is away it tells nobody that a load is done; the other nodes must hear of it from the holder. The
 // entry of this engine is written once and never names the second model.
 TEST_F(EntryNodeTest, OtherNodesHearOfALoadFromTheHolder)
