--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -17,17 +17,51 @@
         return static_cast<uint16_t>(std::min<uint32_t>(count, std::numeric_limits<uint16_t>::max()));
     }
 
-    schema::LoadShareT toRecord(const LoadShare& share)
+    using TargetLoadRows = std::vector<std::unique_ptr<schema::TargetLoadRowT>>;
+
+    TargetLoadRows toRows(const TargetWorkloads& loads)
     {
-        schema::LoadShareT record;
-        record.node = share.node;
-        for (const auto& [target, load] : share.loads) {
+        TargetLoadRows rows;
+        rows.reserve(loads.size());
+        for (const auto& [target, load] : loads) {
             auto row = std::make_unique<schema::TargetLoadRowT>();
             row->target = target;
             row->in_flight = saturatedCount(load.inFlight);
             row->unread_tokens = load.pendingPromptTokens;
-            record.targets.push_back(std::move(row));
+            rows.push_back(std::move(row));
         }
+        return rows;
+    }
+
+    TargetWorkloads fromRows(const TargetLoadRows& rows)
+    {
+        TargetWorkloads loads;
+        for (const auto& row : rows)
+            loads[row->target] = { row->in_flight, row->unread_tokens };
+        return loads;
+    }
+
+    schema::LoadShareT toRecord(const LoadShare& share)
+    {
+        schema::LoadShareT record;
+        record.node = share.node;
+        record.targets = toRows(share.loads);
+        record.collected = share.isCollected;
+        return record;
+    }
+
+    schema::LoadSummaryT toRecord(const LoadSummary& summary)
+    {
+        schema::LoadSummaryT record;
+        record.node = summary.node;
+        record.targets = toRows(summary.loads);
+        return record;
+    }
+
+    schema::DemandShareT toRecord(const DemandShare& share)
+    {
+        schema::DemandShareT record;
+        record.node = share.node;
         for (const auto& [artifact, load] : share.demands) {
             auto row = std::make_unique<schema::ArtifactLoadRowT>();
             row->service = artifact.service;
@@ -87,12 +121,10 @@
         return notice;
     }
 
-    LoadShare fromRecord(const schema::LoadShareT& record)
+    DemandShare fromRecord(const schema::DemandShareT& record)
     {
-        LoadShare share;
+        DemandShare share;
         share.node = record.node;
-        for (const auto& row : record.targets)
-            share.loads[row->target] = { row->in_flight, row->unread_tokens };
         for (const auto& row : record.demands)
             share.demands[{ row->service, row->model, row->adapter }]
                 = { row->arrivals_per_second, row->in_progress, row->waiting };
@@ -123,6 +155,8 @@
                    },
                    [&](const Snapshot& snapshot) { record.content.Set(toRecord(snapshot)); },
                    [&](const ResidencyNotice& notice) { record.content.Set(toRecord(notice)); },
+                   [&](const DemandShare& share) { record.content.Set(toRecord(share)); },
+                   [&](const LoadSummary& summary) { record.content.Set(toRecord(summary)); },
                },
         message);
     return packRecord<schema::EntryMessage>(record);
@@ -132,6 +166,10 @@
 {
     const auto record = unpackRecord<schema::EntryMessage>(bytes, "entry_message.decode");
     if (const auto* share = record.content.AsLoadShare())
+        return LoadShare { share->node, fromRows(share->targets), share->collected };
+    if (const auto* summary = record.content.AsLoadSummary())
+        return LoadSummary { summary->node, fromRows(summary->targets) };
+    if (const auto* share = record.content.AsDemandShare())
         return fromRecord(*share);
     if (const auto* request = record.content.AsSnapshotRequest())
         return SnapshotRequest { request->node };
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -9,16 +9,30 @@
 
 namespace cyclamenstair {
 
-/// Requests of one node in flight at each target, and the demand that it observes.
+/// Requests in flight at each target, of one node or of a collector's group.
 struct LoadShare {
-    std::string node;
-    std::map<std::string, TargetWorkload> loads; ///< By target id.
-    std::map<ArtifactKey, ArtifactWorkload> demands; ///< Sent only to the holder of the order lease.
-    InFlightByTargetAndModel modelRuns; ///< Sent only to the holder of the order lease.
+    std::string node; ///< The node, or the collector of the group.
+    TargetWorkloads loads;
+    bool isCollected { false }; ///< The loads are those of a collector and the nodes of its group.
 
     bool operator==(const LoadShare&) const = default;
 };
 
+/// Demand that a node or a collector's group observes, for the holder of the order lease.
+struct DemandShare {
+    std::string node; ///< The node, or the collector of the group.
+    ArtifactWorkloads demands;
+    InFlightByTargetAndModel modelRuns;
+
+    bool operator==(const DemandShare&) const = default;
+};
+
+/// Requests of all nodes in flight at each target, from a collector to the nodes of its group.
+struct LoadSummary {
+    std::string node; ///< The collector.
+    TargetWorkloads loads;
+};
+
 /// Requests a Snapshot.
 struct SnapshotRequest {
     std::string node;
@@ -46,7 +60,7 @@
     std::vector<LoadedModel> models;
 };
 
-using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice>;
+using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice, DemandShare, LoadSummary>;
 
 /// Returns the message as a FlatBuffers EntryMessage.
 std::string encodeEntryMessage(const EntryMessage& message);
--- a/Cyclamenstair/Control/LoadRateLimiter.cpp
+++ b/Cyclamenstair/Control/LoadRateLimiter.cpp
@@ -4,13 +4,14 @@
 
 namespace cyclamenstair {
 
-bool LoadRateLimiter::mayLoad(double loadsPerSecond, TimePoint now)
+uint32_t LoadRateLimiter::availableLoads(double loadsPerSecond, TimePoint now)
 {
     while (!m_loads.empty() && now - m_loads.front() >= window)
         m_loads.pop_front();
-    if (now < m_firstWindowEnd && m_loads.size() >= maxFirstWindowLoads)
-        return false;
-    return static_cast<double>(m_loads.size()) + 1 <= loadsPerSecond * toSeconds(window);
+    auto limit = static_cast<size_t>(std::max(0.0, loadsPerSecond * toSeconds(window)));
+    if (now < m_firstWindowEnd)
+        limit = std::min(limit, maxFirstWindowLoads);
+    return static_cast<uint32_t>(limit - std::min(limit, m_loads.size()));
 }
 
 void LoadRateLimiter::cancelLoad(TimePoint recordedAt)
--- a/Cyclamenstair/Control/LoadRateLimiter.h
+++ b/Cyclamenstair/Control/LoadRateLimiter.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Time.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 
 namespace cyclamenstair {
@@ -23,8 +24,11 @@
     {
     }
 
+    /// Returns the number of loads that may be ordered now at the given rate over all targets.
+    uint32_t availableLoads(double loadsPerSecond, TimePoint now);
+
     /// Returns whether a load may be ordered now at the given rate over all targets.
-    bool mayLoad(double loadsPerSecond, TimePoint now);
+    bool mayLoad(double loadsPerSecond, TimePoint now) { return availableLoads(loadsPerSecond, now) > 0; }
 
     /// Counts a load that is being ordered. It counts also if its order remains unanswered.
     void recordLoad(TimePoint now) { m_loads.push_back(now); }
--- a/Cyclamenstair/Control/OrderLease.h
+++ b/Cyclamenstair/Control/OrderLease.h
@@ -15,6 +15,9 @@
     /// Delay between acquiring the lease and the first order. The platform states a minimum time between orders of two
     /// nodes; the time from the end of the renewal's validity to the expiry of the lease counts towards it.
     Duration takeoverDelay { milliseconds(2700) };
+    /// Delay before the node tries to take a free lease. Longer on nodes with less processor time, so that a node with
+    /// more of it takes the lease.
+    Duration acquireDelay { 0 };
 };
 
 /// Determines whether this node may send orders. All times are from a clock that includes suspended time, so that a
--- a/Cyclamenstair/Entry/ControlWatcher.cpp
+++ b/Cyclamenstair/Entry/ControlWatcher.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Entry/ControlWatcher.h>
 
 #include <Cyclamenstair/Entry/NodeRegistrar.h>
+#include <Cyclamenstair/Telemetry/Log.h>
 
 namespace cyclamenstair {
 
@@ -22,15 +23,16 @@
 
 void ControlWatcher::onRead(const StoreRange& range)
 {
-    m_nodeAddresses.clear();
+    m_nodes.clear();
     std::string leaseHolder;
     for (const auto& record : range.records) {
         if (record.key == OrderLeaseElector::key)
             leaseHolder = record.value;
         else if (record.key.starts_with(NodeRegistrar::keyPrefix))
-            m_nodeAddresses[record.key.substr(NodeRegistrar::keyPrefix.size())] = record.value;
+            updateNode(record);
     }
-    m_mesh->setNodeAddresses(m_nodeAddresses);
+    m_mesh->setNodes(m_nodes);
+    m_elector->setNodeCount(m_nodes.size());
     setLeaseHolder(leaseHolder);
 }
 
@@ -40,15 +42,25 @@
     if (record.key == OrderLeaseElector::key) {
         setLeaseHolder(record.value);
     } else if (record.key.starts_with(NodeRegistrar::keyPrefix)) {
-        const auto nodeId = record.key.substr(NodeRegistrar::keyPrefix.size());
         if (change.isDeleted)
-            m_nodeAddresses.erase(nodeId);
+            m_nodes.erase(record.key.substr(NodeRegistrar::keyPrefix.size()));
         else
-            m_nodeAddresses[nodeId] = record.value;
-        m_mesh->setNodeAddresses(m_nodeAddresses);
+            updateNode(record);
+        m_mesh->setNodes(m_nodes);
+        m_elector->setNodeCount(m_nodes.size());
     }
 }
 
+void ControlWatcher::updateNode(const StoreRecord& record)
+{
+    const auto nodeId = record.key.substr(NodeRegistrar::keyPrefix.size());
+    auto node = decodeNodeEntry(record.value, nodeId);
+    if (node)
+        m_nodes[nodeId] = std::move(node).value();
+    else
+        logError(LogSeverity::Warning, "node_entry_rejected", node.error());
+}
+
 void ControlWatcher::setLeaseHolder(const std::string& leaseHolder)
 {
     m_mesh->setLeaseHolder(leaseHolder);
--- a/Cyclamenstair/Entry/ControlWatcher.h
+++ b/Cyclamenstair/Entry/ControlWatcher.h
@@ -6,7 +6,7 @@
 
 namespace cyclamenstair {
 
-/// Watches the records that nodes write to the store: the holder of the order lease and the nodes' addresses.
+/// Watches the records that nodes write to the store: the holder of the order lease and the nodes' entries.
 class ControlWatcher {
 public:
     ControlWatcher(boost::asio::io_context& context, PlatformStore& store, OrderLeaseElector& elector, PeerMesh& mesh);
@@ -16,11 +16,12 @@
 private:
     void onRead(const StoreRange& range);
     void onChange(const StoreChange& change);
+    void updateNode(const StoreRecord& record);
     void setLeaseHolder(const std::string& leaseHolder);
 
     OrderLeaseElector* m_elector;
     PeerMesh* m_mesh;
-    std::map<std::string, std::string> m_nodeAddresses; ///< By node id.
+    PeerNodes m_nodes;
     StoreWatcher m_watcher;
 };
 
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -30,9 +30,16 @@
     /// Fraction of the time to live during which orders are sent; see OrderLeaseSettings::validity.
     constexpr double leaseValidityFraction = 0.5;
 
-    OrderLeaseSettings leaseSettings(const schema::ControlSettingsT& control)
+    /// Delay of a node with a whole core before it tries to take a free order lease; divided by the node's share of
+    /// one.
+    constexpr Duration acquireDelayOfWholeCore = milliseconds(30);
+    constexpr Duration maxAcquireDelay = milliseconds(400);
+
+    OrderLeaseSettings leaseSettings(const schema::ControlSettingsT& control, double cpuShare)
     {
         OrderLeaseSettings settings;
+        settings.acquireDelay
+            = std::min(maxAcquireDelay, std::chrono::duration_cast<Duration>(acquireDelayOfWholeCore / cpuShare));
         settings.timeToLive = std::max(leaseTimeToLive, milliseconds(control.min_lease_ms));
         settings.renewalValidity = std::chrono::duration_cast<Duration>(settings.timeToLive * leaseValidityFraction);
         settings.takeoverDelay = std::max(orderGapMargin,
@@ -40,6 +47,11 @@
         return settings;
     }
 
+    PeerNode selfAsPeer(const schema::SettingsT& settings)
+    {
+        return { settings.entry->peer_listen, settings.node->failure_domain, settings.entry->cpu_share };
+    }
+
 } // namespace
 
 Result<std::unique_ptr<EntryNode>> EntryNode::create(const schema::SettingsT& settings)
@@ -102,9 +114,9 @@
     , m_store(m_controlLoop.context(), std::move(store), settings.control->store, {})
     , m_catalogWatcher(m_controlLoop.context(), m_store, m_state)
     , m_targetWatcher(m_controlLoop.context(), m_store, m_state)
-    , m_elector(m_controlLoop.context(), m_store, settings.node->id, leaseSettings(*settings.control),
-          std::random_device {}())
-    , m_registrar(m_controlLoop.context(), m_store, settings.node->id, settings.entry->peer_listen)
+    , m_elector(m_controlLoop.context(), m_store, settings.node->id,
+          leaseSettings(*settings.control, settings.entry->cpu_share), std::random_device {}())
+    , m_registrar(m_controlLoop.context(), m_store, settings.node->id, selfAsPeer(settings))
 {
     std::random_device randomDevice;
     for (int i = 0; i < settings.entry->loops; ++i)
@@ -117,7 +129,7 @@
     std::istringstream list(m_settings.entry->seeds);
     for (std::string peerSeed; std::getline(list, peerSeed, ',');)
         peerSeeds.push_back(peerSeed);
-    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, m_settings.entry->peer_listen, peerSeeds,
+    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, selfAsPeer(m_settings), peerSeeds,
         { [this] {
              return Snapshot { m_catalogWatcher.text(), m_targetWatcher.entries(), m_state.areTargetsKnown };
          },
--- a/Cyclamenstair/Entry/NodeRegistrar.cpp
+++ b/Cyclamenstair/Entry/NodeRegistrar.cpp
@@ -15,12 +15,11 @@
 
 const std::string NodeRegistrar::keyPrefix = "control/nodes/";
 
-NodeRegistrar::NodeRegistrar(
-    boost::asio::io_context& context, PlatformStore& store, std::string nodeId, std::string address)
+NodeRegistrar::NodeRegistrar(boost::asio::io_context& context, PlatformStore& store, std::string nodeId, PeerNode self)
     : m_timer(context)
     , m_store(&store)
     , m_nodeId(std::move(nodeId))
-    , m_address(std::move(address))
+    , m_self(std::move(self))
 {
 }
 
@@ -48,7 +47,7 @@
 
 void NodeRegistrar::writeEntry(int64_t leaseId)
 {
-    const StoreTransaction transaction { {}, { StorePut { keyPrefix + m_nodeId, m_address, leaseId } } };
+    const StoreTransaction transaction { {}, { StorePut { keyPrefix + m_nodeId, encodeNodeEntry(m_self), leaseId } } };
     m_store->transact(transaction, [this, leaseId](const StoreWriteOutcome& outcome) {
         if (std::holds_alternative<StoreApplied>(outcome)) {
             m_leaseId = leaseId;
--- a/Cyclamenstair/Entry/NodeRegistrar.h
+++ b/Cyclamenstair/Entry/NodeRegistrar.h
@@ -1,23 +1,24 @@
 #pragma once
 
+#include <Cyclamenstair/Codec/NodeEntryCodec.h>
 #include <Cyclamenstair/Entry/EntryState.h>
 
 #include <platform/PlatformStore.h>
 
 namespace cyclamenstair {
 
-/// Registers this node's address in the store under a lease, so that other nodes can connect to it. Belongs to one
-/// event loop.
+/// Registers this node in the store under a lease, so that other nodes can connect to it. Belongs to one event
+/// loop.
 class NodeRegistrar {
 public:
-    NodeRegistrar(boost::asio::io_context& context, PlatformStore& store, std::string nodeId, std::string address);
+    NodeRegistrar(boost::asio::io_context& context, PlatformStore& store, std::string nodeId, PeerNode self);
 
     void start() { registerOrRenew(); }
 
     /// Stops renewals and revokes the lease, which removes the entry.
     void stop();
 
-    /// Prefix of the node entries' keys, followed by the node id; the value is the node's peer address.
+    /// Prefix of the node entries' keys, followed by the node id; the value is an encoded NodeEntry.
     static const std::string keyPrefix;
 
 private:
@@ -29,7 +30,7 @@
     boost::asio::steady_timer m_timer;
     PlatformStore* m_store;
     std::string m_nodeId;
-    std::string m_address;
+    PeerNode m_self;
     int64_t m_leaseId { 0 }; ///< 0 while the node is not registered.
 };
 
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -33,12 +33,20 @@
     /// Targets register one after the other at startup and after a store outage. Planning waits while many have
     /// registered within this time, so that it does not load models that a target yet to register already holds.
     constexpr Duration arrivalWindow = milliseconds(1500);
+    /// Interval at which new targets are looked for; on all nodes, so that it must cost little.
+    constexpr Duration arrivalInterval = milliseconds(300);
     /// Share of recently registered targets from which planning waits. A rolling replacement of a service's targets
     /// stays below it.
     constexpr double unsettledArrivalShare = 0.25;
     /// Maximum time that planning waits for targets to register.
     constexpr Duration maxArrivalWait = milliseconds(6000);
 
+    /// Returns how many loads one planning round may start, so that the weight store's rate is used evenly.
+    uint32_t maxLoadsPerRound(double loadsPerSecond)
+    {
+        return std::max(1U, static_cast<uint32_t>(std::ceil(loadsPerSecond * toSeconds(tickInterval))));
+    }
+
 } // namespace
 
 OrderDispatcher::OrderDispatcher(
@@ -54,9 +62,9 @@
 void OrderDispatcher::tick()
 {
     const auto now = monotonicNow();
-    m_records = m_state->targets.records();
     updateArrivals(now);
     if (m_elector->lease().isHeld()) {
+        m_records = m_state->targets.records();
         if (!m_loadRateLimiter) {
             m_loadRateLimiter = std::make_unique<LoadRateLimiter>(now);
             m_leaseHeldSince = now;
@@ -67,16 +75,20 @@
     } else if (m_loadRateLimiter) {
         m_loadRateLimiter.reset();
         m_targetStates.clear();
+        m_records.clear();
     }
     scheduleTick();
 }
 
 void OrderDispatcher::updateArrivals(TimePoint now)
 {
+    if (now - m_arrivalsUpdatedAt < arrivalInterval)
+        return;
+    m_arrivalsUpdatedAt = now;
     std::map<std::string, TimePoint> firstSeenAt;
-    for (const auto& record : m_records) {
-        const auto previous = m_firstSeenAt.find(record.id);
-        firstSeenAt[record.id] = previous == m_firstSeenAt.end() ? now : previous->second;
+    for (const auto& id : m_state->targets.ids()) {
+        const auto previous = m_firstSeenAt.find(id);
+        firstSeenAt[id] = previous == m_firstSeenAt.end() ? now : previous->second;
     }
     m_firstSeenAt = std::move(firstSeenAt);
 }
@@ -191,8 +203,9 @@
 void OrderDispatcher::planService(const CatalogService& service)
 {
     const auto now = monotonicNow();
-    PlannerInput input { service.name, &*service.engine, {}, m_mesh->demand(), 0, 0 };
-    const auto modelRuns = m_mesh->modelRuns();
+    auto demand = m_mesh->totalDemand();
+    const auto& modelRuns = demand.modelRuns;
+    PlannerInput input { service.name, &*service.engine, {}, std::move(demand.demands), 0, 0 };
     uint32_t storeLoadsInProgress = 0;
     for (const auto& record : m_records) {
         const auto entry = m_targetStates.find(record.id);
@@ -221,12 +234,15 @@
     const auto maxConcurrentLoads = models.empty()
         ? 1U
         : std::max(1U, static_cast<uint32_t>(service.engine->loadsPerSecond * toSeconds(slowestLoadModel->loadTime)));
-    if (storeLoadsInProgress < maxConcurrentLoads && m_loadRateLimiter->mayLoad(service.engine->loadsPerSecond, now))
-        input.weightLoadBudget = 1;
+    const auto loadsPerSecond = service.engine->loadsPerSecond;
+    const auto remaining = [&](uint32_t limit, double rate) {
+        const auto concurrent = limit - std::min(limit, storeLoadsInProgress);
+        return std::min({ concurrent, m_loadRateLimiter->availableLoads(rate, now), maxLoadsPerRound(loadsPerSecond) });
+    };
+    input.weightLoadBudget = remaining(maxConcurrentLoads, loadsPerSecond);
     // Keep half of the rate for models that requests are waiting for.
-    if (input.weightLoadBudget > 0 && storeLoadsInProgress * 2 < maxConcurrentLoads
-        && m_loadRateLimiter->mayLoad(service.engine->loadsPerSecond / 2, now))
-        input.spareLoadBudget = 1;
+    input.spareLoadBudget
+        = std::min(input.weightLoadBudget, remaining((maxConcurrentLoads + 1) / 2, loadsPerSecond / 2));
     for (const auto& order : ResidencyPlanner(input, m_plannerSettings).plan()) {
         const auto record = std::find_if(
             m_records.begin(), m_records.end(), [&](const auto& candidate) { return candidate.id == order.target; });
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -73,6 +73,7 @@
     std::unique_ptr<LoadRateLimiter> m_loadRateLimiter; ///< Null while the lease is not held.
     TimePoint m_leaseHeldSince; ///< First tick at which this node held the lease.
     std::map<std::string, TimePoint> m_firstSeenAt; ///< By target id.
+    TimePoint m_arrivalsUpdatedAt;
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Entry/OrderLeaseElector.cpp
+++ b/Cyclamenstair/Entry/OrderLeaseElector.cpp
@@ -2,12 +2,18 @@
 
 #include <Cyclamenstair/Telemetry/Log.h>
 
+#include <algorithm>
+
 namespace cyclamenstair {
 
 namespace {
 
-    /// Random delay before a node tries to create the absent key, so that attempts of several nodes rarely collide.
+    /// Upper bound of the random delay before a node tries to create the absent key, so that attempts of several nodes
+    /// rarely collide.
     constexpr Duration acquireJitter = milliseconds(300);
+    /// Number of nodes from which on the bound grows with the number of nodes, so that as many attempts fall into the
+    /// time until the others learn of the new holder.
+    constexpr size_t acquireJitterNodes = 16;
     /// Delay after a failed attempt.
     constexpr Duration acquireRetryDelay = milliseconds(500);
     /// Allows three renewals within the lease's validity. A renewal is billed at a tenth of a call.
@@ -59,8 +65,9 @@
     if (m_isAcquiring || m_isStopping || m_lease.isHeld())
         return;
     m_isAcquiring = true;
-    m_timer.expires_after(
-        Duration(static_cast<int64_t>(randomUnit(m_random) * static_cast<double>(acquireJitter.count()))));
+    const auto jitter = std::chrono::duration<double, Duration::period>(acquireJitter) * randomUnit(m_random)
+        * std::max(1.0, static_cast<double>(m_nodeCount) / acquireJitterNodes);
+    m_timer.expires_after(m_settings.acquireDelay + std::chrono::duration_cast<Duration>(jitter));
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (ec || m_isStopping || !m_leaseHolder.empty())
             m_isAcquiring = false;
--- a/Cyclamenstair/Entry/OrderLeaseElector.h
+++ b/Cyclamenstair/Entry/OrderLeaseElector.h
@@ -19,6 +19,9 @@
     /// Handles a change of the key; `leaseHolder` is its value, or empty if the key is absent.
     void onLeaseHolderChanged(const std::string& leaseHolder);
 
+    /// Sets the number of registered nodes, which compete for a free lease.
+    void setNodeCount(size_t nodeCount) { m_nodeCount = nodeCount; }
+
     /// Resigns and stops competing for the lease.
     void stop();
 
@@ -46,6 +49,7 @@
     OrderLease m_lease;
     Random m_random;
     std::string m_leaseHolder; ///< Value of the key; empty if the key is absent.
+    size_t m_nodeCount { 1 };
     bool m_isLeaseHolderKnown { false };
     bool m_isAcquiring { false };
     bool m_isStopping { false };
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -16,17 +16,22 @@
     constexpr Duration loadShareInterval = milliseconds(100);
     /// An unchanged share is sent again after this time, before it expires at the receiver.
     constexpr Duration maxLoadShareInterval = milliseconds(900);
-    /// A peer's load is ignored once it is older than this; the node is then considered gone.
-    constexpr Duration peerLoadValidity = milliseconds(2500);
+    /// Interval at which the nodes of a large fleet send shares and summaries. A node gets few requests there, and a
+    /// collector has a connection to each node of its failure domain.
+    constexpr Duration groupShareInterval = milliseconds(200);
     /// Time from an adapter order until the target holds the adapter. Earlier requests would be rejected.
     constexpr Duration adapterLoadTime = milliseconds(60);
     constexpr Duration connectInterval = milliseconds(1000);
+    /// Time for which a new node waits for the store before it asks its peers. Snapshots for many nodes that start
+    /// together would fill the links of the seeds.
+    constexpr Duration snapshotDelay = milliseconds(400);
 
 } // namespace
 
 Result<std::unique_ptr<PeerMesh>> PeerMesh::create(boost::asio::io_context& context, EntryState& state,
-    const std::string& listenAddress, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers)
+    const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers)
 {
+    const auto& listenAddress = self.address;
     tcp::acceptor acceptor(context);
     if (!listenAddress.empty()) {
         const auto endpoint = parseEndpoint(listenAddress);
@@ -44,65 +49,50 @@
             return Error { ErrorKind::Unavailable, "peer.listen", listenAddress, ec.message() };
     }
     return std::unique_ptr<PeerMesh>(
-        new PeerMesh(context, state, listenAddress, seeds, std::move(snapshotHandlers), std::move(acceptor)));
+        new PeerMesh(context, state, self, seeds, std::move(snapshotHandlers), std::move(acceptor)));
 }
 
-PeerMesh::PeerMesh(boost::asio::io_context& context, EntryState& state, std::string address,
+PeerMesh::PeerMesh(boost::asio::io_context& context, EntryState& state, PeerNode self,
     const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, tcp::acceptor acceptor)
     : m_context(&context)
     , m_state(&state)
-    , m_address(std::move(address))
+    , m_self(std::move(self))
     , m_seeds(seeds.begin(), seeds.end())
     , m_snapshotHandlers(std::move(snapshotHandlers))
     , m_acceptor(std::move(acceptor))
     , m_timer(context)
+    , m_topology(state.nodeId)
+    , m_exchange(state.nodeId)
 {
+    m_topology.setNodes({}, m_self);
 }
 
 void PeerMesh::start()
 {
     if (!m_acceptor.is_open())
         return;
+    m_startedAt = monotonicNow();
     accept();
     tick();
 }
 
-void PeerMesh::setNodeAddresses(std::map<std::string, std::string> addresses)
+void PeerMesh::setNodes(PeerNodes nodes)
 {
-    m_nodeAddresses = std::move(addresses);
-    m_state->setNodeCount(m_nodeAddresses.size());
+    m_areNodesKnown = !nodes.empty();
+    m_state->setNodeCount(nodes.size());
+    m_topology.setNodes(std::move(nodes), m_self);
 }
 
-std::map<ArtifactKey, ArtifactWorkload> PeerMesh::demand() const
+DemandShare PeerMesh::totalDemand() const { return m_exchange.totalDemand(ownDemand()); }
+
+DemandShare PeerMesh::ownDemand() const
 {
-    const auto now = monotonicNow();
-    auto total = m_state->demand.demand(now);
-    for (const auto& [node, peer] : m_peerLoads) {
-        if (now - peer.receivedAt > peerLoadValidity)
-            continue;
-        for (const auto& [artifact, load] : peer.demands) {
-            auto& artifactTotal = total[artifact];
-            artifactTotal.arrivalsPerSecond += load.arrivalsPerSecond;
-            artifactTotal.inProgress += load.inProgress;
-            artifactTotal.waiting += load.waiting;
-        }
-    }
-    return total;
+    return { m_state->nodeId, m_state->demand.demand(monotonicNow()), m_state->targets.inFlightByTargetAndModel() };
 }
 
-InFlightByTargetAndModel PeerMesh::modelRuns() const
+bool PeerMesh::isCollecting() const
 {
-    const auto now = monotonicNow();
-    auto total = m_state->targets.inFlightByTargetAndModel();
-    for (const auto& [node, peer] : m_peerLoads) {
-        if (now - peer.receivedAt > peerLoadValidity)
-            continue;
-        for (const auto& [target, models] : peer.modelRuns) {
-            for (const auto& [model, inFlight] : models)
-                total[target][model] += inFlight;
-        }
-    }
-    return total;
+    return !m_topology.isDirect() && (m_topology.isOwnCollector() || m_exchange.hasMembers());
 }
 
 void PeerMesh::accept()
@@ -127,11 +117,14 @@
 void PeerMesh::tick()
 {
     const auto now = monotonicNow();
+    m_exchange.expire(now);
+    m_topology.update(isCollecting(), now);
     updateLinks(now);
-    sendLoadShare(now);
+    sendShares(now);
+    applyRemoteLoads(now);
     sendDueNotices(now);
     if (!m_state->areTargetsKnown || !m_state->catalog.current())
-        requestSnapshot();
+        requestSnapshot(now);
     m_timer.expires_after(loadShareInterval);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
@@ -141,10 +134,12 @@
 
 void PeerMesh::updateLinks(TimePoint now)
 {
-    std::set<std::string> peerAddresses = m_seeds;
-    for (const auto& [node, address] : m_nodeAddresses)
-        peerAddresses.insert(address);
-    peerAddresses.erase(m_address);
+    std::set<std::string> peerAddresses;
+    if (!m_areNodesKnown || m_topology.isDirect())
+        peerAddresses = m_seeds;
+    for (const auto& node : m_topology.peers(isCollecting(), m_leaseHolder))
+        peerAddresses.insert(m_topology.nodes().at(node).address);
+    peerAddresses.erase(m_self.address);
     std::erase_if(m_links, [&](const auto& link) {
         if (peerAddresses.contains(link.first))
             return false;
@@ -180,22 +175,70 @@
     link.channel->connect(endpoint.value());
 }
 
-void PeerMesh::sendLoadShare(TimePoint now)
+void PeerMesh::sendShares(TimePoint now)
 {
-    LoadShare share { m_state->nodeId, m_state->targets.loads(), {}, {} };
-    std::erase_if(share.loads, [](const auto& entry) { return entry.second.inFlight == 0; });
-    if (share == m_lastShare && now - m_lastShareSentAt < maxLoadShareInterval)
+    const bool isDirect = m_topology.isDirect();
+    if (now - m_lastShareSentAt < (isDirect ? loadShareInterval / 2 : groupShareInterval))
+        return;
+    auto own = m_state->targets.loads();
+    std::erase_if(own, [](const auto& entry) { return entry.second.inFlight == 0; });
+    if (isCollecting()) {
+        m_lastShareSentAt = now;
+        sendAsCollector(own);
+        return;
+    }
+    const auto collector = isDirect ? std::string() : m_topology.collector();
+    if (own == m_lastShare && collector == m_lastCollector && now - m_lastShareSentAt < maxLoadShareInterval)
         return;
-    m_lastShare = share;
     m_lastShareSentAt = now;
-    const auto frameForAll = encodeEntryMessage(share);
-    share.demands = m_state->demand.demand(now);
-    share.modelRuns = m_state->targets.inFlightByTargetAndModel();
-    const auto frameForLeaseHolder = encodeEntryMessage(share);
+    m_lastCollector = collector;
+    if (isDirect)
+        sendToAll(own);
+    else
+        sendToCollector(own);
+    m_lastShare = std::move(own);
+}
+
+void PeerMesh::sendToAll(const TargetWorkloads& own)
+{
+    const auto frame = encodeEntryMessage(LoadShare { m_state->nodeId, own, false });
     for (const auto& [address, link] : m_links) {
         if (link.channel && link.channel->isOpen())
-            link.channel->send(isLeaseHolderAddress(address) ? frameForLeaseHolder : frameForAll);
+            link.channel->send(frame);
     }
+    if (m_leaseHolder != m_state->nodeId)
+        sendToNode(m_leaseHolder, encodeEntryMessage(ownDemand()));
+}
+
+void PeerMesh::sendToCollector(const TargetWorkloads& own)
+{
+    const auto& collector = m_topology.collector();
+    sendToNode(collector, encodeEntryMessage(LoadShare { m_state->nodeId, own, false }));
+    // The lease holder counts its own demand itself.
+    if (m_leaseHolder != m_state->nodeId)
+        sendToNode(collector, encodeEntryMessage(ownDemand()));
+}
+
+void PeerMesh::sendAsCollector(const TargetWorkloads& own)
+{
+    const auto groupFrame = encodeEntryMessage(m_exchange.groupShare(own));
+    std::set<std::string> collectors;
+    for (auto& candidate : m_topology.candidates())
+        collectors.insert(std::move(candidate));
+    // Collectors that took over are not candidates that all nodes know, but they send shares themselves.
+    for (auto& collector : m_exchange.collectors())
+        collectors.insert(std::move(collector));
+    for (const auto& collector : collectors)
+        sendToNode(collector, groupFrame);
+    sendToMembers(encodeEntryMessage(m_exchange.summary(own)));
+    if (m_leaseHolder != m_state->nodeId)
+        sendToNode(m_leaseHolder, encodeEntryMessage(m_exchange.groupDemand(ownDemand())));
+}
+
+void PeerMesh::applyRemoteLoads(TimePoint now)
+{
+    const bool usesSummary = !m_topology.isDirect() && !isCollecting();
+    m_state->targets.setRemoteLoads(m_exchange.remoteLoads(usesSummary), now);
 }
 
 void PeerMesh::announce(ResidencyNotice notice)
@@ -213,21 +256,48 @@
             continue;
         }
         m_state->targets.setModels(notice.service, notice.target, notice.models);
-        broadcast(encodeEntryMessage(notice));
+        const auto frame = encodeEntryMessage(notice);
+        for (const auto& [address, link] : m_links) {
+            if (link.channel && link.channel->isOpen())
+                link.channel->send(frame);
+        }
+        if (isCollecting())
+            sendToMembers(frame);
         entry = m_pendingNotices.erase(entry);
     }
 }
 
-void PeerMesh::broadcast(const std::string& frame)
+void PeerMesh::sendToNode(const std::string& node, const std::string& frame)
 {
-    for (const auto& [address, link] : m_links) {
-        if (link.channel && link.channel->isOpen())
-            link.channel->send(frame);
+    std::shared_ptr<FrameChannel> channel;
+    if (const auto peer = m_topology.nodes().find(node); peer != m_topology.nodes().end()) {
+        const auto link = m_links.find(peer->second.address);
+        if (link != m_links.end())
+            channel = link->second.channel;
+    }
+    if (!channel || !channel->isOpen()) {
+        const auto sender = m_senders.find(node);
+        if (sender != m_senders.end())
+            channel = sender->second.lock();
+    }
+    if (channel && channel->isOpen())
+        channel->send(frame);
+}
+
+void PeerMesh::sendToMembers(const std::string& frame, const std::shared_ptr<FrameChannel>& excluded)
+{
+    for (const auto& member : m_exchange.members()) {
+        const auto sender = m_senders.find(member);
+        const auto channel = sender == m_senders.end() ? nullptr : sender->second.lock();
+        if (channel && channel != excluded && channel->isOpen())
+            channel->send(frame);
     }
 }
 
-void PeerMesh::requestSnapshot()
+void PeerMesh::requestSnapshot(TimePoint now)
 {
+    if (now - m_startedAt < snapshotDelay)
+        return;
     for (auto& [address, link] : m_links) {
         if (!link.channel || !link.channel->isOpen() || link.isSnapshotRequested)
             continue;
@@ -246,13 +316,29 @@
     }
 }
 
-void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const LoadShare& share)
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const LoadShare& share)
 {
     const auto now = monotonicNow();
-    m_state->targets.setRemoteLoads(share.node, share.loads, now);
-    if (!share.demands.empty())
-        m_peerLoads[share.node] = { share.demands, share.modelRuns, now };
-    std::erase_if(m_peerLoads, [&](const auto& peer) { return now - peer.second.receivedAt > peerLoadValidity; });
+    std::erase_if(m_senders, [](const auto& entry) { return entry.second.expired(); });
+    m_senders[share.node] = sender;
+    m_exchange.add(share, now);
+    if (m_topology.isDirect())
+        applyRemoteLoads(now);
+}
+
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const DemandShare& share)
+{
+    m_exchange.add(share, monotonicNow());
+}
+
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const LoadSummary& summary)
+{
+    const auto now = monotonicNow();
+    m_topology.markSummaryReceived(summary.node, now);
+    if (summary.node != m_topology.collector())
+        return;
+    m_exchange.add(summary, m_lastShare, now);
+    applyRemoteLoads(now);
 }
 
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const SnapshotRequest& request)
@@ -271,15 +357,11 @@
     }
 }
 
-void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const ResidencyNotice& notice)
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice)
 {
     m_state->targets.setModels(notice.service, notice.target, notice.models);
-}
-
-bool PeerMesh::isLeaseHolderAddress(const std::string& address) const
-{
-    const auto leaseHolder = m_nodeAddresses.find(m_leaseHolder);
-    return leaseHolder != m_nodeAddresses.end() && leaseHolder->second == address;
+    if (isCollecting())
+        sendToMembers(encodeEntryMessage(notice), sender);
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Fleet/DemandCounter.cpp
+++ b/Cyclamenstair/Fleet/DemandCounter.cpp
@@ -31,7 +31,7 @@
     });
 }
 
-std::map<ArtifactKey, ArtifactWorkload> DemandCounter::demand(TimePoint now)
+ArtifactWorkloads DemandCounter::demand(TimePoint now)
 {
     constexpr double negligibleArrivalsPerSecond = 0.02;
     std::map<ArtifactKey, ArtifactWorkload> demand;
--- a/Cyclamenstair/Fleet/DemandCounter.h
+++ b/Cyclamenstair/Fleet/DemandCounter.h
@@ -26,6 +26,9 @@
     bool operator==(const ArtifactWorkload&) const = default;
 };
 
+/// Demand by artifact.
+using ArtifactWorkloads = std::map<ArtifactKey, ArtifactWorkload>;
+
 /// Tracks the demand for each artifact at this node. State is sharded by model. Thread-safe.
 class DemandCounter {
 public:
@@ -42,7 +45,7 @@
     void countWaiting(const ArtifactKey& artifact, int delta);
 
     /// Returns the demand for every artifact with requests in progress or recent arrivals.
-    std::map<ArtifactKey, ArtifactWorkload> demand(TimePoint now);
+    ArtifactWorkloads demand(TimePoint now);
 
 private:
     struct Count {
--- a/Cyclamenstair/Fleet/TargetRecord.h
+++ b/Cyclamenstair/Fleet/TargetRecord.h
@@ -38,6 +38,9 @@
     bool operator==(const TargetWorkload&) const = default;
 };
 
+/// Requests in flight by target id.
+using TargetWorkloads = std::map<std::string, TargetWorkload>;
+
 /// Requests in flight by target id and model.
 using InFlightByTargetAndModel = std::map<std::string, std::map<std::string, uint32_t>>;
 
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -173,6 +173,18 @@
     return records;
 }
 
+std::set<std::string> TargetRegistry::ids() const
+{
+    std::set<std::string> ids;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            for (const auto& [id, target] : targets)
+                ids.insert(id);
+        }
+    });
+    return ids;
+}
+
 void TargetRegistry::setModels(
     const std::string& service, const std::string& id, const std::vector<LoadedModel>& models)
 {
@@ -186,17 +198,14 @@
     });
 }
 
-void TargetRegistry::setRemoteLoads(
-    const std::string& node, const std::map<std::string, TargetWorkload>& loads, TimePoint now)
+void TargetRegistry::setRemoteLoads(const TargetWorkloads& loads, TimePoint now)
 {
     m_services.forEachShard([&](auto& services) {
         for (auto& [service, targets] : services) {
             for (auto& [id, target] : targets) {
                 const auto load = loads.find(id);
-                if (load == loads.end())
-                    target.remoteLoads.erase(node);
-                else
-                    target.remoteLoads[node] = { load->second, now };
+                target.remoteLoad = load == loads.end() ? TargetWorkload {} : load->second;
+                target.remoteLoadSetAt = now;
             }
         }
     });
@@ -216,9 +225,9 @@
     return ids;
 }
 
-std::map<std::string, TargetWorkload> TargetRegistry::loads() const
+TargetWorkloads TargetRegistry::loads() const
 {
-    std::map<std::string, TargetWorkload> loads;
+    TargetWorkloads loads;
     m_services.forEachShard([&](const auto& services) {
         for (const auto& [service, targets] : services) {
             for (const auto& [id, target] : targets)
@@ -249,14 +258,10 @@
 
 TargetWorkload TargetRegistry::totalLoad(const TargetState& target, TimePoint now) const
 {
-    TargetWorkload sum = target.load;
-    for (const auto& [node, remote] : target.remoteLoads) {
-        if (now - remote.receivedAt >= m_settings.remoteLoadLifetime)
-            continue;
-        sum.inFlight += remote.load.inFlight;
-        sum.pendingPromptTokens += remote.load.pendingPromptTokens;
-    }
-    return sum;
+    if (now - target.remoteLoadSetAt >= m_settings.remoteLoadLifetime)
+        return target.load;
+    return { target.load.inFlight + target.remoteLoad.inFlight,
+        target.load.pendingPromptTokens + target.remoteLoad.pendingPromptTokens };
 }
 
 bool TargetRegistry::isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -21,7 +21,7 @@
     Duration suspectDuration { milliseconds(1500) };
     /// Time during which a target that refused a request for lack of capacity is avoided if others are available.
     Duration fullBackoff { milliseconds(250) };
-    /// Time during which a load report of another node is counted.
+    /// Time during which the loads of other nodes count after they were set.
     Duration remoteLoadLifetime { milliseconds(2000) };
     /// Maximum number of pending prompt tokens at an engine, including those of a new prompt. An engine step processes
     /// up to 2,048 prompt tokens in about 100 ms; a stream event spans three steps and is on time within 300 ms.
@@ -119,26 +119,25 @@
     /// Returns the records of all targets.
     std::vector<TargetRecord> records() const;
 
+    /// Returns the ids of all targets.
+    std::set<std::string> ids() const;
+
     /// Sets the models of a target from a source that is newer than its record, for example an accepted order.
     void setModels(const std::string& service, const std::string& id, const std::vector<LoadedModel>& models);
 
-    /// Sets the load of another node by target id. It expires after TargetRegistrySettings::remoteLoadLifetime.
-    void setRemoteLoads(const std::string& node, const std::map<std::string, TargetWorkload>& loads, TimePoint now);
+    /// Replaces the loads of all other nodes together. They expire after TargetRegistrySettings::remoteLoadLifetime.
+    void setRemoteLoads(const TargetWorkloads& loads, TimePoint now);
 
     /// Returns the ids of the targets that are avoided because recent requests of this node failed there.
     std::set<std::string> suspectTargets(TimePoint now) const;
 
     /// Returns this node's load by target id.
-    std::map<std::string, TargetWorkload> loads() const;
+    TargetWorkloads loads() const;
 
     /// Returns this node's requests in flight by target id and model.
     InFlightByTargetAndModel inFlightByTargetAndModel() const;
 
 private:
-    struct RemoteLoad {
-        TargetWorkload load;
-        TimePoint receivedAt;
-    };
     struct TargetState {
         TargetRecord record;
         int64_t revision { 0 };
@@ -148,7 +147,8 @@
         TimePoint fullUntil;
         std::map<std::string, TimePoint> absentUntil; ///< By modelKey().
         uint32_t consecutiveFailures { 0 };
-        std::map<std::string, RemoteLoad> remoteLoads; ///< By node id.
+        TargetWorkload remoteLoad; ///< Of all other nodes together.
+        TimePoint remoteLoadSetAt;
     };
     using Targets = std::map<std::string, TargetState>;
 
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -32,6 +32,14 @@
 struct LoadShareBuilder;
 struct LoadShareT;
 
+struct DemandShare;
+struct DemandShareBuilder;
+struct DemandShareT;
+
+struct LoadSummary;
+struct LoadSummaryBuilder;
+struct LoadSummaryT;
+
 struct SnapshotRequest;
 struct SnapshotRequestBuilder;
 struct SnapshotRequestT;
@@ -52,6 +60,10 @@
 struct ResidencyNoticeBuilder;
 struct ResidencyNoticeT;
 
+struct NodeEntry;
+struct NodeEntryBuilder;
+struct NodeEntryT;
+
 struct EntryMessage;
 struct EntryMessageBuilder;
 struct EntryMessageT;
@@ -62,35 +74,41 @@
   SnapshotRequest = 2,
   Snapshot = 3,
   ResidencyNotice = 4,
+  DemandShare = 5,
+  LoadSummary = 6,
   MIN = NONE,
-  MAX = ResidencyNotice
+  MAX = LoadSummary
 };
 
-inline const EntryContent (&EnumValuesEntryContent())[5] {
+inline const EntryContent (&EnumValuesEntryContent())[7] {
   static const EntryContent values[] = {
     EntryContent::NONE,
     EntryContent::LoadShare,
     EntryContent::SnapshotRequest,
     EntryContent::Snapshot,
-    EntryContent::ResidencyNotice
+    EntryContent::ResidencyNotice,
+    EntryContent::DemandShare,
+    EntryContent::LoadSummary
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntryContent() {
-  static const char * const names[6] = {
+  static const char * const names[8] = {
     "NONE",
     "LoadShare",
     "SnapshotRequest",
     "Snapshot",
     "ResidencyNotice",
+    "DemandShare",
+    "LoadSummary",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntryContent(EntryContent e) {
-  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::ResidencyNotice)) return "";
+  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::LoadSummary)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntryContent()[index];
 }
@@ -115,6 +133,14 @@
   static const EntryContent enum_value = EntryContent::ResidencyNotice;
 };
 
+template<> struct EntryContentTraits<cyclamenstair::schema::DemandShare> {
+  static const EntryContent enum_value = EntryContent::DemandShare;
+};
+
+template<> struct EntryContentTraits<cyclamenstair::schema::LoadSummary> {
+  static const EntryContent enum_value = EntryContent::LoadSummary;
+};
+
 template<typename T> struct EntryContentUnionTraits {
   static const EntryContent enum_value = EntryContent::NONE;
 };
@@ -135,6 +161,14 @@
   static const EntryContent enum_value = EntryContent::ResidencyNotice;
 };
 
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::DemandShareT> {
+  static const EntryContent enum_value = EntryContent::DemandShare;
+};
+
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::LoadSummaryT> {
+  static const EntryContent enum_value = EntryContent::LoadSummary;
+};
+
 struct EntryContentUnion {
   EntryContent type;
   void *value;
@@ -197,6 +231,22 @@
     return type == EntryContent::ResidencyNotice ?
       reinterpret_cast<const cyclamenstair::schema::ResidencyNoticeT *>(value) : nullptr;
   }
+  cyclamenstair::schema::DemandShareT *AsDemandShare() {
+    return type == EntryContent::DemandShare ?
+      reinterpret_cast<cyclamenstair::schema::DemandShareT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::DemandShareT *AsDemandShare() const {
+    return type == EntryContent::DemandShare ?
+      reinterpret_cast<const cyclamenstair::schema::DemandShareT *>(value) : nullptr;
+  }
+  cyclamenstair::schema::LoadSummaryT *AsLoadSummary() {
+    return type == EntryContent::LoadSummary ?
+      reinterpret_cast<cyclamenstair::schema::LoadSummaryT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::LoadSummaryT *AsLoadSummary() const {
+    return type == EntryContent::LoadSummary ?
+      reinterpret_cast<const cyclamenstair::schema::LoadSummaryT *>(value) : nullptr;
+  }
 };
 
 bool VerifyEntryContent(flatbuffers::Verifier &verifier, const void *obj, EntryContent type);
@@ -543,15 +593,14 @@
   typedef LoadShare TableType;
   std::string node{};
   std::vector<std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>> targets{};
-  std::vector<std::unique_ptr<cyclamenstair::schema::ArtifactLoadRowT>> demands{};
-  std::vector<std::unique_ptr<cyclamenstair::schema::ModelRunsRowT>> model_runs{};
+  bool collected = false;
   LoadShareT() = default;
   LoadShareT(const LoadShareT &o);
   LoadShareT(LoadShareT&&) FLATBUFFERS_NOEXCEPT = default;
   LoadShareT &operator=(LoadShareT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// What a node has in flight, and, for the holder of the order lease, its demand and its requests by target and model.
+/// What a node has in flight, or, from a collector, what the nodes of its group have in flight together.
 struct LoadShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadShareT NativeTableType;
   typedef LoadShareBuilder Builder;
@@ -559,8 +608,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
     VT_TARGETS = 6,
-    VT_DEMANDS = 8,
-    VT_MODEL_RUNS = 10
+    VT_COLLECTED = 8
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -568,11 +616,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *>(VT_TARGETS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *demands() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *>(VT_DEMANDS);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *model_runs() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *>(VT_MODEL_RUNS);
+  bool collected() const {
+    return GetField<uint8_t>(VT_COLLECTED, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -581,12 +626,7 @@
            VerifyOffset(verifier, VT_TARGETS) &&
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
-           VerifyOffset(verifier, VT_DEMANDS) &&
-           verifier.VerifyVector(demands()) &&
-           verifier.VerifyVectorOfTables(demands()) &&
-           VerifyOffset(verifier, VT_MODEL_RUNS) &&
-           verifier.VerifyVector(model_runs()) &&
-           verifier.VerifyVectorOfTables(model_runs()) &&
+           VerifyField<uint8_t>(verifier, VT_COLLECTED, 1) &&
            verifier.EndTable();
   }
   LoadShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -604,11 +644,8 @@
   void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets) {
     fbb_.AddOffset(LoadShare::VT_TARGETS, targets);
   }
-  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands) {
-    fbb_.AddOffset(LoadShare::VT_DEMANDS, demands);
-  }
-  void add_model_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>> model_runs) {
-    fbb_.AddOffset(LoadShare::VT_MODEL_RUNS, model_runs);
+  void add_collected(bool collected) {
+    fbb_.AddElement<uint8_t>(LoadShare::VT_COLLECTED, static_cast<uint8_t>(collected), 0);
   }
   explicit LoadShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -626,13 +663,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>> model_runs = 0) {
+    bool collected = false) {
   LoadShareBuilder builder_(_fbb);
-  builder_.add_model_runs(model_runs);
-  builder_.add_demands(demands);
   builder_.add_targets(targets);
   builder_.add_node(node);
+  builder_.add_collected(collected);
   return builder_.Finish();
 }
 
@@ -645,21 +680,213 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr,
+    bool collected = false) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
+  return cyclamenstair::schema::CreateLoadShare(
+      _fbb,
+      node__,
+      targets__,
+      collected);
+}
+
+flatbuffers::Offset<LoadShare> CreateLoadShare(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DemandShareT : public flatbuffers::NativeTable {
+  typedef DemandShare TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::ArtifactLoadRowT>> demands{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::ModelRunsRowT>> model_runs{};
+  DemandShareT() = default;
+  DemandShareT(const DemandShareT &o);
+  DemandShareT(DemandShareT&&) FLATBUFFERS_NOEXCEPT = default;
+  DemandShareT &operator=(DemandShareT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Demand and requests by target and model of a node, or of a collector's group, for the holder of the order lease.
+struct DemandShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DemandShareT NativeTableType;
+  typedef DemandShareBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_DEMANDS = 6,
+    VT_MODEL_RUNS = 8
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *>(VT_DEMANDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *model_runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *>(VT_MODEL_RUNS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           VerifyOffset(verifier, VT_MODEL_RUNS) &&
+           verifier.VerifyVector(model_runs()) &&
+           verifier.VerifyVectorOfTables(model_runs()) &&
+           verifier.EndTable();
+  }
+  DemandShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DemandShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DemandShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DemandShareBuilder {
+  typedef DemandShare Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(DemandShare::VT_NODE, node);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands) {
+    fbb_.AddOffset(DemandShare::VT_DEMANDS, demands);
+  }
+  void add_model_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>> model_runs) {
+    fbb_.AddOffset(DemandShare::VT_MODEL_RUNS, model_runs);
+  }
+  explicit DemandShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DemandShare> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DemandShare>(end);
+    fbb_.Required(o, DemandShare::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DemandShare> CreateDemandShare(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>> demands = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>> model_runs = 0) {
+  DemandShareBuilder builder_(_fbb);
+  builder_.add_model_runs(model_runs);
+  builder_.add_demands(demands);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct DemandShare::Traits {
+  using type = DemandShare;
+  static auto constexpr Create = CreateDemandShare;
+};
+
+inline flatbuffers::Offset<DemandShare> CreateDemandShareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> *demands = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> *model_runs = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
-  auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
   auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>>(*demands) : 0;
   auto model_runs__ = model_runs ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>>(*model_runs) : 0;
-  return cyclamenstair::schema::CreateLoadShare(
+  return cyclamenstair::schema::CreateDemandShare(
       _fbb,
       node__,
-      targets__,
       demands__,
       model_runs__);
 }
 
-flatbuffers::Offset<LoadShare> CreateLoadShare(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<DemandShare> CreateDemandShare(flatbuffers::FlatBufferBuilder &_fbb, const DemandShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadSummaryT : public flatbuffers::NativeTable {
+  typedef LoadSummary TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>> targets{};
+  LoadSummaryT() = default;
+  LoadSummaryT(const LoadSummaryT &o);
+  LoadSummaryT(LoadSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadSummaryT &operator=(LoadSummaryT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What all nodes have in flight, from a collector to the nodes of its group.
+struct LoadSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadSummaryT NativeTableType;
+  typedef LoadSummaryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_TARGETS = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *>(VT_TARGETS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_TARGETS) &&
+           verifier.VerifyVector(targets()) &&
+           verifier.VerifyVectorOfTables(targets()) &&
+           verifier.EndTable();
+  }
+  LoadSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadSummaryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadSummary> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadSummaryBuilder {
+  typedef LoadSummary Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(LoadSummary::VT_NODE, node);
+  }
+  void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets) {
+    fbb_.AddOffset(LoadSummary::VT_TARGETS, targets);
+  }
+  explicit LoadSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadSummary> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadSummary>(end);
+    fbb_.Required(o, LoadSummary::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadSummary> CreateLoadSummary(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0) {
+  LoadSummaryBuilder builder_(_fbb);
+  builder_.add_targets(targets);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct LoadSummary::Traits {
+  using type = LoadSummary;
+  static auto constexpr Create = CreateLoadSummary;
+};
+
+inline flatbuffers::Offset<LoadSummary> CreateLoadSummaryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
+  return cyclamenstair::schema::CreateLoadSummary(
+      _fbb,
+      node__,
+      targets__);
+}
+
+flatbuffers::Offset<LoadSummary> CreateLoadSummary(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct SnapshotRequestT : public flatbuffers::NativeTable {
   typedef SnapshotRequest TableType;
@@ -1124,6 +1351,106 @@
 
 flatbuffers::Offset<ResidencyNotice> CreateResidencyNotice(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct NodeEntryT : public flatbuffers::NativeTable {
+  typedef NodeEntry TableType;
+  std::string address{};
+  std::string failure_domain{};
+  double cpu_share = 0.0;
+};
+
+/// Value of a node's entry in the store.
+struct NodeEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NodeEntryT NativeTableType;
+  typedef NodeEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_FAILURE_DOMAIN = 6,
+    VT_CPU_SHARE = 8
+  };
+  /// Address for other nodes as IP:PORT.
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  double cpu_share() const {
+    return GetField<double>(VT_CPU_SHARE, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffsetRequired(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
+           verifier.EndTable();
+  }
+  NodeEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(NodeEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<NodeEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct NodeEntryBuilder {
+  typedef NodeEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(NodeEntry::VT_ADDRESS, address);
+  }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(NodeEntry::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  void add_cpu_share(double cpu_share) {
+    fbb_.AddElement<double>(NodeEntry::VT_CPU_SHARE, cpu_share, 0.0);
+  }
+  explicit NodeEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NodeEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NodeEntry>(end);
+    fbb_.Required(o, NodeEntry::VT_ADDRESS);
+    fbb_.Required(o, NodeEntry::VT_FAILURE_DOMAIN);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NodeEntry> CreateNodeEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    double cpu_share = 0.0) {
+  NodeEntryBuilder builder_(_fbb);
+  builder_.add_cpu_share(cpu_share);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct NodeEntry::Traits {
+  using type = NodeEntry;
+  static auto constexpr Create = CreateNodeEntry;
+};
+
+inline flatbuffers::Offset<NodeEntry> CreateNodeEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *failure_domain = nullptr,
+    double cpu_share = 0.0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  return cyclamenstair::schema::CreateNodeEntry(
+      _fbb,
+      address__,
+      failure_domain__,
+      cpu_share);
+}
+
+flatbuffers::Offset<NodeEntry> CreateNodeEntry(flatbuffers::FlatBufferBuilder &_fbb, const NodeEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EntryMessageT : public flatbuffers::NativeTable {
   typedef EntryMessage TableType;
   cyclamenstair::schema::EntryContentUnion content{};
@@ -1156,6 +1483,12 @@
   const cyclamenstair::schema::ResidencyNotice *content_as_ResidencyNotice() const {
     return content_type() == cyclamenstair::schema::EntryContent::ResidencyNotice ? static_cast<const cyclamenstair::schema::ResidencyNotice *>(content()) : nullptr;
   }
+  const cyclamenstair::schema::DemandShare *content_as_DemandShare() const {
+    return content_type() == cyclamenstair::schema::EntryContent::DemandShare ? static_cast<const cyclamenstair::schema::DemandShare *>(content()) : nullptr;
+  }
+  const cyclamenstair::schema::LoadSummary *content_as_LoadSummary() const {
+    return content_type() == cyclamenstair::schema::EntryContent::LoadSummary ? static_cast<const cyclamenstair::schema::LoadSummary *>(content()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONTENT_TYPE, 1) &&
@@ -1184,6 +1517,14 @@
   return content_as_ResidencyNotice();
 }
 
+template<> inline const cyclamenstair::schema::DemandShare *EntryMessage::content_as<cyclamenstair::schema::DemandShare>() const {
+  return content_as_DemandShare();
+}
+
+template<> inline const cyclamenstair::schema::LoadSummary *EntryMessage::content_as<cyclamenstair::schema::LoadSummary>() const {
+  return content_as_LoadSummary();
+}
+
 struct EntryMessageBuilder {
   typedef EntryMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1328,20 +1669,16 @@
 }
 
 inline LoadShareT::LoadShareT(const LoadShareT &o)
-      : node(o.node) {
+      : node(o.node),
+        collected(o.collected) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetLoadRowT(*targets_) : nullptr); }
-  demands.reserve(o.demands.size());
-  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new cyclamenstair::schema::ArtifactLoadRowT(*demands_) : nullptr); }
-  model_runs.reserve(o.model_runs.size());
-  for (const auto &model_runs_ : o.model_runs) { model_runs.emplace_back((model_runs_) ? new cyclamenstair::schema::ModelRunsRowT(*model_runs_) : nullptr); }
 }
 
 inline LoadShareT &LoadShareT::operator=(LoadShareT o) FLATBUFFERS_NOEXCEPT {
   std::swap(node, o.node);
   std::swap(targets, o.targets);
-  std::swap(demands, o.demands);
-  std::swap(model_runs, o.model_runs);
+  std::swap(collected, o.collected);
   return *this;
 }
 
@@ -1356,8 +1693,7 @@
   (void)_resolver;
   { auto _e = node(); if (_e) _o->node = _e->str(); }
   { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<cyclamenstair::schema::ArtifactLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = model_runs(); if (_e) { _o->model_runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->model_runs[_i] = std::unique_ptr<cyclamenstair::schema::ModelRunsRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = collected(); _o->collected = _e; }
 }
 
 inline flatbuffers::Offset<LoadShare> LoadShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1370,16 +1706,102 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _node = _fbb.CreateString(_o->node);
   auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetLoadRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateArtifactLoadRow(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _model_runs = _o->model_runs.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> (_o->model_runs.size(), [](size_t i, _VectorArgs *__va) { return CreateModelRunsRow(*__va->__fbb, __va->__o->model_runs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _collected = _o->collected;
   return cyclamenstair::schema::CreateLoadShare(
       _fbb,
       _node,
       _targets,
+      _collected);
+}
+
+inline DemandShareT::DemandShareT(const DemandShareT &o)
+      : node(o.node) {
+  demands.reserve(o.demands.size());
+  for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new cyclamenstair::schema::ArtifactLoadRowT(*demands_) : nullptr); }
+  model_runs.reserve(o.model_runs.size());
+  for (const auto &model_runs_ : o.model_runs) { model_runs.emplace_back((model_runs_) ? new cyclamenstair::schema::ModelRunsRowT(*model_runs_) : nullptr); }
+}
+
+inline DemandShareT &DemandShareT::operator=(DemandShareT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(demands, o.demands);
+  std::swap(model_runs, o.model_runs);
+  return *this;
+}
+
+inline DemandShareT *DemandShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DemandShareT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DemandShare::UnPackTo(DemandShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<cyclamenstair::schema::ArtifactLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = model_runs(); if (_e) { _o->model_runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->model_runs[_i] = std::unique_ptr<cyclamenstair::schema::ModelRunsRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DemandShare> DemandShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDemandShare(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DemandShare> CreateDemandShare(flatbuffers::FlatBufferBuilder &_fbb, const DemandShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DemandShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ArtifactLoadRow>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateArtifactLoadRow(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _model_runs = _o->model_runs.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ModelRunsRow>> (_o->model_runs.size(), [](size_t i, _VectorArgs *__va) { return CreateModelRunsRow(*__va->__fbb, __va->__o->model_runs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateDemandShare(
+      _fbb,
+      _node,
       _demands,
       _model_runs);
 }
 
+inline LoadSummaryT::LoadSummaryT(const LoadSummaryT &o)
+      : node(o.node) {
+  targets.reserve(o.targets.size());
+  for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetLoadRowT(*targets_) : nullptr); }
+}
+
+inline LoadSummaryT &LoadSummaryT::operator=(LoadSummaryT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(targets, o.targets);
+  return *this;
+}
+
+inline LoadSummaryT *LoadSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LoadSummaryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadSummary::UnPackTo(LoadSummaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LoadSummary> LoadSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadSummary(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadSummary> CreateLoadSummary(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetLoadRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateLoadSummary(
+      _fbb,
+      _node,
+      _targets);
+}
+
 inline SnapshotRequestT *SnapshotRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<SnapshotRequestT>();
   UnPackTo(_o.get(), _resolver);
@@ -1559,6 +1981,38 @@
       _models);
 }
 
+inline NodeEntryT *NodeEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<NodeEntryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void NodeEntry::UnPackTo(NodeEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
+  { auto _e = cpu_share(); _o->cpu_share = _e; }
+}
+
+inline flatbuffers::Offset<NodeEntry> NodeEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateNodeEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<NodeEntry> CreateNodeEntry(flatbuffers::FlatBufferBuilder &_fbb, const NodeEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NodeEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _fbb.CreateString(_o->address);
+  auto _failure_domain = _fbb.CreateString(_o->failure_domain);
+  auto _cpu_share = _o->cpu_share;
+  return cyclamenstair::schema::CreateNodeEntry(
+      _fbb,
+      _address,
+      _failure_domain,
+      _cpu_share);
+}
+
 inline EntryMessageT *EntryMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EntryMessageT>();
   UnPackTo(_o.get(), _resolver);
@@ -1609,6 +2063,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::ResidencyNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case EntryContent::DemandShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::DemandShare *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case EntryContent::LoadSummary: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::LoadSummary *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1644,6 +2106,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::ResidencyNotice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case EntryContent::DemandShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::DemandShare *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case EntryContent::LoadSummary: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::LoadSummary *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1667,6 +2137,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::ResidencyNoticeT *>(value);
       return CreateResidencyNotice(_fbb, ptr, _rehasher).Union();
     }
+    case EntryContent::DemandShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::DemandShareT *>(value);
+      return CreateDemandShare(_fbb, ptr, _rehasher).Union();
+    }
+    case EntryContent::LoadSummary: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::LoadSummaryT *>(value);
+      return CreateLoadSummary(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1689,6 +2167,14 @@
       value = new cyclamenstair::schema::ResidencyNoticeT(*reinterpret_cast<cyclamenstair::schema::ResidencyNoticeT *>(u.value));
       break;
     }
+    case EntryContent::DemandShare: {
+      value = new cyclamenstair::schema::DemandShareT(*reinterpret_cast<cyclamenstair::schema::DemandShareT *>(u.value));
+      break;
+    }
+    case EntryContent::LoadSummary: {
+      value = new cyclamenstair::schema::LoadSummaryT(*reinterpret_cast<cyclamenstair::schema::LoadSummaryT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1716,6 +2202,16 @@
       delete ptr;
       break;
     }
+    case EntryContent::DemandShare: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::DemandShareT *>(value);
+      delete ptr;
+      break;
+    }
+    case EntryContent::LoadSummary: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::LoadSummaryT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -1412,6 +1412,7 @@
   std::string peer_listen{};
   std::string seeds{};
   std::string metrics_listen{};
+  double cpu_share = 1.0;
   int32_t loops = 2;
   double grace_s = 8.0;
   double retry_ratio = 0.2;
@@ -1431,12 +1432,13 @@
     VT_PEER_LISTEN = 8,
     VT_SEEDS = 10,
     VT_METRICS_LISTEN = 12,
-    VT_LOOPS = 14,
-    VT_GRACE_S = 16,
-    VT_RETRY_RATIO = 18,
-    VT_RETRY_SLACK = 20,
-    VT_RETRY_WINDOW_S = 22,
-    VT_RETRY_NODES = 24
+    VT_CPU_SHARE = 14,
+    VT_LOOPS = 16,
+    VT_GRACE_S = 18,
+    VT_RETRY_RATIO = 20,
+    VT_RETRY_SLACK = 22,
+    VT_RETRY_WINDOW_S = 24,
+    VT_RETRY_NODES = 26
   };
   /// Address for callers as IP:PORT.
   const flatbuffers::String *listen() const {
@@ -1458,6 +1460,11 @@
   const flatbuffers::String *metrics_listen() const {
     return GetPointer<const flatbuffers::String *>(VT_METRICS_LISTEN);
   }
+  /// Part of a processor core that the node may use. Nodes with more of it collect the loads of others and are preferred
+  /// as holder of the order lease.
+  double cpu_share() const {
+    return GetField<double>(VT_CPU_SHARE, 1.0);
+  }
   /// Event loops that serve callers.
   int32_t loops() const {
     return GetField<int32_t>(VT_LOOPS, 2);
@@ -1494,6 +1501,7 @@
            verifier.VerifyString(seeds()) &&
            VerifyOffset(verifier, VT_METRICS_LISTEN) &&
            verifier.VerifyString(metrics_listen()) &&
+           VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
            VerifyField<int32_t>(verifier, VT_LOOPS, 4) &&
            VerifyField<double>(verifier, VT_GRACE_S, 8) &&
            VerifyField<double>(verifier, VT_RETRY_RATIO, 8) &&
@@ -1526,6 +1534,9 @@
   void add_metrics_listen(flatbuffers::Offset<flatbuffers::String> metrics_listen) {
     fbb_.AddOffset(EntrySettings::VT_METRICS_LISTEN, metrics_listen);
   }
+  void add_cpu_share(double cpu_share) {
+    fbb_.AddElement<double>(EntrySettings::VT_CPU_SHARE, cpu_share, 1.0);
+  }
   void add_loops(int32_t loops) {
     fbb_.AddElement<int32_t>(EntrySettings::VT_LOOPS, loops, 2);
   }
@@ -1562,6 +1573,7 @@
     flatbuffers::Offset<flatbuffers::String> peer_listen = 0,
     flatbuffers::Offset<flatbuffers::String> seeds = 0,
     flatbuffers::Offset<flatbuffers::String> metrics_listen = 0,
+    double cpu_share = 1.0,
     int32_t loops = 2,
     double grace_s = 8.0,
     double retry_ratio = 0.2,
@@ -1572,6 +1584,7 @@
   builder_.add_retry_window_s(retry_window_s);
   builder_.add_retry_ratio(retry_ratio);
   builder_.add_grace_s(grace_s);
+  builder_.add_cpu_share(cpu_share);
   builder_.add_retry_nodes(retry_nodes);
   builder_.add_retry_slack(retry_slack);
   builder_.add_loops(loops);
@@ -1595,6 +1608,7 @@
     const char *peer_listen = nullptr,
     const char *seeds = nullptr,
     const char *metrics_listen = nullptr,
+    double cpu_share = 1.0,
     int32_t loops = 2,
     double grace_s = 8.0,
     double retry_ratio = 0.2,
@@ -1613,6 +1627,7 @@
       peer_listen__,
       seeds__,
       metrics_listen__,
+      cpu_share,
       loops,
       grace_s,
       retry_ratio,
@@ -2373,6 +2388,7 @@
   { auto _e = peer_listen(); if (_e) _o->peer_listen = _e->str(); }
   { auto _e = seeds(); if (_e) _o->seeds = _e->str(); }
   { auto _e = metrics_listen(); if (_e) _o->metrics_listen = _e->str(); }
+  { auto _e = cpu_share(); _o->cpu_share = _e; }
   { auto _e = loops(); _o->loops = _e; }
   { auto _e = grace_s(); _o->grace_s = _e; }
   { auto _e = retry_ratio(); _o->retry_ratio = _e; }
@@ -2394,6 +2410,7 @@
   auto _peer_listen = _o->peer_listen.empty() ? 0 : _fbb.CreateString(_o->peer_listen);
   auto _seeds = _o->seeds.empty() ? 0 : _fbb.CreateString(_o->seeds);
   auto _metrics_listen = _o->metrics_listen.empty() ? 0 : _fbb.CreateString(_o->metrics_listen);
+  auto _cpu_share = _o->cpu_share;
   auto _loops = _o->loops;
   auto _grace_s = _o->grace_s;
   auto _retry_ratio = _o->retry_ratio;
@@ -2407,6 +2424,7 @@
       _peer_listen,
       _seeds,
       _metrics_listen,
+      _cpu_share,
       _loops,
       _grace_s,
       _retry_ratio,
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -1,4 +1,5 @@
 #include <Cyclamenstair/Codec/EntryMessages.h>
+#include <Cyclamenstair/Codec/NodeEntryCodec.h>
 #include <Cyclamenstair/Core/Error.h>
 
 #include <gtest/gtest.h>
@@ -7,16 +8,29 @@
 
 TEST(EntryMessageCodec, RoundTripsLoadShare)
 {
-    const LoadShare share { "node-1", { { "i-1", { 4, 2600 } } }, { { { "drafting", "draft", "a1" }, { 2.5, 7, 3 } } },
-        { { "i-1", { { "draft", 3 } } } } };
-    const auto decoded = std::get<LoadShare>(decodeEntryMessage(encodeEntryMessage(share)));
-    EXPECT_EQ(decoded.node, "node-1");
+    const LoadShare share { "node-1", { { "i-1", { 4, 2600 } } }, true };
+    EXPECT_EQ(std::get<LoadShare>(decodeEntryMessage(encodeEntryMessage(share))), share);
+    const LoadSummary summary { "node-2", share.loads };
+    const auto decoded = std::get<LoadSummary>(decodeEntryMessage(encodeEntryMessage(summary)));
+    EXPECT_EQ(decoded.node, "node-2");
     EXPECT_EQ(decoded.loads, share.loads);
-    EXPECT_EQ(decoded.modelRuns, share.modelRuns);
-    ASSERT_EQ(decoded.demands.size(), 1U);
-    const auto& [artifact, load] = *decoded.demands.begin();
-    EXPECT_EQ(artifact, (ArtifactKey { "drafting", "draft", "a1" }));
-    EXPECT_EQ(load, (ArtifactWorkload { 2.5, 7, 3 }));
+}
+
+TEST(EntryMessageCodec, RoundTripsDemandShare)
+{
+    const DemandShare share { "node-1", { { { "drafting", "draft", "a1" }, { 2.5, 7, 3 } } },
+        { { "i-1", { { "draft", 3 } } } } };
+    EXPECT_EQ(std::get<DemandShare>(decodeEntryMessage(encodeEntryMessage(share))), share);
+}
+
+// Guards against a crash on an entry that another writer put into the store, and against a lost field.
+TEST(NodeEntryCodec, RoundTripsAndRejectsMalformedBytes)
+{
+    const PeerNode node { "10.0.0.1:8144", "domain-1", 0.12 };
+    EXPECT_EQ(decodeNodeEntry(encodeNodeEntry(node), "node-1").value(), node);
+    const auto rejected = decodeNodeEntry("10.0.0.1:8144", "node-1");
+    ASSERT_FALSE(rejected);
+    EXPECT_EQ(rejected.error().peer, "node-1");
 }
 
 TEST(EntryMessageCodec, RoundTripsSnapshot)
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -134,7 +134,7 @@
 {
     registry.update(engine("i-1"), 1);
     registry.update(engine("i-2"), 2);
-    registry.setRemoteLoads("node-2", { { "i-1", { 6, 0 } } }, now);
+    registry.setRemoteLoads({ { "i-1", { 6, 0 } } }, now);
     for (int i = 0; i < 6; ++i)
         EXPECT_EQ(acquiredId(draft), "i-2");
     EXPECT_EQ(acquiredId(draft, now + std::chrono::seconds(3)), "i-1");
@@ -192,7 +192,7 @@
 {
     registry.update(engine("i-1"), 1);
     registry.update(engine("i-2"), 2);
-    registry.setRemoteLoads("node-2", { { "i-1", { 1, 900 } } }, now);
+    registry.setRemoteLoads({ { "i-1", { 1, 900 } } }, now);
     TargetQuery query = draft;
     query.promptTokens = 4000;
     query.excludesBacklogged = true;
