Prefer few targets per node in a large fleet

Cause: at 295 nodes the known loads are 200 to 400 ms old, longer than a booking takes, and all nodes chose the target that was least loaded then.

Change: above 16 nodes, a node prefers two of the targets that hold the model, chosen by rendezvous hashing, and leaves them when another is half a request per slot cheaper.

Figures: in the test, 300 nodes that know the same old loads send at most 2.5 times the mean to one of six targets; before, all 300 requests went to one.

--- a/Cyclamenstair/Entry/EntryState.cpp
+++ b/Cyclamenstair/Entry/EntryState.cpp
@@ -18,6 +18,14 @@
         return { allowanceShare * entry.retry_ratio, slack / 2 / entry.retry_window_s, slack / 2 };
     }
 
+    TargetRegistrySettings targetRegistrySettings(const schema::NodeSettingsT& node)
+    {
+        TargetRegistrySettings settings;
+        settings.nodeId = node.id;
+        settings.failureDomain = node.failure_domain;
+        return settings;
+    }
+
     /// The allowance is per service; there is no bound over all services.
     constexpr RetryAllowance unlimitedTotal { 1, 1e6, 1e6 };
 
@@ -25,7 +33,7 @@
 
 EntryState::EntryState(const schema::SettingsT& settings)
     : nodeId(settings.node->id)
-    , targets(TargetRegistrySettings { .failureDomain = settings.node->failure_domain })
+    , targets(targetRegistrySettings(*settings.node))
     , retries(retryAllowance(*settings.entry), unlimitedTotal)
     , m_minNodeCount(static_cast<uint32_t>(settings.entry->retry_nodes))
 {
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -81,6 +81,7 @@
     m_areNodesKnown = !nodes.empty();
     m_state->setNodeCount(nodes.size());
     m_topology.setNodes(std::move(nodes), m_self);
+    m_state->targets.setLargeFleet(!m_topology.isDirect());
 }
 
 DemandShare PeerMesh::totalDemand() const { return m_exchange.totalDemand(ownDemand()); }
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -1,6 +1,9 @@
 #include <Cyclamenstair/Fleet/TargetRegistry.h>
 
+#include <Cyclamenstair/Core/Hash.h>
+
 #include <algorithm>
+#include <functional>
 
 namespace cyclamenstair {
 
@@ -63,8 +66,7 @@
         const auto service = services.find(query.service);
         if (service == services.end())
             return AcquireFailure::NoTarget;
-        TargetState* best = nullptr;
-        double bestCost = 0;
+        std::vector<Candidate> candidates;
         bool isAnyReady = false;
         bool isModelLoaded = false;
         bool isAnyBacklogged = false;
@@ -85,13 +87,9 @@
                 continue;
             }
             // The random term makes nodes break ties differently.
-            const double cost = selectionCost(target, now) + randomUnit(random) * 0.01;
-            if (!best || cost < bestCost) {
-                best = &target;
-                bestCost = cost;
-            }
+            candidates.push_back({ &target, selectionCost(target, now) + randomUnit(random) * 0.01 });
         }
-        if (!best) {
+        if (candidates.empty()) {
             if (!isAnyReady)
                 return AcquireFailure::NoTarget;
             if (isAnyBacklogged)
@@ -99,6 +97,11 @@
             return isModelLoaded && !query.adapter.empty() ? AcquireFailure::AdapterAbsent
                                                            : AcquireFailure::ModelAbsent;
         }
+        if (m_isLargeFleet)
+            addOtherTargetCost(candidates);
+        auto* const best = std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+            return a.cost < b.cost;
+        })->target;
         ++best->load.inFlight;
         best->load.pendingPromptTokens += query.promptTokens;
         if (!query.model.empty())
@@ -270,6 +273,20 @@
     return pendingTokens > 0 && pendingTokens + query.promptTokens > m_settings.maxPendingPromptTokens;
 }
 
+void TargetRegistry::addOtherTargetCost(std::vector<Candidate>& candidates) const
+{
+    if (candidates.size() <= m_settings.preferredTargets)
+        return;
+    std::vector<std::pair<uint64_t, Candidate*>> ranking;
+    ranking.reserve(candidates.size());
+    for (auto& candidate : candidates)
+        ranking.emplace_back(rendezvousWeight(m_settings.nodeId, candidate.target->record.id), &candidate);
+    const auto firstOther = ranking.begin() + static_cast<std::ptrdiff_t>(m_settings.preferredTargets);
+    std::nth_element(ranking.begin(), firstOther, ranking.end(), std::greater<>());
+    for (auto other = firstOther; other != ranking.end(); ++other)
+        other->second->cost += m_settings.otherTargetCost;
+}
+
 double TargetRegistry::selectionCost(const TargetState& target, TimePoint now) const
 {
     const auto load = totalLoad(target, now);
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Core/Sharded.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
 
+#include <atomic>
 #include <map>
 #include <optional>
 #include <variant>
@@ -12,10 +13,17 @@
 
 /// Settings of a TargetRegistry.
 struct TargetRegistrySettings {
+    std::string nodeId; ///< Id of this node, from which the targets that it prefers are derived.
     std::string failureDomain; ///< Failure domain of this node; targets in it are preferred at equal load.
     /// Cost added to targets in other failure domains, in requests per slot. Traffic between domains is billed, but
     /// queueing costs more.
     double remoteDomainCost { 0.02 };
+    /// Number of targets with the requested model that a node of a large fleet prefers. The loads that it knows there
+    /// are older than most requests, so nodes that all choose the least loaded target overload it. Few targets also let
+    /// a node with few requests reuse its connections.
+    size_t preferredTargets { 2 };
+    /// Cost added to other targets in a large fleet, in requests per slot.
+    double otherTargetCost { 0.5 };
     /// Time during which a target that refused a connection or interrupted a response is avoided if others are
     /// available.
     Duration suspectDuration { milliseconds(1500) };
@@ -97,6 +105,9 @@
     {
     }
 
+    /// Sets whether each node prefers a few targets, because the fleet has many nodes.
+    void setLargeFleet(bool isLargeFleet) { m_isLargeFleet = isLargeFleet; }
+
     /// Adds or updates a target from its record at store revision `revision`. Older revisions are ignored.
     void update(const TargetRecord& record, int64_t revision);
 
@@ -151,16 +162,23 @@
         TimePoint remoteLoadSetAt;
     };
     using Targets = std::map<std::string, TargetState>;
+    struct Candidate {
+        TargetState* target;
+        double cost;
+    };
 
     /// Returns the key of the queried artifact in TargetState::absentUntil.
     static std::string modelKey(const TargetQuery& query);
     /// Returns whether another prompt would exceed the limit of pending prompt tokens and delay the target's streams.
     bool isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const;
     double selectionCost(const TargetState& target, TimePoint now) const;
+    /// Adds TargetRegistrySettings::otherTargetCost to the candidates that this node does not prefer.
+    void addOtherTargetCost(std::vector<Candidate>& candidates) const;
     /// Returns the load of all nodes at the target, as far as other nodes' loads are current.
     TargetWorkload totalLoad(const TargetState& target, TimePoint now) const;
 
     TargetRegistrySettings m_settings;
+    std::atomic<bool> m_isLargeFleet { false };
     Sharded<std::string, std::map<std::string, Targets>> m_services;
 };
 
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -21,6 +21,14 @@
     return record;
 }
 
+TargetRegistrySettings settingsOf(const std::string& nodeId)
+{
+    TargetRegistrySettings settings;
+    settings.nodeId = nodeId;
+    settings.failureDomain = "domain-1";
+    return settings;
+}
+
 class TargetRegistryTest : public testing::Test {
 protected:
     AcquireOutcome acquire(const TargetQuery& query, TimePoint time = now)
@@ -34,7 +42,7 @@
         return target ? target->id : std::string(nameOf(std::get<AcquireFailure>(outcome)));
     }
 
-    TargetRegistry registry { { .failureDomain = "domain-1" } };
+    TargetRegistry registry { settingsOf("node-1") };
     Random random { 20261204 };
     TargetQuery draft { "drafting", "draft", {}, {} };
 };
@@ -200,6 +208,49 @@
     EXPECT_EQ(acquiredId(query), "prompts_unread");
 }
 
+// Guards against nodes of a large fleet that all send their requests to the target that was the least loaded one when
+// they last heard of it.
+TEST(TargetRegistry, LargeFleetSpreadsRequestsOnOldLoads)
+{
+    constexpr int targetCount = 6;
+    constexpr int nodeCount = 300;
+    std::map<std::string, int> requestsByTarget;
+    for (int node = 0; node < nodeCount; ++node) {
+        TargetRegistry nodeRegistry { settingsOf("node-" + std::to_string(node)) };
+        nodeRegistry.setLargeFleet(true);
+        TargetWorkloads loads;
+        for (int i = 0; i < targetCount; ++i) {
+            auto record = engine("i-" + std::to_string(i));
+            record.slots = 6;
+            nodeRegistry.update(record, i + 1);
+            // All nodes heard that the first target has one request less than the others.
+            loads[record.id] = { i == 0 ? 3U : 4U, 0 };
+        }
+        nodeRegistry.setRemoteLoads(loads, now);
+        Random nodeRandom { static_cast<uint64_t>(node) };
+        const auto outcome = nodeRegistry.acquire({ "drafting", "draft", {}, {} }, now, nodeRandom);
+        ++requestsByTarget[std::get<AcquiredTarget>(outcome).id];
+    }
+    ASSERT_EQ(requestsByTarget.size(), size_t { targetCount });
+    for (const auto& [id, count] : requestsByTarget)
+        EXPECT_LE(count, 2.5 * nodeCount / targetCount) << id;
+}
+
+// Guards against a node that keeps to its preferred targets while they are overloaded or fail.
+TEST(TargetRegistry, OverloadedPreferredTargetsAreLeft)
+{
+    TargetRegistry nodeRegistry { settingsOf("node-1") };
+    nodeRegistry.setLargeFleet(true);
+    for (int i = 0; i < 6; ++i)
+        nodeRegistry.update(engine("i-" + std::to_string(i)), i + 1);
+    Random nodeRandom { 1 };
+    std::set<std::string> used;
+    for (int i = 0; i < 24; ++i)
+        used.insert(
+            std::get<AcquiredTarget>(nodeRegistry.acquire({ "drafting", "draft", {}, {} }, now, nodeRandom)).id);
+    EXPECT_EQ(used.size(), 6U);
+}
+
 // Guards against artifacts that stay in demand after their requests have finished.
 TEST(DemandCounter, CountsRequestsInProgressAndDecaysArrivals)
 {
