--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -55,9 +55,39 @@
         schema::LoadSummaryT record;
         record.node = summary.node;
         record.targets = toRows(summary.loads);
+        record.store_sequence = summary.storeSequence;
         return record;
     }
 
+    schema::StoreUpdateT toRecord(const StoreUpdate& update)
+    {
+        schema::StoreUpdateT record;
+        record.node = update.node;
+        record.sequence = update.sequence;
+        record.prefix = update.prefix;
+        record.full = update.isFull;
+        record.revision = update.changes.revision;
+        for (const auto& change : update.changes.changes) {
+            auto row = std::make_unique<schema::StoreRecordRowT>();
+            row->key = change.record.key;
+            row->value.assign(change.record.value.begin(), change.record.value.end());
+            row->revision = change.record.modRevision;
+            row->deleted = change.isDeleted;
+            record.rows.push_back(std::move(row));
+        }
+        return record;
+    }
+
+    StoreUpdate fromRecord(const schema::StoreUpdateT& record)
+    {
+        StoreUpdate update { record.node, record.sequence, record.prefix, record.full, { {}, record.revision } };
+        for (const auto& row : record.rows) {
+            update.changes.changes.push_back(
+                { { row->key, { row->value.begin(), row->value.end() }, row->revision, 0 }, row->deleted });
+        }
+        return update;
+    }
+
     schema::DemandShareT toRecord(const DemandShare& share)
     {
         schema::DemandShareT record;
@@ -157,6 +187,12 @@
                    [&](const ResidencyNotice& notice) { record.content.Set(toRecord(notice)); },
                    [&](const DemandShare& share) { record.content.Set(toRecord(share)); },
                    [&](const LoadSummary& summary) { record.content.Set(toRecord(summary)); },
+                   [&](const StoreSyncRequest& request) {
+                       schema::StoreSyncRequestT content;
+                       content.node = request.node;
+                       record.content.Set(std::move(content));
+                   },
+                   [&](const StoreUpdate& update) { record.content.Set(toRecord(update)); },
                },
         message);
     return packRecord<schema::EntryMessage>(record);
@@ -168,9 +204,13 @@
     if (const auto* share = record.content.AsLoadShare())
         return LoadShare { share->node, fromRows(share->targets), share->collected };
     if (const auto* summary = record.content.AsLoadSummary())
-        return LoadSummary { summary->node, fromRows(summary->targets) };
+        return LoadSummary { summary->node, fromRows(summary->targets), summary->store_sequence };
     if (const auto* share = record.content.AsDemandShare())
         return fromRecord(*share);
+    if (const auto* request = record.content.AsStoreSyncRequest())
+        return StoreSyncRequest { request->node };
+    if (const auto* update = record.content.AsStoreUpdate())
+        return fromRecord(*update);
     if (const auto* request = record.content.AsSnapshotRequest())
         return SnapshotRequest { request->node };
     if (const auto* snapshot = record.content.AsSnapshot())
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
+#include <Cyclamenstair/Store/StoreTypes.h>
 
 #include <string_view>
 #include <variant>
@@ -31,6 +32,21 @@
 struct LoadSummary {
     std::string node; ///< The collector.
     TargetWorkloads loads;
+    uint64_t storeSequence { 0 }; ///< Of the collector's last StoreUpdate; 0 while it does not reach the store.
+};
+
+/// Requests all records of the store from a collector.
+struct StoreSyncRequest {
+    std::string node;
+};
+
+/// Records below a prefix, sent by a collector that watches the store to the nodes of its group.
+struct StoreUpdate {
+    std::string node; ///< The collector.
+    uint64_t sequence { 0 }; ///< Increases by one with each update that goes to all nodes of the group.
+    std::string prefix;
+    bool isFull { false }; ///< The changes are all records below the prefix.
+    StoreChanges changes;
 };
 
 /// Requests a Snapshot.
@@ -60,7 +76,8 @@
     std::vector<LoadedModel> models;
 };
 
-using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice, DemandShare, LoadSummary>;
+using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice, DemandShare, LoadSummary,
+    StoreSyncRequest, StoreUpdate>;
 
 /// Returns the message as a FlatBuffers EntryMessage.
 std::string encodeEntryMessage(const EntryMessage& message);
--- a/Cyclamenstair/Entry/CatalogWatcher.h
+++ b/Cyclamenstair/Entry/CatalogWatcher.h
@@ -11,6 +11,7 @@
     CatalogWatcher(boost::asio::io_context& context, PlatformStore& store, EntryState& state);
 
     void start() { m_watcher.start(); }
+    StoreWatcher& storeWatcher() { return m_watcher; }
 
     /// Applies a catalog text read from `source`; a malformed one, or one older than the current one, is ignored.
     void apply(const std::string& text, const std::string& source);
--- a/Cyclamenstair/Entry/ControlWatcher.cpp
+++ b/Cyclamenstair/Entry/ControlWatcher.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     const std::string controlPrefix = "control/";
+    /// Time between two watches in a large fleet, in which many nodes register one after the other.
+    constexpr Duration largeFleetWatchInterval = milliseconds(1000);
 
 } // namespace
 
@@ -31,8 +33,7 @@
         else if (record.key.starts_with(NodeRegistrar::keyPrefix))
             updateNode(record);
     }
-    m_mesh->setNodes(m_nodes);
-    m_elector->setNodeCount(m_nodes.size());
+    applyNodes();
     setLeaseHolder(leaseHolder);
 }
 
@@ -46,11 +47,18 @@
             m_nodes.erase(record.key.substr(NodeRegistrar::keyPrefix.size()));
         else
             updateNode(record);
-        m_mesh->setNodes(m_nodes);
-        m_elector->setNodeCount(m_nodes.size());
+        applyNodes();
     }
 }
 
+void ControlWatcher::applyNodes()
+{
+    m_mesh->setNodes(m_nodes);
+    m_elector->setCompetitorCount(m_mesh->leaseCompetitorCount());
+    m_watcher.setWatchInterval(
+        m_mesh->isLargeFleet() ? largeFleetWatchInterval : StoreWatcherSettings {}.watchInterval);
+}
+
 void ControlWatcher::updateNode(const StoreRecord& record)
 {
     const auto nodeId = record.key.substr(NodeRegistrar::keyPrefix.size());
--- a/Cyclamenstair/Entry/ControlWatcher.h
+++ b/Cyclamenstair/Entry/ControlWatcher.h
@@ -12,10 +12,12 @@
     ControlWatcher(boost::asio::io_context& context, PlatformStore& store, OrderLeaseElector& elector, PeerMesh& mesh);
 
     void start() { m_watcher.start(); }
+    StoreWatcher& storeWatcher() { return m_watcher; }
 
 private:
     void onRead(const StoreRange& range);
     void onChange(const StoreChange& change);
+    void applyNodes();
     void updateNode(const StoreRecord& record);
     void setLeaseHolder(const std::string& leaseHolder);
 
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -117,6 +117,7 @@
     , m_elector(m_controlLoop.context(), m_store, settings.node->id,
           leaseSettings(*settings.control, settings.entry->cpu_share), std::random_device {}())
     , m_registrar(m_controlLoop.context(), m_store, settings.node->id, selfAsPeer(settings))
+    , m_relay(settings.node->id)
 {
     std::random_device randomDevice;
     for (int i = 0; i < settings.entry->loops; ++i)
@@ -138,11 +139,19 @@
                     m_catalogWatcher.apply(snapshot.catalog, "peer");
                 if (snapshot.areTargetsKnown)
                     m_targetWatcher.apply(snapshot.targets);
-            } });
+            } },
+        m_relay);
     if (!mesh)
         return mesh.error();
     m_mesh = std::move(mesh).value();
     m_controlWatcher = std::make_unique<ControlWatcher>(m_controlLoop.context(), m_store, m_elector, *m_mesh);
+    for (auto* watcher :
+        { &m_catalogWatcher.storeWatcher(), &m_targetWatcher.storeWatcher(), &m_controlWatcher->storeWatcher() })
+        m_relay.add(*watcher);
+    m_relay.setCollectingHandler([this](bool isCollecting) { m_registrar.setFrequent(isCollecting); });
+    m_relay.setContact([this] { return m_registrar.hasContact(monotonicNow()); });
+    // A node that follows a collector learns of a free lease later than those that watch the store.
+    m_elector.setEligibility([this] { return m_relay.isWatching(); });
     m_dispatcher = std::make_unique<OrderDispatcher>(m_controlLoop.context(), m_elector, *m_mesh, m_state);
     return std::nullopt;
 }
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -5,6 +5,7 @@
 #include <Cyclamenstair/Entry/NodeRegistrar.h>
 #include <Cyclamenstair/Entry/OrderDispatcher.h>
 #include <Cyclamenstair/Entry/RequestLoop.h>
+#include <Cyclamenstair/Entry/StoreRelay.h>
 #include <Cyclamenstair/Entry/TargetWatcher.h>
 #include <Cyclamenstair/Http/ServerListener.h>
 
@@ -48,6 +49,7 @@
     TargetWatcher m_targetWatcher;
     OrderLeaseElector m_elector;
     NodeRegistrar m_registrar;
+    StoreRelay m_relay;
     std::unique_ptr<PeerMesh> m_mesh;
     std::unique_ptr<ControlWatcher> m_controlWatcher;
     std::unique_ptr<OrderDispatcher> m_dispatcher;
--- a/Cyclamenstair/Entry/NodeRegistrar.cpp
+++ b/Cyclamenstair/Entry/NodeRegistrar.cpp
@@ -9,6 +9,7 @@
     /// Time until the entry of a dead node expires. Until then peers only waste connection attempts.
     constexpr Duration entryTimeToLive = milliseconds(10000);
     constexpr Duration renewalInterval = milliseconds(4000);
+    constexpr Duration frequentRenewalInterval = milliseconds(300);
     constexpr Duration retryDelay = milliseconds(1000);
 
 } // namespace
@@ -45,13 +46,23 @@
     });
 }
 
+void NodeRegistrar::setFrequent(bool isFrequent)
+{
+    if (isFrequent == m_isFrequent)
+        return;
+    m_isFrequent = isFrequent;
+    // A renewal in progress schedules the next one itself.
+    if (isFrequent && m_leaseId != 0 && m_timer.expiry() > monotonicNow() + frequentRenewalInterval)
+        scheduleNext(frequentRenewalInterval);
+}
+
 void NodeRegistrar::writeEntry(int64_t leaseId)
 {
     const StoreTransaction transaction { {}, { StorePut { keyPrefix + m_nodeId, encodeNodeEntry(m_self), leaseId } } };
     m_store->transact(transaction, [this, leaseId](const StoreWriteOutcome& outcome) {
         if (std::holds_alternative<StoreApplied>(outcome)) {
             m_leaseId = leaseId;
-            scheduleNext(renewalInterval);
+            scheduleNext(m_isFrequent ? frequentRenewalInterval : renewalInterval);
         } else {
             m_store->revokeLease(leaseId);
             scheduleNext(retryDelay);
@@ -62,11 +73,16 @@
 void NodeRegistrar::renew()
 {
     m_store->keepLeaseAlive(m_leaseId, [this](StoreLeaseOutcome outcome) {
+        if (outcome != StoreLeaseOutcome::Unavailable)
+            m_contactAt = monotonicNow();
         if (outcome == StoreLeaseOutcome::Expired) {
             logEvent(LogSeverity::Info, "node_entry_lapsed", { { "node", m_nodeId } });
             m_leaseId = 0;
         }
-        scheduleNext(outcome == StoreLeaseOutcome::Alive ? renewalInterval : retryDelay);
+        if (m_isFrequent)
+            scheduleNext(frequentRenewalInterval);
+        else
+            scheduleNext(outcome == StoreLeaseOutcome::Alive ? renewalInterval : retryDelay);
     });
 }
 
--- a/Cyclamenstair/Entry/NodeRegistrar.h
+++ b/Cyclamenstair/Entry/NodeRegistrar.h
@@ -15,6 +15,16 @@
 
     void start() { registerOrRenew(); }
 
+    /// Sets whether the entry's lease is renewed often, so that a loss of the store shows within
+    /// contactLifetime. A renewal is billed at a tenth of a call.
+    void setFrequent(bool isFrequent);
+
+    /// Returns whether the store has answered a renewal recently. Meaningful only if the lease is renewed often.
+    bool hasContact(TimePoint now) const { return now - m_contactAt < contactLifetime; }
+
+    /// Time after an answer during which the store counts as reachable.
+    static constexpr Duration contactLifetime = milliseconds(900);
+
     /// Stops renewals and revokes the lease, which removes the entry.
     void stop();
 
@@ -31,6 +41,8 @@
     PlatformStore* m_store;
     std::string m_nodeId;
     PeerNode m_self;
+    bool m_isFrequent { false };
+    TimePoint m_contactAt; ///< Time of the last answer to a renewal.
     int64_t m_leaseId { 0 }; ///< 0 while the node is not registered.
 };
 
--- a/Cyclamenstair/Entry/OrderLeaseElector.cpp
+++ b/Cyclamenstair/Entry/OrderLeaseElector.cpp
@@ -11,9 +11,9 @@
     /// Upper bound of the random delay before a node tries to create the absent key, so that attempts of several nodes
     /// rarely collide.
     constexpr Duration acquireJitter = milliseconds(300);
-    /// Number of nodes from which on the bound grows with the number of nodes, so that as many attempts fall into the
-    /// time until the others learn of the new holder.
-    constexpr size_t acquireJitterNodes = 16;
+    /// Number of competing nodes from which on the bound grows with it, so that few attempts are made before the others
+    /// learn of the new holder.
+    constexpr size_t acquireJitterCompetitors = 16;
     /// Delay after a failed attempt.
     constexpr Duration acquireRetryDelay = milliseconds(500);
     /// Allows three renewals within the lease's validity. A renewal is billed at a tenth of a call.
@@ -66,16 +66,28 @@
         return;
     m_isAcquiring = true;
     const auto jitter = std::chrono::duration<double, Duration::period>(acquireJitter) * randomUnit(m_random)
-        * std::max(1.0, static_cast<double>(m_nodeCount) / acquireJitterNodes);
+        * std::max(1.0, static_cast<double>(m_competitorCount) / acquireJitterCompetitors);
     m_timer.expires_after(m_settings.acquireDelay + std::chrono::duration_cast<Duration>(jitter));
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (ec || m_isStopping || !m_leaseHolder.empty())
             m_isAcquiring = false;
+        else if (m_isEligible && !m_isEligible())
+            retryAcquire();
         else
             acquire();
     });
 }
 
+void OrderLeaseElector::retryAcquire()
+{
+    m_timer.expires_after(acquireRetryDelay);
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+        m_isAcquiring = false;
+        if (!ec && m_leaseHolder.empty())
+            scheduleAcquire();
+    });
+}
+
 void OrderLeaseElector::acquire()
 {
     const auto sentAt = suspendAwareNow();
@@ -84,12 +96,7 @@
             createHolderKey(*leaseId, sentAt);
             return;
         }
-        m_timer.expires_after(acquireRetryDelay);
-        m_timer.async_wait([this](const boost::system::error_code& ec) {
-            m_isAcquiring = false;
-            if (!ec && m_leaseHolder.empty())
-                scheduleAcquire();
-        });
+        retryAcquire();
     });
 }
 
@@ -97,18 +104,14 @@
 {
     StoreTransaction transaction { { { key, 0 } }, { StorePut { key, m_nodeId, leaseId } } };
     m_store->transact(transaction, [this, leaseId, sentAt](const StoreWriteOutcome& outcome) {
-        m_isAcquiring = false;
         const auto* appliedWrite = std::get_if<StoreApplied>(&outcome);
         if (!appliedWrite || m_isStopping) {
             // The write may have been applied even so; revoking or expiry of the lease then removes the key.
             m_store->revokeLease(leaseId);
-            m_timer.expires_after(acquireRetryDelay);
-            m_timer.async_wait([this](const boost::system::error_code& ec) {
-                if (!ec && m_leaseHolder.empty())
-                    scheduleAcquire();
-            });
+            retryAcquire();
             return;
         }
+        m_isAcquiring = false;
         m_leaseId = leaseId;
         m_leaseHolder = m_nodeId;
         m_lease.markAcquired(appliedWrite->revision, sentAt, suspendAwareNow());
--- a/Cyclamenstair/Entry/OrderLeaseElector.h
+++ b/Cyclamenstair/Entry/OrderLeaseElector.h
@@ -19,8 +19,11 @@
     /// Handles a change of the key; `leaseHolder` is its value, or empty if the key is absent.
     void onLeaseHolderChanged(const std::string& leaseHolder);
 
-    /// Sets the number of registered nodes, which compete for a free lease.
-    void setNodeCount(size_t nodeCount) { m_nodeCount = nodeCount; }
+    /// Sets the number of nodes that compete for a free lease.
+    void setCompetitorCount(size_t competitorCount) { m_competitorCount = competitorCount; }
+
+    /// Sets a function that returns whether this node takes a free lease. Without it, the node always does.
+    void setEligibility(std::function<bool()> isEligible) { m_isEligible = std::move(isEligible); }
 
     /// Resigns and stops competing for the lease.
     void stop();
@@ -36,6 +39,7 @@
 private:
     void scheduleAcquire();
     void acquire();
+    void retryAcquire();
     void createHolderKey(int64_t leaseId, TimePoint sentAt);
     void renew();
     void onRenewed(StoreLeaseOutcome outcome, TimePoint sentAt);
@@ -49,7 +53,8 @@
     OrderLease m_lease;
     Random m_random;
     std::string m_leaseHolder; ///< Value of the key; empty if the key is absent.
-    size_t m_nodeCount { 1 };
+    size_t m_competitorCount { 1 };
+    std::function<bool()> m_isEligible;
     bool m_isLeaseHolderKnown { false };
     bool m_isAcquiring { false };
     bool m_isStopping { false };
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 Result<std::unique_ptr<PeerMesh>> PeerMesh::create(boost::asio::io_context& context, EntryState& state,
-    const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers)
+    const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, StoreRelay& relay)
 {
     const auto& listenAddress = self.address;
     tcp::acceptor acceptor(context);
@@ -49,11 +49,11 @@
             return Error { ErrorKind::Unavailable, "peer.listen", listenAddress, ec.message() };
     }
     return std::unique_ptr<PeerMesh>(
-        new PeerMesh(context, state, self, seeds, std::move(snapshotHandlers), std::move(acceptor)));
+        new PeerMesh(context, state, self, seeds, std::move(snapshotHandlers), relay, std::move(acceptor)));
 }
 
 PeerMesh::PeerMesh(boost::asio::io_context& context, EntryState& state, PeerNode self,
-    const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, tcp::acceptor acceptor)
+    const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, StoreRelay& relay, tcp::acceptor acceptor)
     : m_context(&context)
     , m_state(&state)
     , m_self(std::move(self))
@@ -61,10 +61,15 @@
     , m_snapshotHandlers(std::move(snapshotHandlers))
     , m_acceptor(std::move(acceptor))
     , m_timer(context)
+    , m_relay(&relay)
     , m_topology(state.nodeId)
     , m_exchange(state.nodeId)
 {
     m_topology.setNodes({}, m_self);
+    m_relay->setSender([this](const StoreUpdate& update) {
+        if (isCollecting())
+            sendToMembers(encodeEntryMessage(update));
+    });
 }
 
 void PeerMesh::start()
@@ -86,6 +91,11 @@
 
 DemandShare PeerMesh::totalDemand() const { return m_exchange.totalDemand(ownDemand()); }
 
+size_t PeerMesh::leaseCompetitorCount() const
+{
+    return m_topology.isDirect() ? m_topology.nodes().size() : m_topology.domainCount();
+}
+
 DemandShare PeerMesh::ownDemand() const
 {
     return { m_state->nodeId, m_state->demand.demand(monotonicNow()), m_state->targets.inFlightByTargetAndModel() };
@@ -120,6 +130,7 @@
     const auto now = monotonicNow();
     m_exchange.expire(now);
     m_topology.update(isCollecting(), now);
+    updateRelay(now);
     updateLinks(now);
     sendShares(now);
     applyRemoteLoads(now);
@@ -133,6 +144,14 @@
     });
 }
 
+void PeerMesh::updateRelay(TimePoint now)
+{
+    const bool mustWatch = m_topology.isDirect() || isCollecting() || m_leaseHolder == m_state->nodeId;
+    const auto collector = mustWatch ? std::string() : m_topology.collector();
+    if (m_relay->update(collector, isCollecting(), now))
+        sendToNode(collector, encodeEntryMessage(StoreSyncRequest { m_state->nodeId }));
+}
+
 void PeerMesh::updateLinks(TimePoint now)
 {
     std::set<std::string> peerAddresses;
@@ -231,7 +250,9 @@
         collectors.insert(std::move(collector));
     for (const auto& collector : collectors)
         sendToNode(collector, groupFrame);
-    sendToMembers(encodeEntryMessage(m_exchange.summary(own)));
+    auto summary = m_exchange.summary(own);
+    summary.storeSequence = m_relay->sequence();
+    sendToMembers(encodeEntryMessage(summary));
     if (m_leaseHolder != m_state->nodeId)
         sendToNode(m_leaseHolder, encodeEntryMessage(m_exchange.groupDemand(ownDemand())));
 }
@@ -338,10 +359,22 @@
     m_topology.markSummaryReceived(summary.node, now);
     if (summary.node != m_topology.collector())
         return;
+    m_relay->handle(summary, now);
     m_exchange.add(summary, m_lastShare, now);
     applyRemoteLoads(now);
 }
 
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const StoreSyncRequest&)
+{
+    for (const auto& update : m_relay->fullUpdates())
+        sender->send(encodeEntryMessage(update));
+}
+
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const StoreUpdate& update)
+{
+    m_relay->handle(update);
+}
+
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const SnapshotRequest& request)
 {
     logEvent(LogSeverity::Info, "snapshot_asked", { { "peer", request.node } });
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Entry/EntryState.h>
+#include <Cyclamenstair/Entry/StoreRelay.h>
 #include <Cyclamenstair/Peering/ExchangeTopology.h>
 #include <Cyclamenstair/Peering/FrameChannel.h>
 #include <Cyclamenstair/Peering/LoadExchange.h>
@@ -23,7 +24,8 @@
     /// Binds the address of `self`. With an empty address the mesh connects to no node. Returns an error if the address
     /// is malformed or cannot be bound.
     static Result<std::unique_ptr<PeerMesh>> create(boost::asio::io_context& context, EntryState& state,
-        const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers);
+        const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers,
+        StoreRelay& relay);
 
     void start();
 
@@ -36,6 +38,12 @@
     /// Sends a notice of what a target holds to the other nodes, after the load time of an adapter.
     void announce(ResidencyNotice notice);
 
+    /// Returns whether the nodes exchange their loads through collectors.
+    bool isLargeFleet() const { return !m_topology.isDirect(); }
+
+    /// Returns the number of nodes that compete for a free order lease: those that watch the store themselves.
+    size_t leaseCompetitorCount() const;
+
     /// Returns the demand and the requests in flight by target and model, at this node and at all nodes whose share is
     /// current. Complete only at the holder of the order lease.
     DemandShare totalDemand() const;
@@ -47,7 +55,7 @@
         bool isSnapshotRequested { false };
     };
     PeerMesh(boost::asio::io_context& context, EntryState& state, PeerNode self, const std::vector<std::string>& seeds,
-        SnapshotHandlers snapshotHandlers, boost::asio::ip::tcp::acceptor acceptor);
+        SnapshotHandlers snapshotHandlers, StoreRelay& relay, boost::asio::ip::tcp::acceptor acceptor);
     void accept();
     void tick();
     void updateLinks(TimePoint now);
@@ -63,11 +71,15 @@
     DemandShare ownDemand() const;
     /// Returns whether other nodes use this node as their collector.
     bool isCollecting() const;
+    /// Chooses between watching the store and following this node's collector.
+    void updateRelay(TimePoint now);
     void requestSnapshot(TimePoint now);
     void onFrame(const std::shared_ptr<FrameChannel>& sender, const std::string& content);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const LoadShare& share);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const DemandShare& share);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const LoadSummary& summary);
+    void handleMessage(const std::shared_ptr<FrameChannel>& sender, const StoreSyncRequest& request);
+    void handleMessage(const std::shared_ptr<FrameChannel>& sender, const StoreUpdate& update);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const SnapshotRequest& request);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const Snapshot& snapshot);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice);
@@ -83,6 +95,7 @@
     SnapshotHandlers m_snapshotHandlers;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timer;
+    StoreRelay* m_relay;
     ExchangeTopology m_topology;
     LoadExchange m_exchange;
     bool m_areNodesKnown { false };
--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -18,9 +18,57 @@
 {
 }
 
+void StoreWatcher::pause()
+{
+    if (m_isPaused)
+        return;
+    m_isPaused = true;
+    ++m_generation;
+    boost::system::error_code ec;
+    m_timer.cancel(ec);
+}
+
+void StoreWatcher::resume()
+{
+    if (!m_isPaused)
+        return;
+    m_isPaused = false;
+    m_retryDelay = m_settings.retryDelay;
+    read();
+}
+
+bool StoreWatcher::follow(bool isFull, const StoreChanges& changes)
+{
+    if (changes.revision < m_revision)
+        return false;
+    m_revision = changes.revision;
+    if (isFull) {
+        StoreRange range { {}, changes.revision };
+        for (const auto& change : changes.changes)
+            range.records.push_back(change.record);
+        m_handlers.onRead(range);
+    } else {
+        for (const auto& change : changes.changes)
+            m_handlers.onChange(change);
+    }
+    return true;
+}
+
+void StoreWatcher::notifyObserver(const StoreRange& range)
+{
+    if (!m_observer)
+        return;
+    StoreChanges all { {}, range.revision };
+    for (const auto& record : range.records)
+        all.changes.push_back({ record, false });
+    m_observer(true, all);
+}
+
 void StoreWatcher::read()
 {
-    m_store->range(m_prefix, [this](const StoreReadOutcome& outcome) {
+    m_store->range(m_prefix, [this, generation = m_generation](const StoreReadOutcome& outcome) {
+        if (generation != m_generation)
+            return;
         if (const auto* unavailable = std::get_if<StoreUnavailable>(&outcome)) {
             m_revision = 0;
             onFailure(unavailable->message);
@@ -33,14 +81,18 @@
         m_retryDelay = m_settings.retryDelay;
         m_revision = range.revision;
         m_handlers.onRead(range);
+        notifyObserver(range);
         watch();
     });
 }
 
 void StoreWatcher::watch()
 {
-    m_store->watch(
-        m_prefix, m_revision, m_settings.watchWait, [this](const StoreWatchOutcome& outcome) { onWatch(outcome); });
+    m_store->watch(m_prefix, m_revision, m_settings.watchWait,
+        [this, generation = m_generation](const StoreWatchOutcome& outcome) {
+            if (generation == m_generation)
+                onWatch(outcome);
+        });
 }
 
 void StoreWatcher::onWatch(const StoreWatchOutcome& outcome)
@@ -54,6 +106,8 @@
                        for (const auto& change : changes.changes)
                            m_handlers.onChange(change);
                        m_revision = std::max(m_revision, changes.revision);
+                       if (m_observer && !changes.changes.empty())
+                           m_observer(false, changes);
                        scheduleNext(m_settings.watchInterval, &StoreWatcher::watch);
                    },
                    [&](const StoreHistoryLost&) {
--- a/Cyclamenstair/Entry/StoreWatcher.h
+++ b/Cyclamenstair/Entry/StoreWatcher.h
@@ -7,13 +7,14 @@
 /// Settings of a StoreWatcher.
 struct StoreWatcherSettings {
     Duration watchWait { milliseconds(5000) }; ///< A dead watch is detected after this plus a call's timeout.
-    Duration watchInterval { milliseconds(200) }; ///< Between two watches; batches changes in quick succession.
+    Duration watchInterval { milliseconds(350) }; ///< Between two watches; batches changes in quick succession.
     Duration retryDelay { milliseconds(200) }; ///< After a failed call; doubles up to maxRetryDelay.
     Duration maxRetryDelay { milliseconds(800) }; ///< Well below the time within which changes must take effect.
 };
 
 /// Tracks the records below a prefix: reads all of them, then watches for changes. Reads all of them again after a
-/// failure or if the store has compacted the history. Belongs to one event loop.
+/// failure or if the store has compacted the history. While another node passes on what it reads, the watcher can be
+/// paused and follow that node instead. Belongs to one event loop.
 class StoreWatcher {
 public:
     struct Handlers {
@@ -26,9 +27,30 @@
 
     void start() { read(); }
 
+    /// Called with what the watcher itself has read from the store.
+    using Observer = std::function<void(bool isFull, const StoreChanges&)>;
+    void setObserver(Observer observer) { m_observer = std::move(observer); }
+
+    /// Stops calling the store until resume().
+    void pause();
+    /// Reads all records and watches again, if the watcher is paused.
+    void resume();
+
+    /// Applies records that another node has read, to a paused or running watcher. Returns false if this node has seen
+    /// a later revision, so that it would return to an older state.
+    bool follow(bool isFull, const StoreChanges& changes);
+
+    /// Sets the time between two watches. Each node's entry that is written wakes all that watch it.
+    void setWatchInterval(Duration interval) { m_settings.watchInterval = interval; }
+
+    const std::string& prefix() const { return m_prefix; }
+    /// Returns whether the watcher is running and its last call succeeded.
+    bool isWatching() const { return !m_isPaused && m_isConnected && m_revision > 0; }
+
 private:
     void read();
     void watch();
+    void notifyObserver(const StoreRange& range);
     void onWatch(const StoreWatchOutcome& outcome);
     void onFailure(const std::string& message);
     void scheduleNext(Duration delay, void (StoreWatcher::*next)());
@@ -41,6 +63,9 @@
     int64_t m_revision { 0 }; ///< Changes up to this revision were processed; 0 before the first full read.
     Duration m_retryDelay {};
     bool m_isConnected { true };
+    bool m_isPaused { false };
+    uint64_t m_generation { 0 }; ///< Increases when the watcher is paused; outcomes of earlier calls are ignored.
+    Observer m_observer;
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Entry/TargetWatcher.h
+++ b/Cyclamenstair/Entry/TargetWatcher.h
@@ -12,6 +12,7 @@
     TargetWatcher(boost::asio::io_context& context, PlatformStore& store, EntryState& state);
 
     void start() { m_watcher.start(); }
+    StoreWatcher& storeWatcher() { return m_watcher; }
 
     /// Applies entries read by a peer, unless this node has already loaded entries.
     void apply(const std::vector<TargetEntry>& entries);
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -40,6 +40,18 @@
 struct LoadSummaryBuilder;
 struct LoadSummaryT;
 
+struct StoreSyncRequest;
+struct StoreSyncRequestBuilder;
+struct StoreSyncRequestT;
+
+struct StoreRecordRow;
+struct StoreRecordRowBuilder;
+struct StoreRecordRowT;
+
+struct StoreUpdate;
+struct StoreUpdateBuilder;
+struct StoreUpdateT;
+
 struct SnapshotRequest;
 struct SnapshotRequestBuilder;
 struct SnapshotRequestT;
@@ -76,11 +88,13 @@
   ResidencyNotice = 4,
   DemandShare = 5,
   LoadSummary = 6,
+  StoreSyncRequest = 7,
+  StoreUpdate = 8,
   MIN = NONE,
-  MAX = LoadSummary
+  MAX = StoreUpdate
 };
 
-inline const EntryContent (&EnumValuesEntryContent())[7] {
+inline const EntryContent (&EnumValuesEntryContent())[9] {
   static const EntryContent values[] = {
     EntryContent::NONE,
     EntryContent::LoadShare,
@@ -88,13 +102,15 @@
     EntryContent::Snapshot,
     EntryContent::ResidencyNotice,
     EntryContent::DemandShare,
-    EntryContent::LoadSummary
+    EntryContent::LoadSummary,
+    EntryContent::StoreSyncRequest,
+    EntryContent::StoreUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntryContent() {
-  static const char * const names[8] = {
+  static const char * const names[10] = {
     "NONE",
     "LoadShare",
     "SnapshotRequest",
@@ -102,13 +118,15 @@
     "ResidencyNotice",
     "DemandShare",
     "LoadSummary",
+    "StoreSyncRequest",
+    "StoreUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntryContent(EntryContent e) {
-  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::LoadSummary)) return "";
+  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::StoreUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntryContent()[index];
 }
@@ -141,6 +159,14 @@
   static const EntryContent enum_value = EntryContent::LoadSummary;
 };
 
+template<> struct EntryContentTraits<cyclamenstair::schema::StoreSyncRequest> {
+  static const EntryContent enum_value = EntryContent::StoreSyncRequest;
+};
+
+template<> struct EntryContentTraits<cyclamenstair::schema::StoreUpdate> {
+  static const EntryContent enum_value = EntryContent::StoreUpdate;
+};
+
 template<typename T> struct EntryContentUnionTraits {
   static const EntryContent enum_value = EntryContent::NONE;
 };
@@ -169,6 +195,14 @@
   static const EntryContent enum_value = EntryContent::LoadSummary;
 };
 
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::StoreSyncRequestT> {
+  static const EntryContent enum_value = EntryContent::StoreSyncRequest;
+};
+
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::StoreUpdateT> {
+  static const EntryContent enum_value = EntryContent::StoreUpdate;
+};
+
 struct EntryContentUnion {
   EntryContent type;
   void *value;
@@ -247,6 +281,22 @@
     return type == EntryContent::LoadSummary ?
       reinterpret_cast<const cyclamenstair::schema::LoadSummaryT *>(value) : nullptr;
   }
+  cyclamenstair::schema::StoreSyncRequestT *AsStoreSyncRequest() {
+    return type == EntryContent::StoreSyncRequest ?
+      reinterpret_cast<cyclamenstair::schema::StoreSyncRequestT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::StoreSyncRequestT *AsStoreSyncRequest() const {
+    return type == EntryContent::StoreSyncRequest ?
+      reinterpret_cast<const cyclamenstair::schema::StoreSyncRequestT *>(value) : nullptr;
+  }
+  cyclamenstair::schema::StoreUpdateT *AsStoreUpdate() {
+    return type == EntryContent::StoreUpdate ?
+      reinterpret_cast<cyclamenstair::schema::StoreUpdateT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::StoreUpdateT *AsStoreUpdate() const {
+    return type == EntryContent::StoreUpdate ?
+      reinterpret_cast<const cyclamenstair::schema::StoreUpdateT *>(value) : nullptr;
+  }
 };
 
 bool VerifyEntryContent(flatbuffers::Verifier &verifier, const void *obj, EntryContent type);
@@ -802,6 +852,7 @@
   typedef LoadSummary TableType;
   std::string node{};
   std::vector<std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>> targets{};
+  uint64_t store_sequence = 0;
   LoadSummaryT() = default;
   LoadSummaryT(const LoadSummaryT &o);
   LoadSummaryT(LoadSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -815,7 +866,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
-    VT_TARGETS = 6
+    VT_TARGETS = 6,
+    VT_STORE_SEQUENCE = 8
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -823,6 +875,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *>(VT_TARGETS);
   }
+  /// Sequence number of the collector's last StoreUpdate; 0 while it does not reach the store.
+  uint64_t store_sequence() const {
+    return GetField<uint64_t>(VT_STORE_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NODE) &&
@@ -830,6 +886,7 @@
            VerifyOffset(verifier, VT_TARGETS) &&
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   LoadSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -847,6 +904,9 @@
   void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets) {
     fbb_.AddOffset(LoadSummary::VT_TARGETS, targets);
   }
+  void add_store_sequence(uint64_t store_sequence) {
+    fbb_.AddElement<uint64_t>(LoadSummary::VT_STORE_SEQUENCE, store_sequence, 0);
+  }
   explicit LoadSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -862,8 +922,10 @@
 inline flatbuffers::Offset<LoadSummary> CreateLoadSummary(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0,
+    uint64_t store_sequence = 0) {
   LoadSummaryBuilder builder_(_fbb);
+  builder_.add_store_sequence(store_sequence);
   builder_.add_targets(targets);
   builder_.add_node(node);
   return builder_.Finish();
@@ -877,17 +939,346 @@
 inline flatbuffers::Offset<LoadSummary> CreateLoadSummaryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
-    const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr) {
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr,
+    uint64_t store_sequence = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
   return cyclamenstair::schema::CreateLoadSummary(
       _fbb,
       node__,
-      targets__);
+      targets__,
+      store_sequence);
 }
 
 flatbuffers::Offset<LoadSummary> CreateLoadSummary(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StoreSyncRequestT : public flatbuffers::NativeTable {
+  typedef StoreSyncRequest TableType;
+  std::string node{};
+};
+
+/// Asks a collector for all records of the store.
+struct StoreSyncRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreSyncRequestT NativeTableType;
+  typedef StoreSyncRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           verifier.EndTable();
+  }
+  StoreSyncRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StoreSyncRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StoreSyncRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreSyncRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StoreSyncRequestBuilder {
+  typedef StoreSyncRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(StoreSyncRequest::VT_NODE, node);
+  }
+  explicit StoreSyncRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreSyncRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreSyncRequest>(end);
+    fbb_.Required(o, StoreSyncRequest::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreSyncRequest> CreateStoreSyncRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0) {
+  StoreSyncRequestBuilder builder_(_fbb);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct StoreSyncRequest::Traits {
+  using type = StoreSyncRequest;
+  static auto constexpr Create = CreateStoreSyncRequest;
+};
+
+inline flatbuffers::Offset<StoreSyncRequest> CreateStoreSyncRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  return cyclamenstair::schema::CreateStoreSyncRequest(
+      _fbb,
+      node__);
+}
+
+flatbuffers::Offset<StoreSyncRequest> CreateStoreSyncRequest(flatbuffers::FlatBufferBuilder &_fbb, const StoreSyncRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StoreRecordRowT : public flatbuffers::NativeTable {
+  typedef StoreRecordRow TableType;
+  std::string key{};
+  std::vector<uint8_t> value{};
+  int64_t revision = 0;
+  bool deleted = false;
+};
+
+/// A record of the store, or its deletion.
+struct StoreRecordRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreRecordRowT NativeTableType;
+  typedef StoreRecordRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_REVISION = 8,
+    VT_DELETED = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  int64_t revision() const {
+    return GetField<int64_t>(VT_REVISION, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           verifier.EndTable();
+  }
+  StoreRecordRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StoreRecordRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StoreRecordRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreRecordRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StoreRecordRowBuilder {
+  typedef StoreRecordRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StoreRecordRow::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoreRecordRow::VT_VALUE, value);
+  }
+  void add_revision(int64_t revision) {
+    fbb_.AddElement<int64_t>(StoreRecordRow::VT_REVISION, revision, 0);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(StoreRecordRow::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  explicit StoreRecordRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreRecordRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreRecordRow>(end);
+    fbb_.Required(o, StoreRecordRow::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreRecordRow> CreateStoreRecordRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    int64_t revision = 0,
+    bool deleted = false) {
+  StoreRecordRowBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+struct StoreRecordRow::Traits {
+  using type = StoreRecordRow;
+  static auto constexpr Create = CreateStoreRecordRow;
+};
+
+inline flatbuffers::Offset<StoreRecordRow> CreateStoreRecordRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    int64_t revision = 0,
+    bool deleted = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return cyclamenstair::schema::CreateStoreRecordRow(
+      _fbb,
+      key__,
+      value__,
+      revision,
+      deleted);
+}
+
+flatbuffers::Offset<StoreRecordRow> CreateStoreRecordRow(flatbuffers::FlatBufferBuilder &_fbb, const StoreRecordRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StoreUpdateT : public flatbuffers::NativeTable {
+  typedef StoreUpdate TableType;
+  std::string node{};
+  uint64_t sequence = 0;
+  std::string prefix{};
+  bool full = false;
+  int64_t revision = 0;
+  std::vector<std::unique_ptr<cyclamenstair::schema::StoreRecordRowT>> rows{};
+  StoreUpdateT() = default;
+  StoreUpdateT(const StoreUpdateT &o);
+  StoreUpdateT(StoreUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
+  StoreUpdateT &operator=(StoreUpdateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Records below a prefix as a collector has read them from the store, for the nodes of its group.
+struct StoreUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreUpdateT NativeTableType;
+  typedef StoreUpdateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_SEQUENCE = 6,
+    VT_PREFIX = 8,
+    VT_FULL = 10,
+    VT_REVISION = 12,
+    VT_ROWS = 14
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *prefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREFIX);
+  }
+  /// The rows are all records below the prefix.
+  bool full() const {
+    return GetField<uint8_t>(VT_FULL, 0) != 0;
+  }
+  int64_t revision() const {
+    return GetField<int64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>> *>(VT_ROWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffsetRequired(verifier, VT_PREFIX) &&
+           verifier.VerifyString(prefix()) &&
+           VerifyField<uint8_t>(verifier, VT_FULL, 1) &&
+           VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfTables(rows()) &&
+           verifier.EndTable();
+  }
+  StoreUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StoreUpdateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StoreUpdate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StoreUpdateBuilder {
+  typedef StoreUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(StoreUpdate::VT_NODE, node);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(StoreUpdate::VT_SEQUENCE, sequence, 0);
+  }
+  void add_prefix(flatbuffers::Offset<flatbuffers::String> prefix) {
+    fbb_.AddOffset(StoreUpdate::VT_PREFIX, prefix);
+  }
+  void add_full(bool full) {
+    fbb_.AddElement<uint8_t>(StoreUpdate::VT_FULL, static_cast<uint8_t>(full), 0);
+  }
+  void add_revision(int64_t revision) {
+    fbb_.AddElement<int64_t>(StoreUpdate::VT_REVISION, revision, 0);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>>> rows) {
+    fbb_.AddOffset(StoreUpdate::VT_ROWS, rows);
+  }
+  explicit StoreUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreUpdate>(end);
+    fbb_.Required(o, StoreUpdate::VT_NODE);
+    fbb_.Required(o, StoreUpdate::VT_PREFIX);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreUpdate> CreateStoreUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> prefix = 0,
+    bool full = false,
+    int64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>>> rows = 0) {
+  StoreUpdateBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_sequence(sequence);
+  builder_.add_rows(rows);
+  builder_.add_prefix(prefix);
+  builder_.add_node(node);
+  builder_.add_full(full);
+  return builder_.Finish();
+}
+
+struct StoreUpdate::Traits {
+  using type = StoreUpdate;
+  static auto constexpr Create = CreateStoreUpdate;
+};
+
+inline flatbuffers::Offset<StoreUpdate> CreateStoreUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    uint64_t sequence = 0,
+    const char *prefix = nullptr,
+    bool full = false,
+    int64_t revision = 0,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>> *rows = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto prefix__ = prefix ? _fbb.CreateString(prefix) : 0;
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>>(*rows) : 0;
+  return cyclamenstair::schema::CreateStoreUpdate(
+      _fbb,
+      node__,
+      sequence,
+      prefix__,
+      full,
+      revision,
+      rows__);
+}
+
+flatbuffers::Offset<StoreUpdate> CreateStoreUpdate(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SnapshotRequestT : public flatbuffers::NativeTable {
   typedef SnapshotRequest TableType;
   std::string node{};
@@ -1489,6 +1880,12 @@
   const cyclamenstair::schema::LoadSummary *content_as_LoadSummary() const {
     return content_type() == cyclamenstair::schema::EntryContent::LoadSummary ? static_cast<const cyclamenstair::schema::LoadSummary *>(content()) : nullptr;
   }
+  const cyclamenstair::schema::StoreSyncRequest *content_as_StoreSyncRequest() const {
+    return content_type() == cyclamenstair::schema::EntryContent::StoreSyncRequest ? static_cast<const cyclamenstair::schema::StoreSyncRequest *>(content()) : nullptr;
+  }
+  const cyclamenstair::schema::StoreUpdate *content_as_StoreUpdate() const {
+    return content_type() == cyclamenstair::schema::EntryContent::StoreUpdate ? static_cast<const cyclamenstair::schema::StoreUpdate *>(content()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONTENT_TYPE, 1) &&
@@ -1525,6 +1922,14 @@
   return content_as_LoadSummary();
 }
 
+template<> inline const cyclamenstair::schema::StoreSyncRequest *EntryMessage::content_as<cyclamenstair::schema::StoreSyncRequest>() const {
+  return content_as_StoreSyncRequest();
+}
+
+template<> inline const cyclamenstair::schema::StoreUpdate *EntryMessage::content_as<cyclamenstair::schema::StoreUpdate>() const {
+  return content_as_StoreUpdate();
+}
+
 struct EntryMessageBuilder {
   typedef EntryMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1762,7 +2167,8 @@
 }
 
 inline LoadSummaryT::LoadSummaryT(const LoadSummaryT &o)
-      : node(o.node) {
+      : node(o.node),
+        store_sequence(o.store_sequence) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetLoadRowT(*targets_) : nullptr); }
 }
@@ -1770,6 +2176,7 @@
 inline LoadSummaryT &LoadSummaryT::operator=(LoadSummaryT o) FLATBUFFERS_NOEXCEPT {
   std::swap(node, o.node);
   std::swap(targets, o.targets);
+  std::swap(store_sequence, o.store_sequence);
   return *this;
 }
 
@@ -1784,6 +2191,7 @@
   (void)_resolver;
   { auto _e = node(); if (_e) _o->node = _e->str(); }
   { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = store_sequence(); _o->store_sequence = _e; }
 }
 
 inline flatbuffers::Offset<LoadSummary> LoadSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1796,10 +2204,134 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _node = _fbb.CreateString(_o->node);
   auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetLoadRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _store_sequence = _o->store_sequence;
   return cyclamenstair::schema::CreateLoadSummary(
       _fbb,
       _node,
-      _targets);
+      _targets,
+      _store_sequence);
+}
+
+inline StoreSyncRequestT *StoreSyncRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StoreSyncRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StoreSyncRequest::UnPackTo(StoreSyncRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+}
+
+inline flatbuffers::Offset<StoreSyncRequest> StoreSyncRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreSyncRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStoreSyncRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StoreSyncRequest> CreateStoreSyncRequest(flatbuffers::FlatBufferBuilder &_fbb, const StoreSyncRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoreSyncRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  return cyclamenstair::schema::CreateStoreSyncRequest(
+      _fbb,
+      _node);
+}
+
+inline StoreRecordRowT *StoreRecordRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StoreRecordRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StoreRecordRow::UnPackTo(StoreRecordRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = deleted(); _o->deleted = _e; }
+}
+
+inline flatbuffers::Offset<StoreRecordRow> StoreRecordRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreRecordRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStoreRecordRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StoreRecordRow> CreateStoreRecordRow(flatbuffers::FlatBufferBuilder &_fbb, const StoreRecordRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoreRecordRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _fbb.CreateString(_o->key);
+  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  auto _revision = _o->revision;
+  auto _deleted = _o->deleted;
+  return cyclamenstair::schema::CreateStoreRecordRow(
+      _fbb,
+      _key,
+      _value,
+      _revision,
+      _deleted);
+}
+
+inline StoreUpdateT::StoreUpdateT(const StoreUpdateT &o)
+      : node(o.node),
+        sequence(o.sequence),
+        prefix(o.prefix),
+        full(o.full),
+        revision(o.revision) {
+  rows.reserve(o.rows.size());
+  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new cyclamenstair::schema::StoreRecordRowT(*rows_) : nullptr); }
+}
+
+inline StoreUpdateT &StoreUpdateT::operator=(StoreUpdateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(sequence, o.sequence);
+  std::swap(prefix, o.prefix);
+  std::swap(full, o.full);
+  std::swap(revision, o.revision);
+  std::swap(rows, o.rows);
+  return *this;
+}
+
+inline StoreUpdateT *StoreUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StoreUpdateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StoreUpdate::UnPackTo(StoreUpdateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = prefix(); if (_e) _o->prefix = _e->str(); }
+  { auto _e = full(); _o->full = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<cyclamenstair::schema::StoreRecordRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<StoreUpdate> StoreUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStoreUpdate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StoreUpdate> CreateStoreUpdate(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoreUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _sequence = _o->sequence;
+  auto _prefix = _fbb.CreateString(_o->prefix);
+  auto _full = _o->full;
+  auto _revision = _o->revision;
+  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::StoreRecordRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateStoreRecordRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateStoreUpdate(
+      _fbb,
+      _node,
+      _sequence,
+      _prefix,
+      _full,
+      _revision,
+      _rows);
 }
 
 inline SnapshotRequestT *SnapshotRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2071,6 +2603,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::LoadSummary *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case EntryContent::StoreSyncRequest: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreSyncRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case EntryContent::StoreUpdate: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2114,6 +2654,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::LoadSummary *>(obj);
       return ptr->UnPack(resolver);
     }
+    case EntryContent::StoreSyncRequest: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreSyncRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case EntryContent::StoreUpdate: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreUpdate *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2145,6 +2693,14 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::LoadSummaryT *>(value);
       return CreateLoadSummary(_fbb, ptr, _rehasher).Union();
     }
+    case EntryContent::StoreSyncRequest: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreSyncRequestT *>(value);
+      return CreateStoreSyncRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case EntryContent::StoreUpdate: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreUpdateT *>(value);
+      return CreateStoreUpdate(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2175,6 +2731,14 @@
       value = new cyclamenstair::schema::LoadSummaryT(*reinterpret_cast<cyclamenstair::schema::LoadSummaryT *>(u.value));
       break;
     }
+    case EntryContent::StoreSyncRequest: {
+      value = new cyclamenstair::schema::StoreSyncRequestT(*reinterpret_cast<cyclamenstair::schema::StoreSyncRequestT *>(u.value));
+      break;
+    }
+    case EntryContent::StoreUpdate: {
+      value = new cyclamenstair::schema::StoreUpdateT(*reinterpret_cast<cyclamenstair::schema::StoreUpdateT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2212,6 +2776,16 @@
       delete ptr;
       break;
     }
+    case EntryContent::StoreSyncRequest: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::StoreSyncRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case EntryContent::StoreUpdate: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::StoreUpdateT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/Peering/ExchangeTopology.h
+++ b/Cyclamenstair/Peering/ExchangeTopology.h
@@ -57,6 +57,8 @@
     /// Returns the ids of the other collectors and of those that may replace them, over all failure domains.
     std::vector<std::string> candidates() const;
 
+    size_t domainCount() const { return m_rankings.size(); }
+
     /// Returns the ids of the nodes that this node connects to. `isCollecting` is true if it collects loads of others;
     /// `leaseHolder` is the id of the order lease's holder.
     std::set<std::string> peers(bool isCollecting, const std::string& leaseHolder) const;
--- a/Cyclamenstair/Peering/LoadExchange.cpp
+++ b/Cyclamenstair/Peering/LoadExchange.cpp
@@ -122,7 +122,7 @@
 
 LoadSummary LoadExchange::summary(const TargetWorkloads& own) const
 {
-    LoadSummary sum { m_nodeId, own };
+    LoadSummary sum { m_nodeId, own, 0 };
     for (const auto& [node, share] : m_shares)
         addLoads(sum.loads, share.message.loads);
     return sum;
