Fail on endless responses, broken streams and late second answers

Cause: a reused connection could hold unread bytes of a second answer, which the next request took for its own answer; interim responses, bodies of whole-response calls and single events of a stream had no bound; any byte counted as progress of a stream; a stream without a length that ended inside an event was completed; the right to send an order was checked before the connection was opened.

ReusesConnectionAfterCompleteResponse now counts connections.

Also: the planner's busy threshold is a share of an engine's slots instead of 12 requests, and its tests state the 64 slots that their figures assume.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -20,6 +20,8 @@
     : m_input(&input)
     , m_settings(&settings)
     , m_weightLoadBudget(input.weightLoadBudget)
+    , m_busyRequestsPerCopy(std::max(1.0, settings.busySlotShare * input.engine->slots))
+    , m_maxRequestsPerCopy(std::max(1U, input.engine->slots))
 {
     countCopies();
 }
@@ -132,14 +134,14 @@
 void ResidencyPlanner::placeAdditionalCopies()
 {
     const auto models = modelsByLoad();
-    const bool isAnyBusy = requestsPerCopy(*models.front()) > m_settings->busyRequestsPerCopy;
+    const bool isAnyBusy = requestsPerCopy(*models.front()) > m_busyRequestsPerCopy;
     for (auto* state : models) {
         if (state->copies == 0)
             continue;
         // Busy models have priority in the use of the weight store's load rate.
         const bool isBelowBaseline = state->copies + state->reservedCopies < state->baselineCopies
             && (!isAnyBusy || m_input->spareLoadBudget > 0);
-        const bool isBusy = requestsPerCopy(*state) > m_settings->busyRequestsPerCopy;
+        const bool isBusy = requestsPerCopy(*state) > m_busyRequestsPerCopy;
         if (isBelowBaseline || isBusy)
             placeCopy(*state);
     }
@@ -221,7 +223,7 @@
 {
     if (candidate.copies > 0)
         return requestsPerCopy(candidate) / m_settings->minMoveAdvantage;
-    return candidate.isInDemand ? m_settings->maxRequestsPerCopy : m_settings->busyRequestsPerCopy;
+    return candidate.isInDemand ? m_maxRequestsPerCopy : m_busyRequestsPerCopy;
 }
 
 uint32_t ResidencyPlanner::requestsInFlight(const Engine& engine, const std::string& model)
--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -14,12 +14,9 @@
     /// A model gets an additional copy in place of another model's only if its load per copy is more than this many
     /// times the resulting load per copy of the other model. Prevents moves caused by noise in the demand.
     double minMoveAdvantage { 2.0 };
-    /// Requests in progress per copy above which a model is busy and gets additional copies. An engine runs 64 requests
-    /// at a time, for up to three models.
-    double busyRequestsPerCopy { 12.0 };
-    /// Maximum requests in progress per remaining copy after a copy is unloaded in favour of a model without one. Equal
-    /// to the slots of an engine: above it, requests for the unloaded model would wait instead.
-    double maxRequestsPerCopy { 64.0 };
+    /// Requests in progress per copy above which a model is busy and gets additional copies, as a share of the engine's
+    /// slots. The slots are shared by up to three models, and streams slow down well before all are taken.
+    double busySlotShare { 0.1875 };
     /// Arrival rate from which on a model has at least two copies, so that it remains available when an engine fails
     /// and while copies are added for rising demand. A few percent of the requests of a service.
     double secondCopyArrivalsPerSecond { 1.5 };
@@ -128,6 +125,10 @@
     std::map<std::string, ModelState> m_models;
     uint32_t m_weightLoadBudget;
     uint32_t m_adapterLoads { 0 };
+    double m_busyRequestsPerCopy; ///< From ResidencyPlannerSettings::busySlotShare.
+    /// Maximum requests in progress per remaining copy after a copy is unloaded in favour of a model without one. Equal
+    /// to the slots of an engine: above it, requests for the unloaded model would wait instead.
+    double m_maxRequestsPerCopy;
     std::vector<TargetOrder> m_orders;
 };
 
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -274,13 +274,12 @@
             { "copies", std::to_string(order.copies) }, { "room_for", order.replacementModel },
             { "fence", std::to_string(right.fencingToken) },
             { "expected", std::to_string(right.expectedAcceptedOrders) } });
-    // Check the lease again right before sending: the process may have been paused since the last check.
-    if (!m_elector->mayOrder()) {
-        state.isOrderPending = false;
-        return;
-    }
-    m_client.call(endpoint.value(), encodeOrderRequest(record.address, order, right), orderTimeout,
-        [this, record, order, now](const HttpOutcome& outcome) { onOrderResponse(record, order, now, outcome); });
+    // The client checks the lease again right before it writes: the process may have been paused since the last check,
+    // or opening the connection may have taken long.
+    m_client.call(
+        endpoint.value(), encodeOrderRequest(record.address, order, right), orderTimeout,
+        [this, record, order, now](const HttpOutcome& outcome) { onOrderResponse(record, order, now, outcome); },
+        [this] { return m_elector->mayOrder(); });
 }
 
 void OrderDispatcher::onOrderResponse(
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -204,10 +204,10 @@
                    [&](ResponseDataReceived& received) {
                        handle(ResponseContinued { attempt, std::move(received.data) });
                    },
-                   [&](ResponseComplete&) {
+                   [&](ResponseComplete& complete) {
                        if (m_targetConnection)
                            m_loop->pool().release(std::exchange(m_targetConnection, nullptr), monotonicNow());
-                       handle(ResponseCompleted { attempt });
+                       handle(ResponseCompleted { attempt, complete.isFramed });
                    },
                    [&](CallFailed& failure) {
                        m_targetConnection.reset();
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -98,7 +98,8 @@
                                                            : AcquireFailure::ModelAbsent;
         }
         if (m_isLargeFleet)
-            addOtherTargetCost(candidates);
+            addOtherTargetCost(
+                candidates, query.model.empty() ? m_settings.otherTargetCost : m_settings.otherEngineCost);
         auto* const best = std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
             return a.cost < b.cost;
         })->target;
@@ -273,7 +274,7 @@
     return pendingTokens > 0 && pendingTokens + query.promptTokens > m_settings.maxPendingPromptTokens;
 }
 
-void TargetRegistry::addOtherTargetCost(std::vector<Candidate>& candidates) const
+void TargetRegistry::addOtherTargetCost(std::vector<Candidate>& candidates, double cost) const
 {
     if (candidates.size() <= m_settings.preferredTargets)
         return;
@@ -284,7 +285,7 @@
     const auto firstOther = ranking.begin() + static_cast<std::ptrdiff_t>(m_settings.preferredTargets);
     std::nth_element(ranking.begin(), firstOther, ranking.end(), std::greater<>());
     for (auto other = firstOther; other != ranking.end(); ++other)
-        other->second->cost += m_settings.otherTargetCost;
+        other->second->cost += cost;
 }
 
 double TargetRegistry::selectionCost(const TargetState& target, TimePoint now) const
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -22,8 +22,11 @@
     /// are older than most requests, so nodes that all choose the least loaded target overload it. Few targets also let
     /// a node with few requests reuse its connections.
     size_t preferredTargets { 2 };
-    /// Cost added to other targets in a large fleet, in requests per slot.
-    double otherTargetCost { 0.5 };
+    /// Cost added to other targets of a plain service in a large fleet, in requests per slot. Above the error of the
+    /// known loads, since requests end sooner than loads are exchanged.
+    double otherTargetCost { 1.5 };
+    /// The same for engines, whose requests run for seconds.
+    double otherEngineCost { 0.25 };
     /// Time during which a target that refused a connection or interrupted a response is avoided if others are
     /// available.
     Duration suspectDuration { milliseconds(1500) };
@@ -172,8 +175,8 @@
     /// Returns whether another prompt would exceed the limit of pending prompt tokens and delay the target's streams.
     bool isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const;
     double selectionCost(const TargetState& target, TimePoint now) const;
-    /// Adds TargetRegistrySettings::otherTargetCost to the candidates that this node does not prefer.
-    void addOtherTargetCost(std::vector<Candidate>& candidates) const;
+    /// Adds `cost` to the candidates that this node does not prefer.
+    void addOtherTargetCost(std::vector<Candidate>& candidates, double cost) const;
     /// Returns the load of all nodes at the target, as far as other nodes' loads are current.
     TargetWorkload totalLoad(const TargetState& target, TimePoint now) const;
 
--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Http/SocketOptions.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -33,11 +34,15 @@
 {
 }
 
-void ClientConnection::send(std::string requestBytes, bool isHeadRequest, Handler handler)
+void ClientConnection::send(
+    std::string requestBytes, bool isHeadRequest, Handler handler, std::function<bool()> mayWrite)
 {
     m_requestBytes = std::move(requestBytes);
     m_isHeadRequest = isHeadRequest;
     m_handler = std::move(handler);
+    m_mayWrite = std::move(mayWrite);
+    m_interimResponses = 0;
+    m_isEndedByClose = false;
     m_wasSent = false;
     m_isKeepAlive = true;
     startParser();
@@ -59,8 +64,12 @@
 
 bool ClientConnection::isReusable(TimePoint now) const
 {
-    return m_isOpen && !m_isClosed && !m_handler && !m_isWriting && m_isKeepAlive && m_unparsedInput.empty()
-        && now < m_idleDeadline;
+    if (!m_isOpen || m_isClosed || m_handler || m_isWriting || !m_isKeepAlive || !m_unparsedInput.empty()
+        || now >= m_idleDeadline)
+        return false;
+    // Bytes that arrived after the response would be taken for the next one.
+    boost::system::error_code ec;
+    return m_socket.available(ec) == 0 && !ec;
 }
 
 void ClientConnection::connect()
@@ -88,6 +97,12 @@
 
 void ClientConnection::write()
 {
+    if (m_mayWrite && !m_mayWrite()) {
+        const auto self = shared_from_this();
+        boost::asio::post(
+            m_socket.get_executor(), [self] { self->fail("http.write", "the request may no longer be sent"); });
+        return;
+    }
     // Once the write is handed to the operating system, any part of it may reach the server.
     m_wasSent = true;
     m_isWriting = true;
@@ -124,6 +139,7 @@
             m_parser->put_eof(parserError);
         if (m_parser->is_done() && !parserError) {
             m_isKeepAlive = false;
+            m_isEndedByClose = true;
             onParsed();
             return;
         }
@@ -154,6 +170,10 @@
         // Skip interim responses (1xx), which precede the final one.
         if (m_parser->is_done()
             && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
+            if (++m_interimResponses > m_settings->maxInterimResponses) {
+                fail("http.parse", "too many interim responses");
+                return;
+            }
             startParser();
             continue;
         }
@@ -201,7 +221,7 @@
     if (!m_unparsedInput.empty() || m_isWriting)
         m_isKeepAlive = false;
     const auto handler = std::exchange(m_handler, nullptr);
-    handler(ResponseComplete {});
+    handler(ResponseComplete { !m_isEndedByClose });
 }
 
 void ClientConnection::updateIdleDeadline(const http::fields& fields)
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -27,7 +27,9 @@
 };
 
 /// The response is complete. The connection can be reused if isReusable() returns true.
-struct ResponseComplete { };
+struct ResponseComplete {
+    bool isFramed { true }; ///< The response states where its body ends, instead of ending with the connection.
+};
 
 /// The connection failed before the response was complete. If `wasSent` is true, the server may have received the
 /// request.
@@ -44,6 +46,7 @@
     Duration deadPeerTimeout { milliseconds(3000) }; ///< For unacknowledged data or keep-alive probes.
     Duration maxIdleTime { milliseconds(4000) }; ///< Limit on idle time before reuse, unless the server sends one.
     uint32_t maxHeadBytes { 32768 };
+    uint32_t maxInterimResponses { 8 }; ///< Responses with status 1xx before the final one.
 };
 
 /// One HTTP/1.1 connection to a server, for one request at a time. Belongs to one event loop. Ownership is shared,
@@ -57,12 +60,15 @@
 
     /// Connects if necessary, sends an encoded request, and reports the response to the handler. `isHeadRequest` means
     /// that the response has no body. The handler is not called after close().
-    void send(std::string requestBytes, bool isHeadRequest, Handler handler);
+    /// If `mayWrite` is set, it is called right before the request is written; if it returns false, the request fails
+    /// unsent.
+    void send(std::string requestBytes, bool isHeadRequest, Handler handler, std::function<bool()> mayWrite = nullptr);
 
     /// Closes the connection immediately, without calling the handler.
     void close();
 
-    /// Returns whether the connection is open, idle, and unlikely to be closed by the server before the next request.
+    /// Returns whether the connection is open and idle, no bytes have arrived that belong to no request, and the server
+    /// is unlikely to close it before the next request.
     bool isReusable(TimePoint now) const;
 
     const boost::asio::ip::tcp::endpoint& server() const { return m_server; }
@@ -88,7 +94,10 @@
     boost::asio::ip::tcp::endpoint m_server;
     const ClientConnectionSettings* m_settings;
     Handler m_handler;
+    std::function<bool()> m_mayWrite;
     std::unique_ptr<Parser> m_parser;
+    uint32_t m_interimResponses { 0 };
+    bool m_isEndedByClose { false };
     std::string m_requestBytes;
     std::string m_unparsedInput;
     std::array<char, 8192> m_readBuffer {};
--- a/Cyclamenstair/Http/HttpClient.cpp
+++ b/Cyclamenstair/Http/HttpClient.cpp
@@ -18,8 +18,8 @@
     Handler handler;
 };
 
-void HttpClient::call(
-    const boost::asio::ip::tcp::endpoint& server, const HttpRequest& request, Duration timeout, Handler handler)
+void HttpClient::call(const boost::asio::ip::tcp::endpoint& server, const HttpRequest& request, Duration timeout,
+    Handler handler, std::function<bool()> mayWrite)
 {
     auto call = std::make_shared<Call>(*m_context);
     call->handler = std::move(handler);
@@ -32,21 +32,30 @@
         finish(call,
             CallFailed { true, { ErrorKind::Timeout, "http.call", {}, "no complete response within the timeout" } });
     });
-    call->connection->send(encodeRequest(request), request.method == "HEAD",
-        [this, call](ClientEvent event) { onEvent(call, std::move(event)); });
+    call->connection->send(
+        encodeRequest(request), request.method == "HEAD",
+        [this, call](ClientEvent event) { onEvent(call, std::move(event)); }, std::move(mayWrite));
 }
 
 void HttpClient::onEvent(const std::shared_ptr<Call>& call, ClientEvent event)
 {
-    std::visit(Overloaded {
-                   [&](ResponseHeadReceived& received) { call->response.head = std::move(received.head); },
-                   [&](ResponseDataReceived& received) { call->response.body += received.data; },
-                   [&](ResponseComplete&) {
-                       m_pool.release(call->connection, monotonicNow());
-                       finish(call, std::move(call->response));
-                   },
-                   [&](CallFailed& failure) { finish(call, std::move(failure)); },
-               },
+    std::visit(
+        Overloaded {
+            [&](ResponseHeadReceived& received) { call->response.head = std::move(received.head); },
+            [&](ResponseDataReceived& received) {
+                call->response.body += received.data;
+                if (call->response.body.size() <= maxBodyBytes)
+                    return;
+                call->connection->close();
+                finish(call,
+                    CallFailed { true, { ErrorKind::LimitExceeded, "http.call", {}, "response body is too large" } });
+            },
+            [&](ResponseComplete&) {
+                m_pool.release(call->connection, monotonicNow());
+                finish(call, std::move(call->response));
+            },
+            [&](CallFailed& failure) { finish(call, std::move(failure)); },
+        },
         event);
 }
 
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -33,6 +33,7 @@
 /// The response is complete.
 struct ResponseCompleted {
     uint32_t attempt { 0 };
+    bool isFramed { true }; ///< The response states where its body ends, instead of ending with the connection.
 };
 
 /// The connection failed before the response was complete.
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -108,8 +108,8 @@
 {
     if (!isCurrentAttempt(event.attempt) || m_phase == Phase::Sent)
         return;
-    m_lastProgressAt = now;
     if (m_phase == Phase::Buffering) {
+        m_lastProgressAt = now;
         m_bufferedBody += event.data;
         if (m_bufferedBody.size() > m_settings->maxBufferedBytes) {
             m_isHeadSent = true;
@@ -120,11 +120,17 @@
         return;
     }
     if (!isStream()) {
+        m_lastProgressAt = now;
         actions.emplace_back(ForwardData { event.data });
         return;
     }
     m_eventParser.append(event.data);
-    forwardCompleteEvents(actions);
+    forwardCompleteEvents(now, actions);
+    if (m_eventParser.size() > m_settings->maxEventBytes) {
+        actions.emplace_back(CancelAttempt { m_attempt });
+        endAttempt(TargetAttemptResult::Failed, now);
+        retryOrFail(true, "event_too_large", now, actions);
+    }
 }
 
 void RequestMachine::on(const ResponseCompleted& event, TimePoint now, Actions& actions)
@@ -140,6 +146,11 @@
         if (!m_bufferedBody.empty())
             actions.emplace_back(ForwardData { std::move(m_bufferedBody) });
     } else if (!m_eventParser.isEmpty()) {
+        // Without a length, a body that ends inside an event was broken off.
+        if (!event.isFramed) {
+            on(AttemptDisconnected { event.attempt, true }, now, actions);
+            return;
+        }
         actions.emplace_back(ForwardData { m_eventParser.takeRemainder() });
     }
     endAttempt(TargetAttemptResult::Good, now);
@@ -251,7 +262,7 @@
     actions.emplace_back(std::move(start));
 }
 
-void RequestMachine::forwardCompleteEvents(Actions& actions)
+void RequestMachine::forwardCompleteEvents(TimePoint now, Actions& actions)
 {
     std::string events;
     while (auto event = m_eventParser.next()) {
@@ -259,8 +270,10 @@
             m_lastEventId = event->id;
         events += event->text;
     }
-    if (!events.empty())
-        actions.emplace_back(ForwardData { std::move(events) });
+    if (events.empty())
+        return;
+    m_lastProgressAt = now;
+    actions.emplace_back(ForwardData { std::move(events) });
 }
 
 void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -32,8 +32,10 @@
     /// Maximum size of a response that is buffered until it is complete. A buffered response that is interrupted can be
     /// replaced by another attempt.
     size_t maxBufferedBytes { 65536 };
-    /// Time without data, as a multiple of the route's maximum event gap, after which a resumable stream resumes at
-    /// another target.
+    /// Maximum size of an event of a stream. A target that sends more without ending the event has failed.
+    size_t maxEventBytes { 1048576 };
+    /// Time without a complete event, as a multiple of the route's maximum event gap, after which a resumable stream
+    /// resumes at another target.
     double stallTimeoutFactor { 4 };
     /// Lower bound of the stall timeout. Shorter gaps occur while a target processes long prompts.
     Duration minStallTimeout { milliseconds(1000) };
@@ -94,7 +96,7 @@
 
     void acquireTarget(TimePoint now, Actions& actions);
     void startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions);
-    void forwardCompleteEvents(Actions& actions);
+    void forwardCompleteEvents(TimePoint now, Actions& actions);
     void endAttempt(TargetAttemptResult result, TimePoint now);
     /// Starts another attempt, or fails the request, after the current attempt ended without a usable response.
     /// `mayHaveRun` is false only if the target stated that it did not run the request.
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -12,6 +12,7 @@
 EngineProfile profile(size_t models, uint32_t adaptersOfFirst = 0)
 {
     EngineProfile engine;
+    engine.slots = 64;
     engine.weightsMib = 230;
     engine.adapterSlots = 8;
     engine.loadsPerSecond = 1.5;
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -5,6 +5,7 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -100,18 +101,110 @@
     std::thread m_thread;
 };
 
+/// Accepts one connection, reads a request head, and sends `start` and then `repeated` until the client closes.
+class EndlessServer {
+public:
+    EndlessServer(std::string start, std::string repeated)
+        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
+        , m_thread([this, start = std::move(start), repeated = std::move(repeated)] { serve(start, repeated); })
+    {
+    }
+
+    ~EndlessServer() { m_thread.join(); }
+
+    std::atomic<size_t> sentBytes { 0 };
+
+private:
+    void serve(const std::string& start, const std::string& repeated)
+    {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket);
+        std::string head;
+        boost::system::error_code ec;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", ec);
+        boost::asio::write(socket, boost::asio::buffer(start), ec);
+        constexpr size_t maxSentBytes = size_t { 256 } << 20U;
+        while (!ec && sentBytes < maxSentBytes)
+            sentBytes += boost::asio::write(socket, boost::asio::buffer(repeated), ec);
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+
+public:
+    const std::string address;
+
+private:
+    std::thread m_thread;
+};
+
+/// Answers each request on a connection that stays open, and sends a second answer after the first one.
+class RepeatingServer {
+public:
+    /// `connectionCount` connections are accepted; the second answer follows `delay` after the first one.
+    RepeatingServer(int connectionCount, Duration delay, bool isRepeating)
+        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
+        , m_thread([this, connectionCount, delay, isRepeating] {
+            for (int i = 0; i < connectionCount; ++i)
+                serve(delay, isRepeating);
+        })
+    {
+    }
+
+    ~RepeatingServer() { m_thread.join(); }
+
+    std::atomic<int> connections { 0 };
+
+private:
+    void serve(Duration delay, bool isRepeating)
+    {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket);
+        ++connections;
+        boost::system::error_code ec;
+        std::string input;
+        while (!ec) {
+            const auto headBytes = boost::asio::read_until(socket, boost::asio::dynamic_buffer(input), "\r\n\r\n", ec);
+            if (ec)
+                break;
+            const auto targetStart = input.find(' ') + 1;
+            const auto target = input.substr(targetStart, input.find(' ', targetStart) - targetStart);
+            input.erase(0, headBytes);
+            const auto response
+                = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
+            boost::asio::write(socket, boost::asio::buffer(response), ec);
+            if (!isRepeating)
+                continue;
+            std::this_thread::sleep_for(delay);
+            boost::asio::write(socket, boost::asio::buffer(response), ec);
+        }
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+
+public:
+    const std::string address;
+
+private:
+    std::thread m_thread;
+};
+
 /// HttpClient on its own event loop whose calls block until their outcome.
 class BlockingClient {
 public:
     BlockingClient() { m_loop.start(); }
 
     HttpOutcome call(const std::string& address, HttpRequest request = { "GET", "/", { { "Host", "a" } }, {}, false },
-        Duration timeout = milliseconds(5000))
+        Duration timeout = milliseconds(5000), std::function<bool()> mayWrite = nullptr)
     {
         std::promise<HttpOutcome> outcome;
         m_loop.post([&] {
-            m_client.call(parseEndpoint(address).value(), request, timeout,
-                [&](HttpOutcome result) { outcome.set_value(std::move(result)); });
+            m_client.call(
+                parseEndpoint(address).value(), request, timeout,
+                [&](HttpOutcome result) { outcome.set_value(std::move(result)); }, mayWrite);
         });
         return outcome.get_future().get();
     }
@@ -200,13 +293,75 @@
     EXPECT_EQ(server.disconnected.get_future().wait_for(waitTimeout), std::future_status::ready);
 }
 
-// Guards against a call that fails on a connection reused from the pool.
+// Guards against a new connection for each call, and against a call that fails on a connection reused from the pool.
 TEST(ClientConnection, ReusesConnectionAfterCompleteResponse)
+{
+    RepeatingServer server(1, {}, false);
+    BlockingClient client;
+    for (const char* target : { "/1", "/2", "/3" })
+        EXPECT_EQ(bodyOf(client.call(server.address, { "GET", target, { { "Host", "a" } }, {}, false })), target);
+    EXPECT_EQ(server.connections, 1);
+}
+
+// Guards against a second answer that arrives after the first one is complete and that the next request on the
+// connection takes for its own. The loop is busy while the answer arrives, so its bytes wait unread in the socket.
+TEST(ClientConnection, LateSecondAnswerIsNotTakenForTheNext)
+{
+    RepeatingServer server(2, milliseconds(50), true);
+    EventLoop loop;
+    loop.start();
+    HttpClient client { loop.context(), ClientConnectionSettings {} };
+    std::promise<std::string> second;
+    loop.post([&] {
+        const auto get = [&](const std::string& target, HttpClient::Handler handler) {
+            client.call(parseEndpoint(server.address).value(), { "GET", target, { { "Host", "a" } }, {}, false },
+                milliseconds(2000), std::move(handler));
+        };
+        get("/1", [&, get](const HttpOutcome& first) {
+            EXPECT_EQ(bodyOf(first), "/1");
+            boost::asio::post(loop.context(), [&, get] {
+                std::this_thread::sleep_for(milliseconds(200));
+                get("/2", [&](const HttpOutcome& outcome) { second.set_value(bodyOf(outcome)); });
+            });
+        });
+    });
+    EXPECT_EQ(second.get_future().get(), "/2");
+    EXPECT_EQ(server.connections, 2);
+    loop.stop();
+}
+
+// Guards against bytes without end in a response head, in interim responses or in a body, which would take memory and
+// processor time until the call's timeout.
+TEST(HttpClient, EndlessResponsesFail)
+{
+    const std::string manyBytes(65536, 'x');
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses {
+        { "HTTP/1.1 200 OK\r\nX-Field: ", manyBytes },
+        { "", interim },
+        { "HTTP/1.1 200 OK\r\n\r\n", manyBytes },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + manyBytes + "\r\n" },
+    };
+    for (const auto& [start, repeated] : responses) {
+        EndlessServer server(start, repeated);
+        BlockingClient client;
+        const auto outcome
+            = client.call(server.address, { "GET", "/", { { "Host", "a" } }, {}, false }, milliseconds(20000));
+        ASSERT_TRUE(std::holds_alternative<CallFailed>(outcome));
+        EXPECT_NE(std::get<CallFailed>(outcome).error.kind, ErrorKind::Timeout) << start;
+    }
+}
+
+// Guards against an order that is written after the node lost the right to send it while the connection was opened.
+TEST(HttpClient, RequestIsNotWrittenWithoutPermission)
 {
     EchoServer server;
     BlockingClient client;
-    for (int i = 0; i < 3; ++i)
-        EXPECT_EQ(bodyOf(client.call(server.address)), "/ ");
+    const auto outcome = client.call(
+        server.address, { "GET", "/", { { "Host", "a" } }, {}, false }, milliseconds(2000), [] { return false; });
+    ASSERT_TRUE(std::holds_alternative<CallFailed>(outcome));
+    EXPECT_FALSE(std::get<CallFailed>(outcome).wasSent);
+    EXPECT_EQ(server.requests, 0);
 }
 
 // Guards against body framing, interim responses or empty bodies that are parsed wrongly.
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -207,3 +207,16 @@
     EXPECT_FALSE(decodeLeaseGrantResponse({ { 429, {}, {} }, "" }));
     EXPECT_EQ(decodeLeaseKeepAliveResponse({ { 404, {}, {} }, "" }), StoreLeaseOutcome::Expired);
 }
+
+// Guards against undefined behaviour on a deadline that no integer can hold.
+TEST(RequestCodec, ExtremeDeadlinesAreBounded)
+{
+    for (const char* text : { "inf", "1e300", "1e18", "nan", "-1" }) {
+        const auto decoded = decodeCallerRequest(
+            { "POST", "/", { { "Host", "h" }, { "Cyclamenstair-Deadline-Ms", text } }, {}, false });
+        if (decoded.timeout) {
+            EXPECT_GE(*decoded.timeout, Duration(0)) << text;
+            EXPECT_LE(*decoded.timeout, std::chrono::hours(24)) << text;
+        }
+    }
+}
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -245,6 +245,69 @@
     EXPECT_TRUE(find<StartAttempt>(actions));
 }
 
+// Guards against a stalled stream that sends a byte now and then, which would delay the caller until the deadline.
+TEST(RequestMachine, TricklingStreamResumesAtAnotherTarget)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    for (int i = 1; i <= 3; ++i)
+        (void)fixture.machine->handle(ResponseContinued { 1, "d" }, start + milliseconds(300) * i);
+    EXPECT_EQ(fixture.machine->nextTimerAt(), start + milliseconds(1200));
+    const auto actions = fixture.machine->handle(TimerFired {}, start + milliseconds(1200));
+    EXPECT_TRUE(find<CancelAttempt>(actions));
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+}
+
+// Guards against a slow but sound stream that is cut: each complete event counts as progress.
+TEST(RequestMachine, SlowStreamContinues)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    for (int i = 1; i <= 4; ++i) {
+        const auto now = start + milliseconds(1100) * i;
+        EXPECT_TRUE(fixture.machine->handle(TimerFired {}, now).empty());
+        EXPECT_FALSE(forwarded(
+            fixture.machine->handle(ResponseContinued { 1, "id: " + std::to_string(i) + "\ndata: x\n\n" }, now))
+                         .empty());
+    }
+}
+
+// Guards against memory that grows without bound while a target sends an event without end.
+TEST(RequestMachine, EndlessEventIsInterrupted)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    const std::string part(65536, 'x');
+    for (int i = 0; i < 64; ++i) {
+        const auto actions = fixture.machine->handle(ResponseContinued { 1, part }, start + milliseconds(i));
+        EXPECT_TRUE(forwarded(actions).empty());
+        if (find<CancelAttempt>(actions)) {
+            EXPECT_TRUE(find<StartAttempt>(actions));
+            return;
+        }
+    }
+    FAIL() << "4 MiB of one event were buffered";
+}
+
+// Guards against a stream that breaks off inside an event and reaches the caller as complete. Without a length only the
+// end of the connection ends the body.
+TEST(RequestMachine, StreamThatEndsInsideEventResumes)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\nid: 2\nda" }, start);
+    const auto actions = fixture.machine->handle(ResponseCompleted { 1, false }, start);
+    EXPECT_FALSE(find<FinishResponse>(actions));
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+}
+
 // Guards against a target that accepts a request, never responds, and uses up the time until the deadline.
 TEST(RequestMachine, UnansweredRetryableRequestGoesToAnotherTarget)
 {
