Accept a collector's records only if they are as recent as the node's own reads

Change: only full reads and changes count as what a node knows; a collector's watch returns every 1.5 s, so that its revision passes them soon. In its first six seconds a node watches at most once a second.

--- a/Cyclamenstair/Entry/StoreRelay.cpp
+++ b/Cyclamenstair/Entry/StoreRelay.cpp
@@ -11,6 +11,9 @@
 
     /// Prefixes of the catalog, the targets, and the nodes with the lease holder.
     constexpr size_t prefixCount = 3;
+    /// Time that a collector's watch waits for changes. A new member accepts only records that are at least as recent
+    /// as its own.
+    constexpr Duration collectorWatchWait = milliseconds(1500);
 
 } // namespace
 
@@ -42,7 +45,7 @@
     if (sequence() == 0)
         return updates;
     for (const auto& source : m_sources) {
-        StoreUpdate update { m_nodeId, m_sequence, source.watcher->prefix(), true, { {}, source.revision } };
+        StoreUpdate update { m_nodeId, m_sequence, source.watcher->prefix(), true, { {}, source.watcher->revision() } };
         for (const auto& [key, record] : source.records)
             update.changes.changes.push_back({ record, false });
         updates.push_back(std::move(update));
@@ -54,6 +57,8 @@
 {
     if (m_onCollecting)
         m_onCollecting(isCollecting);
+    for (auto& source : m_sources)
+        source.watcher->setWatchWait(isCollecting ? collectorWatchWait : StoreWatcherSettings {}.watchWait);
     m_follower.setCollector(collector);
     if (collector.empty()) {
         setWatching(true);
@@ -84,7 +89,6 @@
         else
             source.records[change.record.key] = change.record;
     }
-    source.revision = changes.revision;
     ++m_sequence;
     if (m_send)
         m_send({ m_nodeId, m_sequence, source.watcher->prefix(), isFull, changes });
--- a/Cyclamenstair/Entry/StoreRelay.h
+++ b/Cyclamenstair/Entry/StoreRelay.h
@@ -49,7 +49,6 @@
     struct Source {
         StoreWatcher* watcher;
         std::map<std::string, StoreRecord> records; ///< By key; empty while the watcher is paused.
-        int64_t revision { 0 };
     };
 
     void onRead(size_t source, bool isFull, const StoreChanges& changes);
--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -18,6 +18,18 @@
 {
 }
 
+void StoreWatcher::start()
+{
+    m_startedAt = monotonicNow();
+    read();
+}
+
+Duration StoreWatcher::watchInterval() const
+{
+    const bool isStarting = monotonicNow() - m_startedAt < m_settings.startDuration;
+    return isStarting ? std::max(m_settings.watchInterval, m_settings.startWatchInterval) : m_settings.watchInterval;
+}
+
 void StoreWatcher::pause()
 {
     if (m_isPaused)
@@ -39,9 +51,10 @@
 
 bool StoreWatcher::follow(bool isFull, const StoreChanges& changes)
 {
-    if (changes.revision < m_revision)
+    if (changes.revision < m_contentRevision)
         return false;
     m_revision = changes.revision;
+    m_contentRevision = changes.revision;
     if (isFull) {
         StoreRange range { {}, changes.revision };
         for (const auto& change : changes.changes)
@@ -80,6 +93,7 @@
         m_isConnected = true;
         m_retryDelay = m_settings.retryDelay;
         m_revision = range.revision;
+        m_contentRevision = range.revision;
         m_handlers.onRead(range);
         notifyObserver(range);
         watch();
@@ -106,9 +120,12 @@
                        for (const auto& change : changes.changes)
                            m_handlers.onChange(change);
                        m_revision = std::max(m_revision, changes.revision);
-                       if (m_observer && !changes.changes.empty())
-                           m_observer(false, changes);
-                       scheduleNext(m_settings.watchInterval, &StoreWatcher::watch);
+                       if (!changes.changes.empty()) {
+                           m_contentRevision = m_revision;
+                           if (m_observer)
+                               m_observer(false, changes);
+                       }
+                       scheduleNext(watchInterval(), &StoreWatcher::watch);
                    },
                    [&](const StoreHistoryLost&) {
                        logEvent(LogSeverity::Info, "store_history_lost",
--- a/Cyclamenstair/Entry/StoreWatcher.h
+++ b/Cyclamenstair/Entry/StoreWatcher.h
@@ -9,6 +9,10 @@
     Duration watchWait { milliseconds(5000) }; ///< A dead watch is detected after this plus a call's timeout.
     Duration watchInterval { milliseconds(350) }; ///< Between two watches; batches changes in quick succession.
     Duration retryDelay { milliseconds(200) }; ///< After a failed call; doubles up to maxRetryDelay.
+    /// Lower bound of watchInterval during startDuration. Many nodes that start together, and targets that register
+    /// meanwhile, cause changes all the time.
+    Duration startWatchInterval { milliseconds(1000) };
+    Duration startDuration { milliseconds(6000) };
     Duration maxRetryDelay { milliseconds(800) }; ///< Well below the time within which changes must take effect.
 };
 
@@ -25,7 +29,7 @@
     StoreWatcher(boost::asio::io_context& context, PlatformStore& store, std::string prefix, Handlers handlers,
         StoreWatcherSettings settings = {});
 
-    void start() { read(); }
+    void start();
 
     /// Called with what the watcher itself has read from the store.
     using Observer = std::function<void(bool isFull, const StoreChanges&)>;
@@ -36,12 +40,17 @@
     /// Reads all records and watches again, if the watcher is paused.
     void resume();
 
-    /// Applies records that another node has read, to a paused or running watcher. Returns false if this node has seen
-    /// a later revision, so that it would return to an older state.
+    /// Applies records that another node has read, to a paused or running watcher. Returns false if this node has read
+    /// later ones, so that it would return to an older state.
     bool follow(bool isFull, const StoreChanges& changes);
 
     /// Sets the time between two watches. Each node's entry that is written wakes all that watch it.
     void setWatchInterval(Duration interval) { m_settings.watchInterval = interval; }
+    /// Sets how long a watch waits for changes; each one that ends advances revision().
+    void setWatchWait(Duration wait) { m_settings.watchWait = wait; }
+
+    /// Returns the revision up to which all changes are known.
+    int64_t revision() const { return m_revision; }
 
     const std::string& prefix() const { return m_prefix; }
     /// Returns whether the watcher is running and its last call succeeded.
@@ -50,6 +59,7 @@
 private:
     void read();
     void watch();
+    Duration watchInterval() const;
     void notifyObserver(const StoreRange& range);
     void onWatch(const StoreWatchOutcome& outcome);
     void onFailure(const std::string& message);
@@ -60,6 +70,8 @@
     Handlers m_handlers;
     StoreWatcherSettings m_settings;
     boost::asio::steady_timer m_timer;
+    int64_t m_contentRevision { 0 }; ///< Revision of the last full read or change; empty watches do not advance it.
+    TimePoint m_startedAt;
     int64_t m_revision { 0 }; ///< Changes up to this revision were processed; 0 before the first full read.
     Duration m_retryDelay {};
     bool m_isConnected { true };
