--- a/StandIns/RegistryStoreStandIn.cpp
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -80,6 +80,7 @@
     } else if (target.starts_with("/cyclamenstair/kv-range")) {
         response = range(queryParameter(target, "path_prefix"));
     } else if (target.starts_with("/cyclamenstair/kv-watch")) {
+        ++m_watchCalls;
         m_watches.push_back(
             { connection, queryParameter(target, "path_prefix"), std::stoll(queryParameter(target, "after")),
                 monotonicNow() + milliseconds(std::stoll(queryParameter(target, "wait_ms"))) });
--- a/StandIns/RegistryStoreStandIn.h
+++ b/StandIns/RegistryStoreStandIn.h
@@ -28,6 +28,9 @@
     /// While the store is down, calls get status 503 and pending watches are disconnected.
     void setDown(bool isDown) { m_isDown = isDown; }
 
+    /// Returns how many watches were requested.
+    size_t watchCallCount() const { return m_watchCalls; }
+
 private:
     struct Item {
         std::string value;
@@ -67,6 +70,7 @@
     std::unique_ptr<ServerListener> m_listener;
     std::string m_address;
     std::atomic<bool> m_isDown { false };
+    std::atomic<size_t> m_watchCalls { 0 };
     std::mutex m_mutex; ///< Guards all members below; public functions change the items from other threads.
     std::map<std::string, Item> m_items;
     std::deque<Change> m_changes;
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -311,6 +311,51 @@
         EXPECT_EQ(request("/safe/x", "r-" + std::to_string(i)).head.status, 200U);
 }
 
+// Guards against calls to the store that grow with the number of nodes in a large fleet, and against nodes that miss a
+// change because they no longer watch the store themselves, also after a node is gone that others followed.
+TEST_F(EntryNodeTest, LargeFleetFollowsTheStoreThroughCollectors)
+{
+    constexpr int nodeCount = 18;
+    const auto seed = allocateLoopbackAddress();
+    std::vector<std::unique_ptr<EntryNode>> nodes;
+    std::vector<std::string> callerAddresses;
+    for (int i = 0; i < nodeCount; ++i) {
+        const auto peerAddress = i == 0 ? seed : allocateLoopbackAddress();
+        nodes.push_back(startNode(
+            "node-" + std::to_string(i), "loops = 1\npeer_listen = " + peerAddress + "\nseeds = " + seed + "\n"));
+        callerAddresses.push_back(callerAddress);
+    }
+    // Each node that watches the store itself calls it at least three times in this time.
+    constexpr auto watchWindow = std::chrono::seconds(5);
+    EXPECT_TRUE(eventually([&] {
+        const auto before = store.watchCallCount();
+        std::this_thread::sleep_for(watchWindow);
+        return store.watchCallCount() - before < size_t { 3 } * nodeCount / 2;
+    }));
+    RegisteredTargetStandIn otherTarget { "i-9", "other" };
+    registerTarget(otherTarget);
+    const auto allServe = [&](const std::string& target) {
+        return std::all_of(callerAddresses.begin(), callerAddresses.end(), [&](const auto& address) {
+            callerAddress = address;
+            return request("/safe/x", "r").body.starts_with(target);
+        });
+    };
+    store.put("op/config", catalogText(5, "other"));
+    EXPECT_TRUE(eventually([&] { return allServe("i-9"); }));
+    // Every third node ends without notice, among them some that others follow in most runs.
+    for (int i = nodeCount - 1; i >= 0; i -= 3) {
+        nodes.erase(nodes.begin() + i);
+        callerAddresses.erase(callerAddresses.begin() + i);
+    }
+    store.put("op/config", catalogText(6));
+    EXPECT_TRUE(eventually([&] {
+        return std::none_of(callerAddresses.begin(), callerAddresses.end(), [&](const auto& address) {
+            callerAddress = address;
+            return request("/safe/x", "r").body.starts_with("i-9");
+        });
+    }));
+}
+
 // Guards against nodes that need a surviving peer: after all were killed, they restart from the store at new addresses.
 TEST_F(EntryNodeTest, RecoversAfterAllNodesWereKilled)
 {
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -62,35 +62,28 @@
     return response;
 }
 
-/// Accepts one connection per scripted response: reads a request head, sends the response bytes, and closes.
-class ScriptedServer {
+/// Accepts a number of connections one after the other and runs a function on each.
+class RawServer {
 public:
-    explicit ScriptedServer(std::vector<std::string> responses)
+    RawServer(int connectionCount, std::function<void(tcp::socket&)> serve)
         : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
         , address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
-        , m_thread([this, responses = std::move(responses)] { serve(responses); })
+        , m_thread([this, connectionCount, serve = std::move(serve)] {
+            for (int i = 0; i < connectionCount; ++i) {
+                tcp::socket socket(m_context);
+                m_acceptor.accept(socket);
+                ++connections;
+                serve(socket);
+            }
+        })
     {
     }
 
-    ~ScriptedServer() { m_thread.join(); }
+    ~RawServer() { m_thread.join(); }
 
     std::atomic<int> connections { 0 };
 
 private:
-    void serve(const std::vector<std::string>& responses)
-    {
-        for (const auto& response : responses) {
-            tcp::socket socket(m_context);
-            m_acceptor.accept(socket);
-            ++connections;
-            std::string head;
-            boost::system::error_code ec;
-            boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", ec);
-            boost::asio::write(socket, boost::asio::buffer(response), ec);
-            socket.shutdown(tcp::socket::shutdown_both, ec);
-        }
-    }
-
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
 
@@ -101,95 +94,72 @@
     std::thread m_thread;
 };
 
-/// Accepts one connection, reads a request head, and sends `start` and then `repeated` until the client closes.
-class EndlessServer {
+/// Reads a request head from `socket` and returns its target; `input` keeps the bytes after it. Returns an empty string
+/// if the connection ends.
+std::string readTarget(tcp::socket& socket, std::string& input)
+{
+    boost::system::error_code ec;
+    const auto headBytes = boost::asio::read_until(socket, boost::asio::dynamic_buffer(input), "\r\n\r\n", ec);
+    if (ec)
+        return {};
+    const auto start = input.find(' ') + 1;
+    auto target = input.substr(start, input.find(' ', start) - start);
+    input.erase(0, headBytes);
+    return target;
+}
+
+/// Sends one of the scripted responses on each connection, after a request head, and closes it.
+class ScriptedServer : public RawServer {
 public:
-    EndlessServer(std::string start, std::string repeated)
-        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-        , address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
-        , m_thread([this, start = std::move(start), repeated = std::move(repeated)] { serve(start, repeated); })
+    explicit ScriptedServer(std::vector<std::string> responses)
+        : RawServer(static_cast<int>(responses.size()), [responses, next = size_t { 0 }](tcp::socket& socket) mutable {
+            std::string input;
+            boost::system::error_code ec;
+            (void)readTarget(socket, input);
+            boost::asio::write(socket, boost::asio::buffer(responses[next++]), ec);
+            socket.shutdown(tcp::socket::shutdown_both, ec);
+        })
     {
     }
+};
 
-    ~EndlessServer() { m_thread.join(); }
-
-    std::atomic<size_t> sentBytes { 0 };
-
-private:
-    void serve(const std::string& start, const std::string& repeated)
+/// Sends `start` and then `repeated` until the client closes.
+class EndlessServer : public RawServer {
+public:
+    EndlessServer(const std::string& start, const std::string& repeated)
+        : RawServer(1, [start, repeated](tcp::socket& socket) {
+            constexpr size_t maxSentBytes = size_t { 256 } << 20U;
+            std::string input;
+            boost::system::error_code ec;
+            (void)readTarget(socket, input);
+            boost::asio::write(socket, boost::asio::buffer(start), ec);
+            for (size_t sentBytes = 0; !ec && sentBytes < maxSentBytes;)
+                sentBytes += boost::asio::write(socket, boost::asio::buffer(repeated), ec);
+        })
     {
-        tcp::socket socket(m_context);
-        m_acceptor.accept(socket);
-        std::string head;
-        boost::system::error_code ec;
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", ec);
-        boost::asio::write(socket, boost::asio::buffer(start), ec);
-        constexpr size_t maxSentBytes = size_t { 256 } << 20U;
-        while (!ec && sentBytes < maxSentBytes)
-            sentBytes += boost::asio::write(socket, boost::asio::buffer(repeated), ec);
     }
-
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-
-public:
-    const std::string address;
-
-private:
-    std::thread m_thread;
 };
 
-/// Answers each request on a connection that stays open, and sends a second answer after the first one.
-class RepeatingServer {
+/// Answers each request with its target on a connection that stays open. If `isRepeating`, sends each answer a second
+/// time after `delay`.
+class RepeatingServer : public RawServer {
 public:
-    /// `connectionCount` connections are accepted; the second answer follows `delay` after the first one.
     RepeatingServer(int connectionCount, Duration delay, bool isRepeating)
-        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-        , address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
-        , m_thread([this, connectionCount, delay, isRepeating] {
-            for (int i = 0; i < connectionCount; ++i)
-                serve(delay, isRepeating);
+        : RawServer(connectionCount, [delay, isRepeating](tcp::socket& socket) {
+            std::string input;
+            boost::system::error_code ec;
+            for (auto target = readTarget(socket, input); !target.empty(); target = readTarget(socket, input)) {
+                const auto response
+                    = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
+                boost::asio::write(socket, boost::asio::buffer(response), ec);
+                if (!isRepeating)
+                    continue;
+                std::this_thread::sleep_for(delay);
+                boost::asio::write(socket, boost::asio::buffer(response), ec);
+            }
         })
     {
     }
-
-    ~RepeatingServer() { m_thread.join(); }
-
-    std::atomic<int> connections { 0 };
-
-private:
-    void serve(Duration delay, bool isRepeating)
-    {
-        tcp::socket socket(m_context);
-        m_acceptor.accept(socket);
-        ++connections;
-        boost::system::error_code ec;
-        std::string input;
-        while (!ec) {
-            const auto headBytes = boost::asio::read_until(socket, boost::asio::dynamic_buffer(input), "\r\n\r\n", ec);
-            if (ec)
-                break;
-            const auto targetStart = input.find(' ') + 1;
-            const auto target = input.substr(targetStart, input.find(' ', targetStart) - targetStart);
-            input.erase(0, headBytes);
-            const auto response
-                = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
-            boost::asio::write(socket, boost::asio::buffer(response), ec);
-            if (!isRepeating)
-                continue;
-            std::this_thread::sleep_for(delay);
-            boost::asio::write(socket, boost::asio::buffer(response), ec);
-        }
-    }
-
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-
-public:
-    const std::string address;
-
-private:
-    std::thread m_thread;
 };
 
 /// HttpClient on its own event loop whose calls block until their outcome.
