--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -366,6 +366,10 @@
 
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const StoreSyncRequest&)
 {
+    // A member on a slow link repeats its request while the records are still on their way. Queueing them again for
+    // each member of a group could take more memory than a small node has.
+    if (sender->hasQueuedFrames())
+        return;
     for (const auto& update : m_relay->fullUpdates())
         sender->send(encodeEntryMessage(update));
 }
--- a/Cyclamenstair/Peering/FrameChannel.h
+++ b/Cyclamenstair/Peering/FrameChannel.h
@@ -25,6 +25,9 @@
     };
 
     /// Maximum frame content in bytes; a snapshot with the store's largest value and the entries of all targets fits.
+    /// Returns whether frames wait to be written.
+    bool hasQueuedFrames() const { return !m_writeBuffer.empty() || !m_writeQueue.empty(); }
+
     static constexpr uint32_t maxFrameBytes = 4 << 20;
 
     FrameChannel(boost::asio::ip::tcp::socket socket, Handlers handlers);
