--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -321,8 +321,9 @@
     std::vector<std::string> callerAddresses;
     for (int i = 0; i < nodeCount; ++i) {
         const auto peerAddress = i == 0 ? seed : allocateLoopbackAddress();
-        nodes.push_back(startNode(
-            "node-" + std::to_string(i), "loops = 1\npeer_listen = " + peerAddress + "\nseeds = " + seed + "\n"));
+        std::string peerSettings = "loops = 1\npeer_listen = ";
+        peerSettings.append(peerAddress).append("\nseeds = ").append(seed).append("\n");
+        nodes.push_back(startNode("node-" + std::to_string(i), peerSettings));
         callerAddresses.push_back(callerAddress);
     }
     // Each node that watches the store itself calls it at least three times in this time.
