Log prompt parts and the progress of answers that are lost

The logs could not tell whether targets end because of requests, of load, or by themselves. attempt_started now names the parts of the prompt, attempt_failed says how far the answer had come, and a counter has the lost attempts by that.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -38,6 +38,7 @@
         requestInfo.adapter = decoded.adapter;
         requestInfo.modelLoadTime = findModelLoadTime(catalog, requestInfo.service, requestInfo.model);
         requestInfo.promptTokens = decoded.promptTokens;
+        requestInfo.promptParts = decoded.promptParts;
         requestInfo.receivedAt = now;
         requestInfo.callerTimeout = decoded.timeout;
         return requestInfo;
@@ -117,7 +118,7 @@
     log("attempt_started",
         { { "route", m_machine.requestInfo().route.name }, { "artifact", artifactText() },
             { "attempt", std::to_string(action.attempt) }, { "target", action.target.id },
-            { "address", action.target.address },
+            { "address", action.target.address }, { "prompt_parts", promptPartsText() },
             { "time_left_ms", std::to_string(toMilliseconds(action.remainingTime)) },
             { "resume_after", action.resumeAfter.value_or("") } });
     if (action.attempt > 1)
@@ -211,10 +212,13 @@
                    },
                    [&](CallFailed& failure) {
                        m_targetConnection.reset();
+                       const auto progress = std::string(nameOf(m_machine.answerProgress()));
                        log("attempt_failed",
                            { { "attempt", std::to_string(attempt) }, { "target", m_acquiredTarget.id },
-                               { "was_sent", failure.wasSent ? "true" : "false" }, { "step", failure.error.step },
-                               { "message", failure.error.message } });
+                               { "was_sent", failure.wasSent ? "true" : "false" }, { "answer", progress },
+                               { "step", failure.error.step }, { "message", failure.error.message } });
+                       if (failure.wasSent)
+                           m_loop->state().metrics.add(Metric::LostAttempts, progress);
                        handle(AttemptDisconnected { attempt, failure.wasSent });
                    },
                },
@@ -270,6 +274,14 @@
     return requestInfo.adapter.empty() ? requestInfo.model : requestInfo.model + "/" + requestInfo.adapter;
 }
 
+std::string RequestExchange::promptPartsText() const
+{
+    std::string text;
+    for (const auto& part : m_machine.requestInfo().promptParts.shared)
+        text.append(part).append(",");
+    return text + m_machine.requestInfo().promptParts.own;
+}
+
 std::string RequestExchange::elapsedText() const
 {
     return std::to_string(toMilliseconds(monotonicNow() - m_machine.requestInfo().receivedAt));
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -40,6 +40,7 @@
     /// Records the time since the request arrived in the service's histogram.
     void observeElapsed(Metric metric);
     std::string artifactText() const;
+    std::string promptPartsText() const;
     std::string elapsedText() const;
 
     RequestLoop* m_loop;
--- a/Cyclamenstair/RequestFlow/RequestInfo.h
+++ b/Cyclamenstair/RequestFlow/RequestInfo.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Catalog/Route.h>
+#include <Cyclamenstair/RequestFlow/PromptParts.h>
 
 #include <optional>
 
@@ -15,6 +16,7 @@
     std::string adapter; ///< Empty for the model itself.
     Duration modelLoadTime { 0 }; ///< Time to load the model from the weight store; 0 for plain services.
     uint32_t promptTokens { 0 }; ///< Token count stated by the caller; 0 if not stated.
+    PromptParts promptParts;
     TimePoint receivedAt;
     std::optional<Duration> callerTimeout; ///< Time that the caller waits for a response, starting at receivedAt.
 
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -59,6 +59,8 @@
         return;
     const auto& head = event.head;
     m_lastProgressAt = now;
+    if (isSuccess(head.status) && m_answerProgress == AnswerProgress::NotStarted)
+        m_answerProgress = AnswerProgress::Started;
     m_dependencies.targets->markPromptRead(*m_target);
     if (!head.matchesRequestId || (isSuccess(head.status) && !head.hasReceipt)) {
         // A response to another request, or one without a receipt. The connection must not be reused.
@@ -153,6 +155,9 @@
         }
         actions.emplace_back(ForwardData { m_eventParser.takeRemainder() });
     }
+    // A connection that ends is no proof: that of a target that fails ends as well.
+    if (event.isFramed)
+        recordAnswerProgress(true, now);
     endAttempt(TargetAttemptResult::Good, now);
     actions.emplace_back(FinishResponse {});
     finish();
@@ -254,6 +259,7 @@
     m_query.excluded.insert(target.id);
     m_query.excludesBacklogged = false;
     m_phase = Phase::Sent;
+    m_firstEventAt.reset();
     m_lastProgressAt = now;
     StartAttempt start { m_attempt, target, m_requestInfo.deadline() - now, std::nullopt,
         std::min(m_requestInfo.route.priority, 9U) };
@@ -273,9 +279,19 @@
     if (events.empty())
         return;
     m_lastProgressAt = now;
+    recordAnswerProgress(false, now);
     actions.emplace_back(ForwardData { std::move(events) });
 }
 
+void RequestMachine::recordAnswerProgress(bool isComplete, TimePoint now)
+{
+    if (!m_firstEventAt)
+        m_firstEventAt = now;
+    const bool isProven = isComplete || now - *m_firstEventAt >= m_settings->answerProofTime;
+    if (m_answerProgress != AnswerProgress::Continued)
+        m_answerProgress = isProven ? AnswerProgress::Continued : AnswerProgress::Started;
+}
+
 void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
 {
     m_dependencies.targets->release(*m_target, m_query, result, now);
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/RequestFlow/AnswerProgress.h>
 #include <Cyclamenstair/RequestFlow/EventStreamParser.h>
 #include <Cyclamenstair/RequestFlow/RequestAction.h>
 #include <Cyclamenstair/RequestFlow/RequestEvent.h>
@@ -47,6 +48,9 @@
     double firstByteTimeoutFactor { 2.4 };
     /// Lower bound of the first byte timeout. Plain services respond within it under load.
     Duration minFirstByteTimeout { milliseconds(400) };
+    /// Time after the first event of a stream from which on the target is known to survive the request. An engine that
+    /// a prompt makes fail ends within a few steps of it.
+    Duration answerProofTime { milliseconds(250) };
 };
 
 /// Objects shared by all requests, not owned by RequestMachine. `random` belongs to the thread of the request.
@@ -79,6 +83,8 @@
     /// Returns whether the head of a response has been sent to the caller.
     bool isHeadSent() const { return m_isHeadSent; }
     const RequestInfo& requestInfo() const { return m_requestInfo; }
+    /// Returns how far the answer has come, over all attempts.
+    AnswerProgress answerProgress() const { return m_answerProgress; }
 
 private:
     enum class Phase : uint8_t {
@@ -100,6 +106,8 @@
     void acquireTarget(TimePoint now, Actions& actions);
     void startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions);
     void forwardCompleteEvents(TimePoint now, Actions& actions);
+    /// Records that an event or a complete answer has arrived.
+    void recordAnswerProgress(bool isComplete, TimePoint now);
     void endAttempt(TargetAttemptResult result, TimePoint now);
     /// Starts another attempt, or fails the request, after the current attempt ended without a usable response.
     /// `mayHaveRun` is false only if the target stated that it did not run the request.
@@ -140,6 +148,8 @@
     std::string m_bufferedBody;
     EventStreamParser m_eventParser;
     std::string m_lastEventId; ///< Id of the last event forwarded to the caller.
+    AnswerProgress m_answerProgress { AnswerProgress::NotStarted };
+    std::optional<TimePoint> m_firstEventAt; ///< First event of the current attempt.
     TimePoint m_lastProgressAt;
     TimePoint m_nextAcquireAt;
     bool m_isCountedAsWaiting { false };
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -117,6 +117,25 @@
     EXPECT_EQ(decoded.timeout, milliseconds(1500));
 }
 
+// Guards against a last part that is taken for one that other prompts share, and against a malformed list that is read
+// past its end or fills the node's memory.
+TEST(RequestCodec, DecodesPartsOfPrompt)
+{
+    const auto parts = [](const std::string& text) {
+        return decodeCallerRequest({ "POST", "/", { { "cyclamenstair-prompt-prefix", text } }, {}, false }).promptParts;
+    };
+    EXPECT_EQ(parts("5c1e:800,91bd:410,e440:250").shared, (std::vector<std::string> { "5c1e", "91bd" }));
+    EXPECT_EQ(parts("5c1e:800,91bd:410,e440:250").own, "e440");
+    EXPECT_EQ(parts("5c1e").own, "5c1e");
+    EXPECT_TRUE(parts(",:,,").shared.empty());
+    EXPECT_EQ(parts("a,b:1,").shared, std::vector<std::string> { "a" });
+    std::string longText;
+    for (int i = 0; i < 1000; ++i)
+        longText += std::string(100, 'x') + ":1,";
+    EXPECT_LE(parts(longText).shared.size(), 64U);
+    EXPECT_LE(parts(longText).own.size(), 64U);
+}
+
 // Guards against a caller that forges fields reserved for the system, and against other fields that are lost or
 // changed.
 TEST(RequestCodec, AttemptDropsReservedFieldsOfCaller)
