--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -71,8 +71,32 @@
     return m_acceptedOrders;
 }
 
+void RegisteredTargetStandIn::setCrashingPart(const std::string& part)
+{
+    std::lock_guard lock(m_mutex);
+    m_crashingPart = part;
+}
+
+bool RegisteredTargetStandIn::hasCrashingPart(const HttpRequest& request)
+{
+    std::lock_guard lock(m_mutex);
+    return !m_crashingPart.empty()
+        && headerValue(request, "Cyclamenstair-Prompt-Prefix").find(m_crashingPart + ":") != std::string::npos;
+}
+
+void RegisteredTargetStandIn::crash()
+{
+    ++m_crashCount;
+    for (const auto& entry : std::exchange(m_connections, {})) {
+        if (const auto connection = entry.lock())
+            connection->abort();
+    }
+}
+
 void RegisteredTargetStandIn::handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
 {
+    std::erase_if(m_connections, [](const auto& entry) { return entry.expired(); });
+    m_connections.insert(connection);
     if (request.target == "/cyclamenstair/report") {
         std::lock_guard lock(m_mutex);
         connection->sendResponse({ ok, {}, {} },
@@ -104,6 +128,11 @@
         ++m_runCounts[id];
     }
     const bool isStream = request.target.find("stream") != std::string::npos;
+    if (hasCrashingPart(request)) {
+        ++m_crashingRequestCount;
+        boost::asio::post(m_loop.context(), [this] { crash(); });
+        return;
+    }
     if (behaviour == TargetBehaviour::NoResponse) {
         connection->setDisconnectHandler([this] { ++m_abandonedRequestCount; });
         return;
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -44,6 +44,16 @@
 
     void setBehaviour(TargetBehaviour behaviour) { m_behaviour = behaviour; }
 
+    /// From now on a request whose prompt has this part crashes the target as it begins to answer: all connections end,
+    /// and the target starts again at once.
+    void setCrashingPart(const std::string& part);
+
+    /// Returns how often the target crashed.
+    int crashCount() const { return m_crashCount; }
+
+    /// Returns how many requests with the crashing part arrived.
+    int crashingRequestCount() const { return m_crashingRequestCount; }
+
     /// Rejects all further orders, as another instance at the target's address would.
     void rejectOrders() { m_rejectsOrders = true; }
 
@@ -66,6 +76,8 @@
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void stream(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, int firstEvent);
+    bool hasCrashingPart(const HttpRequest& request);
+    void crash();
     void handleOrder(const std::shared_ptr<ServerConnection>& connection, const std::string& body);
     std::string modelsJson();
 
@@ -76,9 +88,13 @@
     std::unique_ptr<ServerListener> m_listener;
     std::atomic<TargetBehaviour> m_behaviour { TargetBehaviour::Respond };
     std::atomic<int> m_abandonedRequestCount { 0 };
+    std::atomic<int> m_crashCount { 0 };
+    std::atomic<int> m_crashingRequestCount { 0 };
     std::atomic<bool> m_rejectsOrders { false };
     std::atomic<int> m_rejectedOrderCount { 0 };
+    std::set<std::weak_ptr<ServerConnection>, std::owner_less<>> m_connections; ///< Used on the event loop only.
     std::mutex m_mutex;
+    std::string m_crashingPart;
     std::map<std::string, int> m_runCounts;
     std::set<std::string> m_loadedModels;
     std::vector<std::pair<std::string, int64_t>> m_acceptedOrders;
