--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -151,6 +151,49 @@
         return notice;
     }
 
+    /// Returns a duration in milliseconds, limited to the range of the schema's 32-bit times.
+    uint32_t saturatedMilliseconds(Duration duration)
+    {
+        return static_cast<uint32_t>(
+            std::clamp<int64_t>(toMilliseconds(duration), 0, std::numeric_limits<uint32_t>::max()));
+    }
+
+    schema::QuarantineShareT toRecord(const QuarantineShare& share)
+    {
+        schema::QuarantineShareT record;
+        record.node = share.node;
+        for (const auto& part : share.parts) {
+            auto row = std::make_unique<schema::PromptPartRowT>();
+            row->part = part.part;
+            row->generation = part.generation;
+            row->had_continued = part.hadContinuedAnswers;
+            row->quarantine_left_ms = saturatedMilliseconds(part.quarantineLeft);
+            row->quarantine_count = part.quarantineCount;
+            for (const auto& answer : part.lostAnswers) {
+                auto answerRow = std::make_unique<schema::LostAnswerRowT>();
+                answerRow->attempt = answer.attempt;
+                answerRow->request = answer.request;
+                answerRow->age_ms = saturatedMilliseconds(answer.age);
+                row->lost_answers.push_back(std::move(answerRow));
+            }
+            record.parts.push_back(std::move(row));
+        }
+        return record;
+    }
+
+    QuarantineShare fromRecord(const schema::QuarantineShareT& record)
+    {
+        QuarantineShare share { record.node, {} };
+        for (const auto& row : record.parts) {
+            PartRow part { row->part, row->generation, {}, row->had_continued, milliseconds(row->quarantine_left_ms),
+                row->quarantine_count };
+            for (const auto& answer : row->lost_answers)
+                part.lostAnswers.push_back({ answer->attempt, answer->request, milliseconds(answer->age_ms) });
+            share.parts.push_back(std::move(part));
+        }
+        return share;
+    }
+
     DemandShare fromRecord(const schema::DemandShareT& record)
     {
         DemandShare share;
@@ -193,6 +236,7 @@
                        record.content.Set(std::move(content));
                    },
                    [&](const StoreUpdate& update) { record.content.Set(toRecord(update)); },
+                   [&](const QuarantineShare& share) { record.content.Set(toRecord(share)); },
                },
         message);
     return packRecord<schema::EntryMessage>(record);
@@ -217,6 +261,8 @@
         return fromRecord(*snapshot);
     if (const auto* notice = record.content.AsResidencyNotice())
         return fromRecord(*notice);
+    if (const auto* share = record.content.AsQuarantineShare())
+        return fromRecord(*share);
     throw Exception({ ErrorKind::InvalidInput, "entry_message.decode", "", "expected a message with known content" });
 }
 
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
+#include <Cyclamenstair/Quarantine/PartRow.h>
 #include <Cyclamenstair/Store/StoreTypes.h>
 
 #include <string_view>
@@ -76,8 +77,14 @@
     std::vector<LoadedModel> models;
 };
 
+/// What a node knows of prompt parts that make targets fail. Ages have a resolution of 1 ms.
+struct QuarantineShare {
+    std::string node;
+    std::vector<PartRow> parts;
+};
+
 using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice, DemandShare, LoadSummary,
-    StoreSyncRequest, StoreUpdate>;
+    StoreSyncRequest, StoreUpdate, QuarantineShare>;
 
 /// Returns the message as a FlatBuffers EntryMessage.
 std::string encodeEntryMessage(const EntryMessage& message);
--- a/Cyclamenstair/Entry/EntryState.cpp
+++ b/Cyclamenstair/Entry/EntryState.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Entry/EntryState.h>
 
+#include <Cyclamenstair/Telemetry/Log.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -26,6 +28,24 @@
         return settings;
     }
 
+    QuarantineSettings quarantineSettings(const schema::QuarantineSettingsT& quarantine)
+    {
+        QuarantineSettings settings;
+        settings.minFailures = static_cast<uint32_t>(quarantine.failures);
+        settings.minRequests = static_cast<uint32_t>(quarantine.requests);
+        settings.duration = std::chrono::seconds(quarantine.duration_s);
+        settings.maxDuration = std::max(settings.maxDuration, settings.duration);
+        return settings;
+    }
+
+    void logVerdict(const PartVerdict& verdict)
+    {
+        logEvent(LogSeverity::Warning, "prompt_part_verdict",
+            { { "verdict", std::string(nameOf(verdict.kind)) }, { "part", verdict.part },
+                { "failures", std::to_string(verdict.failures) }, { "requests", std::to_string(verdict.requests) },
+                { "left_ms", std::to_string(toMilliseconds(verdict.quarantineLeft)) } });
+    }
+
     /// The allowance is per service; there is no bound over all services.
     constexpr RetryAllowance unlimitedTotal { 1, 1e6, 1e6 };
 
@@ -35,6 +55,11 @@
     : nodeId(settings.node->id)
     , targets(targetRegistrySettings(*settings.node))
     , retries(retryAllowance(*settings.entry), unlimitedTotal)
+    , quarantine(quarantineSettings(*settings.quarantine),
+          [this](const PartVerdict& verdict) {
+              logVerdict(verdict);
+              metrics.add(Metric::PartVerdicts, std::string(nameOf(verdict.kind)));
+          })
     , m_minNodeCount(static_cast<uint32_t>(settings.entry->retry_nodes))
 {
     setNodeCount(0);
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Fleet/DemandCounter.h>
 #include <Cyclamenstair/Fleet/TargetRegistry.h>
 #include <Cyclamenstair/Generated/Settings_generated.h>
+#include <Cyclamenstair/Quarantine/PromptQuarantine.h>
 #include <Cyclamenstair/RequestFlow/RequestMachine.h>
 #include <Cyclamenstair/Routing/RetryBudget.h>
 #include <Cyclamenstair/Telemetry/Metrics.h>
@@ -23,6 +24,7 @@
     DemandCounter demand;
     RetryBudget retries;
     Metrics metrics;
+    PromptQuarantine quarantine;
     std::atomic<bool> areTargetsKnown { false }; ///< The target entries were read from the store or from a peer.
     std::atomic<bool> isStopping { false };
     /// New requests with a later deadline are refused, because the process exits before it.
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -22,6 +22,8 @@
     /// Time from an adapter order until the target holds the adapter. Earlier requests would be rejected.
     constexpr Duration adapterLoadTime = milliseconds(60);
     constexpr Duration connectInterval = milliseconds(1000);
+    /// Time after which unchanged evidence against prompt parts is sent again, for nodes that have connected meanwhile.
+    constexpr Duration quarantineRefreshInterval = milliseconds(1000);
     /// Time for which a new node waits for the store before it asks its peers. Snapshots for many nodes that start
     /// together would fill the links of the seeds.
     constexpr Duration snapshotDelay = milliseconds(400);
@@ -135,6 +137,7 @@
     sendShares(now);
     applyRemoteLoads(now);
     sendDueNotices(now);
+    sendQuarantine(now);
     if (!m_state->areTargetsKnown || !m_state->catalog.current())
         requestSnapshot(now);
     m_timer.expires_after(loadShareInterval);
@@ -278,17 +281,34 @@
             continue;
         }
         m_state->targets.setModels(notice.service, notice.target, notice.models);
-        const auto frame = encodeEntryMessage(notice);
-        for (const auto& [address, link] : m_links) {
-            if (link.channel && link.channel->isOpen())
-                link.channel->send(frame);
-        }
-        if (isCollecting())
-            sendToMembers(frame);
+        sendToNeighbours(encodeEntryMessage(notice));
         entry = m_pendingNotices.erase(entry);
     }
 }
 
+void PeerMesh::sendQuarantine(TimePoint now)
+{
+    // Read before the rows, so that a change meanwhile is sent with the next ones.
+    const auto version = m_state->quarantine.version();
+    if (version == m_sentQuarantineVersion && now - m_lastQuarantineSentAt < quarantineRefreshInterval)
+        return;
+    m_sentQuarantineVersion = version;
+    m_lastQuarantineSentAt = now;
+    auto rows = m_state->quarantine.rows(now);
+    if (!rows.empty())
+        sendToNeighbours(encodeEntryMessage(QuarantineShare { m_state->nodeId, std::move(rows) }));
+}
+
+void PeerMesh::sendToNeighbours(const std::string& frame)
+{
+    for (const auto& [address, link] : m_links) {
+        if (link.channel && link.channel->isOpen())
+            link.channel->send(frame);
+    }
+    if (isCollecting())
+        sendToMembers(frame);
+}
+
 void PeerMesh::sendToNode(const std::string& node, const std::string& frame)
 {
     std::shared_ptr<FrameChannel> channel;
@@ -395,6 +415,11 @@
     }
 }
 
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const QuarantineShare& share)
+{
+    m_state->quarantine.merge(share.parts, monotonicNow());
+}
+
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice)
 {
     m_state->targets.setModels(notice.service, notice.target, notice.models);
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -83,7 +83,12 @@
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const SnapshotRequest& request);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const Snapshot& snapshot);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice);
+    void handleMessage(const std::shared_ptr<FrameChannel>& sender, const QuarantineShare& share);
     void sendDueNotices(TimePoint now);
+    /// Sends what this node knows of prompt parts that make targets fail, if it changed or was not sent for a while.
+    void sendQuarantine(TimePoint now);
+    /// Sends over all open links, and to the nodes that use this node as their collector.
+    void sendToNeighbours(const std::string& frame);
     void sendToNode(const std::string& node, const std::string& frame);
     /// Sends to the nodes that use this node as their collector, except over `excluded`.
     void sendToMembers(const std::string& frame, const std::shared_ptr<FrameChannel>& excluded = nullptr);
@@ -108,6 +113,8 @@
     TargetWorkloads m_lastShare; ///< This node's loads as last sent.
     std::string m_lastCollector; ///< Collector to which they were sent; empty if sent to all nodes.
     TimePoint m_lastShareSentAt;
+    uint64_t m_sentQuarantineVersion { 0 };
+    TimePoint m_lastQuarantineSentAt;
     TimePoint m_startedAt;
 };
 
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -77,7 +77,8 @@
     , m_callerConnection(std::move(connection))
     , m_request(std::move(request))
     , m_machine(std::move(requestInfo), loop.state().flowSettings,
-          { &loop.state().targets, &loop.state().retries, &loop.state().demand, &loop.random() })
+          { &loop.state().targets, &loop.state().retries, &loop.state().demand, &loop.random(),
+              &loop.state().quarantine })
     , m_timer(loop.loop().context())
 {
     ++loop.state().requestsInProgress;
@@ -219,7 +220,7 @@
                                { "step", failure.error.step }, { "message", failure.error.message } });
                        if (failure.wasSent)
                            m_loop->state().metrics.add(Metric::LostAttempts, progress);
-                       handle(AttemptDisconnected { attempt, failure.wasSent });
+                       handle(AttemptDisconnected { attempt, failure.wasSent, failure.isClosedByServer });
                    },
                },
         event);
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -72,6 +72,18 @@
 struct ResidencyNoticeBuilder;
 struct ResidencyNoticeT;
 
+struct LostAnswerRow;
+struct LostAnswerRowBuilder;
+struct LostAnswerRowT;
+
+struct PromptPartRow;
+struct PromptPartRowBuilder;
+struct PromptPartRowT;
+
+struct QuarantineShare;
+struct QuarantineShareBuilder;
+struct QuarantineShareT;
+
 struct NodeEntry;
 struct NodeEntryBuilder;
 struct NodeEntryT;
@@ -90,11 +102,12 @@
   LoadSummary = 6,
   StoreSyncRequest = 7,
   StoreUpdate = 8,
+  QuarantineShare = 9,
   MIN = NONE,
-  MAX = StoreUpdate
+  MAX = QuarantineShare
 };
 
-inline const EntryContent (&EnumValuesEntryContent())[9] {
+inline const EntryContent (&EnumValuesEntryContent())[10] {
   static const EntryContent values[] = {
     EntryContent::NONE,
     EntryContent::LoadShare,
@@ -104,13 +117,14 @@
     EntryContent::DemandShare,
     EntryContent::LoadSummary,
     EntryContent::StoreSyncRequest,
-    EntryContent::StoreUpdate
+    EntryContent::StoreUpdate,
+    EntryContent::QuarantineShare
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntryContent() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "NONE",
     "LoadShare",
     "SnapshotRequest",
@@ -120,13 +134,14 @@
     "LoadSummary",
     "StoreSyncRequest",
     "StoreUpdate",
+    "QuarantineShare",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntryContent(EntryContent e) {
-  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::StoreUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::QuarantineShare)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntryContent()[index];
 }
@@ -167,6 +182,10 @@
   static const EntryContent enum_value = EntryContent::StoreUpdate;
 };
 
+template<> struct EntryContentTraits<cyclamenstair::schema::QuarantineShare> {
+  static const EntryContent enum_value = EntryContent::QuarantineShare;
+};
+
 template<typename T> struct EntryContentUnionTraits {
   static const EntryContent enum_value = EntryContent::NONE;
 };
@@ -203,6 +222,10 @@
   static const EntryContent enum_value = EntryContent::StoreUpdate;
 };
 
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::QuarantineShareT> {
+  static const EntryContent enum_value = EntryContent::QuarantineShare;
+};
+
 struct EntryContentUnion {
   EntryContent type;
   void *value;
@@ -297,6 +320,14 @@
     return type == EntryContent::StoreUpdate ?
       reinterpret_cast<const cyclamenstair::schema::StoreUpdateT *>(value) : nullptr;
   }
+  cyclamenstair::schema::QuarantineShareT *AsQuarantineShare() {
+    return type == EntryContent::QuarantineShare ?
+      reinterpret_cast<cyclamenstair::schema::QuarantineShareT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::QuarantineShareT *AsQuarantineShare() const {
+    return type == EntryContent::QuarantineShare ?
+      reinterpret_cast<const cyclamenstair::schema::QuarantineShareT *>(value) : nullptr;
+  }
 };
 
 bool VerifyEntryContent(flatbuffers::Verifier &verifier, const void *obj, EntryContent type);
@@ -1742,6 +1773,324 @@
 
 flatbuffers::Offset<ResidencyNotice> CreateResidencyNotice(flatbuffers::FlatBufferBuilder &_fbb, const ResidencyNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LostAnswerRowT : public flatbuffers::NativeTable {
+  typedef LostAnswerRow TableType;
+  uint64_t attempt = 0;
+  uint64_t request = 0;
+  uint32_t age_ms = 0;
+};
+
+/// A request whose unfinished answer was lost because its target failed.
+struct LostAnswerRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LostAnswerRowT NativeTableType;
+  typedef LostAnswerRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_REQUEST = 6,
+    VT_AGE_MS = 8
+  };
+  /// Identifies the attempt among those of all nodes.
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  /// Hash of the prompt's own part.
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  /// Time between the loss and the sending of the message.
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  LostAnswerRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LostAnswerRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LostAnswerRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LostAnswerRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LostAnswerRowBuilder {
+  typedef LostAnswerRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(LostAnswerRow::VT_ATTEMPT, attempt, 0);
+  }
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(LostAnswerRow::VT_REQUEST, request, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(LostAnswerRow::VT_AGE_MS, age_ms, 0);
+  }
+  explicit LostAnswerRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LostAnswerRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LostAnswerRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LostAnswerRow> CreateLostAnswerRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    uint64_t request = 0,
+    uint32_t age_ms = 0) {
+  LostAnswerRowBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_attempt(attempt);
+  builder_.add_age_ms(age_ms);
+  return builder_.Finish();
+}
+
+struct LostAnswerRow::Traits {
+  using type = LostAnswerRow;
+  static auto constexpr Create = CreateLostAnswerRow;
+};
+
+flatbuffers::Offset<LostAnswerRow> CreateLostAnswerRow(flatbuffers::FlatBufferBuilder &_fbb, const LostAnswerRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PromptPartRowT : public flatbuffers::NativeTable {
+  typedef PromptPartRow TableType;
+  std::string part{};
+  uint32_t generation = 0;
+  std::vector<std::unique_ptr<cyclamenstair::schema::LostAnswerRowT>> lost_answers{};
+  bool had_continued = false;
+  uint32_t quarantine_left_ms = 0;
+  uint32_t quarantine_count = 0;
+  PromptPartRowT() = default;
+  PromptPartRowT(const PromptPartRowT &o);
+  PromptPartRowT(PromptPartRowT&&) FLATBUFFERS_NOEXCEPT = default;
+  PromptPartRowT &operator=(PromptPartRowT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Evidence against a prompt part.
+struct PromptPartRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptPartRowT NativeTableType;
+  typedef PromptPartRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_GENERATION = 6,
+    VT_LOST_ANSWERS = 8,
+    VT_HAD_CONTINUED = 10,
+    VT_QUARANTINE_LEFT_MS = 12,
+    VT_QUARANTINE_COUNT = 14
+  };
+  const flatbuffers::String *part() const {
+    return GetPointer<const flatbuffers::String *>(VT_PART);
+  }
+  uint32_t generation() const {
+    return GetField<uint32_t>(VT_GENERATION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>> *lost_answers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>> *>(VT_LOST_ANSWERS);
+  }
+  /// Answers with the part continued before the first lost one.
+  bool had_continued() const {
+    return GetField<uint8_t>(VT_HAD_CONTINUED, 0) != 0;
+  }
+  /// 0 if the part is not quarantined.
+  uint32_t quarantine_left_ms() const {
+    return GetField<uint32_t>(VT_QUARANTINE_LEFT_MS, 0);
+  }
+  uint32_t quarantine_count() const {
+    return GetField<uint32_t>(VT_QUARANTINE_COUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_PART) &&
+           verifier.VerifyString(part()) &&
+           VerifyField<uint32_t>(verifier, VT_GENERATION, 4) &&
+           VerifyOffset(verifier, VT_LOST_ANSWERS) &&
+           verifier.VerifyVector(lost_answers()) &&
+           verifier.VerifyVectorOfTables(lost_answers()) &&
+           VerifyField<uint8_t>(verifier, VT_HAD_CONTINUED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_QUARANTINE_LEFT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_QUARANTINE_COUNT, 4) &&
+           verifier.EndTable();
+  }
+  PromptPartRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptPartRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptPartRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptPartRowBuilder {
+  typedef PromptPartRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(flatbuffers::Offset<flatbuffers::String> part) {
+    fbb_.AddOffset(PromptPartRow::VT_PART, part);
+  }
+  void add_generation(uint32_t generation) {
+    fbb_.AddElement<uint32_t>(PromptPartRow::VT_GENERATION, generation, 0);
+  }
+  void add_lost_answers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>>> lost_answers) {
+    fbb_.AddOffset(PromptPartRow::VT_LOST_ANSWERS, lost_answers);
+  }
+  void add_had_continued(bool had_continued) {
+    fbb_.AddElement<uint8_t>(PromptPartRow::VT_HAD_CONTINUED, static_cast<uint8_t>(had_continued), 0);
+  }
+  void add_quarantine_left_ms(uint32_t quarantine_left_ms) {
+    fbb_.AddElement<uint32_t>(PromptPartRow::VT_QUARANTINE_LEFT_MS, quarantine_left_ms, 0);
+  }
+  void add_quarantine_count(uint32_t quarantine_count) {
+    fbb_.AddElement<uint32_t>(PromptPartRow::VT_QUARANTINE_COUNT, quarantine_count, 0);
+  }
+  explicit PromptPartRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptPartRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptPartRow>(end);
+    fbb_.Required(o, PromptPartRow::VT_PART);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptPartRow> CreatePromptPartRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> part = 0,
+    uint32_t generation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>>> lost_answers = 0,
+    bool had_continued = false,
+    uint32_t quarantine_left_ms = 0,
+    uint32_t quarantine_count = 0) {
+  PromptPartRowBuilder builder_(_fbb);
+  builder_.add_quarantine_count(quarantine_count);
+  builder_.add_quarantine_left_ms(quarantine_left_ms);
+  builder_.add_lost_answers(lost_answers);
+  builder_.add_generation(generation);
+  builder_.add_part(part);
+  builder_.add_had_continued(had_continued);
+  return builder_.Finish();
+}
+
+struct PromptPartRow::Traits {
+  using type = PromptPartRow;
+  static auto constexpr Create = CreatePromptPartRow;
+};
+
+inline flatbuffers::Offset<PromptPartRow> CreatePromptPartRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *part = nullptr,
+    uint32_t generation = 0,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>> *lost_answers = nullptr,
+    bool had_continued = false,
+    uint32_t quarantine_left_ms = 0,
+    uint32_t quarantine_count = 0) {
+  auto part__ = part ? _fbb.CreateString(part) : 0;
+  auto lost_answers__ = lost_answers ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>>(*lost_answers) : 0;
+  return cyclamenstair::schema::CreatePromptPartRow(
+      _fbb,
+      part__,
+      generation,
+      lost_answers__,
+      had_continued,
+      quarantine_left_ms,
+      quarantine_count);
+}
+
+flatbuffers::Offset<PromptPartRow> CreatePromptPartRow(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantineShareT : public flatbuffers::NativeTable {
+  typedef QuarantineShare TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::PromptPartRowT>> parts{};
+  QuarantineShareT() = default;
+  QuarantineShareT(const QuarantineShareT &o);
+  QuarantineShareT(QuarantineShareT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuarantineShareT &operator=(QuarantineShareT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a node knows of prompt parts that make targets fail.
+struct QuarantineShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineShareT NativeTableType;
+  typedef QuarantineShareBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_PARTS = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
+           verifier.EndTable();
+  }
+  QuarantineShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantineShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantineShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantineShareBuilder {
+  typedef QuarantineShare Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(QuarantineShare::VT_NODE, node);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>>> parts) {
+    fbb_.AddOffset(QuarantineShare::VT_PARTS, parts);
+  }
+  explicit QuarantineShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineShare> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineShare>(end);
+    fbb_.Required(o, QuarantineShare::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineShare> CreateQuarantineShare(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>>> parts = 0) {
+  QuarantineShareBuilder builder_(_fbb);
+  builder_.add_parts(parts);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct QuarantineShare::Traits {
+  using type = QuarantineShare;
+  static auto constexpr Create = CreateQuarantineShare;
+};
+
+inline flatbuffers::Offset<QuarantineShare> CreateQuarantineShareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>> *parts = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>>(*parts) : 0;
+  return cyclamenstair::schema::CreateQuarantineShare(
+      _fbb,
+      node__,
+      parts__);
+}
+
+flatbuffers::Offset<QuarantineShare> CreateQuarantineShare(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NodeEntryT : public flatbuffers::NativeTable {
   typedef NodeEntry TableType;
   std::string address{};
@@ -1886,6 +2235,9 @@
   const cyclamenstair::schema::StoreUpdate *content_as_StoreUpdate() const {
     return content_type() == cyclamenstair::schema::EntryContent::StoreUpdate ? static_cast<const cyclamenstair::schema::StoreUpdate *>(content()) : nullptr;
   }
+  const cyclamenstair::schema::QuarantineShare *content_as_QuarantineShare() const {
+    return content_type() == cyclamenstair::schema::EntryContent::QuarantineShare ? static_cast<const cyclamenstair::schema::QuarantineShare *>(content()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONTENT_TYPE, 1) &&
@@ -1930,6 +2282,10 @@
   return content_as_StoreUpdate();
 }
 
+template<> inline const cyclamenstair::schema::QuarantineShare *EntryMessage::content_as<cyclamenstair::schema::QuarantineShare>() const {
+  return content_as_QuarantineShare();
+}
+
 struct EntryMessageBuilder {
   typedef EntryMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2513,6 +2869,140 @@
       _models);
 }
 
+inline LostAnswerRowT *LostAnswerRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LostAnswerRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LostAnswerRow::UnPackTo(LostAnswerRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<LostAnswerRow> LostAnswerRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LostAnswerRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLostAnswerRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LostAnswerRow> CreateLostAnswerRow(flatbuffers::FlatBufferBuilder &_fbb, const LostAnswerRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LostAnswerRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt;
+  auto _request = _o->request;
+  auto _age_ms = _o->age_ms;
+  return cyclamenstair::schema::CreateLostAnswerRow(
+      _fbb,
+      _attempt,
+      _request,
+      _age_ms);
+}
+
+inline PromptPartRowT::PromptPartRowT(const PromptPartRowT &o)
+      : part(o.part),
+        generation(o.generation),
+        had_continued(o.had_continued),
+        quarantine_left_ms(o.quarantine_left_ms),
+        quarantine_count(o.quarantine_count) {
+  lost_answers.reserve(o.lost_answers.size());
+  for (const auto &lost_answers_ : o.lost_answers) { lost_answers.emplace_back((lost_answers_) ? new cyclamenstair::schema::LostAnswerRowT(*lost_answers_) : nullptr); }
+}
+
+inline PromptPartRowT &PromptPartRowT::operator=(PromptPartRowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(part, o.part);
+  std::swap(generation, o.generation);
+  std::swap(lost_answers, o.lost_answers);
+  std::swap(had_continued, o.had_continued);
+  std::swap(quarantine_left_ms, o.quarantine_left_ms);
+  std::swap(quarantine_count, o.quarantine_count);
+  return *this;
+}
+
+inline PromptPartRowT *PromptPartRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PromptPartRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptPartRow::UnPackTo(PromptPartRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); if (_e) _o->part = _e->str(); }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = lost_answers(); if (_e) { _o->lost_answers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost_answers[_i] = std::unique_ptr<cyclamenstair::schema::LostAnswerRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = had_continued(); _o->had_continued = _e; }
+  { auto _e = quarantine_left_ms(); _o->quarantine_left_ms = _e; }
+  { auto _e = quarantine_count(); _o->quarantine_count = _e; }
+}
+
+inline flatbuffers::Offset<PromptPartRow> PromptPartRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptPartRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptPartRow> CreatePromptPartRow(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptPartRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _fbb.CreateString(_o->part);
+  auto _generation = _o->generation;
+  auto _lost_answers = _o->lost_answers.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::LostAnswerRow>> (_o->lost_answers.size(), [](size_t i, _VectorArgs *__va) { return CreateLostAnswerRow(*__va->__fbb, __va->__o->lost_answers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _had_continued = _o->had_continued;
+  auto _quarantine_left_ms = _o->quarantine_left_ms;
+  auto _quarantine_count = _o->quarantine_count;
+  return cyclamenstair::schema::CreatePromptPartRow(
+      _fbb,
+      _part,
+      _generation,
+      _lost_answers,
+      _had_continued,
+      _quarantine_left_ms,
+      _quarantine_count);
+}
+
+inline QuarantineShareT::QuarantineShareT(const QuarantineShareT &o)
+      : node(o.node) {
+  parts.reserve(o.parts.size());
+  for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new cyclamenstair::schema::PromptPartRowT(*parts_) : nullptr); }
+}
+
+inline QuarantineShareT &QuarantineShareT::operator=(QuarantineShareT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(parts, o.parts);
+  return *this;
+}
+
+inline QuarantineShareT *QuarantineShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantineShareT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantineShare::UnPackTo(QuarantineShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<cyclamenstair::schema::PromptPartRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<QuarantineShare> QuarantineShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantineShare(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantineShare> CreateQuarantineShare(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantineShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::PromptPartRow>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPartRow(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateQuarantineShare(
+      _fbb,
+      _node,
+      _parts);
+}
+
 inline NodeEntryT *NodeEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NodeEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -2611,6 +3101,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case EntryContent::QuarantineShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::QuarantineShare *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2662,6 +3156,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreUpdate *>(obj);
       return ptr->UnPack(resolver);
     }
+    case EntryContent::QuarantineShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::QuarantineShare *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2701,6 +3199,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::StoreUpdateT *>(value);
       return CreateStoreUpdate(_fbb, ptr, _rehasher).Union();
     }
+    case EntryContent::QuarantineShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::QuarantineShareT *>(value);
+      return CreateQuarantineShare(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2739,6 +3241,10 @@
       value = new cyclamenstair::schema::StoreUpdateT(*reinterpret_cast<cyclamenstair::schema::StoreUpdateT *>(u.value));
       break;
     }
+    case EntryContent::QuarantineShare: {
+      value = new cyclamenstair::schema::QuarantineShareT(*reinterpret_cast<cyclamenstair::schema::QuarantineShareT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2786,6 +3292,11 @@
       delete ptr;
       break;
     }
+    case EntryContent::QuarantineShare: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::QuarantineShareT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -64,6 +64,10 @@
 struct ControlSettingsBuilder;
 struct ControlSettingsT;
 
+struct QuarantineSettings;
+struct QuarantineSettingsBuilder;
+struct QuarantineSettingsT;
+
 struct LogSettings;
 struct LogSettingsBuilder;
 struct LogSettingsT;
@@ -1736,6 +1740,90 @@
 
 flatbuffers::Offset<ControlSettings> CreateControlSettings(flatbuffers::FlatBufferBuilder &_fbb, const ControlSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct QuarantineSettingsT : public flatbuffers::NativeTable {
+  typedef QuarantineSettings TableType;
+  int32_t failures = 3;
+  int32_t requests = 2;
+  int32_t duration_s = 600;
+};
+
+/// Prompt parts that make targets fail, in mode Registered.
+struct QuarantineSettings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineSettingsT NativeTableType;
+  typedef QuarantineSettingsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FAILURES = 4,
+    VT_REQUESTS = 6,
+    VT_DURATION_S = 8
+  };
+  /// Failures of targets after which a prompt part that was in an unfinished answer at each of them is quarantined.
+  int32_t failures() const {
+    return GetField<int32_t>(VT_FAILURES, 3);
+  }
+  /// Different requests with the part that must have been lost in these failures.
+  int32_t requests() const {
+    return GetField<int32_t>(VT_REQUESTS, 2);
+  }
+  /// Time for which requests with the part are refused; doubled with each further time, up to two hours.
+  int32_t duration_s() const {
+    return GetField<int32_t>(VT_DURATION_S, 600);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyField<int32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<int32_t>(verifier, VT_DURATION_S, 4) &&
+           verifier.EndTable();
+  }
+  QuarantineSettingsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantineSettingsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantineSettings> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineSettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantineSettingsBuilder {
+  typedef QuarantineSettings Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_failures(int32_t failures) {
+    fbb_.AddElement<int32_t>(QuarantineSettings::VT_FAILURES, failures, 3);
+  }
+  void add_requests(int32_t requests) {
+    fbb_.AddElement<int32_t>(QuarantineSettings::VT_REQUESTS, requests, 2);
+  }
+  void add_duration_s(int32_t duration_s) {
+    fbb_.AddElement<int32_t>(QuarantineSettings::VT_DURATION_S, duration_s, 600);
+  }
+  explicit QuarantineSettingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineSettings> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineSettings>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineSettings> CreateQuarantineSettings(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int32_t failures = 3,
+    int32_t requests = 2,
+    int32_t duration_s = 600) {
+  QuarantineSettingsBuilder builder_(_fbb);
+  builder_.add_duration_s(duration_s);
+  builder_.add_requests(requests);
+  builder_.add_failures(failures);
+  return builder_.Finish();
+}
+
+struct QuarantineSettings::Traits {
+  using type = QuarantineSettings;
+  static auto constexpr Create = CreateQuarantineSettings;
+};
+
+flatbuffers::Offset<QuarantineSettings> CreateQuarantineSettings(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LogSettingsT : public flatbuffers::NativeTable {
   typedef LogSettings TableType;
   cyclamenstair::schema::LogLevel level = cyclamenstair::schema::LogLevel::Info;
@@ -1810,6 +1898,7 @@
   std::unique_ptr<cyclamenstair::schema::PlacementSettingsT> placement{};
   std::unique_ptr<cyclamenstair::schema::EntrySettingsT> entry{};
   std::unique_ptr<cyclamenstair::schema::ControlSettingsT> control{};
+  std::unique_ptr<cyclamenstair::schema::QuarantineSettingsT> quarantine{};
   std::unique_ptr<cyclamenstair::schema::LogSettingsT> log{};
   SettingsT() = default;
   SettingsT(const SettingsT &o);
@@ -1834,7 +1923,8 @@
     VT_PLACEMENT = 22,
     VT_ENTRY = 24,
     VT_CONTROL = 26,
-    VT_LOG = 28
+    VT_QUARANTINE = 28,
+    VT_LOG = 30
   };
   const cyclamenstair::schema::NodeSettings *node() const {
     return GetPointer<const cyclamenstair::schema::NodeSettings *>(VT_NODE);
@@ -1872,6 +1962,9 @@
   const cyclamenstair::schema::ControlSettings *control() const {
     return GetPointer<const cyclamenstair::schema::ControlSettings *>(VT_CONTROL);
   }
+  const cyclamenstair::schema::QuarantineSettings *quarantine() const {
+    return GetPointer<const cyclamenstair::schema::QuarantineSettings *>(VT_QUARANTINE);
+  }
   const cyclamenstair::schema::LogSettings *log() const {
     return GetPointer<const cyclamenstair::schema::LogSettings *>(VT_LOG);
   }
@@ -1901,6 +1994,8 @@
            verifier.VerifyTable(entry()) &&
            VerifyOffset(verifier, VT_CONTROL) &&
            verifier.VerifyTable(control()) &&
+           VerifyOffset(verifier, VT_QUARANTINE) &&
+           verifier.VerifyTable(quarantine()) &&
            VerifyOffset(verifier, VT_LOG) &&
            verifier.VerifyTable(log()) &&
            verifier.EndTable();
@@ -1950,6 +2045,9 @@
   void add_control(flatbuffers::Offset<cyclamenstair::schema::ControlSettings> control) {
     fbb_.AddOffset(Settings::VT_CONTROL, control);
   }
+  void add_quarantine(flatbuffers::Offset<cyclamenstair::schema::QuarantineSettings> quarantine) {
+    fbb_.AddOffset(Settings::VT_QUARANTINE, quarantine);
+  }
   void add_log(flatbuffers::Offset<cyclamenstair::schema::LogSettings> log) {
     fbb_.AddOffset(Settings::VT_LOG, log);
   }
@@ -1978,9 +2076,11 @@
     flatbuffers::Offset<cyclamenstair::schema::PlacementSettings> placement = 0,
     flatbuffers::Offset<cyclamenstair::schema::EntrySettings> entry = 0,
     flatbuffers::Offset<cyclamenstair::schema::ControlSettings> control = 0,
+    flatbuffers::Offset<cyclamenstair::schema::QuarantineSettings> quarantine = 0,
     flatbuffers::Offset<cyclamenstair::schema::LogSettings> log = 0) {
   SettingsBuilder builder_(_fbb);
   builder_.add_log(log);
+  builder_.add_quarantine(quarantine);
   builder_.add_control(control);
   builder_.add_entry(entry);
   builder_.add_placement(placement);
@@ -2465,6 +2565,38 @@
       _min_lease_ms);
 }
 
+inline QuarantineSettingsT *QuarantineSettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantineSettingsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantineSettings::UnPackTo(QuarantineSettingsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = failures(); _o->failures = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = duration_s(); _o->duration_s = _e; }
+}
+
+inline flatbuffers::Offset<QuarantineSettings> QuarantineSettings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineSettingsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantineSettings(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantineSettings> CreateQuarantineSettings(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineSettingsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantineSettingsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _failures = _o->failures;
+  auto _requests = _o->requests;
+  auto _duration_s = _o->duration_s;
+  return cyclamenstair::schema::CreateQuarantineSettings(
+      _fbb,
+      _failures,
+      _requests,
+      _duration_s);
+}
+
 inline LogSettingsT *LogSettings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LogSettingsT>();
   UnPackTo(_o.get(), _resolver);
@@ -2504,6 +2636,7 @@
         placement((o.placement) ? new cyclamenstair::schema::PlacementSettingsT(*o.placement) : nullptr),
         entry((o.entry) ? new cyclamenstair::schema::EntrySettingsT(*o.entry) : nullptr),
         control((o.control) ? new cyclamenstair::schema::ControlSettingsT(*o.control) : nullptr),
+        quarantine((o.quarantine) ? new cyclamenstair::schema::QuarantineSettingsT(*o.quarantine) : nullptr),
         log((o.log) ? new cyclamenstair::schema::LogSettingsT(*o.log) : nullptr) {
 }
 
@@ -2520,6 +2653,7 @@
   std::swap(placement, o.placement);
   std::swap(entry, o.entry);
   std::swap(control, o.control);
+  std::swap(quarantine, o.quarantine);
   std::swap(log, o.log);
   return *this;
 }
@@ -2545,6 +2679,7 @@
   { auto _e = placement(); if (_e) _o->placement = std::unique_ptr<cyclamenstair::schema::PlacementSettingsT>(_e->UnPack(_resolver)); }
   { auto _e = entry(); if (_e) _o->entry = std::unique_ptr<cyclamenstair::schema::EntrySettingsT>(_e->UnPack(_resolver)); }
   { auto _e = control(); if (_e) _o->control = std::unique_ptr<cyclamenstair::schema::ControlSettingsT>(_e->UnPack(_resolver)); }
+  { auto _e = quarantine(); if (_e) _o->quarantine = std::unique_ptr<cyclamenstair::schema::QuarantineSettingsT>(_e->UnPack(_resolver)); }
   { auto _e = log(); if (_e) _o->log = std::unique_ptr<cyclamenstair::schema::LogSettingsT>(_e->UnPack(_resolver)); }
 }
 
@@ -2568,6 +2703,7 @@
   auto _placement = _o->placement ? CreatePlacementSettings(_fbb, _o->placement.get(), _rehasher) : 0;
   auto _entry = _o->entry ? CreateEntrySettings(_fbb, _o->entry.get(), _rehasher) : 0;
   auto _control = _o->control ? CreateControlSettings(_fbb, _o->control.get(), _rehasher) : 0;
+  auto _quarantine = _o->quarantine ? CreateQuarantineSettings(_fbb, _o->quarantine.get(), _rehasher) : 0;
   auto _log = _o->log ? CreateLogSettings(_fbb, _o->log.get(), _rehasher) : 0;
   return cyclamenstair::schema::CreateSettings(
       _fbb,
@@ -2583,6 +2719,7 @@
       _placement,
       _entry,
       _control,
+      _quarantine,
       _log);
 }
 
--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -145,7 +145,7 @@
         }
     }
     if (ec) {
-        fail("http.read", ec.message());
+        fail("http.read", ec.message(), ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset);
         return;
     }
     m_unparsedInput.append(m_readBuffer.data(), bytes);
@@ -238,13 +238,14 @@
     m_idleDeadline = monotonicNow() + limit;
 }
 
-void ClientConnection::fail(const std::string& step, const std::string& message)
+void ClientConnection::fail(const std::string& step, const std::string& message, bool isClosedByServer)
 {
     const auto handler = std::exchange(m_handler, nullptr);
     const bool wasSent = m_wasSent;
     close();
     if (handler)
-        handler(CallFailed { wasSent, { ErrorKind::Unavailable, step, endpointText(m_server), message } });
+        handler(CallFailed {
+            wasSent, { ErrorKind::Unavailable, step, endpointText(m_server), message }, isClosedByServer });
 }
 
 void ClientConnection::startParser()
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -36,6 +36,7 @@
 struct CallFailed {
     bool wasSent { false };
     Error error;
+    bool isClosedByServer { false }; ///< The server closed or reset the connection.
 };
 
 using ClientEvent = std::variant<ResponseHeadReceived, ResponseDataReceived, ResponseComplete, CallFailed>;
@@ -86,7 +87,7 @@
     void reportData();
     void complete();
     void updateIdleDeadline(const boost::beast::http::fields& fields);
-    void fail(const std::string& step, const std::string& message);
+    void fail(const std::string& step, const std::string& message, bool isClosedByServer = false);
     void startParser();
 
     boost::asio::ip::tcp::socket m_socket;
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -40,6 +40,7 @@
 struct AttemptDisconnected {
     uint32_t attempt { 0 };
     bool wasSent { false }; ///< Some bytes of the request were written, so it may have run.
+    bool isClosedByTarget { false }; ///< The target closed or reset the connection.
 };
 
 /// The caller closed its connection.
--- a/Cyclamenstair/RequestFlow/RequestInfo.h
+++ b/Cyclamenstair/RequestFlow/RequestInfo.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Catalog/Route.h>
-#include <Cyclamenstair/RequestFlow/PromptParts.h>
+#include <Cyclamenstair/Quarantine/PromptParts.h>
 
 #include <optional>
 
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/RequestFlow/RequestMachine.h>
 
+#include <Cyclamenstair/Core/Hash.h>
 #include <Cyclamenstair/Core/Overloaded.h>
 
 #include <algorithm>
@@ -150,7 +151,7 @@
     } else if (!m_eventParser.isEmpty()) {
         // Without a length, a body that ends inside an event was broken off.
         if (!event.isFramed) {
-            on(AttemptDisconnected { event.attempt, true }, now, actions);
+            on(AttemptDisconnected { event.attempt, true, true }, now, actions);
             return;
         }
         actions.emplace_back(ForwardData { m_eventParser.takeRemainder() });
@@ -167,6 +168,9 @@
 {
     if (!isCurrentAttempt(event.attempt))
         return;
+    if (event.wasSent && event.isClosedByTarget && m_answerProgress != AnswerProgress::Continued)
+        m_dependencies.quarantine->addLostAnswer(
+            m_requestInfo.promptParts, stableHash(m_requestInfo.id, m_attempt), now);
     endAttempt(TargetAttemptResult::Failed, now);
     // A response that has started proves that the request was sent.
     if (!event.wasSent && m_phase == Phase::Sent) {
@@ -210,7 +214,8 @@
 
 std::optional<AcquiredTarget> RequestMachine::acquireAlternative(TimePoint now)
 {
-    if (m_sentAttempts >= m_requestInfo.route.maxAttempts)
+    if (m_sentAttempts >= m_requestInfo.route.maxAttempts
+        || m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now))
         return std::nullopt;
     const auto outcome = m_dependencies.targets->acquire(m_query, now, *m_dependencies.random);
     const auto* target = std::get_if<AcquiredTarget>(&outcome);
@@ -237,6 +242,8 @@
         timeOut(now, actions);
         return;
     }
+    if (refuseQuarantined(now, actions))
+        return;
     const auto maxWait
         = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
     m_query.excludesBacklogged
@@ -287,9 +294,12 @@
 {
     if (!m_firstEventAt)
         m_firstEventAt = now;
+    const bool hadContinued = m_answerProgress == AnswerProgress::Continued;
     const bool isProven = isComplete || now - *m_firstEventAt >= m_settings->answerProofTime;
-    if (m_answerProgress != AnswerProgress::Continued)
+    if (!hadContinued)
         m_answerProgress = isProven ? AnswerProgress::Continued : AnswerProgress::Started;
+    if (isProven && !hadContinued)
+        m_dependencies.quarantine->addContinuedAnswer(m_requestInfo.promptParts, now);
 }
 
 void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
@@ -306,6 +316,8 @@
     // A stream can resume after its last complete event, or restart if no event has been forwarded.
     const bool isPartiallySent = m_isHeadSent && !isStream();
     const bool isRetryable = !m_mayHaveRun || m_requestInfo.route.isRetryable();
+    if (refuseQuarantined(now, actions))
+        return;
     if (!isPartiallySent && isRetryable && consumeRetry(now)) {
         acquireTarget(now, actions);
         return;
@@ -313,6 +325,22 @@
     fail(m_mayHaveRun ? LocalResponseKind::Failed : LocalResponseKind::NotRun, reason, now, actions);
 }
 
+bool RequestMachine::refuseQuarantined(TimePoint now, Actions& actions)
+{
+    const auto timeLeft = m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now);
+    if (!timeLeft)
+        return false;
+    const std::string reason = "prompt_part_quarantined";
+    if (m_mayHaveRun || m_isHeadSent) {
+        fail(LocalResponseKind::Failed, reason, now, actions);
+        return true;
+    }
+    // Not bounded by the deadline: no earlier retry can succeed.
+    actions.emplace_back(SendLocalResponse { LocalResponseKind::NotRun, reason, *timeLeft });
+    finish();
+    return true;
+}
+
 bool RequestMachine::consumeRetry(TimePoint now)
 {
     return m_sentAttempts < m_requestInfo.route.maxAttempts
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Quarantine/PromptQuarantine.h>
 #include <Cyclamenstair/RequestFlow/AnswerProgress.h>
 #include <Cyclamenstair/RequestFlow/EventStreamParser.h>
 #include <Cyclamenstair/RequestFlow/RequestAction.h>
@@ -59,6 +60,7 @@
     RetryBudget* retries { nullptr };
     DemandCounter* demand { nullptr };
     Random* random { nullptr };
+    PromptQuarantine* quarantine { nullptr };
 };
 
 /// State machine of one request. It does no I/O: it receives events and returns the actions to perform. Not
@@ -118,6 +120,8 @@
     std::optional<AcquiredTarget> acquireAlternative(TimePoint now);
     /// Cancels the current attempt and starts one at `target`.
     void switchTarget(const AcquiredTarget& target, TargetAttemptResult result, TimePoint now, Actions& actions);
+    /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
+    bool refuseQuarantined(TimePoint now, Actions& actions);
     void waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions);
     void setCountedAsWaiting(bool isWaiting);
     /// Ends the request with a local response, or aborts a response that has started. `failure` is set if no target
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -58,7 +58,7 @@
     std::unique_ptr<RequestMachine> makeMachine(const RequestInfo& requestInfo)
     {
         return std::make_unique<RequestMachine>(
-            requestInfo, settings, RequestDependencies { &targets, &retries, &demand, &random });
+            requestInfo, settings, RequestDependencies { &targets, &retries, &demand, &random, &quarantine });
     }
 
     RequestFlowSettings settings;
@@ -66,6 +66,7 @@
     RetryBudget retries { { 0.2, 10, 10 }, { 1, 1000, 1000 } };
     DemandCounter demand;
     Random random { 20261204 };
+    PromptQuarantine quarantine { {} };
     std::unique_ptr<RequestMachine> machine;
 };
 
