--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -1,4 +1,5 @@
 #include <platform/CatalogCodec.h>
+#include <platform/PlatformKeys.h>
 #include <platform/RequestCodec.h>
 #include <platform/StoreCodec.h>
 #include <platform/TargetCodec.h>
@@ -72,8 +73,8 @@
     EXPECT_FALSE(record.hasLoaded("m", "a2"));
     EXPECT_EQ(record.startedUnixMs, 17);
     for (const char* text : { "\xff", "7", R"({"service":"s"})",
-             R"({"service":"s","address":"a:1","zone":"z","slots":"6","state":"ready"})",
-             R"({"service":"s","address":"a:1","zone":"z","slots":6,"state":"asleep"})" })
+             R"({"service":"s","address":"1.2.3.4:1","zone":"z","slots":"6","state":"ready"})",
+             R"({"service":"s","address":"1.2.3.4:1","zone":"z","slots":6,"state":"asleep"})" })
         EXPECT_FALSE(decodeTarget("i-1", text)) << text;
 }
 
@@ -117,6 +118,45 @@
     EXPECT_EQ(decoded.timeout, milliseconds(1500));
 }
 
+// Guards against a node that ends, or goes on with a senseless target, because of one odd entry of another writer.
+TEST(TargetCodec, OddEntriesAreRejected)
+{
+    const auto entry
+        = [](const std::string& slots, const std::string& born, const std::string& address, const std::string& models) {
+              return decodeTarget("i-1",
+                  R"({"service":"s","zone":"z","state":"ready","slots":)" + slots + R"(,"born":)" + born
+                      + R"(,"address":")" + address + R"(","models":)" + models + "}");
+          };
+    const std::string address = "10.0.0.1:80";
+    EXPECT_TRUE(entry("4", "1764900000000", address, "[]"));
+    EXPECT_TRUE(entry("4", "1764900000000.0", address, "[]"));
+    for (const char* number : { "1e30", "-1", "4294967296", "18446744073709551615", "1e999", "0.5", "\"4\"", "null" })
+        EXPECT_FALSE(entry(number, "1", address, "[]")) << number;
+    for (const char* number : { "1e300", "18446744073709551615", "-1e19", "true" })
+        EXPECT_FALSE(entry("4", number, address, "[]")) << number;
+    for (const char* text :
+        { "10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1", "host:80", "10.0.0.1:80\\r\\nX: y" })
+        EXPECT_FALSE(entry("4", "1", text, "[]")) << text;
+    constexpr size_t depth = 400000;
+    EXPECT_FALSE(entry("4", "1", address, std::string(depth, '[') + std::string(depth, ']')));
+    std::string objects;
+    for (size_t i = 0; i < depth; ++i)
+        objects += R"({"a":)";
+    EXPECT_FALSE(entry("4", "1", address, objects + "1" + std::string(depth, '}')));
+    EXPECT_FALSE(decodeReport(R"({"busy":false,"seq":1e30,"models":[]})"));
+    EXPECT_FALSE(
+        decodeReport(R"({"busy":false,"seq":1,"models":)" + std::string(depth, '[') + std::string(depth, ']') + "}"));
+}
+
+// Guards against a target's id that adds header fields to the requests which name it.
+TEST(PlatformKeys, IdsWithControlCharactersNameNoTarget)
+{
+    EXPECT_EQ(targetIdFromKey("servers/i-1"), "i-1");
+    EXPECT_FALSE(targetIdFromKey("servers/i-1\r\nX-Other: 1"));
+    EXPECT_FALSE(targetIdFromKey("servers/i 1"));
+    EXPECT_FALSE(targetIdFromKey("servers/"));
+}
+
 // Guards against a last part that is taken for one that other prompts share, and against a malformed list that is read
 // past its end or fills the node's memory.
 TEST(RequestCodec, DecodesPartsOfPrompt)
