Trust a refusal without an id only as the first response of a connection

Callers saw, in the test: 503 'not run, try again' for requests that a target had run, if the target wrote an earlier refusal again on a kept connection and the refusal named no request. Cause: a response without a request id was taken for a refusal of the request in progress, because refusals may omit the id. A repeated refusal that names the earlier request was already detected. Change: such a response counts as foreign if another one came before it on the connection; the request is then answered 502, or repeated if it may be.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -196,7 +196,8 @@
 {
     std::visit(Overloaded {
                    [&](ResponseHeadReceived& received) {
-                       const auto head = decodeResponseHead(received.head, m_machine.requestInfo().id);
+                       const auto head = decodeResponseHead(
+                           received.head, m_machine.requestInfo().id, received.isFirstOfConnection);
                        logUnsuccessfulResponse(attempt, head);
                        // Once a head was sent, a stream resumed at another target only adds events.
                        if (!m_machine.isHeadSent())
--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -41,6 +41,7 @@
     m_isHeadRequest = isHeadRequest;
     m_handler = std::move(handler);
     m_mayWrite = std::move(mayWrite);
+    ++m_sentRequests;
     m_interimResponses = 0;
     m_isEndedByClose = false;
     m_wasSent = false;
@@ -203,7 +204,7 @@
     updateIdleDeadline(message);
     HttpResponseHead head { message.result_int(), std::string(message.reason()), endToEndFields(message) };
     const auto handler = m_handler;
-    handler(ResponseHeadReceived { std::move(head) });
+    handler(ResponseHeadReceived { std::move(head), m_sentRequests == 1 });
 }
 
 void ClientConnection::reportData()
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -19,6 +19,7 @@
 /// The head of the response was received.
 struct ResponseHeadReceived {
     HttpResponseHead head;
+    bool isFirstOfConnection { true }; ///< No response came before it on the connection.
 };
 
 /// A part of the response body was received.
@@ -97,6 +98,7 @@
     Handler m_handler;
     std::function<bool()> m_mayWrite;
     std::unique_ptr<Parser> m_parser;
+    uint64_t m_sentRequests { 0 };
     uint32_t m_interimResponses { 0 };
     bool m_isEndedByClose { false };
     std::string m_requestBytes;
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -96,7 +96,7 @@
 void RegisteredTargetStandIn::handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
 {
     std::erase_if(m_connections, [](const auto& entry) { return entry.expired(); });
-    m_connections.insert(connection);
+    const bool isFirstOfConnection = m_connections.insert(connection).second;
     if (request.target == "/cyclamenstair/report") {
         std::lock_guard lock(m_mutex);
         connection->sendResponse({ ok, {}, {} },
@@ -112,21 +112,27 @@
     if (request.target == "/cyclamenstair/order")
         handleOrder(connection, request.body);
     else
-        run(connection, request);
+        run(connection, request, isFirstOfConnection);
 }
 
-void RegisteredTargetStandIn::run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
+void RegisteredTargetStandIn::run(
+    const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, bool isFirstOfConnection)
 {
     const auto id = headerValue(request, "Cyclamenstair-Request-Id");
     const auto behaviour = m_behaviour.load();
+    const HttpResponseHead refusal { unavailable, {}, { { "Cyclamenstair-Not-Run", "1" } } };
     if (behaviour == TargetBehaviour::RefuseUnrun) {
-        connection->sendResponse({ unavailable, {}, { { "Cyclamenstair-Not-Run", "1" } } }, {});
+        connection->sendResponse(refusal, {});
         return;
     }
     {
         std::lock_guard lock(m_mutex);
         ++m_runCounts[id];
     }
+    if (behaviour == TargetBehaviour::StaleRefusal && !isFirstOfConnection) {
+        connection->sendResponse(refusal, {});
+        return;
+    }
     const bool isStream = request.target.find("stream") != std::string::npos;
     if (hasCrashingPart(request)) {
         ++m_crashingRequestCount;
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -18,6 +18,7 @@
     TruncateResponse, ///< Runs the request and disconnects within the response; in a stream, within the third event.
     NoResponse, ///< Runs the request and sends no response.
     WrongRequestId, ///< Responds with the id of another request.
+    StaleRefusal, ///< Runs the request; on a kept connection, responds with an earlier refusal that names no request.
 };
 
 template <> struct EnumNames<TargetBehaviour> {
@@ -27,6 +28,7 @@
         { TargetBehaviour::TruncateResponse, "cut" },
         { TargetBehaviour::NoResponse, "silent" },
         { TargetBehaviour::WrongRequestId, "foreign" },
+        { TargetBehaviour::StaleRefusal, "stale_refusal" },
     });
 };
 
@@ -74,7 +76,7 @@
 
 private:
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
-    void run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
+    void run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, bool isFirstOfConnection);
     void stream(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, int firstEvent);
     bool hasCrashingPart(const HttpRequest& request);
     void crash();
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -76,6 +76,24 @@
     EXPECT_NE(log.find("status=503 not_run=true"), std::string::npos);
 }
 
+// Guards against taking an earlier refusal, which a target writes again on a kept connection, for the answer to a
+// request that it runs. The refusal names no request.
+TEST_F(EntryNodeTest, StaleRefusalIsNotTakenForTheAnswer)
+{
+    const auto node = startNode();
+    firstTarget.setBehaviour(TargetBehaviour::StaleRefusal);
+    secondTarget.setBehaviour(TargetBehaviour::StaleRefusal);
+    int failures = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto id = "once-" + std::to_string(i);
+        const auto status = request("/once/x", id).head.status;
+        EXPECT_EQ(runCount(id), 1);
+        EXPECT_NE(status, 503U) << id;
+        failures += status == 502U ? 1 : 0;
+    }
+    EXPECT_GE(failures, 1);
+}
+
 // Guards against forwarding a response that belongs to another request.
 TEST_F(EntryNodeTest, ForeignResponseIsNotForwarded)
 {
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -207,9 +207,11 @@
 // accepted.
 TEST(RequestCodec, ResponseHeadTellsWhetherRequestRan)
 {
-    const auto decodeHead = [](uint32_t status, HeaderFields fields) {
-        return decodeResponseHead({ status, {}, std::move(fields) }, "r-1");
+    const auto decodeHead = [](uint32_t status, HeaderFields fields, bool isFirstOfConnection = true) {
+        return decodeResponseHead({ status, {}, std::move(fields) }, "r-1", isFirstOfConnection);
     };
+    EXPECT_TRUE(decodeHead(503, { { "Cyclamenstair-Not-Run", "1" } }).matchesRequestId);
+    EXPECT_FALSE(decodeHead(503, { { "Cyclamenstair-Not-Run", "1" } }, false).matchesRequestId);
     EXPECT_TRUE(decodeHead(503, { { "Cyclamenstair-Not-Run", "1" } }).isNotRun);
     EXPECT_FALSE(decodeHead(503, { { "Cyclamenstair-Request-Id", "r-1" } }).isNotRun);
     EXPECT_TRUE(decodeHead(421, {}).isMisdirected);
