Treat streams that end inside an event as broken off, however they end

Callers saw, in the tests: half an event as the end of a complete stream if its last chunk was sent, and an empty stream as complete if a target without length or chunks closed the connection before the first event. Cause: only a body that ended with its connection was checked, and only if it held a part of an event. Evidence: RequestMachine.FramedStreamThatEndsInsideEventResumes and UnframedStreamWithoutEventsIsRepeated failed before the change. Change: both count as a lost connection; the stream resumes or is cut. An error of the target at which a stream resumes does not reach the caller; ErrorOfResumedStreamIsNotForwarded passed before the change too.

--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -148,13 +148,11 @@
         actions.emplace_back(ForwardHead { m_attempt, m_bufferedBody.size() });
         if (!m_bufferedBody.empty())
             actions.emplace_back(ForwardData { std::move(m_bufferedBody) });
-    } else if (!m_eventParser.isEmpty()) {
-        // Without a length, a body that ends inside an event was broken off.
-        if (!event.isFramed) {
-            on(AttemptDisconnected { event.attempt, true, true }, now, actions);
-            return;
-        }
-        actions.emplace_back(ForwardData { m_eventParser.takeRemainder() });
+    } else if (isStream() && (!m_eventParser.isEmpty() || (!event.isFramed && !m_firstEventAt))) {
+        // A stream that ends inside an event was broken off, and so was one without events that ends with its
+        // connection.
+        on(AttemptDisconnected { event.attempt, true, !event.isFramed }, now, actions);
+        return;
     }
     // A connection that ends is no proof: that of a target that fails ends as well.
     if (event.isFramed)
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -344,6 +344,55 @@
     EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
 }
 
+// Guards against the same if the response is chunked: its last chunk may be sent although the stream is cut.
+TEST(RequestMachine, FramedStreamThatEndsInsideEventResumes)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\nid: 2\nda" }, start);
+    const auto actions = fixture.machine->handle(ResponseCompleted { 1, true }, start);
+    EXPECT_FALSE(find<FinishResponse>(actions));
+    EXPECT_EQ(forwarded(actions), "");
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+}
+
+// Guards against a stream without an event that reaches the caller as complete because its connection ended.
+TEST(RequestMachine, UnframedStreamWithoutEventsIsRepeated)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    const auto actions = fixture.machine->handle(ResponseCompleted { 1, false }, start);
+    EXPECT_FALSE(find<FinishResponse>(actions));
+    EXPECT_TRUE(find<StartAttempt>(actions));
+}
+
+// Guards against an error of the target at which a stream resumes that reaches the caller inside its stream, or as the
+// end of it.
+TEST(RequestMachine, ErrorOfResumedStreamIsNotForwarded)
+{
+    for (const uint32_t status : { 400U, 404U, 500U, 302U, 503U }) {
+        Fixture fixture(RetryPolicy::Stream, true);
+        (void)fixture.machine->start(start);
+        (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+        (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+        ASSERT_TRUE(find<StartAttempt>(fixture.machine->handle(AttemptDisconnected { 1, true }, start)));
+        std::vector<RequestAction> all;
+        for (const RequestEvent& event :
+            std::vector<RequestEvent> { ResponseStarted { 2, { status, true, true, false, false } },
+                ResponseContinued { 2, "id: 2\ndata: error\n\n" }, ResponseCompleted { 2 } }) {
+            const auto actions = fixture.machine->handle(event, start);
+            all.insert(all.end(), actions.begin(), actions.end());
+        }
+        EXPECT_EQ(forwarded(all), "") << status;
+        EXPECT_FALSE(find<ForwardHead>(all)) << status;
+        EXPECT_FALSE(find<FinishResponse>(all)) << status;
+        EXPECT_TRUE(find<AbortResponse>(all)) << status;
+    }
+}
+
 // Guards against a target that accepts a request, never responds, and uses up the time until the deadline.
 TEST(RequestMachine, UnansweredRetryableRequestGoesToAnotherTarget)
 {
