Send nothing to targets that say they leave or ask for a pause

Callers saw: requests sent on to targets that leave are cut off when these end; targets that refuse with a Retry-After were asked again after 250 ms. Cause: only the store's entry could take a target out, and the statements in answers were not read. Evidence: with the two hooks in RequestMachine switched off, EntryNodeTest.TargetThatSaysItLeavesGetsNoNewRequests and TargetThatAsksForPauseGetsNoRequestsUntilItEnds fail. Change: platform/ reads both fields; TargetRegistry binds them to the process that said them; requests wait for a pause that ends in time, and are refused at once otherwise. One log line and a counter for each.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -192,6 +192,15 @@
     m_callerConnection->sendResponse(encodeNodeResponse(action, m_machine.requestInfo().id), {});
 }
 
+void RequestExchange::perform(const ReportStatement& action)
+{
+    const auto statement = std::string(nameOf(action.statement));
+    log("target_statement",
+        { { "statement", statement }, { "target", m_acquiredTarget.id }, { "address", m_acquiredTarget.address },
+            { "pause_left_ms", std::to_string(toMilliseconds(action.pauseLeft)) } });
+    m_loop->state().metrics.add(Metric::TargetStatements, statement);
+}
+
 void RequestExchange::onTargetEvent(uint32_t attempt, ClientEvent event)
 {
     std::visit(Overloaded {
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace cyclamenstair {
 
@@ -29,6 +30,8 @@
         if (!isSameProcess) {
             target.suspectUntil = {};
             target.fullUntil = {};
+            target.isLeaving = false;
+            target.pausedUntil = {};
             target.absentUntil.clear();
             target.consecutiveFailures = 0;
         }
@@ -68,11 +71,17 @@
             return AcquireFailure::NoTarget;
         std::vector<Candidate> candidates;
         bool isAnyReady = false;
+        std::optional<TimePoint> firstPauseEnd;
         bool isModelLoaded = false;
         bool isAnyBacklogged = false;
         for (auto& [id, target] : service->second) {
-            if (target.record.phase != TargetPhase::Ready || query.excluded.contains(id))
+            if (target.record.phase != TargetPhase::Ready || target.isLeaving || query.excluded.contains(id))
                 continue;
+            if (target.pausedUntil > now) {
+                if (query.model.empty() || target.record.hasLoaded(query.model, query.adapter))
+                    firstPauseEnd = std::min(firstPauseEnd.value_or(target.pausedUntil), target.pausedUntil);
+                continue;
+            }
             isAnyReady = true;
             if (!query.model.empty()) {
                 isModelLoaded = isModelLoaded || target.record.hasLoaded(query.model, {});
@@ -90,10 +99,12 @@
             candidates.push_back({ &target, selectionCost(target, now) + randomUnit(random) * 0.01 });
         }
         if (candidates.empty()) {
-            if (!isAnyReady)
-                return AcquireFailure::NoTarget;
             if (isAnyBacklogged)
                 return AcquireFailure::PromptBacklog;
+            if (firstPauseEnd)
+                return TargetsPaused { *firstPauseEnd };
+            if (!isAnyReady)
+                return AcquireFailure::NoTarget;
             return isModelLoaded && !query.adapter.empty() ? AcquireFailure::AdapterAbsent
                                                            : AcquireFailure::ModelAbsent;
         }
@@ -107,7 +118,8 @@
         best->load.pendingPromptTokens += query.promptTokens;
         if (!query.model.empty())
             ++best->inFlightByModel[query.model];
-        return AcquiredTarget { best->record.id, best->record.address, query.service, query.promptTokens };
+        return AcquiredTarget { best->record.id, best->record.address, query.service, best->record.startedUnixMs,
+            query.promptTokens };
     });
 }
 
@@ -123,6 +135,34 @@
     target.pendingPromptTokens = 0;
 }
 
+template <typename Function> void TargetRegistry::withProcess(const AcquiredTarget& target, Function&& function)
+{
+    m_services.withShard(target.service, [&](auto& services) {
+        auto& targets = services[target.service];
+        const auto entry = targets.find(target.id);
+        if (entry == targets.end())
+            return;
+        const auto& record = entry->second.record;
+        if (record.startedUnixMs == target.startedUnixMs && record.address == target.address)
+            function(entry->second);
+    });
+}
+
+bool TargetRegistry::markLeaving(const AcquiredTarget& target)
+{
+    bool isNew = false;
+    withProcess(target, [&](TargetState& state) { isNew = !std::exchange(state.isLeaving, true); });
+    return isNew;
+}
+
+TimePoint TargetRegistry::pause(const AcquiredTarget& target, Duration duration, TimePoint now)
+{
+    const auto until = now + std::min(duration, m_settings.maxPause);
+    TimePoint end = until;
+    withProcess(target, [&](TargetState& state) { end = state.pausedUntil = std::max(state.pausedUntil, until); });
+    return end;
+}
+
 void TargetRegistry::release(
     const AcquiredTarget& target, const TargetQuery& query, TargetAttemptResult result, TimePoint now)
 {
@@ -170,8 +210,11 @@
     std::vector<TargetRecord> records;
     m_services.forEachShard([&](const auto& services) {
         for (const auto& [service, targets] : services) {
-            for (const auto& [id, target] : targets)
+            for (const auto& [id, target] : targets) {
                 records.push_back(target.record);
+                if (target.isLeaving)
+                    records.back().phase = TargetPhase::Draining;
+            }
         }
     });
     return records;
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -42,6 +42,8 @@
     double pendingPromptCost { 0.1 };
     /// Time after a refusal for an absent model during which the target's record is ignored for that model.
     Duration absentBackoff { milliseconds(1500) };
+    /// Longest pause that a target can ask for with one response, so that a faulty one does not stay out for good.
+    Duration maxPause { std::chrono::minutes(5) };
 };
 
 /// Requirements of a request on a target.
@@ -59,6 +61,7 @@
     std::string id;
     std::string address;
     std::string service;
+    int64_t startedUnixMs { 0 }; ///< Start time of the target's process.
     uint32_t pendingPromptTokens { 0 }; ///< Prompt tokens of the request that count as pending at the target.
 };
 
@@ -79,7 +82,12 @@
     });
 };
 
-using AcquireOutcome = std::variant<AcquiredTarget, AcquireFailure>;
+/// All targets that could take the request asked this node to send nothing for a while.
+struct TargetsPaused {
+    TimePoint until; ///< End of the pause that ends first.
+};
+
+using AcquireOutcome = std::variant<AcquiredTarget, AcquireFailure, TargetsPaused>;
 
 /// Result of an attempt, as an indication of the target's health.
 enum class TargetAttemptResult : uint8_t {
@@ -127,10 +135,18 @@
     /// Subtracts the request's prompt from the pending prompts, because the target has started to respond.
     void markPromptRead(AcquiredTarget& target);
 
+    /// Records that the target's process stated that it is about to leave. It is not selected any more.
+    /// Returns whether this is news.
+    bool markLeaving(const AcquiredTarget& target);
+
+    /// Records that the target's process asked for a pause, during which it is not selected. Returns the end of its
+    /// pause.
+    TimePoint pause(const AcquiredTarget& target, Duration duration, TimePoint now);
+
     /// Ends the request in flight at the target and records how the attempt went.
     void release(const AcquiredTarget& target, const TargetQuery& query, TargetAttemptResult result, TimePoint now);
 
-    /// Returns the records of all targets.
+    /// Returns the records of all targets. Those that stated to this node that they leave are draining.
     std::vector<TargetRecord> records() const;
 
     /// Returns the ids of all targets.
@@ -159,6 +175,8 @@
         std::map<std::string, uint32_t> inFlightByModel; ///< Requests in flight by model.
         TimePoint suspectUntil;
         TimePoint fullUntil;
+        bool isLeaving { false };
+        TimePoint pausedUntil;
         std::map<std::string, TimePoint> absentUntil; ///< By modelKey().
         uint32_t consecutiveFailures { 0 };
         TargetWorkload remoteLoad; ///< Of all other nodes together.
@@ -170,6 +188,8 @@
         double cost;
     };
 
+    /// Calls `function` with the state of the target unless its process has ended since.
+    template <typename Function> void withProcess(const AcquiredTarget& target, Function&& function);
     /// Returns the key of the queried artifact in TargetState::absentUntil.
     static std::string modelKey(const TargetQuery& query);
     /// Returns whether another prompt would exceed the limit of pending prompt tokens and delay the target's streams.
--- a/Cyclamenstair/RequestFlow/RequestAction.h
+++ b/Cyclamenstair/RequestFlow/RequestAction.h
@@ -59,7 +59,26 @@
     std::optional<Duration> retryAfter; ///< Set for requests that have not run.
 };
 
+/// What a target states about itself beside its answer.
+enum class TargetStatement : uint8_t {
+    Leaving, ///< It is about to leave.
+    Paused, ///< It asks this node to send nothing for a while.
+};
+
+template <> struct EnumNames<TargetStatement> {
+    static constexpr auto table = std::to_array<EnumName<TargetStatement>>({
+        { TargetStatement::Leaving, "leaving" },
+        { TargetStatement::Paused, "paused" },
+    });
+};
+
+/// Logs and counts a statement that changed which targets are selected.
+struct ReportStatement {
+    TargetStatement statement { TargetStatement::Leaving };
+    Duration pauseLeft {}; ///< For Paused: time until the target is selected again.
+};
+
 using RequestAction = std::variant<StartAttempt, CancelAttempt, ForwardHead, ForwardData, FinishResponse, AbortResponse,
-    SendLocalResponse>;
+    SendLocalResponse, ReportStatement>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -16,6 +16,8 @@
     bool hasReceipt { false }; ///< The target confirms that it generated the response.
     bool isNotRun { false }; ///< The target states that it did not run the request.
     bool isMisdirected { false }; ///< The address belongs to another instance, or the model is absent.
+    bool isLeaving { false }; ///< The target states that it is about to leave.
+    std::optional<Duration> pause {}; ///< Time for which the target asks this node to send it nothing.
 };
 
 /// The head of the response has arrived.
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -59,6 +59,12 @@
     if (!isCurrentAttempt(event.attempt) || m_phase != Phase::Sent)
         return;
     const auto& head = event.head;
+    if (head.isLeaving && m_dependencies.targets->markLeaving(*m_target))
+        actions.emplace_back(ReportStatement { TargetStatement::Leaving, Duration(0) });
+    if (head.pause) {
+        const auto until = m_dependencies.targets->pause(*m_target, *head.pause, now);
+        actions.emplace_back(ReportStatement { TargetStatement::Paused, until - now });
+    }
     m_lastProgressAt = now;
     if (isSuccess(head.status) && m_answerProgress == AnswerProgress::NotStarted)
         m_answerProgress = AnswerProgress::Started;
@@ -249,6 +255,7 @@
     std::visit(Overloaded {
                    [&](const AcquiredTarget& target) { startAttempt(target, now, actions); },
                    [&](AcquireFailure failure) { waitForTarget(failure, now, actions); },
+                   [&](TargetsPaused paused) { waitForPauseEnd(paused.until, now, actions); },
                },
         m_dependencies.targets->acquire(m_query, now, *m_dependencies.random));
 }
@@ -363,6 +370,29 @@
     m_nextAcquireAt = now + m_settings->acquireInterval;
 }
 
+void RequestMachine::waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions)
+{
+    const auto maxWait
+        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
+    if (m_sentAttempts == 0 && until <= std::min(m_requestInfo.receivedAt + maxWait, m_requestInfo.deadline())) {
+        m_phase = Phase::Waiting;
+        m_nextAcquireAt = until;
+        return;
+    }
+    const std::string reason = "targets_paused";
+    if (m_mayHaveRun || m_isHeadSent) {
+        fail(LocalResponseKind::Failed, reason, now, actions);
+        return;
+    }
+    // Callers that were refused together come back one after the other. Not bounded by the deadline: no earlier retry
+    // can succeed.
+    auto wait = until - now;
+    wait += std::chrono::duration_cast<Duration>(
+        wait * (m_settings->retryAfterSpread * randomUnit(*m_dependencies.random)));
+    actions.emplace_back(SendLocalResponse { LocalResponseKind::NotRun, reason, wait });
+    finish();
+}
+
 void RequestMachine::setCountedAsWaiting(bool isWaiting)
 {
     if (isWaiting == m_isCountedAsWaiting || m_requestInfo.model.empty())
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -123,6 +123,8 @@
     /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
     bool refuseQuarantined(TimePoint now, Actions& actions);
     void waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions);
+    /// Waits for the end of a pause that all targets asked for, or refuses the request at once if it ends too late.
+    void waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions);
     void setCountedAsWaiting(bool isWaiting);
     /// Ends the request with a local response, or aborts a response that has started. `failure` is set if no target
     /// could be acquired.
--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -46,6 +46,8 @@
         return { MetricKind::Counter, "answer", "Attempts whose connection was lost, by how far the answer had come." };
     case Metric::PartVerdicts:
         return { MetricKind::Counter, "verdict", "Verdicts on prompt parts that make targets fail." };
+    case Metric::TargetStatements:
+        return { MetricKind::Counter, "statement", "Statements of targets that they leave or want a pause." };
     case Metric::RequestSeconds:
         return { MetricKind::Summary, "class",
             "Time from arrival to the end of the answer, by class of work or by service." };
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -120,6 +120,11 @@
 {
     const auto id = headerValue(request, "Cyclamenstair-Request-Id");
     const auto behaviour = m_behaviour.load();
+    if (behaviour == TargetBehaviour::AsksForPause) {
+        connection->sendResponse(
+            { unavailable, {}, { { "Cyclamenstair-Not-Run", "1" }, { "Retry-After", "1.5" } } }, {});
+        return;
+    }
     const HttpResponseHead refusal { unavailable, {}, { { "Cyclamenstair-Not-Run", "1" } } };
     if (behaviour == TargetBehaviour::RefuseUnrun) {
         connection->sendResponse(refusal, {});
@@ -153,10 +158,11 @@
         return;
     }
     const auto responseRequestId = behaviour == TargetBehaviour::WrongRequestId ? "another-request" : id;
-    connection->sendResponse({ ok, {},
-                                 { { "Cyclamenstair-Request-Id", responseRequestId },
-                                     { "Cyclamenstair-Response-Stamp", "receipt-" + m_id } } },
-        m_id + ":" + request.body);
+    HttpResponseHead head { ok, {},
+        { { "Cyclamenstair-Request-Id", responseRequestId }, { "Cyclamenstair-Response-Stamp", "receipt-" + m_id } } };
+    if (behaviour == TargetBehaviour::SaysLeaving)
+        head.fields.emplace_back("Server-Leaving", "1");
+    connection->sendResponse(head, m_id + ":" + request.body);
 }
 
 void RegisteredTargetStandIn::stream(
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -18,6 +18,8 @@
     TruncateResponse, ///< Runs the request and disconnects within the response; in a stream, within the third event.
     NoResponse, ///< Runs the request and sends no response.
     WrongRequestId, ///< Responds with the id of another request.
+    SaysLeaving, ///< Responds, and states that it is about to leave.
+    AsksForPause, ///< Rejects the request without running it and asks for a pause of 1.5 s.
     StaleRefusal, ///< Runs the request; on a kept connection, responds with an earlier refusal that names no request.
 };
 
@@ -28,6 +30,8 @@
         { TargetBehaviour::TruncateResponse, "cut" },
         { TargetBehaviour::NoResponse, "silent" },
         { TargetBehaviour::WrongRequestId, "foreign" },
+        { TargetBehaviour::SaysLeaving, "leaving" },
+        { TargetBehaviour::AsksForPause, "pause" },
         { TargetBehaviour::StaleRefusal, "stale_refusal" },
     });
 };
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -151,6 +151,41 @@
     EXPECT_TRUE(eventually([&] { return request("/safe/x", "late").head.status == 503; }));
 }
 
+// Guards against requests that are sent on to a target after it has stated that it leaves, while the store still calls
+// it ready.
+TEST_F(EntryNodeTest, TargetThatSaysItLeavesGetsNoNewRequests)
+{
+    const auto node = startNode();
+    firstTarget.setBehaviour(TargetBehaviour::SaysLeaving);
+    int requestCount = 0;
+    EXPECT_TRUE(eventually(
+        [&] { return request("/safe/x", "probe-" + std::to_string(++requestCount)).body.starts_with("i-1"); }));
+    const auto runsBefore = firstTarget.runs().size();
+    for (int i = 0; i < 20; ++i)
+        EXPECT_TRUE(request("/safe/x", "r-" + std::to_string(i)).body.starts_with("i-2"));
+    EXPECT_EQ(firstTarget.runs().size(), runsBefore);
+    EXPECT_NE(get(metricsAddress, "/metrics").body.find("statement=\"leaving\"} 1"), std::string::npos);
+}
+
+// Guards against requests to a target within the pause that it asked for, against a target that stays unused after it,
+// and against callers that wait for the end of a pause although it comes too late for them.
+TEST_F(EntryNodeTest, TargetThatAsksForPauseGetsNoRequestsUntilItEnds)
+{
+    store.remove("servers/i-2");
+    const auto node = startNode();
+    firstTarget.setBehaviour(TargetBehaviour::AsksForPause);
+    EXPECT_EQ(request("/once/x", "first").head.status, 503U);
+    firstTarget.setBehaviour(TargetBehaviour::Respond);
+    const auto pausedAt = std::chrono::steady_clock::now();
+    const auto refused = request("/once/x", "second");
+    EXPECT_EQ(refused.head.status, 503U);
+    EXPECT_LT(std::chrono::steady_clock::now() - pausedAt, std::chrono::milliseconds(500));
+    EXPECT_GT(std::stod(fieldValue(refused.head.fields, "Retry-After").value_or("0")), 0.9);
+    EXPECT_EQ(runCount("second"), 0);
+    EXPECT_TRUE(eventually([&] { return request("/once/x", "later").head.status == 200U; }));
+    EXPECT_GE(std::chrono::steady_clock::now() - pausedAt, std::chrono::milliseconds(1000));
+}
+
 // Guards against a node that returns to an older catalog version written later.
 TEST_F(EntryNodeTest, OlderCatalogIsIgnored)
 {
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -2,6 +2,7 @@
 #include <Cyclamenstair/Fleet/TargetRegistry.h>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 using namespace cyclamenstair;
 
@@ -268,3 +269,60 @@
     demand.countCompletion(artifact);
     EXPECT_TRUE(demand.demand(now + std::chrono::minutes(1)).empty());
 }
+
+// Guards against requests to a process that said it leaves or asked for a pause, against a replacement at its address
+// that is not used, and against a late statement of the former process that counts for the replacement.
+RC_GTEST_PROP(TargetRegistryProperties, StatementsBindTheProcessThatMadeThem, ())
+{
+    struct Process {
+        AcquiredTarget target;
+        bool isLeaving { false };
+        TimePoint pausedUntil;
+    };
+    TargetRegistry targets(settingsOf("node-1"));
+    Random random { 20261205 };
+    auto time = now;
+    int64_t revision = 0;
+    std::map<std::string, std::vector<Process>> processes; // The last one of each target is running.
+    const auto start = [&](const std::string& id) {
+        auto record = engine(id, {});
+        record.startedUnixMs = ++revision;
+        targets.update(record, revision);
+        processes[id].push_back({ { id, record.address, record.service, record.startedUnixMs }, false, {} });
+    };
+    for (const char* id : { "i-1", "i-2", "i-3" })
+        start(id);
+    for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1 << 16))) {
+        const auto id = "i-" + std::to_string(step % 3 + 1);
+        auto& history = processes[id];
+        auto& process = history[static_cast<size_t>(step / 3) % history.size()];
+        switch (step / 97 % 5) {
+        case 0:
+            (void)targets.markLeaving(process.target);
+            process.isLeaving = true;
+            break;
+        case 1: {
+            const auto duration = milliseconds(step % 4000);
+            (void)targets.pause(process.target, duration, time);
+            process.pausedUntil = std::max(process.pausedUntil, time + duration);
+            break;
+        }
+        case 2:
+            start(id);
+            break;
+        default:
+            time += milliseconds(step % 1500);
+        }
+        const auto outcome = targets.acquire({ "drafting", {}, {}, {}, 0, false }, time, random);
+        const bool isAnyFree = std::any_of(processes.begin(), processes.end(), [&](const auto& entry) {
+            return !entry.second.back().isLeaving && entry.second.back().pausedUntil <= time;
+        });
+        const auto* target = std::get_if<AcquiredTarget>(&outcome);
+        RC_ASSERT(isAnyFree == (target != nullptr));
+        if (!target)
+            continue;
+        const auto& current = processes[target->id].back();
+        RC_ASSERT(!current.isLeaving);
+        RC_ASSERT(current.pausedUntil <= time);
+    }
+}
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -157,6 +157,26 @@
     EXPECT_FALSE(targetIdFromKey("servers/"));
 }
 
+// Guards against a target that stays out, or is asked too early, because of an odd Retry-After, and against statements
+// of another instance that count for this one.
+TEST(RequestCodec, StatementsOfTargetsAreDecoded)
+{
+    const auto decodeHead = [](uint32_t status, HeaderFields fields) {
+        fields.emplace_back("Cyclamenstair-Request-Id", "r-1");
+        return decodeResponseHead({ status, {}, std::move(fields) }, "r-1", true);
+    };
+    EXPECT_TRUE(decodeHead(200, { { "server-leaving", "1" } }).isLeaving);
+    EXPECT_FALSE(decodeHead(200, { { "Server-Leaving", "0" } }).isLeaving);
+    EXPECT_FALSE(decodeHead(421, { { "Server-Leaving", "1" } }).isLeaving);
+    EXPECT_EQ(decodeHead(503, { { "Retry-After", "2" } }).pause, milliseconds(2000));
+    EXPECT_EQ(decodeHead(503, { { "Retry-After", "0.25" } }).pause, milliseconds(250));
+    EXPECT_EQ(decodeHead(503, { { "Retry-After", "1" }, { "Retry-After", "3" } }).pause, milliseconds(3000));
+    EXPECT_LE(decodeHead(503, { { "Retry-After", "1e300" } }).pause, std::chrono::hours(24));
+    for (const char* value : { "0", "-1", "", "nan", "soon", "1s", "Sat, 05 Dec 2026 07:00:00 GMT" })
+        EXPECT_FALSE(decodeHead(503, { { "Retry-After", value } }).pause) << value;
+    EXPECT_FALSE(decodeHead(500, { { "Retry-After", "2" } }).pause);
+}
+
 // Guards against a last part that is taken for one that other prompts share, and against a malformed list that is read
 // past its end or fills the node's memory.
 TEST(RequestCodec, DecodesPartsOfPrompt)
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -135,6 +135,31 @@
         EXPECT_LE(returns, burst / 4) << window * 100 << " ms";
 }
 
+// Guards against callers that are held until their deadline, or come back all at once, because all targets pause.
+TEST(RequestMachine, PauseOfAllTargetsIsWaitedForOrRefusedAtOnce)
+{
+    Fixture fixture(RetryPolicy::Once, false, 1);
+    const auto pauseAll = [&](Duration duration) {
+        for (const char* id : { "i-1", "i-2", "i-3" })
+            (void)fixture.targets.pause({ id, "127.0.0.1:1", "service" }, duration, start);
+    };
+    pauseAll(milliseconds(200));
+    const auto waiting = fixture.makeMachine(fixture.machine->requestInfo());
+    EXPECT_TRUE(waiting->start(start).empty());
+    EXPECT_EQ(waiting->nextTimerAt(), start + milliseconds(200));
+    EXPECT_TRUE(find<StartAttempt>(waiting->handle(TimerFired {}, start + milliseconds(200))));
+    pauseAll(milliseconds(4000));
+    std::set<int64_t> retryTimes;
+    for (int i = 0; i < 20; ++i) {
+        const auto actions = fixture.makeMachine(fixture.machine->requestInfo())->start(start);
+        const auto* response = find<SendLocalResponse>(actions);
+        ASSERT_TRUE(response && response->kind == LocalResponseKind::NotRun);
+        EXPECT_GE(response->retryAfter, milliseconds(4000));
+        retryTimes.insert(toMilliseconds(*response->retryAfter) / 100);
+    }
+    EXPECT_GE(retryTimes.size(), 5U);
+}
+
 // Guards against refusing a request whose model can be loaded while it waits.
 TEST(RequestMachine, WaitsForLoadThatCanEndInTime)
 {
