--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -335,15 +335,18 @@
     const auto timeLeft = m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now);
     if (!timeLeft)
         return false;
-    const std::string reason = "prompt_part_quarantined";
+    refuseFor(*timeLeft, "prompt_part_quarantined", now, actions);
+    return true;
+}
+
+void RequestMachine::refuseFor(Duration wait, const std::string& reason, TimePoint now, Actions& actions)
+{
     if (m_mayHaveRun || m_isHeadSent) {
         fail(LocalResponseKind::Failed, reason, now, actions);
-        return true;
+        return;
     }
-    // Not bounded by the deadline: no earlier retry can succeed.
-    actions.emplace_back(SendLocalResponse { LocalResponseKind::NotRun, reason, *timeLeft });
+    actions.emplace_back(SendLocalResponse { LocalResponseKind::NotRun, reason, wait });
     finish();
-    return true;
 }
 
 bool RequestMachine::consumeRetry(TimePoint now)
@@ -379,18 +382,7 @@
         m_nextAcquireAt = until;
         return;
     }
-    const std::string reason = "targets_paused";
-    if (m_mayHaveRun || m_isHeadSent) {
-        fail(LocalResponseKind::Failed, reason, now, actions);
-        return;
-    }
-    // Callers that were refused together come back one after the other. Not bounded by the deadline: no earlier retry
-    // can succeed.
-    auto wait = until - now;
-    wait += std::chrono::duration_cast<Duration>(
-        wait * (m_settings->retryAfterSpread * randomUnit(*m_dependencies.random)));
-    actions.emplace_back(SendLocalResponse { LocalResponseKind::NotRun, reason, wait });
-    finish();
+    refuseFor(withRandomSpread(until - now), "targets_paused", now, actions);
 }
 
 void RequestMachine::setCountedAsWaiting(bool isWaiting)
@@ -420,12 +412,17 @@
     auto wait = m_attempt == 0 ? m_settings->retryAfterAbsent : m_settings->retryAfterFull;
     if (failure == AcquireFailure::ModelAbsent)
         wait += m_requestInfo.modelLoadTime;
-    wait += std::chrono::duration_cast<Duration>(
-        wait * (m_settings->retryAfterSpread * randomUnit(*m_dependencies.random)));
-    return std::min(wait,
+    return std::min(withRandomSpread(wait),
         std::chrono::duration_cast<Duration>((m_requestInfo.deadline() - now) * m_settings->maxRetryAfterFraction));
 }
 
+Duration RequestMachine::withRandomSpread(Duration wait) const
+{
+    return wait
+        + std::chrono::duration_cast<Duration>(
+            wait * (m_settings->retryAfterSpread * randomUnit(*m_dependencies.random)));
+}
+
 void RequestMachine::timeOut(TimePoint now, Actions& actions)
 {
     const bool isAttemptRunning = m_target.has_value();
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -122,6 +122,9 @@
     void switchTarget(const AcquiredTarget& target, TargetAttemptResult result, TimePoint now, Actions& actions);
     /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
     bool refuseQuarantined(TimePoint now, Actions& actions);
+    /// Ends the request because it cannot be sent to a target before `wait` has passed. A Retry-After for it is not
+    /// bounded by the deadline, since no earlier retry can succeed.
+    void refuseFor(Duration wait, const std::string& reason, TimePoint now, Actions& actions);
     void waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions);
     /// Waits for the end of a pause that all targets asked for, or refuses the request at once if it ends too late.
     void waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions);
@@ -132,6 +135,8 @@
         std::optional<AcquireFailure> failure = std::nullopt);
     /// Returns the Retry-After duration for a request that has not run.
     Duration retryAfter(std::optional<AcquireFailure> failure, TimePoint now) const;
+    /// Adds a random part, so that callers that were refused together come back one after the other.
+    Duration withRandomSpread(Duration wait) const;
     void timeOut(TimePoint now, Actions& actions);
     void finish();
     ArtifactKey artifact() const { return { m_requestInfo.service, m_requestInfo.model, m_requestInfo.adapter }; }
--- /dev/null
+++ b/Tests/RequestFlowTests/StreamTests.cpp
@@ -0,0 +1,160 @@
+#include <Tests/RequestFlowTests/RequestMachineFixture.h>
+
+using namespace cyclamenstair;
+
+// Guards against forwarding a partial event, and against lost or repeated events, when a stream is interrupted
+// within an event.
+TEST(RequestMachine, InterruptedStreamResumesAfterLastCompleteEvent)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    EXPECT_TRUE(find<ForwardHead>(fixture.machine->handle(ResponseStarted { 1, successResponse() }, start)));
+    EXPECT_EQ(forwarded(fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\nid: 2\nda" }, start)),
+        "id: 1\ndata: x\n\n");
+    const auto actions = fixture.machine->handle(AttemptDisconnected { 1, true }, start);
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+    EXPECT_FALSE(find<ForwardHead>(fixture.machine->handle(ResponseStarted { 2, successResponse() }, start)));
+    EXPECT_EQ(
+        forwarded(fixture.machine->handle(ResponseContinued { 2, "id: 2\ndata: y\n\n" }, start)), "id: 2\ndata: y\n\n");
+    EXPECT_TRUE(find<FinishResponse>(fixture.machine->handle(ResponseCompleted { 2 }, start)));
+}
+
+// Guards against an interrupted response that looks complete to the caller.
+TEST(RequestMachine, InterruptedNonResumableStreamIsAborted)
+{
+    Fixture fixture(RetryPolicy::Stream);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    const auto actions = fixture.machine->handle(AttemptDisconnected { 1, true }, start);
+    EXPECT_TRUE(find<AbortResponse>(actions));
+    EXPECT_FALSE(find<FinishResponse>(actions));
+}
+
+// Guards against a stream that stops without closing its connection and delays the caller until the deadline.
+TEST(RequestMachine, StalledStreamResumesAtAnotherTarget)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    const auto timerAt = fixture.machine->nextTimerAt();
+    ASSERT_TRUE(timerAt);
+    EXPECT_EQ(*timerAt, start + milliseconds(1200));
+    const auto actions = fixture.machine->handle(TimerFired {}, *timerAt);
+    EXPECT_TRUE(find<CancelAttempt>(actions));
+    EXPECT_TRUE(find<StartAttempt>(actions));
+}
+
+// Guards against a stalled stream that sends a byte now and then, which would delay the caller until the deadline.
+TEST(RequestMachine, TricklingStreamResumesAtAnotherTarget)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    for (int i = 1; i <= 3; ++i)
+        (void)fixture.machine->handle(ResponseContinued { 1, "d" }, start + milliseconds(300) * i);
+    EXPECT_EQ(fixture.machine->nextTimerAt(), start + milliseconds(1200));
+    const auto actions = fixture.machine->handle(TimerFired {}, start + milliseconds(1200));
+    EXPECT_TRUE(find<CancelAttempt>(actions));
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+}
+
+// Guards against a slow but sound stream that is cut: each complete event counts as progress.
+TEST(RequestMachine, SlowStreamContinues)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    for (int i = 1; i <= 4; ++i) {
+        const auto now = start + milliseconds(1100) * i;
+        EXPECT_TRUE(fixture.machine->handle(TimerFired {}, now).empty());
+        EXPECT_FALSE(forwarded(
+            fixture.machine->handle(ResponseContinued { 1, "id: " + std::to_string(i) + "\ndata: x\n\n" }, now))
+                         .empty());
+    }
+}
+
+// Guards against memory that grows without bound while a target sends an event without end.
+TEST(RequestMachine, EndlessEventIsInterrupted)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    const std::string part(65536, 'x');
+    for (int i = 0; i < 64; ++i) {
+        const auto actions = fixture.machine->handle(ResponseContinued { 1, part }, start + milliseconds(i));
+        EXPECT_TRUE(forwarded(actions).empty());
+        if (find<CancelAttempt>(actions)) {
+            EXPECT_TRUE(find<StartAttempt>(actions));
+            return;
+        }
+    }
+    FAIL() << "4 MiB of one event were buffered";
+}
+
+// Guards against a stream that breaks off inside an event and reaches the caller as complete. Without a length only the
+// end of the connection ends the body.
+TEST(RequestMachine, StreamThatEndsInsideEventResumes)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\nid: 2\nda" }, start);
+    const auto actions = fixture.machine->handle(ResponseCompleted { 1, false }, start);
+    EXPECT_FALSE(find<FinishResponse>(actions));
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+}
+
+// Guards against the same if the response is chunked: its last chunk may be sent although the stream is cut.
+TEST(RequestMachine, FramedStreamThatEndsInsideEventResumes)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\nid: 2\nda" }, start);
+    const auto actions = fixture.machine->handle(ResponseCompleted { 1, true }, start);
+    EXPECT_FALSE(find<FinishResponse>(actions));
+    EXPECT_EQ(forwarded(actions), "");
+    ASSERT_TRUE(find<StartAttempt>(actions));
+    EXPECT_EQ(find<StartAttempt>(actions)->resumeAfter, "1");
+}
+
+// Guards against a stream without an event that reaches the caller as complete because its connection ended.
+TEST(RequestMachine, UnframedStreamWithoutEventsIsRepeated)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    const auto actions = fixture.machine->handle(ResponseCompleted { 1, false }, start);
+    EXPECT_FALSE(find<FinishResponse>(actions));
+    EXPECT_TRUE(find<StartAttempt>(actions));
+}
+
+// Guards against an error of the target at which a stream resumes that reaches the caller inside its stream, or as the
+// end of it.
+TEST(RequestMachine, ErrorOfResumedStreamIsNotForwarded)
+{
+    for (const uint32_t status : { 400U, 404U, 500U, 302U, 503U }) {
+        Fixture fixture(RetryPolicy::Stream, true);
+        (void)fixture.machine->start(start);
+        (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+        (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+        ASSERT_TRUE(find<StartAttempt>(fixture.machine->handle(AttemptDisconnected { 1, true }, start)));
+        std::vector<RequestAction> all;
+        for (const RequestEvent& event :
+            std::vector<RequestEvent> { ResponseStarted { 2, { status, true, true, false, false } },
+                ResponseContinued { 2, "id: 2\ndata: error\n\n" }, ResponseCompleted { 2 } }) {
+            const auto actions = fixture.machine->handle(event, start);
+            all.insert(all.end(), actions.begin(), actions.end());
+        }
+        EXPECT_EQ(forwarded(all), "") << status;
+        EXPECT_FALSE(find<ForwardHead>(all)) << status;
+        EXPECT_FALSE(find<FinishResponse>(all)) << status;
+        EXPECT_TRUE(find<AbortResponse>(all)) << status;
+    }
+}
