--- a/review/2/PausedStream.cpp
+++ b/review/4/PausedStream.cpp
@@ -1,5 +1,6 @@
-// A machine is stopped with SIGTERM while its streams run. One runner preempts its streams for 1.6 s, the other is full
-// and turns requests away. Checks that each request that was read and passed on gets its complete answer.
+// A machine is stopped with SIGTERM while its streams run. One runner preempts its streams for 1.6 s, the other has
+// become full and turns requests away. Checks that each request that was read and passed on gets its
+// complete answer.
 
 #include "Stage.h"
 
@@ -13,6 +14,9 @@
 constexpr int64_t pauseMs = 1600; // below the 2,400 ms after which a requester of this route abandons a stream
 constexpr int64_t abandonMs = 2400;
 constexpr int64_t graceMs = 8000;
+constexpr int64_t fullAfterStopMs = 900;
+constexpr int requestCount = 12;
+constexpr int64_t requestGapMs = 120;
 constexpr int deadlineMs = 15000;
 
 struct Outcome {
@@ -91,21 +95,18 @@
     std::vector<Outcome> outcomes;
     std::vector<std::thread> requesters;
     const auto stopAt = Clock::now() + std::chrono::milliseconds(500);
-    const auto sendUntil = stopAt + std::chrono::milliseconds(1200);
-    // The runners preempt and are full for as long as the requests of this case run.
     isPreempting = hasTrouble;
-    isFull = hasTrouble;
-    for (int i = 0; i < 30; ++i) {
+    for (int i = 0; i < requestCount; ++i) {
         requesters.emplace_back([&, i] {
-            sleepMs(i * 50);
+            sleepMs(i * requestGapMs);
             const auto channel = Channel::connect(node.port());
-            for (int number = 0; channel && Clock::now() < sendUntil; ++number) {
+            if (channel) {
                 Outcome outcome;
-                outcome.id = "draft-" + std::to_string(i) + "-" + std::to_string(number);
+                outcome.id = "draft-" + std::to_string(i);
                 outcome.sentMs = msSince(stopAt);
                 if (!channel->write(callerRequest("POST", "/draft/x", outcome.id, deadlineMs, "{}",
                         "Cyclamenstair-Model: m0\r\nCyclamenstair-Token-Count: 1460,80\r\n")))
-                    break;
+                    return;
                 Message answer;
                 outcome.end = channel->readHead(answer, afterMs(abandonMs));
                 outcome.status = answer.status();
@@ -126,11 +127,8 @@
                     + " ms after SIGTERM, status " + std::to_string(outcome.status) + ", "
                     + std::to_string(outcome.events) + " of " + std::to_string(eventCount) + " events, "
                     + nameOf(outcome.end) + " at " + std::to_string(outcome.endedMs) + " ms");
-                const bool isDone = outcome.end != ReadEnd::Complete || answer.field("connection") == "close";
                 std::lock_guard lock(mutex);
                 outcomes.push_back(std::move(outcome));
-                if (isDone)
-                    break;
             }
         });
     }
@@ -139,6 +137,9 @@
         record.line("SIGTERM to " + node.name());
         node.signal(SIGTERM);
     }
+    // By now all requests have been passed on.
+    std::this_thread::sleep_until(stopAt + std::chrono::milliseconds(fullAfterStopMs));
+    isFull = hasTrouble;
     for (auto& requester : requesters)
         requester.join();
     if (hasTrouble) {
