End the processes of a review case when it is ended early

The cases take their ports from below the range of outgoing connections, so that a node that starts again finds its ports free. A case that is ended by a signal ends the processes that it started, and run.sh then exits with 2.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,7 @@
 # Runs the case from the root of the repository. Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/case-4 ] && [ -x target/Programs/cyclamenstaird ] || exit 2
-exec timeout -k 5 115 review/bin/case-4 review/4/record.txt
+timeout -k 5 112 review/bin/case-4 review/4/record.txt
+result=$?
+[ "$result" -le 1 ] || result=2
+exit "$result"
--- a/review/Support/Stage.h
+++ b/review/Support/Stage.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
@@ -256,6 +257,32 @@
     std::thread m_expiry;
 };
 
+/// Processes that were started and have not been waited for. They are ended if this program is ended early.
+class StartedProcesses {
+public:
+    static void add(pid_t pid) { replace(0, pid); }
+    static void remove(pid_t pid) { replace(pid, 0); }
+    static void endAllAndExit(int)
+    {
+        for (auto& entry : s_pids) {
+            if (const pid_t pid = entry; pid > 0)
+                ::kill(pid, SIGKILL);
+        }
+        ::_exit(2);
+    }
+
+private:
+    static void replace(pid_t from, pid_t to)
+    {
+        for (auto& entry : s_pids) {
+            pid_t expected = from;
+            if (entry.compare_exchange_strong(expected, to))
+                return;
+        }
+    }
+    static inline std::array<std::atomic<pid_t>, 64> s_pids {};
+};
+
 /// Values of the settings template's placeholders, as of the site prairie-hours.
 inline std::map<std::string, std::string> siteFields()
 {
@@ -330,6 +357,7 @@
         posix_spawn_file_actions_adddup2(&actions, fd, STDERR_FILENO);
         if (::posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ) != 0)
             throw std::runtime_error("cannot start " + words[0]);
+        StartedProcesses::add(m_pid);
         posix_spawn_file_actions_destroy(&actions);
         ::close(fd);
     }
@@ -347,6 +375,7 @@
         ::kill(m_pid, number);
         int status = 0;
         ::waitpid(m_pid, &status, 0);
+        StartedProcesses::remove(m_pid);
         m_pid = -1;
     }
     /// Returns the wait status if the process has ended by itself.
@@ -355,6 +384,7 @@
         int status = 0;
         if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
             return std::nullopt;
+        StartedProcesses::remove(m_pid);
         m_pid = -1;
         return status;
     }
@@ -510,6 +540,8 @@
     const std::string& recordPath)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    for (const int number : { SIGTERM, SIGINT, SIGABRT })
+        std::signal(number, StartedProcesses::endAllAndExit);
     const char* trouble = std::getenv("TROUBLE");
     const bool hasTrouble = !trouble || std::string(trouble) != "0";
     char folder[] = "/tmp/cyclamenstair-review-XXXXXX";
--- a/review/Support/Wire.h
+++ b/review/Support/Wire.h
@@ -44,17 +44,22 @@
     return address;
 }
 
-/// Returns a port that was free a moment ago.
+/// Returns a port that was free a moment ago, below the range that the system uses for outgoing connections.
 inline uint16_t freePort()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto address = loopback(0);
-    socklen_t size = sizeof(address);
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0
-        || ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0)
-        throw std::runtime_error("no free port");
-    ::close(fd);
-    return ntohs(address.sin_port);
+    constexpr int firstPort = 10000;
+    constexpr int portCount = 22000;
+    static std::atomic<int> s_next { static_cast<int>(::getpid()) * 61 };
+    for (int i = 0; i < portCount; ++i) {
+        const auto port = static_cast<uint16_t>(firstPort + s_next++ % portCount);
+        const auto address = loopback(port);
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const bool isFree = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+        ::close(fd);
+        if (isFree)
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 struct Message {
