--- a/review/4/PausedStream.cpp
+++ b/review/4/PausedStream.cpp
@@ -1,6 +1,6 @@
-// A machine is stopped with SIGTERM while its streams run. One runner preempts its streams for 1.6 s, the other has
-// become full and turns requests away. Checks that each request that was read and passed on gets its
-// complete answer.
+// A machine is stopped with SIGTERM while its streams run. One runner preempts its newest streams for 1.6 s, the other
+// has become full and turns requests away. Checks that each request that was read and passed on gets its complete
+// answer.
 
 #include "Stage.h"
 
@@ -11,6 +11,7 @@
 constexpr int eventCount = 40;
 constexpr int64_t eventMs = 30;
 constexpr int eventBeforePause = 10;
+constexpr int streamsThatRunOn = 3; // at the preempting runner
 constexpr int64_t pauseMs = 1600; // below the 2,400 ms after which a requester of this route abandons a stream
 constexpr int64_t abandonMs = 2400;
 constexpr int64_t graceMs = 8000;
@@ -37,7 +38,10 @@
     std::atomic<bool> isFull { false };
     std::mutex mutex;
     std::map<std::string, std::set<std::string>> closedAtRunner; ///< Runs that ended because the caller closed.
+    std::atomic<int> streamsAtPreempting { 0 };
     const auto stream = [&](Channel& channel, const Message& request, const std::string& runner, bool mayPause) {
+        // Only the newest streams are preempted.
+        const bool isPreempted = mayPause && streamsAtPreempting++ >= streamsThatRunOn;
         const auto id = request.field("cyclamenstair-request-id");
         const auto last = request.field("last-event-id");
         record.line(runner + ": runs " + id + (last.empty() ? "" : " after event " + last));
@@ -46,7 +50,7 @@
             head += name + ": " + value + "\r\n";
         bool isOpen = channel.write(head + "\r\n");
         for (int event = last.empty() ? 1 : std::stoi(last) + 1; isOpen && event <= eventCount; ++event) {
-            if (mayPause && event == eventBeforePause && isPreempting) {
+            if (isPreempted && event == eventBeforePause && isPreempting) {
                 record.line(runner + ": preempts " + id + " for " + std::to_string(pauseMs) + " ms");
                 sleepMs(pauseMs);
             }
