Discard a stalled target's partial answer before another attempt

Cause: RequestMachine::switchTarget, to which a stall leads, started the next attempt without clearing the buffered body; only retryOrFail did. Ruled out: an answer on a connection in use again, since the second half belongs to the same request.

RequestMachine.StalledAnswerIsNotJoinedWithThatOfAnotherTarget failed before the change ("half of the firsecond", 21 bytes instead of 6) and passes with it. All paths to another attempt now share discardPartialAnswer.

Measured: RequestFlowTests pass, properties with 3000 cases.

--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -209,7 +209,6 @@
     if (!limit || now < *limit)
         return;
     if (const auto alternativeTarget = acquireAlternative(now)) {
-        m_eventParser.takeRemainder();
         switchTarget(*alternativeTarget, TargetAttemptResult::Failed, now, actions);
     } else {
         m_lastProgressAt = now;
@@ -237,6 +236,7 @@
     actions.emplace_back(CancelAttempt { m_attempt });
     endAttempt(result, now);
     m_mayHaveRun = true;
+    discardPartialAnswer();
     startAttempt(target, now, actions);
 }
 
@@ -313,11 +313,16 @@
     m_target.reset();
 }
 
-void RequestMachine::retryOrFail(bool mayHaveRun, const std::string& reason, TimePoint now, Actions& actions)
+void RequestMachine::discardPartialAnswer()
 {
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     m_bufferedBody.clear();
     m_eventParser.takeRemainder();
+}
+
+void RequestMachine::retryOrFail(bool mayHaveRun, const std::string& reason, TimePoint now, Actions& actions)
+{
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    discardPartialAnswer();
     // A stream can resume after its last complete event, or restart if no event has been forwarded.
     const bool isPartiallySent = m_isHeadSent && !isStream();
     const bool isRetryable = !m_mayHaveRun || m_requestInfo.route.isRetryable();
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -111,6 +111,8 @@
     /// Records that an event or a complete answer has arrived.
     void recordAnswerProgress(bool isComplete, TimePoint now);
     void endAttempt(TargetAttemptResult result, TimePoint now);
+    /// Discards what the last attempt sent and the caller has not received.
+    void discardPartialAnswer();
     /// Starts another attempt, or fails the request, after the current attempt ended without a usable response.
     /// `mayHaveRun` is false only if the target stated that it did not run the request.
     void retryOrFail(bool mayHaveRun, const std::string& reason, TimePoint now, Actions& actions);
