Bound chunk sizes, trailers and stated lengths of HTTP messages

Cause: ClientConnection and ServerConnection keep what the parser does not consume, and the parser bounds the head only. Besides, Beast's string_body reserves the stated length, so 10^14 ended in std::bad_alloc in the loop and the call had no outcome until its timeout. Ruled out: heads, bodies and interim responses, which were bounded before, and a head cut at any byte, which was a failure before.

Before the change HttpClient.EndlessResponsesFail read all 256 MB of a chunk size, a chunk extension and a trailer, HugeStatedLengthFails timed out, and ServerConnection.RejectsEndlessFraming failed for three of three lines. Afterwards the 19 tests of HttpTests pass in 1.1 s.

Idle connections also free the bytes of the request they have written.

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -78,7 +78,7 @@
     m_connectTimer.expires_after(m_settings->connectTimeout);
     m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec && !self->m_isOpen && !self->m_isClosed)
-            self->fail("http.connect", "connection attempt timed out");
+            self->fail(ErrorKind::Unavailable, "http.connect", "connection attempt timed out");
     });
     m_socket.async_connect(m_server, [self = shared_from_this()](const boost::system::error_code& ec) {
         if (self->m_isClosed)
@@ -86,7 +86,7 @@
         boost::system::error_code ignored;
         self->m_connectTimer.cancel(ignored);
         if (ec) {
-            self->fail("http.connect", ec.message());
+            self->fail(ErrorKind::Unavailable, "http.connect", ec.message());
             return;
         }
         self->m_isOpen = true;
@@ -100,8 +100,8 @@
 {
     if (m_mayWrite && !m_mayWrite()) {
         const auto self = shared_from_this();
-        boost::asio::post(
-            m_socket.get_executor(), [self] { self->fail("http.write", "the request may no longer be sent"); });
+        boost::asio::post(m_socket.get_executor(),
+            [self] { self->fail(ErrorKind::Unavailable, "http.write", "the request may no longer be sent"); });
         return;
     }
     // Once the write is handed to the operating system, any part of it may reach the server.
@@ -110,9 +110,11 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_requestBytes),
         [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
             self->m_isWriting = false;
+            // An idle connection must not hold the bytes of its last request.
+            self->m_requestBytes = {};
             // The server may respond and stop reading before it has the whole body; still read the response.
             if (ec && !self->m_isClosed && !self->m_isHeadReported && !self->m_isReading)
-                self->fail("http.write", ec.message());
+                self->fail(ErrorKind::Unavailable, "http.write", ec.message());
         });
 }
 
@@ -146,7 +148,8 @@
         }
     }
     if (ec) {
-        fail("http.read", ec.message(), ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset);
+        fail(ErrorKind::Unavailable, "http.read", ec.message(),
+            ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset);
         return;
     }
     m_unparsedInput.append(m_readBuffer.data(), bytes);
@@ -165,14 +168,14 @@
         if (ec == http::error::need_more)
             ec = {};
         if (ec) {
-            fail("http.parse", ec.message());
+            fail(ErrorKind::Unavailable, "http.parse", ec.message());
             return;
         }
         // Skip interim responses (1xx), which precede the final one.
         if (m_parser->is_done()
             && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
             if (++m_interimResponses > m_settings->maxInterimResponses) {
-                fail("http.parse", "too many interim responses");
+                fail(ErrorKind::Unavailable, "http.parse", "too many interim responses");
                 return;
             }
             startParser();
@@ -182,6 +185,9 @@
             break;
         onParsed();
     }
+    // The parser consumes body bytes at once, so what it leaves is an incomplete line or field of the framing.
+    if (m_handler && !m_parser->is_done() && m_unparsedInput.size() > m_settings->maxFramingBytes)
+        fail(ErrorKind::LimitExceeded, "http.parse", "a chunk size or the trailer is too large");
 }
 
 void ClientConnection::onParsed()
@@ -239,14 +245,13 @@
     m_idleDeadline = monotonicNow() + limit;
 }
 
-void ClientConnection::fail(const std::string& step, const std::string& message, bool isClosedByServer)
+void ClientConnection::fail(ErrorKind kind, const std::string& step, const std::string& message, bool isClosedByServer)
 {
     const auto handler = std::exchange(m_handler, nullptr);
     const bool wasSent = m_wasSent;
     close();
     if (handler)
-        handler(CallFailed {
-            wasSent, { ErrorKind::Unavailable, step, endpointText(m_server), message }, isClosedByServer });
+        handler(CallFailed { wasSent, { kind, step, endpointText(m_server), message }, isClosedByServer });
 }
 
 void ClientConnection::startParser()
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -4,6 +4,7 @@
 
 #include <Cyclamenstair/Core/Error.h>
 #include <Cyclamenstair/Http/HttpMessage.h>
+#include <Cyclamenstair/Http/TextBody.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +49,7 @@
     Duration deadPeerTimeout { milliseconds(3000) }; ///< For unacknowledged data or keep-alive probes.
     Duration maxIdleTime { milliseconds(4000) }; ///< Limit on idle time before reuse, unless the server sends one.
     uint32_t maxHeadBytes { 32768 };
+    uint32_t maxFramingBytes { 32768 }; ///< For one chunk size with its extensions, and for all trailer fields.
     uint32_t maxInterimResponses { 8 }; ///< Responses with status 1xx before the final one.
 };
 
@@ -76,7 +78,7 @@
     const boost::asio::ip::tcp::endpoint& server() const { return m_server; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<TextBody>;
 
     void connect();
     void write();
@@ -88,7 +90,7 @@
     void reportData();
     void complete();
     void updateIdleDeadline(const boost::beast::http::fields& fields);
-    void fail(const std::string& step, const std::string& message, bool isClosedByServer = false);
+    void fail(ErrorKind kind, const std::string& step, const std::string& message, bool isClosedByServer = false);
     void startParser();
 
     boost::asio::ip::tcp::socket m_socket;
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -163,8 +163,11 @@
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         }
         if (consumed == 0)
-            return;
+            break;
     }
+    // The parser consumes body bytes at once, so what it leaves is an incomplete line or field of the framing.
+    if (m_phase == Phase::Reading && !m_isClosed && m_unparsedInput.size() > m_limits.maxHeadBytes)
+        rejectRequest(m_parser->is_header_done() ? badRequest : headerTooLarge);
 }
 
 void ServerConnection::onRequest()
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <Cyclamenstair/Http/HttpMessage.h>
+#include <Cyclamenstair/Http/TextBody.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,7 +17,7 @@
 
 /// Limits of a caller's connection.
 struct ServerConnectionLimits {
-    uint32_t maxHeadBytes { 16384 };
+    uint32_t maxHeadBytes { 16384 }; ///< Also for one chunk size with its extensions, and for all trailer fields.
     uint64_t maxBodyBytes { 4194304 };
     Duration headTimeout { milliseconds(3000) }; ///< From the first byte of a request to the last.
     Duration idleTimeout { milliseconds(15000) }; ///< Between requests.
@@ -60,7 +61,7 @@
     bool isOpen() const { return !m_isClosed; }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<TextBody>;
 
     enum class Phase : uint8_t {
         Reading, ///< Waiting for or reading a request.
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -126,18 +126,21 @@
 /// Sends `start` and then `repeated` until the client closes.
 class EndlessServer : public RawServer {
 public:
+    static constexpr size_t maxSentBytes = size_t { 256 } << 20U;
+
     EndlessServer(const std::string& start, const std::string& repeated)
-        : RawServer(1, [start, repeated](tcp::socket& socket) {
-            constexpr size_t maxSentBytes = size_t { 256 } << 20U;
+        : RawServer(1, [this, start, repeated](tcp::socket& socket) {
             std::string input;
             boost::system::error_code ec;
             (void)readTarget(socket, input);
             boost::asio::write(socket, boost::asio::buffer(start), ec);
-            for (size_t sentBytes = 0; !ec && sentBytes < maxSentBytes;)
+            while (!ec && sentBytes < maxSentBytes)
                 sentBytes += boost::asio::write(socket, boost::asio::buffer(repeated), ec);
         })
     {
     }
+
+    std::atomic<size_t> sentBytes { 0 };
 };
 
 /// Answers each request with its target on a connection that stays open. If `isRepeating`, sends each answer a second
@@ -239,6 +242,17 @@
                     .starts_with("HTTP/1.1 413"));
 }
 
+// Guards against a caller that takes memory with a chunk size or a trailer without end.
+TEST(ServerConnection, RejectsEndlessFraming)
+{
+    EchoServer server;
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& line : { std::string(65536, '0'), "1;extension=" + std::string(65536, 'x'),
+             "0\r\nX-Trailer: " + std::string(65536, 'x') })
+        EXPECT_TRUE(sendRaw(server.address, head + line).starts_with("HTTP/1.1 400")) << line.substr(0, 16);
+    EXPECT_EQ(server.requests, 0);
+}
+
 // Guards against idle or slow callers that hold connections forever.
 TEST(ServerConnection, ClosesIdleAndSlowConnections)
 {
@@ -300,17 +314,23 @@
     loop.stop();
 }
 
-// Guards against bytes without end in a response head, in interim responses or in a body, which would take memory and
-// processor time until the call's timeout.
+// Guards against bytes without end in any part of a response, which would take memory and processor time until the
+// call's timeout.
 TEST(HttpClient, EndlessResponsesFail)
 {
     const std::string manyBytes(65536, 'x');
     const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::vector<std::pair<std::string, std::string>> responses {
+        { "HTTP/1.1 200 ", manyBytes },
         { "HTTP/1.1 200 OK\r\nX-Field: ", manyBytes },
+        { "HTTP/1.1 200 OK\r\n", "X-Field: " + manyBytes.substr(0, 1024) + "\r\n" },
         { "", interim },
         { "HTTP/1.1 200 OK\r\n\r\n", manyBytes },
-        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + manyBytes + "\r\n" },
+        { chunkedHead, "10000\r\n" + manyBytes + "\r\n" },
+        { chunkedHead, std::string(65536, '0') },
+        { chunkedHead + "1;extension=", manyBytes },
+        { chunkedHead + "0\r\n", "X-Trailer: " + manyBytes.substr(0, 1024) + "\r\n" },
     };
     for (const auto& [start, repeated] : responses) {
         EndlessServer server(start, repeated);
@@ -319,9 +339,37 @@
             = client.call(server.address, { "GET", "/", { { "Host", "a" } }, {}, false }, milliseconds(20000));
         ASSERT_TRUE(std::holds_alternative<CallFailed>(outcome));
         EXPECT_NE(std::get<CallFailed>(outcome).error.kind, ErrorKind::Timeout) << start;
+        EXPECT_LT(server.sentBytes, EndlessServer::maxSentBytes) << start;
+    }
+}
+
+// Guards against memory that is reserved for a stated length, or an exception that leaves the call without an outcome.
+TEST(HttpClient, HugeStatedLengthFails)
+{
+    ScriptedServer server({ "HTTP/1.1 200 OK\r\nContent-Length: 100000000000000\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\nbody" });
+    BlockingClient client;
+    for (int i = 0; i < 2; ++i) {
+        const auto outcome = client.call(server.address);
+        ASSERT_TRUE(std::holds_alternative<CallFailed>(outcome));
+        EXPECT_NE(std::get<CallFailed>(outcome).error.kind, ErrorKind::Timeout);
     }
 }
 
+// Guards against a response whose head is cut at any byte and that passes for a complete one with an empty or short
+// body.
+TEST(ClientConnection, HeadCutAtAnyByteIsAFailure)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Field: 1\r\n\r\n";
+    std::vector<std::string> responses;
+    for (size_t bytes = 0; bytes < head.size(); ++bytes)
+        responses.push_back(head.substr(0, bytes));
+    ScriptedServer server(responses);
+    BlockingClient client;
+    for (const auto& response : responses)
+        EXPECT_TRUE(std::holds_alternative<CallFailed>(client.call(server.address))) << response;
+}
+
 // Guards against an order that is written after the node lost the right to send it while the connection was opened.
 TEST(HttpClient, RequestIsNotWrittenWithoutPermission)
 {
