Bound what all requests and calls of a node buffer together

Cause: bounds held for each request, not for their sum; output for a caller had none; pooled connections kept the bytes of their last request.

BufferBudget counts buffered bytes against a quarter (requests) and an eighth (store, reports, other nodes) of entry.memory_mb. A target is read only as fast as its caller reads, and its stall timeout rests meanwhile.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -111,7 +111,8 @@
 EntryNode::EntryNode(const schema::SettingsT& settings, boost::asio::ip::tcp::endpoint store)
     : m_settings(settings)
     , m_state(settings)
-    , m_store(m_controlLoop.context(), std::move(store), settings.control->store, {})
+    , m_store(
+          m_controlLoop.context(), std::move(store), settings.control->store, { .buffers = &m_state.controlBuffers })
     , m_catalogWatcher(m_controlLoop.context(), m_store, m_state)
     , m_targetWatcher(m_controlLoop.context(), m_store, m_state)
     , m_elector(m_controlLoop.context(), m_store, settings.node->id,
@@ -216,7 +217,7 @@
         { ok, {}, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_state.metrics.prometheusText());
 }
 
-ServerConnectionLimits EntryNode::connectionLimits() const
+ServerConnectionLimits EntryNode::connectionLimits()
 {
     ServerConnectionLimits limits;
     if (const auto current = m_state.catalog.current()) {
@@ -226,6 +227,7 @@
         limits.headTimeout = catalogLimits.headerTimeout;
         limits.idleTimeout = catalogLimits.idleTimeout;
     }
+    limits.buffers = &m_state.requestBuffers;
     return limits;
 }
 
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -36,7 +36,7 @@
         const std::string& address, std::vector<EventLoop*> loops, ServerListener::RequestHandler handler);
     void respondToProbe(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void respondToMetrics(const std::shared_ptr<ServerConnection>& connection);
-    ServerConnectionLimits connectionLimits() const;
+    ServerConnectionLimits connectionLimits();
     /// Waits until no request has been in progress for a short time, at most until `deadline`.
     void waitForRequests(TimePoint deadline);
 
--- a/Cyclamenstair/Entry/EntryState.cpp
+++ b/Cyclamenstair/Entry/EntryState.cpp
@@ -46,6 +46,15 @@
                 { "left_ms", std::to_string(toMilliseconds(verdict.quarantineLeft)) } });
     }
 
+    /// Parts of the node's memory that buffered requests and the control plane may take.
+    constexpr double requestBufferShare = 0.25;
+    constexpr double controlBufferShare = 0.125;
+
+    size_t bufferBytes(const schema::EntrySettingsT& entry, double share)
+    {
+        return static_cast<size_t>(entry.memory_mb * 1e6 * share);
+    }
+
     /// The allowance is per service; there is no bound over all services.
     constexpr RetryAllowance unlimitedTotal { 1, 1e6, 1e6 };
 
@@ -60,6 +69,8 @@
               logVerdict(verdict);
               metrics.add(Metric::PartVerdicts, std::string(nameOf(verdict.kind)));
           })
+    , requestBuffers(bufferBytes(*settings.entry, requestBufferShare))
+    , controlBuffers(bufferBytes(*settings.entry, controlBufferShare))
     , m_minNodeCount(static_cast<uint32_t>(settings.entry->retry_nodes))
 {
     setNodeCount(0);
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Catalog/CatalogRegistry.h>
+#include <Cyclamenstair/Core/BufferBudget.h>
 #include <Cyclamenstair/Fleet/DemandCounter.h>
 #include <Cyclamenstair/Fleet/TargetRegistry.h>
 #include <Cyclamenstair/Generated/Settings_generated.h>
@@ -25,6 +26,8 @@
     RetryBudget retries;
     Metrics metrics;
     PromptQuarantine quarantine;
+    BufferBudget requestBuffers; ///< For callers' requests and their responses.
+    BufferBudget controlBuffers; ///< For the store, reports of targets and other nodes.
     std::atomic<bool> areTargetsKnown { false }; ///< The target entries were read from the store or from a peer.
     std::atomic<bool> isStopping { false };
     /// New requests with a later deadline are refused, because the process exits before it.
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -19,6 +19,8 @@
     /// Largest age of the state that a report shows. A report requested sooner after an order may not reflect the
     /// order.
     constexpr Duration reportLag = milliseconds(400);
+    /// Maximum size of a report, which lists the models and adapters of one target.
+    constexpr size_t maxReportBytes = size_t { 1 } << 20U;
     constexpr Duration reportTimeout = milliseconds(500);
     /// Consecutive missed reports after which a target counts as lost. A single report can be lost with its connection.
     constexpr uint32_t lostTargetMissedReports = 2;
@@ -55,7 +57,7 @@
     , m_elector(&elector)
     , m_mesh(&mesh)
     , m_state(&state)
-    , m_client(context, ClientConnectionSettings {})
+    , m_client(context, ClientConnectionSettings {}, { maxReportBytes, &state.controlBuffers })
 {
 }
 
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -119,7 +119,8 @@
             std::erase_if(m_acceptedChannels, [](const auto& channel) { return channel->isClosed(); });
             auto channel = std::make_shared<FrameChannel>(std::move(socket),
                 FrameChannel::Handlers {
-                    [this](const auto& sender, const std::string& content) { onFrame(sender, content); }, nullptr });
+                    [this](const auto& sender, const std::string& content) { onFrame(sender, content); }, nullptr },
+                &m_state->controlBuffers);
             channel->start();
             m_acceptedChannels.insert(std::move(channel));
         }
@@ -194,7 +195,8 @@
                 const auto entry = m_links.find(address);
                 if (entry != m_links.end())
                     entry->second.channel.reset();
-            } });
+            } },
+        &m_state->controlBuffers);
     link.channel->connect(endpoint.value());
 }
 
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -76,6 +76,7 @@
     : m_loop(&loop)
     , m_callerConnection(std::move(connection))
     , m_request(std::move(request))
+    , m_answerShare(&loop.state().requestBuffers)
     , m_machine(std::move(requestInfo), loop.state().flowSettings,
           { &loop.state().targets, &loop.state().retries, &loop.state().demand, &loop.random(),
               &loop.state().quarantine })
@@ -160,6 +161,7 @@
     m_longestPause = std::max(m_longestPause, now - m_lastByteAt);
     m_lastByteAt = now;
     m_callerConnection->sendData(action.data);
+    pauseWhileCallerIsSlow();
 }
 
 void RequestExchange::perform(const FinishResponse&)
@@ -213,9 +215,7 @@
                            m_responseHead = std::move(received.head);
                        handle(ResponseStarted { attempt, head });
                    },
-                   [&](ResponseDataReceived& received) {
-                       handle(ResponseContinued { attempt, std::move(received.data) });
-                   },
+                   [&](ResponseDataReceived& received) { handleData(attempt, std::move(received.data)); },
                    [&](ResponseComplete& complete) {
                        if (m_targetConnection)
                            m_loop->pool().release(std::exchange(m_targetConnection, nullptr), monotonicNow());
@@ -249,6 +249,33 @@
             { "receipt", boolText(head.hasReceipt) } });
 }
 
+void RequestExchange::handleData(uint32_t attempt, std::string data)
+{
+    if (!m_answerShare.resize(m_machine.bufferedBytes() + data.size())) {
+        log("attempt_failed",
+            { { "attempt", std::to_string(attempt) }, { "target", m_acquiredTarget.id },
+                { "message", "all requests together buffer too much" } });
+        closeTargetConnection();
+        handle(AttemptDisconnected { attempt, true });
+    } else {
+        handle(ResponseContinued { attempt, std::move(data) });
+    }
+    (void)m_answerShare.resize(m_machine.bufferedBytes());
+}
+
+void RequestExchange::pauseWhileCallerIsSlow()
+{
+    if (!m_targetConnection || !m_callerConnection->isCongested())
+        return;
+    m_targetConnection->pauseReading();
+    (void)m_machine.handle(ForwardingPaused {}, monotonicNow());
+    m_callerConnection->setWritableHandler([self = shared_from_this()] {
+        if (self->m_targetConnection)
+            self->m_targetConnection->resumeReading();
+        self->handle(ForwardingResumed {});
+    });
+}
+
 void RequestExchange::closeTargetConnection()
 {
     if (m_targetConnection)
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -36,6 +36,10 @@
     /// it.
     void logUnsuccessfulResponse(uint32_t attempt, const ResponseInfo& head);
     void closeTargetConnection();
+    /// Stops reading from the target until the caller has read what is queued for it.
+    void pauseWhileCallerIsSlow();
+    /// Passes a part of the body on, or ends the attempt if all requests together buffer too much.
+    void handleData(uint32_t attempt, std::string data);
     void armTimer();
     void log(std::string_view event, std::initializer_list<LogField> fields);
     /// Records the time since the request arrived in the service's histogram.
@@ -47,6 +51,7 @@
     RequestLoop* m_loop;
     std::shared_ptr<ServerConnection> m_callerConnection;
     HttpRequest m_request;
+    BufferShare m_answerShare; ///< Bytes that the state machine buffers.
     RequestMachine m_machine;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<ClientConnection> m_targetConnection;
--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -1417,6 +1417,7 @@
   std::string seeds{};
   std::string metrics_listen{};
   double cpu_share = 1.0;
+  int32_t memory_mb = 256;
   int32_t loops = 2;
   double grace_s = 8.0;
   double retry_ratio = 0.2;
@@ -1437,12 +1438,13 @@
     VT_SEEDS = 10,
     VT_METRICS_LISTEN = 12,
     VT_CPU_SHARE = 14,
-    VT_LOOPS = 16,
-    VT_GRACE_S = 18,
-    VT_RETRY_RATIO = 20,
-    VT_RETRY_SLACK = 22,
-    VT_RETRY_WINDOW_S = 24,
-    VT_RETRY_NODES = 26
+    VT_MEMORY_MB = 16,
+    VT_LOOPS = 18,
+    VT_GRACE_S = 20,
+    VT_RETRY_RATIO = 22,
+    VT_RETRY_SLACK = 24,
+    VT_RETRY_WINDOW_S = 26,
+    VT_RETRY_NODES = 28
   };
   /// Address for callers as IP:PORT.
   const flatbuffers::String *listen() const {
@@ -1469,6 +1471,11 @@
   double cpu_share() const {
     return GetField<double>(VT_CPU_SHARE, 1.0);
   }
+  /// Memory that the node may use. Buffered requests and responses may take a quarter of it, messages of the store, of
+  /// targets' reports and of other nodes an eighth.
+  int32_t memory_mb() const {
+    return GetField<int32_t>(VT_MEMORY_MB, 256);
+  }
   /// Event loops that serve callers.
   int32_t loops() const {
     return GetField<int32_t>(VT_LOOPS, 2);
@@ -1506,6 +1513,7 @@
            VerifyOffset(verifier, VT_METRICS_LISTEN) &&
            verifier.VerifyString(metrics_listen()) &&
            VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
+           VerifyField<int32_t>(verifier, VT_MEMORY_MB, 4) &&
            VerifyField<int32_t>(verifier, VT_LOOPS, 4) &&
            VerifyField<double>(verifier, VT_GRACE_S, 8) &&
            VerifyField<double>(verifier, VT_RETRY_RATIO, 8) &&
@@ -1541,6 +1549,9 @@
   void add_cpu_share(double cpu_share) {
     fbb_.AddElement<double>(EntrySettings::VT_CPU_SHARE, cpu_share, 1.0);
   }
+  void add_memory_mb(int32_t memory_mb) {
+    fbb_.AddElement<int32_t>(EntrySettings::VT_MEMORY_MB, memory_mb, 256);
+  }
   void add_loops(int32_t loops) {
     fbb_.AddElement<int32_t>(EntrySettings::VT_LOOPS, loops, 2);
   }
@@ -1578,6 +1589,7 @@
     flatbuffers::Offset<flatbuffers::String> seeds = 0,
     flatbuffers::Offset<flatbuffers::String> metrics_listen = 0,
     double cpu_share = 1.0,
+    int32_t memory_mb = 256,
     int32_t loops = 2,
     double grace_s = 8.0,
     double retry_ratio = 0.2,
@@ -1592,6 +1604,7 @@
   builder_.add_retry_nodes(retry_nodes);
   builder_.add_retry_slack(retry_slack);
   builder_.add_loops(loops);
+  builder_.add_memory_mb(memory_mb);
   builder_.add_metrics_listen(metrics_listen);
   builder_.add_seeds(seeds);
   builder_.add_peer_listen(peer_listen);
@@ -1613,6 +1626,7 @@
     const char *seeds = nullptr,
     const char *metrics_listen = nullptr,
     double cpu_share = 1.0,
+    int32_t memory_mb = 256,
     int32_t loops = 2,
     double grace_s = 8.0,
     double retry_ratio = 0.2,
@@ -1632,6 +1646,7 @@
       seeds__,
       metrics_listen__,
       cpu_share,
+      memory_mb,
       loops,
       grace_s,
       retry_ratio,
@@ -2489,6 +2504,7 @@
   { auto _e = seeds(); if (_e) _o->seeds = _e->str(); }
   { auto _e = metrics_listen(); if (_e) _o->metrics_listen = _e->str(); }
   { auto _e = cpu_share(); _o->cpu_share = _e; }
+  { auto _e = memory_mb(); _o->memory_mb = _e; }
   { auto _e = loops(); _o->loops = _e; }
   { auto _e = grace_s(); _o->grace_s = _e; }
   { auto _e = retry_ratio(); _o->retry_ratio = _e; }
@@ -2511,6 +2527,7 @@
   auto _seeds = _o->seeds.empty() ? 0 : _fbb.CreateString(_o->seeds);
   auto _metrics_listen = _o->metrics_listen.empty() ? 0 : _fbb.CreateString(_o->metrics_listen);
   auto _cpu_share = _o->cpu_share;
+  auto _memory_mb = _o->memory_mb;
   auto _loops = _o->loops;
   auto _grace_s = _o->grace_s;
   auto _retry_ratio = _o->retry_ratio;
@@ -2525,6 +2542,7 @@
       _seeds,
       _metrics_listen,
       _cpu_share,
+      _memory_mb,
       _loops,
       _grace_s,
       _retry_ratio,
--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -155,7 +155,13 @@
     m_unparsedInput.append(m_readBuffer.data(), bytes);
     const auto self = shared_from_this();
     parse();
-    if (!m_isClosed && !m_isReading)
+    if (!m_isClosed && !m_isReading && !m_isReadingPaused)
+        read();
+}
+
+void ClientConnection::resumeReading()
+{
+    if (std::exchange(m_isReadingPaused, false) && m_isOpen && !m_isReading)
         read();
 }
 
@@ -224,6 +230,7 @@
 
 void ClientConnection::complete()
 {
+    m_isReadingPaused = false;
     // After surplus bytes, or a response before the request was written, the connection's state is undefined.
     if (!m_unparsedInput.empty() || m_isWriting)
         m_isKeepAlive = false;
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -71,6 +71,11 @@
     /// Closes the connection immediately, without calling the handler.
     void close();
 
+    /// Reads no more of the response until resumeReading() is called, so that the server stops sending. Bytes that were
+    /// read before are still reported.
+    void pauseReading() { m_isReadingPaused = true; }
+    void resumeReading();
+
     /// Returns whether the connection is open and idle, no bytes have arrived that belong to no request, and the server
     /// is unlikely to close it before the next request.
     bool isReusable(TimePoint now) const;
@@ -110,6 +115,7 @@
     bool m_isOpen { false };
     bool m_isClosed { false };
     bool m_isReading { false };
+    bool m_isReadingPaused { false };
     bool m_isHeadReported { false };
     bool m_wasSent { false };
     bool m_isWriting { false };
--- a/Cyclamenstair/Http/HttpClient.cpp
+++ b/Cyclamenstair/Http/HttpClient.cpp
@@ -7,21 +7,23 @@
 /// State of one call, shared by the connection's handler and the timer. The first to finish calls `handler` and clears
 /// it.
 struct HttpClient::Call {
-    explicit Call(boost::asio::io_context& context)
+    Call(boost::asio::io_context& context, BufferBudget* buffers)
         : timer(context)
+        , bodyShare(buffers)
     {
     }
 
     boost::asio::steady_timer timer;
     std::shared_ptr<ClientConnection> connection;
     HttpResponse response;
+    BufferShare bodyShare;
     Handler handler;
 };
 
 void HttpClient::call(const boost::asio::ip::tcp::endpoint& server, const HttpRequest& request, Duration timeout,
     Handler handler, std::function<bool()> mayWrite)
 {
-    auto call = std::make_shared<Call>(*m_context);
+    auto call = std::make_shared<Call>(*m_context, m_limits.buffers);
     call->handler = std::move(handler);
     call->connection = m_pool.acquire(server, monotonicNow());
     call->timer.expires_after(timeout);
@@ -44,7 +46,8 @@
             [&](ResponseHeadReceived& received) { call->response.head = std::move(received.head); },
             [&](ResponseDataReceived& received) {
                 call->response.body += received.data;
-                if (call->response.body.size() <= maxBodyBytes)
+                const auto bytes = call->response.body.size();
+                if (bytes <= m_limits.maxBodyBytes && call->bodyShare.resize(bytes))
                     return;
                 call->connection->close();
                 finish(call,
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -14,6 +14,10 @@
     constexpr uint32_t badRequest = 400;
     constexpr uint32_t payloadTooLarge = 413;
     constexpr uint32_t headerTooLarge = 431;
+    constexpr uint32_t unavailable = 503;
+
+    /// A request's body is also part of the request that is sent to a target.
+    constexpr size_t copiesOfBody = 2;
 
     uint32_t statusForParseError(const boost::system::error_code& ec)
     {
@@ -41,6 +45,8 @@
     , m_timer(m_socket.get_executor())
     , m_limits(limits)
     , m_requestHandler(std::move(handler))
+    , m_inputShare(limits.buffers)
+    , m_outputShare(limits.buffers)
 {
 }
 
@@ -73,6 +79,7 @@
     if (m_isChunked && !m_isHeadRequest)
         enqueue(lastChunk);
     m_disconnectHandler = nullptr;
+    m_writableHandler = nullptr;
     m_hasServedRequest = true;
     if (isLastResponse())
         startClosing();
@@ -90,6 +97,7 @@
 void ServerConnection::abort()
 {
     m_disconnectHandler = nullptr;
+    m_writableHandler = nullptr;
     if (m_isClosed)
         return;
     m_isClosed = true;
@@ -135,6 +143,8 @@
     m_unparsedInput.append(m_readBuffer.data(), bytes);
     if (m_phase == Phase::Reading)
         parse();
+    if (m_phase == Phase::Reading && !updateInputShare())
+        rejectRequest(unavailable);
     // The pending read also detects that the caller disconnects.
     if (m_unparsedInput.size() < maxReadAheadBytes || m_phase == Phase::Reading)
         read();
@@ -188,10 +198,19 @@
     m_requestHandler(shared_from_this(), std::move(request));
 }
 
+bool ServerConnection::updateInputShare()
+{
+    const auto bodyBytes = m_parser ? m_parser->get().body().size() : 0;
+    return m_inputShare.resize(m_unparsedInput.size() + bodyBytes * copiesOfBody);
+}
+
 void ServerConnection::rejectRequest(uint32_t status)
 {
     m_isKeepAlive = false;
     m_phase = Phase::Responding;
+    m_parser.reset();
+    m_unparsedInput = {};
+    (void)updateInputShare();
     sendResponse({ status, {}, {} }, {});
 }
 
@@ -202,6 +221,7 @@
     m_isHeadRequest = false;
     m_isContinueSent = false;
     m_parser = std::make_unique<Parser>();
+    (void)updateInputShare();
     m_parser->eager(true);
     m_parser->header_limit(m_limits.maxHeadBytes);
     m_parser->body_limit(m_limits.maxBodyBytes);
@@ -218,10 +238,17 @@
     if (m_isClosed)
         return;
     m_queuedOutput += bytes;
+    (void)m_outputShare.resize(outputBytes());
     if (m_outputInFlight.empty())
         write();
 }
 
+bool ServerConnection::isCongested() const
+{
+    return outputBytes() > m_limits.maxQueuedOutputBytes
+        || (outputBytes() > 0 && m_limits.buffers && m_limits.buffers->isScarce());
+}
+
 void ServerConnection::write()
 {
     m_outputInFlight = std::exchange(m_queuedOutput, {});
@@ -231,7 +258,8 @@
 
 void ServerConnection::onWritten(const boost::system::error_code& ec)
 {
-    m_outputInFlight.clear();
+    m_outputInFlight = {};
+    (void)m_outputShare.resize(outputBytes());
     if (m_isClosed)
         return;
     if (ec) {
@@ -242,6 +270,8 @@
         write();
         return;
     }
+    if (const auto handler = std::exchange(m_writableHandler, nullptr))
+        handler();
     if (m_phase == Phase::Closing) {
         boost::system::error_code ignored;
         m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <Cyclamenstair/Core/BufferBudget.h>
 #include <Cyclamenstair/Http/HttpMessage.h>
 #include <Cyclamenstair/Http/TextBody.h>
 
@@ -21,6 +22,8 @@
     uint64_t maxBodyBytes { 4194304 };
     Duration headTimeout { milliseconds(3000) }; ///< From the first byte of a request to the last.
     Duration idleTimeout { milliseconds(15000) }; ///< Between requests.
+    size_t maxQueuedOutputBytes { 262144 }; ///< From which on isCongested() returns true.
+    BufferBudget* buffers { nullptr }; ///< Bounds what all connections buffer; not owned.
     Duration deadPeerTimeout { milliseconds(10000) }; ///< For unacknowledged data or keep-alive probes.
 };
 
@@ -39,6 +42,12 @@
     /// Sets the function that is called once if the caller disconnects while its request is in progress.
     void setDisconnectHandler(std::function<void()> handler) { m_disconnectHandler = std::move(handler); }
 
+    /// Returns whether no more data should be sent before the caller has read what is queued.
+    bool isCongested() const;
+
+    /// Sets the function that is called once, when all queued output is written.
+    void setWritableHandler(std::function<void()> handler) { m_writableHandler = std::move(handler); }
+
     /// Sends the head of a response. Without `bodyBytes` the body is sent in chunks.
     void sendHead(const HttpResponseHead& head, std::optional<uint64_t> bodyBytes);
 
@@ -74,6 +83,9 @@
     void parse();
     void onRequest();
     void rejectRequest(uint32_t status);
+    /// Counts the buffered input. Returns false if all connections together buffer too much.
+    bool updateInputShare();
+    size_t outputBytes() const { return m_queuedOutput.size() + m_outputInFlight.size(); }
     void startNextRequest();
     void enqueue(std::string_view bytes);
     void write();
@@ -94,6 +106,9 @@
     ServerConnectionLimits m_limits;
     RequestHandler m_requestHandler;
     std::function<void()> m_disconnectHandler;
+    std::function<void()> m_writableHandler;
+    BufferShare m_inputShare; ///< Unparsed bytes, and the request's body until its response is complete.
+    BufferShare m_outputShare;
     std::unique_ptr<Parser> m_parser;
     std::string m_unparsedInput;
     std::string m_queuedOutput; ///< Written once the write in flight is complete.
--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -17,10 +17,12 @@
 
 } // namespace
 
-FrameChannel::FrameChannel(boost::asio::ip::tcp::socket socket, Handlers handlers)
+FrameChannel::FrameChannel(boost::asio::ip::tcp::socket socket, Handlers handlers, BufferBudget* buffers)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_handlers(std::move(handlers))
+    , m_readShare(buffers)
+    , m_writeShare(buffers)
 {
 }
 
@@ -56,6 +58,10 @@
 {
     if (m_isClosed || m_writeQueue.size() + content.size() > maxQueuedBytes)
         return;
+    if (!m_writeShare.resize(queuedBytes() + content.size())) {
+        (void)m_writeShare.resize(queuedBytes());
+        return;
+    }
     m_writeQueue += encodeHeader(static_cast<uint32_t>(content.size()));
     m_writeQueue += content;
     if (m_isOpen && m_writeBuffer.empty())
@@ -90,6 +96,10 @@
 
 void FrameChannel::readContent(uint32_t length)
 {
+    if (!m_readShare.resize(length)) {
+        fail();
+        return;
+    }
     m_content.resize(length);
     boost::asio::async_read(m_socket, boost::asio::buffer(m_content),
         [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
@@ -100,7 +110,8 @@
                 return;
             }
             const auto onFrame = self->m_handlers.onFrame;
-            onFrame(self, self->m_content);
+            onFrame(self, std::exchange(self->m_content, {}));
+            (void)self->m_readShare.resize(0);
             if (!self->m_isClosed)
                 self->readHeader();
         });
@@ -111,7 +122,8 @@
     m_writeBuffer = std::exchange(m_writeQueue, {});
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer),
         [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
-            self->m_writeBuffer.clear();
+            self->m_writeBuffer = {};
+            (void)self->m_writeShare.resize(self->queuedBytes());
             if (self->m_isClosed)
                 return;
             if (ec)
--- a/Cyclamenstair/Peering/FrameChannel.h
+++ b/Cyclamenstair/Peering/FrameChannel.h
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <Cyclamenstair/Core/BufferBudget.h>
 #include <Cyclamenstair/Core/Time.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -24,13 +25,14 @@
         std::function<void()> onClosed; ///< Called once when the connection fails; not called after close().
     };
 
-    /// Maximum frame content in bytes; a snapshot with the store's largest value and the entries of all targets fits.
     /// Returns whether frames wait to be written.
     bool hasQueuedFrames() const { return !m_writeBuffer.empty() || !m_writeQueue.empty(); }
 
+    /// Maximum frame content in bytes; a snapshot with the store's largest value and the entries of all targets fits.
     static constexpr uint32_t maxFrameBytes = 4 << 20;
 
-    FrameChannel(boost::asio::ip::tcp::socket socket, Handlers handlers);
+    /// `buffers` bounds the frames that all channels buffer; a channel whose next frame exceeds it is closed.
+    FrameChannel(boost::asio::ip::tcp::socket socket, Handlers handlers, BufferBudget* buffers = nullptr);
 
     /// Connects to `peer` and starts to read.
     void connect(const boost::asio::ip::tcp::endpoint& peer);
@@ -38,8 +40,8 @@
     /// Starts to read from an accepted connection.
     void start();
 
-    /// Queues a frame. Drops it if the queue is full, so that a peer that does not read cannot exhaust this node's
-    /// memory.
+    /// Queues a frame. Drops it if the queue or the budget is full, so that a peer that does not read cannot exhaust
+    /// this node's memory.
     void send(const std::string& content);
 
     void close();
@@ -51,6 +53,7 @@
     void readHeader();
     void readContent(uint32_t length);
     void write();
+    size_t queuedBytes() const { return m_writeQueue.size() + m_writeBuffer.size(); }
     void fail();
 
     /// Maximum bytes queued for a peer that does not read.
@@ -63,6 +66,8 @@
     Handlers m_handlers;
     std::array<unsigned char, 4> m_header {};
     std::string m_content;
+    BufferShare m_readShare;
+    BufferShare m_writeShare;
     std::string m_writeQueue;
     std::string m_writeBuffer;
     bool m_isOpen { false };
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -48,10 +48,16 @@
 /// The caller closed its connection.
 struct CallerDisconnected { };
 
+/// The caller reads more slowly than the target sends, so nothing more is read from the target.
+struct ForwardingPaused { };
+
+/// The caller has read what was queued for it.
+struct ForwardingResumed { };
+
 /// The time returned by RequestMachine::nextTimerAt() has been reached.
 struct TimerFired { };
 
 using RequestEvent = std::variant<ResponseStarted, ResponseContinued, ResponseCompleted, AttemptDisconnected,
-    CallerDisconnected, TimerFired>;
+    CallerDisconnected, ForwardingPaused, ForwardingResumed, TimerFired>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -195,6 +195,14 @@
     finish();
 }
 
+void RequestMachine::on(const ForwardingPaused&, TimePoint, Actions&) { m_isForwardingPaused = true; }
+
+void RequestMachine::on(const ForwardingResumed&, TimePoint now, Actions&)
+{
+    m_isForwardingPaused = false;
+    m_lastProgressAt = now;
+}
+
 void RequestMachine::on(const TimerFired&, TimePoint now, Actions& actions)
 {
     if (now >= m_requestInfo.deadline()) {
@@ -451,7 +459,8 @@
 {
     const auto& route = m_requestInfo.route;
     const bool hasForwardedData = m_isHeadSent && !(isStream() && m_lastEventId.empty());
-    if (!m_target || !route.isRetryable() || m_sentAttempts >= route.maxAttempts || (hasForwardedData && !isStream()))
+    if (!m_target || m_isForwardingPaused || !route.isRetryable() || m_sentAttempts >= route.maxAttempts
+        || (hasForwardedData && !isStream()))
         return std::nullopt;
     const auto scaled
         = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -85,6 +85,8 @@
     /// Returns whether the head of a response has been sent to the caller.
     bool isHeadSent() const { return m_isHeadSent; }
     const RequestInfo& requestInfo() const { return m_requestInfo; }
+    /// Returns how many bytes of the response are buffered.
+    size_t bufferedBytes() const { return m_bufferedBody.size() + m_eventParser.size(); }
     /// Returns how far the answer has come, over all attempts.
     AnswerProgress answerProgress() const { return m_answerProgress; }
 
@@ -103,6 +105,8 @@
     void on(const ResponseCompleted& event, TimePoint now, Actions& actions);
     void on(const AttemptDisconnected& event, TimePoint now, Actions& actions);
     void on(const CallerDisconnected& event, TimePoint now, Actions& actions);
+    void on(const ForwardingPaused& event, TimePoint now, Actions& actions);
+    void on(const ForwardingResumed& event, TimePoint now, Actions& actions);
     void on(const TimerFired& event, TimePoint now, Actions& actions);
 
     void acquireTarget(TimePoint now, Actions& actions);
@@ -165,6 +169,7 @@
     std::optional<TimePoint> m_firstEventAt; ///< First event of the current attempt.
     TimePoint m_lastProgressAt;
     TimePoint m_nextAcquireAt;
+    bool m_isForwardingPaused { false };
     bool m_isCountedAsWaiting { false };
 };
 
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -152,6 +152,13 @@
         connection->abort();
         return;
     }
+    if (behaviour == TargetBehaviour::EndlessBody) {
+        connection->sendHead(
+            { ok, {}, { { "Cyclamenstair-Request-Id", id }, { "Cyclamenstair-Response-Stamp", "receipt-" + m_id } } },
+            std::nullopt);
+        sendEndlessBody(connection);
+        return;
+    }
     if (isStream) {
         const auto lastEventId = headerValue(request, "Last-Event-Id");
         stream(connection, request, lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1);
@@ -165,6 +172,16 @@
     connection->sendResponse(head, m_id + ":" + request.body);
 }
 
+void RegisteredTargetStandIn::sendEndlessBody(const std::shared_ptr<ServerConnection>& connection)
+{
+    const std::string part(16384, 'x');
+    while (connection->isOpen() && !connection->isCongested()) {
+        connection->sendData(part);
+        m_endlessBodyBytes += part.size();
+    }
+    connection->setWritableHandler([this, connection] { sendEndlessBody(connection); });
+}
+
 void RegisteredTargetStandIn::stream(
     const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, int firstEvent)
 {
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -20,6 +20,7 @@
     WrongRequestId, ///< Responds with the id of another request.
     SaysLeaving, ///< Responds, and states that it is about to leave.
     AsksForPause, ///< Rejects the request without running it and asks for a pause of 1.5 s.
+    EndlessBody, ///< Runs the request and sends a body without end, as fast as the node reads it.
     StaleRefusal, ///< Runs the request; on a kept connection, responds with an earlier refusal that names no request.
 };
 
@@ -32,6 +33,7 @@
         { TargetBehaviour::WrongRequestId, "foreign" },
         { TargetBehaviour::SaysLeaving, "leaving" },
         { TargetBehaviour::AsksForPause, "pause" },
+        { TargetBehaviour::EndlessBody, "endless" },
         { TargetBehaviour::StaleRefusal, "stale_refusal" },
     });
 };
@@ -72,6 +74,9 @@
     /// Returns the number of requests whose client disconnected before the response was complete.
     int abandonedRequestCount() const { return m_abandonedRequestCount; }
 
+    /// Returns the bytes sent of bodies without end.
+    size_t endlessBodyBytes() const { return m_endlessBodyBytes; }
+
     /// Returns the names of the loaded models.
     std::set<std::string> models();
 
@@ -82,6 +87,7 @@
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, bool isFirstOfConnection);
     void stream(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, int firstEvent);
+    void sendEndlessBody(const std::shared_ptr<ServerConnection>& connection);
     bool hasCrashingPart(const HttpRequest& request);
     void crash();
     void handleOrder(const std::shared_ptr<ServerConnection>& connection, const std::string& body);
@@ -96,6 +102,7 @@
     std::atomic<int> m_abandonedRequestCount { 0 };
     std::atomic<int> m_crashCount { 0 };
     std::atomic<int> m_crashingRequestCount { 0 };
+    std::atomic<size_t> m_endlessBodyBytes { 0 };
     std::atomic<bool> m_rejectsOrders { false };
     std::atomic<int> m_rejectedOrderCount { 0 };
     std::set<std::weak_ptr<ServerConnection>, std::owner_less<>> m_connections; ///< Used on the event loop only.
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -21,6 +21,14 @@
 
 constexpr auto waitTimeout = std::chrono::seconds(10);
 
+bool eventually(const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + waitTimeout;
+    while (!condition() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(milliseconds(1));
+    return condition();
+}
+
 /// Echoes the target and body of each request. Does not respond to /silent, but records the caller's disconnect.
 class EchoServer {
 public:
@@ -253,6 +261,28 @@
     EXPECT_EQ(server.requests, 0);
 }
 
+// Guards against many callers with bodies within the limit that together take the node's memory, and against memory
+// that stays taken after their requests.
+TEST(ServerConnection, BodiesOfAllCallersAreBounded)
+{
+    BufferBudget buffers(1'000'000);
+    {
+        EchoServer server({ .buffers = &buffers });
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 400000\r\n\r\n";
+        boost::asio::io_context context;
+        tcp::socket first(context);
+        first.connect(parseEndpoint(server.address).value());
+        boost::asio::write(first, boost::asio::buffer(head + std::string(300000, 'x')));
+        EXPECT_TRUE(eventually([&] { return buffers.usedBytes() >= 600000; }));
+        EXPECT_TRUE(sendRaw(server.address, head + std::string(400000, 'x')).starts_with("HTTP/1.1 503"));
+        boost::system::error_code ec;
+        first.close(ec);
+        EXPECT_TRUE(eventually([&] { return buffers.usedBytes() == 0; }));
+        EXPECT_TRUE(sendRaw(server.address, head + std::string(400000, 'x')).starts_with("HTTP/1.1 200"));
+    }
+    EXPECT_EQ(buffers.usedBytes(), 0U);
+}
+
 // Guards against idle or slow callers that hold connections forever.
 TEST(ServerConnection, ClosesIdleAndSlowConnections)
 {
