Keep a stalled attempt until another target has answered

Cause: RequestMachine cancelled a stalled attempt when it started another one. If that was refused as full, no attempt was left.

The stalled attempt now goes on beside the alternative; whichever goes on first is kept, and what the alternative refuses or loses changes nothing. The exchange keeps one connection for each attempt.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -115,8 +115,7 @@
 
 void RequestExchange::perform(const StartAttempt& action)
 {
-    closeTargetConnection();
-    m_acquiredTarget = action.target;
+    m_lastTarget = action.target;
     log("attempt_started",
         { { "route", m_machine.requestInfo().route.name }, { "artifact", artifactText() },
             { "attempt", std::to_string(action.attempt) }, { "target", action.target.id },
@@ -133,9 +132,9 @@
         });
         return;
     }
-    m_targetConnection = m_loop->pool().acquire(endpoint.value(), monotonicNow());
-    m_targetConnection->send(
-        encodeRequest(encodeAttemptRequest(m_request, action, !m_machine.requestInfo().model.empty())),
+    const auto connection = m_loop->pool().acquire(endpoint.value(), monotonicNow());
+    m_calls.push_back({ action.attempt, action.target.id, connection, {} });
+    connection->send(encodeRequest(encodeAttemptRequest(m_request, action, !m_machine.requestInfo().model.empty())),
         m_request.method == "HEAD", [self = shared_from_this(), attempt = action.attempt](ClientEvent event) {
             self->onTargetEvent(attempt, std::move(event));
         });
@@ -143,8 +142,8 @@
 
 void RequestExchange::perform(const CancelAttempt& action)
 {
-    log("attempt_cancelled", { { "attempt", std::to_string(action.attempt) }, { "target", m_acquiredTarget.id } });
-    closeTargetConnection();
+    log("attempt_cancelled", { { "attempt", std::to_string(action.attempt) }, { "target", targetOf(action.attempt) } });
+    closeCall(action.attempt);
 }
 
 void RequestExchange::perform(const ForwardHead& action)
@@ -152,7 +151,10 @@
     observeElapsed(Metric::FirstByteSeconds);
     m_firstByteAt = monotonicNow();
     m_lastByteAt = m_firstByteAt;
-    m_callerConnection->sendHead(m_responseHead, action.bodyBytes);
+    const auto* call = findCall(action.attempt);
+    const HttpResponseHead head = call ? call->head : HttpResponseHead {};
+    m_responseStatus = head.status;
+    m_callerConnection->sendHead(head, action.bodyBytes);
 }
 
 void RequestExchange::perform(const ForwardData& action)
@@ -167,10 +169,10 @@
 void RequestExchange::perform(const FinishResponse&)
 {
     log("answered",
-        { { "status", std::to_string(m_responseHead.status) }, { "target", m_acquiredTarget.id },
+        { { "status", std::to_string(m_responseStatus) }, { "target", m_lastTarget.id },
             { "first_byte_ms", std::to_string(toMilliseconds(m_firstByteAt - m_machine.requestInfo().receivedAt)) },
             { "longest_pause_ms", std::to_string(toMilliseconds(m_longestPause)) }, { "elapsed_ms", elapsedText() } });
-    m_loop->state().metrics.add(Metric::Requests, std::to_string(m_responseHead.status));
+    m_loop->state().metrics.add(Metric::Requests, std::to_string(m_responseStatus));
     observeElapsed(Metric::RequestSeconds);
     m_callerConnection->setDisconnectHandler(nullptr);
     m_callerConnection->finish();
@@ -178,7 +180,7 @@
 
 void RequestExchange::perform(const AbortResponse&)
 {
-    log("answer_broken_off", { { "target", m_acquiredTarget.id }, { "elapsed_ms", elapsedText() } });
+    log("answer_broken_off", { { "target", m_lastTarget.id }, { "elapsed_ms", elapsedText() } });
     m_loop->state().metrics.add(Metric::Requests, "broken_off");
     m_callerConnection->abort();
 }
@@ -187,8 +189,8 @@
 {
     log("answered_by_node",
         { { "route", m_machine.requestInfo().route.name }, { "artifact", artifactText() },
-            { "outcome", std::string(nameOf(action.kind)) }, { "reason", action.reason },
-            { "target", m_acquiredTarget.id }, { "elapsed_ms", elapsedText() } });
+            { "outcome", std::string(nameOf(action.kind)) }, { "reason", action.reason }, { "target", m_lastTarget.id },
+            { "elapsed_ms", elapsedText() } });
     m_loop->state().metrics.add(Metric::Refusals, action.reason);
     m_callerConnection->setDisconnectHandler(nullptr);
     m_callerConnection->sendResponse(encodeNodeResponse(action, m_machine.requestInfo().id), {});
@@ -198,7 +200,7 @@
 {
     const auto statement = std::string(nameOf(action.statement));
     log("target_statement",
-        { { "statement", statement }, { "target", m_acquiredTarget.id }, { "address", m_acquiredTarget.address },
+        { { "statement", statement }, { "target", m_lastTarget.id }, { "address", m_lastTarget.address },
             { "pause_left_ms", std::to_string(toMilliseconds(action.pauseLeft)) } });
     m_loop->state().metrics.add(Metric::TargetStatements, statement);
 }
@@ -210,24 +212,24 @@
                        const auto head = decodeResponseHead(
                            received.head, m_machine.requestInfo().id, received.isFirstOfConnection);
                        logUnsuccessfulResponse(attempt, head);
-                       // Once a head was sent, a stream resumed at another target only adds events.
-                       if (!m_machine.isHeadSent())
-                           m_responseHead = std::move(received.head);
+                       if (auto* call = findCall(attempt))
+                           call->head = std::move(received.head);
                        handle(ResponseStarted { attempt, head });
                    },
                    [&](ResponseDataReceived& received) { handleData(attempt, std::move(received.data)); },
                    [&](ResponseComplete& complete) {
-                       if (m_targetConnection)
-                           m_loop->pool().release(std::exchange(m_targetConnection, nullptr), monotonicNow());
+                       if (auto* call = findCall(attempt))
+                           m_loop->pool().release(std::exchange(call->connection, nullptr), monotonicNow());
                        handle(ResponseCompleted { attempt, complete.isFramed });
+                       closeCall(attempt);
                    },
                    [&](CallFailed& failure) {
-                       m_targetConnection.reset();
                        const auto progress = std::string(nameOf(m_machine.answerProgress()));
                        log("attempt_failed",
-                           { { "attempt", std::to_string(attempt) }, { "target", m_acquiredTarget.id },
+                           { { "attempt", std::to_string(attempt) }, { "target", targetOf(attempt) },
                                { "was_sent", failure.wasSent ? "true" : "false" }, { "answer", progress },
                                { "step", failure.error.step }, { "message", failure.error.message } });
+                       closeCall(attempt);
                        if (failure.wasSent)
                            m_loop->state().metrics.add(Metric::LostAttempts, progress);
                        handle(AttemptDisconnected { attempt, failure.wasSent, failure.isClosedByServer });
@@ -243,7 +245,7 @@
         return;
     const auto boolText = [](bool value) { return value ? "true" : "false"; };
     log("attempt_answered",
-        { { "attempt", std::to_string(attempt) }, { "target", m_acquiredTarget.id },
+        { { "attempt", std::to_string(attempt) }, { "target", targetOf(attempt) },
             { "status", std::to_string(head.status) }, { "not_run", boolText(head.isNotRun) },
             { "other_instance", boolText(head.isMisdirected) }, { "own", boolText(head.matchesRequestId) },
             { "receipt", boolText(head.hasReceipt) } });
@@ -253,9 +255,9 @@
 {
     if (!m_answerShare.resize(m_machine.bufferedBytes() + data.size())) {
         log("attempt_failed",
-            { { "attempt", std::to_string(attempt) }, { "target", m_acquiredTarget.id },
+            { { "attempt", std::to_string(attempt) }, { "target", targetOf(attempt) },
                 { "message", "all requests together buffer too much" } });
-        closeTargetConnection();
+        closeCall(attempt);
         handle(AttemptDisconnected { attempt, true });
     } else {
         handle(ResponseContinued { attempt, std::move(data) });
@@ -265,21 +267,45 @@
 
 void RequestExchange::pauseWhileCallerIsSlow()
 {
-    if (!m_targetConnection || !m_callerConnection->isCongested())
+    if (!m_callerConnection->isCongested())
         return;
-    m_targetConnection->pauseReading();
+    for (const auto& call : m_calls) {
+        if (call.connection)
+            call.connection->pauseReading();
+    }
     (void)m_machine.handle(ForwardingPaused {}, monotonicNow());
     m_callerConnection->setWritableHandler([self = shared_from_this()] {
-        if (self->m_targetConnection)
-            self->m_targetConnection->resumeReading();
+        for (const auto& call : self->m_calls) {
+            if (call.connection)
+                call.connection->resumeReading();
+        }
         self->handle(ForwardingResumed {});
     });
 }
 
-void RequestExchange::closeTargetConnection()
+RequestExchange::TargetCall* RequestExchange::findCall(uint32_t attempt)
+{
+    const auto call
+        = std::find_if(m_calls.begin(), m_calls.end(), [&](const auto& entry) { return entry.attempt == attempt; });
+    return call == m_calls.end() ? nullptr : &*call;
+}
+
+std::string RequestExchange::targetOf(uint32_t attempt)
 {
-    if (m_targetConnection)
-        std::exchange(m_targetConnection, nullptr)->close();
+    const auto* call = findCall(attempt);
+    return call ? call->target : m_lastTarget.id;
+}
+
+void RequestExchange::closeCall(uint32_t attempt)
+{
+    const auto call
+        = std::find_if(m_calls.begin(), m_calls.end(), [&](const auto& entry) { return entry.attempt == attempt; });
+    if (call == m_calls.end())
+        return;
+    const auto connection = std::move(call->connection);
+    m_calls.erase(call);
+    if (connection)
+        connection->close();
 }
 
 void RequestExchange::armTimer()
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -20,6 +20,14 @@
     RequestExchange& operator=(const RequestExchange&) = delete;
 
 private:
+    /// An attempt's connection and the head of its response.
+    struct TargetCall {
+        uint32_t attempt { 0 };
+        std::string target;
+        std::shared_ptr<ClientConnection> connection; ///< Null once the response is complete.
+        HttpResponseHead head;
+    };
+
     void start();
     void handle(const RequestEvent& event);
     void perform(const std::vector<RequestAction>& actions);
@@ -35,7 +43,9 @@
     /// Logs a response that is an error, lacks a receipt, or names another request, before the state machine handles
     /// it.
     void logUnsuccessfulResponse(uint32_t attempt, const ResponseInfo& head);
-    void closeTargetConnection();
+    TargetCall* findCall(uint32_t attempt);
+    std::string targetOf(uint32_t attempt);
+    void closeCall(uint32_t attempt);
     /// Stops reading from the target until the caller has read what is queued for it.
     void pauseWhileCallerIsSlow();
     /// Passes a part of the body on, or ends the attempt if all requests together buffer too much.
@@ -54,9 +64,9 @@
     BufferShare m_answerShare; ///< Bytes that the state machine buffers.
     RequestMachine m_machine;
     boost::asio::steady_timer m_timer;
-    std::shared_ptr<ClientConnection> m_targetConnection;
-    AcquiredTarget m_acquiredTarget;
-    HttpResponseHead m_responseHead; ///< Of the current attempt's response, until a head is sent to the caller.
+    std::vector<TargetCall> m_calls; ///< Attempts that are running: the current one, and an alternative to it.
+    AcquiredTarget m_lastTarget; ///< Target that was tried or has answered last.
+    uint32_t m_responseStatus { 0 }; ///< Of the head that was sent to the caller.
     TimePoint m_firstByteAt; ///< When the response head was sent to the caller.
     TimePoint m_lastByteAt;
     Duration m_longestPause { 0 }; ///< Between two parts of the response sent to the caller.
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -37,8 +37,11 @@
 std::vector<RequestAction> RequestMachine::handle(const RequestEvent& event, TimePoint now)
 {
     Actions actions;
-    if (m_phase != Phase::Finished)
-        std::visit([&](const auto& alternative) { on(alternative, now, actions); }, event);
+    if (m_phase == Phase::Finished)
+        return actions;
+    std::visit([&](const auto& alternative) { on(alternative, now, actions); }, event);
+    if (m_phase == Phase::Finished)
+        cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
     return actions;
 }
 
@@ -56,50 +59,51 @@
 
 void RequestMachine::on(const ResponseStarted& event, TimePoint now, Actions& actions)
 {
+    if (isAlternative(event.attempt)) {
+        onAlternativeStarted(event, now, actions);
+        return;
+    }
     if (!isCurrentAttempt(event.attempt) || m_phase != Phase::Sent)
         return;
     const auto& head = event.head;
-    if (head.isLeaving && m_dependencies.targets->markLeaving(*m_target))
-        actions.emplace_back(ReportStatement { TargetStatement::Leaving, Duration(0) });
-    if (head.pause) {
-        const auto until = m_dependencies.targets->pause(*m_target, *head.pause, now);
-        actions.emplace_back(ReportStatement { TargetStatement::Paused, until - now });
-    }
+    applyStatements(head, m_current->target, now, actions);
     m_lastProgressAt = now;
     if (isSuccess(head.status) && m_answerProgress == AnswerProgress::NotStarted)
         m_answerProgress = AnswerProgress::Started;
-    m_dependencies.targets->markPromptRead(*m_target);
     if (!head.matchesRequestId || (isSuccess(head.status) && !head.hasReceipt)) {
         // A response to another request, or one without a receipt. The connection must not be reused.
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetAttemptResult::Failed, now);
+        cancelCurrent(TargetAttemptResult::Failed, now, actions);
         retryOrFail(true, "foreign_answer", now, actions);
         return;
     }
     if (head.isNotRun || head.isMisdirected) {
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(head.isMisdirected ? TargetAttemptResult::Absent : TargetAttemptResult::Full, now);
+        cancelCurrent(head.isMisdirected ? TargetAttemptResult::Absent : TargetAttemptResult::Full, now, actions);
         retryOrFail(false, head.isMisdirected ? "target_absent" : "target_full", now, actions);
         return;
     }
     const bool isFailure = head.status >= minFailureStatus;
     if (isFailure && m_requestInfo.route.isRetryable() && !m_isHeadSent) {
-        if (const auto alternativeTarget = acquireAlternative(now)) {
+        const auto otherTarget = m_alternative ? std::nullopt : acquireAlternative(now);
+        if (m_alternative || otherTarget) {
             // Some failures of plain services are caused by the request itself; those of an engine indicate a faulty
             // engine.
-            switchTarget(*alternativeTarget,
-                isStream() ? TargetAttemptResult::Failed : TargetAttemptResult::Inconclusive, now, actions);
+            cancelCurrent(isStream() ? TargetAttemptResult::Failed : TargetAttemptResult::Inconclusive, now, actions);
+            m_mayHaveRun = true;
+            if (otherTarget)
+                startAttempt(*otherTarget, now, actions);
+            else
+                adoptAlternative(now);
             return;
         }
     }
+    cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
     if (m_isHeadSent) {
         // The stream resumes at this target; the caller already has the head of the first response.
         if (isSuccess(head.status)) {
             m_phase = Phase::Forwarding;
             return;
         }
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetAttemptResult::Inconclusive, now);
+        cancelCurrent(TargetAttemptResult::Inconclusive, now, actions);
         retryOrFail(true, "resume_failed", now, actions);
         return;
     }
@@ -107,43 +111,108 @@
     if (isStream() && isSuccess(head.status)) {
         m_isHeadSent = true;
         m_phase = Phase::Forwarding;
-        actions.emplace_back(ForwardHead { m_attempt, std::nullopt });
+        actions.emplace_back(ForwardHead { event.attempt, std::nullopt });
     } else {
         m_phase = Phase::Buffering;
     }
 }
 
+void RequestMachine::applyStatements(const ResponseInfo& head, AcquiredTarget& target, TimePoint now, Actions& actions)
+{
+    if (head.isLeaving && m_dependencies.targets->markLeaving(target))
+        actions.emplace_back(ReportStatement { TargetStatement::Leaving, Duration(0) });
+    if (head.pause) {
+        const auto until = m_dependencies.targets->pause(target, *head.pause, now);
+        actions.emplace_back(ReportStatement { TargetStatement::Paused, until - now });
+    }
+    m_dependencies.targets->markPromptRead(target);
+}
+
+void RequestMachine::onAlternativeStarted(const ResponseStarted& event, TimePoint now, Actions& actions)
+{
+    const auto& head = event.head;
+    const bool isRefused = head.isNotRun || head.isMisdirected;
+    const bool isAnswer = isSuccess(head.status) ? head.hasReceipt : head.status < minFailureStatus && !m_isHeadSent;
+    if (head.matchesRequestId && !isRefused && isAnswer) {
+        cancelCurrent(TargetAttemptResult::Failed, now, actions);
+        m_mayHaveRun = true;
+        adoptAlternative(now);
+        on(event, now, actions);
+        return;
+    }
+    applyStatements(head, m_alternative->target, now, actions);
+    m_mayHaveRun = m_mayHaveRun || !isRefused;
+    cancelAlternative(head.isMisdirected ? TargetAttemptResult::Absent
+            : head.isNotRun              ? TargetAttemptResult::Full
+                                         : TargetAttemptResult::Failed,
+        now, actions);
+    m_lastProgressAt = now;
+}
+
+void RequestMachine::adoptAlternative(TimePoint now)
+{
+    discardPartialAnswer();
+    m_current = std::exchange(m_alternative, std::nullopt);
+    m_phase = Phase::Sent;
+    m_firstEventAt.reset();
+    m_lastProgressAt = now;
+}
+
+void RequestMachine::cancelAlternative(TargetAttemptResult result, TimePoint now, Actions& actions)
+{
+    if (!m_alternative)
+        return;
+    actions.emplace_back(CancelAttempt { m_alternative->number });
+    m_dependencies.targets->release(m_alternative->target, m_query, result, now);
+    m_alternative.reset();
+}
+
+void RequestMachine::recordProgress(TimePoint now, Actions& actions)
+{
+    m_lastProgressAt = now;
+    cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
+}
+
+void RequestMachine::cancelCurrent(TargetAttemptResult result, TimePoint now, Actions& actions)
+{
+    actions.emplace_back(CancelAttempt { m_current->number });
+    endAttempt(result, now);
+}
+
 void RequestMachine::on(const ResponseContinued& event, TimePoint now, Actions& actions)
 {
     if (!isCurrentAttempt(event.attempt) || m_phase == Phase::Sent)
         return;
     if (m_phase == Phase::Buffering) {
-        m_lastProgressAt = now;
+        recordProgress(now, actions);
         m_bufferedBody += event.data;
         if (m_bufferedBody.size() > m_settings->maxBufferedBytes) {
             m_isHeadSent = true;
             m_phase = Phase::Forwarding;
-            actions.emplace_back(ForwardHead { m_attempt, std::nullopt });
+            actions.emplace_back(ForwardHead { event.attempt, std::nullopt });
             actions.emplace_back(ForwardData { std::exchange(m_bufferedBody, {}) });
         }
         return;
     }
     if (!isStream()) {
-        m_lastProgressAt = now;
+        recordProgress(now, actions);
         actions.emplace_back(ForwardData { event.data });
         return;
     }
     m_eventParser.append(event.data);
     forwardCompleteEvents(now, actions);
     if (m_eventParser.size() > m_settings->maxEventBytes) {
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetAttemptResult::Failed, now);
+        cancelCurrent(TargetAttemptResult::Failed, now, actions);
         retryOrFail(true, "event_too_large", now, actions);
     }
 }
 
 void RequestMachine::on(const ResponseCompleted& event, TimePoint now, Actions& actions)
 {
+    if (isAlternative(event.attempt)) {
+        on(AttemptDisconnected { event.attempt, true }, now, actions);
+        return;
+    }
     if (!isCurrentAttempt(event.attempt))
         return;
     if (m_phase == Phase::Sent) {
@@ -151,7 +220,7 @@
         return;
     }
     if (m_phase == Phase::Buffering) {
-        actions.emplace_back(ForwardHead { m_attempt, m_bufferedBody.size() });
+        actions.emplace_back(ForwardHead { event.attempt, m_bufferedBody.size() });
         if (!m_bufferedBody.empty())
             actions.emplace_back(ForwardData { std::move(m_bufferedBody) });
     } else if (isStream() && (!m_eventParser.isEmpty() || (!event.isFramed && !m_firstEventAt))) {
@@ -170,17 +239,29 @@
 
 void RequestMachine::on(const AttemptDisconnected& event, TimePoint now, Actions& actions)
 {
-    if (!isCurrentAttempt(event.attempt))
+    const bool isOfAlternative = isAlternative(event.attempt);
+    if (!isOfAlternative && !isCurrentAttempt(event.attempt))
         return;
     if (event.wasSent && event.isClosedByTarget && m_answerProgress != AnswerProgress::Continued)
         m_dependencies.quarantine->addLostAnswer(
-            m_requestInfo.promptParts, stableHash(m_requestInfo.id, m_attempt), now);
+            m_requestInfo.promptParts, stableHash(m_requestInfo.id, event.attempt), now);
+    if (isOfAlternative) {
+        m_mayHaveRun = m_mayHaveRun || event.wasSent;
+        m_sentAttempts -= event.wasSent ? 0 : 1;
+        m_dependencies.targets->release(m_alternative->target, m_query, TargetAttemptResult::Failed, now);
+        m_alternative.reset();
+        m_lastProgressAt = now;
+        return;
+    }
     endAttempt(TargetAttemptResult::Failed, now);
     // A response that has started proves that the request was sent.
     if (!event.wasSent && m_phase == Phase::Sent) {
         // Nothing was sent, so the attempt counts neither against the route's maximum nor against the retry budget.
         --m_sentAttempts;
-        acquireTarget(now, actions);
+        if (m_alternative)
+            adoptAlternative(now);
+        else
+            acquireTarget(now, actions);
         return;
     }
     retryOrFail(true, "connection_lost", now, actions);
@@ -188,10 +269,8 @@
 
 void RequestMachine::on(const CallerDisconnected&, TimePoint now, Actions& actions)
 {
-    if (m_target) {
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetAttemptResult::Inconclusive, now);
-    }
+    if (m_current)
+        cancelCurrent(TargetAttemptResult::Inconclusive, now, actions);
     finish();
 }
 
@@ -216,8 +295,9 @@
     const auto limit = stallDeadline();
     if (!limit || now < *limit)
         return;
-    if (const auto alternativeTarget = acquireAlternative(now)) {
-        switchTarget(*alternativeTarget, TargetAttemptResult::Failed, now, actions);
+    if (const auto target = acquireAlternative(now)) {
+        cancelAlternative(TargetAttemptResult::Failed, now, actions);
+        startAttempt(*target, now, actions);
     } else {
         m_lastProgressAt = now;
     }
@@ -238,16 +318,6 @@
     return std::nullopt;
 }
 
-void RequestMachine::switchTarget(
-    const AcquiredTarget& target, TargetAttemptResult result, TimePoint now, Actions& actions)
-{
-    actions.emplace_back(CancelAttempt { m_attempt });
-    endAttempt(result, now);
-    m_mayHaveRun = true;
-    discardPartialAnswer();
-    startAttempt(target, now, actions);
-}
-
 void RequestMachine::acquireTarget(TimePoint now, Actions& actions)
 {
     if (now >= m_requestInfo.deadline()) {
@@ -273,15 +343,19 @@
     setCountedAsWaiting(false);
     if (m_sentAttempts == 0)
         m_dependencies.retries->recordFirstAttempt(m_requestInfo.service, now);
-    m_target = target;
-    ++m_attempt;
+    ++m_lastAttempt;
     ++m_sentAttempts;
     m_query.excluded.insert(target.id);
     m_query.excludesBacklogged = false;
-    m_phase = Phase::Sent;
-    m_firstEventAt.reset();
     m_lastProgressAt = now;
-    StartAttempt start { m_attempt, target, m_requestInfo.deadline() - now, std::nullopt,
+    if (m_current) {
+        m_alternative = Attempt { m_lastAttempt, target };
+    } else {
+        m_current = Attempt { m_lastAttempt, target };
+        m_phase = Phase::Sent;
+        m_firstEventAt.reset();
+    }
+    StartAttempt start { m_lastAttempt, target, m_requestInfo.deadline() - now, std::nullopt,
         std::min(m_requestInfo.route.priority, 9U) };
     if (!m_lastEventId.empty())
         start.resumeAfter = m_lastEventId;
@@ -298,7 +372,7 @@
     }
     if (events.empty())
         return;
-    m_lastProgressAt = now;
+    recordProgress(now, actions);
     recordAnswerProgress(false, now);
     actions.emplace_back(ForwardData { std::move(events) });
 }
@@ -317,8 +391,8 @@
 
 void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
 {
-    m_dependencies.targets->release(*m_target, m_query, result, now);
-    m_target.reset();
+    m_dependencies.targets->release(m_current->target, m_query, result, now);
+    m_current.reset();
 }
 
 void RequestMachine::discardPartialAnswer()
@@ -336,6 +410,10 @@
     const bool isRetryable = !m_mayHaveRun || m_requestInfo.route.isRetryable();
     if (refuseQuarantined(now, actions))
         return;
+    if (m_alternative) {
+        adoptAlternative(now);
+        return;
+    }
     if (!isPartiallySent && isRetryable && consumeRetry(now)) {
         acquireTarget(now, actions);
         return;
@@ -422,7 +500,7 @@
 
 Duration RequestMachine::retryAfter(std::optional<AcquireFailure> failure, TimePoint now) const
 {
-    auto wait = m_attempt == 0 ? m_settings->retryAfterAbsent : m_settings->retryAfterFull;
+    auto wait = m_lastAttempt == 0 ? m_settings->retryAfterAbsent : m_settings->retryAfterFull;
     if (failure == AcquireFailure::ModelAbsent)
         wait += m_requestInfo.modelLoadTime;
     return std::min(withRandomSpread(wait),
@@ -438,11 +516,9 @@
 
 void RequestMachine::timeOut(TimePoint now, Actions& actions)
 {
-    const bool isAttemptRunning = m_target.has_value();
-    if (isAttemptRunning) {
-        actions.emplace_back(CancelAttempt { m_attempt });
-        endAttempt(TargetAttemptResult::Inconclusive, now);
-    }
+    const bool isAttemptRunning = m_current.has_value();
+    if (isAttemptRunning)
+        cancelCurrent(TargetAttemptResult::Inconclusive, now, actions);
     fail(isAttemptRunning || m_mayHaveRun ? LocalResponseKind::TimedOut : LocalResponseKind::NotRun, "deadline", now,
         actions);
 }
@@ -459,12 +535,12 @@
 {
     const auto& route = m_requestInfo.route;
     const bool hasForwardedData = m_isHeadSent && !(isStream() && m_lastEventId.empty());
-    if (!m_target || m_isForwardingPaused || !route.isRetryable() || m_sentAttempts >= route.maxAttempts
+    if (!m_current || m_isForwardingPaused || !route.isRetryable() || m_sentAttempts >= route.maxAttempts
         || (hasForwardedData && !isStream()))
         return std::nullopt;
     const auto scaled
         = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
-    const auto stallTimeout = hasForwardedData
+    const auto stallTimeout = hasForwardedData && !m_alternative
         ? std::max(scaled(route.maxEventGap, m_settings->stallTimeoutFactor), m_settings->minStallTimeout)
         : std::max(scaled(route.targetLatency, m_settings->firstByteTimeoutFactor), m_settings->minFirstByteTimeout);
     return m_lastProgressAt + stallTimeout;
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -100,6 +100,11 @@
     };
     using Actions = std::vector<RequestAction>;
 
+    struct Attempt {
+        uint32_t number { 0 };
+        AcquiredTarget target;
+    };
+
     void on(const ResponseStarted& event, TimePoint now, Actions& actions);
     void on(const ResponseContinued& event, TimePoint now, Actions& actions);
     void on(const ResponseCompleted& event, TimePoint now, Actions& actions);
@@ -110,10 +115,23 @@
     void on(const TimerFired& event, TimePoint now, Actions& actions);
 
     void acquireTarget(TimePoint now, Actions& actions);
+    /// Starts an attempt, which becomes the current one if there is none, else the alternative.
     void startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions);
+    /// Applies what the target states about itself beside its answer.
+    void applyStatements(const ResponseInfo& head, AcquiredTarget& target, TimePoint now, Actions& actions);
+    /// Handles the response head of the alternative: an answer makes it the current attempt, anything else ends it.
+    void onAlternativeStarted(const ResponseStarted& event, TimePoint now, Actions& actions);
+    /// Makes the alternative the current attempt, after the current one has ended.
+    void adoptAlternative(TimePoint now);
+    /// Closes the connection of the alternative, if there is one.
+    void cancelAlternative(TargetAttemptResult result, TimePoint now, Actions& actions);
+    /// Records that the current attempt goes on, which makes the alternative needless.
+    void recordProgress(TimePoint now, Actions& actions);
+    void cancelCurrent(TargetAttemptResult result, TimePoint now, Actions& actions);
     void forwardCompleteEvents(TimePoint now, Actions& actions);
     /// Records that an event or a complete answer has arrived.
     void recordAnswerProgress(bool isComplete, TimePoint now);
+    /// Releases the target of the current attempt.
     void endAttempt(TargetAttemptResult result, TimePoint now);
     /// Discards what the last attempt sent and the caller has not received.
     void discardPartialAnswer();
@@ -124,8 +142,6 @@
     /// Acquires another target while the current attempt is still running. Returns no value if none can take the
     /// request or the retry budget is exhausted; the current attempt then continues.
     std::optional<AcquiredTarget> acquireAlternative(TimePoint now);
-    /// Cancels the current attempt and starts one at `target`.
-    void switchTarget(const AcquiredTarget& target, TargetAttemptResult result, TimePoint now, Actions& actions);
     /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
     bool refuseQuarantined(TimePoint now, Actions& actions);
     /// Ends the request because it cannot be sent to a target before `wait` has passed. A Retry-After for it is not
@@ -146,9 +162,10 @@
     void timeOut(TimePoint now, Actions& actions);
     void finish();
     ArtifactKey artifact() const { return { m_requestInfo.service, m_requestInfo.model, m_requestInfo.adapter }; }
-    bool isCurrentAttempt(uint32_t attempt) const { return m_target && attempt == m_attempt; }
+    bool isCurrentAttempt(uint32_t attempt) const { return m_current && attempt == m_current->number; }
+    bool isAlternative(uint32_t attempt) const { return m_alternative && attempt == m_alternative->number; }
     bool isStream() const { return m_requestInfo.route.retryPolicy == RetryPolicy::Stream; }
-    /// Returns the time at which the current attempt counts as stalled, or no value if no other attempt may follow.
+    /// Returns the time at which the newest attempt counts as stalled, or no value if no other attempt may follow.
     std::optional<TimePoint> stallDeadline() const;
 
     RequestInfo m_requestInfo;
@@ -156,8 +173,11 @@
     RequestDependencies m_dependencies;
     Phase m_phase { Phase::Waiting };
     TargetQuery m_query;
-    std::optional<AcquiredTarget> m_target; ///< Target of the current attempt.
-    uint32_t m_attempt { 0 }; ///< Number of the current or last attempt; the first is 1.
+    std::optional<Attempt> m_current; ///< Its response is forwarded.
+    /// Attempt at another target because the current one has stalled. The current one goes on until another target has
+    /// answered, since one that is only slow can still complete.
+    std::optional<Attempt> m_alternative;
+    uint32_t m_lastAttempt { 0 }; ///< Number of the last attempt started; the first is 1.
     uint32_t m_sentAttempts { 0 }; ///< Attempts that reached a target or may have reached one.
     bool m_mayHaveRun { false };
     bool m_isHeadSent { false };
@@ -167,7 +187,7 @@
     std::string m_lastEventId; ///< Id of the last event forwarded to the caller.
     AnswerProgress m_answerProgress { AnswerProgress::NotStarted };
     std::optional<TimePoint> m_firstEventAt; ///< First event of the current attempt.
-    TimePoint m_lastProgressAt;
+    TimePoint m_lastProgressAt; ///< Also of the start of an attempt.
     TimePoint m_nextAcquireAt;
     bool m_isForwardingPaused { false };
     bool m_isCountedAsWaiting { false };
