--- a/Cyclamenstair/Entry/EntryState.cpp
+++ b/Cyclamenstair/Entry/EntryState.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unistd.h>
 
 namespace cyclamenstair {
 
@@ -52,7 +53,9 @@
 
     size_t bufferBytes(const schema::EntrySettingsT& entry, double share)
     {
-        return static_cast<size_t>(entry.memory_mb * 1e6 * share);
+        const auto machineBytes
+            = static_cast<double>(sysconf(_SC_PHYS_PAGES)) * static_cast<double>(sysconf(_SC_PAGESIZE));
+        return static_cast<size_t>(std::min(entry.memory_mb * 1e6, machineBytes) * share);
     }
 
     /// The allowance is per service; there is no bound over all services.
