Answer the requests that are in progress when a node exits

At the end of the grace period, requests that had been passed on got no answer, among them some that may not be repeated (reported by other operators, LOST). Requests that come late in the grace are not taken here; those taken earlier were cut.

Cause: EntryNode::stop exits after the grace period whatever is in progress, and a request counted as over as soon as its answer was queued.

Each request now gets its final answer in the last half second before the exit, and counts as in progress until the answer is written.

EntryNodeTest.ShutdownAnswersRequestsThatItCannotComplete got no answer before the change and 502 with it.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -21,6 +21,8 @@
     constexpr Duration refusalDelay = milliseconds(2900);
     /// Part of the grace period reserved for the exit of the process.
     constexpr Duration exitMargin = milliseconds(1000);
+    /// Part of exitMargin in which the requests that are still in progress are answered.
+    constexpr Duration finalAnswerTime = milliseconds(500);
     /// Interval at which a shutdown checks for requests in progress.
     constexpr Duration shutdownPollInterval = milliseconds(50);
     /// Margin added to the minimum time that targets require between orders of two nodes, for orders in transit.
@@ -185,8 +187,14 @@
     waitForRequests(end);
     m_state.latestRequestEnd = TimePoint::min();
     waitForRequests(end);
+    const auto unfinished = m_state.requestsInProgress.load();
+    for (const auto& loop : m_loops)
+        loop->endRequests();
+    for (const auto limit = monotonicNow() + finalAnswerTime; m_state.requestsInProgress > 0 && monotonicNow() < limit;)
+        std::this_thread::sleep_for(shutdownPollInterval);
     logEvent(LogSeverity::Info, "node_stopped",
-        { { "requests_cut", std::to_string(m_state.requestsInProgress.load()) },
+        { { "requests_unfinished", std::to_string(unfinished) },
+            { "requests_cut", std::to_string(m_state.requestsInProgress.load()) },
             { "elapsed_ms", std::to_string(toMilliseconds(monotonicNow() - startedAt)) } });
 }
 
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -83,9 +83,14 @@
     , m_timer(loop.loop().context())
 {
     ++loop.state().requestsInProgress;
+    loop.add(*this);
 }
 
-RequestExchange::~RequestExchange() { --m_loop->state().requestsInProgress; }
+RequestExchange::~RequestExchange()
+{
+    m_loop->remove(*this);
+    --m_loop->state().requestsInProgress;
+}
 
 void RequestExchange::start()
 {
@@ -176,6 +181,7 @@
     observeElapsed(Metric::RequestSeconds);
     m_callerConnection->setDisconnectHandler(nullptr);
     m_callerConnection->finish();
+    keepUntilWritten();
 }
 
 void RequestExchange::perform(const AbortResponse&)
@@ -194,6 +200,7 @@
     m_loop->state().metrics.add(Metric::Refusals, action.reason);
     m_callerConnection->setDisconnectHandler(nullptr);
     m_callerConnection->sendResponse(encodeNodeResponse(action, m_machine.requestInfo().id), {});
+    keepUntilWritten();
 }
 
 void RequestExchange::perform(const ReportStatement& action)
@@ -308,6 +315,12 @@
         connection->close();
 }
 
+void RequestExchange::keepUntilWritten()
+{
+    if (m_callerConnection->hasQueuedOutput())
+        m_callerConnection->setWritableHandler([self = shared_from_this()] {});
+}
+
 void RequestExchange::armTimer()
 {
     const auto wakeTime = m_machine.nextTimerAt();
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -16,6 +16,8 @@
     RequestExchange(
         RequestLoop& loop, std::shared_ptr<ServerConnection> connection, HttpRequest request, RequestInfo requestInfo);
     ~RequestExchange();
+    /// Answers the request at once, because the process is about to exit.
+    void endBeforeExit() { handle(NodeStopping {}); }
     RequestExchange(const RequestExchange&) = delete;
     RequestExchange& operator=(const RequestExchange&) = delete;
 
@@ -50,6 +52,8 @@
     void pauseWhileCallerIsSlow();
     /// Passes a part of the body on, or ends the attempt if all requests together buffer too much.
     void handleData(uint32_t attempt, std::string data);
+    /// Counts the request as in progress until its response is written, so that a shutdown waits for it.
+    void keepUntilWritten();
     void armTimer();
     void log(std::string_view event, std::initializer_list<LogField> fields);
     /// Records the time since the request arrived in the service's histogram.
--- a/Cyclamenstair/Entry/RequestLoop.h
+++ b/Cyclamenstair/Entry/RequestLoop.h
@@ -4,8 +4,12 @@
 #include <Cyclamenstair/Http/ConnectionPool.h>
 #include <Cyclamenstair/Http/EventLoop.h>
 
+#include <set>
+
 namespace cyclamenstair {
 
+class RequestExchange;
+
 /// Event loop that serves callers, with its own pool of connections to targets.
 class RequestLoop {
 public:
@@ -16,11 +20,19 @@
     ConnectionPool& pool() { return m_pool; }
     Random& random() { return m_random; }
 
+    /// Registers a request in progress. Called on the loop's thread, as is remove().
+    void add(RequestExchange& exchange) { m_exchanges.insert(&exchange); }
+    void remove(RequestExchange& exchange) { m_exchanges.erase(&exchange); }
+
+    /// Ends all requests in progress with an answer, asynchronously on the loop's thread.
+    void endRequests();
+
 private:
     EntryState* m_state;
     EventLoop m_loop;
     ConnectionPool m_pool;
     Random m_random;
+    std::set<RequestExchange*> m_exchanges;
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -79,7 +79,6 @@
     if (m_isChunked && !m_isHeadRequest)
         enqueue(lastChunk);
     m_disconnectHandler = nullptr;
-    m_writableHandler = nullptr;
     m_hasServedRequest = true;
     if (isLastResponse())
         startClosing();
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -45,7 +45,11 @@
     /// Returns whether no more data should be sent before the caller has read what is queued.
     bool isCongested() const;
 
-    /// Sets the function that is called once, when all queued output is written.
+    /// Returns whether output waits to be written.
+    bool hasQueuedOutput() const { return outputBytes() > 0; }
+
+    /// Sets the function that is called once, when all queued output is written. It is dropped if the connection ends
+    /// first.
     void setWritableHandler(std::function<void()> handler) { m_writableHandler = std::move(handler); }
 
     /// Sends the head of a response. Without `bodyBytes` the body is sent in chunks.
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -54,10 +54,13 @@
 /// The caller has read what was queued for it.
 struct ForwardingResumed { };
 
+/// The process is about to exit.
+struct NodeStopping { };
+
 /// The time returned by RequestMachine::nextTimerAt() has been reached.
 struct TimerFired { };
 
 using RequestEvent = std::variant<ResponseStarted, ResponseContinued, ResponseCompleted, AttemptDisconnected,
-    CallerDisconnected, ForwardingPaused, ForwardingResumed, TimerFired>;
+    CallerDisconnected, ForwardingPaused, ForwardingResumed, NodeStopping, TimerFired>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -282,6 +282,16 @@
     m_lastProgressAt = now;
 }
 
+void RequestMachine::on(const NodeStopping&, TimePoint now, Actions& actions)
+{
+    if (m_current) {
+        cancelCurrent(TargetAttemptResult::Inconclusive, now, actions);
+        m_mayHaveRun = true;
+    }
+    // Other nodes can serve what has not run at once.
+    refuseFor(Duration(0), "stopping", now, actions);
+}
+
 void RequestMachine::on(const TimerFired&, TimePoint now, Actions& actions)
 {
     if (now >= m_requestInfo.deadline()) {
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -112,6 +112,7 @@
     void on(const CallerDisconnected& event, TimePoint now, Actions& actions);
     void on(const ForwardingPaused& event, TimePoint now, Actions& actions);
     void on(const ForwardingResumed& event, TimePoint now, Actions& actions);
+    void on(const NodeStopping& event, TimePoint now, Actions& actions);
     void on(const TimerFired& event, TimePoint now, Actions& actions);
 
     void acquireTarget(TimePoint now, Actions& actions);
--- a/Tests/EntryTests/EntryNodeFixture.h
+++ b/Tests/EntryTests/EntryNodeFixture.h
@@ -48,13 +48,14 @@
     }
 
     /// Starts a node and waits until its readiness probe succeeds.
-    std::unique_ptr<EntryNode> startNode(const std::string& id = "node-1", const std::string& peerSettings = {})
+    std::unique_ptr<EntryNode> startNode(
+        const std::string& id = "node-1", const std::string& peerSettings = {}, int graceSeconds = 8)
     {
         auto settings = SettingsReader::create("[node]\nmode = Registered\nid = " + id
             + "\n[entry]\nlisten = " + (callerAddress = allocateLoopbackAddress())
-            + "\nready_listen = " + (probeAddress = allocateLoopbackAddress())
-            + "\nmetrics_listen = " + (metricsAddress = allocateLoopbackAddress()) + "\ngrace_s = 8\n" + peerSettings
-            + "[control]\nstore = " + store.address() + "\norder_gap_ms = 200\n");
+            + "\nready_listen = " + (probeAddress = allocateLoopbackAddress()) + "\nmetrics_listen = "
+            + (metricsAddress = allocateLoopbackAddress()) + "\ngrace_s = " + std::to_string(graceSeconds) + "\n"
+            + peerSettings + "[control]\nstore = " + store.address() + "\norder_gap_ms = 200\n");
         auto node = EntryNode::create(settings.value());
         EXPECT_TRUE(node) << node.error().describe();
         EXPECT_TRUE(eventually([&] { return probe() == 200; }));
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -331,6 +331,19 @@
 }
 
 // Guards against refused load orders that count against the weight store's rate, here one load in 5 s, and against a
+// Guards against requests that get no answer because the process exits while they are in progress.
+TEST_F(EntryNodeTest, ShutdownAnswersRequestsThatItCannotComplete)
+{
+    auto node = startNode("node-1", {}, 2);
+    for (auto* target : { &firstTarget, &secondTarget })
+        target->setBehaviour(TargetBehaviour::NoResponse);
+    auto response = std::async(std::launch::async, [&] { return request("/once/x", "r-1"); });
+    ASSERT_TRUE(eventually([&] { return runCount("r-1") == 1; }));
+    node->stop();
+    node.reset();
+    EXPECT_EQ(response.get().head.status, 502U);
+}
+
 // Retry-After that ends before the model can be loaded.
 TEST_F(EntryNodeTest, RefusedLoadIsRetried)
 {
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -283,6 +283,33 @@
     EXPECT_EQ(buffers.usedBytes(), 0U);
 }
 
+// Guards against a response that counts as sent while a part of it still waits for its caller.
+TEST(ServerConnection, WritableHandlerWaitsForEndOfResponse)
+{
+    constexpr size_t bodyBytes = size_t { 32 } << 20U; // Beyond the buffers of both sockets.
+    EventLoop loop;
+    std::atomic<bool> isWritten { false };
+    const auto address = allocateLoopbackAddress();
+    const auto listener = ServerListener::create(
+        address, { &loop }, [] { return ServerConnectionLimits {}; },
+        [&](size_t, const std::shared_ptr<ServerConnection>& connection, const HttpRequest&) {
+            connection->sendResponse({ 200, {}, {} }, std::string(bodyBytes, 'x'));
+            connection->setWritableHandler([&] { isWritten = true; });
+        });
+    listener.value()->start();
+    loop.start();
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(parseEndpoint(address).value());
+    boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_FALSE(isWritten);
+    std::string received(bodyBytes, '\0');
+    boost::asio::read(socket, boost::asio::buffer(received));
+    EXPECT_TRUE(eventually([&] { return isWritten.load(); }));
+    loop.stop();
+}
+
 // Guards against idle or slow callers that hold connections forever.
 TEST(ServerConnection, ClosesIdleAndSlowConnections)
 {
