Quarantine a single request that ends target after target

Cause: PromptQuarantine took only the parts that a prompt shares with others as suspects, and asked for two different requests among the lost ones. Ruled out: evidence that did not reach other nodes, since no node had a suspect.

The last part is a suspect too and is quarantined after three failures in which only this request lost its answer. It explains nothing, so that the evidence against its shared parts stays. When room is made, parts with the least evidence go first.

--- a/Cyclamenstair/Quarantine/PartEvidence.cpp
+++ b/Cyclamenstair/Quarantine/PartEvidence.cpp
@@ -66,8 +66,8 @@
     return isNew;
 }
 
-bool PartEvidence::isSufficient(
-    const std::set<uint64_t>& explained, uint64_t otherAnswers, TimePoint now, const QuarantineSettings& settings) const
+bool PartEvidence::isSufficient(const std::set<uint64_t>& explained, uint64_t otherAnswers, uint32_t minRequests,
+    TimePoint now, const QuarantineSettings& settings) const
 {
     if (quarantineLeft(now) || m_lostAnswers.empty())
         return false;
@@ -75,7 +75,13 @@
     if (m_quarantineCount > 0)
         return m_lostAnswers.back().lostAt > m_quarantinedUntil;
     return otherAnswers >= settings.minOtherAnswers && failureCount(settings, explained) >= settings.minFailures
-        && requestCount(explained) >= settings.minRequests;
+        && requestCount(explained) >= minRequests;
+}
+
+bool PartEvidence::isOfOneRequest(uint64_t request) const
+{
+    return std::all_of(m_lostAnswers.begin(), m_lostAnswers.end(),
+        [&](const LostAnswer& answer) { return answer.request == request; });
 }
 
 void PartEvidence::quarantine(TimePoint now, const QuarantineSettings& settings)
--- a/Cyclamenstair/Quarantine/PartEvidence.h
+++ b/Cyclamenstair/Quarantine/PartEvidence.h
@@ -30,10 +30,13 @@
 
     /// Returns whether the part must be quarantined. Lost answers among the `explained` attempts, which other parts
     /// account for, do not count. `otherAnswers` is the number of continued answers without the part since this node
-    /// learned of the first lost one.
-    bool isSufficient(const std::set<uint64_t>& explained, uint64_t otherAnswers, TimePoint now,
+    /// learned of the first lost one. `minRequests` different requests must have been lost.
+    bool isSufficient(const std::set<uint64_t>& explained, uint64_t otherAnswers, uint32_t minRequests, TimePoint now,
         const QuarantineSettings& settings) const;
 
+    /// Returns whether all lost answers are to the request with this hash.
+    bool isOfOneRequest(uint64_t request) const;
+
     /// Starts a quarantine.
     void quarantine(TimePoint now, const QuarantineSettings& settings);
 
@@ -44,6 +47,7 @@
     std::optional<Duration> quarantineLeft(TimePoint now) const;
 
     bool hasLostAnswers() const { return !m_lostAnswers.empty(); }
+    size_t lostAnswerCount() const { return m_lostAnswers.size(); }
 
     /// Discards evidence that is too old. Returns whether nothing is left to remember.
     bool expire(TimePoint now, const QuarantineSettings& settings);
--- a/Cyclamenstair/Quarantine/PromptQuarantine.cpp
+++ b/Cyclamenstair/Quarantine/PromptQuarantine.cpp
@@ -18,15 +18,15 @@
     std::optional<Duration> longest;
     bool isAnySuspicious = false;
     const auto check = [&] {
-        for (const auto& part : parts.shared) {
+        forEachPart(parts, [&](const std::string& part) {
             m_parts.withShard(part, [&](Shard& shard) {
                 const auto entry = shard.suspects.find(part);
                 if (entry == shard.suspects.end())
                     return;
-                isAnySuspicious = isAnySuspicious || isSuspicious(entry->second, now);
+                isAnySuspicious = isAnySuspicious || isSuspicious(part, entry->second, now);
                 longest = std::max(longest, entry->second.evidence.quarantineLeft(now));
             });
-        }
+        });
     };
     check();
     if (!longest && isAnySuspicious) {
@@ -39,12 +39,12 @@
 void PromptQuarantine::addLostAnswer(const PromptParts& parts, uint64_t attempt, TimePoint now)
 {
     const auto request = stableHash(parts.own);
-    for (const auto& part : parts.shared) {
+    forEachPart(parts, [&](const std::string& part) {
         m_parts.withShard(part, [&](Shard& shard) {
             stateOf(shard, part, now).evidence.addLostAnswer({ attempt, request, Duration(0) }, now, m_settings);
         });
         ++m_version;
-    }
+    });
 }
 
 void PromptQuarantine::addContinuedAnswer(const PromptParts& parts, TimePoint now)
@@ -52,11 +52,14 @@
     if (parts.own.empty())
         return;
     ++m_continuedAnswers;
-    for (const auto& part : parts.shared) {
+    forEachPart(parts, [&](const std::string& part) {
         m_parts.withShard(part, [&](Shard& shard) {
-            if (shard.continuedAt.size() >= m_settings.maxContinuedPartsPerShard && !shard.continuedAt.contains(part))
-                shard.continuedAt.erase(shard.continuedAt.begin());
-            shard.continuedAt[part] = now;
+            if (part != parts.own) {
+                if (shard.continuedAt.size() >= m_settings.maxContinuedPartsPerShard
+                    && !shard.continuedAt.contains(part))
+                    shard.continuedAt.erase(shard.continuedAt.begin());
+                shard.continuedAt[part] = now;
+            }
             const auto entry = shard.suspects.find(part);
             if (entry == shard.suspects.end())
                 return;
@@ -68,7 +71,7 @@
                 report(PartVerdictKind::Cleared, part, evidence, now);
             ++m_version;
         });
-    }
+    });
 }
 
 std::vector<PartRow> PromptQuarantine::rows(TimePoint now)
@@ -112,10 +115,13 @@
     auto entry = suspects.find(part);
     if (entry == suspects.end()) {
         if (suspects.size() >= m_settings.maxPartsPerShard) {
-            // Parts that are not quarantined are the first to go; callers can name any number of them.
-            const auto removable = std::find_if(suspects.begin(), suspects.end(),
-                [&](const auto& candidate) { return !candidate.second.evidence.quarantineLeft(now); });
-            suspects.erase(removable == suspects.end() ? suspects.begin() : removable);
+            // Callers can name any number of parts. Those with the least evidence are the first to go.
+            const auto weight = [&](const PartEvidence& evidence) {
+                return std::pair(evidence.quarantineLeft(now).has_value(), evidence.lostAnswerCount());
+            };
+            suspects.erase(std::min_element(suspects.begin(), suspects.end(), [&](const auto& left, const auto& right) {
+                return weight(left.second.evidence) < weight(right.second.evidence);
+            }));
         }
         entry = suspects.emplace(part, PartState {}).first;
         if (shard.continuedAt.contains(part))
@@ -126,25 +132,40 @@
     return entry->second;
 }
 
-bool PromptQuarantine::isSuspicious(const PartState& state, TimePoint now) const
+bool PromptQuarantine::isSuspicious(const std::string& part, const PartState& state, TimePoint now) const
 {
-    return state.evidence.isSufficient({}, m_continuedAnswers - state.continuedAnswersBefore, now, m_settings);
+    const auto minRequests = identifiesRequest(part, state) ? 1 : m_settings.minRequests;
+    return state.evidence.isSufficient(
+        {}, m_continuedAnswers - state.continuedAnswersBefore, minRequests, now, m_settings);
+}
+
+bool PromptQuarantine::identifiesRequest(const std::string& part, const PartState& state)
+{
+    return state.evidence.hasLostAnswers() && state.evidence.isOfOneRequest(stableHash(part));
 }
 
 void PromptQuarantine::judge(TimePoint now)
 {
+    // A request that is quarantined by itself explains nothing: one of its shared parts may be the cause.
     std::set<uint64_t> explained;
     m_parts.forEachShard([&](const Shard& shard) {
         for (const auto& [part, state] : shard.suspects) {
-            if (state.evidence.quarantineLeft(now))
+            if (state.evidence.quarantineLeft(now) && !identifiesRequest(part, state))
                 state.evidence.collectAttempts(explained);
         }
     });
-    judgeParts(false, explained, now);
-    judgeParts(true, explained, now);
+    for (const bool hadContinuedAnswers : { false, true }) {
+        judgeParts(
+            [&](const std::string& part, const PartState& state) {
+                return state.evidence.hadContinuedAnswers() == hadContinuedAnswers && !identifiesRequest(part, state);
+            },
+            explained, now);
+    }
+    judgeParts(&PromptQuarantine::identifiesRequest, explained, now);
 }
 
-void PromptQuarantine::judgeParts(bool hadContinuedAnswers, std::set<uint64_t>& explained, TimePoint now)
+void PromptQuarantine::judgeParts(const std::function<bool(const std::string&, const PartState&)>& isCandidate,
+    std::set<uint64_t>& explained, TimePoint now)
 {
     // The attempts are added at the end, because parts of the same kind with the same evidence cannot be told apart.
     std::set<uint64_t> attempts;
@@ -152,8 +173,9 @@
         for (auto& [part, state] : shard.suspects) {
             auto& evidence = state.evidence;
             const auto otherAnswers = m_continuedAnswers - state.continuedAnswersBefore;
-            if (evidence.hadContinuedAnswers() != hadContinuedAnswers
-                || !evidence.isSufficient(explained, otherAnswers, now, m_settings))
+            const auto minRequests = identifiesRequest(part, state) ? 1 : m_settings.minRequests;
+            if (!isCandidate(part, state)
+                || !evidence.isSufficient(explained, otherAnswers, minRequests, now, m_settings))
                 continue;
             evidence.quarantine(now, m_settings);
             evidence.collectAttempts(attempts);
--- a/Cyclamenstair/Quarantine/PromptQuarantine.h
+++ b/Cyclamenstair/Quarantine/PromptQuarantine.h
@@ -39,8 +39,9 @@
 /// part. Thread-safe; does no I/O.
 ///
 /// When a target fails, the requests whose answers it had not continued are suspects, and so is each part that other
-/// prompts may share. A part is cleared by any answer that continues. What remains after several failures is the part
-/// that no target survives. Of parts that remain together, those that targets survived before the failures are spared.
+/// prompts may share, and the last one, which identifies the request. A part is cleared by any answer that continues.
+/// What remains after several failures is the part that no target survives. Of parts that remain together, those that
+/// targets survived before the failures are spared.
 class PromptQuarantine {
 public:
     /// `onVerdict` is called for each change of a verdict, on the thread that causes it.
@@ -78,13 +79,24 @@
 
     /// Returns the state of a suspect part; room is made for a new one.
     PartState& stateOf(Shard& shard, const std::string& part, TimePoint now);
+    /// Calls `function(part)` for all parts of a prompt.
+    template <typename Function> static void forEachPart(const PromptParts& parts, const Function& function)
+    {
+        for (const auto& part : parts.shared)
+            function(part);
+        if (!parts.own.empty())
+            function(parts.own);
+    }
     /// Returns whether the evidence against the part alone would suffice for a quarantine.
-    bool isSuspicious(const PartState& state, TimePoint now) const;
+    bool isSuspicious(const std::string& part, const PartState& state, TimePoint now) const;
+    /// Returns whether the evidence concerns one request only, of which the part is the last one.
+    static bool identifiesRequest(const std::string& part, const PartState& state);
     /// Quarantines all parts against which the evidence suffices.
     void judge(TimePoint now);
-    /// Quarantines those with or without earlier continued answers. Lost answers that are among `explained` attempts do
-    /// not count; those of quarantined parts are added.
-    void judgeParts(bool hadContinuedAnswers, std::set<uint64_t>& explained, TimePoint now);
+    /// Quarantines those that `isCandidate(part, state)` returns true for. Lost answers that are among `explained`
+    /// attempts do not count; those of quarantined parts are added.
+    void judgeParts(const std::function<bool(const std::string&, const PartState&)>& isCandidate,
+        std::set<uint64_t>& explained, TimePoint now);
     void report(PartVerdictKind kind, const std::string& part, const PartEvidence& evidence, TimePoint now);
 
     QuarantineSettings m_settings;
--- a/Cyclamenstair/Quarantine/QuarantineSettings.h
+++ b/Cyclamenstair/Quarantine/QuarantineSettings.h
@@ -11,8 +11,9 @@
 struct QuarantineSettings {
     /// Failures of targets, one after the other, by which requests with the part lost their unfinished answer.
     uint32_t minFailures { 3 };
-    /// Different requests that were lost in them. A single request that is repeated does not show which of its parts is
-    /// responsible.
+    /// Different requests that were lost in them, for a part that requests share. A single request that is repeated
+    /// does not show which of its shared parts is responsible; only its last part, which identifies it, is quarantined
+    /// then.
     uint32_t minRequests { 2 };
     /// Answers without the part that continued since the first failure. If no request is answered, the targets fail for
     /// another reason.
--- a/Tests/EntryTests/CrashingPromptTests.cpp
+++ b/Tests/EntryTests/CrashingPromptTests.cpp
@@ -39,16 +39,18 @@
         }
     }
 
-    /// Sends a stream request with these shared parts and a last part of its own to the nodes in turn.
-    HttpResponse sendPrompt(const std::vector<std::string>& sharedParts)
+    /// Sends a stream request with these shared parts to the nodes in turn. The last part is `own`, or one that no
+    /// other request has.
+    HttpResponse sendPrompt(const std::vector<std::string>& sharedParts, std::string own = {})
     {
         const auto number = std::to_string(++requestCount);
+        if (own.empty())
+            own = "own" + number;
         callerAddress = callerAddresses[static_cast<size_t>(requestCount) % callerAddresses.size()];
         std::string prefix;
         for (const auto& part : sharedParts)
             prefix.append(part).append(":100,");
-        return request(
-            "/stream/x", "p-" + number, { { "Cyclamenstair-Prompt-Prefix", prefix + "own" + number + ":50" } });
+        return request("/stream/x", "p-" + number, { { "Cyclamenstair-Prompt-Prefix", prefix + own + ":50" } });
     }
 
     int crashCount() const
@@ -104,3 +106,23 @@
     EXPECT_LE(crashingRequestCount() - sentWhenSettled, maxRequestsAfterSettling);
     EXPECT_EQ(soundServed, soundSent);
 }
+
+// Guards against one request that its caller repeats with new ids, at all nodes and after pauses, and that ends one
+// target after the other; its other parts are in sound requests too.
+TEST_F(CrashingPromptTest, RepeatedRequestThatCrashesTargetsStopsReachingThem)
+{
+    constexpr int maxCrashes = 6; // Three, and those of attempts that are under way when the third target ends.
+    int soundSent = 0;
+    int soundServed = 0;
+    for (int i = 0; i < 24; ++i) {
+        if (i % 3 == 0)
+            (void)sendPrompt({ commonPart, "subject" }, crashingPart);
+        const auto response = sendPrompt({ commonPart, "subject" });
+        ++soundSent;
+        soundServed += response.head.status == 200 ? 1 : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    EXPECT_GE(crashCount(), 3);
+    EXPECT_LE(crashCount(), maxCrashes);
+    EXPECT_EQ(soundServed, soundSent);
+}
--- a/Tests/QuarantineTests/PromptQuarantineTests.cpp
+++ b/Tests/QuarantineTests/PromptQuarantineTests.cpp
@@ -30,7 +30,10 @@
             quarantine.addContinuedAnswer(prompt(part, "sound"), now);
     }
 
-    bool isAllowed(const std::string& part) { return !quarantine.timeUntilAllowed(prompt(part, "new"), now); }
+    bool isAllowed(const std::string& part, const std::string& own = "new")
+    {
+        return !quarantine.timeUntilAllowed(prompt(part, own), now);
+    }
 
     /// Loses answers with the part in `count` failures, between answers without it.
     void failTargets(const std::string& part, int count)
@@ -81,6 +84,70 @@
     EXPECT_TRUE(node.isAllowed("part"));
 }
 
+// Guards against a single request that its caller repeats, with a new id and at other nodes, and that ends a target
+// each time; its other parts are in sound requests too.
+TEST(PromptQuarantine, RepeatedRequestThatTargetsDoNotSurviveIsQuarantined)
+{
+    Node first;
+    Node second;
+    second.attempts = 1000;
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(second.isAllowed("part", "deadly"));
+        (i == 1 ? first : second).lose("part", "deadly");
+        first.answer("part", 2);
+        second.answer("part", 2);
+        for (auto* node : { &first, &second })
+            node->now += failureInterval;
+        exchange(first, second);
+        exchange(second, first);
+    }
+    for (auto* node : { &first, &second }) {
+        EXPECT_FALSE(node->isAllowed("part", "deadly"));
+        EXPECT_TRUE(node->isAllowed("part", "another"));
+    }
+}
+
+// Guards against refusing a sound request that was lost beside the one that ends targets, once it is answered.
+TEST(PromptQuarantine, RequestLostBesideItIsClearedByItsAnswer)
+{
+    Node node;
+    for (int i = 0; i < 4; ++i) {
+        node.lose("part", "deadly");
+        node.lose("part", "sound");
+        node.now += failureInterval;
+        // The caller's repeat is answered between two failures.
+        if (i == 1)
+            node.answer("part", 4);
+    }
+    EXPECT_FALSE(node.isAllowed("part", "deadly"));
+    EXPECT_TRUE(node.isAllowed("part", "sound"));
+}
+
+// Guards against blaming a request because the targets of its service end one after the other for another reason.
+TEST(PromptQuarantine, RequestIsNotBlamedWhileNoOtherIsAnswered)
+{
+    Node node;
+    for (int i = 0; i < 10; ++i) {
+        node.lose("part", "own");
+        node.now += failureInterval;
+    }
+    EXPECT_TRUE(node.isAllowed("part", "own"));
+}
+
+// Guards against evidence that is pushed out by the many requests that are lost with one target.
+TEST(PromptQuarantine, EvidenceIsKeptBesideManyLostRequests)
+{
+    Node node;
+    for (int i = 0; i < 3; ++i) {
+        node.lose("part", "deadly");
+        for (int k = 0; k < 60; ++k)
+            node.lose("part", "own-" + std::to_string(i) + "-" + std::to_string(k));
+        node.answer("part", 2);
+        node.now += failureInterval;
+    }
+    EXPECT_FALSE(node.isAllowed("part", "deadly"));
+}
+
 // Guards against taking a failure of many targets at once, for example of a failure domain, for failures that follow
 // each other.
 TEST(PromptQuarantine, TargetsThatFailTogetherCountOnce)
