Plan no orders for an engine service without models

Cause: ResidencyPlanner::placeAdditionalCopies read the first model of an empty list.

ResidencyPlanner.EngineServiceWithoutModelsGetsNoOrders ended the test program before the change.

--- a/Cyclamenstair/Control/ResidencyPlanner.cpp
+++ b/Cyclamenstair/Control/ResidencyPlanner.cpp
@@ -134,7 +134,7 @@
 void ResidencyPlanner::placeAdditionalCopies()
 {
     const auto models = modelsByLoad();
-    const bool isAnyBusy = requestsPerCopy(*models.front()) > m_busyRequestsPerCopy;
+    const bool isAnyBusy = !models.empty() && requestsPerCopy(*models.front()) > m_busyRequestsPerCopy;
     for (auto* state : models) {
         if (state->copies == 0)
             continue;
--- a/Tests/ControlTests/ResidencyPlannerTests.cpp
+++ b/Tests/ControlTests/ResidencyPlannerTests.cpp
@@ -56,6 +56,16 @@
     EXPECT_EQ(orders[0].model, "m1");
 }
 
+// Guards against the end of the process that holds the order lease, when a configuration lists no models.
+TEST(ResidencyPlanner, EngineServiceWithoutModelsGetsNoOrders)
+{
+    const auto engine = profile(0);
+    auto input = inputOf(engine, { target("i-1", { "m0" }), target("i-2", {}) });
+    input.spareLoadBudget = 1;
+    input.demand[{ "drafting", "m0", {} }] = { 1, 1, 1 };
+    EXPECT_TRUE(plan(input).empty());
+}
+
 // Guards against loads of models without demand that use up the load rate just before a model without a copy is
 // requested.
 TEST(ResidencyPlanner, ModelWithoutDemandLeavesLoadRateUnused)
