Write log lines on a thread of the log

Cause: the sink wrote in the threads of the loops. Each line now goes to an asynchronous sink that drops lines while 4,096 wait; the end of the process waits at most 200 ms for the reader.

Log.StalledReaderDoesNotBlock with a synchronous sink: the writer was still blocked after 5 s; it passes now in 0.2 s.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -2,15 +2,22 @@
 
 #include <Cyclamenstair/Telemetry/LogLimiter.h>
 
+#include <future>
 #include <iostream>
 #include <mutex>
+#include <thread>
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
 
 namespace cyclamenstair {
 
@@ -51,6 +58,30 @@
     /// Limit of the lines about requests per process: ten lines each for 100 requests per second.
     constexpr LogLimiterSettings requestLogLimit { 1000, std::chrono::seconds(1), 16 };
 
+    /// Lines that wait for the reader of standard output; further ones are dropped.
+    constexpr size_t maxWaitingLines = 4096;
+
+    using LogBackend = boost::log::sinks::text_ostream_backend;
+    using LogSink = boost::log::sinks::asynchronous_sink<LogBackend,
+        boost::log::sinks::bounded_fifo_queue<maxWaitingLines, boost::log::sinks::drop_on_overflow>>;
+
+    /// Returns the sink. It is never destroyed: its thread can wait for a stalled reader at the end of the process.
+    boost::shared_ptr<LogSink>& logSink()
+    {
+        static auto* s_sink = new boost::shared_ptr<LogSink>;
+        return *s_sink;
+    }
+
+    void createLogSink()
+    {
+        auto backend = boost::make_shared<LogBackend>();
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+        backend->auto_flush(true);
+        logSink() = boost::make_shared<LogSink>(backend);
+        logSink()->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->add_sink(logSink());
+    }
+
     void writeLine(LogSeverity severity, const std::string& line)
     {
         static boost::log::sources::severity_logger_mt<BoostSeverity> s_logger;
@@ -78,13 +109,24 @@
 void configureLog(LogSeverity minSeverity)
 {
     static std::once_flag s_once;
-    std::call_once(s_once, [] {
-        boost::log::add_console_log(std::cout, boost::log::keywords::auto_flush = true,
-            boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage);
-    });
+    std::call_once(s_once, createLogSink);
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(minSeverity));
 }
 
+bool flushLog(Duration timeout)
+{
+    if (!logSink())
+        return true;
+    auto done = std::make_shared<std::promise<void>>();
+    auto isDone = done->get_future();
+    // The thread outlives this call if the reader has stalled.
+    std::thread([sink = logSink(), done] {
+        sink->flush();
+        done->set_value();
+    }).detach();
+    return isDone.wait_for(timeout) == std::future_status::ready;
+}
+
 void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields)
 {
     // Limits repeated faults, which would otherwise bury all other lines. The key is the event with its peer or target.
--- a/Cyclamenstair/Telemetry/Log.h
+++ b/Cyclamenstair/Telemetry/Log.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/EnumNames.h>
 #include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Core/Time.h>
 
 #include <cstdint>
 #include <initializer_list>
@@ -34,9 +35,12 @@
 };
 
 /// Configures logging to standard output. Lines below `minSeverity` are dropped. Can be called again to change the
-/// level.
+/// level. A thread of the log writes the lines; lines are dropped while too many wait for a slow reader.
 void configureLog(LogSeverity minSeverity);
 
+/// Waits until all lines are written, at most for `timeout`. Returns whether they are.
+bool flushLog(Duration timeout);
+
 /// Writes a structured line: time, severity, event and fields as key=value pairs. Fields must not contain secrets or
 /// texts of callers' requests. Repeated warnings and errors are rate-limited; the next line reports how many were
 /// suppressed.
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -3,7 +3,9 @@
 #include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
@@ -13,6 +15,9 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
+/// Time that the end of the process waits for the reader of the log.
+constexpr auto maxLogFlushTime = std::chrono::milliseconds(200);
+
 using namespace cyclamenstair;
 
 /// Blocks the signals that the daemon handles in this thread and all threads started later.
@@ -68,6 +73,13 @@
     return exitOk;
 }
 
+/// Ends the process without waiting for a stalled reader of standard output.
+[[noreturn]] void exitProcess(int status)
+{
+    (void)flushLog(maxLogFlushTime);
+    std::_Exit(status);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -103,7 +115,7 @@
             std::cout << "settings are valid\n";
             return exitOk;
         }
-        return runNode(settings.value(), arguments["config"].as<std::string>());
+        exitProcess(runNode(settings.value(), arguments["config"].as<std::string>()));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
         return exitUsage;
--- /dev/null
+++ b/Tests/TelemetryTests/LogTests.cpp
@@ -0,0 +1,46 @@
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <array>
+#include <chrono>
+#include <fcntl.h>
+#include <future>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace cyclamenstair {
+namespace {
+
+    // Guards against requests that wait because the reader of standard output has stalled.
+    TEST(Log, StalledReaderDoesNotBlock)
+    {
+        constexpr int lineCount = 20000; // Far more than a pipe holds.
+        std::array<int, 2> ends {};
+        ASSERT_EQ(::pipe(ends.data()), 0);
+        const int standardOutput = ::dup(STDOUT_FILENO);
+        ::dup2(ends[1], STDOUT_FILENO);
+        configureLog(LogSeverity::Info);
+        auto writer = std::async(std::launch::async, [] {
+            for (int i = 0; i < lineCount; ++i)
+                logEvent(LogSeverity::Info, "line", { { "text", std::string(100, 'x') } });
+        });
+        const auto status = writer.wait_for(std::chrono::seconds(5));
+        const bool isFlushed = flushLog(std::chrono::milliseconds(100));
+        // The reader goes on, so that the lines that wait can be written.
+        auto reader = std::async(std::launch::async, [&] {
+            std::array<char, 65536> buffer {};
+            size_t bytes = 0;
+            for (ssize_t count = 0; (count = ::read(ends[0], buffer.data(), buffer.size())) > 0;)
+                bytes += static_cast<size_t>(count);
+            return bytes;
+        });
+        writer.get();
+        EXPECT_TRUE(flushLog(std::chrono::seconds(10)));
+        ::dup2(standardOutput, STDOUT_FILENO);
+        ::close(ends[1]);
+        EXPECT_GT(reader.get(), 65536U);
+        EXPECT_EQ(status, std::future_status::ready);
+        EXPECT_FALSE(isFlushed);
+    }
+
+} // namespace
+} // namespace cyclamenstair
