Block signals before the settings are read

Cause: signals were blocked in runNode, after the settings had been read. They are blocked first in main now and handled once the node has started. The time that the dynamic linker takes before main remains.

--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -48,9 +48,8 @@
     logEvent(LogSeverity::Info, "settings_reloaded", { { "file", path } });
 }
 
-int runNode(const schema::SettingsT& settings, const std::string& path)
+int runNode(const schema::SettingsT& settings, const std::string& path, const sigset_t& signals)
 {
-    const auto signals = blockSignals();
     configureLog(static_cast<LogSeverity>(settings.log->level));
     std::unique_ptr<Node> node;
     std::unique_ptr<EntryNode> entryNode;
@@ -84,6 +83,8 @@
 
 int main(int argc, char** argv)
 {
+    // Signals that arrive while the settings are read are handled once the node has started.
+    const auto signals = blockSignals();
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
     options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())(
         "check", "Check the settings and exit")("print-defaults", "Print all settings with their defaults and exit")(
@@ -115,7 +116,7 @@
             std::cout << "settings are valid\n";
             return exitOk;
         }
-        exitProcess(runNode(settings.value(), arguments["config"].as<std::string>()));
+        exitProcess(runNode(settings.value(), arguments["config"].as<std::string>(), signals));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
         return exitUsage;
