Add the beginning of a soak with real processes

cyclamenstair-soak runs nodes of mode Registered as processes before the stand-ins, draws overlapping faults from a seed, and checks six rules from outside: processes that end by themselves, requests without an answer, wrong answers, work that runs twice, false refusals, old catalogs.

--- /dev/null
+++ b/Benchmarks/Soak/SoakFault.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <Cyclamenstair/Core/EnumNames.h>
+#include <Cyclamenstair/Core/Random.h>
+#include <Cyclamenstair/Core/Time.h>
+
+#include <vector>
+
+namespace cyclamenstair {
+
+/// Faults of a soak.
+enum class SoakFaultKind : uint8_t {
+    Reload, ///< SIGHUP to a node, at times right after its start.
+    Terminate, ///< SIGTERM to a node, which starts again after its exit.
+    Kill, ///< SIGKILL to a node, which starts again at once.
+    Freeze, ///< SIGSTOP to a node, and SIGCONT.
+    ChangeCatalog, ///< The operator moves the safe route to the other service.
+    TruncateAnswers, ///< A target disconnects within its answers.
+    RefuseRequests, ///< A target refuses requests without running them.
+    SilentTarget, ///< A target runs requests and sends no answer.
+    StoreDown, ///< The store answers 503.
+};
+
+template <> struct EnumNames<SoakFaultKind> {
+    static constexpr auto table = std::to_array<EnumName<SoakFaultKind>>({
+        { SoakFaultKind::Reload, "reload" },
+        { SoakFaultKind::Terminate, "terminate" },
+        { SoakFaultKind::Kill, "kill" },
+        { SoakFaultKind::Freeze, "freeze" },
+        { SoakFaultKind::ChangeCatalog, "change_catalog" },
+        { SoakFaultKind::TruncateAnswers, "truncate_answers" },
+        { SoakFaultKind::RefuseRequests, "refuse_requests" },
+        { SoakFaultKind::SilentTarget, "silent_target" },
+        { SoakFaultKind::StoreDown, "store_down" },
+    });
+};
+
+/// A fault, its time from the start of the traffic, and what it concerns.
+struct SoakFault {
+    Duration at {};
+    Duration duration {}; ///< Of Freeze, of a target's behaviour and of StoreDown.
+    SoakFaultKind kind { SoakFaultKind::Reload };
+    size_t subject { 0 }; ///< Index of the node or target.
+};
+
+/// Settings of a soak.
+struct SoakSettings {
+    uint64_t seed { 1 };
+    Duration duration { std::chrono::seconds(30) };
+    size_t nodes { 3 };
+    size_t callers { 12 };
+    Duration meanFaultInterval { milliseconds(1500) };
+};
+
+/// Returns the faults of a soak in the order of their times; the same for the same settings.
+std::vector<SoakFault> drawSoakFaults(const SoakSettings& settings, size_t targetCount);
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -0,0 +1,288 @@
+#include <Benchmarks/Soak/SoakRun.h>
+
+#include <Cyclamenstair/Http/Endpoint.h>
+#include <Cyclamenstair/Http/HttpClient.h>
+
+#include <StandIns/LoopbackPort.h>
+
+#include <csignal>
+#include <future>
+#include <iostream>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr size_t targetsPerService = 3;
+    constexpr auto callTimeout = milliseconds(4500); ///< Beyond the routes' timeout.
+    constexpr auto settleTime = milliseconds(3000); ///< After which a disturbed process counts as calm.
+    constexpr auto catalogTime = milliseconds(2000); ///< Within which a change is in force.
+    constexpr auto requestInterval = milliseconds(20);
+    constexpr auto startTimeout = std::chrono::seconds(20);
+    constexpr uint32_t ok = 200;
+    constexpr uint32_t unavailable = 503;
+
+    std::string catalogText(int version)
+    {
+        const std::string service = version % 2 == 1 ? "plain" : "other";
+        const auto route = [](const std::string& name, const std::string& kind, const std::string& routeService,
+                               const std::string& rest) {
+            return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name + R"(/","kind":")" + kind
+                + R"(","timeout_ms":3000,"target_latency_ms":600,"service":")" + routeService + "\"," + rest + "}";
+        };
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+            + route("safe", "safe", service, R"("max_attempts":2)") + ","
+            + route("once", "non_idempotent", "plain", R"("max_attempts":1)") + ","
+            + route("stream", "streaming", "plain", R"("max_attempts":2,"resumable":true,"gap_target_ms":300)")
+            + R"(],"services":[{"name":"plain","max_conns":200},{"name":"other","max_conns":200}],)"
+            + R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+    }
+
+    /// Body of a whole stream of RegisteredTargetStandIn.
+    std::string streamBody()
+    {
+        std::string body;
+        for (int event = 1; event <= 5; ++event)
+            body += "id: " + std::to_string(event) + "\ndata: token\n\n";
+        return body;
+    }
+
+} // namespace
+
+SoakRun::SoakRun(const SoakSettings& settings, const std::string& folder)
+    : m_settings(settings)
+{
+    for (size_t i = 0; i < 2 * targetsPerService; ++i)
+        m_targets.push_back(std::make_unique<RegisteredTargetStandIn>(
+            "i-" + std::to_string(i), i < targetsPerService ? "plain" : "other"));
+    const auto seed = allocateLoopbackAddress();
+    for (size_t i = 0; i < settings.nodes; ++i)
+        m_nodes.push_back(std::make_unique<SoakNode>(
+            "node-" + std::to_string(i), folder, m_store.address(), i == 0 ? seed : allocateLoopbackAddress(), seed));
+}
+
+void SoakRun::run()
+{
+    writeCatalog();
+    for (const auto& target : m_targets)
+        m_store.put("servers/" + target->id(), target->entry());
+    for (const auto& node : m_nodes)
+        node->start();
+    if (!waitUntilServing()) {
+        report(SoakRule::NoAnswer, "the nodes do not serve after their start");
+        return;
+    }
+    const auto start = monotonicNow();
+    std::vector<std::thread> callers;
+    for (size_t caller = 0; caller < m_settings.callers; ++caller)
+        callers.emplace_back([this, caller] { sendRequests(caller); });
+    const auto wait = [this](TimePoint until) {
+        while (monotonicNow() < until) {
+            tick();
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    };
+    for (const auto& fault : drawSoakFaults(m_settings, m_targets.size())) {
+        wait(start + fault.at);
+        inject(fault);
+    }
+    wait(start + m_settings.duration + settleTime);
+    m_isOver = true;
+    for (auto& caller : callers)
+        caller.join();
+}
+
+std::map<SoakRule, std::vector<std::string>> SoakRun::findings()
+{
+    std::lock_guard lock(m_mutex);
+    return m_findings;
+}
+
+std::map<uint32_t, size_t> SoakRun::requestCounts()
+{
+    std::lock_guard lock(m_mutex);
+    return m_requestCounts;
+}
+
+void SoakRun::writeCatalog()
+{
+    m_store.put("op/config", catalogText(m_catalogVersion + 1));
+    m_catalogChangedAt = monotonicNow();
+    ++m_catalogVersion;
+}
+
+void SoakRun::inject(const SoakFault& fault)
+{
+    std::cout << "fault " << nameOf(fault.kind) << " " << fault.subject << " at " << toMilliseconds(fault.at) << " ms"
+              << std::endl;
+    const auto endsAt = monotonicNow() + fault.duration;
+    const auto disturbTarget = [&](TargetBehaviour behaviour) {
+        auto* target = m_targets[fault.subject].get();
+        target->setBehaviour(behaviour);
+        m_targetDisturbedAt = endsAt;
+        m_endings.emplace_back(endsAt, [target] { target->setBehaviour(TargetBehaviour::Respond); });
+    };
+    switch (fault.kind) {
+    case SoakFaultKind::Reload:
+        m_nodes[fault.subject]->signal(SIGHUP, false);
+        break;
+    case SoakFaultKind::Terminate:
+        m_nodes[fault.subject]->signal(SIGTERM, true);
+        break;
+    case SoakFaultKind::Kill:
+        m_nodes[fault.subject]->signal(SIGKILL, true);
+        break;
+    case SoakFaultKind::Freeze: {
+        auto* node = m_nodes[fault.subject].get();
+        node->signal(SIGSTOP, false);
+        m_endings.emplace_back(endsAt, [node] { node->signal(SIGCONT, false); });
+        break;
+    }
+    case SoakFaultKind::ChangeCatalog:
+        writeCatalog();
+        break;
+    case SoakFaultKind::TruncateAnswers:
+        disturbTarget(TargetBehaviour::TruncateResponse);
+        break;
+    case SoakFaultKind::RefuseRequests:
+        disturbTarget(TargetBehaviour::RefuseUnrun);
+        break;
+    case SoakFaultKind::SilentTarget:
+        disturbTarget(TargetBehaviour::NoResponse);
+        break;
+    case SoakFaultKind::StoreDown:
+        m_store.setDown(true);
+        m_storeDisturbedAt = endsAt;
+        m_endings.emplace_back(endsAt, [this] { m_store.setDown(false); });
+        break;
+    }
+}
+
+void SoakRun::tick()
+{
+    const auto now = monotonicNow();
+    for (auto ending = m_endings.begin(); ending != m_endings.end();) {
+        if (ending->first > now) {
+            ++ending;
+            continue;
+        }
+        ending->second();
+        ending = m_endings.erase(ending);
+    }
+    for (const auto& node : m_nodes) {
+        if (node->restartIfEnded())
+            report(SoakRule::EndedByItself, node->id());
+    }
+}
+
+void SoakRun::sendRequests(size_t caller)
+{
+    EventLoop loop;
+    HttpClient client(loop.context(), ClientConnectionSettings {});
+    loop.start();
+    Random random(m_settings.seed * 1000 + caller);
+    const std::vector<std::string> paths { "/safe/", "/once/", "/stream/" };
+    for (int number = 0; !m_isOver; ++number) {
+        const auto& node = *m_nodes[randomIndex(random, m_nodes.size())];
+        const auto& path = paths[randomIndex(random, paths.size())];
+        const auto id = "r-" + std::to_string(caller) + "-" + std::to_string(number);
+        const HttpRequest request { "POST", path + "x",
+            { { "Host", "h" }, { "Cyclamenstair-Request-Id", id }, { "Cyclamenstair-Deadline-Ms", "3000" } }, id,
+            true };
+        std::promise<HttpOutcome> promise;
+        const auto sentAt = monotonicNow();
+        loop.post([&] {
+            client.call(parseEndpoint(node.callerAddress()).value(), request, callTimeout,
+                [&](HttpOutcome outcome) { promise.set_value(std::move(outcome)); });
+        });
+        const auto outcome = promise.get_future().get();
+        const auto* response = std::get_if<HttpResponse>(&outcome);
+        const auto* failure = std::get_if<CallFailed>(&outcome);
+        // A request that crosses the close of a kept connection may be sent again.
+        if (!failure || failure->wasSent)
+            check(node, path, id, sentAt, response ? response->head.status : 0, response ? response->body : "");
+        std::this_thread::sleep_for(requestInterval);
+    }
+    loop.stop();
+}
+
+void SoakRun::check(const SoakNode& node, const std::string& path, const std::string& id, TimePoint sentAt,
+    uint32_t status, const std::string& body)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_requestCounts[status];
+    }
+    const auto calmSince = sentAt - settleTime;
+    const bool isNodeCalm = node.isCalmSince(calmSince);
+    const auto description = path + " " + id + " at " + node.id() + ", status " + std::to_string(status);
+    const int runs = runCount(id);
+    if (path == "/once/" && runs > 1)
+        report(SoakRule::RunTwice, description);
+    if (status == unavailable && runs > 0 && path == "/once/")
+        report(SoakRule::RunAndRefused, description);
+    // A target that breaks its answer off ends the stream, and a request that crosses a close is not counted.
+    if (status == 0 && runs > 0 && isNodeCalm && m_targetDisturbedAt.load() < calmSince)
+        report(SoakRule::NoAnswer, description);
+    if (status != ok)
+        return;
+    if (path == "/stream/") {
+        if (body != streamBody())
+            report(SoakRule::WrongAnswer, description + ", body " + body);
+        return;
+    }
+    const auto separator = body.find(':');
+    const auto target = body.substr(0, separator);
+    if (separator == std::string::npos || body.substr(separator + 1) != id)
+        report(SoakRule::WrongAnswer, description + ", body " + body);
+    const bool isOther = std::any_of(m_targets.begin() + targetsPerService, m_targets.end(),
+        [&](const auto& candidate) { return candidate->id() == target; });
+    const bool isCatalogSettled
+        = m_catalogChangedAt.load() + catalogTime < sentAt && m_storeDisturbedAt.load() < calmSince && isNodeCalm;
+    if (path == "/safe/" && isCatalogSettled && isOther != (m_catalogVersion % 2 == 0))
+        report(SoakRule::OldCatalog, description + ", target " + target);
+}
+
+void SoakRun::report(SoakRule rule, const std::string& description)
+{
+    std::lock_guard lock(m_mutex);
+    m_findings[rule].push_back(description);
+    std::cout << "broken: " << nameOf(rule) << ", " << description << std::endl;
+}
+
+int SoakRun::runCount(const std::string& id)
+{
+    int count = 0;
+    for (const auto& target : m_targets)
+        count += target->runCount(id);
+    return count;
+}
+
+bool SoakRun::waitUntilServing()
+{
+    EventLoop loop;
+    HttpClient client(loop.context(), ClientConnectionSettings {});
+    loop.start();
+    const auto isReady = [&](const SoakNode& node) {
+        std::promise<bool> promise;
+        loop.post([&] {
+            client.call(parseEndpoint(node.probeAddress()).value(),
+                { "GET", "/cyclamenstair/readiness", { { "Host", "h" } }, {}, false }, milliseconds(500),
+                [&](const HttpOutcome& outcome) {
+                    const auto* response = std::get_if<HttpResponse>(&outcome);
+                    promise.set_value(response && response->head.status == ok);
+                });
+        });
+        return promise.get_future().get();
+    };
+    const auto end = monotonicNow() + startTimeout;
+    bool areReady = false;
+    while (!areReady && monotonicNow() < end) {
+        areReady = std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& node) { return isReady(*node); });
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    loop.stop();
+    return areReady;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/SoakRun.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <Benchmarks/Soak/SoakFault.h>
+#include <Benchmarks/Soak/SoakNode.h>
+
+#include <StandIns/RegisteredTargetStandIn.h>
+#include <StandIns/RegistryStoreStandIn.h>
+
+#include <map>
+
+namespace cyclamenstair {
+
+/// Rules that a soak checks from outside.
+enum class SoakRule : uint8_t {
+    EndedByItself, ///< A node's process ended without being told to.
+    NoAnswer, ///< A request that a calm node had read got no answer.
+    WrongAnswer, ///< A success is not the whole body of a target for this request.
+    RunTwice, ///< A request that may run once ran more often.
+    RunAndRefused, ///< A request was answered "not run" and had run.
+    OldCatalog, ///< A request was served as only an older catalog allows, after the time for a change had passed.
+};
+
+template <> struct EnumNames<SoakRule> {
+    static constexpr auto table = std::to_array<EnumName<SoakRule>>({
+        { SoakRule::EndedByItself, "ended_by_itself" },
+        { SoakRule::NoAnswer, "no_answer" },
+        { SoakRule::WrongAnswer, "wrong_answer" },
+        { SoakRule::RunTwice, "run_twice" },
+        { SoakRule::RunAndRefused, "run_and_refused" },
+        { SoakRule::OldCatalog, "old_catalog" },
+    });
+};
+
+/// Runs nodes as processes before stand-ins in this process, sends requests, injects the faults of a seed, and checks
+/// the rules.
+class SoakRun {
+public:
+    /// `folder` receives settings and logs of the nodes.
+    SoakRun(const SoakSettings& settings, const std::string& folder);
+
+    /// Blocks until the soak is over.
+    void run();
+
+    /// Returns the findings by rule; the first ones of each are described.
+    std::map<SoakRule, std::vector<std::string>> findings();
+    /// Returns the number of requests by status; 0 is a request without an answer.
+    std::map<uint32_t, size_t> requestCounts();
+
+private:
+    void writeCatalog();
+    void inject(const SoakFault& fault);
+    /// Ends the faults whose time has passed, and restarts ended processes.
+    void tick();
+    void sendRequests(size_t caller);
+    void check(const SoakNode& node, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
+        const std::string& body);
+    void report(SoakRule rule, const std::string& description);
+    int runCount(const std::string& id);
+    bool waitUntilServing();
+
+    SoakSettings m_settings;
+    RegistryStoreStandIn m_store;
+    std::vector<std::unique_ptr<RegisteredTargetStandIn>>
+        m_targets; ///< The first half serves "plain", the rest "other".
+    std::vector<std::unique_ptr<SoakNode>> m_nodes;
+    std::vector<std::pair<TimePoint, std::function<void()>>> m_endings; ///< Of faults, with their times.
+    std::atomic<bool> m_isOver { false };
+    std::atomic<int> m_catalogVersion { 0 };
+    std::atomic<TimePoint> m_catalogChangedAt { TimePoint::min() };
+    std::atomic<TimePoint> m_storeDisturbedAt { TimePoint::min() };
+    std::atomic<TimePoint> m_targetDisturbedAt { TimePoint::min() };
+    std::mutex m_mutex; ///< Guards the members below.
+    std::map<SoakRule, std::vector<std::string>> m_findings;
+    std::map<uint32_t, size_t> m_requestCounts;
+};
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Http/TextBody.h
+++ b/Cyclamenstair/Http/TextBody.h
@@ -14,7 +14,7 @@
 struct TextBody {
     using value_type = std::string;
 
-    class reader {
+    class reader { // NOLINT(readability-identifier-naming): the name that Beast asks for.
     public:
         template <bool isRequest, class Fields>
         reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -59,6 +59,13 @@
     return m_runCounts;
 }
 
+int RegisteredTargetStandIn::runCount(const std::string& requestId)
+{
+    std::lock_guard lock(m_mutex);
+    const auto entry = m_runCounts.find(requestId);
+    return entry == m_runCounts.end() ? 0 : entry->second;
+}
+
 std::set<std::string> RegisteredTargetStandIn::models()
 {
     std::lock_guard lock(m_mutex);
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -70,6 +70,8 @@
 
     /// Returns the number of runs of each request by request id.
     std::map<std::string, int> runs();
+    /// Returns the number of runs of one request.
+    int runCount(const std::string& requestId);
 
     /// Returns the number of requests whose client disconnected before the response was complete.
     int abandonedRequestCount() const { return m_abandonedRequestCount; }
