Let the list of requests in progress outlive its event loop

Found by reading the order of members; the set now comes first.

EntryNodeTest.DestructionEndsRequestsInProgress destroys nodes with requests in progress.

--- a/Cyclamenstair/Entry/RequestLoop.h
+++ b/Cyclamenstair/Entry/RequestLoop.h
@@ -29,10 +29,10 @@
 
 private:
     EntryState* m_state;
+    std::set<RequestExchange*> m_exchanges; ///< Outlives m_loop, whose pending handlers own the exchanges.
     EventLoop m_loop;
     ConnectionPool m_pool;
     Random m_random;
-    std::set<RequestExchange*> m_exchanges;
 };
 
 } // namespace cyclamenstair
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -331,6 +331,25 @@
 }
 
 // Guards against refused load orders that count against the weight store's rate, here one load in 5 s, and against a
+// Guards against a crash when a node is destroyed while requests are in progress.
+TEST_F(EntryNodeTest, DestructionEndsRequestsInProgress)
+{
+    for (auto* target : { &firstTarget, &secondTarget })
+        target->setBehaviour(TargetBehaviour::NoResponse);
+    for (int round = 0; round < 5; ++round) {
+        auto node = startNode("node-" + std::to_string(round));
+        std::vector<std::future<HttpResponse>> responses;
+        for (int i = 0; i < 8; ++i) {
+            const auto id = "r-" + std::to_string(round) + "-" + std::to_string(i);
+            responses.push_back(std::async(std::launch::async, [this, id] { return request("/once/x", id); }));
+            ASSERT_TRUE(eventually([&] { return runCount(id) == 1; }));
+        }
+        node.reset();
+        for (auto& response : responses)
+            EXPECT_EQ(response.get().head.status, 0U);
+    }
+}
+
 // Guards against requests that get no answer because the process exits while they are in progress.
 TEST_F(EntryNodeTest, ShutdownAnswersRequestsThatItCannotComplete)
 {
