--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -1471,8 +1471,7 @@
   double cpu_share() const {
     return GetField<double>(VT_CPU_SHARE, 1.0);
   }
-  /// Memory that the node may use, at most that of its machine. Buffered requests and responses may take a quarter of it, messages of the store, of
-  /// targets' reports and of other nodes an eighth.
+  /// Memory that the node may use, at most that of its machine; docs/platform.md, "Bounds of buffers".
   int32_t memory_mb() const {
     return GetField<int32_t>(VT_MEMORY_MB, 256);
   }
