Report a request as possibly run if an alternative was given up

A request was refused as "not run" although a target may have run it: with three attempts, an alternative that had not answered was given up for another one, and both remaining targets then refused. The same held when a quarantine ended a request while its alternative was under way.

AlternativeAttempt.AbandonedAlternativeMayHaveRun failed before the change and passes now; RequestFlowTests pass with 2000 cases for each property.

--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -141,7 +141,6 @@
         return;
     }
     applyStatements(head, m_alternative->target, now, actions);
-    m_mayHaveRun = m_mayHaveRun || !isRefused;
     cancelAlternative(head.isMisdirected ? TargetAttemptResult::Absent
             : head.isNotRun              ? TargetAttemptResult::Full
                                          : TargetAttemptResult::Failed,
@@ -164,6 +163,7 @@
         return;
     actions.emplace_back(CancelAttempt { m_alternative->number });
     m_dependencies.targets->release(m_alternative->target, m_query, result, now);
+    m_mayHaveRun = m_mayHaveRun || (result != TargetAttemptResult::Full && result != TargetAttemptResult::Absent);
     m_alternative.reset();
 }
 
@@ -436,6 +436,7 @@
     const auto timeLeft = m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now);
     if (!timeLeft)
         return false;
+    cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
     refuseFor(*timeLeft, "prompt_part_quarantined", now, actions);
     return true;
 }
--- a/Tests/RequestFlowTests/AlternativeAttemptTests.cpp
+++ b/Tests/RequestFlowTests/AlternativeAttemptTests.cpp
@@ -94,3 +94,19 @@
     (void)fixture.machine->handle(ResponseContinued { 1, "answer" }, timerAt + milliseconds(100));
     EXPECT_EQ(forwarded(fixture.machine->handle(ResponseCompleted { 1 }, timerAt + milliseconds(100))), "answer");
 }
+
+// Guards against a refusal as "not run" of a request that another target may have run before it was given up there.
+TEST(AlternativeAttempt, AbandonedAlternativeMayHaveRun)
+{
+    Fixture fixture(RetryPolicy::Safe, false, 3);
+    (void)fixture.machine->start(start);
+    for (int i = 0; i < 2; ++i) {
+        const auto timerAt = fixture.machine->nextTimerAt().value();
+        ASSERT_TRUE(find<StartAttempt>(fixture.machine->handle(TimerFired {}, timerAt)));
+    }
+    const auto now = start + milliseconds(4000);
+    (void)fixture.machine->handle(ResponseStarted { 3, notRunResponse() }, now);
+    const auto actions = fixture.machine->handle(ResponseStarted { 1, notRunResponse() }, now);
+    ASSERT_TRUE(find<SendLocalResponse>(actions));
+    EXPECT_EQ(find<SendLocalResponse>(actions)->kind, LocalResponseKind::Failed);
+}
