Read the catalog's version before the time of its change in the soak

check() could pair a new version with the time of the change before it and report old_catalog for a request that was served correctly.

--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -237,9 +237,11 @@
         report(SoakRule::WrongAnswer, description + ", body " + body);
     const bool isOther = std::any_of(m_targets.begin() + targetsPerService, m_targets.end(),
         [&](const auto& candidate) { return candidate->id() == target; });
+    // Read before the time of the change, which is written first.
+    const int catalogVersion = m_catalogVersion;
     const bool isCatalogSettled
         = m_catalogChangedAt.load() + catalogTime < sentAt && m_storeDisturbedAt.load() < calmSince && isNodeCalm;
-    if (path == "/safe/" && isCatalogSettled && isOther != (m_catalogVersion % 2 == 0))
+    if (path == "/safe/" && isCatalogSettled && isOther != (catalogVersion % 2 == 0))
         report(SoakRule::OldCatalog, description + ", target " + target);
 }
 
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -41,7 +41,7 @@
     /// Blocks until the soak is over.
     void run();
 
-    /// Returns the findings by rule; the first ones of each are described.
+    /// Returns the descriptions of all findings by rule.
     std::map<SoakRule, std::vector<std::string>> findings();
     /// Returns the number of requests by status; 0 is a request without an answer.
     std::map<uint32_t, size_t> requestCounts();
