--- a/Tests/QuarantineTests/PromptQuarantineTests.cpp
+++ b/Tests/QuarantineTests/PromptQuarantineTests.cpp
@@ -92,8 +92,8 @@
     Node second;
     second.attempts = 1000;
     for (int i = 0; i < 3; ++i) {
-        EXPECT_TRUE(second.isAllowed("part", "deadly"));
-        (i == 1 ? first : second).lose("part", "deadly");
+        EXPECT_TRUE(second.isAllowed("part", "crashing"));
+        (i == 1 ? first : second).lose("part", "crashing");
         first.answer("part", 2);
         second.answer("part", 2);
         for (auto* node : { &first, &second })
@@ -102,7 +102,7 @@
         exchange(second, first);
     }
     for (auto* node : { &first, &second }) {
-        EXPECT_FALSE(node->isAllowed("part", "deadly"));
+        EXPECT_FALSE(node->isAllowed("part", "crashing"));
         EXPECT_TRUE(node->isAllowed("part", "another"));
     }
 }
@@ -112,14 +112,14 @@
 {
     Node node;
     for (int i = 0; i < 4; ++i) {
-        node.lose("part", "deadly");
+        node.lose("part", "crashing");
         node.lose("part", "sound");
         node.now += failureInterval;
         // The caller's repeat is answered between two failures.
         if (i == 1)
             node.answer("part", 4);
     }
-    EXPECT_FALSE(node.isAllowed("part", "deadly"));
+    EXPECT_FALSE(node.isAllowed("part", "crashing"));
     EXPECT_TRUE(node.isAllowed("part", "sound"));
 }
 
@@ -139,13 +139,13 @@
 {
     Node node;
     for (int i = 0; i < 3; ++i) {
-        node.lose("part", "deadly");
+        node.lose("part", "crashing");
         for (int k = 0; k < 60; ++k)
             node.lose("part", "own-" + std::to_string(i) + "-" + std::to_string(k));
         node.answer("part", 2);
         node.now += failureInterval;
     }
-    EXPECT_FALSE(node.isAllowed("part", "deadly"));
+    EXPECT_FALSE(node.isAllowed("part", "crashing"));
 }
 
 // Guards against taking a failure of many targets at once, for example of a failure domain, for failures that follow
