--- /dev/null
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -0,0 +1,178 @@
+// The attempts of RequestMachine: how targets are acquired, waited for, exchanged and released.
+
+#include <Cyclamenstair/RequestFlow/RequestMachine.h>
+
+#include <Cyclamenstair/Core/Overloaded.h>
+
+#include <algorithm>
+
+namespace cyclamenstair {
+
+void RequestMachine::onAlternativeStarted(const ResponseStarted& event, TimePoint now, Actions& actions)
+{
+    const auto& head = event.head;
+    const bool isRefused = head.isNotRun || head.isMisdirected;
+    const bool isAnswer = head.isSuccess() ? head.hasReceipt : !head.isFailure() && !m_isHeadSent;
+    if (head.matchesRequestId && !isRefused && isAnswer) {
+        cancelCurrent(TargetAttemptResult::Failed, now, actions);
+        m_mayHaveRun = true;
+        adoptAlternative(now);
+        on(event, now, actions);
+        return;
+    }
+    applyStatements(head, m_alternative->target, now, actions);
+    cancelAlternative(head.isMisdirected ? TargetAttemptResult::Absent
+            : head.isNotRun              ? TargetAttemptResult::Full
+                                         : TargetAttemptResult::Failed,
+        now, actions);
+    m_lastProgressAt = now;
+}
+
+void RequestMachine::adoptAlternative(TimePoint now)
+{
+    discardPartialAnswer();
+    m_current = std::exchange(m_alternative, std::nullopt);
+    m_phase = Phase::Sent;
+    m_firstEventAt.reset();
+    m_lastProgressAt = now;
+}
+
+void RequestMachine::cancelAlternative(TargetAttemptResult result, TimePoint now, Actions& actions)
+{
+    if (!m_alternative)
+        return;
+    actions.emplace_back(CancelAttempt { m_alternative->number });
+    m_dependencies.targets->release(m_alternative->target, m_query, result, now);
+    m_mayHaveRun = m_mayHaveRun || (result != TargetAttemptResult::Full && result != TargetAttemptResult::Absent);
+    m_alternative.reset();
+}
+
+void RequestMachine::recordProgress(TimePoint now, Actions& actions)
+{
+    m_lastProgressAt = now;
+    cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
+}
+
+void RequestMachine::cancelCurrent(TargetAttemptResult result, TimePoint now, Actions& actions)
+{
+    actions.emplace_back(CancelAttempt { m_current->number });
+    endAttempt(result, now);
+}
+
+std::optional<AcquiredTarget> RequestMachine::acquireAlternative(TimePoint now)
+{
+    if (m_sentAttempts >= m_requestInfo.route.maxAttempts
+        || m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now))
+        return std::nullopt;
+    const auto outcome = m_dependencies.targets->acquire(m_query, now, *m_dependencies.random);
+    const auto* target = std::get_if<AcquiredTarget>(&outcome);
+    if (!target)
+        return std::nullopt;
+    if (m_dependencies.retries->tryAcquire(m_requestInfo.service, now))
+        return *target;
+    m_dependencies.targets->release(*target, m_query, TargetAttemptResult::Inconclusive, now);
+    return std::nullopt;
+}
+
+void RequestMachine::acquireTarget(TimePoint now, Actions& actions)
+{
+    if (now >= m_requestInfo.deadline()) {
+        timeOut(now, actions);
+        return;
+    }
+    if (refuseQuarantined(now, actions))
+        return;
+    const auto maxWait
+        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
+    m_query.excludesBacklogged
+        = m_requestInfo.promptTokens > 0 && m_sentAttempts == 0 && now < m_requestInfo.receivedAt + maxWait;
+    std::visit(Overloaded {
+                   [&](const AcquiredTarget& target) { startAttempt(target, now, actions); },
+                   [&](AcquireFailure failure) { waitForTarget(failure, now, actions); },
+                   [&](TargetsPaused paused) { waitForPauseEnd(paused.until, now, actions); },
+               },
+        m_dependencies.targets->acquire(m_query, now, *m_dependencies.random));
+}
+
+void RequestMachine::startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions)
+{
+    setCountedAsWaiting(false);
+    if (m_sentAttempts == 0)
+        m_dependencies.retries->recordFirstAttempt(m_requestInfo.service, now);
+    ++m_lastAttempt;
+    ++m_sentAttempts;
+    m_query.excluded.insert(target.id);
+    m_query.excludesBacklogged = false;
+    m_lastProgressAt = now;
+    if (m_current) {
+        m_alternative = Attempt { m_lastAttempt, target };
+    } else {
+        m_current = Attempt { m_lastAttempt, target };
+        m_phase = Phase::Sent;
+        m_firstEventAt.reset();
+    }
+    StartAttempt start { m_lastAttempt, target, m_requestInfo.deadline() - now, std::nullopt,
+        std::min(m_requestInfo.route.priority, 9U) };
+    if (!m_lastEventId.empty())
+        start.resumeAfter = m_lastEventId;
+    actions.emplace_back(std::move(start));
+}
+
+void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
+{
+    m_dependencies.targets->release(m_current->target, m_query, result, now);
+    m_current.reset();
+}
+
+void RequestMachine::waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions)
+{
+    m_phase = Phase::Waiting;
+    // Only the first attempt waits, for a load or a registration. A request that has been sent does not wait for
+    // another target.
+    const auto maxWait
+        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
+    // A load that is requested now ends after the wait.
+    const bool isLoadTooLong = failure == AcquireFailure::ModelAbsent && m_requestInfo.modelLoadTime > maxWait;
+    if (m_sentAttempts > 0 || isLoadTooLong || now >= m_requestInfo.receivedAt + maxWait) {
+        fail(m_mayHaveRun ? LocalResponseKind::Failed : LocalResponseKind::NotRun, std::string(nameOf(failure)), now,
+            actions, failure);
+        return;
+    }
+    setCountedAsWaiting(true);
+    m_nextAcquireAt = now + m_settings->acquireInterval;
+}
+
+void RequestMachine::waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions)
+{
+    const auto maxWait
+        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
+    if (m_sentAttempts == 0 && until <= std::min(m_requestInfo.receivedAt + maxWait, m_requestInfo.deadline())) {
+        m_phase = Phase::Waiting;
+        m_nextAcquireAt = until;
+        return;
+    }
+    refuseFor(withRandomSpread(until - now), "targets_paused", now, actions);
+}
+
+std::optional<TimePoint> RequestMachine::stallDeadline() const
+{
+    const auto& route = m_requestInfo.route;
+    const bool hasForwardedData = m_isHeadSent && !(isStream() && m_lastEventId.empty());
+    if (!m_current || m_isForwardingPaused || !route.isRetryable() || m_sentAttempts >= route.maxAttempts
+        || (hasForwardedData && !isStream()))
+        return std::nullopt;
+    const auto scaled
+        = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
+    const auto stallTimeout = hasForwardedData && !m_alternative
+        ? std::max(scaled(route.maxEventGap, m_settings->stallTimeoutFactor), m_settings->minStallTimeout)
+        : std::max(scaled(route.targetLatency, m_settings->firstByteTimeoutFactor), m_settings->minFirstByteTimeout);
+    return m_lastProgressAt + stallTimeout;
+}
+
+bool RequestMachine::consumeRetry(TimePoint now)
+{
+    return m_sentAttempts < m_requestInfo.route.maxAttempts
+        && m_dependencies.retries->tryAcquire(m_requestInfo.service, now);
+}
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -18,6 +18,9 @@
     bool isMisdirected { false }; ///< The address belongs to another instance, or the model is absent.
     bool isLeaving { false }; ///< The target states that it is about to leave.
     std::optional<Duration> pause {}; ///< Time for which the target asks this node to send it nothing.
+
+    bool isSuccess() const { return status >= 200 && status < 300; }
+    bool isFailure() const { return status >= 500; }
 };
 
 /// The head of the response has arrived.
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -7,14 +7,6 @@
 
 namespace cyclamenstair {
 
-namespace {
-
-    constexpr uint32_t minFailureStatus = 500;
-
-    bool isSuccess(uint32_t status) { return status >= 200 && status < 300; }
-
-} // namespace
-
 RequestMachine::RequestMachine(
     RequestInfo requestInfo, const RequestFlowSettings& settings, RequestDependencies dependencies)
     : m_requestInfo(std::move(requestInfo))
@@ -68,9 +60,9 @@
     const auto& head = event.head;
     applyStatements(head, m_current->target, now, actions);
     m_lastProgressAt = now;
-    if (isSuccess(head.status) && m_answerProgress == AnswerProgress::NotStarted)
+    if (head.isSuccess() && m_answerProgress == AnswerProgress::NotStarted)
         m_answerProgress = AnswerProgress::Started;
-    if (!head.matchesRequestId || (isSuccess(head.status) && !head.hasReceipt)) {
+    if (!head.matchesRequestId || (head.isSuccess() && !head.hasReceipt)) {
         // A response to another request, or one without a receipt. The connection must not be reused.
         cancelCurrent(TargetAttemptResult::Failed, now, actions);
         retryOrFail(true, "foreign_answer", now, actions);
@@ -81,7 +73,7 @@
         retryOrFail(false, head.isMisdirected ? "target_absent" : "target_full", now, actions);
         return;
     }
-    const bool isFailure = head.status >= minFailureStatus;
+    const bool isFailure = head.isFailure();
     if (isFailure && m_requestInfo.route.isRetryable() && !m_isHeadSent) {
         const auto otherTarget = m_alternative ? std::nullopt : acquireAlternative(now);
         if (m_alternative || otherTarget) {
@@ -99,7 +91,7 @@
     cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
     if (m_isHeadSent) {
         // The stream resumes at this target; the caller already has the head of the first response.
-        if (isSuccess(head.status)) {
+        if (head.isSuccess()) {
             m_phase = Phase::Forwarding;
             return;
         }
@@ -108,7 +100,7 @@
         return;
     }
     m_head = head;
-    if (isStream() && isSuccess(head.status)) {
+    if (isStream() && head.isSuccess()) {
         m_isHeadSent = true;
         m_phase = Phase::Forwarding;
         actions.emplace_back(ForwardHead { event.attempt, std::nullopt });
@@ -128,57 +120,6 @@
     m_dependencies.targets->markPromptRead(target);
 }
 
-void RequestMachine::onAlternativeStarted(const ResponseStarted& event, TimePoint now, Actions& actions)
-{
-    const auto& head = event.head;
-    const bool isRefused = head.isNotRun || head.isMisdirected;
-    const bool isAnswer = isSuccess(head.status) ? head.hasReceipt : head.status < minFailureStatus && !m_isHeadSent;
-    if (head.matchesRequestId && !isRefused && isAnswer) {
-        cancelCurrent(TargetAttemptResult::Failed, now, actions);
-        m_mayHaveRun = true;
-        adoptAlternative(now);
-        on(event, now, actions);
-        return;
-    }
-    applyStatements(head, m_alternative->target, now, actions);
-    cancelAlternative(head.isMisdirected ? TargetAttemptResult::Absent
-            : head.isNotRun              ? TargetAttemptResult::Full
-                                         : TargetAttemptResult::Failed,
-        now, actions);
-    m_lastProgressAt = now;
-}
-
-void RequestMachine::adoptAlternative(TimePoint now)
-{
-    discardPartialAnswer();
-    m_current = std::exchange(m_alternative, std::nullopt);
-    m_phase = Phase::Sent;
-    m_firstEventAt.reset();
-    m_lastProgressAt = now;
-}
-
-void RequestMachine::cancelAlternative(TargetAttemptResult result, TimePoint now, Actions& actions)
-{
-    if (!m_alternative)
-        return;
-    actions.emplace_back(CancelAttempt { m_alternative->number });
-    m_dependencies.targets->release(m_alternative->target, m_query, result, now);
-    m_mayHaveRun = m_mayHaveRun || (result != TargetAttemptResult::Full && result != TargetAttemptResult::Absent);
-    m_alternative.reset();
-}
-
-void RequestMachine::recordProgress(TimePoint now, Actions& actions)
-{
-    m_lastProgressAt = now;
-    cancelAlternative(TargetAttemptResult::Inconclusive, now, actions);
-}
-
-void RequestMachine::cancelCurrent(TargetAttemptResult result, TimePoint now, Actions& actions)
-{
-    actions.emplace_back(CancelAttempt { m_current->number });
-    endAttempt(result, now);
-}
-
 void RequestMachine::on(const ResponseContinued& event, TimePoint now, Actions& actions)
 {
     if (!isCurrentAttempt(event.attempt) || m_phase == Phase::Sent)
@@ -313,65 +254,6 @@
     }
 }
 
-std::optional<AcquiredTarget> RequestMachine::acquireAlternative(TimePoint now)
-{
-    if (m_sentAttempts >= m_requestInfo.route.maxAttempts
-        || m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now))
-        return std::nullopt;
-    const auto outcome = m_dependencies.targets->acquire(m_query, now, *m_dependencies.random);
-    const auto* target = std::get_if<AcquiredTarget>(&outcome);
-    if (!target)
-        return std::nullopt;
-    if (m_dependencies.retries->tryAcquire(m_requestInfo.service, now))
-        return *target;
-    m_dependencies.targets->release(*target, m_query, TargetAttemptResult::Inconclusive, now);
-    return std::nullopt;
-}
-
-void RequestMachine::acquireTarget(TimePoint now, Actions& actions)
-{
-    if (now >= m_requestInfo.deadline()) {
-        timeOut(now, actions);
-        return;
-    }
-    if (refuseQuarantined(now, actions))
-        return;
-    const auto maxWait
-        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
-    m_query.excludesBacklogged
-        = m_requestInfo.promptTokens > 0 && m_sentAttempts == 0 && now < m_requestInfo.receivedAt + maxWait;
-    std::visit(Overloaded {
-                   [&](const AcquiredTarget& target) { startAttempt(target, now, actions); },
-                   [&](AcquireFailure failure) { waitForTarget(failure, now, actions); },
-                   [&](TargetsPaused paused) { waitForPauseEnd(paused.until, now, actions); },
-               },
-        m_dependencies.targets->acquire(m_query, now, *m_dependencies.random));
-}
-
-void RequestMachine::startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions)
-{
-    setCountedAsWaiting(false);
-    if (m_sentAttempts == 0)
-        m_dependencies.retries->recordFirstAttempt(m_requestInfo.service, now);
-    ++m_lastAttempt;
-    ++m_sentAttempts;
-    m_query.excluded.insert(target.id);
-    m_query.excludesBacklogged = false;
-    m_lastProgressAt = now;
-    if (m_current) {
-        m_alternative = Attempt { m_lastAttempt, target };
-    } else {
-        m_current = Attempt { m_lastAttempt, target };
-        m_phase = Phase::Sent;
-        m_firstEventAt.reset();
-    }
-    StartAttempt start { m_lastAttempt, target, m_requestInfo.deadline() - now, std::nullopt,
-        std::min(m_requestInfo.route.priority, 9U) };
-    if (!m_lastEventId.empty())
-        start.resumeAfter = m_lastEventId;
-    actions.emplace_back(std::move(start));
-}
-
 void RequestMachine::forwardCompleteEvents(TimePoint now, Actions& actions)
 {
     std::string events;
@@ -399,12 +281,6 @@
         m_dependencies.quarantine->addContinuedAnswer(m_requestInfo.promptParts, now);
 }
 
-void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
-{
-    m_dependencies.targets->release(m_current->target, m_query, result, now);
-    m_current.reset();
-}
-
 void RequestMachine::discardPartialAnswer()
 {
     m_bufferedBody.clear();
@@ -451,42 +327,6 @@
     finish();
 }
 
-bool RequestMachine::consumeRetry(TimePoint now)
-{
-    return m_sentAttempts < m_requestInfo.route.maxAttempts
-        && m_dependencies.retries->tryAcquire(m_requestInfo.service, now);
-}
-
-void RequestMachine::waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions)
-{
-    m_phase = Phase::Waiting;
-    // Only the first attempt waits, for a load or a registration. A request that has been sent does not wait for
-    // another target.
-    const auto maxWait
-        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
-    // A load that is requested now ends after the wait.
-    const bool isLoadTooLong = failure == AcquireFailure::ModelAbsent && m_requestInfo.modelLoadTime > maxWait;
-    if (m_sentAttempts > 0 || isLoadTooLong || now >= m_requestInfo.receivedAt + maxWait) {
-        fail(m_mayHaveRun ? LocalResponseKind::Failed : LocalResponseKind::NotRun, std::string(nameOf(failure)), now,
-            actions, failure);
-        return;
-    }
-    setCountedAsWaiting(true);
-    m_nextAcquireAt = now + m_settings->acquireInterval;
-}
-
-void RequestMachine::waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions)
-{
-    const auto maxWait
-        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
-    if (m_sentAttempts == 0 && until <= std::min(m_requestInfo.receivedAt + maxWait, m_requestInfo.deadline())) {
-        m_phase = Phase::Waiting;
-        m_nextAcquireAt = until;
-        return;
-    }
-    refuseFor(withRandomSpread(until - now), "targets_paused", now, actions);
-}
-
 void RequestMachine::setCountedAsWaiting(bool isWaiting)
 {
     if (isWaiting == m_isCountedAsWaiting || m_requestInfo.model.empty())
@@ -542,19 +382,4 @@
     m_phase = Phase::Finished;
 }
 
-std::optional<TimePoint> RequestMachine::stallDeadline() const
-{
-    const auto& route = m_requestInfo.route;
-    const bool hasForwardedData = m_isHeadSent && !(isStream() && m_lastEventId.empty());
-    if (!m_current || m_isForwardingPaused || !route.isRetryable() || m_sentAttempts >= route.maxAttempts
-        || (hasForwardedData && !isStream()))
-        return std::nullopt;
-    const auto scaled
-        = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
-    const auto stallTimeout = hasForwardedData && !m_alternative
-        ? std::max(scaled(route.maxEventGap, m_settings->stallTimeoutFactor), m_settings->minStallTimeout)
-        : std::max(scaled(route.targetLatency, m_settings->firstByteTimeoutFactor), m_settings->minFirstByteTimeout);
-    return m_lastProgressAt + stallTimeout;
-}
-
 } // namespace cyclamenstair
