Do not resume Beast's parser with less than the end of a chunked body

Cause: after the last chunk size the parser asserts at its next call that five bytes are there; ServerConnection and ClientConnection called it again with fewer.

ServerConnection.ReadsRequestsInAnyPieces and ClientConnection.ReadsResponsesIn- AnyPieces ended the test program before the change.

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -167,13 +167,12 @@
 
 void ClientConnection::parse()
 {
-    while (!m_unparsedInput.empty() && m_handler && !m_parser->is_done()) {
+    while (m_unparsedInput.size() >= m_minInputBytes && m_handler && !m_parser->is_done()) {
         boost::system::error_code ec;
         const size_t consumed = m_parser->put(boost::asio::buffer(m_unparsedInput), ec);
         m_unparsedInput.erase(0, consumed);
-        if (ec == http::error::need_more)
-            ec = {};
-        if (ec) {
+        const bool needsMore = ec == http::error::need_more;
+        if (ec && !needsMore) {
             fail(ErrorKind::Unavailable, "http.parse", ec.message());
             return;
         }
@@ -187,9 +186,13 @@
             startParser();
             continue;
         }
-        if (consumed == 0)
+        // Set before the handler is called, which can send the next request.
+        m_minInputBytes
+            = needsMore && m_parser->is_header_done() && !m_unparsedInput.empty() ? minResumedFramingBytes : 1;
+        if (consumed > 0)
+            onParsed();
+        if (needsMore || consumed == 0)
             break;
-        onParsed();
     }
     // The parser consumes body bytes at once, so what it leaves is an incomplete line or field of the framing.
     if (m_handler && !m_parser->is_done() && m_unparsedInput.size() > m_settings->maxFramingBytes)
@@ -269,6 +272,7 @@
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
     m_parser->skip(m_isHeadRequest);
     m_isHeadReported = false;
+    m_minInputBytes = 1;
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -110,6 +110,7 @@
     bool m_isEndedByClose { false };
     std::string m_requestBytes;
     std::string m_unparsedInput;
+    size_t m_minInputBytes { 1 }; ///< Input is parsed once so many bytes have arrived.
     std::array<char, 8192> m_readBuffer {};
     bool m_isHeadRequest { false };
     bool m_isOpen { false };
--- a/Cyclamenstair/Http/HttpMessage.h
+++ b/Cyclamenstair/Http/HttpMessage.h
@@ -55,6 +55,10 @@
 /// Encodes one chunk of a chunked body.
 std::string encodeChunk(std::string_view data);
 
+/// Bytes that Beast's parser must be given after it asked for more of a chunk's framing. Given fewer after the last
+/// chunk size, it ends the process by an assertion.
+inline constexpr size_t minResumedFramingBytes = 5;
+
 /// Terminates a chunked body.
 inline constexpr std::string_view lastChunk = "0\r\n\r\n";
 
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -151,7 +151,7 @@
 
 void ServerConnection::parse()
 {
-    while (!m_unparsedInput.empty() && m_phase == Phase::Reading && !m_isClosed) {
+    while (m_unparsedInput.size() >= m_minInputBytes && m_phase == Phase::Reading && !m_isClosed) {
         boost::system::error_code ec;
         const size_t consumed = m_parser->put(boost::asio::buffer(m_unparsedInput), ec);
         m_unparsedInput.erase(0, consumed);
@@ -171,6 +171,10 @@
             m_isContinueSent = true;
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        if (ec == http::error::need_more) {
+            m_minInputBytes = m_parser->is_header_done() && !m_unparsedInput.empty() ? minResumedFramingBytes : 1;
+            break;
+        }
         if (consumed == 0)
             break;
     }
@@ -220,6 +224,7 @@
     m_isHeadRequest = false;
     m_isContinueSent = false;
     m_parser = std::make_unique<Parser>();
+    m_minInputBytes = 1;
     (void)updateInputShare();
     m_parser->eager(true);
     m_parser->header_limit(m_limits.maxHeadBytes);
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -115,6 +115,7 @@
     BufferShare m_outputShare;
     std::unique_ptr<Parser> m_parser;
     std::string m_unparsedInput;
+    size_t m_minInputBytes { 1 }; ///< Input is parsed once so many bytes have arrived.
     std::string m_queuedOutput; ///< Written once the write in flight is complete.
     std::string m_outputInFlight;
     std::array<char, 4096> m_readBuffer {};
--- a/Tests/HttpTests/HttpConnectionTests.cpp
+++ b/Tests/HttpTests/HttpConnectionTests.cpp
@@ -181,3 +181,21 @@
     for (const char* text : { "", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "name:80", "127.0.0.1:80x" })
         EXPECT_FALSE(parseEndpoint(text)) << text;
 }
+
+// Guards against a response that ends the process because it arrives in certain pieces.
+TEST(ClientConnection, ReadsResponsesInAnyPieces)
+{
+    for (const auto& message : framedMessages) {
+        const auto response = "HTTP/1.1 200 OK\r\nConnection: close\r\n" + message;
+        const auto bodyStart = response.find("\r\n\r\n");
+        for (size_t split = bodyStart; split < response.size(); ++split) {
+            RawServer server(1, [&](tcp::socket& socket) {
+                std::string input;
+                (void)readTarget(socket, input);
+                writeInParts(socket, response, split);
+            });
+            BlockingClient client;
+            EXPECT_EQ(bodyOf(client.call(server.address)), message.find("ody") == std::string::npos ? "" : "body");
+        }
+    }
+}
--- a/Tests/HttpTests/HttpTestServers.h
+++ b/Tests/HttpTests/HttpTestServers.h
@@ -132,6 +132,25 @@
     }
 };
 
+/// Messages for each framing of a body, without the start line.
+inline const std::vector<std::string> framedMessages { "Content-Length: 4\r\n\r\nbody",
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: 1\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n3\r\nody\r\n0\r\n\r\n" };
+
+/// Writes the first `split` bytes, and the others one by one, so that the peer reads them separately.
+inline void writeInParts(tcp::socket& socket, const std::string& bytes, size_t split)
+{
+    constexpr auto pause = milliseconds(2);
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    boost::asio::write(socket, boost::asio::buffer(bytes.substr(0, split)), ec);
+    for (size_t at = split; at < bytes.size(); ++at) {
+        std::this_thread::sleep_for(pause);
+        boost::asio::write(socket, boost::asio::buffer(bytes.data() + at, 1), ec);
+    }
+}
+
 /// Sends `start` and then `repeated` until the client closes.
 class EndlessServer : public RawServer {
 public:
--- a/Tests/HttpTests/ServerConnectionTests.cpp
+++ b/Tests/HttpTests/ServerConnectionTests.cpp
@@ -127,3 +127,24 @@
     }
     EXPECT_EQ(server.disconnected.get_future().wait_for(waitTimeout), std::future_status::ready);
 }
+
+// Guards against a request that ends the process because it arrives in certain pieces.
+TEST(ServerConnection, ReadsRequestsInAnyPieces)
+{
+    EchoServer server;
+    for (const auto& message : framedMessages) {
+        const auto request = "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + message;
+        const auto bodyStart = request.find("\r\n\r\n");
+        for (size_t split = bodyStart; split < request.size(); ++split) {
+            boost::asio::io_context context;
+            tcp::socket socket(context);
+            socket.connect(parseEndpoint(server.address).value());
+            writeInParts(socket, request, split);
+            std::string response;
+            boost::system::error_code ec;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(response), ec);
+            EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << message << response;
+            EXPECT_TRUE(response.ends_with(message.find("ody") == std::string::npos ? "/x " : "/x body")) << response;
+        }
+    }
+}
