Read the store less often while a large fleet starts

Change: StoreWatcher knows its node's part (independent, collector, follower). At the start, followers watch every 1.6 s and collectors as usual; the first watch comes 0.6 s (nodes) or 1 s after the start.

--- a/Cyclamenstair/Admission/AllotmentLimiter.cpp
+++ b/Cyclamenstair/Admission/AllotmentLimiter.cpp
@@ -31,11 +31,11 @@
     m_buckets.forEachShard([&](Buckets& buckets) {
         std::erase_if(buckets, [&](const auto& entry) { return !rates.contains(entry.first); });
     });
-    for (const auto& [team, rate] : rates) {
-        m_buckets.withShard(team, [&](Buckets& buckets) {
-            const auto [entry, isNew] = buckets.try_emplace(team);
-            auto& bucket = entry->second;
-            if (isNew) {
+    for (const auto& row : rates) {
+        m_buckets.withShard(row.first, [&](Buckets& buckets) {
+            const auto inserted = buckets.try_emplace(row.first);
+            auto& bucket = inserted.first->second;
+            if (inserted.second) {
                 // A node that has just started does not know what was admitted before, so it assumes that the burst is
                 // used.
                 bucket.advancedAt = now;
@@ -43,7 +43,7 @@
             } else {
                 advance(bucket, currentView, now);
             }
-            bucket.rate = rate;
+            bucket.rate = row.second;
             bucket.level = std::min(bucket.level, capacity(bucket));
         });
     }
--- a/Cyclamenstair/Entry/ControlWatcher.cpp
+++ b/Cyclamenstair/Entry/ControlWatcher.cpp
@@ -10,6 +10,8 @@
     const std::string controlPrefix = "control/";
     /// Time between two watches in a large fleet, in which many nodes register one after the other.
     constexpr Duration largeFleetWatchInterval = milliseconds(1000);
+    /// Less than for the other records, since the number of nodes decides who watches them.
+    constexpr Duration firstWatchDelay = milliseconds(600);
 
 } // namespace
 
@@ -19,7 +21,8 @@
     , m_mesh(&mesh)
     , m_watcher(context, store, controlPrefix,
           { [this](const StoreRange& range) { onRead(range); },
-              [this](const StoreChange& change) { onChange(change); } })
+              [this](const StoreChange& change) { onChange(change); } },
+          { .firstWatchDelay = firstWatchDelay })
 {
 }
 
--- a/Cyclamenstair/Entry/StoreRelay.cpp
+++ b/Cyclamenstair/Entry/StoreRelay.cpp
@@ -57,8 +57,13 @@
 {
     if (m_onCollecting)
         m_onCollecting(isCollecting);
-    for (auto& source : m_sources)
+    m_role = isCollecting   ? StoreWatcherRole::Collector
+        : collector.empty() ? StoreWatcherRole::Independent
+                            : StoreWatcherRole::Follower;
+    for (auto& source : m_sources) {
+        source.watcher->setRole(m_role);
         source.watcher->setWatchWait(isCollecting ? collectorWatchWait : StoreWatcherSettings {}.watchWait);
+    }
     m_follower.setCollector(collector);
     if (collector.empty()) {
         setWatching(true);
--- a/Cyclamenstair/Entry/StoreRelay.h
+++ b/Cyclamenstair/Entry/StoreRelay.h
@@ -44,6 +44,8 @@
 
     /// Returns whether this node watches the store itself.
     bool isWatching() const { return m_isWatching; }
+    /// Returns whether this node follows a collector or is about to.
+    bool isFollower() const { return m_role == StoreWatcherRole::Follower; }
 
 private:
     struct Source {
@@ -61,6 +63,7 @@
     std::vector<Source> m_sources;
     StoreFollower m_follower;
     uint64_t m_sequence; ///< Starts at a number that no earlier process of this node has used.
+    StoreWatcherRole m_role { StoreWatcherRole::Independent };
     bool m_isWatching { true };
 };
 
--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -26,8 +26,17 @@
 
 Duration StoreWatcher::watchInterval() const
 {
-    const bool isStarting = monotonicNow() - m_startedAt < m_settings.startDuration;
-    return isStarting ? std::max(m_settings.watchInterval, m_settings.startWatchInterval) : m_settings.watchInterval;
+    if (!isStarting())
+        return m_settings.watchInterval;
+    switch (m_role) {
+    case StoreWatcherRole::Independent:
+        return std::max(m_settings.watchInterval, m_settings.startWatchInterval);
+    case StoreWatcherRole::Follower:
+        return std::max(m_settings.watchInterval, m_settings.followerStartInterval);
+    case StoreWatcherRole::Collector:
+        break;
+    }
+    return m_settings.watchInterval;
 }
 
 void StoreWatcher::pause()
@@ -96,10 +105,22 @@
         m_contentRevision = range.revision;
         m_handlers.onRead(range);
         notifyObserver(range);
-        watch();
+        if (const auto firstWatchAt = m_startedAt + m_settings.firstWatchDelay; monotonicNow() < firstWatchAt)
+            scheduleNext(firstWatchAt - monotonicNow(), &StoreWatcher::watchFirst);
+        else
+            watch();
     });
 }
 
+void StoreWatcher::watchFirst()
+{
+    const auto latestAt = m_startedAt + m_settings.followerStartInterval;
+    if (m_role == StoreWatcherRole::Follower && monotonicNow() < latestAt)
+        scheduleNext(latestAt - monotonicNow(), &StoreWatcher::watch);
+    else
+        watch();
+}
+
 void StoreWatcher::watch()
 {
     m_store->watch(m_prefix, m_revision, m_settings.watchWait,
--- a/Cyclamenstair/Entry/StoreWatcher.h
+++ b/Cyclamenstair/Entry/StoreWatcher.h
@@ -13,9 +13,21 @@
     /// meanwhile, cause changes all the time.
     Duration startWatchInterval { milliseconds(1000) };
     Duration startDuration { milliseconds(6000) };
+    /// Instead of startWatchInterval at a node that is about to follow a collector. It accepts only records that are as
+    /// recent as its own, so it must not read more often than the collector.
+    Duration followerStartInterval { milliseconds(1600) };
+    /// Time from the start to the first watch. Until then most nodes and targets that start together have registered.
+    Duration firstWatchDelay { milliseconds(1000) };
     Duration maxRetryDelay { milliseconds(800) }; ///< Well below the time within which changes must take effect.
 };
 
+/// Part of a watcher's node in passing on the records of the store.
+enum class StoreWatcherRole : uint8_t {
+    Independent, ///< All nodes watch the store themselves.
+    Collector, ///< Other nodes follow this one, or will.
+    Follower, ///< Follows a collector, or is about to.
+};
+
 /// Tracks the records below a prefix: reads all of them, then watches for changes. Reads all of them again after a
 /// failure or if the store has compacted the history. While another node passes on what it reads, the watcher can be
 /// paused and follow that node instead. Belongs to one event loop.
@@ -49,6 +61,8 @@
     /// Sets how long a watch waits for changes; each one that ends advances revision().
     void setWatchWait(Duration wait) { m_settings.watchWait = wait; }
 
+    void setRole(StoreWatcherRole role) { m_role = role; }
+
     /// Returns the revision up to which all changes are known.
     int64_t revision() const { return m_revision; }
 
@@ -58,8 +72,11 @@
 
 private:
     void read();
+    /// Watches for the first time, unless this node is about to follow a collector and can wait a little longer.
+    void watchFirst();
     void watch();
     Duration watchInterval() const;
+    bool isStarting() const { return monotonicNow() - m_startedAt < m_settings.startDuration; }
     void notifyObserver(const StoreRange& range);
     void onWatch(const StoreWatchOutcome& outcome);
     void onFailure(const std::string& message);
@@ -74,6 +91,7 @@
     TimePoint m_startedAt;
     int64_t m_revision { 0 }; ///< Changes up to this revision were processed; 0 before the first full read.
     Duration m_retryDelay {};
+    StoreWatcherRole m_role { StoreWatcherRole::Independent };
     bool m_isConnected { true };
     bool m_isPaused { false };
     uint64_t m_generation { 0 }; ///< Increases when the watcher is paused; outcomes of earlier calls are ignored.
