--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -29,6 +29,8 @@
             row->target = target;
             row->in_flight = saturatedCount(load.inFlight);
             row->unread_tokens = load.pendingPromptTokens;
+            row->overdue = saturatedCount(load.overdue);
+            row->answers = saturatedCount(load.answers);
             rows.push_back(std::move(row));
         }
         return rows;
@@ -38,7 +40,7 @@
     {
         TargetWorkloads loads;
         for (const auto& row : rows)
-            loads[row->target] = { row->in_flight, row->unread_tokens };
+            loads[row->target] = { row->in_flight, row->unread_tokens, row->overdue, row->answers };
         return loads;
     }
 
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -121,7 +121,9 @@
           leaseSettings(*settings.control, settings.entry->cpu_share), std::random_device {}())
     , m_registrar(m_controlLoop.context(), m_store, settings.node->id, selfAsPeer(settings))
     , m_relay(settings.node->id)
+    , m_lostAnswerVerifier(m_controlLoop, m_state)
 {
+    m_state.onLostAnswer = [this](LostAnswer answer) { m_lostAnswerVerifier.submit(std::move(answer)); };
     std::random_device randomDevice;
     for (int i = 0; i < settings.entry->loops; ++i)
         m_loops.push_back(std::make_unique<RequestLoop>(m_state, randomDevice()));
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Entry/CatalogWatcher.h>
 #include <Cyclamenstair/Entry/ControlWatcher.h>
+#include <Cyclamenstair/Entry/LostAnswerVerifier.h>
 #include <Cyclamenstair/Entry/NodeRegistrar.h>
 #include <Cyclamenstair/Entry/OrderDispatcher.h>
 #include <Cyclamenstair/Entry/RequestLoop.h>
@@ -50,6 +51,7 @@
     OrderLeaseElector m_elector;
     NodeRegistrar m_registrar;
     StoreRelay m_relay;
+    LostAnswerVerifier m_lostAnswerVerifier;
     std::unique_ptr<PeerMesh> m_mesh;
     std::unique_ptr<ControlWatcher> m_controlWatcher;
     std::unique_ptr<OrderDispatcher> m_dispatcher;
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -12,9 +12,17 @@
 #include <Cyclamenstair/Telemetry/Metrics.h>
 
 #include <atomic>
+#include <functional>
 
 namespace cyclamenstair {
 
+/// An answer that a target lost before it had continued.
+struct LostAnswer {
+    AcquiredTarget target;
+    PromptParts parts;
+    uint64_t attempt { 0 }; ///< Identifies the attempt among those of all nodes.
+};
+
 /// State shared by the request loops and the control loop.
 struct EntryState {
     explicit EntryState(const schema::SettingsT& settings);
@@ -30,6 +38,7 @@
     PromptQuarantine quarantine;
     BufferBudget requestBuffers; ///< For callers' requests and their responses.
     BufferBudget controlBuffers; ///< For the store, reports of targets and other nodes.
+    std::function<void(LostAnswer)> onLostAnswer; ///< Set before the request loops start; thread-safe.
     std::atomic<bool> areTargetsKnown { false }; ///< The target entries were read from the store or from a peer.
     std::atomic<bool> isStopping { false };
     /// New requests with a later deadline are refused, because the process exits before it.
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -93,6 +93,7 @@
     m_state->setNodeCount(nodes.size());
     m_topology.setNodes(std::move(nodes), m_self);
     m_state->targets.setLargeFleet(!m_topology.isDirect());
+    m_state->targets.setNodeCount(m_topology.nodes().size());
 }
 
 DemandShare PeerMesh::totalDemand() const { return m_exchange.totalDemand(ownDemand()); }
@@ -213,7 +214,7 @@
     if (now - m_lastShareSentAt < (isDirect ? loadShareInterval / 2 : groupShareInterval))
         return;
     auto own = m_state->targets.loads();
-    std::erase_if(own, [](const auto& entry) { return entry.second.inFlight == 0; });
+    std::erase_if(own, [](const auto& entry) { return entry.second.inFlight == 0 && entry.second.answers == 0; });
     if (isCollecting()) {
         m_lastShareSentAt = now;
         sendAsCollector(own);
@@ -266,7 +267,13 @@
 void PeerMesh::applyRemoteLoads(TimePoint now)
 {
     const bool usesSummary = !m_topology.isDirect() && !isCollecting();
-    m_state->targets.setRemoteLoads(m_exchange.remoteLoads(usesSummary), now);
+    for (const auto& change : m_state->targets.setRemoteLoads(m_exchange.remoteLoads(usesSummary), now)) {
+        logEvent(LogSeverity::Info, change.isUnresponsive ? "target_unresponsive" : "target_responsive",
+            { { "target", change.target }, { "overdue", std::to_string(change.overdue) },
+                { "in_flight", std::to_string(change.inFlight) } });
+        if (change.isUnresponsive)
+            m_state->metrics.add(Metric::UnresponsiveTargets);
+    }
 }
 
 std::set<std::string> PeerMesh::otherCollectors() const
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -264,6 +264,11 @@
     m_loop->state().metrics.add(Metric::TargetStatements, statement);
 }
 
+void RequestExchange::perform(const ReportLostAnswer& action)
+{
+    m_loop->state().onLostAnswer({ action.target, m_machine.requestInfo().promptParts, action.attempt });
+}
+
 void RequestExchange::onTargetEvent(uint32_t attempt, ClientEvent event)
 {
     std::visit(Overloaded {
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -41,6 +41,7 @@
     void perform(const AbortResponse& action);
     void perform(const SendLocalResponse& action);
     void perform(const ReportStatement& action);
+    void perform(const ReportLostAnswer& action);
     void onTargetEvent(uint32_t attempt, ClientEvent event);
     /// Logs a response that is an error, lacks a receipt, or names another request, before the state machine handles
     /// it.
--- a/Cyclamenstair/Entry/TargetWatcher.cpp
+++ b/Cyclamenstair/Entry/TargetWatcher.cpp
@@ -76,7 +76,7 @@
         logError(LogSeverity::Warning, "target_entry_rejected", record.error());
         return;
     }
-    m_state->targets.update(record.value(), storeRecord.modRevision);
+    m_state->targets.update(record.value(), storeRecord.modRevision, monotonicNow());
     m_entries[*id] = { *id, storeRecord.value, storeRecord.modRevision };
     logEvent(LogSeverity::Info, "target_entry",
         { { "target", *id }, { "phase", std::string(nameOf(record.value().phase)) },
--- a/Cyclamenstair/Fleet/TargetRecord.h
+++ b/Cyclamenstair/Fleet/TargetRecord.h
@@ -34,6 +34,8 @@
 struct TargetWorkload {
     uint32_t inFlight { 0 };
     uint32_t pendingPromptTokens { 0 }; ///< Prompt tokens of requests in flight without a response so far.
+    uint32_t overdue { 0 }; ///< Requests in flight whose response has not begun long after it was due.
+    uint32_t answers { 0 }; ///< Answers since the target started or recovered; 0 at full pace, see TargetPace.
 
     bool operator==(const TargetWorkload&) const = default;
 };
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -14,12 +14,16 @@
     constexpr double suspectCost = 1000;
     /// Cost added to a target that has just refused a request for lack of capacity; lower than that of a suspect one.
     constexpr double fullCost = 100;
+    /// Cost added to a target that does not respond to any node.
+    constexpr double unresponsiveCost = 500;
+    /// Cost added to a target that has started or recovered, at the nodes that are to leave it to others.
+    constexpr double beyondPaceCost = 50;
     /// Limit of the suspect duration after consecutive failures, as a multiple of that after one failure.
     constexpr uint32_t maxSuspectFactor = 4;
 
 } // namespace
 
-void TargetRegistry::update(const TargetRecord& record, int64_t revision)
+void TargetRegistry::update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt)
 {
     m_services.withShard(record.service, [&](auto& services) {
         auto& target = services[record.service][record.id];
@@ -34,6 +38,9 @@
             target.pausedUntil = {};
             target.absentUntil.clear();
             target.consecutiveFailures = 0;
+            target.pace = {};
+            if (startedAt)
+                target.pace.restart(*startedAt);
         }
         target.record = record;
         target.revision = revision;
@@ -74,6 +81,7 @@
         std::optional<TimePoint> firstPauseEnd;
         bool isModelLoaded = false;
         bool isAnyBacklogged = false;
+        bool isAnyOverloaded = false;
         for (auto& [id, target] : service->second) {
             if (target.record.phase != TargetPhase::Ready || target.isLeaving || query.excluded.contains(id))
                 continue;
@@ -91,6 +99,10 @@
                 if (absent != target.absentUntil.end() && absent->second > now)
                     continue;
             }
+            if (isOverloaded(target, query, now)) {
+                isAnyOverloaded = true;
+                continue;
+            }
             if (query.excludesBacklogged && isPromptBacklogged(target, query, now)) {
                 isAnyBacklogged = true;
                 continue;
@@ -101,6 +113,8 @@
         if (candidates.empty()) {
             if (isAnyBacklogged)
                 return AcquireFailure::PromptBacklog;
+            if (isAnyOverloaded)
+                return AcquireFailure::EnginesOverloaded;
             if (firstPauseEnd)
                 return TargetsPaused { *firstPauseEnd };
             if (!isAnyReady)
@@ -131,8 +145,27 @@
         if (entry != targets.end())
             entry->second.load.pendingPromptTokens
                 -= std::min(entry->second.load.pendingPromptTokens, target.pendingPromptTokens);
+        if (entry != targets.end())
+            clearOverdue(entry->second, target);
     });
     target.pendingPromptTokens = 0;
+    target.isOverdue = false;
+}
+
+void TargetRegistry::markOverdue(AcquiredTarget& target)
+{
+    if (target.isOverdue)
+        return;
+    withProcess(target, [&](TargetState& state) {
+        ++state.load.overdue;
+        target.isOverdue = true;
+    });
+}
+
+void TargetRegistry::clearOverdue(TargetState& target, const AcquiredTarget& acquired)
+{
+    if (acquired.isOverdue)
+        target.load.overdue -= std::min(target.load.overdue, 1U);
 }
 
 template <typename Function> void TargetRegistry::withProcess(const AcquiredTarget& target, Function&& function)
@@ -174,11 +207,13 @@
         auto& state = entry->second;
         state.load.inFlight -= std::min(state.load.inFlight, 1U);
         state.load.pendingPromptTokens -= std::min(state.load.pendingPromptTokens, target.pendingPromptTokens);
+        clearOverdue(state, target);
         if (const auto runs = state.inFlightByModel.find(query.model);
             runs != state.inFlightByModel.end() && --runs->second == 0)
             state.inFlightByModel.erase(runs);
         switch (result) {
         case TargetAttemptResult::Good:
+            state.pace.countAnswer();
             state.consecutiveFailures = 0;
             state.suspectUntil = {};
             break;
@@ -245,17 +280,30 @@
     });
 }
 
-void TargetRegistry::setRemoteLoads(const TargetWorkloads& loads, TimePoint now)
+std::vector<ResponsivenessChange> TargetRegistry::setRemoteLoads(const TargetWorkloads& loads, TimePoint now)
 {
+    std::vector<ResponsivenessChange> changes;
     m_services.forEachShard([&](auto& services) {
         for (auto& [service, targets] : services) {
             for (auto& [id, target] : targets) {
                 const auto load = loads.find(id);
                 target.remoteLoad = load == loads.end() ? TargetWorkload {} : load->second;
                 target.remoteLoadSetAt = now;
+                target.pace.setRemoteAnswers(target.remoteLoad.answers);
+                // Evidence of all nodes together: each one has few requests at a target.
+                const auto total = totalLoad(target, now);
+                const bool wasUnresponsive = std::exchange(target.isUnresponsive,
+                    total.overdue > 0 && total.overdue >= total.inFlight * m_settings.unresponsiveFraction);
+                if (!m_isLargeFleet)
+                    continue;
+                if (target.isUnresponsive || wasUnresponsive)
+                    target.pace.restart(now);
+                if (target.isUnresponsive != wasUnresponsive)
+                    changes.push_back({ id, target.isUnresponsive, total.overdue, total.inFlight });
             }
         }
     });
+    return changes;
 }
 
 std::set<std::string> TargetRegistry::suspectTargets(TimePoint now) const
@@ -277,8 +325,10 @@
     TargetWorkloads loads;
     m_services.forEachShard([&](const auto& services) {
         for (const auto& [service, targets] : services) {
-            for (const auto& [id, target] : targets)
+            for (const auto& [id, target] : targets) {
                 loads[id] = target.load;
+                loads[id].answers = target.pace.ownAnswers();
+            }
         }
     });
     return loads;
@@ -308,7 +358,8 @@
     if (now - target.remoteLoadSetAt >= m_settings.remoteLoadLifetime)
         return target.load;
     return { target.load.inFlight + target.remoteLoad.inFlight,
-        target.load.pendingPromptTokens + target.remoteLoad.pendingPromptTokens };
+        target.load.pendingPromptTokens + target.remoteLoad.pendingPromptTokens,
+        target.load.overdue + target.remoteLoad.overdue, target.remoteLoad.answers };
 }
 
 bool TargetRegistry::isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const
@@ -317,6 +368,12 @@
     return pendingTokens > 0 && pendingTokens + query.promptTokens > m_settings.maxPendingPromptTokens;
 }
 
+bool TargetRegistry::isOverloaded(const TargetState& target, const TargetQuery& query, TimePoint now) const
+{
+    return m_isLargeFleet && !query.model.empty()
+        && totalLoad(target, now).inFlight >= m_settings.maxEngineLoad * std::max(1U, target.record.slots);
+}
+
 void TargetRegistry::addOtherTargetCost(std::vector<Candidate>& candidates, double cost) const
 {
     if (candidates.size() <= m_settings.preferredTargets)
@@ -331,7 +388,7 @@
         other->second->cost += cost;
 }
 
-double TargetRegistry::selectionCost(const TargetState& target, TimePoint now) const
+double TargetRegistry::selectionCost(TargetState& target, TimePoint now) const
 {
     const auto load = totalLoad(target, now);
     double cost = (load.inFlight + 1.0) / std::max(1U, target.record.slots);
@@ -343,7 +400,21 @@
         cost += suspectCost;
     if (target.fullUntil > now)
         cost += fullCost;
-    return cost;
+    return m_isLargeFleet ? cost + paceCost(target, now) : cost;
+}
+
+double TargetRegistry::paceCost(TargetState& target, TimePoint now) const
+{
+    if (target.isUnresponsive)
+        return unresponsiveCost;
+    const auto slots = std::max(1U, target.record.slots);
+    if (target.pace.updateFullPace(slots, m_settings.pace, now))
+        return 0;
+    // As many nodes as the window allows requests, the same ones for all requests to the target.
+    constexpr double weightRange = 18446744073709551616.0;
+    const double position = static_cast<double>(rendezvousWeight(target.record.id, m_settings.nodeId)) / weightRange;
+    const auto nodes = static_cast<double>(m_nodeCount.load());
+    return position * nodes < target.pace.window(slots, m_settings.pace, now) ? 0 : beyondPaceCost;
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Random.h>
 #include <Cyclamenstair/Core/Sharded.h>
+#include <Cyclamenstair/Fleet/TargetPace.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
 
 #include <atomic>
@@ -42,6 +43,13 @@
     double pendingPromptCost { 0.1 };
     /// Time after a refusal for an absent model during which the target's record is ignored for that model.
     Duration absentBackoff { milliseconds(1500) };
+    /// Requests in flight at an engine, over all nodes, as a multiple of its slots, from which on it gets no new ones
+    /// in a large fleet. One that comes then starts only after a whole round of requests, when most callers have left.
+    double maxEngineLoad { 2 };
+    /// Part of the requests in flight at a target, over all nodes, that are overdue at one that does not respond. Some
+    /// requests are late at a target that is only slow.
+    double unresponsiveFraction { 0.3 };
+    TargetPaceSettings pace;
     /// Longest pause that a target can ask for with one response, so that a faulty one does not stay out for good.
     Duration maxPause { std::chrono::minutes(5) };
 };
@@ -63,6 +71,7 @@
     std::string service;
     int64_t startedUnixMs { 0 }; ///< Start time of the target's process.
     uint32_t pendingPromptTokens { 0 }; ///< Prompt tokens of the request that count as pending at the target.
+    bool isOverdue { false }; ///< The request counts as overdue at the target.
 };
 
 /// Why no target was acquired.
@@ -70,6 +79,7 @@
     NoTarget, ///< The service has no ready target, or the request has been sent to all of them.
     ModelAbsent, ///< No ready target has loaded the model.
     AdapterAbsent, ///< Targets have loaded the model, but none the adapter.
+    EnginesOverloaded, ///< All targets with the model and the adapter have too many requests in flight.
     PromptBacklog, ///< All targets with the model and the adapter have too many pending prompt tokens.
 };
 
@@ -78,6 +88,7 @@
         { AcquireFailure::NoTarget, "no_target" },
         { AcquireFailure::ModelAbsent, "model_absent" },
         { AcquireFailure::AdapterAbsent, "adapter_absent" },
+        { AcquireFailure::EnginesOverloaded, "engines_overloaded" },
         { AcquireFailure::PromptBacklog, "prompts_unread" },
     });
 };
@@ -87,6 +98,14 @@
     TimePoint until; ///< End of the pause that ends first.
 };
 
+/// A target has stopped or resumed responding to the fleet's requests.
+struct ResponsivenessChange {
+    std::string target;
+    bool isUnresponsive { false };
+    uint32_t overdue { 0 }; ///< Over all nodes.
+    uint32_t inFlight { 0 }; ///< Over all nodes.
+};
+
 using AcquireOutcome = std::variant<AcquiredTarget, AcquireFailure, TargetsPaused>;
 
 /// Result of an attempt, as an indication of the target's health.
@@ -118,9 +137,14 @@
 
     /// Sets whether each node prefers a few targets, because the fleet has many nodes.
     void setLargeFleet(bool isLargeFleet) { m_isLargeFleet = isLargeFleet; }
+    bool isLargeFleet() const { return m_isLargeFleet; }
 
-    /// Adds or updates a target from its record at store revision `revision`. Older revisions are ignored.
-    void update(const TargetRecord& record, int64_t revision);
+    /// Sets the number of nodes, among which the requests for a target that has just started are divided.
+    void setNodeCount(size_t nodeCount) { m_nodeCount = nodeCount; }
+
+    /// Adds or updates a target from its record at store revision `revision`. Older revisions are ignored. `startedAt`
+    /// is set if a new process of the target has registered just now, rather than before this node read the records.
+    void update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt = std::nullopt);
 
     /// Removes a target whose record was deleted at store revision `revision`, unless it has a newer record.
     void remove(const std::string& id, int64_t revision);
@@ -135,6 +159,10 @@
     /// Subtracts the request's prompt from the pending prompts, because the target has started to respond.
     void markPromptRead(AcquiredTarget& target);
 
+    /// Records that a request's response has not begun although it was due. Counts until the target responds to it or
+    /// it is released.
+    void markOverdue(AcquiredTarget& target);
+
     /// Records that the target's process stated that it is about to leave. It is not selected any more.
     /// Returns whether this is news.
     bool markLeaving(const AcquiredTarget& target);
@@ -156,7 +184,8 @@
     void setModels(const std::string& service, const std::string& id, const std::vector<LoadedModel>& models);
 
     /// Replaces the loads of all other nodes together. They expire after TargetRegistrySettings::remoteLoadLifetime.
-    void setRemoteLoads(const TargetWorkloads& loads, TimePoint now);
+    /// Returns the targets that have stopped or resumed responding.
+    std::vector<ResponsivenessChange> setRemoteLoads(const TargetWorkloads& loads, TimePoint now);
 
     /// Returns the ids of the targets that are avoided because recent requests of this node failed there.
     std::set<std::string> suspectTargets(TimePoint now) const;
@@ -175,6 +204,8 @@
         std::map<std::string, uint32_t> inFlightByModel; ///< Requests in flight by model.
         TimePoint suspectUntil;
         TimePoint fullUntil;
+        TargetPace pace;
+        bool isUnresponsive { false }; ///< As of the last change of the loads.
         bool isLeaving { false };
         TimePoint pausedUntil;
         std::map<std::string, TimePoint> absentUntil; ///< By modelKey().
@@ -194,7 +225,13 @@
     static std::string modelKey(const TargetQuery& query);
     /// Returns whether another prompt would exceed the limit of pending prompt tokens and delay the target's streams.
     bool isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const;
-    double selectionCost(const TargetState& target, TimePoint now) const;
+    /// Returns whether a request would wait at the engine for a whole round of other requests.
+    bool isOverloaded(const TargetState& target, const TargetQuery& query, TimePoint now) const;
+    double selectionCost(TargetState& target, TimePoint now) const;
+    /// Returns the cost of a target that does not respond, or that this node is to leave to others until it is at full
+    /// pace. Large fleets only: few nodes find out for themselves.
+    double paceCost(TargetState& target, TimePoint now) const;
+    static void clearOverdue(TargetState& target, const AcquiredTarget& acquired);
     /// Adds `cost` to the candidates that this node does not prefer.
     void addOtherTargetCost(std::vector<Candidate>& candidates, double cost) const;
     /// Returns the load of all nodes at the target, as far as other nodes' loads are current.
@@ -202,6 +239,7 @@
 
     TargetRegistrySettings m_settings;
     std::atomic<bool> m_isLargeFleet { false };
+    std::atomic<size_t> m_nodeCount { 1 };
     Sharded<std::string, std::map<std::string, Targets>> m_services;
 };
 
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -529,6 +529,8 @@
   std::string target{};
   uint16_t in_flight = 0;
   uint32_t unread_tokens = 0;
+  uint16_t overdue = 0;
+  uint16_t answers = 0;
 };
 
 /// Requests of one node in flight at a target.
@@ -539,7 +541,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
     VT_IN_FLIGHT = 6,
-    VT_UNREAD_TOKENS = 8
+    VT_UNREAD_TOKENS = 8,
+    VT_OVERDUE = 10,
+    VT_ANSWERS = 12
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -551,12 +555,22 @@
   uint32_t unread_tokens() const {
     return GetField<uint32_t>(VT_UNREAD_TOKENS, 0);
   }
+  /// Requests whose answer has not begun long after it was due.
+  uint16_t overdue() const {
+    return GetField<uint16_t>(VT_OVERDUE, 0);
+  }
+  /// Answers since the target started or recovered; 0 at full pace.
+  uint16_t answers() const {
+    return GetField<uint16_t>(VT_ANSWERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
            VerifyField<uint16_t>(verifier, VT_IN_FLIGHT, 2) &&
            VerifyField<uint32_t>(verifier, VT_UNREAD_TOKENS, 4) &&
+           VerifyField<uint16_t>(verifier, VT_OVERDUE, 2) &&
+           VerifyField<uint16_t>(verifier, VT_ANSWERS, 2) &&
            verifier.EndTable();
   }
   TargetLoadRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -577,6 +591,12 @@
   void add_unread_tokens(uint32_t unread_tokens) {
     fbb_.AddElement<uint32_t>(TargetLoadRow::VT_UNREAD_TOKENS, unread_tokens, 0);
   }
+  void add_overdue(uint16_t overdue) {
+    fbb_.AddElement<uint16_t>(TargetLoadRow::VT_OVERDUE, overdue, 0);
+  }
+  void add_answers(uint16_t answers) {
+    fbb_.AddElement<uint16_t>(TargetLoadRow::VT_ANSWERS, answers, 0);
+  }
   explicit TargetLoadRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -593,10 +613,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     uint16_t in_flight = 0,
-    uint32_t unread_tokens = 0) {
+    uint32_t unread_tokens = 0,
+    uint16_t overdue = 0,
+    uint16_t answers = 0) {
   TargetLoadRowBuilder builder_(_fbb);
   builder_.add_unread_tokens(unread_tokens);
   builder_.add_target(target);
+  builder_.add_answers(answers);
+  builder_.add_overdue(overdue);
   builder_.add_in_flight(in_flight);
   return builder_.Finish();
 }
@@ -610,13 +634,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
     uint16_t in_flight = 0,
-    uint32_t unread_tokens = 0) {
+    uint32_t unread_tokens = 0,
+    uint16_t overdue = 0,
+    uint16_t answers = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return cyclamenstair::schema::CreateTargetLoadRow(
       _fbb,
       target__,
       in_flight,
-      unread_tokens);
+      unread_tokens,
+      overdue,
+      answers);
 }
 
 flatbuffers::Offset<TargetLoadRow> CreateTargetLoadRow(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2798,6 +2826,8 @@
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = in_flight(); _o->in_flight = _e; }
   { auto _e = unread_tokens(); _o->unread_tokens = _e; }
+  { auto _e = overdue(); _o->overdue = _e; }
+  { auto _e = answers(); _o->answers = _e; }
 }
 
 inline flatbuffers::Offset<TargetLoadRow> TargetLoadRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2811,11 +2841,15 @@
   auto _target = _fbb.CreateString(_o->target);
   auto _in_flight = _o->in_flight;
   auto _unread_tokens = _o->unread_tokens;
+  auto _overdue = _o->overdue;
+  auto _answers = _o->answers;
   return cyclamenstair::schema::CreateTargetLoadRow(
       _fbb,
       _target,
       _in_flight,
-      _unread_tokens);
+      _unread_tokens,
+      _overdue,
+      _answers);
 }
 
 inline ModelRunsRowT *ModelRunsRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Cyclamenstair/Peering/LoadExchange.cpp
+++ b/Cyclamenstair/Peering/LoadExchange.cpp
@@ -12,6 +12,8 @@
             auto& sum = total[target];
             sum.inFlight += load.inFlight;
             sum.pendingPromptTokens += load.pendingPromptTokens;
+            sum.overdue += load.overdue;
+            sum.answers += load.answers;
         }
     }
 
@@ -60,6 +62,8 @@
             continue;
         total->second.inFlight = difference(total->second.inFlight, own.inFlight);
         total->second.pendingPromptTokens = difference(total->second.pendingPromptTokens, own.pendingPromptTokens);
+        total->second.overdue = difference(total->second.overdue, own.overdue);
+        total->second.answers = difference(total->second.answers, own.answers);
     }
     m_summaryReceivedAt = now;
 }
--- a/Cyclamenstair/RequestFlow/RequestAction.h
+++ b/Cyclamenstair/RequestFlow/RequestAction.h
@@ -80,7 +80,14 @@
     Duration pauseLeft {}; ///< For Paused: time until the target is selected again.
 };
 
+/// A target closed its connection before the answer had continued. Unless its process is still running, that is
+/// evidence against the prompt.
+struct ReportLostAnswer {
+    AcquiredTarget target;
+    uint64_t attempt { 0 }; ///< Identifies the attempt among those of all nodes.
+};
+
 using RequestAction = std::variant<StartAttempt, CancelAttempt, ForwardHead, ForwardData, FinishResponse, AbortResponse,
-    SendLocalResponse, ReportStatement>;
+    SendLocalResponse, ReportStatement, ReportLostAnswer>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -104,10 +104,16 @@
     m_query.excluded.insert(target.id);
     m_query.excludesBacklogged = false;
     m_lastProgressAt = now;
+    Attempt attempt { m_lastAttempt, target };
+    if (m_dependencies.targets->isLargeFleet())
+        attempt.overdueAt = now
+            + std::clamp(
+                std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->overdueFactor),
+                m_settings->minOverdueTime, m_settings->maxOverdueTime);
     if (m_current) {
-        m_alternative = Attempt { m_lastAttempt, target };
+        m_alternative = std::move(attempt);
     } else {
-        m_current = Attempt { m_lastAttempt, target };
+        m_current = std::move(attempt);
         m_phase = Phase::Sent;
         m_firstEventAt.reset();
     }
@@ -124,16 +130,50 @@
     m_current.reset();
 }
 
+std::optional<TimePoint> RequestMachine::nextOverdueAt() const
+{
+    std::optional<TimePoint> next;
+    if (m_current && m_phase == Phase::Sent)
+        next = m_current->overdueAt;
+    if (m_alternative && m_alternative->overdueAt)
+        next = std::min(next.value_or(*m_alternative->overdueAt), *m_alternative->overdueAt);
+    return next;
+}
+
+void RequestMachine::markOverdueAttempts(TimePoint now)
+{
+    const auto markIfDue = [&](Attempt& attempt) {
+        if (!attempt.overdueAt || now < *attempt.overdueAt)
+            return;
+        attempt.overdueAt.reset();
+        m_dependencies.targets->markOverdue(attempt.target);
+    };
+    if (m_current && m_phase == Phase::Sent)
+        markIfDue(*m_current);
+    if (m_alternative)
+        markIfDue(*m_alternative);
+}
+
+Duration RequestMachine::maxWait(AcquireFailure failure) const
+{
+    const auto wait
+        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
+    if (failure == AcquireFailure::AdapterAbsent && m_dependencies.targets->isLargeFleet())
+        return std::max(wait, m_settings->fleetAdapterLoadTime);
+    if (failure == AcquireFailure::EnginesOverloaded)
+        return std::max(wait, m_settings->overloadWait);
+    return wait;
+}
+
 void RequestMachine::waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions)
 {
     m_phase = Phase::Waiting;
     // Only the first attempt waits, for a load or a registration. A request that has been sent does not wait for
     // another target.
-    const auto maxWait
-        = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxWaitFraction);
+    const auto wait = maxWait(failure);
     // A load that is requested now ends after the wait.
-    const bool isLoadTooLong = failure == AcquireFailure::ModelAbsent && m_requestInfo.modelLoadTime > maxWait;
-    if (m_sentAttempts > 0 || isLoadTooLong || now >= m_requestInfo.receivedAt + maxWait) {
+    const bool isLoadTooLong = failure == AcquireFailure::ModelAbsent && m_requestInfo.modelLoadTime > wait;
+    if (m_sentAttempts > 0 || isLoadTooLong || now >= m_requestInfo.receivedAt + wait) {
         fail(m_mayHaveRun ? LocalResponseKind::Failed : LocalResponseKind::NotRun, std::string(nameOf(failure)), now,
             actions, failure);
         return;
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -46,6 +46,8 @@
         nextTimer = std::min(nextTimer, m_nextAcquireAt);
     if (const auto limit = stallDeadline())
         nextTimer = std::min(nextTimer, *limit);
+    if (const auto overdueAt = nextOverdueAt())
+        nextTimer = std::min(nextTimer, *overdueAt);
     return nextTimer;
 }
 
@@ -184,8 +186,7 @@
     if (!isOfAlternative && !isCurrentAttempt(event.attempt))
         return;
     if (event.wasSent && event.isClosedByTarget && m_answerProgress != AnswerProgress::Continued)
-        m_dependencies.quarantine->addLostAnswer(
-            m_requestInfo.promptParts, stableHash(m_requestInfo.id, event.attempt), now);
+        recordLostAnswer(isOfAlternative ? m_alternative->target : m_current->target, event.attempt, now, actions);
     if (isOfAlternative) {
         m_mayHaveRun = m_mayHaveRun || event.wasSent;
         m_sentAttempts -= event.wasSent ? 0 : 1;
@@ -208,6 +209,16 @@
     retryOrFail(true, "connection_lost", now, actions);
 }
 
+void RequestMachine::recordLostAnswer(const AcquiredTarget& target, uint32_t attempt, TimePoint now, Actions& actions)
+{
+    const auto attemptId = stableHash(m_requestInfo.id, attempt);
+    // The nodes of a large fleet see too little of a target to tell a single lost answer from the end of its process.
+    if (m_dependencies.targets->isLargeFleet() && !m_requestInfo.promptParts.isEmpty())
+        actions.emplace_back(ReportLostAnswer { target, attemptId });
+    else
+        m_dependencies.quarantine->addLostAnswer(m_requestInfo.promptParts, attemptId, now);
+}
+
 void RequestMachine::on(const CallerDisconnected&, TimePoint now, Actions& actions)
 {
     if (m_current)
@@ -239,6 +250,7 @@
         timeOut(now, actions);
         return;
     }
+    markOverdueAttempts(now);
     if (m_phase == Phase::Waiting && now >= m_nextAcquireAt) {
         acquireTarget(now, actions);
         return;
@@ -352,7 +364,7 @@
 Duration RequestMachine::retryAfter(std::optional<AcquireFailure> failure, TimePoint now) const
 {
     auto wait = m_lastAttempt == 0 ? m_settings->retryAfterAbsent : m_settings->retryAfterFull;
-    if (failure == AcquireFailure::ModelAbsent)
+    if (failure == AcquireFailure::ModelAbsent || failure == AcquireFailure::EnginesOverloaded)
         wait += m_requestInfo.modelLoadTime;
     return std::min(withRandomSpread(wait),
         std::chrono::duration_cast<Duration>((m_requestInfo.deadline() - now) * m_settings->maxRetryAfterFraction));
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -49,6 +49,17 @@
     double firstByteTimeoutFactor { 2.4 };
     /// Lower bound of the first byte timeout. Plain services respond within it under load.
     Duration minFirstByteTimeout { milliseconds(400) };
+    /// Time without the head of a response, as a multiple of the route's target latency, after which a request counts
+    /// as overdue at its target; within the bounds below. Callers disconnect after four times the target latency.
+    double overdueFactor { 2 };
+    Duration minOverdueTime { milliseconds(500) };
+    Duration maxOverdueTime { milliseconds(1500) };
+    /// Time from the request for an adapter until all nodes of a large fleet know that it is loaded. Callers wait
+    /// longer, so a first attempt waits for it.
+    Duration fleetAdapterLoadTime { milliseconds(1200) };
+    /// Time that a first attempt waits for an engine with room. Longer than the age of the known loads; a caller that
+    /// is refused then comes back when there may be another copy of the model.
+    Duration overloadWait { milliseconds(700) };
     /// Time after the first event of a stream from which on the target is known to survive the request. An engine that
     /// a prompt makes fail ends within a few steps of it.
     Duration answerProofTime { milliseconds(250) };
@@ -103,6 +114,9 @@
     struct Attempt {
         uint32_t number { 0 };
         AcquiredTarget target;
+        /// When the request counts as overdue at the target. No value afterwards, and in small fleets, where each node
+        /// has enough requests to judge a target itself.
+        std::optional<TimePoint> overdueAt {};
     };
 
     void on(const ResponseStarted& event, TimePoint now, Actions& actions);
@@ -130,6 +144,8 @@
     void recordProgress(TimePoint now, Actions& actions);
     void cancelCurrent(TargetAttemptResult result, TimePoint now, Actions& actions);
     void forwardCompleteEvents(TimePoint now, Actions& actions);
+    /// Records or reports that the target closed its connection before its answer had continued.
+    void recordLostAnswer(const AcquiredTarget& target, uint32_t attempt, TimePoint now, Actions& actions);
     /// Records that an event or a complete answer has arrived.
     void recordAnswerProgress(bool isComplete, TimePoint now);
     /// Releases the target of the current attempt.
@@ -148,6 +164,12 @@
     /// Ends the request because it cannot be sent to a target before `wait` has passed. A Retry-After for it is not
     /// bounded by the deadline, since no earlier retry can succeed.
     void refuseFor(Duration wait, const std::string& reason, TimePoint now, Actions& actions);
+    /// Counts the attempts as overdue whose response head is due.
+    void markOverdueAttempts(TimePoint now);
+    /// Returns when the next attempt becomes overdue.
+    std::optional<TimePoint> nextOverdueAt() const;
+    /// Returns how long a first attempt waits for a target.
+    Duration maxWait(AcquireFailure failure) const;
     void waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions);
     /// Waits for the end of a pause that all targets asked for, or refuses the request at once if it ends too late.
     void waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions);
--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -68,6 +68,8 @@
         return { MetricKind::Gauge, "", "Live nodes." };
     case Metric::Targets:
         return { MetricKind::Gauge, "", "Known targets." };
+    case Metric::UnresponsiveTargets:
+        return { MetricKind::Counter, "", "Targets found not to respond to the fleet's requests." };
     case Metric::TeamUnits:
         return { MetricKind::Counter, "team", "Units of the allotment that admitted requests cost, by team." };
     case Metric::TeamRefusals:
--- a/Tests/RequestFlowTests/StreamTests.cpp
+++ b/Tests/RequestFlowTests/StreamTests.cpp
@@ -160,3 +160,63 @@
         EXPECT_TRUE(find<AbortResponse>(all)) << status;
     }
 }
+
+// Guards against a quarantine of sound prompts in a large fleet, in which the loss of one answer does not show whether
+// the target's process ended: the loss is reported for verification and is no evidence by itself.
+TEST(RequestMachine, LostAnswerIsVerifiedInALargeFleet)
+{
+    Fixture fixture(RetryPolicy::Stream, true);
+    fixture.targets.setLargeFleet(true);
+    auto requestInfo = fixture.machine->requestInfo();
+    requestInfo.promptParts = { { "shared" }, "own" };
+    const auto machine = fixture.makeMachine(requestInfo);
+    const auto* attempt = find<StartAttempt>(machine->start(start));
+    ASSERT_TRUE(attempt);
+    const auto actions = machine->handle(AttemptDisconnected { 1, true, true }, start);
+    const auto* report = find<ReportLostAnswer>(actions);
+    ASSERT_TRUE(report);
+    EXPECT_FALSE(report->target.id.empty());
+    EXPECT_TRUE(fixture.quarantine.rows(start).empty());
+}
+
+// Guards against requests that are lost at a silent target of a large fleet, one after the other, because no node
+// counts them until its caller leaves.
+TEST(RequestMachine, RequestWithoutResponseCountsAsOverdue)
+{
+    Fixture fixture(RetryPolicy::Once);
+    fixture.targets.setLargeFleet(true);
+    const auto machine = fixture.makeMachine(fixture.machine->requestInfo());
+    const auto actions = machine->start(start);
+    const auto target = find<StartAttempt>(actions)->target.id;
+    const auto overdueAt = start + 2 * milliseconds(600);
+    EXPECT_EQ(machine->nextTimerAt(), overdueAt);
+    (void)machine->handle(TimerFired {}, overdueAt);
+    EXPECT_EQ(fixture.targets.loads().at(target).overdue, 1U);
+    EXPECT_EQ(machine->nextTimerAt(), start + milliseconds(5000));
+    (void)machine->handle(ResponseStarted { 1, successResponse() }, overdueAt);
+    EXPECT_EQ(fixture.targets.loads().at(target).overdue, 0U);
+}
+
+// Guards against callers that are refused while an adapter is being loaded for them, which takes longer in a large
+// fleet.
+TEST(RequestMachine, FirstAttemptWaitsForAdapterOrderOfALargeFleet)
+{
+    Fixture fixture(RetryPolicy::Stream);
+    TargetRecord engine;
+    engine.id = "i-1";
+    engine.service = "service";
+    engine.address = "127.0.0.1:1";
+    engine.slots = 4;
+    engine.models = { { "m", {} } };
+    fixture.targets.update(engine, 2);
+    auto requestInfo = fixture.machine->requestInfo();
+    requestInfo.model = "m";
+    requestInfo.adapter = "a1";
+    for (const bool isLargeFleet : { false, true }) {
+        fixture.targets.setLargeFleet(isLargeFleet);
+        const auto machine = fixture.makeMachine(requestInfo);
+        EXPECT_TRUE(machine->start(start).empty());
+        const auto actions = machine->handle(TimerFired {}, start + milliseconds(600));
+        EXPECT_EQ(find<SendLocalResponse>(actions) == nullptr, isLargeFleet);
+    }
+}
