Send repeats and resumed streams to overloaded engines as before

Cause: the bound on engines also applied to attempts after the first, so that a stream that was broken off could not resume while the other engine was busy. Found by reading.

Change: TargetQuery::excludesOverloaded is set for first attempts only. RepeatsAreSentToOverloadedEngines guards it; it needs the new field, so it was not run on the former code.

--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -370,7 +370,7 @@
 
 bool TargetRegistry::isOverloaded(const TargetState& target, const TargetQuery& query, TimePoint now) const
 {
-    return m_isLargeFleet && !query.model.empty()
+    return query.excludesOverloaded && m_isLargeFleet && !query.model.empty()
         && totalLoad(target, now).inFlight >= m_settings.maxEngineLoad * std::max(1U, target.record.slots);
 }
 
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -62,6 +62,9 @@
     std::set<std::string> excluded; ///< Ids of targets to which the request has been sent already.
     uint32_t promptTokens { 0 }; ///< 0 if unknown, and for plain services.
     bool excludesBacklogged { false }; ///< Excludes targets whose pending prompts would delay this prompt.
+    /// Excludes overloaded engines of a large fleet. Not for repeats and resumed streams, whose callers have nothing to
+    /// gain by a refusal.
+    bool excludesOverloaded { false };
 };
 
 /// A target at which one request is counted as in flight.
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -86,6 +86,7 @@
         = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
     m_query.excludesBacklogged
         = m_requestInfo.promptTokens > 0 && m_sentAttempts == 0 && now < m_requestInfo.receivedAt + maxWait;
+    m_query.excludesOverloaded = m_sentAttempts == 0;
     std::visit(Overloaded {
                    [&](const AcquiredTarget& target) { startAttempt(target, now, actions); },
                    [&](AcquireFailure failure) { waitForTarget(failure, now, actions); },
@@ -103,6 +104,7 @@
     ++m_sentAttempts;
     m_query.excluded.insert(target.id);
     m_query.excludesBacklogged = false;
+    m_query.excludesOverloaded = false;
     m_lastProgressAt = now;
     Attempt attempt { m_lastAttempt, target };
     if (m_dependencies.targets->isLargeFleet())
--- a/Tests/FleetTests/TargetPaceTests.cpp
+++ b/Tests/FleetTests/TargetPaceTests.cpp
@@ -157,7 +157,11 @@
 
 class OverloadedEngineTest : public testing::Test {
 protected:
-    OverloadedEngineTest() { registry.update(target("i-1"), 1); }
+    OverloadedEngineTest()
+    {
+        registry.update(target("i-1"), 1);
+        query.excludesOverloaded = true;
+    }
 
     AcquireOutcome acquire() { return registry.acquire(query, start, random); }
 
@@ -252,6 +256,15 @@
     EXPECT_TRUE(std::holds_alternative<AcquiredTarget>(acquire()));
 }
 
+// Guards against a stream that cannot resume, or a repeat that is dropped, because the other engine is busy.
+TEST_F(OverloadedEngineTest, RepeatsAreSentToOverloadedEngines)
+{
+    registry.setLargeFleet(true);
+    while (std::holds_alternative<AcquiredTarget>(acquire())) { }
+    query.excludesOverloaded = false;
+    EXPECT_TRUE(std::holds_alternative<AcquiredTarget>(acquire()));
+}
+
 // Guards against a change for small fleets, which leave queueing to the engines.
 TEST_F(OverloadedEngineTest, SmallFleetLeavesQueueingToTheEngine)
 {
