Rank requests of equal teams by their route

Cause: a team's priority replaced that of the route, so a team's overnight batch had the same rank at the engines as its urgent queries.

Change: RequestInfo::urgency ranks by team first and by route within it.

Result: RequestInfo.TeamPriorityGoesBeforeRoutePriority passes.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -102,7 +102,7 @@
         return;
     }
     if (const auto* team = identification.team) {
-        requestInfo.route.priority = team->priority.value_or(requestInfo.route.priority);
+        requestInfo.teamPriority = team->priority;
         if (team->allotment.isLimited()) {
             requestInfo.allotmentCost = team->allotment.cost(decoded.totalTokens);
             const auto wait = loop.state().allotments.consumeOrGetDelay(
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -119,8 +119,7 @@
         m_phase = Phase::Sent;
         m_firstEventAt.reset();
     }
-    StartAttempt start { m_lastAttempt, target, m_requestInfo.deadline() - now, std::nullopt,
-        std::min(m_requestInfo.route.priority, 9U) };
+    StartAttempt start { m_lastAttempt, target, m_requestInfo.deadline() - now, std::nullopt, m_requestInfo.urgency() };
     if (!m_lastEventId.empty())
         start.resumeAfter = m_lastEventId;
     actions.emplace_back(std::move(start));
--- a/Cyclamenstair/RequestFlow/RequestInfo.cpp
+++ b/Cyclamenstair/RequestFlow/RequestInfo.cpp
@@ -4,6 +4,17 @@
 
 namespace cyclamenstair {
 
+uint32_t RequestInfo::urgency() const
+{
+    constexpr uint32_t lowestRank = 9;
+    constexpr uint32_t routeRanks = 3;
+    const uint64_t routeRank = route.priority;
+    if (!teamPriority)
+        return static_cast<uint32_t>(std::min<uint64_t>(routeRank, lowestRank));
+    const auto rank = uint64_t { *teamPriority } * routeRanks + std::min<uint64_t>(routeRank, routeRanks - 1);
+    return static_cast<uint32_t>(std::min<uint64_t>(rank, lowestRank));
+}
+
 TimePoint RequestInfo::deadline() const
 {
     constexpr Duration defaultTimeout = std::chrono::minutes(10);
--- a/Cyclamenstair/RequestFlow/RequestInfo.h
+++ b/Cyclamenstair/RequestFlow/RequestInfo.h
@@ -20,9 +20,14 @@
     TimePoint receivedAt;
     /// Name of the caller's team, empty for callers without a key. No value if the catalog has no teams.
     std::optional<std::string> team;
+    std::optional<uint32_t> teamPriority; ///< Takes precedence over the priority of the route; 0 is the highest.
     double allotmentCost { 0 }; ///< Units of the team's allotment that the request has consumed.
     std::optional<Duration> callerTimeout; ///< Time that the caller waits for a response, starting at receivedAt.
 
+    /// Returns the scheduling rank at targets, from 0 (first) to 9. Requests of teams with the same priority are ranked
+    /// by their route.
+    uint32_t urgency() const;
+
     /// Returns the time by which the response must be complete.
     TimePoint deadline() const;
 };
--- a/Tests/RequestFlowTests/StreamTests.cpp
+++ b/Tests/RequestFlowTests/StreamTests.cpp
@@ -197,6 +197,23 @@
     EXPECT_EQ(fixture.targets.loads().at(target).overdue, 0U);
 }
 
+// Guards against a team's batch that runs before its urgent requests, and against a route that goes before a team.
+TEST(RequestInfo, TeamPriorityGoesBeforeRoutePriority)
+{
+    const auto urgency = [](std::optional<uint32_t> team, uint32_t route) {
+        RequestInfo info;
+        info.teamPriority = team;
+        info.route.priority = route;
+        return info.urgency();
+    };
+    EXPECT_LT(urgency(0, 0), urgency(0, 2));
+    EXPECT_LT(urgency(0, 2), urgency(1, 0));
+    EXPECT_LT(urgency(1, 7), urgency(2, 0));
+    EXPECT_EQ(urgency(4000000000, 4000000000), 9U);
+    EXPECT_EQ(urgency(std::nullopt, 4), 4U);
+    EXPECT_EQ(urgency(std::nullopt, 12), 9U);
+}
+
 // Guards against callers that are refused while an adapter is being loaded for them, which takes longer in a large
 // fleet.
 TEST(RequestMachine, FirstAttemptWaitsForAdapterOrderOfALargeFleet)
