--- a/Tests/AdmissionTests/AllotmentLimiterTests.cpp
+++ b/Tests/AdmissionTests/AllotmentLimiterTests.cpp
@@ -174,6 +174,20 @@
         RC_ASSERT(fleet.worstWindow() <= 1);
     }
 
+    // The same with usage that is known still later, as with busy collectors. Known to fail, see KNOWN-RED.txt.
+    RC_GTEST_PROP(AllotmentLimiter, fleetStaysWithinTheBoundWithSlowExchange, ())
+    {
+        const auto usual = static_cast<double>(*rc::gen::inRange(1, 150));
+        const auto seed = *rc::gen::inRange<uint64_t>(1, 1000000);
+        AllotmentFleet fleet(nodeCount, rateFor(usual), milliseconds(*rc::gen::inRange(401, 601)), seed);
+        fleet.play(4, usual);
+        for (int i = 0; i < 2; ++i) {
+            fleet.play(6, usual * *rc::gen::inRange(2, 9));
+            fleet.play(2, usual);
+        }
+        RC_ASSERT(fleet.worstWindow() <= 1);
+    }
+
     // Guards against two parts of a fleet that each use the whole rate: a third of the nodes is cut off while a team
     // sends many times its usual.
     RC_GTEST_PROP(AllotmentLimiter, fleetStaysWithinTheBoundWhileNodesAreCutOff, ())
