--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -68,6 +68,23 @@
         connection.sendResponse(encodeNodeResponse(answer, decoded.id), {});
     }
 
+    /// Sets the team's priority and charges its allotment. Returns the time to wait if the allotment is used.
+    std::optional<Duration> chargeTeam(
+        RequestLoop& loop, const Team& team, const CallerRequest& decoded, RequestInfo& requestInfo)
+    {
+        requestInfo.teamPriority = team.priority;
+        if (!team.allotment.isLimited())
+            return std::nullopt;
+        requestInfo.allotmentCost = team.allotment.cost(decoded.totalTokens);
+        const auto wait = loop.state().allotments.consumeOrGetDelay(
+            team.name, requestInfo.allotmentCost, suspendAwareNow(), loop.random());
+        if (wait)
+            loop.state().metrics.add(Metric::TeamRefusals, team.name);
+        else
+            loop.state().metrics.add(Metric::TeamUnits, team.name, static_cast<uint64_t>(requestInfo.allotmentCost));
+        return wait;
+    }
+
 } // namespace
 
 void RequestExchange::serve(RequestLoop& loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request)
@@ -101,19 +118,11 @@
         answerNotRun(loop, *connection, decoded, *route, { LocalResponseKind::NotRun, "stopping", Duration(0) });
         return;
     }
-    if (const auto* team = identification.team) {
-        requestInfo.teamPriority = team->priority;
-        if (team->allotment.isLimited()) {
-            requestInfo.allotmentCost = team->allotment.cost(decoded.totalTokens);
-            const auto wait = loop.state().allotments.consumeOrGetDelay(
-                team->name, requestInfo.allotmentCost, suspendAwareNow(), loop.random());
-            if (wait) {
-                loop.state().metrics.add(Metric::TeamRefusals, team->name);
-                answerNotRun(
-                    loop, *connection, decoded, *route, { LocalResponseKind::OverAllotment, "over_allotment", wait });
-                return;
-            }
-            loop.state().metrics.add(Metric::TeamUnits, team->name, static_cast<uint64_t>(requestInfo.allotmentCost));
+    if (identification.team) {
+        if (const auto wait = chargeTeam(loop, *identification.team, decoded, requestInfo)) {
+            answerNotRun(
+                loop, *connection, decoded, *route, { LocalResponseKind::OverAllotment, "over_allotment", wait });
+            return;
         }
     }
     std::make_shared<RequestExchange>(loop, connection, std::move(request), std::move(requestInfo))->start();
