--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -11,14 +11,8 @@
 
 namespace {
 
-    /// Interval at which a changed load is sent. Requests arrive every few milliseconds over all nodes, and traffic
-    /// between failure domains is billed, so changes are batched.
-    constexpr Duration loadShareInterval = milliseconds(100);
     /// An unchanged share is sent again after this time, before it expires at the receiver.
     constexpr Duration maxLoadShareInterval = milliseconds(900);
-    /// Interval at which the nodes of a large fleet send shares and summaries. A node gets few requests there, and a
-    /// collector has a connection to each node of its failure domain.
-    constexpr Duration groupShareInterval = milliseconds(200);
     /// Time from an adapter order until the target holds the adapter. Earlier requests would be rejected.
     constexpr Duration adapterLoadTime = milliseconds(60);
     constexpr Duration connectInterval = milliseconds(1000);
@@ -27,9 +21,6 @@
     /// Time for which a new node waits for the store before it asks its peers. Snapshots for many nodes that start
     /// together would fill the links of the seeds.
     constexpr Duration snapshotDelay = milliseconds(400);
-    /// Time after which a node asks another one for a newer catalog. Usually the store or the collector passes it on
-    /// earlier.
-    constexpr Duration catalogFollowDelay = milliseconds(600);
 
 } // namespace
 
@@ -287,74 +278,6 @@
     return collectors;
 }
 
-void PeerMesh::sendUsage(TimePoint now)
-{
-    const auto interval = m_topology.isDirect() ? loadShareInterval / 2 : groupShareInterval;
-    if (!m_state->hasTeams() || now - m_lastUsageSentAt < interval)
-        return;
-    m_lastUsageSentAt = now;
-    m_lastUsage = m_state->allotments.usage(suspendAwareNow());
-    if (isCollecting()) {
-        sendUsageAsCollector(m_lastUsage);
-        return;
-    }
-    const auto frame = encodeEntryMessage(UsageShare { m_state->nodeId, m_lastUsage, 1, false, catalogVersion() });
-    if (!m_topology.isDirect()) {
-        sendToNode(m_topology.collector(), frame);
-        return;
-    }
-    for (const auto& [address, link] : m_links) {
-        if (link.channel && link.channel->isOpen())
-            link.channel->send(frame);
-    }
-}
-
-void PeerMesh::sendUsageAsCollector(const TeamUsages& own)
-{
-    auto group = m_usageExchange.groupShare(own);
-    group.catalogVersion = catalogVersion();
-    const auto groupFrame = encodeEntryMessage(group);
-    for (const auto& collector : otherCollectors())
-        sendToNode(collector, groupFrame);
-    auto summary = m_usageExchange.summary(own);
-    summary.catalogVersion = catalogVersion();
-    sendToMembers(encodeEntryMessage(summary));
-}
-
-void PeerMesh::applyRemoteUsage()
-{
-    if (!m_state->hasTeams() || m_self.address.empty())
-        return;
-    const bool usesSummary = !m_topology.isDirect() && !isCollecting();
-    // A follower's view is renewed by each summary only, so that it ages while none arrives.
-    if (usesSummary && m_areNodesKnown)
-        return;
-    const auto remote = m_usageExchange.remoteUsage(usesSummary);
-    const auto nodeCount = m_areNodesKnown ? m_topology.nodes().size() : m_state->minNodeCount();
-    m_state->allotments.setRemoteUsage(remote.usage, remote.knownNodes, nodeCount, suspendAwareNow());
-}
-
-int64_t PeerMesh::catalogVersion() const
-{
-    const auto current = m_state->catalog.current();
-    return current ? current->catalog.version : 0;
-}
-
-void PeerMesh::followCatalog(const std::shared_ptr<FrameChannel>& sender, int64_t version)
-{
-    if (version <= catalogVersion()) {
-        m_catalogBehindSince.reset();
-        return;
-    }
-    const auto now = monotonicNow();
-    if (!m_catalogBehindSince) {
-        m_catalogBehindSince = now;
-    } else if (now - *m_catalogBehindSince >= catalogFollowDelay) {
-        m_catalogBehindSince = now;
-        sender->send(encodeEntryMessage(SnapshotRequest { m_state->nodeId, true }));
-    }
-}
-
 void PeerMesh::announce(ResidencyNotice notice)
 {
     auto target = notice.target;
@@ -514,22 +437,6 @@
     m_state->quarantine.merge(share.parts, monotonicNow());
 }
 
-void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const UsageShare& share)
-{
-    m_usageExchange.add(share, suspendAwareNow());
-    followCatalog(sender, share.catalogVersion);
-}
-
-void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const UsageSummary& summary)
-{
-    if (summary.node != m_topology.collector())
-        return;
-    m_usageExchange.add(summary, m_lastUsage, suspendAwareNow());
-    followCatalog(sender, summary.catalogVersion);
-    const auto remote = m_usageExchange.remoteUsage(true);
-    m_state->allotments.setRemoteUsage(remote.usage, remote.knownNodes, m_topology.nodes().size(), suspendAwareNow());
-}
-
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice)
 {
     m_state->targets.setModels(notice.service, notice.target, notice.models);
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -50,6 +50,13 @@
     DemandShare totalDemand() const;
 
 private:
+    /// Interval at which a changed load is sent. Requests arrive every few milliseconds over all nodes, and traffic
+    /// between failure domains is billed, so changes are batched.
+    static constexpr Duration loadShareInterval = milliseconds(100);
+    /// Interval at which the nodes of a large fleet send shares and summaries. A node gets few requests there, and a
+    /// collector has a connection to each node of its failure domain.
+    static constexpr Duration groupShareInterval = milliseconds(200);
+
     struct Link {
         std::shared_ptr<FrameChannel> channel;
         TimePoint lastConnectAttemptAt;
