Read HTTP responses in a class of their own

Cause: ClientConnection mixed the connection with the parser of the response, so that nothing else could read a response in the same way. Mode Planned reads its responses with another parser, which accepts other heads.

Change: ResponseReader turns the bytes of a connection into the parts of one response. ClientConnection keeps the connection and passes the parts on.

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -4,15 +4,11 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 
 #include <charconv>
-#include <limits>
 
 namespace cyclamenstair {
 
-namespace http = boost::beast::http;
-
 namespace {
 
     /// Margin below the server's idle timeout: the server may close the connection while a request is in transit.
@@ -38,15 +34,12 @@
     std::string requestBytes, bool isHeadRequest, Handler handler, std::function<bool()> mayWrite)
 {
     m_requestBytes = std::move(requestBytes);
-    m_isHeadRequest = isHeadRequest;
     m_handler = std::move(handler);
     m_mayWrite = std::move(mayWrite);
+    m_reader.emplace(m_settings->response, isHeadRequest);
     ++m_sentRequests;
-    m_interimResponses = 0;
-    m_isEndedByClose = false;
     m_wasSent = false;
     m_isKeepAlive = true;
-    startParser();
     if (m_isOpen)
         write();
     else
@@ -65,8 +58,7 @@
 
 bool ClientConnection::isReusable(TimePoint now) const
 {
-    if (!m_isOpen || m_isClosed || m_handler || m_isWriting || !m_isKeepAlive || !m_unparsedInput.empty()
-        || now >= m_idleDeadline)
+    if (!m_isOpen || m_isClosed || m_handler || m_isWriting || !m_isKeepAlive || now >= m_idleDeadline)
         return false;
     // Bytes that arrived after the response would be taken for the next one.
     boost::system::error_code ec;
@@ -113,7 +105,7 @@
             // An idle connection must not hold the bytes of its last request.
             self->m_requestBytes = {};
             // The server may respond and stop reading before it has the whole body; still read the response.
-            if (ec && !self->m_isClosed && !self->m_isHeadReported && !self->m_isReading)
+            if (ec && !self->m_isClosed && !self->m_reader->hasHead() && !self->m_isReading)
                 self->fail(ErrorKind::Unavailable, "http.write", ec.message());
         });
 }
@@ -136,25 +128,20 @@
         close();
         return;
     }
-    if (ec == boost::asio::error::eof) {
-        boost::system::error_code parserError;
-        if (m_parser->got_some())
-            m_parser->put_eof(parserError);
-        if (m_parser->is_done() && !parserError) {
-            m_isKeepAlive = false;
-            m_isEndedByClose = true;
-            onParsed();
-            return;
-        }
+    const bool isEnd = ec == boost::asio::error::eof;
+    const auto self = shared_from_this();
+    if (isEnd)
+        m_reader->endInput();
+    if (!ec || isEnd) {
+        m_reader->append({ m_readBuffer.data(), bytes });
+        reportParts();
     }
     if (ec) {
-        fail(ErrorKind::Unavailable, "http.read", ec.message(),
-            ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset);
+        if (m_handler)
+            fail(
+                ErrorKind::Unavailable, "http.read", ec.message(), isEnd || ec == boost::asio::error::connection_reset);
         return;
     }
-    m_unparsedInput.append(m_readBuffer.data(), bytes);
-    const auto self = shared_from_this();
-    parse();
     if (!m_isClosed && !m_isReading && !m_isReadingPaused)
         read();
 }
@@ -165,91 +152,53 @@
         read();
 }
 
-void ClientConnection::parse()
+void ClientConnection::reportParts()
 {
-    while (m_unparsedInput.size() >= m_minInputBytes && m_handler && !m_parser->is_done()) {
-        boost::system::error_code ec;
-        const size_t consumed = m_parser->put(boost::asio::buffer(m_unparsedInput), ec);
-        m_unparsedInput.erase(0, consumed);
-        const bool needsMore = ec == http::error::need_more;
-        if (ec && !needsMore) {
-            fail(ErrorKind::Unavailable, "http.parse", ec.message());
+    // The handler can close the connection or send the next request, which replaces the reader.
+    while (m_handler) {
+        auto part = m_reader->next();
+        if (!part)
             return;
-        }
-        // Skip interim responses (1xx), which precede the final one.
-        if (m_parser->is_done()
-            && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
-            if (++m_interimResponses > m_settings->maxInterimResponses) {
-                fail(ErrorKind::Unavailable, "http.parse", "too many interim responses");
-                return;
-            }
-            startParser();
-            continue;
-        }
-        // Set before the handler is called, which can send the next request.
-        m_minInputBytes
-            = needsMore && m_parser->is_header_done() && !m_unparsedInput.empty() ? minResumedFramingBytes : 1;
-        if (consumed > 0)
-            onParsed();
-        if (needsMore || consumed == 0)
-            break;
+        std::visit([this](auto& alternative) { report(alternative); }, *part);
     }
-    // The parser consumes body bytes at once, so what it leaves is an incomplete line or field of the framing.
-    if (m_handler && !m_parser->is_done() && m_unparsedInput.size() > m_settings->maxFramingBytes)
-        fail(ErrorKind::LimitExceeded, "http.parse", "a chunk size or the trailer is too large");
-}
-
-void ClientConnection::onParsed()
-{
-    if (!m_parser->is_header_done())
-        return;
-    if (!m_isHeadReported)
-        reportHead();
-    if (m_handler)
-        reportData();
-    if (m_handler && m_parser->is_done())
-        complete();
 }
 
-void ClientConnection::reportHead()
+void ClientConnection::report(ResponseHeadPart& part)
 {
-    m_isHeadReported = true;
-    const auto& message = m_parser->get();
-    m_isKeepAlive = m_isKeepAlive && m_parser->keep_alive();
-    updateIdleDeadline(message);
-    HttpResponseHead head { message.result_int(), std::string(message.reason()), endToEndFields(message) };
+    m_isKeepAlive = part.keepsConnection;
+    updateIdleDeadline(part.keepAlive);
     const auto handler = m_handler;
-    handler(ResponseHeadReceived { std::move(head), m_sentRequests == 1 });
+    handler(ResponseHeadReceived { std::move(part.head), m_sentRequests == 1 });
 }
 
-void ClientConnection::reportData()
+void ClientConnection::report(ResponseDataPart& part)
 {
-    auto& body = m_parser->get().body();
-    if (body.empty())
-        return;
     const auto handler = m_handler;
-    handler(ResponseDataReceived { std::exchange(body, {}) });
+    handler(ResponseDataReceived { std::move(part.data) });
 }
 
-void ClientConnection::complete()
+void ClientConnection::report(ResponseEndPart& part)
 {
     m_isReadingPaused = false;
     // After surplus bytes, or a response before the request was written, the connection's state is undefined.
-    if (!m_unparsedInput.empty() || m_isWriting)
+    if (!part.isFramed || m_reader->hasSurplusBytes() || m_isWriting)
         m_isKeepAlive = false;
     const auto handler = std::exchange(m_handler, nullptr);
-    handler(ResponseComplete { !m_isEndedByClose });
+    handler(ResponseComplete { part.isFramed });
 }
 
-void ClientConnection::updateIdleDeadline(const http::fields& fields)
+void ClientConnection::report(MalformedResponse& malformed)
+{
+    fail(malformed.error.kind, malformed.error.step, malformed.error.message);
+}
+
+void ClientConnection::updateIdleDeadline(const std::string& keepAlive)
 {
     Duration limit = m_settings->maxIdleTime;
-    const auto keepAliveText = std::string(fields[http::field::keep_alive]);
     constexpr std::string_view name = "timeout=";
-    if (const auto start = keepAliveText.find(name); start != std::string::npos) {
+    if (const auto start = keepAlive.find(name); start != std::string::npos) {
         int seconds = 0;
-        std::from_chars(
-            keepAliveText.data() + start + name.size(), keepAliveText.data() + keepAliveText.size(), seconds);
+        std::from_chars(keepAlive.data() + start + name.size(), keepAlive.data() + keepAlive.size(), seconds);
         limit = std::chrono::seconds(seconds) - idleMargin;
     }
     m_idleDeadline = monotonicNow() + limit;
@@ -264,15 +213,4 @@
         handler(CallFailed { wasSent, { kind, step, endpointText(m_server), message }, isClosedByServer });
 }
 
-void ClientConnection::startParser()
-{
-    m_parser = std::make_unique<Parser>();
-    m_parser->eager(true);
-    m_parser->header_limit(m_settings->maxHeadBytes);
-    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
-    m_parser->skip(m_isHeadRequest);
-    m_isHeadReported = false;
-    m_minInputBytes = 1;
-}
-
 } // namespace cyclamenstair
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -3,16 +3,15 @@
 #include <utility>
 
 #include <Cyclamenstair/Core/Error.h>
-#include <Cyclamenstair/Http/HttpMessage.h>
-#include <Cyclamenstair/Http/TextBody.h>
+#include <Cyclamenstair/Http/ResponseReader.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace cyclamenstair {
@@ -48,9 +47,7 @@
     Duration connectTimeout { milliseconds(700) }; ///< Below the callers' own connect timeout of 1 s.
     Duration deadPeerTimeout { milliseconds(3000) }; ///< For unacknowledged data or keep-alive probes.
     Duration maxIdleTime { milliseconds(4000) }; ///< Limit on idle time before reuse, unless the server sends one.
-    uint32_t maxHeadBytes { 32768 };
-    uint32_t maxFramingBytes { 32768 }; ///< For one chunk size with its extensions, and for all trailer fields.
-    uint32_t maxInterimResponses { 8 }; ///< Responses with status 1xx before the final one.
+    ResponseLimits response {};
 };
 
 /// One HTTP/1.1 connection to a server, for one request at a time. Belongs to one event loop. Ownership is shared,
@@ -83,20 +80,17 @@
     const boost::asio::ip::tcp::endpoint& server() const { return m_server; }
 
 private:
-    using Parser = boost::beast::http::response_parser<TextBody>;
-
     void connect();
     void write();
     void read();
     void onRead(const boost::system::error_code& ec, size_t bytes);
-    void parse();
-    void onParsed();
-    void reportHead();
-    void reportData();
-    void complete();
-    void updateIdleDeadline(const boost::beast::http::fields& fields);
+    void reportParts();
+    void report(ResponseHeadPart& part);
+    void report(ResponseDataPart& part);
+    void report(ResponseEndPart& part);
+    void report(MalformedResponse& malformed);
+    void updateIdleDeadline(const std::string& keepAlive);
     void fail(ErrorKind kind, const std::string& step, const std::string& message, bool isClosedByServer = false);
-    void startParser();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_connectTimer;
@@ -104,20 +98,14 @@
     const ClientConnectionSettings* m_settings;
     Handler m_handler;
     std::function<bool()> m_mayWrite;
-    std::unique_ptr<Parser> m_parser;
+    std::optional<ResponseReader> m_reader; ///< Of the response to the current or last request.
     uint64_t m_sentRequests { 0 };
-    uint32_t m_interimResponses { 0 };
-    bool m_isEndedByClose { false };
     std::string m_requestBytes;
-    std::string m_unparsedInput;
-    size_t m_minInputBytes { 1 }; ///< Input is parsed once so many bytes have arrived.
     std::array<char, 8192> m_readBuffer {};
-    bool m_isHeadRequest { false };
     bool m_isOpen { false };
     bool m_isClosed { false };
     bool m_isReading { false };
     bool m_isReadingPaused { false };
-    bool m_isHeadReported { false };
     bool m_wasSent { false };
     bool m_isWriting { false };
     bool m_isKeepAlive { true };
--- /dev/null
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -0,0 +1,106 @@
+#include <Cyclamenstair/Http/ResponseReader.h>
+
+#include <boost/asio/buffer.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace cyclamenstair {
+
+namespace http = boost::beast::http;
+
+ResponseReader::ResponseReader(const ResponseLimits& limits, bool isHeadRequest)
+    : m_limits(limits)
+    , m_isHeadRequest(isHeadRequest)
+{
+    startResponse();
+}
+
+std::optional<ResponsePart> ResponseReader::next()
+{
+    while (!m_isLastPartTaken) {
+        if (auto part = takeParsed())
+            return part;
+        auto result = parse();
+        if (auto* failure = std::get_if<MalformedResponse>(&result)) {
+            m_isLastPartTaken = true;
+            return std::move(*failure);
+        }
+        if (!std::get<bool>(result))
+            break;
+    }
+    return std::nullopt;
+}
+
+std::optional<ResponsePart> ResponseReader::takeParsed()
+{
+    if (!m_parser->is_header_done())
+        return std::nullopt;
+    auto& message = m_parser->get();
+    if (!std::exchange(m_isHeadTaken, true)) {
+        HttpResponseHead head { message.result_int(), std::string(message.reason()), endToEndFields(message) };
+        return ResponseHeadPart { std::move(head), m_parser->keep_alive(),
+            std::string(message[http::field::keep_alive]) };
+    }
+    if (!message.body().empty())
+        return ResponseDataPart { std::exchange(message.body(), {}) };
+    if (!m_parser->is_done())
+        return std::nullopt;
+    m_isLastPartTaken = true;
+    return ResponseEndPart { !m_isEndedByClose };
+}
+
+std::variant<bool, MalformedResponse> ResponseReader::parse()
+{
+    if (m_input.size() >= m_minInputBytes) {
+        boost::system::error_code ec;
+        const size_t consumed = m_parser->put(boost::asio::buffer(m_input), ec);
+        m_input.erase(0, consumed);
+        const bool needsMore = ec == http::error::need_more;
+        if (ec && !needsMore)
+            return malformed(ec.message());
+        // Skip interim responses (1xx), which precede the final one.
+        if (m_parser->is_done()
+            && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
+            if (++m_interimResponses > m_limits.maxInterimResponses)
+                return malformed("too many interim responses");
+            startResponse();
+            return true;
+        }
+        m_minInputBytes = 1;
+        if (needsMore) {
+            const bool isInsideFraming = m_parser->is_header_done() && !m_input.empty();
+            m_minInputBytes = std::max(m_input.size() + 1, isInsideFraming ? minResumedFramingBytes : 1);
+        }
+        if (consumed > 0)
+            return true;
+    }
+    if (m_parser->is_done())
+        return false;
+    // The parser consumes body bytes at once, so what it leaves is an incomplete line or field of the framing.
+    if (m_input.size() > m_limits.maxFramingBytes)
+        return malformed("a chunk size or the trailer is too large", true);
+    if (m_isInputEnded && m_parser->got_some()) {
+        boost::system::error_code ec;
+        m_parser->put_eof(ec);
+        m_isEndedByClose = !ec && m_parser->is_done();
+    }
+    return m_isEndedByClose;
+}
+
+MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit)
+{
+    return { { isLimit ? ErrorKind::LimitExceeded : ErrorKind::Unavailable, "http.parse", {}, reason } };
+}
+
+void ResponseReader::startResponse()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->eager(true);
+    m_parser->header_limit(m_limits.maxHeadBytes);
+    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+    m_parser->skip(m_isHeadRequest);
+    m_minInputBytes = 1;
+}
+
+} // namespace cyclamenstair
