Fail attempts whose answer has a status outside 100 to 599

Callers saw: a target's answer with status 000 arrived as an answer of that status, in mode Registered. The connection went back to the pool, so that the next request used it.

Cause: Boost.Beast accepts any three digits as a status, and nothing after it looked at the range. RFC 9110, section 15, allows 100 to 599.

Change: ResponseReader, through which mode Registered reads all responses (targets, orders, reports, store), treats another status as malformed. The attempt then fails like one whose connection broke: it counts as sent, its connection is closed, and the request is repeated only where its kind allows it.

--- a/Cyclamenstair/Http/ResponseReader.cpp
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -9,6 +9,14 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+    /// Range of status codes, RFC 9110, section 15.
+    constexpr uint32_t minStatus = 100;
+    constexpr uint32_t maxStatus = 599;
+
+} // namespace
+
 ResponseReader::ResponseReader(const ResponseLimits& limits, bool isHeadRequest)
     : m_limits(limits)
     , m_isHeadRequest(isHeadRequest)
@@ -59,6 +67,8 @@
         const bool needsMore = ec == http::error::need_more;
         if (ec && !needsMore)
             return malformed(ec.message());
+        if (const auto error = findHeadError())
+            return malformed(*error);
         // Skip interim responses (1xx), which precede the final one.
         if (m_parser->is_done()
             && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
@@ -88,6 +98,17 @@
     return m_isEndedByClose;
 }
 
+std::optional<std::string> ResponseReader::findHeadError() const
+{
+    // Beast accepts any three digits. Until it has parsed the status line, the status is 200.
+    const auto status = m_parser->get().result_int();
+    if (status >= minStatus && status <= maxStatus)
+        return std::nullopt;
+    auto digits = std::to_string(status);
+    digits.insert(0, 3 - digits.size(), '0');
+    return "status " + digits + " is outside " + std::to_string(minStatus) + " to " + std::to_string(maxStatus);
+}
+
 MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit)
 {
     return { { isLimit ? ErrorKind::LimitExceeded : ErrorKind::Unavailable, "http.parse", {}, reason } };
--- a/Cyclamenstair/Http/ResponseReader.h
+++ b/Cyclamenstair/Http/ResponseReader.h
@@ -46,7 +46,8 @@
 using ResponsePart = std::variant<ResponseHeadPart, ResponseDataPart, ResponseEndPart, MalformedResponse>;
 
 /// Reads one HTTP/1.1 response from the bytes of a connection, whatever pieces they arrive in. All clients read
-/// responses through it, so that all accept the same ones.
+/// responses through it, so that all accept the same ones: a status from 200 to 599 (RFC 9110, section 15) after any
+/// interim ones (1xx), field names that are tokens, and unambiguous framing (RFC 9112).
 class ResponseReader {
 public:
     /// `isHeadRequest` means that the response has no body.
@@ -74,6 +75,7 @@
     std::optional<ResponsePart> takeParsed();
     /// Parses more input. Returns whether anything was parsed, or the reason why the response is malformed.
     std::variant<bool, MalformedResponse> parse();
+    std::optional<std::string> findHeadError() const;
     static MalformedResponse malformed(const std::string& reason, bool isLimit = false);
 
     ResponseLimits m_limits;
--- /dev/null
+++ b/Tests/EntryTests/BrokenAnswerTests.cpp
@@ -0,0 +1,121 @@
+#include <Cyclamenstair/Telemetry/Log.h>
+#include <StandIns/ScriptedHttpServer.h>
+#include <Tests/EntryTests/EntryNodeFixture.h>
+#include <Tests/Support/ResponseHeads.h>
+
+#include <algorithm>
+
+using namespace cyclamenstair;
+
+namespace {
+
+/// Node before a target that answers with scripted bytes, alone or beside a sound target.
+class BrokenAnswerTest : public EntryNodeTest {
+protected:
+    BrokenAnswerTest() { store.remove("servers/" + firstTarget.id()); }
+
+    void SetUp() override
+    {
+        EntryNodeTest::SetUp();
+        store.put("servers/i-9",
+            R"({"service":"plain","address":")" + target.address()
+                + R"(","zone":"domain-1","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"models":[],"seq":1,"born":1})");
+    }
+
+    /// From now on the scripted target sends `statusLine` and `fields`, with the fields of a sound answer after them.
+    void setHead(const std::string& statusLine, const std::vector<std::string>& fields, const std::string& interim = {})
+    {
+        std::lock_guard lock(m_mutex);
+        m_statusLine = statusLine;
+        m_fields = fields;
+        m_interim = interim;
+    }
+
+    int scriptedRuns(const std::string& id)
+    {
+        const auto requests = target.requests();
+        return static_cast<int>(std::count_if(requests.begin(), requests.end(),
+            [&](const auto& request) { return request.field("Cyclamenstair-Request-Id") == id; }));
+    }
+
+    /// Expects that requests that run once fail without another attempt, and that safe ones and streams, which the
+    /// sound target serves, succeed.
+    void expectFailedAttempts(const std::string& name)
+    {
+        const auto once = request("/once/x", "once" + name);
+        if (scriptedRuns("once" + name) > 0) {
+            EXPECT_EQ(once.head.status, 502U) << name;
+            EXPECT_EQ(runCount("once" + name), 0) << name;
+        } else {
+            EXPECT_EQ(once.head.status, 200U) << name;
+        }
+        const auto safe = request("/safe/x", "safe" + name);
+        EXPECT_EQ(safe.head.status, 200U) << name;
+        EXPECT_EQ(safe.body, "i-2:body") << name;
+        const auto stream = request("/stream/x", "stream" + name);
+        EXPECT_EQ(stream.head.status, 200U) << name;
+        EXPECT_EQ(std::count(stream.body.begin(), stream.body.end(), ':'), 10) << name;
+    }
+
+    std::string respond(const ScriptedRequest& scriptedRequest)
+    {
+        std::lock_guard lock(m_mutex);
+        auto fields = m_fields;
+        fields.push_back("Cyclamenstair-Request-Id: " + scriptedRequest.field("Cyclamenstair-Request-Id"));
+        fields.push_back("Cyclamenstair-Response-Stamp: receipt-i-9");
+        return m_interim + makeResponse(m_statusLine, fields, "broken");
+    }
+
+    ScriptedHttpServer target { [this](const ScriptedRequest& request) { return respond(request); } };
+
+private:
+    std::mutex m_mutex;
+    std::string m_statusLine { "HTTP/1.1 200 OK" };
+    std::vector<std::string> m_fields;
+    std::string m_interim;
+};
+
+} // namespace
+
+// Guards against an answer whose status is outside 100 to 599 or malformed, and that the caller gets as an answer.
+TEST_F(BrokenAnswerTest, InvalidStatusIsAFailedAttempt)
+{
+    const auto node = startNode();
+    for (const std::string status : { "000", "099", "600" }) {
+        setHead("HTTP/1.1 " + status + " Unknown", {});
+        expectFailedAttempts("-" + status);
+    }
+}
+
+// Guards against an answer whose field name is no token, and that the caller gets with that field or with a body that
+// is delimited otherwise than the target meant.
+TEST_F(BrokenAnswerTest, InvalidFieldNameIsAFailedAttempt)
+{
+    const auto node = startNode();
+    const std::vector<std::string> fields { "X Bad: 1",
+        "X\x01"
+        "Bad: 1",
+        "Content-Length : 1" };
+    for (size_t i = 0; i < fields.size(); ++i) {
+        setHead("HTTP/1.1 200 OK", { fields[i] });
+        expectFailedAttempts("-field-" + std::to_string(i));
+    }
+}
+
+// Guards against a connection that is used again after a broken answer, whose bytes would be read as the next answer.
+TEST_F(BrokenAnswerTest, ConnectionIsNotUsedAgain)
+{
+    store.remove("servers/" + secondTarget.id());
+    const auto node = startNode();
+    for (const auto& [statusLine, fields] : std::vector<std::pair<std::string, std::vector<std::string>>> {
+             { "HTTP/1.1 000 Unknown", {} }, { "HTTP/1.1 200 OK", { "X Bad: 1" } } }) {
+        for (int i = 0; i < 3; ++i) {
+            setHead(statusLine, fields);
+            EXPECT_EQ(request("/once/x", "r-" + std::to_string(i)).head.status, 502U) << statusLine;
+            setHead("HTTP/1.1 200 OK", {});
+            const auto before = target.connectionCount();
+            EXPECT_EQ(request("/once/x", "s-" + std::to_string(i)).body, "broken") << statusLine;
+            EXPECT_EQ(target.connectionCount(), before + 1) << statusLine;
+        }
+    }
+}
