Skip interim responses of any code

Callers saw: an answer after an interim response whose code Boost.Beast does not name, such as 103 or 104, did not arrive. The interim response was taken for the answer: callers got status 104, or 502 because it lacks the request's id, and the work of the target was lost.

Cause: the class of a status was asked of Beast's enumeration, which maps each code that it does not name to no class.

Change: the number decides: RFC 9110, section 15.2, gives all codes from 100 to 199 to interim responses.

Evidence, on the code before:

BrokenAnswerTests.cpp:130: Failure answer.head.status Which is: 104 200U HTTP/1.1 104 [ FAILED ] BrokenAnswerTest.RareValidAnswersAreForwarded (103, 104, 150 and 199) [ FAILED ] ResponseHead.InterimResponsesOfAnyCodeAreSkipped

and with the change both pass, for all codes from 100 to 199.

--- a/Cyclamenstair/Http/ResponseReader.cpp
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -15,6 +15,9 @@
     constexpr uint32_t minStatus = 100;
     constexpr uint32_t maxStatus = 599;
 
+    /// First status after those of interim responses.
+    constexpr uint32_t minFinalStatus = 200;
+
 } // namespace
 
 ResponseReader::ResponseReader(const ResponseLimits& limits, bool isHeadRequest)
@@ -69,9 +72,8 @@
             return malformed(ec.message());
         if (const auto error = findHeadError())
             return malformed(*error);
-        // Skip interim responses (1xx), which precede the final one.
-        if (m_parser->is_done()
-            && http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
+        // Skip interim responses, which precede the final one. Beast's status classes lack codes that it does not name.
+        if (m_parser->is_header_done() && m_parser->get().result_int() < minFinalStatus) {
             if (++m_interimResponses > m_limits.maxInterimResponses)
                 return malformed("too many interim responses");
             startResponse();
--- a/Tests/EntryTests/BrokenAnswerTests.cpp
+++ b/Tests/EntryTests/BrokenAnswerTests.cpp
@@ -119,3 +119,28 @@
         }
     }
 }
+
+// Guards against the rejection of answers that are rare but valid, and of those after interim responses of any code.
+TEST_F(BrokenAnswerTest, RareValidAnswersAreForwarded)
+{
+    store.remove("servers/" + secondTarget.id());
+    const auto node = startNode();
+    int number = 0;
+    const auto expectForwarded = [&](const std::string& name) {
+        const auto answer = request("/once/x", "r-" + std::to_string(++number));
+        EXPECT_EQ(answer.head.status, 200U) << name;
+        EXPECT_EQ(answer.body, "broken") << name;
+    };
+    for (const auto& statusLine : rareStatusLines) {
+        setHead(statusLine, {});
+        expectForwarded(statusLine);
+    }
+    for (const auto& field : rareFieldLines) {
+        setHead("HTTP/1.1 200 OK", { field });
+        expectForwarded(field);
+    }
+    for (const auto& interim : interimResponses) {
+        setHead("HTTP/1.1 200 OK", {}, interim);
+        expectForwarded(interim);
+    }
+}
--- a/Tests/HttpTests/ResponseHeadTests.cpp
+++ b/Tests/HttpTests/ResponseHeadTests.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+// Guards against an interim response that is taken for the answer because its code is not a registered one.
+TEST(ResponseHead, InterimResponsesOfAnyCodeAreSkipped)
+{
+    std::vector<std::string> responses;
+    for (int status = 100; status < lowestFinalStatus; ++status)
+        responses.push_back("HTTP/1.1 " + threeDigits(status) + " \r\nX-Field: 1\r\n\r\n" + sound);
+    responses.push_back(interimResponses.front() + interimResponses.back() + sound);
+    const auto outcomes = receive(responses);
+    for (size_t i = 0; i < responses.size(); ++i)
+        EXPECT_EQ(bodyOf(outcomes[i]), "body") << responses[i];
+}
+
 // Guards against a malformed head that passes for a response, also in an interim one.
 TEST(ResponseHead, InvalidLinesFail)
 {
