Say in the log what was wrong with a malformed answer

Operators saw: an attempt with a malformed answer was logged as message="bad field" or "bad status", without the field or the line. Malformed answers to orders, reports and calls of the store were not logged as such at all.

Cause: only the text of the parser's error code was kept, and most callers of HttpClient drop the error.

Change: the error message quotes the status, or the line at which the parser stopped: escaped, at most 64 bytes, and of a field only its name, as values can be confidential. ClientConnection logs each malformed response with its peer as response_malformed, limited like all warnings.

Evidence, on the code before:

BrokenAnswerTests.cpp:167: Failure event=attempt_failed request=r-2 attempt=1 target=i-9 was_sent=true answer=not_started step=http.parse message="bad field" [ FAILED ] BrokenAnswerTest.LogShowsWhatWasWrong

and with the change, which passes:

step=http.parse message="malformed response: bad field, at \"X Bad\\x1b[31m\""

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Http/ClientConnection.h>
 
 #include <Cyclamenstair/Http/SocketOptions.h>
+#include <Cyclamenstair/Telemetry/Log.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -189,6 +190,8 @@
 
 void ClientConnection::report(MalformedResponse& malformed)
 {
+    malformed.error.peer = endpointText(m_server);
+    logError(LogSeverity::Warning, "response_malformed", malformed.error);
     fail(malformed.error.kind, malformed.error.step, malformed.error.message);
 }
 
--- a/Cyclamenstair/Http/ResponseReader.cpp
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Http/ResponseReader.h>
 
+#include <Cyclamenstair/Core/EscapedText.h>
+
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
@@ -18,6 +20,9 @@
     /// First status after those of interim responses.
     constexpr uint32_t minFinalStatus = 200;
 
+    /// Bytes of a malformed line that an error message quotes.
+    constexpr size_t maxQuotedBytes = 64;
+
 } // namespace
 
 ResponseReader::ResponseReader(const ResponseLimits& limits, bool isHeadRequest)
@@ -67,6 +72,7 @@
         boost::system::error_code ec;
         const size_t consumed = m_parser->put(boost::asio::buffer(m_input), ec);
         m_input.erase(0, consumed);
+        m_parsedBytes += consumed;
         const bool needsMore = ec == http::error::need_more;
         if (ec && !needsMore)
             return malformed(ec.message());
@@ -111,9 +117,22 @@
     return "status " + digits + " is outside " + std::to_string(minStatus) + " to " + std::to_string(maxStatus);
 }
 
-MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit)
+MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit) const
+{
+    return { { isLimit ? ErrorKind::LimitExceeded : ErrorKind::Unavailable, "http.parse", {},
+        "malformed response: " + reason + quoteHeadLine() } };
+}
+
+std::string ResponseReader::quoteHeadLine() const
 {
-    return { { isLimit ? ErrorKind::LimitExceeded : ErrorKind::Unavailable, "http.parse", {}, reason } };
+    if (m_parser->is_header_done() || m_input.empty())
+        return {};
+    // The parser stops before the line that it rejects. Only the name of a field is quoted: values can be confidential.
+    auto line = std::string_view(m_input).substr(0, m_input.find("\r\n"));
+    const bool isField = m_parsedBytes > 0;
+    if (isField)
+        line = line.substr(0, line.find(':'));
+    return ", at \"" + escapeText(line, maxQuotedBytes) + "\"";
 }
 
 void ResponseReader::startResponse()
@@ -123,6 +142,7 @@
     m_parser->header_limit(m_limits.maxHeadBytes);
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
     m_parser->skip(m_isHeadRequest);
+    m_parsedBytes = 0;
     m_minInputBytes = 1;
 }
 
--- a/Cyclamenstair/Http/ResponseReader.h
+++ b/Cyclamenstair/Http/ResponseReader.h
@@ -40,7 +40,7 @@
 
 /// The response is malformed or exceeds a limit. Nothing more can be read from the connection.
 struct MalformedResponse {
-    Error error; ///< Step "http.parse", without a peer.
+    Error error; ///< Step "http.parse", without a peer. The message quotes the malformed line, escaped and bounded.
 };
 
 using ResponsePart = std::variant<ResponseHeadPart, ResponseDataPart, ResponseEndPart, MalformedResponse>;
@@ -76,13 +76,15 @@
     /// Parses more input. Returns whether anything was parsed, or the reason why the response is malformed.
     std::variant<bool, MalformedResponse> parse();
     std::optional<std::string> findHeadError() const;
-    static MalformedResponse malformed(const std::string& reason, bool isLimit = false);
+    MalformedResponse malformed(const std::string& reason, bool isLimit = false) const;
+    std::string quoteHeadLine() const;
 
     ResponseLimits m_limits;
     bool m_isHeadRequest;
     std::unique_ptr<Parser> m_parser;
     std::string m_input;
     size_t m_minInputBytes { 1 }; ///< Input is parsed once so many bytes have arrived.
+    size_t m_parsedBytes { 0 }; ///< Of the response that is being read.
     uint32_t m_interimResponses { 0 };
     bool m_isInputEnded { false };
     bool m_isEndedByClose { false };
--- a/Tests/CoreTests/CoreTests.cpp
+++ b/Tests/CoreTests/CoreTests.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Core/Base64.h>
 #include <Cyclamenstair/Core/Crypto.h>
+#include <Cyclamenstair/Core/EscapedText.h>
 #include <Cyclamenstair/Core/Hash.h>
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Core/Sharded.h>
@@ -25,6 +26,15 @@
         EXPECT_THROW(decodeBase64("****"), Exception);
     }
 
+    // Guards against bytes of a peer that reach the log as they are or without a bound.
+    TEST(EscapedText, EscapesAndBounds)
+    {
+        EXPECT_EQ(escapeText("X-Name: 1", 64), "X-Name: 1");
+        EXPECT_EQ(escapeText(std::string_view("a\0\x1b\x7f\xe9\r\n\\", 8), 64), "a\\x00\\x1b\\x7f\\xe9\\x0d\\x0a\\x5c");
+        EXPECT_EQ(escapeText("abcdef", 3), "abc...");
+        EXPECT_EQ(escapeText("abc", 3), "abc");
+    }
+
     // Guards against a hash that verifies a different token.
     RC_GTEST_PROP(Token, verifiesOnlyTheSameToken, (const std::string& token, const std::string& other))
     {
--- a/Tests/EntryTests/BrokenAnswerTests.cpp
+++ b/Tests/EntryTests/BrokenAnswerTests.cpp
@@ -144,3 +144,32 @@
         expectForwarded(interim);
     }
 }
+
+// Guards against a log from which the cause of a rejected answer cannot be read, and against bytes of the answer that
+// reach the log as they are or without a bound.
+TEST_F(BrokenAnswerTest, LogShowsWhatWasWrong)
+{
+    store.remove("servers/" + secondTarget.id());
+    testing::internal::CaptureStdout();
+    const auto node = startNode();
+    setHead("HTTP/1.1 000 Unknown", {});
+    (void)request("/once/x", "r-1");
+    setHead("HTTP/1.1 200 OK", { "X Bad\x1b[31m: secret" });
+    (void)request("/once/x", "r-2");
+    setHead("HTTP/1.1 200 OK", { "X " + std::string(10000, 'b') + ": 1" });
+    (void)request("/once/x", "r-3");
+    flushLog(std::chrono::seconds(1));
+    const auto log = testing::internal::GetCapturedStdout();
+    const auto lineOf = [&](const std::string& id) {
+        const auto start = log.find("event=attempt_failed request=" + id);
+        return start == std::string::npos ? std::string() : log.substr(start, log.find('\n', start) - start);
+    };
+    EXPECT_NE(lineOf("r-1").find("000"), std::string::npos) << lineOf("r-1");
+    EXPECT_NE(lineOf("r-2").find("X Bad"), std::string::npos) << lineOf("r-2");
+    EXPECT_NE(lineOf("r-2").find("x1b[31m"), std::string::npos) << lineOf("r-2");
+    EXPECT_EQ(log.find('\x1b'), std::string::npos);
+    EXPECT_EQ(lineOf("r-2").find("secret"), std::string::npos) << lineOf("r-2");
+    EXPECT_NE(lineOf("r-3").find("X bbb"), std::string::npos) << lineOf("r-3");
+    EXPECT_LT(lineOf("r-3").size(), 500U);
+    EXPECT_NE(log.find("event=response_malformed"), std::string::npos);
+}
