Read targets' answers in mode Planned with the reader of mode Registered

Callers saw, in mode Planned: a target's answer with status 000, 099 or 600, or with a field name that holds a blank or a control byte, arrived as an answer. Where the malformed field was the one that states the length, such as "Content-Length : 1", the body was delimited otherwise than the target meant. After an interim response other than 100, that response was taken for the answer, and the bytes of the answer for its body.

Cause: attempts were read with the client of cpp-httplib. It accepts any three digits as a status, takes what stands before the colon as a name, drops lines that it cannot read, and skips no interim response but 100.

Change: HttpExchange, a client for threads that may block, reads with ResponseReader, so that both modes accept the same responses. UpstreamAttempt uses it. A malformed answer is an AttemptFailed that may have run: the existing rules repeat the request only if it is repeatable. Cancelling an attempt closes its connection at once, also before the request has started, which cpp-httplib needed polling for. The progress of a request that is being written or read still extends the idle timeout.

--- a/Cyclamenstair/Http/HttpMessage.cpp
+++ b/Cyclamenstair/Http/HttpMessage.cpp
@@ -60,6 +60,20 @@
     return endToEnd;
 }
 
+std::string escapeTarget(std::string_view target)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string escaped;
+    for (const char character : target) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte > 0x20 && byte < 0x7f)
+            escaped += character;
+        else
+            escaped.append("%").append(1, digits[byte >> 4U]).append(1, digits[byte & 0x0fU]);
+    }
+    return escaped;
+}
+
 std::string encodeRequest(const HttpRequest& request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
--- a/Cyclamenstair/Http/HttpMessage.h
+++ b/Cyclamenstair/Http/HttpMessage.h
@@ -45,6 +45,10 @@
 /// field.
 HeaderFields endToEndFields(const boost::beast::http::fields& fields);
 
+/// Returns the request target with blanks, control characters and bytes outside ASCII percent-encoded, so that they end
+/// neither the target nor the start line.
+std::string escapeTarget(std::string_view target);
+
 /// Encodes a request with its framing.
 std::string encodeRequest(const HttpRequest& request);
 
--- a/Cyclamenstair/Transport/UpstreamAttempt.cpp
+++ b/Cyclamenstair/Transport/UpstreamAttempt.cpp
@@ -1,6 +1,9 @@
 #include <Cyclamenstair/Transport/UpstreamAttempt.h>
 
-#include <httplib.h>
+#include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Http/HttpExchange.h>
+
+#include <atomic>
 
 namespace cyclamenstair {
 
@@ -9,40 +12,26 @@
     /// Timeout of a cancel request. A lost cancel request wastes engine time but affects no response.
     constexpr Duration cancelTimeout = milliseconds(1000);
 
-    /// Interval of the attempts to close a connection. The library ignores a stop() before its request has started.
-    constexpr Duration stopRetryInterval = milliseconds(50);
-
-    void setTimeouts(httplib::Client& client, Duration connect, Duration idle)
-    {
-        client.set_connection_timeout(connect);
-        client.set_read_timeout(idle);
-        client.set_write_timeout(idle);
-        client.set_tcp_nodelay(true);
-        client.set_keep_alive(false);
-    }
-
-    AttemptHead parseHead(const httplib::Response& response)
+    AttemptHead toAttemptHead(const HttpResponseHead& head)
     {
-        AttemptHead head;
-        head.status = response.status;
-        head.contentType = response.get_header_value("Content-Type");
-        head.isNotRun
-            = (response.status == 429 || response.status == 503) && response.get_header_value("X-Not-Run") == "true";
-        if (response.has_header("X-Load"))
-            head.reportedLoad = std::strtod(response.get_header_value("X-Load").c_str(), nullptr);
-        return head;
+        AttemptHead result;
+        result.status = static_cast<int>(head.status);
+        result.contentType = fieldValue(head.fields, "Content-Type").value_or("");
+        result.isNotRun = (head.status == 429 || head.status == 503) && fieldValue(head.fields, "X-Not-Run") == "true";
+        if (const auto load = fieldValue(head.fields, "X-Load"))
+            result.reportedLoad = std::strtod(load->c_str(), nullptr);
+        return result;
     }
 
-    httplib::Request buildHttpRequest(const AttemptRequest& request)
+    HttpRequest buildHttpRequest(const AttemptRequest& request)
     {
-        httplib::Request http;
-        http.method = request.method;
-        http.path = request.path;
-        http.body = request.body;
+        auto http = makeHttpRequest(
+            request.method, request.path, request.body, request.body.empty() ? std::string() : request.contentType);
+        // A request without a body states so where servers expect one.
+        http.hasBody
+            = !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
         for (const auto& [name, value] : request.headers)
-            http.set_header(name.c_str(), value.c_str());
-        if (!request.body.empty())
-            http.set_header("Content-Type", request.contentType.c_str());
+            http.fields.emplace_back(name, value);
         return http;
     }
 
@@ -54,32 +43,25 @@
         : inbox(std::move(eventInbox))
         , number(attemptNumber)
         , request(std::move(attemptRequest))
-        , client("http://" + request.address)
+        , http(request.address, { .connectTimeout = request.connectTimeout, .idleTimeout = request.idleTimeout })
     {
-        setTimeouts(client, request.connectTimeout, request.idleTimeout);
     }
 
     void run()
     {
-        auto http = buildHttpRequest(request);
-        http.response_handler = [this](const httplib::Response& response) { return push(parseHead(response)); };
-        http.content_receiver = [this](const char* data, size_t size, uint64_t, uint64_t) {
-            return push(AttemptData { { data, size } });
-        };
-        httplib::Response response;
-        auto error = httplib::Error::Success;
-        const bool isSuccess = client.send(http, response, error);
-        {
-            std::lock_guard lock(mutex);
-            isFinished = true;
-            finished.notify_all();
-        }
-        // Only a failed connect proves that no byte of the request reached the target.
-        const bool mayHaveRun = error != httplib::Error::Connection && error != httplib::Error::ConnectionTimeout;
-        if (isSuccess)
-            push(AttemptEnd {});
+        const auto failure = http.run(buildHttpRequest(request), [this](const ResponsePart& part) {
+            return std::visit(Overloaded {
+                                  [this](const ResponseHeadPart& head) { return push(toAttemptHead(head.head)); },
+                                  [this](const ResponseDataPart& data) { return push(AttemptData { data.data }); },
+                                  [](const auto&) { return true; },
+                              },
+                part);
+        });
+        isFinished = true;
+        if (failure)
+            push(AttemptFailed { failure->wasSent, failure->error.message });
         else
-            push(AttemptFailed { mayHaveRun, httplib::to_string(error) });
+            push(AttemptEnd {});
     }
 
     bool push(AttemptEvent event) { return inbox->push(number, std::move(event)); }
@@ -87,28 +69,19 @@
     /// Closes the connection and sends a cancel request to the engine.
     void abort()
     {
-        client.stop();
-        if (!request.cancelBody.empty()) {
-            httplib::Client cancelClient("http://" + request.address);
-            setTimeouts(cancelClient, cancelTimeout, cancelTimeout);
-            cancelClient.Post("/v1/cancel", request.cancelBody, "application/json");
-        }
-        std::unique_lock lock(mutex);
-        while (!finished.wait_for(lock, stopRetryInterval, [this] { return isFinished; })) {
-            lock.unlock();
-            client.stop();
-            lock.lock();
-        }
+        http.cancel();
+        if (request.cancelBody.empty())
+            return;
+        HttpExchange cancelRequest(request.address, { .connectTimeout = cancelTimeout, .idleTimeout = cancelTimeout });
+        cancelRequest.call(makeHttpRequest("POST", "/v1/cancel", request.cancelBody, "application/json"));
     }
 
     // Shared by all attempts of the request; a cancelled one may end after the request.
     std::shared_ptr<AttemptInbox> inbox;
     uint32_t number;
     AttemptRequest request;
-    httplib::Client client;
-    std::mutex mutex;
-    std::condition_variable finished;
-    bool isFinished { false };
+    HttpExchange http;
+    std::atomic<bool> isFinished { false };
 };
 
 std::unique_ptr<UpstreamAttempt> UpstreamAttempt::start(
@@ -133,11 +106,8 @@
         return;
     m_isCancelled = true;
     m_exchange->inbox->drop(m_exchange->number);
-    {
-        std::lock_guard lock(m_exchange->mutex);
-        if (m_exchange->isFinished)
-            return;
-    }
+    if (m_exchange->isFinished)
+        return;
     m_threads->post([exchange = m_exchange] { exchange->abort(); });
 }
 
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -45,6 +45,13 @@
         return static_cast<bool>(client.Get("/health"));
     }
 
+    Json serviceVm(const std::string& id, const std::string& address, int index)
+    {
+        return { { "id", id }, { "kind", "service" }, { "state", "live" }, { "address", address },
+            { "region", "region-1" }, { "failure_domain", "domain-" + std::to_string(index % 3) },
+            { "pool", "booking" }, { "services", { "bookings", "roster" } } };
+    }
+
 } // namespace
 
 ChildProcess::ChildProcess(
@@ -162,10 +169,7 @@
     for (int i = 0; i < settings.services; ++i) {
         m_servicePorts.push_back(allocateLoopbackPort());
         m_standIns.push_back(startStandIn("standin-service", m_servicePorts.back(), {}));
-        m_vms.push_back({ { "id", "service-" + std::to_string(i) }, { "kind", "service" }, { "state", "live" },
-            { "address", address(m_servicePorts.back()) }, { "region", "region-1" },
-            { "failure_domain", "domain-" + std::to_string(i % 3) }, { "pool", "booking" },
-            { "services", { "bookings", "roster" } } });
+        m_vms.push_back(serviceVm("service-" + std::to_string(i), address(m_servicePorts.back()), i));
     }
     publishVms();
 }
@@ -262,9 +266,14 @@
 }
 
 std::pair<int, std::string> ProcessFleet::runCtl(std::vector<std::string> arguments, int node)
+{
+    return runCtlAt(operatorAddress(node), std::move(arguments));
+}
+
+std::pair<int, std::string> ProcessFleet::runCtlAt(const std::string& address, std::vector<std::string> arguments)
 {
     const auto logPath = m_directory + "/ctl-" + std::to_string(++m_ctlRunCount) + ".log";
-    arguments.insert(arguments.end(), { "--node", operatorAddress(node), "--token", operatorToken });
+    arguments.insert(arguments.end(), { "--node", address, "--token", operatorToken });
     ChildProcess ctl("Programs/cyclamenstairctl", arguments, logPath);
     const int status = ctl.wait(startTimeoutMs).value_or(-1);
     std::ostringstream text;
@@ -328,6 +337,12 @@
     return Json::parse(response->body);
 }
 
+void ProcessFleet::addServiceVm(const std::string& id, const std::string& address)
+{
+    m_vms.push_back(serviceVm(id, address, 0));
+    publishVms();
+}
+
 void ProcessFleet::setVmState(const std::string& id, const std::string& state)
 {
     for (auto& vm : m_vms) {
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -72,6 +72,9 @@
     /// Runs cyclamenstairctl against node `node`; returns its exit status and output.
     std::pair<int, std::string> runCtl(std::vector<std::string> arguments, int node = 0);
 
+    /// Runs cyclamenstairctl against any address of an operator API; returns its exit status and output.
+    std::pair<int, std::string> runCtlAt(const std::string& address, std::vector<std::string> arguments);
+
     /// Returns the node's response to GET /operator/status, or no value if the request failed.
     std::optional<nlohmann::json> status(int node);
     std::string callerAddress(int node) const { return address(m_nodes[static_cast<size_t>(node)].callerPort); }
@@ -105,6 +108,9 @@
     /// Returns the JSON response to GET `path`. Throws std::runtime_error if there is no response.
     static nlohmann::json fetchJson(const std::string& address, const std::string& path);
 
+    /// Adds a VM with the services "bookings" and "roster" at the address and publishes the VM list.
+    void addServiceVm(const std::string& id, const std::string& address);
+
     /// Changes the state of a VM and publishes the VM list.
     void setVmState(const std::string& id, const std::string& state);
 
