Read engines' answers and the VM list with the common reader

Operators saw, in mode Planned: an engine's answer with status 000 or with a field name that holds a blank was believed. An order counted as executed, a report and a fencing token as given, a probe as passed, and a VM list as complete. Valid answers after an interim response other than 100 were lost until the call timed out.

Cause: EngineClient and VmListClient read with the client of cpp-httplib, which accepts such heads.

Change: both use HttpExchange and so ResponseReader. A malformed answer to an order is an unknown outcome, as it was sent; any other is no answer.

Evidence, on the code before:

BrokenAnswerTests.cpp:124: Failure std::holds_alternative<OrderOutcomeUnknown>(engine.order({}, callTimeout)) Actual: false BrokenAnswerTests.cpp:125: Failure engine.report(callTimeout) Actual: true [ FAILED ] BrokenAnswers.MalformedHeadIsNoAnswerOfAnEngine [ FAILED ] BrokenAnswers.RareValidAnswersOfAnEngineAreRead [ FAILED ] BrokenAnswers.VmListIsReadFromValidAnswersOnly

and with the change all three pass.

--- a/Cyclamenstair/Transport/EngineClient.cpp
+++ b/Cyclamenstair/Transport/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Transport/EngineClient.h>
 
-#include <httplib.h>
+#include <Cyclamenstair/Http/HttpExchange.h>
+
 #include <nlohmann/json.hpp>
 
 namespace cyclamenstair {
@@ -9,24 +10,24 @@
 
     using Json = nlohmann::json;
 
-    constexpr int httpOk = 200;
+    constexpr uint32_t httpOk = 200;
+
+    HttpOutcome call(const std::string& address, const HttpRequest& request, Duration timeout)
+    {
+        return HttpExchange(address, { .connectTimeout = timeout, .idleTimeout = timeout }).call(request);
+    }
 
-    httplib::Client makeClient(const std::string& address, Duration timeout)
+    HttpOutcome postJson(const std::string& address, const std::string& path, const Json& body, Duration timeout)
     {
-        httplib::Client client("http://" + address);
-        client.set_connection_timeout(timeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-        client.set_tcp_nodelay(true);
-        return client;
+        return call(address, makeHttpRequest("POST", path, body.dump(), "application/json"), timeout);
     }
 
-    std::string errorMessage(const httplib::Response& response)
+    std::string errorMessage(const HttpResponse& response)
     {
         const auto body = Json::parse(response.body, nullptr, false);
         if (body.is_object() && body.contains("error") && body["error"].is_string())
             return body["error"].get<std::string>();
-        return "HTTP status " + std::to_string(response.status);
+        return "HTTP status " + std::to_string(response.head.status);
     }
 
 } // namespace
@@ -42,32 +43,33 @@
     if (!order.baseModel.empty())
         parameters["base_model"] = order.baseModel;
     const auto path = "/v2/repository/models/" + order.artifact + "/" + std::string(nameOf(order.kind));
-    const auto response = makeClient(m_address, timeout)
-                              .Post(path.c_str(), Json { { "parameters", parameters } }.dump(), "application/json");
-    if (!response) {
-        if (response.error() == httplib::Error::Connection)
+    const auto outcome = postJson(m_address, path, { { "parameters", parameters } }, timeout);
+    if (const auto* failure = std::get_if<CallFailed>(&outcome)) {
+        if (!failure->wasSent)
             return OrderRefused { "connection to the engine failed", false };
-        return OrderOutcomeUnknown { httplib::to_string(response.error()) };
+        return OrderOutcomeUnknown { failure->error.message };
     }
-    if (response->status == httpOk)
+    const auto& response = std::get<HttpResponse>(outcome);
+    if (response.head.status == httpOk)
         return OrderExecuted {};
-    if (response->status >= 400 && response->status < 500)
-        return OrderRefused { errorMessage(*response), true };
-    return OrderOutcomeUnknown { errorMessage(*response) };
+    if (response.head.status >= 400 && response.head.status < 500)
+        return OrderRefused { errorMessage(response), true };
+    return OrderOutcomeUnknown { errorMessage(response) };
 }
 
 std::optional<TargetReport> EngineClient::report(Duration timeout) const
 {
-    const auto response = makeClient(m_address, timeout)
-                              .Post("/v2/repository/index", Json { { "ready", true } }.dump(), "application/json");
-    if (!response || response->status != httpOk)
+    const auto outcome = postJson(m_address, "/v2/repository/index", { { "ready", true } }, timeout);
+    const auto* response = std::get_if<HttpResponse>(&outcome);
+    if (!response || response->head.status != httpOk)
         return std::nullopt;
     const auto body = Json::parse(response->body, nullptr, false);
     if (!body.is_array())
         return std::nullopt;
     TargetReport report;
-    report.instance = response->get_header_value("X-Instance");
-    report.acknowledgedEpoch = std::strtoull(response->get_header_value("X-Enforced-Epoch").c_str(), nullptr, 10);
+    const auto& fields = response->head.fields;
+    report.instance = fieldValue(fields, "X-Instance").value_or("");
+    report.acknowledgedEpoch = std::strtoull(fieldValue(fields, "X-Enforced-Epoch").value_or("").c_str(), nullptr, 10);
     for (const auto& row : body) {
         if (row.is_object() && row.value("state", "") == "READY")
             report.artifacts.push_back(row.value("name", ""));
@@ -77,8 +79,9 @@
 
 std::optional<bool> EngineClient::isLeaving(Duration timeout) const
 {
-    const auto response = makeClient(m_address, timeout).Get("/health");
-    if (!response || response->status != httpOk)
+    const auto outcome = call(m_address, makeHttpRequest("GET", "/health"), timeout);
+    const auto* response = std::get_if<HttpResponse>(&outcome);
+    if (!response || response->head.status != httpOk)
         return std::nullopt;
     const auto body = Json::parse(response->body, nullptr, false);
     if (!body.is_object() || !body.contains("leaving") || !body["leaving"].is_boolean())
@@ -88,15 +91,15 @@
 
 std::optional<uint64_t> EngineClient::raiseFencingToken(uint64_t epoch, Duration timeout) const
 {
-    const auto response = makeClient(m_address, timeout)
-                              .Post("/v2/repository/epoch", Json { { "parameters", { { "epoch", epoch } } } }.dump(),
-                                  "application/json");
+    const auto outcome
+        = postJson(m_address, "/v2/repository/epoch", { { "parameters", { { "epoch", epoch } } } }, timeout);
+    const auto* response = std::get_if<HttpResponse>(&outcome);
     if (!response)
         return std::nullopt;
     // Engines without support for fencing do not have this endpoint.
-    if (response->status == 404)
+    if (response->head.status == 404)
         return 0;
-    if (response->status != httpOk)
+    if (response->head.status != httpOk)
         return std::nullopt;
     return epoch;
 }
--- a/Cyclamenstair/Transport/VmListClient.cpp
+++ b/Cyclamenstair/Transport/VmListClient.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Transport/VmListClient.h>
 
-#include <httplib.h>
+#include <Cyclamenstair/Http/HttpExchange.h>
+
 #include <nlohmann/json.hpp>
 
 namespace cyclamenstair {
@@ -9,7 +10,7 @@
 
     using Json = nlohmann::json;
 
-    constexpr int httpOk = 200;
+    constexpr uint32_t httpOk = 200;
 
     std::optional<VmInfo> parseRow(const Json& row)
     {
@@ -39,11 +40,10 @@
 
 std::optional<std::vector<VmInfo>> VmListClient::read(Duration timeout) const
 {
-    httplib::Client client("http://" + m_endpoint);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    const auto response = client.Get("/vms");
-    if (!response || response->status != httpOk)
+    HttpExchange exchange(m_endpoint, { .connectTimeout = timeout, .idleTimeout = timeout });
+    const auto outcome = exchange.call(makeHttpRequest("GET", "/vms"));
+    const auto* response = std::get_if<HttpResponse>(&outcome);
+    if (!response || response->head.status != httpOk)
         return std::nullopt;
     const auto body = Json::parse(response->body, nullptr, false);
     if (!body.is_object() || !body.contains("vms") || !body["vms"].is_array())
--- a/Tests/TransportTests/BrokenAnswerTests.cpp
+++ b/Tests/TransportTests/BrokenAnswerTests.cpp
@@ -1,4 +1,6 @@
+#include <Cyclamenstair/Transport/EngineClient.h>
 #include <Cyclamenstair/Transport/UpstreamAttempt.h>
+#include <Cyclamenstair/Transport/VmListClient.h>
 #include <StandIns/ScriptedHttpServer.h>
 #include <Tests/Support/ResponseHeads.h>
 
@@ -112,5 +114,50 @@
         }
     }
 
+    // Guards against an order that counts as executed or refused, and a report or fencing token that is believed, after
+    // a malformed answer.
+    TEST(BrokenAnswers, MalformedHeadIsNoAnswerOfAnEngine)
+    {
+        for (const auto& [statusLine, fields] : malformedHeads()) {
+            Server reports(makeResponse(statusLine, fields, "[]"));
+            const EngineClient engine(reports.address());
+            EXPECT_TRUE(std::holds_alternative<OrderOutcomeUnknown>(engine.order({}, callTimeout))) << statusLine;
+            EXPECT_FALSE(engine.report(callTimeout)) << statusLine;
+            EXPECT_FALSE(engine.raiseFencingToken(7, callTimeout)) << statusLine;
+            Server probes(makeResponse(statusLine, fields, R"({"leaving":true})"));
+            EXPECT_FALSE(EngineClient(probes.address()).isLeaving(callTimeout)) << statusLine;
+        }
+    }
+
+    // Guards against the rejection of an engine's answers that are rare but valid.
+    TEST(BrokenAnswers, RareValidAnswersOfAnEngineAreRead)
+    {
+        for (const auto& response : rareResponses("[]")) {
+            Server reports(response);
+            const EngineClient engine(reports.address());
+            EXPECT_TRUE(std::holds_alternative<OrderExecuted>(engine.order({}, callTimeout))) << response;
+            EXPECT_TRUE(engine.report(callTimeout)) << response;
+            EXPECT_EQ(engine.raiseFencingToken(7, callTimeout), 7U) << response;
+        }
+        for (const auto& response : rareResponses(R"({"leaving":true})")) {
+            Server probes(response);
+            EXPECT_EQ(EngineClient(probes.address()).isLeaving(callTimeout), true) << response;
+        }
+    }
+
+    // Guards against a VM list that is taken from a malformed answer, after which targets count as gone, and against
+    // the rejection of a valid one.
+    TEST(BrokenAnswers, VmListIsReadFromValidAnswersOnly)
+    {
+        for (const auto& [statusLine, fields] : malformedHeads()) {
+            Server server(makeResponse(statusLine, fields, R"({"vms":[]})"));
+            EXPECT_FALSE(VmListClient(server.address()).read(callTimeout)) << statusLine;
+        }
+        for (const auto& response : rareResponses(R"({"vms":[]})")) {
+            Server server(response);
+            EXPECT_TRUE(VmListClient(server.address()).read(callTimeout)) << response;
+        }
+    }
+
 } // namespace
 } // namespace cyclamenstair
