Read the store's answers in mode Planned with the common reader

Operators saw, in mode Planned: records, leases and outcomes of writes were taken from answers of the store with status 999 or 099 classed as any other, and from answers with field names that hold a blank or a control byte.

Cause: EtcdBackend read with the client of cpp-httplib, which accepts such heads.

Change: EtcdBackend uses HttpExchange and so ResponseReader. A malformed answer to a write is an unknown outcome, as it was sent; any other is no answer. A watch that is stopped ends at once.

Evidence, on the code before:

[ FAILED ] EtcdBackend.MalformedHeadIsNoAnswer [ FAILED ] EtcdBackend.MalformedHeadEndsTheWatch [ FAILED ] EtcdBackend.RareValidAnswersAreRead

and with the change all three pass, as do the other tests of StoreTests.

--- a/Cyclamenstair/Store/EtcdBackend.cpp
+++ b/Cyclamenstair/Store/EtcdBackend.cpp
@@ -2,8 +2,8 @@
 
 #include <Cyclamenstair/Core/Base64.h>
 #include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Http/HttpExchange.h>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace cyclamenstair {
@@ -12,39 +12,35 @@
 
     using Json = nlohmann::json;
 
-    constexpr int httpOk = 200;
+    constexpr uint32_t httpOk = 200;
 
     /// Response to one HTTP call, or the reason why there is none.
     struct CallResult {
         bool mayHaveReachedStore { false }; ///< False only if the connection failed.
-        int status { 0 }; ///< HTTP status; 0 if there was no valid response.
+        uint32_t status { 0 }; ///< HTTP status; 0 if there was no valid response.
         Json body;
         std::string message;
     };
 
-    httplib::Client makeClient(const std::string& endpoint, Duration timeout)
+    HttpRequest createJsonPost(const char* path, const Json& request)
     {
-        httplib::Client client("http://" + endpoint);
-        client.set_connection_timeout(timeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-        client.set_tcp_nodelay(true);
-        return client;
+        return makeHttpRequest("POST", path, request.dump(), "application/json");
     }
 
     CallResult postJson(const std::string& endpoint, const char* path, const Json& request, Duration timeout)
     {
-        auto client = makeClient(endpoint, timeout);
-        const auto response = client.Post(path, request.dump(), "application/json");
+        HttpExchange exchange(endpoint, { .connectTimeout = timeout, .idleTimeout = timeout });
+        const auto outcome = exchange.call(createJsonPost(path, request));
         CallResult result;
-        if (!response) {
-            result.mayHaveReachedStore = response.error() != httplib::Error::Connection;
-            result.message = httplib::to_string(response.error());
+        if (const auto* failure = std::get_if<CallFailed>(&outcome)) {
+            result.mayHaveReachedStore = failure->wasSent;
+            result.message = failure->error.message;
             return result;
         }
+        const auto& response = std::get<HttpResponse>(outcome);
         result.mayHaveReachedStore = true;
-        result.status = response->status;
-        result.body = Json::parse(response->body, nullptr, false);
+        result.status = response.head.status;
+        result.body = Json::parse(response.body, nullptr, false);
         if (result.body.is_discarded() || !result.body.is_object()) {
             result.status = 0;
             result.message = "the store's response is not a JSON object";
@@ -191,15 +187,15 @@
     auto create = keyRange(prefix, true);
     create["start_revision"] = std::to_string(revision + 1);
     const Json request { { "create_request", create } };
-    auto client = makeClient(m_endpoint, timeout);
+    HttpExchange exchange(m_endpoint, { .connectTimeout = timeout, .idleTimeout = timeout });
 
     // The response is a stream of JSON objects, one per line, which is read until the first object with events.
     std::optional<int64_t> changedAt;
     std::string line;
-    const auto consume = [&](const char* data, size_t size) {
-        for (size_t i = 0; i < size; ++i) {
-            if (data[i] != '\n') {
-                line += data[i];
+    const auto consume = [&](const std::string& data) {
+        for (const char character : data) {
+            if (character != '\n') {
+                line += character;
                 continue;
             }
             const auto message = Json::parse(line, nullptr, false);
@@ -211,15 +207,12 @@
         }
         return true;
     };
-    httplib::Request post;
-    post.method = "POST";
-    post.path = "/v3/watch";
-    post.body = request.dump();
-    post.set_header("Content-Type", "application/json");
-    post.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) { return consume(data, size); };
-    const std::stop_callback closeConnection(stop, [&] { client.stop(); });
-    if (!stop.stop_requested())
-        client.send(post);
+    const std::stop_callback closeConnection(stop, [&] { exchange.cancel(); });
+    // The exchange fails when consume() ends it and at the timeout, which is no change.
+    (void)exchange.run(createJsonPost("/v3/watch", request), [&](const ResponsePart& part) {
+        const auto* data = std::get_if<ResponseDataPart>(&part);
+        return !data || consume(data->data);
+    });
     return changedAt;
 }
 
--- a/Tests/StoreTests/StoreClientTests.cpp
+++ b/Tests/StoreTests/StoreClientTests.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Store/StoreClient.h>
+#include <StandIns/ScriptedHttpServer.h>
 #include <StandIns/StoreStandIn.h>
+#include <Tests/Support/ResponseHeads.h>
 
 #include <gtest/gtest.h>
 
@@ -116,5 +118,60 @@
         EXPECT_EQ(std::get<StoreNotApplied>(outcome).refusal, StoreRefusal::NotSent);
     }
 
+    constexpr auto callTimeout = milliseconds(2000);
+
+    // Guards against a record, a lease or the outcome of a write that is taken from a malformed answer of the store.
+    TEST(EtcdBackend, MalformedHeadIsNoAnswer)
+    {
+        std::vector<std::string> responses;
+        const std::string body = R"({"header":{"revision":"5"},"succeeded":true,"ID":"9","result":{"TTL":"3"}})";
+        for (const auto& line : invalidStatusLines)
+            responses.push_back(makeResponse(line, {}, body));
+        for (const auto& line : invalidFieldLines)
+            responses.push_back(makeResponse("HTTP/1.1 200 OK", { line }, body));
+        for (const auto& response : responses) {
+            ScriptedHttpServer server([&](const ScriptedRequest&) { return response; });
+            EtcdBackend store(server.address());
+            EXPECT_TRUE(std::holds_alternative<StoreUnavailable>(store.range("k", false, callTimeout))) << response;
+            EXPECT_TRUE(std::holds_alternative<StoreOutcomeUnknown>(store.transact(putIf("k", 0, "a"), callTimeout)))
+                << response;
+            EXPECT_FALSE(store.grantLease(callTimeout, callTimeout)) << response;
+            EXPECT_EQ(store.keepLeaseAlive(9, callTimeout), StoreLeaseOutcome::Unavailable) << response;
+            EXPECT_EQ(store.revokeLease(9, callTimeout), StoreLeaseOutcome::Unavailable) << response;
+        }
+    }
+
+    // Guards against a change that is reported from a malformed answer to a watch.
+    TEST(EtcdBackend, MalformedHeadEndsTheWatch)
+    {
+        const std::string event = R"({"result":{"header":{"revision":"5"},"events":[{}]}})"
+                                  "\n";
+        for (const auto& response : { makeResponse("HTTP/1.1 000 Unknown", {}, event),
+                 makeResponse("HTTP/1.1 200 OK", { "X Bad: 1" }, event) }) {
+            ScriptedHttpServer server([&](const ScriptedRequest&) { return response; });
+            EXPECT_FALSE(EtcdBackend(server.address()).waitForChange("w/", 1, callTimeout, {})) << response;
+        }
+    }
+
+    // Guards against the rejection of the store's answers that are rare but valid.
+    TEST(EtcdBackend, RareValidAnswersAreRead)
+    {
+        const std::string body = R"({"header":{"revision":"5"},"succeeded":true})";
+        std::vector<std::string> responses;
+        for (const auto& interim : interimResponses)
+            responses.push_back(interim + makeResponse("HTTP/1.1 200 OK", {}, body));
+        for (const auto& line : rareStatusLines)
+            responses.push_back(makeResponse(line, {}, body));
+        for (const auto& line : rareFieldLines)
+            responses.push_back(makeResponse("HTTP/1.1 200 OK", { line }, body));
+        for (const auto& response : responses) {
+            ScriptedHttpServer server([&](const ScriptedRequest&) { return response; });
+            EtcdBackend store(server.address());
+            EXPECT_TRUE(std::holds_alternative<StoreRange>(store.range("k", false, callTimeout))) << response;
+            EXPECT_TRUE(std::holds_alternative<StoreApplied>(store.transact(putIf("k", 0, "a"), callTimeout)))
+                << response;
+        }
+    }
+
 } // namespace
 } // namespace cyclamenstair
