Read nodes' answers in cyclamenstairctl with the common reader

Operators saw: cyclamenstairctl printed the result of an answer whose field name held a blank or a control byte, and exited with 0. A status 099 or 600 was reported as a status of the node, and 000 as no response, without a reason.

Cause: OperatorClient read with the client of cpp-httplib, which accepts such heads.

Change: OperatorClient uses HttpExchange and so ResponseReader. A malformed answer exits with 3 (no answer), and the reason is printed. The tool turns the log off, so that its standard output holds its result only.

Evidence, on the code before:

BrokenAnswerTests.cpp:142: Failure status Which is: 0 3 HTTP/1.1 200 OK node n, plan revision 1 [ FAILED ] BrokenAnswerProcesses.OperatorsToolRejectsMalformedAnswers

and with the change it passes, as do the other NodeTests (one run, arm64).

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -113,6 +113,8 @@
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(minSeverity));
 }
 
+void disableLog() { boost::log::core::get()->set_logging_enabled(false); }
+
 bool flushLog(Duration timeout)
 {
     if (!logSink())
--- a/Programs/Cyclamenstairctl.cpp
+++ b/Programs/Cyclamenstairctl.cpp
@@ -1,4 +1,5 @@
 #include <Cyclamenstair/Core/Crypto.h>
+#include <Cyclamenstair/Telemetry/Log.h>
 #include <Programs/ctl/ExplainCommand.h>
 #include <Programs/ctl/PlanCommands.h>
 #include <Programs/ctl/ViewCommands.h>
@@ -89,6 +90,7 @@
 
 int main(int argc, char** argv)
 {
+    disableLog();
     cxxopts::Options options("cyclamenstairctl", "Operators' tool.");
     options.add_options()(
         "node", "Operator address of any node", cxxopts::value<std::string>()->default_value("127.0.0.1:8081"))(
--- a/Programs/ctl/OperatorClient.cpp
+++ b/Programs/ctl/OperatorClient.cpp
@@ -13,33 +13,34 @@
 } // namespace
 
 OperatorClient::OperatorClient(const std::string& endpoint, const std::string& token)
-    : m_client("http://" + endpoint)
-    , m_headers { { "Authorization", "Bearer " + token } }
+    : m_endpoint(endpoint)
+    , m_token(token)
 {
-    m_client.set_read_timeout(responseTimeout);
 }
 
-OperatorResponse OperatorClient::get(const std::string& path)
-{
-    return toResponse(m_client.Get(path.c_str(), m_headers));
-}
+OperatorResponse OperatorClient::get(const std::string& path) { return send(makeHttpRequest("GET", path)); }
 
 OperatorResponse OperatorClient::post(const std::string& path, const std::string& body, const std::string& contentType)
 {
-    return toResponse(m_client.Post(path.c_str(), m_headers, body, contentType.c_str()));
+    return send(makeHttpRequest("POST", path, body, contentType));
 }
 
-OperatorResponse OperatorClient::toResponse(const httplib::Result& result)
+OperatorResponse OperatorClient::send(HttpRequest request) const
 {
-    if (!result)
-        return {};
-    return { result->status, result->body, nlohmann::json::parse(result->body, nullptr, false), result->headers };
+    request.fields.emplace_back("Authorization", "Bearer " + m_token);
+    HttpExchange exchange(m_endpoint, { .connectTimeout = responseTimeout, .idleTimeout = responseTimeout });
+    const auto outcome = exchange.call(request);
+    if (const auto* failure = std::get_if<CallFailed>(&outcome))
+        return { 0, {}, {}, {}, failure->error.message };
+    const auto& response = std::get<HttpResponse>(outcome);
+    return { response.head.status, response.body, nlohmann::json::parse(response.body, nullptr, false),
+        response.head.fields, {} };
 }
 
 ExitStatus reportFailure(const OperatorResponse& response)
 {
     if (response.status == 0) {
-        std::cerr << "no response from the node\n";
+        std::cerr << "no valid response from the node: " << response.failure << "\n";
         return ExitStatus::Unavailable;
     }
     const auto message = response.body.is_object() ? response.body.value("message", "") : "";
--- a/Programs/ctl/OperatorClient.h
+++ b/Programs/ctl/OperatorClient.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <Cyclamenstair/Core/EnumNames.h>
+#include <Cyclamenstair/Http/HttpExchange.h>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -20,10 +20,11 @@
 
 /// Response of a node to an operator's request.
 struct OperatorResponse {
-    int status { 0 }; ///< HTTP status; 0 if there was no response.
+    uint32_t status { 0 }; ///< HTTP status; 0 if there was no valid response.
     std::string text; ///< Response body.
     nlohmann::json body; ///< The body parsed as JSON; a discarded value if it is not valid JSON.
-    httplib::Headers headers;
+    HeaderFields fields;
+    std::string failure; ///< Why there was no valid response.
 };
 
 /// Client of the operator API of a node.
@@ -36,10 +37,10 @@
     OperatorResponse post(const std::string& path, const std::string& body, const std::string& contentType);
 
 private:
-    static OperatorResponse toResponse(const httplib::Result& result);
+    OperatorResponse send(HttpRequest request) const;
 
-    httplib::Client m_client;
-    httplib::Headers m_headers;
+    std::string m_endpoint;
+    std::string m_token;
 };
 
 /// Prints the reason of a failed request and returns the exit status for it.
--- a/Programs/ctl/PlanCommands.cpp
+++ b/Programs/ctl/PlanCommands.cpp
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Crypto.h>
 #include <Programs/ctl/Table.h>
 
+#include <httplib.h>
 #include <iostream>
 #include <thread>
 
@@ -144,11 +145,9 @@
         std::cout << response.text;
         return ExitStatus::Ok;
     }
-    const auto revision = response.headers.find("X-Plan-Revision");
-    std::cout << Json {
-        { "revision", revision == response.headers.end() ? 0 : std::stoull(revision->second) },
-        { "sheet", response.text }
-    }.dump(2) << "\n";
+    const auto revision = fieldValue(response.fields, "X-Plan-Revision");
+    std::cout << Json { { "revision", revision ? std::stoull(*revision) : 0 }, { "sheet", response.text } }.dump(2)
+              << "\n";
     return ExitStatus::Ok;
 }
 
--- a/Tests/NodeTests/BrokenAnswerTests.cpp
+++ b/Tests/NodeTests/BrokenAnswerTests.cpp
@@ -131,5 +131,21 @@
         }
     }
 
+    // Guards against an operator's tool that takes a malformed answer of a node for its result.
+    TEST_F(BrokenAnswerProcesses, OperatorsToolRejectsMalformedAnswers)
+    {
+        startFleet(0);
+        const std::string body = R"({"node":"n","plan_revision":1,"members":[],"targets":[]})";
+        for (const auto& [statusLine, fields] : malformedHeads) {
+            setAnswer(makeResponse(statusLine, fields, body));
+            const auto [status, output] = m_fleet->runCtlAt(m_service.address(), { "status" });
+            EXPECT_EQ(status, 3) << statusLine << output;
+            EXPECT_NE(output.find("malformed"), std::string::npos) << output;
+            EXPECT_EQ(output.find("level="), std::string::npos) << output;
+        }
+        setAnswer(interimResponses.back() + makeResponse("HTTP/1.1 200 ", { rareFieldLines.front() }, body));
+        EXPECT_EQ(m_fleet->runCtlAt(m_service.address(), { "status" }).first, 0);
+    }
+
 } // namespace
 } // namespace cyclamenstair::testing
