Use an engine's report only if its status is 200

Operators saw, in mode Registered: orders were planned from the body of a report whose status was 500.

Cause: two places read reports. LostAnswerVerifier asked for status 200, OrderDispatcher for none.

Change: decodeReport takes the response and checks its status, for both. OrderDispatcher counts such a report as missed and logs the status in report_missing.

Evidence, on the code before:

BrokenAnswerTests.cpp:203: Failure orderCount() Which is: 1 0 [ FAILED ] EntryNodeTest.ReportWithoutSuccessIsNotUsed

and with the change it passes.

--- a/Cyclamenstair/Entry/LostAnswerVerifier.cpp
+++ b/Cyclamenstair/Entry/LostAnswerVerifier.cpp
@@ -18,11 +18,10 @@
     /// Returns whether the report is that of the process that had the request.
     bool isSameProcess(const HttpOutcome& outcome, const AcquiredTarget& target)
     {
-        constexpr uint32_t ok = 200;
         const auto* response = std::get_if<HttpResponse>(&outcome);
-        if (!response || response->head.status != ok || target.startedUnixMs == 0)
+        if (!response || target.startedUnixMs == 0)
             return false;
-        const auto report = decodeReport(response->body);
+        const auto report = decodeReport(*response);
         return report && report.value().startedUnixMs == target.startedUnixMs;
     }
 
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -152,7 +152,7 @@
     auto& state = m_targetStates[record.id];
     state.isReportPending = false;
     const auto* response = std::get_if<HttpResponse>(&outcome);
-    const auto report = response ? decodeReport(response->body)
+    const auto report = response ? decodeReport(*response)
                                  : Error { ErrorKind::Unavailable, "report.read", record.id, "target did not respond" };
     if (!report) {
         logError(LogSeverity::Warning, "report_missing", report.error());
--- a/Tests/EntryTests/BrokenAnswerTests.cpp
+++ b/Tests/EntryTests/BrokenAnswerTests.cpp
@@ -173,3 +173,34 @@
     EXPECT_LT(lineOf("r-3").size(), 500U);
     EXPECT_NE(log.find("event=response_malformed"), std::string::npos);
 }
+
+// Guards against the report of an engine whose status says that it has none, after which orders rest on its body. An
+// engine with a valid report gets orders at once.
+TEST_F(EntryNodeTest, ReportWithoutSuccessIsNotUsed)
+{
+    std::atomic<bool> hasReport { false };
+    ScriptedHttpServer engine([&](const ScriptedRequest& scriptedRequest) {
+        if (scriptedRequest.target == "/cyclamenstair/report")
+            return makeResponse(hasReport ? "HTTP/1.1 200 OK" : "HTTP/1.1 500 Internal Server Error", {},
+                R"({"models":[],"busy":false,"seq":0,"queued":0,"running":0,"born":1})");
+        return makeResponse("HTTP/1.1 202 Accepted", {}, "");
+    });
+    const auto orderCount = [&] {
+        const auto requests = engine.requests();
+        return std::count_if(requests.begin(), requests.end(),
+            [](const auto& scriptedRequest) { return scriptedRequest.target == "/cyclamenstair/order"; });
+    };
+    const auto reportCount = [&] {
+        const auto requests = engine.requests();
+        return std::count_if(requests.begin(), requests.end(),
+            [](const auto& scriptedRequest) { return scriptedRequest.target == "/cyclamenstair/report"; });
+    };
+    store.put("servers/i-7",
+        R"({"service":"drafting","address":")" + engine.address()
+            + R"(","zone":"domain-1","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"models":[],"seq":1,"born":1})");
+    const auto node = startNode();
+    EXPECT_TRUE(eventually([&] { return reportCount() >= 12; }));
+    EXPECT_EQ(orderCount(), 0);
+    hasReport = true;
+    EXPECT_TRUE(eventually([&] { return orderCount() > 0; }));
+}
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -157,14 +157,15 @@
 // Guards against report fields that are lost, and against an incomplete report that is accepted.
 TEST(TargetCodec, DecodesReport)
 {
-    const auto report = decodeReport(R"({"models":[],"busy":true,"seq":5,"queued":1,"running":12,"incoming":["m/a1@1"],
-        "at_hand":{"in_memory":["m"],"on_disk":["n"]},"born":3})")
-                            .value();
+    const std::string text = R"({"models":[],"busy":true,"seq":5,"queued":1,"running":12,"incoming":["m/a1@1"],
+        "at_hand":{"in_memory":["m"],"on_disk":["n"]},"born":3})";
+    const auto report = decodeReport({ { 200, {}, {} }, text }).value();
     EXPECT_TRUE(report.isBusy);
     EXPECT_EQ(report.acceptedOrders, 5);
     EXPECT_EQ(report.loadingAdapters, 1U);
     EXPECT_EQ(report.cachedModels, (std::set<std::string> { "m", "n" }));
-    EXPECT_FALSE(decodeReport("{}"));
+    EXPECT_FALSE(decodeReport({ { 200, {}, {} }, "{}" }));
+    EXPECT_FALSE(decodeReport({ { 503, {}, {} }, text }));
 }
 
 // Guards against header fields that are matched case-sensitively or split wrongly.
@@ -204,9 +205,9 @@
     for (size_t i = 0; i < depth; ++i)
         objects += R"({"a":)";
     EXPECT_FALSE(entry("4", "1", address, objects + "1" + std::string(depth, '}')));
-    EXPECT_FALSE(decodeReport(R"({"busy":false,"seq":1e30,"models":[]})"));
-    EXPECT_FALSE(
-        decodeReport(R"({"busy":false,"seq":1,"models":)" + std::string(depth, '[') + std::string(depth, ']') + "}"));
+    EXPECT_FALSE(decodeReport({ { 200, {}, {} }, R"({"busy":false,"seq":1e30,"models":[]})" }));
+    EXPECT_FALSE(decodeReport({ { 200, {}, {} },
+        R"({"busy":false,"seq":1,"models":)" + std::string(depth, '[') + std::string(depth, ']') + "}" }));
 }
 
 // Guards against a target's id that adds header fields to the requests which name it.
