--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -346,6 +346,12 @@
         StoreRefusal::Conflict);
     EXPECT_EQ(
         std::get<StoreNotApplied>(decodeTransactionResponse({ { 503, {}, {} }, "" })).refusal, StoreRefusal::Rejected);
+    EXPECT_EQ(
+        std::get<StoreNotApplied>(decodeTransactionResponse({ { 429, {}, {} }, "" })).refusal, StoreRefusal::Rejected);
+    // Only a refusal rules out that the transaction took effect.
+    for (const uint32_t status : { 201U, 302U, 500U, 502U, 504U })
+        EXPECT_TRUE(std::holds_alternative<StoreOutcomeUnknown>(decodeTransactionResponse({ { status, {}, {} }, "" })))
+            << status;
     EXPECT_EQ(decodeLeaseGrantResponse({ { 200, {}, {} }, R"({"lease":7,"ttl_ms":3000})" }), 7);
     EXPECT_FALSE(decodeLeaseGrantResponse({ { 429, {}, {} }, "" }));
     EXPECT_EQ(decodeLeaseKeepAliveResponse({ { 404, {}, {} }, "" }), StoreLeaseOutcome::Expired);
