Keep the trailer of a response out of its head

Callers saw: a field of a trailer reached them as a field of the head if the whole response arrived at once, and was dropped otherwise. A field such as that of a refusal would have changed how the attempt counts.

Cause: the parser adds the fields of a trailer to those of the head, and the head was taken only after all that had arrived was parsed.

Change: ResponseReader parses the head alone and takes it before it parses the body. RFC 9110, section 6.5.1, does not allow a recipient to merge a trailer into the head without knowing the field.

Evidence: ResponseHead.TrailerIsNoPartOfTheHead failed on the code before, and passes with the change.

--- a/Cyclamenstair/Http/ResponseReader.cpp
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -69,6 +69,8 @@
 std::variant<bool, MalformedResponse> ResponseReader::parse()
 {
     if (m_input.size() >= m_minInputBytes) {
+        // The head is parsed alone: the parser adds the fields of a trailer to those of the head.
+        m_parser->eager(m_isHeadTaken);
         boost::system::error_code ec;
         const size_t consumed = m_parser->put(boost::asio::buffer(m_input), ec);
         m_input.erase(0, consumed);
@@ -110,11 +112,12 @@
 {
     // Beast accepts any three digits. Until it has parsed the status line, the status is 200.
     const auto status = m_parser->get().result_int();
-    if (status >= minStatus && status <= maxStatus)
-        return std::nullopt;
-    auto digits = std::to_string(status);
-    digits.insert(0, 3 - digits.size(), '0');
-    return "status " + digits + " is outside " + std::to_string(minStatus) + " to " + std::to_string(maxStatus);
+    if (status < minStatus || status > maxStatus) {
+        auto digits = std::to_string(status);
+        digits.insert(0, 3 - digits.size(), '0');
+        return "status " + digits + " is outside " + std::to_string(minStatus) + " to " + std::to_string(maxStatus);
+    }
+    return std::nullopt;
 }
 
 MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit) const
@@ -138,7 +141,6 @@
 void ResponseReader::startResponse()
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->eager(true);
     m_parser->header_limit(m_limits.maxHeadBytes);
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
     m_parser->skip(m_isHeadRequest);
--- a/Tests/HttpTests/ResponseHeadTests.cpp
+++ b/Tests/HttpTests/ResponseHeadTests.cpp
@@ -91,6 +91,7 @@
         responses.push_back(makeResponse("HTTP/1.1 200 OK", { line }, "body"));
         responses.push_back("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + sound);
     }
+    responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Bad: 1\r\n\r\n");
     const auto outcomes = receive(responses);
     for (size_t i = 0; i < responses.size(); ++i)
         expectFailed(outcomes[i], responses[i]);
@@ -149,3 +150,15 @@
     for (size_t i = 0; i < responses.size(); ++i)
         EXPECT_EQ(bodyOf(outcomes[i]), "body") << responses[i];
 }
+
+// Guards against a trailer that counts as part of the head if it arrives together with it. A field such as that of a
+// refusal would change the meaning of the response.
+TEST(ResponseHead, TrailerIsNoPartOfTheHead)
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nX-Head: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 "4\r\nbody\r\n0\r\nX-Trailer: 1\r\n\r\n";
+    const auto outcomes = receive({ response });
+    ASSERT_TRUE(std::holds_alternative<HttpResponse>(outcomes[0]));
+    EXPECT_EQ(bodyOf(outcomes[0]), "body");
+    EXPECT_EQ(std::get<HttpResponse>(outcomes[0]).head.fields, (HeaderFields { { "X-Head", "1" } }));
+}
