Fail attempts whose body has an unknown transfer coding

Callers saw: the body of an answer with a transfer coding such as "gzip, chunked" or "xchunked" arrived as it was transferred, that is, compressed or with the sizes of its chunks, and without the field that said so.

Cause: the parser decodes only the coding chunked at the end of the list, and reads any other body up to the end of the connection. The field is a hop-by-hop one and was dropped.

Change: a response with a body must name chunked as its only transfer coding, or none. Clients ask for no other (RFC 9112, section 7.4). Responses without a body may name any.

Evidence, on the code before:

ResponseHeadTests.cpp:44: Failure failure Actual: false Transfer-Encoding: gzip, chunked [ FAILED ] ResponseHead.UnknownTransferCodingsFail

and with the change it passes.

--- a/Cyclamenstair/Http/ResponseReader.cpp
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/EscapedText.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -117,6 +118,14 @@
         digits.insert(0, 3 - digits.size(), '0');
         return "status " + digits + " is outside " + std::to_string(minStatus) + " to " + std::to_string(maxStatus);
     }
+    // A body is passed on without its transfer coding, so that must be one that the parser decodes.
+    const bool hasBody = m_parser->is_header_done() && !m_parser->is_done();
+    if (hasBody) {
+        const auto& fields = m_parser->get().base();
+        const auto coding = fields.find(http::field::transfer_encoding);
+        if (coding != fields.end() && !boost::beast::iequals(coding->value(), "chunked"))
+            return "unknown transfer coding \"" + escapeText(std::string(coding->value()), maxQuotedBytes) + "\"";
+    }
     return std::nullopt;
 }
 
--- a/Tests/HttpTests/ResponseHeadTests.cpp
+++ b/Tests/HttpTests/ResponseHeadTests.cpp
@@ -151,6 +151,21 @@
         EXPECT_EQ(bodyOf(outcomes[i]), "body") << responses[i];
 }
 
+// Guards against a body whose transfer coding is not decoded, and that is passed on as it was transferred.
+TEST(ResponseHead, UnknownTransferCodingsFail)
+{
+    std::vector<std::string> responses;
+    for (const std::string coding :
+        { "gzip", "gzip, chunked", "chunked, gzip", "xchunked", "chunked;a=b", "\"chunked\"", "" })
+        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    const auto outcomes = receive(responses);
+    for (size_t i = 0; i < responses.size(); ++i)
+        expectFailed(outcomes[i], responses[i]);
+    // Without a body, the field only says how one would have been transferred (RFC 9112, section 6.1).
+    const auto withoutBody = receive({ "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" });
+    EXPECT_EQ(bodyOf(withoutBody[0]), "");
+}
+
 // Guards against a trailer that counts as part of the head if it arrives together with it. A field such as that of a
 // refusal would change the meaning of the response.
 TEST(ResponseHead, TrailerIsNoPartOfTheHead)
