Quote only the line that the parser rejected

Operators saw: the message about a status outside 100 to 599 could quote another line of the head, if the head arrived in pieces.

Cause: the line after the last parsed one was quoted for every error of the head.

Change: only errors of the parser, which stops before the line that it rejects, quote a line. The range of statuses moves to Core/HttpStatus.h.

Run: HttpTests (37) and BrokenAnswerTest (5) passed. Found by reading; no test had shown it.

--- a/Cyclamenstair/Http/ResponseReader.cpp
+++ b/Cyclamenstair/Http/ResponseReader.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Http/ResponseReader.h>
 
 #include <Cyclamenstair/Core/EscapedText.h>
+#include <Cyclamenstair/Core/HttpStatus.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -14,13 +15,6 @@
 
 namespace {
 
-    /// Range of status codes, RFC 9110, section 15.
-    constexpr uint32_t minStatus = 100;
-    constexpr uint32_t maxStatus = 599;
-
-    /// First status after those of interim responses.
-    constexpr uint32_t minFinalStatus = 200;
-
     /// Bytes of a malformed line that an error message quotes.
     constexpr size_t maxQuotedBytes = 64;
 
@@ -78,11 +72,11 @@
         m_parsedBytes += consumed;
         const bool needsMore = ec == http::error::need_more;
         if (ec && !needsMore)
-            return malformed(ec.message());
+            return malformed(ec.message() + quoteHeadLine());
         if (const auto error = findHeadError())
             return malformed(*error);
         // Skip interim responses, which precede the final one. Beast's status classes lack codes that it does not name.
-        if (m_parser->is_header_done() && m_parser->get().result_int() < minFinalStatus) {
+        if (m_parser->is_header_done() && !isFinalHttpStatus(m_parser->get().result_int())) {
             if (++m_interimResponses > m_limits.maxInterimResponses)
                 return malformed("too many interim responses");
             startResponse();
@@ -113,10 +107,11 @@
 {
     // Beast accepts any three digits. Until it has parsed the status line, the status is 200.
     const auto status = m_parser->get().result_int();
-    if (status < minStatus || status > maxStatus) {
+    if (!isHttpStatus(status)) {
         auto digits = std::to_string(status);
         digits.insert(0, 3 - digits.size(), '0');
-        return "status " + digits + " is outside " + std::to_string(minStatus) + " to " + std::to_string(maxStatus);
+        return "status " + digits + " is outside " + std::to_string(minHttpStatus) + " to "
+            + std::to_string(maxHttpStatus);
     }
     // A body is passed on without its transfer coding, so that must be one that the parser decodes.
     const bool hasBody = m_parser->is_header_done() && !m_parser->is_done();
@@ -129,10 +124,10 @@
     return std::nullopt;
 }
 
-MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit) const
+MalformedResponse ResponseReader::malformed(const std::string& reason, bool isLimit)
 {
     return { { isLimit ? ErrorKind::LimitExceeded : ErrorKind::Unavailable, "http.parse", {},
-        "malformed response: " + reason + quoteHeadLine() } };
+        "malformed response: " + reason } };
 }
 
 std::string ResponseReader::quoteHeadLine() const
--- a/Cyclamenstair/Http/ResponseReader.h
+++ b/Cyclamenstair/Http/ResponseReader.h
@@ -76,7 +76,8 @@
     /// Parses more input. Returns whether anything was parsed, or the reason why the response is malformed.
     std::variant<bool, MalformedResponse> parse();
     std::optional<std::string> findHeadError() const;
-    MalformedResponse malformed(const std::string& reason, bool isLimit = false) const;
+    static MalformedResponse malformed(const std::string& reason, bool isLimit = false);
+    /// Returns the line at which the parser stopped inside the head, for an error message.
     std::string quoteHeadLine() const;
 
     ResponseLimits m_limits;
