Treat a stored booking answer with an invalid status as unknown

Callers could see, in mode Planned: a node that reads targets without the check of the status stores an answer with status 000 for a booking, and every node returns it to a caller that repeats the request.

Cause: decodeClaim and the message ClaimAnswer accept any number as a status.

Change: an answer whose status is not from 200 to 599 is decoded as an unknown outcome. The request does not run again.

Evidence, on the code before:

ClaimCodecTests.cpp:26: Failure claim.state Which is: 1-byte object <01> ClaimState::Unknown [ FAILED ] ClaimCodec.AnswerWithInvalidStatusIsUnknown

--- a/Cyclamenstair/Codec/ClaimCodec.cpp
+++ b/Cyclamenstair/Codec/ClaimCodec.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Codec/ClaimCodec.h>
 
 #include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Core/HttpStatus.h>
 #include <Cyclamenstair/Generated/Records_generated.h>
 
 namespace cyclamenstair {
@@ -28,9 +29,11 @@
         throw Exception({ ErrorKind::InvalidInput, "claim.decode", "", "malformed FlatBuffers record" });
     schema::ClaimRecordT record;
     flatbuffers::GetRoot<schema::ClaimRecord>(data)->UnPackTo(&record);
-    // A state added by a newer version is decoded as Unknown, so that the request never runs a second time.
-    const auto state
-        = record.state > schema::ClaimState::MAX ? ClaimState::Unknown : static_cast<ClaimState>(record.state);
+    // A state added by a newer version is decoded as Unknown, so that the request never runs a second time. So is an
+    // answer with an invalid status, which earlier versions stored.
+    const bool isInvalid = record.state > schema::ClaimState::MAX
+        || (record.state == schema::ClaimState::Answered && !isFinalHttpStatus(record.status));
+    const auto state = isInvalid ? ClaimState::Unknown : static_cast<ClaimState>(record.state);
     return { state, record.node, record.token, record.body_hash, { record.status, record.content_type, record.body } };
 }
 
--- a/Cyclamenstair/Codec/PeerMessageCodec.cpp
+++ b/Cyclamenstair/Codec/PeerMessageCodec.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Codec/PeerMessageCodec.h>
 
 #include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Core/HttpStatus.h>
 #include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Generated/Messages_generated.h>
 
@@ -235,7 +236,10 @@
 
     ClaimAnswerMessage unpack(const schema::ClaimAnswerT& table)
     {
-        return { static_cast<ClaimProgress>(table.progress), table.status, table.content_type, table.body };
+        // Earlier versions pass on answers with an invalid status.
+        const auto progress = static_cast<ClaimProgress>(table.progress);
+        const bool isInvalid = progress == ClaimProgress::Finished && !isFinalHttpStatus(table.status);
+        return { isInvalid ? ClaimProgress::NotKnown : progress, table.status, table.content_type, table.body };
     }
 
 } // namespace
--- a/Tests/CodecTests/ClaimCodecTests.cpp
+++ b/Tests/CodecTests/ClaimCodecTests.cpp
@@ -1,4 +1,5 @@
 #include <Cyclamenstair/Codec/ClaimCodec.h>
+#include <Cyclamenstair/Codec/PeerMessageCodec.h>
 #include <Cyclamenstair/Codec/UsageCodec.h>
 #include <Cyclamenstair/Core/Error.h>
 
@@ -17,6 +18,24 @@
         }
     }
 
+    // Guards against a stored answer that no HTTP server may give, which would reach the caller that repeats a request.
+    TEST(ClaimCodec, AnswerWithInvalidStatusIsUnknown)
+    {
+        for (const int status : { -1, 0, 99, 100, 199, 600, 999 }) {
+            const auto claim
+                = decodeClaim(encodeClaim({ ClaimState::Answered, "n/1", "t", 5, { status, "a/b", "c" } }));
+            EXPECT_EQ(claim.state, ClaimState::Unknown) << status;
+            EXPECT_EQ(claim.token, "t");
+            const auto message = decodePeerMessage(
+                encodePeerMessage(ClaimAnswerMessage { ClaimProgress::Finished, status, "a/b", "c" }));
+            EXPECT_EQ(std::get<ClaimAnswerMessage>(message).progress, ClaimProgress::NotKnown) << status;
+        }
+        for (const int status : { 200, 404, 599 }) {
+            const ClaimAnswerMessage answer { ClaimProgress::Finished, status, "a/b", "c" };
+            EXPECT_EQ(std::get<ClaimAnswerMessage>(decodePeerMessage(encodePeerMessage(answer))).status, status);
+        }
+    }
+
     TEST(UsageCodec, RoundTripsDemands)
     {
         const CallerDemands demands { { "a", 1.5 }, { "b", 20 } };
