--- a/Tests/EntryTests/BrokenAnswerTests.cpp
+++ b/Tests/EntryTests/BrokenAnswerTests.cpp
@@ -92,10 +92,7 @@
 TEST_F(BrokenAnswerTest, InvalidFieldNameIsAFailedAttempt)
 {
     const auto node = startNode();
-    const std::vector<std::string> fields { "X Bad: 1",
-        "X\x01"
-        "Bad: 1",
-        "Content-Length : 1" };
+    const std::vector<std::string> fields { "X Bad: 1", "X\001Bad: 1", "Content-Length : 1" };
     for (size_t i = 0; i < fields.size(); ++i) {
         setHead("HTTP/1.1 200 OK", { fields[i] });
         expectFailedAttempts("-field-" + std::to_string(i));
--- a/Tests/HttpTests/ResponseHeadTests.cpp
+++ b/Tests/HttpTests/ResponseHeadTests.cpp
@@ -89,7 +89,7 @@
     }
     for (const auto& line : invalidFieldLines) {
         responses.push_back(makeResponse("HTTP/1.1 200 OK", { line }, "body"));
-        responses.push_back("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + sound);
+        responses.push_back(std::string("HTTP/1.1 103 Early Hints\r\n").append(line).append("\r\n\r\n").append(sound));
     }
     responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Bad: 1\r\n\r\n");
     const auto outcomes = receive(responses);
@@ -101,9 +101,11 @@
 TEST(ResponseHead, FieldNamesAreTokens)
 {
     std::vector<std::string> responses;
-    for (int byte = 0; byte < 256; ++byte)
-        responses.push_back(makeResponse(
-            "HTTP/1.1 200 OK", { "X-Sound: 1", std::string("X") + static_cast<char>(byte) + "Name: 1" }, "body"));
+    for (int byte = 0; byte < 256; ++byte) {
+        std::string field = "X?Name: 1";
+        field[1] = static_cast<char>(byte);
+        responses.push_back(makeResponse("HTTP/1.1 200 OK", { "X-Sound: 1", field }, "body"));
+    }
     const auto outcomes = receive(responses);
     for (int byte = 0; byte < 256; ++byte) {
         const auto index = static_cast<size_t>(byte);
--- a/Tests/NodeTests/BrokenAnswerTests.cpp
+++ b/Tests/NodeTests/BrokenAnswerTests.cpp
@@ -16,9 +16,7 @@
         { "HTTP/1.1 099 Unknown", {} },
         { "HTTP/1.1 600 Unknown", {} },
         { "HTTP/1.1 200 OK", { "X Bad: 1" } },
-        { "HTTP/1.1 200 OK",
-            { "X\x01"
-              "Bad: 1" } },
+        { "HTTP/1.1 200 OK", { "X\001Bad: 1" } },
         { "HTTP/1.1 200 OK", { "Content-Length : 1" } },
     };
 
--- a/Tests/Support/ResponseHeads.h
+++ b/Tests/Support/ResponseHeads.h
@@ -13,11 +13,8 @@
 
 /// First field lines whose name is no token (RFC 9110, section 5.1) or that have no name.
 inline const std::vector<std::string> invalidFieldLines { "X Bad: 1", "X-Bad : 1", "X-Bad\t: 1", " X-Bad: 1",
-    "\tX-Bad: 1",
-    "X\x01"
-    "Bad: 1",
-    "X\x1f: 1", "X\x7f: 1", std::string("X\0Bad: 1", 8), "X\rBad: 1", "X\nBad: 1", "\x01: 1", ": 1", "X-Bad",
-    "X(Bad): 1", "X/Bad: 1", "X\"Bad\": 1", "X[Bad]: 1", "X\xe9: 1", "Content-Length : 1",
+    "\tX-Bad: 1", "X\001Bad: 1", "X\x1f: 1", "X\x7f: 1", std::string("X\0Bad: 1", 8), "X\rBad: 1", "X\nBad: 1",
+    "\x01: 1", ": 1", "X-Bad", "X(Bad): 1", "X/Bad: 1", "X\"Bad\": 1", "X[Bad]: 1", "X\xe9: 1", "Content-Length : 1",
     "Transfer-Encoding : chunked", "Cyclamenstair-Not-Run : 1", "X-Not-Run : true" };
 
 /// Field lines that are rare but allowed: every character of a token, an empty value, no blank before the value, and
