--- a/Cyclamenstair/Http/HttpExchange.h
+++ b/Cyclamenstair/Http/HttpExchange.h
@@ -36,7 +36,8 @@
     HttpExchange& operator=(const HttpExchange&) = delete;
 
     /// Sends the request and passes the parts of the response to the handler as they arrive. Returns no value once the
-    /// response is complete, or the failure. `fields` of the request need no Host field.
+    /// response is complete, or the failure. The request needs no Host field; fields whose value contains a line end
+    /// are not sent.
     std::optional<CallFailed> run(const HttpRequest& request, const PartHandler& onPart);
 
     /// Sends the request and returns the whole response, or the failure.
--- a/Cyclamenstair/Http/ResponseReader.h
+++ b/Cyclamenstair/Http/ResponseReader.h
@@ -75,6 +75,7 @@
     std::optional<ResponsePart> takeParsed();
     /// Parses more input. Returns whether anything was parsed, or the reason why the response is malformed.
     std::variant<bool, MalformedResponse> parse();
+    /// Returns why the head is invalid although the parser accepts it, or no value if it is valid so far.
     std::optional<std::string> findHeadError() const;
     static MalformedResponse malformed(const std::string& reason, bool isLimit = false);
     /// Returns the line at which the parser stopped inside the head, for an error message.
--- a/Tests/EntryTests/BrokenAnswerTests.cpp
+++ b/Tests/EntryTests/BrokenAnswerTests.cpp
@@ -54,7 +54,8 @@
         EXPECT_EQ(safe.body, "i-2:body") << name;
         const auto stream = request("/stream/x", "stream" + name);
         EXPECT_EQ(stream.head.status, 200U) << name;
-        EXPECT_EQ(std::count(stream.body.begin(), stream.body.end(), ':'), 10) << name;
+        constexpr auto colonsOfFiveEvents = 10;
+        EXPECT_EQ(std::count(stream.body.begin(), stream.body.end(), ':'), colonsOfFiveEvents) << name;
     }
 
     std::string respond(const ScriptedRequest& scriptedRequest)
