--- a/Tests/HttpTests/ResponseHeadTests.cpp
+++ b/Tests/HttpTests/ResponseHeadTests.cpp
@@ -179,3 +179,21 @@
     EXPECT_EQ(bodyOf(outcomes[0]), "body");
     EXPECT_EQ(std::get<HttpResponse>(outcomes[0]).head.fields, (HeaderFields { { "X-Head", "1" } }));
 }
+
+// Guards against a message that blames a line which the parser did not reject: the status line is parsed before the
+// rest of the head has arrived.
+TEST(ResponseHead, MessageQuotesTheRejectedLineOnly)
+{
+    const auto messageOf = [](std::string_view bytes) {
+        ResponseReader reader({}, false);
+        reader.append(bytes);
+        const auto part = reader.next();
+        const auto* malformed = part ? std::get_if<MalformedResponse>(&*part) : nullptr;
+        return malformed ? malformed->error.message : std::string("no error");
+    };
+    EXPECT_EQ(messageOf("HTTP/1.1 000 Unknown\r\nContent-Le"), "malformed response: status 000 is outside 100 to 599");
+    EXPECT_EQ(messageOf("HTTP/1.1 200 OK\r\nX-Sound: 1\r\nX Bad: 2\r\nX-Next: 3\r\n\r\n"),
+        "malformed response: bad field, at \"X Bad\"");
+    EXPECT_EQ(
+        messageOf("HTTP/1.1 20 OK\r\nX-Next: 3\r\n\r\n"), "malformed response: bad status, at \"HTTP/1.1 20 OK\"");
+}
