--- a/Tests/HttpTests/HttpExchangeTests.cpp
+++ b/Tests/HttpTests/HttpExchangeTests.cpp
@@ -110,3 +110,21 @@
     ASSERT_TRUE(std::holds_alternative<CallFailed>(outcome));
     EXPECT_EQ(std::get<CallFailed>(outcome).error.kind, ErrorKind::LimitExceeded);
 }
+
+// Guards against a head or a chunk's framing without end, which would take memory until the server stops.
+TEST(HttpExchange, EndlessHeadsAndFramingFail)
+{
+    const std::string manyBytes(65536, 'x');
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses { { "HTTP/1.1 200 ", manyBytes },
+        { "HTTP/1.1 200 OK\r\nX-Field: ", manyBytes }, { "HTTP/1.1 200 OK\r\n", "X-Field: 1\r\n" },
+        { "", "HTTP/1.1 103 Early Hints\r\n\r\n" }, { chunkedHead + "1;extension=", manyBytes },
+        { chunkedHead + "0\r\n", "X-Trailer: 1\r\n" } };
+    for (const auto& [start, repeated] : responses) {
+        EndlessServer server(start, repeated);
+        const auto outcome = callOnce(server.address);
+        ASSERT_TRUE(std::holds_alternative<CallFailed>(outcome)) << start;
+        EXPECT_EQ(std::get<CallFailed>(outcome).error.step, "http.parse") << start;
+        EXPECT_LT(server.sentBytes, EndlessServer::maxSentBytes) << start;
+    }
+}
