Keep fencing tokens, leases and watches apart over eras of the store

Cause: the token is the revision of the holder's key. A store that returns from an older copy gives out again the revisions and lease ids that it lost, and states a higher era (Store-Era), which no code read. The former holder renewed a lease that was another node's by then, and went on. Watches and records of targets had the same cause: changes were missed or ignored.

Ruled out by reading: an answer taken for that of another call (a connection with an unanswered call is closed), and a write applied late beside a second one (the key must be absent).

It works because no number of an era equals one of another, and because the wait does not rest on the lost lease.

--- a/Cyclamenstair/Control/OrderLease.h
+++ b/Cyclamenstair/Control/OrderLease.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Time.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace cyclamenstair {
 
@@ -15,6 +16,10 @@
     /// Delay between acquiring the lease and the first order. The platform states a minimum time between orders of two
     /// nodes; the time from the end of the renewal's validity to the expiry of the lease counts towards it.
     Duration takeoverDelay { milliseconds(2700) };
+    /// Delay between the first sign of a new era of the store and the first order. A store that returns from an older
+    /// copy forgets the lease of a holder that may send orders until renewalValidity has passed, so the whole minimum
+    /// time between orders is added to that.
+    Duration newEraDelay { milliseconds(3900) };
     /// Delay before the node tries to take a free lease. Longer on nodes with less processor time, so that a node with
     /// more of it takes the lease.
     Duration acquireDelay { 0 };
@@ -29,8 +34,9 @@
     {
     }
 
-    /// Called when this node has created the lease holder's key, under a lease requested at `sentAt`.
-    void markAcquired(int64_t fencingToken, TimePoint sentAt, TimePoint now);
+    /// Called when this node has created the lease holder's key, under a lease requested at `sentAt`. `eraSeenAt` is
+    /// when this node first heard of the store's era; no value for a store without eras.
+    void markAcquired(int64_t fencingToken, TimePoint sentAt, TimePoint now, std::optional<TimePoint> eraSeenAt);
 
     /// Called when a renewal sent at `sentAt` succeeded, however late the response. The store renews only a lease that
     /// has not expired, so no other node can have held the key since.
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -44,8 +44,9 @@
             = std::min(maxAcquireDelay, std::chrono::duration_cast<Duration>(acquireDelayOfWholeCore / cpuShare));
         settings.timeToLive = std::max(leaseTimeToLive, milliseconds(control.min_lease_ms));
         settings.renewalValidity = std::chrono::duration_cast<Duration>(settings.timeToLive * leaseValidityFraction);
-        settings.takeoverDelay = std::max(orderGapMargin,
-            milliseconds(control.order_gap_ms) - (settings.timeToLive - settings.renewalValidity) + orderGapMargin);
+        const auto orderGap = milliseconds(control.order_gap_ms) + orderGapMargin;
+        settings.takeoverDelay = std::max(orderGapMargin, orderGap - (settings.timeToLive - settings.renewalValidity));
+        settings.newEraDelay = orderGap + settings.renewalValidity;
         return settings;
     }
 
--- a/Cyclamenstair/Entry/OrderLeaseElector.cpp
+++ b/Cyclamenstair/Entry/OrderLeaseElector.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Entry/OrderLeaseElector.h>
 
+#include <Cyclamenstair/Store/StoreEra.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <algorithm>
@@ -32,6 +33,10 @@
     , m_lease(settings)
     , m_random(seed)
 {
+    m_store->addEraHandler([this] {
+        if (m_lease.isHeld())
+            clearLease("the store entered a new era");
+    });
 }
 
 void OrderLeaseElector::stop()
@@ -114,8 +119,11 @@
         m_isAcquiring = false;
         m_leaseId = leaseId;
         m_leaseHolder = m_nodeId;
-        m_lease.markAcquired(appliedWrite->revision, sentAt, suspendAwareNow());
-        logEvent(LogSeverity::Info, "order_lease_taken", { { "fence", std::to_string(appliedWrite->revision) } });
+        m_lease.markAcquired(appliedWrite->revision, sentAt, suspendAwareNow(), m_store->eraSeenAt());
+        logEvent(LogSeverity::Info, "order_lease_taken",
+            { { "fence", std::to_string(appliedWrite->revision) },
+                { "era", std::to_string(eraOf(appliedWrite->revision)) },
+                { "revision", std::to_string(revisionInEra(appliedWrite->revision)) } });
         scheduleRenewal();
     });
 }
--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -16,6 +16,7 @@
     , m_timer(context)
     , m_retryDelay(settings.retryDelay)
 {
+    m_store->addEraHandler([this] { onNewEra(); });
 }
 
 void StoreWatcher::start()
@@ -168,6 +169,17 @@
     m_retryDelay = std::min(m_retryDelay * 2, m_settings.maxRetryDelay);
 }
 
+void StoreWatcher::onNewEra()
+{
+    if (m_isPaused)
+        return;
+    // A pending watch waits for revisions of the lost history.
+    ++m_generation;
+    boost::system::error_code ec;
+    m_timer.cancel(ec);
+    read();
+}
+
 void StoreWatcher::scheduleNext(Duration delay, void (StoreWatcher::*next)())
 {
     m_timer.expires_after(delay);
--- a/Cyclamenstair/Entry/StoreWatcher.h
+++ b/Cyclamenstair/Entry/StoreWatcher.h
@@ -29,8 +29,8 @@
 };
 
 /// Tracks the records below a prefix: reads all of them, then watches for changes. Reads all of them again after a
-/// failure or if the store has compacted the history. While another node passes on what it reads, the watcher can be
-/// paused and follow that node instead. Belongs to one event loop.
+/// failure, if the store has compacted the history, or if it has entered a new era. While another node passes on what
+/// it reads, the watcher can be paused and follow that node instead. Belongs to one event loop.
 class StoreWatcher {
 public:
     struct Handlers {
@@ -80,6 +80,7 @@
     void notifyObserver(const StoreRange& range);
     void onWatch(const StoreWatchOutcome& outcome);
     void onFailure(const std::string& message);
+    void onNewEra();
     void scheduleNext(Duration delay, void (StoreWatcher::*next)());
 
     PlatformStore* m_store;
--- a/StandIns/RegistryStoreStandIn.cpp
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -14,6 +14,7 @@
 
     constexpr uint32_t ok = 200;
     constexpr uint32_t notFound = 404;
+    constexpr uint32_t gone = 410;
     constexpr uint32_t conditionFailed = 412;
     constexpr uint32_t unavailable = 503;
     constexpr Duration tickInterval = milliseconds(5);
@@ -66,8 +67,32 @@
 std::optional<std::string> RegistryStoreStandIn::value(const std::string& key)
 {
     std::lock_guard lock(m_mutex);
-    const auto item = m_items.find(key);
-    return item == m_items.end() ? std::nullopt : std::optional(item->second.value);
+    const auto item = m_state.items.find(key);
+    return item == m_state.items.end() ? std::nullopt : std::optional(item->second.value);
+}
+
+void RegistryStoreStandIn::keepCopy()
+{
+    std::lock_guard lock(m_mutex);
+    m_copy = m_state;
+}
+
+void RegistryStoreStandIn::returnFromCopy()
+{
+    std::lock_guard lock(m_mutex);
+    m_state = m_copy;
+    for (auto& [id, lease] : m_state.leases)
+        lease.expiry = monotonicNow() + lease.timeToLive;
+    ++m_era;
+    for (const auto& watch : std::exchange(m_watches, {}))
+        m_loop.post([connection = watch.connection] { connection->abort(); });
+}
+
+void RegistryStoreStandIn::respond(
+    const std::shared_ptr<ServerConnection>& connection, uint32_t status, const std::string& body)
+{
+    connection->sendResponse(
+        { status, {}, { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(m_era) } } }, body);
 }
 
 void RegistryStoreStandIn::handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
@@ -81,10 +106,13 @@
         response = range(queryParameter(target, "path_prefix"));
     } else if (target.starts_with("/cyclamenstair/kv-watch")) {
         ++m_watchCalls;
-        m_watches.push_back(
-            { connection, queryParameter(target, "path_prefix"), std::stoll(queryParameter(target, "after")),
+        const auto after = std::stoll(queryParameter(target, "after"));
+        if (after <= m_state.revision) {
+            m_watches.push_back({ connection, queryParameter(target, "path_prefix"), after,
                 monotonicNow() + milliseconds(std::stoll(queryParameter(target, "wait_ms"))) });
-        return;
+            return;
+        }
+        response = { gone, "{}" };
     } else if (target == "/cyclamenstair/kv-txn") {
         response = transact(request.body);
     } else if (target == "/cyclamenstair/kv-lease") {
@@ -92,55 +120,55 @@
     } else if (target.starts_with("/cyclamenstair/kv-keep/")) {
         response = renewLease(parseIdAfter(target, "/cyclamenstair/kv-keep/"));
     } else if (target.starts_with("/cyclamenstair/kv-lease-end/")) {
-        m_leases[parseIdAfter(target, "/cyclamenstair/kv-lease-end/")].expiry = {};
+        m_state.leases[parseIdAfter(target, "/cyclamenstair/kv-lease-end/")].expiry = {};
         response = { ok, "{}" };
     }
-    connection->sendResponse({ response.first, {}, { { "Content-Type", "application/json" } } }, response.second);
+    respond(connection, response.first, response.second);
 }
 
 std::pair<uint32_t, std::string> RegistryStoreStandIn::range(const std::string& prefix)
 {
     Json items = Json::array();
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_state.items) {
         if (key.starts_with(prefix))
             items.push_back({ { "key", key }, { "value", encodeBase64(item.value) }, { "revision", item.revision },
                 { "created_rev", item.createdRevision }, { "lease", item.lease } });
     }
-    return { ok, Json({ { "items", items }, { "has_more", false }, { "store_revision", m_revision } }).dump() };
+    return { ok, Json({ { "items", items }, { "has_more", false }, { "store_revision", m_state.revision } }).dump() };
 }
 
 std::pair<uint32_t, std::string> RegistryStoreStandIn::transact(const std::string& body)
 {
     const auto json = Json::parse(body);
     for (const auto& condition : json.at("expected")) {
-        const auto item = m_items.find(condition.at("key").get<std::string>());
-        const int64_t revision = item == m_items.end() ? 0 : item->second.revision;
+        const auto item = m_state.items.find(condition.at("key").get<std::string>());
+        const int64_t revision = item == m_state.items.end() ? 0 : item->second.revision;
         if (revision != condition.at("revision").get<int64_t>())
             return { conditionFailed, R"({"items":[]})" };
     }
     for (const auto& put : json.at("set_keys")) {
         const auto lease = put.value("lease", int64_t { 0 });
-        if (lease != 0 && !m_leases.contains(lease))
+        if (lease != 0 && !m_state.leases.contains(lease))
             return { notFound, "{}" };
         write(put.at("key"), decodeBase64(put.at("value").get<std::string>()), lease);
     }
     for (const auto& key : json.at("remove"))
         erase(key);
-    return { ok, Json({ { "revision", m_revision } }).dump() };
+    return { ok, Json({ { "revision", m_state.revision } }).dump() };
 }
 
 std::pair<uint32_t, std::string> RegistryStoreStandIn::grantLease(const std::string& body)
 {
     const auto ttlMs = Json::parse(body).at("ttl_ms").get<int64_t>();
-    const auto lease = m_nextLease++;
-    m_leases[lease] = { milliseconds(ttlMs), monotonicNow() + milliseconds(ttlMs) };
+    const auto lease = m_state.nextLease++;
+    m_state.leases[lease] = { milliseconds(ttlMs), monotonicNow() + milliseconds(ttlMs) };
     return { ok, Json({ { "lease", lease }, { "ttl_ms", ttlMs } }).dump() };
 }
 
 std::pair<uint32_t, std::string> RegistryStoreStandIn::renewLease(int64_t lease)
 {
-    const auto entry = m_leases.find(lease);
-    if (entry == m_leases.end())
+    const auto entry = m_state.leases.find(lease);
+    if (entry == m_state.leases.end())
         return { notFound, "{}" };
     entry->second.expiry = monotonicNow() + entry->second.timeToLive;
     return { ok, Json({ { "ttl_ms", toMilliseconds(entry->second.timeToLive) } }).dump() };
@@ -148,18 +176,18 @@
 
 void RegistryStoreStandIn::write(const std::string& key, const std::string& value, int64_t lease)
 {
-    auto& item = m_items[key];
-    ++m_revision;
-    item = { value, m_revision, item.createdRevision == 0 ? m_revision : item.createdRevision, lease };
-    m_changes.push_back({ key, item, false });
+    auto& item = m_state.items[key];
+    ++m_state.revision;
+    item = { value, m_state.revision, item.createdRevision == 0 ? m_state.revision : item.createdRevision, lease };
+    m_state.changes.push_back({ key, item, false });
 }
 
 void RegistryStoreStandIn::erase(const std::string& key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_state.items.erase(key) == 0)
         return;
-    ++m_revision;
-    m_changes.push_back({ key, { {}, m_revision, 0, 0 }, true });
+    ++m_state.revision;
+    m_state.changes.push_back({ key, { {}, m_state.revision, 0, 0 }, true });
 }
 
 void RegistryStoreStandIn::tick()
@@ -168,14 +196,14 @@
         std::lock_guard lock(m_mutex);
         const auto now = monotonicNow();
         std::vector<std::string> expiredKeys;
-        for (const auto& [key, item] : m_items) {
-            const auto lease = m_leases.find(item.lease);
-            if (lease != m_leases.end() && lease->second.expiry <= now)
+        for (const auto& [key, item] : m_state.items) {
+            const auto lease = m_state.leases.find(item.lease);
+            if (lease != m_state.leases.end() && lease->second.expiry <= now)
                 expiredKeys.push_back(key);
         }
         for (const auto& key : expiredKeys)
             erase(key);
-        std::erase_if(m_leases, [&](const auto& lease) { return lease.second.expiry <= now; });
+        std::erase_if(m_state.leases, [&](const auto& lease) { return lease.second.expiry <= now; });
         std::erase_if(m_watches, [this](const Watch& watch) { return respondToWatch(watch); });
     }
     m_timer.expires_after(tickInterval);
@@ -192,7 +220,7 @@
         return true;
     }
     Json events = Json::array();
-    for (const auto& change : m_changes) {
+    for (const auto& change : m_state.changes) {
         if (change.item.revision <= watch.afterRevision || !change.key.starts_with(watch.prefix))
             continue;
         if (change.isDeleted)
@@ -204,8 +232,7 @@
     }
     if (events.empty() && monotonicNow() < watch.deadline)
         return false;
-    watch.connection->sendResponse({ ok, {}, { { "Content-Type", "application/json" } } },
-        Json({ { "events", events }, { "store_revision", m_revision } }).dump());
+    respond(watch.connection, ok, Json({ { "events", events }, { "store_revision", m_state.revision } }).dump());
     return true;
 }
 
--- a/StandIns/RegistryStoreStandIn.h
+++ b/StandIns/RegistryStoreStandIn.h
@@ -28,6 +28,12 @@
     /// While the store is down, calls get status 503 and pending watches are disconnected.
     void setDown(bool isDown) { m_isDown = isDown; }
 
+    /// Keeps a copy of the whole state, for returnFromCopy().
+    void keepCopy();
+    /// Returns to the kept copy under a new era: later writes and leases are gone, and revisions and lease ids are
+    /// given out again. Pending watches are disconnected. The leases of the copy run anew.
+    void returnFromCopy();
+
     /// Returns how many watches were requested.
     size_t watchCallCount() const { return m_watchCalls; }
 
@@ -53,6 +59,14 @@
         Duration timeToLive {};
         TimePoint expiry;
     };
+    /// What a return from an older copy takes back.
+    struct State {
+        std::map<std::string, Item> items;
+        std::deque<Change> changes;
+        std::map<int64_t, Lease> leases;
+        int64_t revision { 1 };
+        int64_t nextLease { 1000 };
+    };
 
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     std::pair<uint32_t, std::string> range(const std::string& prefix);
@@ -64,6 +78,7 @@
     void tick();
     /// Responds to a watch that has events or has reached its deadline; returns whether it is finished.
     bool respondToWatch(const Watch& watch);
+    void respond(const std::shared_ptr<ServerConnection>& connection, uint32_t status, const std::string& body);
 
     EventLoop m_loop;
     boost::asio::steady_timer m_timer;
@@ -72,12 +87,10 @@
     std::atomic<bool> m_isDown { false };
     std::atomic<size_t> m_watchCalls { 0 };
     std::mutex m_mutex; ///< Guards all members below; public functions change the items from other threads.
-    std::map<std::string, Item> m_items;
-    std::deque<Change> m_changes;
-    std::map<int64_t, Lease> m_leases;
+    State m_state;
+    State m_copy;
     std::vector<Watch> m_watches;
-    int64_t m_revision { 1 };
-    int64_t m_nextLease { 1000 };
+    int64_t m_era { 1 }; ///< Stated in all answers.
 };
 
 } // namespace cyclamenstair
--- a/Tests/ControlTests/OrderLeaseTests.cpp
+++ b/Tests/ControlTests/OrderLeaseTests.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Control/LoadRateLimiter.h>
 #include <Cyclamenstair/Control/OrderLease.h>
+#include <Cyclamenstair/Store/StoreEra.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -21,7 +22,7 @@
 {
     OrderLease lease({});
     EXPECT_FALSE(lease.mayOrder(start));
-    lease.markAcquired(7, start, start);
+    lease.markAcquired(7, start, start, std::nullopt);
     EXPECT_FALSE(lease.mayOrder(start + milliseconds(500)));
     lease.markRenewed(start + milliseconds(2600));
     EXPECT_FALSE(lease.mayOrder(start + milliseconds(2650)));
@@ -33,7 +34,7 @@
 TEST(OrderLease, HolderWithoutRenewalMayNotOrder)
 {
     OrderLease lease({});
-    lease.markAcquired(7, start, start);
+    lease.markAcquired(7, start, start, std::nullopt);
     lease.markRenewed(start + milliseconds(4000));
     EXPECT_TRUE(lease.mayOrder(start + milliseconds(4500)));
     EXPECT_FALSE(lease.mayOrder(start + milliseconds(4700)));
@@ -54,11 +55,14 @@
     int holder { -1 }; ///< Index of the node, or -1 for none.
     TimePoint expiry;
     int64_t revision { 0 };
+    int64_t era { 1 };
 };
 
 /// Node that competes for the lease, renews it, and is suspended at random.
 struct SimulatedNode {
     OrderLease lease { {} };
+    int64_t era { 0 }; ///< As of its last contact with the store.
+    TimePoint eraSeenAt;
     TimePoint suspendedUntil;
     TimePoint nextRenewal;
 };
@@ -66,8 +70,9 @@
 } // namespace
 
 // Simulates nodes that are suspended at random and acquire the key whenever it is free, and a store with outages during
-// which leases either expire or pause. Guards against orders of two nodes that are closer than the minimum gap, and
-// against fencing tokens that decrease.
+// which leases either expire or pause, and after some of which it returns from an older copy. Guards against orders of
+// two nodes that are closer than the minimum gap, against fencing tokens that decrease, and against two holders with
+// the same one.
 RC_GTEST_PROP(OrderLeaseProperties, OrdersOfTwoHoldersKeepMinimumGap, ())
 {
     const OrderLeaseSettings settings;
@@ -81,12 +86,32 @@
     constexpr auto step = milliseconds(20);
     TimePoint storeAvailableAt;
     bool areLeasesPaused = false;
+    StoreLease copy;
+    const auto contact = [&](SimulatedNode& node, TimePoint now) {
+        if (node.era == store.era)
+            return;
+        node.era = store.era;
+        node.eraSeenAt = now;
+        node.lease.markLost();
+    };
     for (TimePoint now = start; now < start + std::chrono::seconds(60); now += step) {
         const bool isStoreUnavailable = now < storeAvailableAt;
         if (!isStoreUnavailable && random() % 500 == 0) {
             storeAvailableAt = now + milliseconds(static_cast<int64_t>(random() % 8000));
             areLeasesPaused = random() % 2 == 0;
+            if (random() % 2 == 0) {
+                const auto era = store.era + 1;
+                store = copy;
+                store.era = era;
+                storeAvailableAt = now + milliseconds(static_cast<int64_t>(random() % 1500));
+                store.expiry = storeAvailableAt + settings.timeToLive;
+                // The copy can be older than the lease.
+                if (random() % 2 == 0)
+                    store.holder = -1;
+            }
         }
+        if (!isStoreUnavailable && random() % 200 == 0)
+            copy = store;
         if (isStoreUnavailable && areLeasesPaused)
             store.expiry += step;
         if (now >= store.expiry)
@@ -98,14 +123,18 @@
             if (random() % 200 == 0)
                 node.suspendedUntil = now + milliseconds(static_cast<int64_t>(random() % 6000));
             if (!isStoreUnavailable && store.holder < 0 && random() % 10 == 0) {
-                store = { i, now + settings.timeToLive, store.revision + 1 };
-                node.lease.markAcquired(store.revision, now, now);
+                contact(node, now);
+                store = { i, now + settings.timeToLive, store.revision + 1, store.era };
+                node.lease.markAcquired(*withEra(store.era, store.revision), now, now, node.eraSeenAt);
                 node.nextRenewal = now;
             }
             if (!isStoreUnavailable && node.lease.isHeld() && now >= node.nextRenewal) {
                 node.nextRenewal = now + milliseconds(200);
-                const bool isLeaseAlive = store.holder == i && node.lease.fencingToken() == store.revision;
                 const bool isResponseLost = random() % 4 == 0;
+                if (!isResponseLost)
+                    contact(node, now);
+                const bool isLeaseAlive = store.holder == i && node.lease.isHeld()
+                    && node.lease.fencingToken() == *withEra(store.era, store.revision);
                 if (isLeaseAlive)
                     store.expiry = now + settings.timeToLive;
                 if (isLeaseAlive && !isResponseLost)
@@ -118,6 +147,7 @@
             if (lastSender >= 0 && lastSender != i)
                 RC_ASSERT(now - lastOrderAt >= milliseconds(3000));
             RC_ASSERT(node.lease.fencingToken() >= lastFencingToken);
+            RC_ASSERT(lastSender == i || node.lease.fencingToken() > lastFencingToken);
             lastFencingToken = node.lease.fencingToken();
             lastSender = i;
             lastOrderAt = now;
