--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -129,6 +129,13 @@
             row->revision = target.revision;
             record.targets.push_back(std::move(row));
         }
+        for (const auto& version : snapshot.versions) {
+            auto row = std::make_unique<schema::ServiceVersionEntryT>();
+            row->service = version.service;
+            row->version = version.version;
+            record.versions.push_back(std::move(row));
+        }
+        record.versions_known = snapshot.areVersionsKnown;
         return record;
     }
 
@@ -255,9 +262,37 @@
         return share;
     }
 
+    schema::StreamOriginShareT toRecord(const StreamOriginShare& share)
+    {
+        std::map<std::string, std::vector<uint64_t>> requestsByVersion;
+        for (const auto& origin : share.origins)
+            requestsByVersion[origin.version].push_back(origin.request);
+        schema::StreamOriginShareT record;
+        record.node = share.node;
+        for (auto& [version, requests] : requestsByVersion) {
+            auto row = std::make_unique<schema::StreamOriginRowT>();
+            row->version = version;
+            row->requests = std::move(requests);
+            record.origins.push_back(std::move(row));
+        }
+        return record;
+    }
+
+    StreamOriginShare fromRecord(const schema::StreamOriginShareT& record)
+    {
+        StreamOriginShare share { record.node, {} };
+        for (const auto& row : record.origins) {
+            for (const auto request : row->requests)
+                share.origins.push_back({ request, row->version });
+        }
+        return share;
+    }
+
     Snapshot fromRecord(const schema::SnapshotT& record)
     {
-        Snapshot snapshot { record.catalog, {}, record.targets_known };
+        Snapshot snapshot { record.catalog, {}, record.targets_known, {}, record.versions_known };
+        for (const auto& row : record.versions)
+            snapshot.versions.insert({ row->service, row->version });
         for (const auto& row : record.targets)
             snapshot.targets.push_back({ row->id, row->entry, row->revision });
         return snapshot;
@@ -289,6 +324,7 @@
                    [&](const QuarantineShare& share) { record.content.Set(toRecord(share)); },
                    [&](const UsageShare& share) { record.content.Set(toRecord(share)); },
                    [&](const UsageSummary& summary) { record.content.Set(toRecord(summary)); },
+                   [&](const StreamOriginShare& share) { record.content.Set(toRecord(share)); },
                },
         message);
     return packRecord<schema::EntryMessage>(record);
@@ -320,6 +356,8 @@
             share->catalog_version };
     if (const auto* summary = record.content.AsUsageSummary())
         return UsageSummary { summary->node, fromRows(summary->teams), summary->node_count, summary->catalog_version };
+    if (const auto* share = record.content.AsStreamOriginShare())
+        return fromRecord(*share);
     throw Exception({ ErrorKind::InvalidInput, "entry_message.decode", "", "expected a message with known content" });
 }
 
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -2,6 +2,8 @@
 
 #include <Cyclamenstair/Admission/AllotmentLimiter.h>
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Fleet/SoftwareVersions.h>
+#include <Cyclamenstair/Fleet/StreamOrigins.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
 #include <Cyclamenstair/Quarantine/PartRow.h>
 #include <Cyclamenstair/Store/StoreTypes.h>
@@ -69,6 +71,8 @@
     std::string catalog; ///< Catalog text as written by the operator; empty if the sender has not read it.
     std::vector<TargetEntry> targets;
     bool areTargetsKnown { false }; ///< Whether the sender has read the targets.
+    std::set<ServiceVersion> versions {};
+    bool areVersionsKnown { false }; ///< Whether the versions are all that may have begun a stream.
 };
 
 /// Models loaded at a target after an order, sent by the node that sent the order. It reaches the other nodes earlier
@@ -106,8 +110,14 @@
     bool operator==(const UsageSummary&) const = default;
 };
 
+/// Origins of streams that a node's callers may resume at another node.
+struct StreamOriginShare {
+    std::string node;
+    std::vector<StreamOrigin> origins;
+};
+
 using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice, DemandShare, LoadSummary,
-    StoreSyncRequest, StoreUpdate, QuarantineShare, UsageShare, UsageSummary>;
+    StoreSyncRequest, StoreUpdate, QuarantineShare, UsageShare, UsageSummary, StreamOriginShare>;
 
 /// Returns the message as a FlatBuffers EntryMessage.
 std::string encodeEntryMessage(const EntryMessage& message);
--- a/Cyclamenstair/Entry/ControlWatcher.cpp
+++ b/Cyclamenstair/Entry/ControlWatcher.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Entry/ControlWatcher.h>
 
+#include <Cyclamenstair/Codec/ServiceVersionCodec.h>
 #include <Cyclamenstair/Entry/NodeRegistrar.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
@@ -15,10 +16,11 @@
 
 } // namespace
 
-ControlWatcher::ControlWatcher(
-    boost::asio::io_context& context, PlatformStore& store, OrderLeaseElector& elector, PeerMesh& mesh)
+ControlWatcher::ControlWatcher(boost::asio::io_context& context, PlatformStore& store, OrderLeaseElector& elector,
+    PeerMesh& mesh, StreamOriginExchange& origins)
     : m_elector(&elector)
     , m_mesh(&mesh)
+    , m_origins(&origins)
     , m_watcher(context, store, controlPrefix,
           { [this](const StoreRange& range) { onRead(range); },
               [this](const StoreChange& change) { onChange(change); } },
@@ -37,6 +39,7 @@
             updateNode(record);
     }
     applyNodes();
+    addVersions(range.records);
     setLeaseHolder(leaseHolder);
 }
 
@@ -51,9 +54,26 @@
         else
             updateNode(record);
         applyNodes();
+    } else if (!change.isDeleted) {
+        addVersions({ record });
     }
 }
 
+void ControlWatcher::addVersions(const std::vector<StoreRecord>& records)
+{
+    std::set<ServiceVersion> versions;
+    for (const auto& record : records) {
+        if (!record.key.starts_with(StreamOriginExchange::versionPrefix))
+            continue;
+        auto version = decodeServiceVersion(record.value, record.key);
+        if (version)
+            versions.insert(std::move(version).value());
+        else
+            logError(LogSeverity::Warning, "software_version_rejected", version.error());
+    }
+    m_origins->addKnownVersions(versions);
+}
+
 void ControlWatcher::applyNodes()
 {
     m_mesh->setNodes(m_nodes);
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -102,6 +102,7 @@
         self->m_targetWatcher.start();
         self->m_controlWatcher->start();
         self->m_mesh->start();
+        self->m_origins->start();
         self->m_dispatcher->start();
         self->m_registrar.start();
     });
@@ -138,19 +139,24 @@
         peerSeeds.push_back(peerSeed);
     auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, selfAsPeer(m_settings), peerSeeds,
         { [this] {
-             return Snapshot { m_catalogWatcher.text(), m_targetWatcher.entries(), m_state.areTargetsKnown };
+             return Snapshot { m_catalogWatcher.text(), m_targetWatcher.entries(), m_state.areTargetsKnown,
+                 m_state.versions.versions(monotonicNow()), m_state.versions.isComplete() };
          },
             [this](const Snapshot& snapshot) {
                 if (!snapshot.catalog.empty())
                     m_catalogWatcher.apply(snapshot.catalog, "peer");
                 if (snapshot.areTargetsKnown)
                     m_targetWatcher.apply(snapshot.targets);
+                if (snapshot.areVersionsKnown)
+                    m_origins->addKnownVersions(snapshot.versions);
             } },
         m_relay);
     if (!mesh)
         return mesh.error();
     m_mesh = std::move(mesh).value();
-    m_controlWatcher = std::make_unique<ControlWatcher>(m_controlLoop.context(), m_store, m_elector, *m_mesh);
+    m_origins = std::make_unique<StreamOriginExchange>(m_controlLoop.context(), m_store, m_elector, *m_mesh, m_state);
+    m_controlWatcher
+        = std::make_unique<ControlWatcher>(m_controlLoop.context(), m_store, m_elector, *m_mesh, *m_origins);
     for (auto* watcher :
         { &m_catalogWatcher.storeWatcher(), &m_targetWatcher.storeWatcher(), &m_controlWatcher->storeWatcher() })
         m_relay.add(*watcher);
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -53,6 +53,7 @@
     StoreRelay m_relay;
     LostAnswerVerifier m_lostAnswerVerifier;
     std::unique_ptr<PeerMesh> m_mesh;
+    std::unique_ptr<StreamOriginExchange> m_origins;
     std::unique_ptr<ControlWatcher> m_controlWatcher;
     std::unique_ptr<OrderDispatcher> m_dispatcher;
     std::unique_ptr<ServerListener> m_callerListener;
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -36,6 +36,8 @@
     AllotmentLimiter allotments;
     Metrics metrics;
     PromptQuarantine quarantine;
+    SoftwareVersions versions;
+    StreamOrigins origins;
     BufferBudget requestBuffers; ///< For callers' requests and their responses.
     BufferBudget controlBuffers; ///< For the store, reports of targets and other nodes.
     std::function<void(LostAnswer)> onLostAnswer; ///< Set before the request loops start; thread-safe.
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -284,6 +284,11 @@
     m_pendingNotices[std::move(target)] = { monotonicNow(), std::move(notice) };
 }
 
+void PeerMesh::shareStreamOrigins(std::vector<StreamOrigin> origins)
+{
+    sendToNeighbours(encodeEntryMessage(StreamOriginShare { m_state->nodeId, std::move(origins) }));
+}
+
 void PeerMesh::sendDueNotices(TimePoint now)
 {
     for (auto entry = m_pendingNotices.begin(); entry != m_pendingNotices.end();) {
@@ -437,6 +442,14 @@
     m_state->quarantine.merge(share.parts, monotonicNow());
 }
 
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const StreamOriginShare& share)
+{
+    // Only what is news is passed on, so that no origin goes round.
+    auto added = m_state->origins.merge(share.origins, monotonicNow());
+    if (isCollecting() && !added.empty())
+        shareStreamOrigins(std::move(added));
+}
+
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice)
 {
     m_state->targets.setModels(notice.service, notice.target, notice.models);
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -39,6 +39,12 @@
     /// Sends a notice of what a target holds to the other nodes, after the load time of an adapter.
     void announce(ResidencyNotice notice);
 
+    /// Sends origins of streams to the other nodes.
+    void shareStreamOrigins(std::vector<StreamOrigin> origins);
+
+    /// Returns the number of registered nodes.
+    size_t nodeCount() const { return m_topology.nodes().size(); }
+
     /// Returns whether the nodes exchange their loads through collectors.
     bool isLargeFleet() const { return !m_topology.isDirect(); }
 
@@ -104,6 +110,7 @@
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const QuarantineShare& share);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const UsageShare& share);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const UsageSummary& summary);
+    void handleMessage(const std::shared_ptr<FrameChannel>& sender, const StreamOriginShare& share);
     void sendDueNotices(TimePoint now);
     /// Sends what this node knows of prompt parts that make targets fail, if it changed or was not sent for a while.
     void sendQuarantine(TimePoint now);
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -39,6 +39,8 @@
         requestInfo.modelLoadTime = findModelLoadTime(catalog, requestInfo.service, requestInfo.model);
         requestInfo.promptTokens = decoded.promptTokens;
         requestInfo.promptParts = decoded.promptParts;
+        if (route.retryPolicy == RetryPolicy::Stream)
+            requestInfo.resumedRequest = decoded.resumedRequest;
         requestInfo.receivedAt = now;
         requestInfo.callerTimeout = decoded.timeout;
         return requestInfo;
@@ -136,7 +138,7 @@
     , m_answerShare(&loop.state().requestBuffers)
     , m_machine(std::move(requestInfo), loop.state().flowSettings,
           { &loop.state().targets, &loop.state().retries, &loop.state().demand, &loop.random(),
-              &loop.state().quarantine })
+              &loop.state().quarantine, &loop.state().versions, &loop.state().origins })
     , m_timer(loop.loop().context())
 {
     ++loop.state().requestsInProgress;
@@ -151,6 +153,9 @@
 
 void RequestExchange::start()
 {
+    if (const auto& resumed = m_machine.requestInfo().resumedRequest)
+        log("stream_resumed_by_caller",
+            { { "resumes", *resumed }, { "version", m_loop->state().origins.find(*resumed).value_or("") } });
     m_callerConnection->setDisconnectHandler([self = shared_from_this()] { self->handle(CallerDisconnected {}); });
     perform(m_machine.start(monotonicNow()));
 }
@@ -181,7 +186,8 @@
     log("attempt_started",
         { { "route", m_machine.requestInfo().route.name }, { "artifact", artifactText() },
             { "attempt", std::to_string(action.attempt) }, { "target", action.target.id },
-            { "address", action.target.address }, { "prompt_parts", promptPartsText() },
+            { "address", action.target.address }, { "software_version", action.target.softwareVersion },
+            { "prompt_parts", promptPartsText() },
             { "time_left_ms", std::to_string(toMilliseconds(action.remainingTime)) },
             { "resume_after", action.resumeAfter.value_or("") } });
     if (action.attempt > 1)
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -26,9 +26,12 @@
 void TargetRegistry::update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt)
 {
     m_services.withShard(record.service, [&](auto& services) {
-        auto& target = services[record.service][record.id];
+        auto& targets = services[record.service];
+        const auto settledAt = versionSettledAt(targets, record, startedAt);
+        auto& target = targets[record.id];
         if (revision <= target.revision)
             return;
+        target.versionSettledAt = settledAt;
         const bool isSameProcess
             = target.record.startedUnixMs == record.startedUnixMs && target.record.address == record.address;
         if (!isSameProcess) {
@@ -47,6 +50,16 @@
     });
 }
 
+TimePoint TargetRegistry::versionSettledAt(
+    const Targets& targets, const TargetRecord& record, std::optional<TimePoint> startedAt) const
+{
+    for (const auto& [id, target] : targets) {
+        if (target.record.softwareVersion == record.softwareVersion)
+            return target.versionSettledAt;
+    }
+    return startedAt && !targets.empty() ? *startedAt + m_settings.newVersionDelay : TimePoint();
+}
+
 void TargetRegistry::remove(const std::string& id, int64_t revision)
 {
     m_services.forEachShard([&](auto& services) {
@@ -83,7 +96,8 @@
         bool isAnyBacklogged = false;
         bool isAnyOverloaded = false;
         for (auto& [id, target] : service->second) {
-            if (target.record.phase != TargetPhase::Ready || target.isLeaving || query.excluded.contains(id))
+            if (target.record.phase != TargetPhase::Ready || target.isLeaving || query.excluded.contains(id)
+                || target.record.softwareVersion != query.softwareVersion.value_or(target.record.softwareVersion))
                 continue;
             if (target.pausedUntil > now) {
                 if (query.model.empty() || target.record.hasLoaded(query.model, query.adapter))
@@ -133,7 +147,7 @@
         if (!query.model.empty())
             ++best->inFlightByModel[query.model];
         return AcquiredTarget { best->record.id, best->record.address, query.service, best->record.startedUnixMs,
-            query.promptTokens };
+            query.promptTokens, false, best->record.softwareVersion };
     });
 }
 
@@ -267,6 +281,18 @@
     return ids;
 }
 
+std::set<ServiceVersion> TargetRegistry::softwareVersions() const
+{
+    std::set<ServiceVersion> versions;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            for (const auto& [id, target] : targets)
+                versions.insert({ service, target.record.softwareVersion });
+        }
+    });
+    return versions;
+}
+
 void TargetRegistry::setModels(
     const std::string& service, const std::string& id, const std::vector<LoadedModel>& models)
 {
@@ -396,7 +422,7 @@
         * m_settings.pendingPromptCost;
     if (target.record.failureDomain != m_settings.failureDomain)
         cost += m_settings.remoteDomainCost;
-    if (target.suspectUntil > now)
+    if (target.suspectUntil > now || target.versionSettledAt > now)
         cost += suspectCost;
     if (target.fullUntil > now)
         cost += fullCost;
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Random.h>
 #include <Cyclamenstair/Core/Sharded.h>
+#include <Cyclamenstair/Fleet/SoftwareVersions.h>
 #include <Cyclamenstair/Fleet/TargetPace.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
 
@@ -49,6 +50,9 @@
     /// Part of the requests in flight at a target, over all nodes, that are overdue at one that does not respond. Some
     /// requests are late at a target that is only slow.
     double unresponsiveFraction { 0.3 };
+    /// Time after the first target of a software version has registered during which other targets are preferred.
+    /// Meanwhile all nodes learn that the service has another version, whose streams they must tell apart.
+    Duration newVersionDelay { milliseconds(1000) };
     TargetPaceSettings pace;
     /// Longest pause that a target can ask for with one response, so that a faulty one does not stay out for good.
     Duration maxPause { std::chrono::minutes(5) };
@@ -65,6 +69,7 @@
     /// Excludes overloaded engines of a large fleet. Not for repeats and resumed streams, whose callers have nothing to
     /// gain by a refusal.
     bool excludesOverloaded { false };
+    std::optional<std::string> softwareVersion {}; ///< Excludes targets of other versions, if set.
 };
 
 /// A target at which one request is counted as in flight.
@@ -75,6 +80,7 @@
     int64_t startedUnixMs { 0 }; ///< Start time of the target's process.
     uint32_t pendingPromptTokens { 0 }; ///< Prompt tokens of the request that count as pending at the target.
     bool isOverdue { false }; ///< The request counts as overdue at the target.
+    std::string softwareVersion {}; ///< Version of the target's software.
 };
 
 /// Why no target was acquired.
@@ -183,6 +189,9 @@
     /// Returns the ids of all targets.
     std::set<std::string> ids() const;
 
+    /// Returns the versions of the targets' software.
+    std::set<ServiceVersion> softwareVersions() const;
+
     /// Sets the models of a target from a source that is newer than its record, for example an accepted order.
     void setModels(const std::string& service, const std::string& id, const std::vector<LoadedModel>& models);
 
@@ -205,6 +214,7 @@
         int64_t revision { 0 };
         TargetWorkload load;
         std::map<std::string, uint32_t> inFlightByModel; ///< Requests in flight by model.
+        TimePoint versionSettledAt; ///< End of newVersionDelay.
         TimePoint suspectUntil;
         TimePoint fullUntil;
         TargetPace pace;
@@ -224,6 +234,9 @@
 
     /// Calls `function` with the state of the target unless its process has ended since.
     template <typename Function> void withProcess(const AcquiredTarget& target, Function&& function);
+    /// Returns when a target that has just registered at `startedAt` may be preferred.
+    TimePoint versionSettledAt(
+        const Targets& targets, const TargetRecord& record, std::optional<TimePoint> startedAt) const;
     /// Returns the key of the queried artifact in TargetState::absentUntil.
     static std::string modelKey(const TargetQuery& query);
     /// Returns whether another prompt would exceed the limit of pending prompt tokens and delay the target's streams.
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -72,6 +72,10 @@
 struct TargetEntryRowBuilder;
 struct TargetEntryRowT;
 
+struct ServiceVersionEntry;
+struct ServiceVersionEntryBuilder;
+struct ServiceVersionEntryT;
+
 struct Snapshot;
 struct SnapshotBuilder;
 struct SnapshotT;
@@ -96,6 +100,14 @@
 struct QuarantineShareBuilder;
 struct QuarantineShareT;
 
+struct StreamOriginRow;
+struct StreamOriginRowBuilder;
+struct StreamOriginRowT;
+
+struct StreamOriginShare;
+struct StreamOriginShareBuilder;
+struct StreamOriginShareT;
+
 struct NodeEntry;
 struct NodeEntryBuilder;
 struct NodeEntryT;
@@ -117,11 +129,12 @@
   QuarantineShare = 9,
   UsageShare = 10,
   UsageSummary = 11,
+  StreamOriginShare = 12,
   MIN = NONE,
-  MAX = UsageSummary
+  MAX = StreamOriginShare
 };
 
-inline const EntryContent (&EnumValuesEntryContent())[12] {
+inline const EntryContent (&EnumValuesEntryContent())[13] {
   static const EntryContent values[] = {
     EntryContent::NONE,
     EntryContent::LoadShare,
@@ -134,13 +147,14 @@
     EntryContent::StoreUpdate,
     EntryContent::QuarantineShare,
     EntryContent::UsageShare,
-    EntryContent::UsageSummary
+    EntryContent::UsageSummary,
+    EntryContent::StreamOriginShare
   };
   return values;
 }
 
 inline const char * const *EnumNamesEntryContent() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "LoadShare",
     "SnapshotRequest",
@@ -153,13 +167,14 @@
     "QuarantineShare",
     "UsageShare",
     "UsageSummary",
+    "StreamOriginShare",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameEntryContent(EntryContent e) {
-  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::UsageSummary)) return "";
+  if (flatbuffers::IsOutRange(e, EntryContent::NONE, EntryContent::StreamOriginShare)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesEntryContent()[index];
 }
@@ -212,6 +227,10 @@
   static const EntryContent enum_value = EntryContent::UsageSummary;
 };
 
+template<> struct EntryContentTraits<cyclamenstair::schema::StreamOriginShare> {
+  static const EntryContent enum_value = EntryContent::StreamOriginShare;
+};
+
 template<typename T> struct EntryContentUnionTraits {
   static const EntryContent enum_value = EntryContent::NONE;
 };
@@ -260,6 +279,10 @@
   static const EntryContent enum_value = EntryContent::UsageSummary;
 };
 
+template<> struct EntryContentUnionTraits<cyclamenstair::schema::StreamOriginShareT> {
+  static const EntryContent enum_value = EntryContent::StreamOriginShare;
+};
+
 struct EntryContentUnion {
   EntryContent type;
   void *value;
@@ -378,6 +401,14 @@
     return type == EntryContent::UsageSummary ?
       reinterpret_cast<const cyclamenstair::schema::UsageSummaryT *>(value) : nullptr;
   }
+  cyclamenstair::schema::StreamOriginShareT *AsStreamOriginShare() {
+    return type == EntryContent::StreamOriginShare ?
+      reinterpret_cast<cyclamenstair::schema::StreamOriginShareT *>(value) : nullptr;
+  }
+  const cyclamenstair::schema::StreamOriginShareT *AsStreamOriginShare() const {
+    return type == EntryContent::StreamOriginShare ?
+      reinterpret_cast<const cyclamenstair::schema::StreamOriginShareT *>(value) : nullptr;
+  }
 };
 
 bool VerifyEntryContent(flatbuffers::Verifier &verifier, const void *obj, EntryContent type);
@@ -1914,11 +1945,99 @@
 
 flatbuffers::Offset<TargetEntryRow> CreateTargetEntryRow(flatbuffers::FlatBufferBuilder &_fbb, const TargetEntryRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServiceVersionEntryT : public flatbuffers::NativeTable {
+  typedef ServiceVersionEntry TableType;
+  std::string service{};
+  std::string version{};
+};
+
+/// A version of the targets' software that serves a service or has served it lately. Also a value in the store.
+struct ServiceVersionEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceVersionEntryT NativeTableType;
+  typedef ServiceVersionEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_VERSION = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffsetRequired(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           verifier.EndTable();
+  }
+  ServiceVersionEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServiceVersionEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServiceVersionEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceVersionEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServiceVersionEntryBuilder {
+  typedef ServiceVersionEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceVersionEntry::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(ServiceVersionEntry::VT_VERSION, version);
+  }
+  explicit ServiceVersionEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServiceVersionEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceVersionEntry>(end);
+    fbb_.Required(o, ServiceVersionEntry::VT_SERVICE);
+    fbb_.Required(o, ServiceVersionEntry::VT_VERSION);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServiceVersionEntry> CreateServiceVersionEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
+  ServiceVersionEntryBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct ServiceVersionEntry::Traits {
+  using type = ServiceVersionEntry;
+  static auto constexpr Create = CreateServiceVersionEntry;
+};
+
+inline flatbuffers::Offset<ServiceVersionEntry> CreateServiceVersionEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *version = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return cyclamenstair::schema::CreateServiceVersionEntry(
+      _fbb,
+      service__,
+      version__);
+}
+
+flatbuffers::Offset<ServiceVersionEntry> CreateServiceVersionEntry(flatbuffers::FlatBufferBuilder &_fbb, const ServiceVersionEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SnapshotT : public flatbuffers::NativeTable {
   typedef Snapshot TableType;
   std::string catalog{};
   std::vector<std::unique_ptr<cyclamenstair::schema::TargetEntryRowT>> targets{};
   bool targets_known = false;
+  std::vector<std::unique_ptr<cyclamenstair::schema::ServiceVersionEntryT>> versions{};
+  bool versions_known = false;
   SnapshotT() = default;
   SnapshotT(const SnapshotT &o);
   SnapshotT(SnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1933,7 +2052,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CATALOG = 4,
     VT_TARGETS = 6,
-    VT_TARGETS_KNOWN = 8
+    VT_TARGETS_KNOWN = 8,
+    VT_VERSIONS = 10,
+    VT_VERSIONS_KNOWN = 12
   };
   const flatbuffers::String *catalog() const {
     return GetPointer<const flatbuffers::String *>(VT_CATALOG);
@@ -1944,6 +2065,12 @@
   bool targets_known() const {
     return GetField<uint8_t>(VT_TARGETS_KNOWN, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>> *versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>> *>(VT_VERSIONS);
+  }
+  bool versions_known() const {
+    return GetField<uint8_t>(VT_VERSIONS_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CATALOG) &&
@@ -1952,6 +2079,10 @@
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
            VerifyField<uint8_t>(verifier, VT_TARGETS_KNOWN, 1) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           verifier.VerifyVectorOfTables(versions()) &&
+           VerifyField<uint8_t>(verifier, VT_VERSIONS_KNOWN, 1) &&
            verifier.EndTable();
   }
   SnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1972,6 +2103,12 @@
   void add_targets_known(bool targets_known) {
     fbb_.AddElement<uint8_t>(Snapshot::VT_TARGETS_KNOWN, static_cast<uint8_t>(targets_known), 0);
   }
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>>> versions) {
+    fbb_.AddOffset(Snapshot::VT_VERSIONS, versions);
+  }
+  void add_versions_known(bool versions_known) {
+    fbb_.AddElement<uint8_t>(Snapshot::VT_VERSIONS_KNOWN, static_cast<uint8_t>(versions_known), 0);
+  }
   explicit SnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1987,10 +2124,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> catalog = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetEntryRow>>> targets = 0,
-    bool targets_known = false) {
+    bool targets_known = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>>> versions = 0,
+    bool versions_known = false) {
   SnapshotBuilder builder_(_fbb);
+  builder_.add_versions(versions);
   builder_.add_targets(targets);
   builder_.add_catalog(catalog);
+  builder_.add_versions_known(versions_known);
   builder_.add_targets_known(targets_known);
   return builder_.Finish();
 }
@@ -2004,14 +2145,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *catalog = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetEntryRow>> *targets = nullptr,
-    bool targets_known = false) {
+    bool targets_known = false,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>> *versions = nullptr,
+    bool versions_known = false) {
   auto catalog__ = catalog ? _fbb.CreateString(catalog) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetEntryRow>>(*targets) : 0;
+  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>>(*versions) : 0;
   return cyclamenstair::schema::CreateSnapshot(
       _fbb,
       catalog__,
       targets__,
-      targets_known);
+      targets_known,
+      versions__,
+      versions_known);
 }
 
 flatbuffers::Offset<Snapshot> CreateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2526,6 +2672,182 @@
 
 flatbuffers::Offset<QuarantineShare> CreateQuarantineShare(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StreamOriginRowT : public flatbuffers::NativeTable {
+  typedef StreamOriginRow TableType;
+  std::string version{};
+  std::vector<uint64_t> requests{};
+};
+
+/// Streams that a version of the targets' software began.
+struct StreamOriginRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamOriginRowT NativeTableType;
+  typedef StreamOriginRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_REQUESTS = 6
+  };
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  /// Hashes of the ids of the requests that got the first events.
+  const flatbuffers::Vector<uint64_t> *requests() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REQUESTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.EndTable();
+  }
+  StreamOriginRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamOriginRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamOriginRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamOriginRowBuilder {
+  typedef StreamOriginRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(StreamOriginRow::VT_VERSION, version);
+  }
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> requests) {
+    fbb_.AddOffset(StreamOriginRow::VT_REQUESTS, requests);
+  }
+  explicit StreamOriginRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamOriginRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamOriginRow>(end);
+    fbb_.Required(o, StreamOriginRow::VT_VERSION);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamOriginRow> CreateStreamOriginRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> requests = 0) {
+  StreamOriginRowBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_version(version);
+  return builder_.Finish();
+}
+
+struct StreamOriginRow::Traits {
+  using type = StreamOriginRow;
+  static auto constexpr Create = CreateStreamOriginRow;
+};
+
+inline flatbuffers::Offset<StreamOriginRow> CreateStreamOriginRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *version = nullptr,
+    const std::vector<uint64_t> *requests = nullptr) {
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto requests__ = requests ? _fbb.CreateVector<uint64_t>(*requests) : 0;
+  return cyclamenstair::schema::CreateStreamOriginRow(
+      _fbb,
+      version__,
+      requests__);
+}
+
+flatbuffers::Offset<StreamOriginRow> CreateStreamOriginRow(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamOriginShareT : public flatbuffers::NativeTable {
+  typedef StreamOriginShare TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<cyclamenstair::schema::StreamOriginRowT>> origins{};
+  StreamOriginShareT() = default;
+  StreamOriginShareT(const StreamOriginShareT &o);
+  StreamOriginShareT(StreamOriginShareT&&) FLATBUFFERS_NOEXCEPT = default;
+  StreamOriginShareT &operator=(StreamOriginShareT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Streams of a node that callers may resume at another. Also a value in the store.
+struct StreamOriginShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamOriginShareT NativeTableType;
+  typedef StreamOriginShareBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_ORIGINS = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>> *origins() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>> *>(VT_ORIGINS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) &&
+           verifier.VerifyVectorOfTables(origins()) &&
+           verifier.EndTable();
+  }
+  StreamOriginShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamOriginShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamOriginShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamOriginShareBuilder {
+  typedef StreamOriginShare Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(StreamOriginShare::VT_NODE, node);
+  }
+  void add_origins(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>>> origins) {
+    fbb_.AddOffset(StreamOriginShare::VT_ORIGINS, origins);
+  }
+  explicit StreamOriginShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamOriginShare> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamOriginShare>(end);
+    fbb_.Required(o, StreamOriginShare::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamOriginShare> CreateStreamOriginShare(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>>> origins = 0) {
+  StreamOriginShareBuilder builder_(_fbb);
+  builder_.add_origins(origins);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct StreamOriginShare::Traits {
+  using type = StreamOriginShare;
+  static auto constexpr Create = CreateStreamOriginShare;
+};
+
+inline flatbuffers::Offset<StreamOriginShare> CreateStreamOriginShareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>> *origins = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>>(*origins) : 0;
+  return cyclamenstair::schema::CreateStreamOriginShare(
+      _fbb,
+      node__,
+      origins__);
+}
+
+flatbuffers::Offset<StreamOriginShare> CreateStreamOriginShare(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NodeEntryT : public flatbuffers::NativeTable {
   typedef NodeEntry TableType;
   std::string address{};
@@ -2679,6 +3001,9 @@
   const cyclamenstair::schema::UsageSummary *content_as_UsageSummary() const {
     return content_type() == cyclamenstair::schema::EntryContent::UsageSummary ? static_cast<const cyclamenstair::schema::UsageSummary *>(content()) : nullptr;
   }
+  const cyclamenstair::schema::StreamOriginShare *content_as_StreamOriginShare() const {
+    return content_type() == cyclamenstair::schema::EntryContent::StreamOriginShare ? static_cast<const cyclamenstair::schema::StreamOriginShare *>(content()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONTENT_TYPE, 1) &&
@@ -2735,6 +3060,10 @@
   return content_as_UsageSummary();
 }
 
+template<> inline const cyclamenstair::schema::StreamOriginShare *EntryMessage::content_as<cyclamenstair::schema::StreamOriginShare>() const {
+  return content_as_StreamOriginShare();
+}
+
 struct EntryMessageBuilder {
   typedef EntryMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3345,17 +3674,51 @@
       _revision);
 }
 
+inline ServiceVersionEntryT *ServiceVersionEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServiceVersionEntryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServiceVersionEntry::UnPackTo(ServiceVersionEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+}
+
+inline flatbuffers::Offset<ServiceVersionEntry> ServiceVersionEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceVersionEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServiceVersionEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServiceVersionEntry> CreateServiceVersionEntry(flatbuffers::FlatBufferBuilder &_fbb, const ServiceVersionEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServiceVersionEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _fbb.CreateString(_o->service);
+  auto _version = _fbb.CreateString(_o->version);
+  return cyclamenstair::schema::CreateServiceVersionEntry(
+      _fbb,
+      _service,
+      _version);
+}
+
 inline SnapshotT::SnapshotT(const SnapshotT &o)
       : catalog(o.catalog),
-        targets_known(o.targets_known) {
+        targets_known(o.targets_known),
+        versions_known(o.versions_known) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetEntryRowT(*targets_) : nullptr); }
+  versions.reserve(o.versions.size());
+  for (const auto &versions_ : o.versions) { versions.emplace_back((versions_) ? new cyclamenstair::schema::ServiceVersionEntryT(*versions_) : nullptr); }
 }
 
 inline SnapshotT &SnapshotT::operator=(SnapshotT o) FLATBUFFERS_NOEXCEPT {
   std::swap(catalog, o.catalog);
   std::swap(targets, o.targets);
   std::swap(targets_known, o.targets_known);
+  std::swap(versions, o.versions);
+  std::swap(versions_known, o.versions_known);
   return *this;
 }
 
@@ -3371,6 +3734,8 @@
   { auto _e = catalog(); if (_e) _o->catalog = _e->str(); }
   { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetEntryRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = targets_known(); _o->targets_known = _e; }
+  { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = std::unique_ptr<cyclamenstair::schema::ServiceVersionEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = versions_known(); _o->versions_known = _e; }
 }
 
 inline flatbuffers::Offset<Snapshot> Snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3384,11 +3749,15 @@
   auto _catalog = _o->catalog.empty() ? 0 : _fbb.CreateString(_o->catalog);
   auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetEntryRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetEntryRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _targets_known = _o->targets_known;
+  auto _versions = _o->versions.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::ServiceVersionEntry>> (_o->versions.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceVersionEntry(*__va->__fbb, __va->__o->versions[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _versions_known = _o->versions_known;
   return cyclamenstair::schema::CreateSnapshot(
       _fbb,
       _catalog,
       _targets,
-      _targets_known);
+      _targets_known,
+      _versions,
+      _versions_known);
 }
 
 inline HeldModelRowT *HeldModelRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3600,6 +3969,76 @@
       _parts);
 }
 
+inline StreamOriginRowT *StreamOriginRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamOriginRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamOriginRow::UnPackTo(StreamOriginRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<StreamOriginRow> StreamOriginRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamOriginRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamOriginRow> CreateStreamOriginRow(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamOriginRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _fbb.CreateString(_o->version);
+  auto _requests = _o->requests.size() ? _fbb.CreateVector(_o->requests) : 0;
+  return cyclamenstair::schema::CreateStreamOriginRow(
+      _fbb,
+      _version,
+      _requests);
+}
+
+inline StreamOriginShareT::StreamOriginShareT(const StreamOriginShareT &o)
+      : node(o.node) {
+  origins.reserve(o.origins.size());
+  for (const auto &origins_ : o.origins) { origins.emplace_back((origins_) ? new cyclamenstair::schema::StreamOriginRowT(*origins_) : nullptr); }
+}
+
+inline StreamOriginShareT &StreamOriginShareT::operator=(StreamOriginShareT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(origins, o.origins);
+  return *this;
+}
+
+inline StreamOriginShareT *StreamOriginShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamOriginShareT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamOriginShare::UnPackTo(StreamOriginShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = origins(); if (_e) { _o->origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->origins[_i] = std::unique_ptr<cyclamenstair::schema::StreamOriginRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<StreamOriginShare> StreamOriginShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamOriginShare(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamOriginShare> CreateStreamOriginShare(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamOriginShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _origins = _o->origins.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::StreamOriginRow>> (_o->origins.size(), [](size_t i, _VectorArgs *__va) { return CreateStreamOriginRow(*__va->__fbb, __va->__o->origins[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cyclamenstair::schema::CreateStreamOriginShare(
+      _fbb,
+      _node,
+      _origins);
+}
+
 inline NodeEntryT *NodeEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NodeEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -3710,6 +4149,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::UsageSummary *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case EntryContent::StreamOriginShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StreamOriginShare *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3773,6 +4216,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::UsageSummary *>(obj);
       return ptr->UnPack(resolver);
     }
+    case EntryContent::StreamOriginShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StreamOriginShare *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3824,6 +4271,10 @@
       auto ptr = reinterpret_cast<const cyclamenstair::schema::UsageSummaryT *>(value);
       return CreateUsageSummary(_fbb, ptr, _rehasher).Union();
     }
+    case EntryContent::StreamOriginShare: {
+      auto ptr = reinterpret_cast<const cyclamenstair::schema::StreamOriginShareT *>(value);
+      return CreateStreamOriginShare(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3874,6 +4325,10 @@
       value = new cyclamenstair::schema::UsageSummaryT(*reinterpret_cast<cyclamenstair::schema::UsageSummaryT *>(u.value));
       break;
     }
+    case EntryContent::StreamOriginShare: {
+      value = new cyclamenstair::schema::StreamOriginShareT(*reinterpret_cast<cyclamenstair::schema::StreamOriginShareT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3936,6 +4391,11 @@
       delete ptr;
       break;
     }
+    case EntryContent::StreamOriginShare: {
+      auto ptr = reinterpret_cast<cyclamenstair::schema::StreamOriginShareT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -80,7 +80,7 @@
         timeOut(now, actions);
         return;
     }
-    if (refuseQuarantined(now, actions))
+    if (refuseQuarantined(now, actions) || !requireVersionOfStream(now, actions))
         return;
     const auto maxWait
         = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
@@ -95,6 +95,25 @@
         m_dependencies.targets->acquire(m_query, now, *m_dependencies.random));
 }
 
+bool RequestMachine::requireVersionOfStream(TimePoint now, Actions& actions)
+{
+    if (m_query.softwareVersion || !m_requestInfo.resumedRequest)
+        return true;
+    m_query.softwareVersion = m_dependencies.origins->find(*m_requestInfo.resumedRequest);
+    if (!m_query.softwareVersion)
+        m_query.softwareVersion = m_dependencies.versions->soleVersion(m_requestInfo.service, now);
+    if (m_query.softwareVersion)
+        return true;
+    if (now < m_requestInfo.receivedAt + m_settings->streamOriginWait) {
+        m_phase = Phase::Waiting;
+        m_nextAcquireAt = now + m_settings->acquireInterval;
+    } else {
+        // Until all versions but one are forgotten, the stream could go on at the wrong one.
+        refuseFor(SoftwareVersions::lifetime, "stream_version_unknown", now, actions);
+    }
+    return false;
+}
+
 void RequestMachine::startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions)
 {
     setCountedAsWaiting(false);
--- a/Cyclamenstair/RequestFlow/RequestInfo.cpp
+++ b/Cyclamenstair/RequestFlow/RequestInfo.cpp
@@ -8,7 +8,8 @@
 {
     constexpr uint32_t lowestRank = 9;
     constexpr uint32_t routeRanks = 3;
-    const uint64_t routeRank = route.priority;
+    // A caller that resumes a stream has waited for its first part already, and only some targets can go on with it.
+    const uint64_t routeRank = route.priority - (resumedRequest && route.priority > 0 ? 1 : 0);
     if (!teamPriority)
         return static_cast<uint32_t>(std::min<uint64_t>(routeRank, lowestRank));
     const auto rank = uint64_t { *teamPriority } * routeRanks + std::min<uint64_t>(routeRank, routeRanks - 1);
--- a/Cyclamenstair/RequestFlow/RequestInfo.h
+++ b/Cyclamenstair/RequestFlow/RequestInfo.h
@@ -17,6 +17,8 @@
     Duration modelLoadTime { 0 }; ///< Time to load the model from the weight store; 0 for plain services.
     uint32_t promptTokens { 0 }; ///< Token count stated by the caller; 0 if not stated.
     PromptParts promptParts;
+    /// Set for a stream that the caller resumes: id of the request that got its first event; empty if not stated.
+    std::optional<std::string> resumedRequest {};
     TimePoint receivedAt;
     /// Name of the caller's team, empty for callers without a key. No value if the catalog has no teams.
     std::optional<std::string> team;
@@ -25,7 +27,7 @@
     std::optional<Duration> callerTimeout; ///< Time that the caller waits for a response, starting at receivedAt.
 
     /// Returns the scheduling rank at targets, from 0 (first) to 9. Requests of teams with the same priority are ranked
-    /// by their route.
+    /// by their route. A stream that its caller resumes ranks before the others of its route, unless they are first.
     uint32_t urgency() const;
 
     /// Returns the time by which the response must be complete.
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -48,6 +48,8 @@
         nextTimer = std::min(nextTimer, *limit);
     if (const auto overdueAt = nextOverdueAt())
         nextTimer = std::min(nextTimer, *overdueAt);
+    if (m_holdEndsAt)
+        nextTimer = std::min({ nextTimer, *m_holdEndsAt, m_originCheckedAt + m_settings->originCheckInterval });
     return nextTimer;
 }
 
@@ -176,6 +178,9 @@
     if (event.isFramed)
         recordAnswerProgress(true, now);
     endAttempt(TargetAttemptResult::Good, now);
+    // A complete answer need not be resumable.
+    if (!m_heldEvents.empty())
+        actions.emplace_back(ForwardData { std::exchange(m_heldEvents, {}) });
     actions.emplace_back(FinishResponse {});
     finish();
 }
@@ -251,6 +256,7 @@
         return;
     }
     markOverdueAttempts(now);
+    releaseHeldEvents(now, actions);
     if (m_phase == Phase::Waiting && now >= m_nextAcquireAt) {
         acquireTarget(now, actions);
         return;
@@ -276,9 +282,35 @@
     }
     if (events.empty())
         return;
+    recordVersionOfStream(now);
     recordProgress(now, actions);
     recordAnswerProgress(false, now);
-    actions.emplace_back(ForwardData { std::move(events) });
+    if (!m_holdEndsAt) {
+        actions.emplace_back(ForwardData { std::move(events) });
+        return;
+    }
+    m_heldEvents += events;
+    releaseHeldEvents(now, actions);
+}
+
+void RequestMachine::recordVersionOfStream(TimePoint now)
+{
+    if (m_query.softwareVersion)
+        return;
+    m_query.softwareVersion = m_current->target.softwareVersion;
+    m_dependencies.origins->record(m_requestInfo.id, *m_query.softwareVersion, now);
+    if (m_requestInfo.route.isRetryable() && m_dependencies.origins->areWritesExpected())
+        m_holdEndsAt = now + m_settings->maxOriginHold;
+}
+
+void RequestMachine::releaseHeldEvents(TimePoint now, Actions& actions)
+{
+    m_originCheckedAt = now;
+    if (!m_holdEndsAt || (now < *m_holdEndsAt && !m_dependencies.origins->isWritten(m_requestInfo.id)))
+        return;
+    m_holdEndsAt.reset();
+    if (!m_heldEvents.empty())
+        actions.emplace_back(ForwardData { std::exchange(m_heldEvents, {}) });
 }
 
 void RequestMachine::recordAnswerProgress(bool isComplete, TimePoint now)
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Fleet/StreamOrigins.h>
 #include <Cyclamenstair/Quarantine/PromptQuarantine.h>
 #include <Cyclamenstair/RequestFlow/AnswerProgress.h>
 #include <Cyclamenstair/RequestFlow/EventStreamParser.h>
@@ -60,6 +61,14 @@
     /// Time that a first attempt waits for an engine with room. Longer than the age of the known loads; a caller that
     /// is refused then comes back when there may be another copy of the model.
     Duration overloadWait { milliseconds(700) };
+    /// Maximum wait for the version that began a stream that the caller resumes. Other nodes send what they know within
+    /// 100 ms, and a node that has just started reads it from the store.
+    Duration streamOriginWait { milliseconds(700) };
+    /// Maximum time for which the first events of a stream wait until its origin is in the store, and the interval at
+    /// which that is checked. After a restart of all nodes, a stream whose origin is not there cannot be resumed. The
+    /// platform counts a stream as late if an event is passed on after 120 ms.
+    Duration maxOriginHold { milliseconds(110) };
+    Duration originCheckInterval { milliseconds(10) };
     /// Time after the first event of a stream from which on the target is known to survive the request. An engine that
     /// a prompt makes fail ends within a few steps of it.
     Duration answerProofTime { milliseconds(250) };
@@ -72,6 +81,8 @@
     DemandCounter* demand { nullptr };
     Random* random { nullptr };
     PromptQuarantine* quarantine { nullptr };
+    const SoftwareVersions* versions { nullptr };
+    StreamOrigins* origins { nullptr };
 };
 
 /// State machine of one request. It does no I/O: it receives events and returns the actions to perform. Not
@@ -97,7 +108,7 @@
     bool isHeadSent() const { return m_isHeadSent; }
     const RequestInfo& requestInfo() const { return m_requestInfo; }
     /// Returns how many bytes of the response are buffered.
-    size_t bufferedBytes() const { return m_bufferedBody.size() + m_eventParser.size(); }
+    size_t bufferedBytes() const { return m_bufferedBody.size() + m_eventParser.size() + m_heldEvents.size(); }
     /// Returns how far the answer has come, over all attempts.
     AnswerProgress answerProgress() const { return m_answerProgress; }
 
@@ -130,6 +141,13 @@
     void on(const TimerFired& event, TimePoint now, Actions& actions);
 
     void acquireTarget(TimePoint now, Actions& actions);
+    /// Restricts the targets of a stream that the caller resumes to the version that began it. Returns false if that is
+    /// not known; the request then waits or has ended.
+    bool requireVersionOfStream(TimePoint now, Actions& actions);
+    /// Records which version began the stream when its first event arrives.
+    void recordVersionOfStream(TimePoint now);
+    /// Forwards the held events if the stream's origin is in the store or the time for it is over.
+    void releaseHeldEvents(TimePoint now, Actions& actions);
     /// Starts an attempt, which becomes the current one if there is none, else the alternative.
     void startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions);
     /// Applies what the target states about itself beside its answer.
@@ -208,6 +226,9 @@
     std::string m_bufferedBody;
     EventStreamParser m_eventParser;
     std::string m_lastEventId; ///< Id of the last event forwarded to the caller.
+    std::string m_heldEvents; ///< Events of the answer that wait until the stream's origin is in the store.
+    std::optional<TimePoint> m_holdEndsAt; ///< Set while events are held.
+    TimePoint m_originCheckedAt;
     AnswerProgress m_answerProgress { AnswerProgress::NotStarted };
     std::optional<TimePoint> m_firstEventAt; ///< First event of the current attempt.
     TimePoint m_lastProgressAt; ///< Also of the start of an attempt.
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -48,9 +48,15 @@
 std::string RegisteredTargetStandIn::entry(const std::string& phase)
 {
     std::lock_guard lock(m_mutex);
-    return R"({"service":")" + m_service + R"(","address":")" + m_address
-        + R"(","zone":"domain-1","version":"v1","slots":8,"state":")" + phase + R"(","cold_left_ms":0,"models":)"
-        + modelsJson() + R"(,"seq":1,"born":1})";
+    return R"({"service":")" + m_service + R"(","address":")" + m_address + R"(","zone":"domain-1","version":")"
+        + m_softwareVersion + R"(","slots":8,"state":")" + phase + R"(","cold_left_ms":0,"models":)" + modelsJson()
+        + R"(,"seq":1,"born":1})";
+}
+
+void RegisteredTargetStandIn::setSoftwareVersion(const std::string& version)
+{
+    std::lock_guard lock(m_mutex);
+    m_softwareVersion = version;
 }
 
 std::map<std::string, int> RegisteredTargetStandIn::runs()
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -50,6 +50,9 @@
     /// Returns the entry that the target writes to the store, as JSON.
     std::string entry(const std::string& phase = "ready");
 
+    /// Sets the version of the target's software, for entry().
+    void setSoftwareVersion(const std::string& version);
+
     void setBehaviour(TargetBehaviour behaviour) { m_behaviour = behaviour; }
 
     /// From now on a request whose prompt has this part crashes the target as it begins to answer: all connections end,
@@ -112,6 +115,7 @@
     std::atomic<int> m_rejectedOrderCount { 0 };
     std::set<std::weak_ptr<ServerConnection>, std::owner_less<>> m_connections; ///< Used on the event loop only.
     std::mutex m_mutex;
+    std::string m_softwareVersion { "v1" };
     std::string m_crashingPart;
     std::map<std::string, int> m_runCounts;
     HeaderFields m_lastFields;
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -2,8 +2,12 @@
 #include <Cyclamenstair/Codec/NodeEntryCodec.h>
 #include <Cyclamenstair/Core/Error.h>
 
+#include <Cyclamenstair/Codec/ServiceVersionCodec.h>
+
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include <limits>
 
 using namespace cyclamenstair;
@@ -77,3 +81,22 @@
     EXPECT_THROW(decodeEntryMessage("not a message at all"), Exception);
     EXPECT_THROW(decodeEntryMessage(std::string(64, '\0')), Exception);
 }
+
+// Guards against streams whose version is lost on the way to another node or through the store.
+TEST(EntryMessageCodec, RoundTripsStreamOrigins)
+{
+    const StreamOriginShare share { "node-1", { { 1, "v1" }, { UINT64_MAX, "v2" }, { 3, "v1" }, { 4, "" } } };
+    auto decoded = std::get<StreamOriginShare>(decodeEntryMessage(encodeEntryMessage(share)));
+    EXPECT_EQ(decoded.node, "node-1");
+    std::sort(decoded.origins.begin(), decoded.origins.end(),
+        [](const auto& a, const auto& b) { return a.request < b.request; });
+    EXPECT_EQ(
+        decoded.origins, (std::vector<StreamOrigin> { { 1, "v1" }, { 3, "v1" }, { 4, "" }, { UINT64_MAX, "v2" } }));
+    const Snapshot snapshot { {}, {}, false, { { "s", "v1" }, { "s", "" } }, true };
+    const auto decodedSnapshot = std::get<Snapshot>(decodeEntryMessage(encodeEntryMessage(snapshot)));
+    EXPECT_EQ(decodedSnapshot.versions, snapshot.versions);
+    EXPECT_TRUE(decodedSnapshot.areVersionsKnown);
+    const ServiceVersion version { "s", "v1" };
+    EXPECT_EQ(decodeServiceVersion(encodeServiceVersion(version), "k").value(), version);
+    EXPECT_FALSE(decodeServiceVersion("x", "k"));
+}
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -326,3 +326,51 @@
         RC_ASSERT(current.pausedUntil <= time);
     }
 }
+
+// Guards against a stream that goes on at a target of another software version.
+TEST_F(TargetRegistryTest, RequiredSoftwareVersionExcludesOthers)
+{
+    auto record = engine("i-1");
+    record.softwareVersion = "v1";
+    registry.update(record, 1);
+    record = engine("i-2");
+    record.softwareVersion = "v2";
+    registry.update(record, 2);
+    EXPECT_EQ(registry.softwareVersions(), (std::set<ServiceVersion> { { "drafting", "v1" }, { "drafting", "v2" } }));
+    draft.softwareVersion = "v2";
+    for (int i = 0; i < 10; ++i) {
+        const auto outcome = acquire(draft);
+        ASSERT_TRUE(std::holds_alternative<AcquiredTarget>(outcome));
+        EXPECT_EQ(std::get<AcquiredTarget>(outcome).id, "i-2");
+        EXPECT_EQ(std::get<AcquiredTarget>(outcome).softwareVersion, "v2");
+    }
+    draft.softwareVersion = "v3";
+    EXPECT_EQ(acquiredId(draft), "no_target");
+}
+
+// Guards against streams of a version that the other nodes do not know of yet. Without another target, the first one of
+// a version serves at once.
+TEST_F(TargetRegistryTest, FirstTargetOfAVersionWaitsForTheOtherNodes)
+{
+    auto record = engine("i-1");
+    record.softwareVersion = "v1";
+    registry.update(record, 1);
+    for (const std::string id : { "i-2", "i-3" }) {
+        record = engine(id);
+        record.softwareVersion = "v2";
+        registry.update(record, 2, now + milliseconds(id == "i-2" ? 0 : 500));
+    }
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(acquiredId(draft, now + milliseconds(900)), "i-1");
+    std::set<std::string> ids;
+    for (int i = 0; i < 20; ++i)
+        ids.insert(acquiredId(draft, now + milliseconds(1000)));
+    EXPECT_EQ(ids.count("i-3"), 1U);
+    registry.remove("i-1", 9);
+    record = engine("i-4");
+    record.softwareVersion = "v3";
+    registry.update(record, 10, now + milliseconds(2000));
+    registry.remove("i-2", 11);
+    registry.remove("i-3", 12);
+    EXPECT_EQ(acquiredId(draft, now + milliseconds(2000)), "i-4");
+}
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -126,16 +126,19 @@
 TEST(TargetCodec, MalformedEntryIsRejected)
 {
     const std::string validEntry
-        = R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"draining","born":17,
+        = R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v2","slots":6,"state":"draining","born":17,
         "models":[{"name":"m","version":1,"adapters":["a1"]}],"seq":4})";
     const auto record = decodeTarget("i-1", validEntry).value();
     EXPECT_EQ(record.phase, TargetPhase::Draining);
     EXPECT_TRUE(record.hasLoaded("m", "a1"));
     EXPECT_FALSE(record.hasLoaded("m", "a2"));
     EXPECT_EQ(record.startedUnixMs, 17);
+    EXPECT_EQ(record.softwareVersion, "v2");
     for (const char* text : { "\xff", "7", R"({"service":"s"})",
-             R"({"service":"s","address":"1.2.3.4:1","zone":"z","slots":"6","state":"ready"})",
-             R"({"service":"s","address":"1.2.3.4:1","zone":"z","slots":6,"state":"asleep"})" })
+             R"({"service":"s","address":"1.2.3.4:1","zone":"z","version":"v1","slots":"6","state":"ready"})",
+             R"({"service":"s","address":"1.2.3.4:1","zone":"z","version":"v1","slots":6,"state":"asleep"})",
+             R"({"service":"s","address":"1.2.3.4:1","zone":"z","slots":6,"state":"ready"})",
+             R"({"service":"s","address":"1.2.3.4:1","zone":"z","version":1,"slots":6,"state":"ready"})" })
         EXPECT_FALSE(decodeTarget("i-1", text)) << text;
 }
 
@@ -186,7 +189,7 @@
     const auto entry
         = [](const std::string& slots, const std::string& born, const std::string& address, const std::string& models) {
               return decodeTarget("i-1",
-                  R"({"service":"s","zone":"z","state":"ready","slots":)" + slots + R"(,"born":)" + born
+                  R"({"service":"s","zone":"z","version":"v1","state":"ready","slots":)" + slots + R"(,"born":)" + born
                       + R"(,"address":")" + address + R"(","models":)" + models + "}");
           };
     const std::string address = "10.0.0.1:80";
@@ -285,6 +288,19 @@
         1);
 }
 
+// Guards against a resumed stream that counts as a new one, and the other way round.
+TEST(RequestCodec, DecodesResumedStream)
+{
+    const auto resumedRequest = [](const HeaderFields& fields) {
+        return decodeCallerRequest({ "POST", "/a/", fields, {}, false }).resumedRequest;
+    };
+    EXPECT_EQ(resumedRequest({ { "Last-Event-Id", "7" }, { "Resumes", "r-1" } }), "r-1");
+    EXPECT_EQ(resumedRequest({ { "resumes", "r-1" }, { "last-event-id", "7" } }), "r-1");
+    EXPECT_EQ(resumedRequest({ { "Last-Event-Id", "7" } }), "");
+    EXPECT_FALSE(resumedRequest({ { "Resumes", "r-1" } }));
+    EXPECT_FALSE(resumedRequest({ { "Last-Event-Id", "" } }));
+}
+
 // Guards against a repeated run of a request that may have run, and against a response to another request that is
 // accepted.
 TEST(RequestCodec, ResponseHeadTellsWhetherRequestRan)
--- a/Tests/RequestFlowTests/RequestMachineFixture.h
+++ b/Tests/RequestFlowTests/RequestMachineFixture.h
@@ -56,8 +56,8 @@
 
     std::unique_ptr<RequestMachine> makeMachine(const RequestInfo& requestInfo)
     {
-        return std::make_unique<RequestMachine>(
-            requestInfo, settings, RequestDependencies { &targets, &retries, &demand, &random, &quarantine });
+        return std::make_unique<RequestMachine>(requestInfo, settings,
+            RequestDependencies { &targets, &retries, &demand, &random, &quarantine, &versions, &origins });
     }
 
     RequestFlowSettings settings;
@@ -66,6 +66,8 @@
     DemandCounter demand;
     Random random { 20261204 };
     PromptQuarantine quarantine { {} };
+    SoftwareVersions versions;
+    StreamOrigins origins;
     std::unique_ptr<RequestMachine> machine;
 };
 
