Keep the minimum time between orders when a holder resigns

Cause: a new holder's delay counts on the time between the last order and the expiry of the lease. A holder that resigned revoked its lease at once, so that time was missing.

Evidence, before the change:

StoreReturnTests.cpp:102: Failure Expected: (std::chrono::steady_clock::now() - resignedAt) >= (minGap), actual: 344344246ns vs 900000us [ FAILED ] OrderLeaseElectorTest.SuccessorOfAHolderThatResignsKeepsTheMinimumGap

Change: a holder that resigns sends no more orders, and revokes the lease after the time that an expiry leaves. It works because the successor's delay then starts no earlier than after an expiry.

--- a/Cyclamenstair/Entry/OrderLeaseElector.cpp
+++ b/Cyclamenstair/Entry/OrderLeaseElector.cpp
@@ -27,6 +27,7 @@
 OrderLeaseElector::OrderLeaseElector(boost::asio::io_context& context, PlatformStore& store, std::string nodeId,
     OrderLeaseSettings settings, uint64_t seed)
     : m_timer(context)
+    , m_revocationTimer(context)
     , m_store(&store)
     , m_nodeId(std::move(nodeId))
     , m_settings(settings)
@@ -49,7 +50,12 @@
 {
     if (!m_lease.isHeld())
         return;
-    m_store->revokeLease(m_leaseId);
+    // A successor's takeoverDelay relies on the time between the last order and the expiry of the lease.
+    m_revocationTimer.expires_after(m_settings.timeToLive - m_settings.renewalValidity);
+    m_revocationTimer.async_wait([this, leaseId = m_leaseId](const boost::system::error_code& ec) {
+        if (!ec)
+            m_store->revokeLease(leaseId);
+    });
     clearLease(reason);
 }
 
--- a/Cyclamenstair/Entry/OrderLeaseElector.h
+++ b/Cyclamenstair/Entry/OrderLeaseElector.h
@@ -28,7 +28,8 @@
     /// Resigns and stops competing for the lease.
     void stop();
 
-    /// Revokes the lease if this node holds it. The node may be elected again later.
+    /// Sends no more orders and revokes the lease a little later, if this node holds it. The node may be elected again
+    /// later.
     void resign(const std::string& reason);
 
     /// Returns whether this node may send an order now.
@@ -47,6 +48,7 @@
     void scheduleRenewal();
 
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_revocationTimer;
     PlatformStore* m_store;
     std::string m_nodeId;
     OrderLeaseSettings m_settings;
--- a/Tests/EntryTests/StoreReturnTests.cpp
+++ b/Tests/EntryTests/StoreReturnTests.cpp
@@ -8,9 +8,10 @@
 
 /// A competitor for the order lease, with its own connection to the store.
 struct Competitor {
-    Competitor(EventLoop& loop, const std::string& storeAddress, const std::string& id)
+    Competitor(EventLoop& loop, const std::string& storeAddress, const std::string& id,
+        const OrderLeaseSettings& settings = {})
         : store(loop.context(), parseEndpoint(storeAddress).value(), storeAddress, {})
-        , elector(loop.context(), store, id, {}, 1)
+        , elector(loop.context(), store, id, settings, 1)
     {
     }
 
@@ -69,6 +70,36 @@
     EXPECT_FALSE(onLoop([&] { return first.elector.lease().isHeld(); }));
 }
 
+// Guards against orders of two nodes that are closer than the minimum time between them, because the first one resigned
+// right after its last order. A lease that expires leaves more time.
+TEST_F(OrderLeaseElectorTest, SuccessorOfAHolderThatResignsKeepsTheMinimumGap)
+{
+    OrderLeaseSettings settings;
+    settings.takeoverDelay = milliseconds(300);
+    settings.newEraDelay = milliseconds(0);
+    const auto minGap = settings.takeoverDelay + settings.timeToLive - settings.renewalValidity;
+    Competitor first(loop, registry.address(), "node-1", settings);
+    Competitor second(loop, registry.address(), "node-2", settings);
+    EXPECT_GT(acquire(first), 0);
+    const auto mayOrder = [&](Competitor& competitor) { return onLoop([&] { return competitor.elector.mayOrder(); }); };
+    const auto waitUntil = [](const std::function<bool()>& condition) {
+        const auto end = std::chrono::steady_clock::now() + waitTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    };
+    waitUntil([&] { return mayOrder(first); });
+    const auto resignedAt = std::chrono::steady_clock::now();
+    (void)onLoop([&] {
+        first.elector.resign("test");
+        return true;
+    });
+    EXPECT_FALSE(mayOrder(first));
+    waitUntil([&] { return !registry.value(OrderLeaseElector::key); });
+    EXPECT_GT(acquire(second), 0);
+    waitUntil([&] { return mayOrder(second); });
+    EXPECT_GE(std::chrono::steady_clock::now() - resignedAt, minGap);
+}
+
 // Guards against a node that keeps the state of targets from before the store returned from an older copy, because the
 // revisions of what is written again are lower.
 TEST_F(EntryNodeTest, RecordsWrittenAfterAReturnFromACopyTakeEffect)
