State a true Retry-After for resumed streams at a node that has just started

A node that did not know the versions yet, because the store did not respond, told callers that resume a stream to come back after a minute, although it learns the versions with the targets.

TargetRegistry::softwareVersions compares neighbours instead of inserting each target's version.

--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -286,8 +286,12 @@
     std::set<ServiceVersion> versions;
     m_services.forEachShard([&](const auto& services) {
         for (const auto& [service, targets] : services) {
-            for (const auto& [id, target] : targets)
-                versions.insert({ service, target.record.softwareVersion });
+            const std::string* last = nullptr; // Most neighbours have the same version.
+            for (const auto& [id, target] : targets) {
+                if (!last || *last != target.record.softwareVersion)
+                    versions.insert({ service, target.record.softwareVersion });
+                last = &target.record.softwareVersion;
+            }
         }
     });
     return versions;
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -108,8 +108,11 @@
         m_phase = Phase::Waiting;
         m_nextAcquireAt = now + m_settings->acquireInterval;
     } else {
-        // Until all versions but one are forgotten, the stream could go on at the wrong one.
-        refuseFor(SoftwareVersions::lifetime, "stream_version_unknown", now, actions);
+        // Until all versions but one are forgotten, the stream could go on at the wrong one. A node that does not know
+        // the versions yet, since the store does not respond, learns them with the targets.
+        const auto wait
+            = m_dependencies.versions->isComplete() ? SoftwareVersions::lifetime : m_settings->retryAfterAbsent;
+        refuseFor(wait, "stream_version_unknown", now, actions);
     }
     return false;
 }
--- a/Tests/RequestFlowTests/StreamVersionTests.cpp
+++ b/Tests/RequestFlowTests/StreamVersionTests.cpp
@@ -111,7 +111,7 @@
     }
     ASSERT_TRUE(find<SendLocalResponse>(actions));
     EXPECT_EQ(find<SendLocalResponse>(actions)->kind, LocalResponseKind::NotRun);
-    EXPECT_TRUE(find<SendLocalResponse>(actions)->retryAfter);
+    EXPECT_EQ(find<SendLocalResponse>(actions)->retryAfter, SoftwareVersions::lifetime);
     (void)fixture.resume("request-8");
     (void)fixture.origins.merge({ { stableHash("request-8"), "v2" } }, start);
     const auto later = fixture.machine->handle(TimerFired {}, *fixture.machine->nextTimerAt());
@@ -119,6 +119,18 @@
     EXPECT_EQ(find<StartAttempt>(later)->target.id, "i-3");
 }
 
+// Guards against a Retry-After of a minute from a node that has just started and does not know the versions yet.
+TEST(StreamVersion, RefusalOfANodeThatHasJustStartedIsShort)
+{
+    VersionFixture fixture;
+    fixture.versions.setComplete(false);
+    auto actions = fixture.resume("request-9");
+    for (auto now = start; actions.empty() && now < start + std::chrono::seconds(2); now += milliseconds(25))
+        actions = fixture.machine->handle(TimerFired {}, now);
+    ASSERT_TRUE(find<SendLocalResponse>(actions));
+    EXPECT_EQ(find<SendLocalResponse>(actions)->retryAfter, fixture.settings.retryAfterAbsent);
+}
+
 // Guards against refusals where all streams were begun by the same version.
 TEST(StreamVersion, StreamOfUnknownOriginResumesAtASoleVersion)
 {
