Return the store from copies in the soak, and check orders

Cause: no soak played a store that returns from an older copy, and none gave orders, so that two holders with one fencing token could not be seen with real processes.

Change: fault store_return (the store is down for a moment, returns from a copy up to four seconds old, and the operator and the targets write again), two engines that drop their models again and again, and rule two_holders: over all engines, tokens do not fall, two holders have different ones, and their orders are at least control.order_gap_ms apart.

--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -19,6 +19,7 @@
     RefuseRequests, ///< A target refuses requests without running them.
     SilentTarget, ///< A target runs requests and sends no answer.
     StoreDown, ///< The store answers 503.
+    StoreReturn, ///< The store is down for a moment and returns from a copy that is some seconds old.
 };
 
 template <> struct EnumNames<SoakFaultKind> {
@@ -32,13 +33,14 @@
         { SoakFaultKind::RefuseRequests, "refuse_requests" },
         { SoakFaultKind::SilentTarget, "silent_target" },
         { SoakFaultKind::StoreDown, "store_down" },
+        { SoakFaultKind::StoreReturn, "store_return" },
     });
 };
 
 /// A fault, its time from the start of the traffic, and what it concerns.
 struct SoakFault {
     Duration at {};
-    Duration duration {}; ///< Of Freeze, of a target's behaviour and of StoreDown.
+    Duration duration {}; ///< Of Freeze, of a target's behaviour, of StoreDown and, a quarter of it, of StoreReturn.
     SoakFaultKind kind { SoakFaultKind::Reload };
     size_t subject { 0 }; ///< Index of the node or target.
 };
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -32,7 +32,7 @@
             std::cout << "seed " << settings.seed << ", requests by status:";
             for (const auto& [status, count] : soak.requestCounts())
                 std::cout << " " << status << ": " << count;
-            std::cout << "\n";
+            std::cout << ", orders: " << soak.orderCount() << "\n";
             for (const auto& [rule, descriptions] : soak.findings()) {
                 std::cout << "broken: " << nameOf(rule) << " " << descriptions.size() << "\n";
                 findings += descriptions.size();
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -5,6 +5,7 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <iostream>
@@ -18,6 +19,11 @@
     constexpr auto settleTime = milliseconds(3000); ///< After which a disturbed process counts as calm.
     constexpr auto catalogTime = milliseconds(2000); ///< Within which a change is in force.
     constexpr auto requestInterval = milliseconds(20);
+    constexpr size_t engineCount = 2;
+    constexpr auto modelDropInterval = milliseconds(400); ///< Between two engines that drop their models.
+    constexpr auto copyInterval = milliseconds(4000); ///< Between two copies of the store.
+    /// Minimum time between orders of two nodes: the default of control.order_gap_ms.
+    constexpr auto orderGap = milliseconds(3000);
     constexpr auto startTimeout = std::chrono::seconds(20);
     constexpr uint32_t ok = 200;
     constexpr uint32_t unavailable = 503;
@@ -34,7 +40,9 @@
             + route("safe", "safe", service, R"("max_attempts":2)") + ","
             + route("once", "non_idempotent", "plain", R"("max_attempts":1)") + ","
             + route("stream", "streaming", "plain", R"("max_attempts":2,"resumable":true,"gap_target_ms":300)")
-            + R"(],"services":[{"name":"plain","max_conns":200},{"name":"other","max_conns":200}],)"
+            + R"(],"services":[{"name":"plain","max_conns":200},{"name":"other","max_conns":200},)"
+            + R"({"name":"drafting","max_conns":200,"engine":{"slots":8,"kv_capacity":1000,"weights_mb":230,"adapter_slots":8,)"
+            + R"("loads_per_s":50,"models":[{"name":"m1","weights_mb":70,"load_s":0.1},{"name":"m2","weights_mb":70,"load_s":0.1}]}}],)"
             + R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
     }
 
@@ -55,6 +63,8 @@
     for (size_t i = 0; i < 2 * targetsPerService; ++i)
         m_targets.push_back(std::make_unique<RegisteredTargetStandIn>(
             "i-" + std::to_string(i), i < targetsPerService ? "plain" : "other"));
+    for (size_t i = 0; i < engineCount; ++i)
+        m_engines.push_back(std::make_unique<RegisteredTargetStandIn>("i-engine-" + std::to_string(i), "drafting"));
     const auto seed = allocateLoopbackAddress();
     for (size_t i = 0; i < settings.nodes; ++i)
         m_nodes.push_back(std::make_unique<SoakNode>(
@@ -64,8 +74,8 @@
 void SoakRun::run()
 {
     writeCatalog();
-    for (const auto& target : m_targets)
-        m_store.put("servers/" + target->id(), target->entry());
+    writeTargets();
+    m_store.keepCopy();
     for (const auto& node : m_nodes)
         node->start();
     if (!waitUntilServing()) {
@@ -90,6 +100,7 @@
     m_isOver = true;
     for (auto& caller : callers)
         caller.join();
+    checkOrders();
 }
 
 std::map<SoakRule, std::vector<std::string>> SoakRun::findings()
@@ -111,6 +122,56 @@
     ++m_catalogVersion;
 }
 
+void SoakRun::writeTargets()
+{
+    for (const auto* targets : { &m_targets, &m_engines }) {
+        for (const auto& target : *targets)
+            m_store.put("servers/" + target->id(), target->entry());
+    }
+}
+
+void SoakRun::returnStoreFromCopy()
+{
+    m_store.returnFromCopy();
+    // The operator and the targets write again what the store has lost.
+    m_store.put("op/config", catalogText(m_catalogVersion));
+    writeTargets();
+}
+
+size_t SoakRun::orderCount()
+{
+    size_t count = 0;
+    for (const auto& engine : m_engines)
+        count += engine->orders().size();
+    return count;
+}
+
+void SoakRun::checkOrders()
+{
+    struct Order {
+        TimePoint at;
+        std::string holder;
+        int64_t fencingToken;
+    };
+    std::vector<Order> orders;
+    for (const auto& engine : m_engines) {
+        const auto accepted = engine->orders();
+        const auto times = engine->orderTimes();
+        for (size_t i = 0; i < std::min(accepted.size(), times.size()); ++i)
+            orders.push_back({ times[i], accepted[i].first, accepted[i].second });
+    }
+    std::sort(orders.begin(), orders.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    for (size_t i = 1; i < orders.size(); ++i) {
+        const auto& [previousAt, previousHolder, previousToken] = orders[i - 1];
+        const auto& [at, holder, token] = orders[i];
+        const bool isNewHolder = holder != previousHolder;
+        if (token < previousToken || (isNewHolder && (token == previousToken || at - previousAt < orderGap)))
+            report(SoakRule::TwoHolders,
+                previousHolder + " with " + std::to_string(previousToken) + ", " + holder + " with "
+                    + std::to_string(token) + ", " + std::to_string(toMilliseconds(at - previousAt)) + " ms later");
+    }
+}
+
 void SoakRun::inject(const SoakFault& fault)
 {
     std::cout << "fault " << nameOf(fault.kind) << " " << fault.subject << " at " << toMilliseconds(fault.at) << " ms"
@@ -151,16 +212,35 @@
         disturbTarget(TargetBehaviour::NoResponse);
         break;
     case SoakFaultKind::StoreDown:
+    case SoakFaultKind::StoreReturn: {
+        const bool returns = fault.kind == SoakFaultKind::StoreReturn;
+        const auto end = returns ? monotonicNow() + fault.duration / 4 : endsAt;
         m_store.setDown(true);
-        m_storeDisturbedAt = endsAt;
-        m_endings.emplace_back(endsAt, [this] { m_store.setDown(false); });
+        ++m_storeFaults;
+        m_storeDisturbedAt = std::max(m_storeDisturbedAt.load(), end);
+        m_endings.emplace_back(end, [this, returns] {
+            if (returns)
+                returnStoreFromCopy();
+            if (--m_storeFaults == 0)
+                m_store.setDown(false);
+        });
         break;
     }
+    }
 }
 
 void SoakRun::tick()
 {
     const auto now = monotonicNow();
+    if (now - m_modelsDroppedAt >= modelDropInterval) {
+        m_modelsDroppedAt = now;
+        m_engines.front()->dropModels();
+        std::rotate(m_engines.begin(), m_engines.begin() + 1, m_engines.end());
+    }
+    if (now - m_copyKeptAt >= copyInterval && m_storeFaults == 0) {
+        m_copyKeptAt = now;
+        m_store.keepCopy();
+    }
     for (auto ending = m_endings.begin(); ending != m_endings.end();) {
         if (ending->first > now) {
             ++ending;
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -18,6 +18,7 @@
     RunTwice, ///< A request that may run once ran more often.
     RunAndRefused, ///< A request was answered "not run" and had run.
     OldCatalog, ///< A request was served as only an older catalog allows, after the time for a change had passed.
+    TwoHolders, ///< Two nodes gave orders under one fencing token, or too soon after each other.
 };
 
 template <> struct EnumNames<SoakRule> {
@@ -28,6 +29,7 @@
         { SoakRule::RunTwice, "run_twice" },
         { SoakRule::RunAndRefused, "run_and_refused" },
         { SoakRule::OldCatalog, "old_catalog" },
+        { SoakRule::TwoHolders, "two_holders" },
     });
 };
 
@@ -43,11 +45,17 @@
 
     /// Returns the descriptions of all findings by rule.
     std::map<SoakRule, std::vector<std::string>> findings();
+    /// Returns the number of orders that engines accepted.
+    size_t orderCount();
     /// Returns the number of requests by status; 0 is a request without an answer.
     std::map<uint32_t, size_t> requestCounts();
 
 private:
     void writeCatalog();
+    void writeTargets();
+    void returnStoreFromCopy();
+    /// Checks the orders of all engines together.
+    void checkOrders();
     void inject(const SoakFault& fault);
     /// Ends the faults whose time has passed, and restarts ended processes.
     void tick();
@@ -62,6 +70,10 @@
     RegistryStoreStandIn m_store;
     std::vector<std::unique_ptr<RegisteredTargetStandIn>>
         m_targets; ///< The first half serves "plain", the rest "other".
+    std::vector<std::unique_ptr<RegisteredTargetStandIn>> m_engines; ///< Drop their models again and again.
+    TimePoint m_modelsDroppedAt;
+    TimePoint m_copyKeptAt;
+    int m_storeFaults { 0 }; ///< Faults that keep the store down.
     std::vector<std::unique_ptr<SoakNode>> m_nodes;
     std::vector<std::pair<TimePoint, std::function<void()>>> m_endings; ///< Of faults, with their times.
     std::atomic<bool> m_isOver { false };
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -90,6 +90,18 @@
     return m_acceptedOrders;
 }
 
+std::vector<TimePoint> RegisteredTargetStandIn::orderTimes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_orderTimes;
+}
+
+void RegisteredTargetStandIn::dropModels()
+{
+    std::lock_guard lock(m_mutex);
+    m_loadedModels.clear();
+}
+
 void RegisteredTargetStandIn::setCrashingPart(const std::string& part)
 {
     std::lock_guard lock(m_mutex);
@@ -240,6 +252,7 @@
         status = conflict;
     if (status == accepted) {
         m_acceptedOrders.emplace_back(order.at("holder").get<std::string>(), fencingToken);
+        m_orderTimes.push_back(monotonicNow());
         if (order.at("operation") == "load")
             m_loadedModels.insert(order.at("model").get<std::string>());
         else
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -91,6 +91,12 @@
     /// Returns the lease holder and the fencing token of each accepted order.
     std::vector<std::pair<std::string, int64_t>> orders();
 
+    /// Returns when each accepted order arrived.
+    std::vector<TimePoint> orderTimes();
+
+    /// Drops all models, so that the lease holder orders them again.
+    void dropModels();
+
 private:
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, bool isFirstOfConnection);
@@ -121,6 +127,7 @@
     HeaderFields m_lastFields;
     std::set<std::string> m_loadedModels;
     std::vector<std::pair<std::string, int64_t>> m_acceptedOrders;
+    std::vector<TimePoint> m_orderTimes; ///< Of m_acceptedOrders.
 };
 
 } // namespace cyclamenstair
