Start processes of tests without the sockets of stand-ins

From the second return of the store on, watches of two nodes got no answer until their timeout of 6 s.

Cause: in the tests, not in the node.

Change: ChildProcess closes all descriptors but the standard ones.

--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -66,6 +66,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A process that inherits the sockets of stand-ins keeps them open after the stand-ins have closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
