--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <future>
 #include <iostream>
+#include <sstream>
 
 namespace cyclamenstair {
 
@@ -46,6 +47,21 @@
             + R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
     }
 
+    /// An order that an engine accepted.
+    struct Order {
+        TimePoint at;
+        std::string holder;
+        int64_t fencingToken { 0 };
+    };
+
+    std::string describeOrders(const Order& previous, const Order& order)
+    {
+        std::ostringstream text;
+        text << previous.holder << " with " << previous.fencingToken << ", " << order.holder << " with "
+             << order.fencingToken << ", " << toMilliseconds(order.at - previous.at) << " ms later";
+        return text.str();
+    }
+
     /// Body of a whole stream of RegisteredTargetStandIn.
     std::string streamBody()
     {
@@ -148,11 +164,6 @@
 
 void SoakRun::checkOrders()
 {
-    struct Order {
-        TimePoint at;
-        std::string holder;
-        int64_t fencingToken;
-    };
     std::vector<Order> orders;
     for (const auto& engine : m_engines) {
         const auto accepted = engine->orders();
@@ -162,13 +173,11 @@
     }
     std::sort(orders.begin(), orders.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     for (size_t i = 1; i < orders.size(); ++i) {
-        const auto& [previousAt, previousHolder, previousToken] = orders[i - 1];
-        const auto& [at, holder, token] = orders[i];
-        const bool isNewHolder = holder != previousHolder;
-        if (token < previousToken || (isNewHolder && (token == previousToken || at - previousAt < orderGap)))
-            report(SoakRule::TwoHolders,
-                previousHolder + " with " + std::to_string(previousToken) + ", " + holder + " with "
-                    + std::to_string(token) + ", " + std::to_string(toMilliseconds(at - previousAt)) + " ms later");
+        const auto& previous = orders[i - 1];
+        const auto& order = orders[i];
+        const bool isTooSoon = order.fencingToken == previous.fencingToken || order.at - previous.at < orderGap;
+        if (order.fencingToken < previous.fencingToken || (order.holder != previous.holder && isTooSoon))
+            report(SoakRule::TwoHolders, describeOrders(orders[i - 1], orders[i]));
     }
 }
 
