--- a/Cyclamenstair/Entry/StreamOriginExchange.cpp
+++ b/Cyclamenstair/Entry/StreamOriginExchange.cpp
@@ -21,7 +21,7 @@
     constexpr Duration observationInterval = milliseconds(300);
     /// Interval at which the lease holder compares the versions of the targets with those in the store.
     constexpr Duration versionInterval = milliseconds(500);
-    /// The keys outlast the last target of their version by a third of this at least.
+    /// Less versionRenewalInterval, this is still longer than SoftwareVersions::lifetime.
     constexpr Duration versionTimeToLive = SoftwareVersions::lifetime * 3 / 2;
     constexpr Duration versionRenewalInterval = std::chrono::seconds(15);
     /// Interval at which origins are written, for each node. Bounds the calls of all nodes together to a hundred per
--- a/Cyclamenstair/Fleet/TargetRecord.h
+++ b/Cyclamenstair/Fleet/TargetRecord.h
@@ -52,7 +52,7 @@
     std::string service;
     std::string address; ///< IP:PORT.
     std::string failureDomain;
-    std::string softwareVersion; ///< Of the target's own software; empty if not stated.
+    std::string softwareVersion; ///< Of the target's own software, not of its models.
     uint32_t slots { 0 };
     TargetPhase phase { TargetPhase::Ready };
     int64_t startedUnixMs { 0 }; ///< Start time, which distinguishes restarts of the same instance; 0 if not stated.
