--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -50,6 +50,7 @@
         record.node = share.node;
         record.targets = toRows(share.loads);
         record.collected = share.isCollected;
+        record.isolated_nodes.assign(share.isolatedNodes.begin(), share.isolatedNodes.end());
         return record;
     }
 
@@ -59,6 +60,7 @@
         record.node = summary.node;
         record.targets = toRows(summary.loads);
         record.store_sequence = summary.storeSequence;
+        record.isolated_nodes.assign(summary.isolatedNodes.begin(), summary.isolatedNodes.end());
         return record;
     }
 
@@ -334,9 +336,11 @@
 {
     const auto record = unpackRecord<schema::EntryMessage>(bytes, "entry_message.decode");
     if (const auto* share = record.content.AsLoadShare())
-        return LoadShare { share->node, fromRows(share->targets), share->collected };
+        return LoadShare { share->node, fromRows(share->targets), share->collected,
+            { share->isolated_nodes.begin(), share->isolated_nodes.end() } };
     if (const auto* summary = record.content.AsLoadSummary())
-        return LoadSummary { summary->node, fromRows(summary->targets), summary->store_sequence };
+        return LoadSummary { summary->node, fromRows(summary->targets), summary->store_sequence,
+            { summary->isolated_nodes.begin(), summary->isolated_nodes.end() } };
     if (const auto* share = record.content.AsDemandShare())
         return fromRecord(*share);
     if (const auto* request = record.content.AsStoreSyncRequest())
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -19,6 +19,7 @@
     std::string node; ///< The node, or the collector of the group.
     TargetWorkloads loads;
     bool isCollected { false }; ///< The loads are those of a collector and the nodes of its group.
+    std::set<std::string> isolatedNodes {}; ///< Ids of these nodes that reach no target.
 
     bool operator==(const LoadShare&) const = default;
 };
@@ -37,6 +38,7 @@
     std::string node; ///< The collector.
     TargetWorkloads loads;
     uint64_t storeSequence { 0 }; ///< Of the collector's last StoreUpdate; 0 while it does not reach the store.
+    std::set<std::string> isolatedNodes {}; ///< Ids of the nodes that reach no target.
 };
 
 /// Requests all records of the store from a collector.
--- a/Cyclamenstair/Codec/NodeEntryCodec.cpp
+++ b/Cyclamenstair/Codec/NodeEntryCodec.cpp
@@ -11,6 +11,7 @@
     record.address = node.address;
     record.failure_domain = node.failureDomain;
     record.cpu_share = node.cpuShare;
+    record.relay_address = node.relayAddress;
     return packRecord<schema::NodeEntry>(record);
 }
 
@@ -18,7 +19,7 @@
 {
     try {
         const auto record = unpackRecord<schema::NodeEntry>(bytes, "node_entry.decode");
-        return PeerNode { record.address, record.failure_domain, record.cpu_share };
+        return PeerNode { record.address, record.failure_domain, record.cpu_share, record.relay_address };
     } catch (const Exception& exception) {
         return Error { exception.error().kind, exception.error().step, nodeId, exception.error().message };
     }
--- a/Cyclamenstair/Codec/NodeEntryCodec.h
+++ b/Cyclamenstair/Codec/NodeEntryCodec.h
@@ -12,6 +12,7 @@
     std::string address; ///< Peer address as IP:PORT.
     std::string failureDomain;
     double cpuShare { 1 }; ///< Part of a processor core that the node may use.
+    std::string relayAddress {}; ///< IP:PORT for relayed requests; empty if the node accepts none.
 
     bool operator==(const PeerNode&) const = default;
 };
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -52,7 +52,8 @@
 
     PeerNode selfAsPeer(const schema::SettingsT& settings)
     {
-        return { settings.entry->peer_listen, settings.node->failure_domain, settings.entry->cpu_share };
+        return { settings.entry->peer_listen, settings.node->failure_domain, settings.entry->cpu_share,
+            settings.entry->relay_listen };
     }
 
 } // namespace
@@ -75,6 +76,8 @@
         });
     if (!callerListener)
         return callerListener.error();
+    if (auto error = self->listenForRelays(loops))
+        return *error;
     auto probeListener = self->listen(settings.entry->ready_listen, { &self->m_controlLoop },
         [self](size_t, const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request) {
             self->respondToProbe(connection, request);
@@ -94,6 +97,8 @@
         self->m_metricsListener->start();
     }
     self->m_callerListener->start();
+    if (self->m_relayListener)
+        self->m_relayListener->start();
     self->m_probeListener->start();
     for (auto* loop : loops)
         loop->start();
@@ -101,6 +106,7 @@
         self->m_catalogWatcher.start();
         self->m_targetWatcher.start();
         self->m_controlWatcher->start();
+        self->m_reachMonitor.start();
         self->m_mesh->start();
         self->m_origins->start();
         self->m_dispatcher->start();
@@ -124,6 +130,7 @@
     , m_registrar(m_controlLoop.context(), m_store, settings.node->id, selfAsPeer(settings))
     , m_relay(settings.node->id)
     , m_lostAnswerVerifier(m_controlLoop, m_state)
+    , m_reachMonitor(m_controlLoop.context(), m_state, std::random_device {}())
 {
     m_state.onLostAnswer = [this](LostAnswer answer) { m_lostAnswerVerifier.submit(std::move(answer)); };
     std::random_device randomDevice;
@@ -189,6 +196,8 @@
     // Keep serving until the platform routes new connections to other nodes.
     std::this_thread::sleep_for(std::min(drainDelay, gracePeriod / 2));
     m_callerListener->drainConnections();
+    if (m_relayListener)
+        m_relayListener->drainConnections();
     std::this_thread::sleep_until(startedAt + std::min(refusalDelay, gracePeriod / 2));
     // Accept only requests that end within the grace period, and finally none.
     const auto end = startedAt + gracePeriod;
@@ -214,6 +223,22 @@
         address, std::move(loops), [this] { return connectionLimits(); }, std::move(handler));
 }
 
+std::optional<Error> EntryNode::listenForRelays(const std::vector<EventLoop*>& loops)
+{
+    const auto& address = m_settings.entry->relay_listen;
+    if (address.empty())
+        return std::nullopt;
+    auto listener = ServerListener::create(
+        address, loops, [this] { return relayConnectionLimits(); },
+        [this](size_t loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request) {
+            RequestExchange::serveRelayed(*m_loops[loop], connection, std::move(request));
+        });
+    if (!listener)
+        return listener.error();
+    m_relayListener = std::move(listener).value();
+    return std::nullopt;
+}
+
 void EntryNode::respondToProbe(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
 {
     constexpr uint32_t ok = 200;
@@ -252,6 +277,15 @@
     return limits;
 }
 
+ServerConnectionLimits EntryNode::relayConnectionLimits()
+{
+    // The sender adds a field to a head that was within the limits.
+    constexpr uint32_t maxRelayFieldBytes = 2048;
+    auto limits = connectionLimits();
+    limits.maxHeadBytes += maxRelayFieldBytes;
+    return limits;
+}
+
 void EntryNode::waitForRequests(TimePoint deadline)
 {
     // A connection accepted before the probe failed may still send its first request.
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -7,6 +7,7 @@
 #include <Cyclamenstair/Entry/OrderDispatcher.h>
 #include <Cyclamenstair/Entry/RequestLoop.h>
 #include <Cyclamenstair/Entry/StoreRelay.h>
+#include <Cyclamenstair/Entry/TargetReachMonitor.h>
 #include <Cyclamenstair/Entry/TargetWatcher.h>
 #include <Cyclamenstair/Http/ServerListener.h>
 
@@ -35,9 +36,12 @@
 
     Result<std::unique_ptr<ServerListener>> listen(
         const std::string& address, std::vector<EventLoop*> loops, ServerListener::RequestHandler handler);
+    /// Binds the listener for relayed requests, if the settings have one.
+    std::optional<Error> listenForRelays(const std::vector<EventLoop*>& loops);
     void respondToProbe(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void respondToMetrics(const std::shared_ptr<ServerConnection>& connection);
     ServerConnectionLimits connectionLimits();
+    ServerConnectionLimits relayConnectionLimits();
     /// Waits until no request has been in progress for a short time, at most until `deadline`.
     void waitForRequests(TimePoint deadline);
 
@@ -52,11 +56,13 @@
     NodeRegistrar m_registrar;
     StoreRelay m_relay;
     LostAnswerVerifier m_lostAnswerVerifier;
+    TargetReachMonitor m_reachMonitor;
     std::unique_ptr<PeerMesh> m_mesh;
     std::unique_ptr<StreamOriginExchange> m_origins;
     std::unique_ptr<ControlWatcher> m_controlWatcher;
     std::unique_ptr<OrderDispatcher> m_dispatcher;
     std::unique_ptr<ServerListener> m_callerListener;
+    std::unique_ptr<ServerListener> m_relayListener; ///< Null if the node accepts no relayed requests.
     std::unique_ptr<ServerListener> m_probeListener;
     std::unique_ptr<ServerListener> m_metricsListener;
 };
--- a/Cyclamenstair/Entry/EntryState.cpp
+++ b/Cyclamenstair/Entry/EntryState.cpp
@@ -69,6 +69,7 @@
 EntryState::EntryState(const schema::SettingsT& settings)
     : nodeId(settings.node->id)
     , targets(targetRegistrySettings(*settings.node))
+    , relays({ .failureDomain = settings.node->failure_domain })
     , retries(retryAllowance(*settings.entry), unlimitedTotal)
     , quarantine(quarantineSettings(*settings.quarantine),
           [this](const PartVerdict& verdict) {
--- a/Cyclamenstair/Entry/EntryState.h
+++ b/Cyclamenstair/Entry/EntryState.h
@@ -4,6 +4,8 @@
 #include <Cyclamenstair/Catalog/CatalogRegistry.h>
 #include <Cyclamenstair/Core/BufferBudget.h>
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Fleet/RelayPeers.h>
+#include <Cyclamenstair/Fleet/TargetReach.h>
 #include <Cyclamenstair/Fleet/TargetRegistry.h>
 #include <Cyclamenstair/Generated/Settings_generated.h>
 #include <Cyclamenstair/Quarantine/PromptQuarantine.h>
@@ -31,6 +33,8 @@
     RequestFlowSettings flowSettings;
     CatalogRegistry catalog;
     TargetRegistry targets;
+    TargetReach reach;
+    RelayPeers relays;
     DemandCounter demand;
     RetryBudget retries;
     AllotmentLimiter allotments;
@@ -46,6 +50,7 @@
     /// New requests with a later deadline are refused, because the process exits before it.
     std::atomic<TimePoint> latestRequestEnd { TimePoint::max() };
     std::atomic<uint32_t> requestsInProgress { 0 };
+    std::atomic<uint32_t> relayedRequests { 0 }; ///< Of these, requests that other nodes have passed on.
 
     /// Activates the catalog if it is newer than the active one. Returns whether it was activated.
     bool activate(ServiceCatalog newCatalog, TimePoint now);
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -85,6 +85,12 @@
     m_topology.setNodes(std::move(nodes), m_self);
     m_state->targets.setLargeFleet(!m_topology.isDirect());
     m_state->targets.setNodeCount(m_topology.nodes().size());
+    std::vector<RelayPeer> relays;
+    for (const auto& [id, node] : m_topology.nodes()) {
+        if (id != m_state->nodeId)
+            relays.push_back({ id, node.relayAddress, node.failureDomain, node.cpuShare });
+    }
+    m_state->relays.setPeers(relays);
 }
 
 DemandShare PeerMesh::totalDemand() const { return m_exchange.totalDemand(ownDemand()); }
@@ -132,6 +138,7 @@
     m_topology.update(isCollecting(), now);
     updateRelay(now);
     updateLinks(now);
+    m_exchange.setIsolated(m_state->reach.isIsolated());
     sendShares(now);
     sendUsage(now);
     applyRemoteLoads(now);
@@ -212,10 +219,13 @@
         return;
     }
     const auto collector = isDirect ? std::string() : m_topology.collector();
-    if (own == m_lastShare && collector == m_lastCollector && now - m_lastShareSentAt < maxLoadShareInterval)
+    const bool isIsolated = m_state->reach.isIsolated();
+    if (own == m_lastShare && isIsolated == m_wasIsolated && collector == m_lastCollector
+        && now - m_lastShareSentAt < maxLoadShareInterval)
         return;
     m_lastShareSentAt = now;
     m_lastCollector = collector;
+    m_wasIsolated = isIsolated;
     if (isDirect)
         sendToAll(own);
     else
@@ -225,7 +235,7 @@
 
 void PeerMesh::sendToAll(const TargetWorkloads& own)
 {
-    const auto frame = encodeEntryMessage(LoadShare { m_state->nodeId, own, false });
+    const auto frame = encodeEntryMessage(LoadShare { m_state->nodeId, own, false, m_exchange.ownIsolation() });
     for (const auto& [address, link] : m_links) {
         if (link.channel && link.channel->isOpen())
             link.channel->send(frame);
@@ -237,7 +247,7 @@
 void PeerMesh::sendToCollector(const TargetWorkloads& own)
 {
     const auto& collector = m_topology.collector();
-    sendToNode(collector, encodeEntryMessage(LoadShare { m_state->nodeId, own, false }));
+    sendToNode(collector, encodeEntryMessage(LoadShare { m_state->nodeId, own, false, m_exchange.ownIsolation() }));
     // The lease holder counts its own demand itself.
     if (m_leaseHolder != m_state->nodeId)
         sendToNode(collector, encodeEntryMessage(ownDemand()));
@@ -258,6 +268,7 @@
 void PeerMesh::applyRemoteLoads(TimePoint now)
 {
     const bool usesSummary = !m_topology.isDirect() && !isCollecting();
+    m_state->relays.setIsolated(m_exchange.isolatedNodes(usesSummary));
     for (const auto& change : m_state->targets.setRemoteLoads(m_exchange.remoteLoads(usesSummary), now)) {
         logEvent(LogSeverity::Info, change.isUnresponsive ? "target_unresponsive" : "target_responsive",
             { { "target", change.target }, { "overdue", std::to_string(change.overdue) },
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -142,6 +142,7 @@
     std::map<std::string, std::pair<TimePoint, ResidencyNotice>>
         m_pendingNotices; ///< By target, with the time of the announcement.
     TargetWorkloads m_lastShare; ///< This node's loads as last sent.
+    bool m_wasIsolated { false }; ///< As last sent.
     std::string m_lastCollector; ///< Collector to which they were sent; empty if sent to all nodes.
     TimePoint m_lastShareSentAt;
     uint64_t m_sentQuarantineVersion { 0 };
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Entry/RequestExchange.h>
 
+#include <Cyclamenstair/Codec/RelayCodec.h>
 #include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Http/Endpoint.h>
 
@@ -14,6 +15,9 @@
 namespace {
 
     constexpr uint32_t firstErrorStatus = 400;
+    /// Requests that other nodes relay through this one at the same time. Each takes two connections, and a node has
+    /// some thousand descriptors.
+    constexpr uint32_t maxRelayedRequests = 512;
 
     Duration findModelLoadTime(
         const ServiceCatalog& catalog, const std::string& serviceName, const std::string& modelName)
@@ -87,8 +91,79 @@
         return wait;
     }
 
+    void refuseRelayed(RequestLoop& loop, ServerConnection& connection, const std::string& requestId,
+        const std::string& node, const std::string& reason)
+    {
+        loop.state().metrics.add(Metric::RelayedRequests, "not_accepted");
+        logRequestEvent(requestId, "relayed_request_not_accepted", { { "node", node }, { "reason", reason } });
+        auto head = encodeNodeResponse({ LocalResponseKind::NotRun, reason, Duration(0) }, requestId);
+        head.fields.emplace_back(relayResponseField,
+            encodeRelayResponse(RelayRefusal { RelayRefusalKind::NotAccepted, reason, std::nullopt }));
+        connection.sendResponse(head, {});
+    }
+
+    RelayRefusal relayRefusal(const SendLocalResponse& response)
+    {
+        constexpr auto kinds = std::to_array<std::pair<LocalResponseKind, RelayRefusalKind>>({
+            { LocalResponseKind::NotRun, RelayRefusalKind::NotRun },
+            { LocalResponseKind::Failed, RelayRefusalKind::Failed },
+            { LocalResponseKind::TimedOut, RelayRefusalKind::TimedOut },
+            { LocalResponseKind::OverAllotment, RelayRefusalKind::NotRun },
+        });
+        const auto* row
+            = std::find_if(kinds.begin(), kinds.end(), [&](const auto& entry) { return entry.first == response.kind; });
+        return { row->second, response.reason, response.retryAfter };
+    }
+
+    /// Returns why this node does not accept a relayed request, or an empty string.
+    std::string relayObstacle(
+        const EntryState& state, const ActiveCatalog* catalog, const Route* route, const Result<RelayRequest>& relay)
+    {
+        if (!relay)
+            return "relay_malformed";
+        // The sender has applied this catalog already; an older one could undo it for its callers.
+        if (!catalog || catalog->catalog.version < relay.value().catalogVersion)
+            return "catalog_older";
+        if (!route)
+            return "no_route";
+        if (state.reach.isIsolated())
+            return "targets_unreachable";
+        return state.relayedRequests >= maxRelayedRequests ? "too_many_relayed" : "";
+    }
+
 } // namespace
 
+void RequestExchange::serveRelayed(
+    RequestLoop& loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request)
+{
+    const auto value = fieldValue(request.fields, relayRequestField);
+    const auto relay = decodeRelayRequest(value.value_or(""));
+    eraseField(request.fields, relayRequestField);
+    const auto decoded = decodeCallerRequest(request);
+    auto& state = loop.state();
+    const auto current = state.catalog.current();
+    const Route* route = current ? current->routes.find(decoded.host, decoded.path) : nullptr;
+    auto obstacle = relayObstacle(state, current.get(), route, relay);
+    if (!obstacle.empty()) {
+        refuseRelayed(loop, *connection, decoded.id, relay ? relay.value().node : std::string(), obstacle);
+        return;
+    }
+    const auto& sender = relay.value();
+    auto requestInfo = createRequestInfo(decoded, current->catalog, *route, loop.random(), monotonicNow());
+    if (!state.canFinishBefore(requestInfo.deadline())) {
+        refuseRelayed(loop, *connection, decoded.id, sender.node, "stopping");
+        return;
+    }
+    requestInfo.isRelayed = true;
+    requestInfo.requiredVersion = sender.softwareVersion;
+    requestInfo.route.maxAttempts = std::min(requestInfo.route.maxAttempts, sender.maxAttempts);
+    requestInfo.team = sender.team;
+    requestInfo.teamPriority = sender.teamPriority;
+    logRequestEvent(decoded.id, "relayed_request_accepted", { { "node", sender.node } });
+    state.metrics.add(Metric::RelayedRequests, "accepted");
+    std::make_shared<RequestExchange>(loop, connection, std::move(request), std::move(requestInfo))->start();
+}
+
 void RequestExchange::serve(RequestLoop& loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request)
 {
     const auto decoded = decodeCallerRequest(request);
@@ -138,10 +213,13 @@
     , m_answerShare(&loop.state().requestBuffers)
     , m_machine(std::move(requestInfo), loop.state().flowSettings,
           { &loop.state().targets, &loop.state().retries, &loop.state().demand, &loop.random(),
-              &loop.state().quarantine, &loop.state().versions, &loop.state().origins })
+              &loop.state().quarantine, &loop.state().versions, &loop.state().origins, &loop.state().reach,
+              &loop.state().relays })
     , m_timer(loop.loop().context())
 {
     ++loop.state().requestsInProgress;
+    if (m_machine.requestInfo().isRelayed)
+        ++loop.state().relayedRequests;
     loop.add(*this);
 }
 
@@ -149,6 +227,8 @@
 {
     m_loop->remove(*this);
     --m_loop->state().requestsInProgress;
+    if (m_machine.requestInfo().isRelayed)
+        --m_loop->state().relayedRequests;
 }
 
 void RequestExchange::start()
@@ -195,18 +275,55 @@
     const auto endpoint = parseEndpoint(action.target.address);
     if (!endpoint) {
         logError(LogSeverity::Warning, "target_address_malformed", endpoint.error());
-        boost::asio::post(m_loop->loop().context(), [self = shared_from_this(), attempt = action.attempt] {
-            self->handle(AttemptDisconnected { attempt, false });
-        });
+        failUnsent(action.attempt);
         return;
     }
-    const auto connection = m_loop->pool().acquire(endpoint.value(), monotonicNow());
-    m_calls.push_back({ action.attempt, action.target.id, connection, {} });
-    connection->send(encodeRequest(encodeAttemptRequest(
-                         m_request, action, !m_machine.requestInfo().model.empty(), m_machine.requestInfo().team)),
-        m_request.method == "HEAD", [self = shared_from_this(), attempt = action.attempt](ClientEvent event) {
-            self->onTargetEvent(attempt, std::move(event));
-        });
+    m_loop->state().reach.recordSent(action.target.id, monotonicNow());
+    sendAttempt({ action.attempt, action.target.id, false, nullptr, {} }, endpoint.value(),
+        encodeAttemptRequest(m_request, action, !m_machine.requestInfo().model.empty(), m_machine.requestInfo().team));
+}
+
+void RequestExchange::perform(const StartRelay& action)
+{
+    const auto& requestInfo = m_machine.requestInfo();
+    log("relay_started",
+        { { "route", requestInfo.route.name }, { "artifact", artifactText() },
+            { "attempt", std::to_string(action.attempt) }, { "node", action.peer.id },
+            { "time_left_ms", std::to_string(toMilliseconds(action.remainingTime)) },
+            { "resume_after", action.resumeAfter.value_or("") } });
+    m_loop->state().metrics.add(Metric::RelayedRequests, "sent");
+    const auto endpoint = parseEndpoint(action.peer.address);
+    if (!endpoint) {
+        logError(LogSeverity::Warning, "relay_address_malformed", endpoint.error());
+        failUnsent(action.attempt);
+        return;
+    }
+    const auto current = m_loop->state().catalog.current();
+    auto request = encodeRelayedRequest(m_request, action.remainingTime, action.resumeAfter);
+    // A caller cannot forge it.
+    eraseField(request.fields, relayRequestField);
+    request.fields.emplace_back(relayRequestField,
+        encodeRelayRequest({ m_loop->state().nodeId, current ? current->catalog.version : 0, action.maxAttempts,
+            action.softwareVersion, requestInfo.team, requestInfo.teamPriority }));
+    sendAttempt({ action.attempt, action.peer.id, true, nullptr, {} }, endpoint.value(), request);
+}
+
+void RequestExchange::sendAttempt(
+    TargetCall call, const boost::asio::ip::tcp::endpoint& endpoint, const HttpRequest& request)
+{
+    const auto attempt = call.attempt;
+    const auto connection = m_loop->pool().acquire(endpoint, monotonicNow());
+    call.connection = connection;
+    m_calls.push_back(std::move(call));
+    connection->send(encodeRequest(request), m_request.method == "HEAD",
+        [self = shared_from_this(), attempt](ClientEvent event) { self->onTargetEvent(attempt, std::move(event)); });
+}
+
+void RequestExchange::failUnsent(uint32_t attempt)
+{
+    boost::asio::post(m_loop->loop().context(), [self = shared_from_this(), attempt] {
+        self->handle(AttemptDisconnected { attempt, false });
+    });
 }
 
 void RequestExchange::perform(const CancelAttempt& action)
@@ -221,8 +338,13 @@
     m_firstByteAt = monotonicNow();
     m_lastByteAt = m_firstByteAt;
     const auto* call = findCall(action.attempt);
-    const HttpResponseHead head = call ? call->head : HttpResponseHead {};
+    HttpResponseHead head = call ? call->head : HttpResponseHead {};
     m_responseStatus = head.status;
+    if (m_machine.requestInfo().isRelayed) {
+        eraseField(head.fields, relayResponseField);
+        head.fields.emplace_back(
+            relayResponseField, encodeRelayResponse(RelayedTargetAnswer { action.softwareVersion }));
+    }
     m_callerConnection->sendHead(head, action.bodyBytes);
 }
 
@@ -266,7 +388,10 @@
     if (action.kind == LocalResponseKind::NotRun && requestInfo.allotmentCost > 0)
         m_loop->state().allotments.refund(*requestInfo.team, requestInfo.allotmentCost, suspendAwareNow());
     m_callerConnection->setDisconnectHandler(nullptr);
-    m_callerConnection->sendResponse(encodeNodeResponse(action, m_machine.requestInfo().id), {});
+    auto head = encodeNodeResponse(action, requestInfo.id);
+    if (requestInfo.isRelayed)
+        head.fields.emplace_back(relayResponseField, encodeRelayResponse(relayRefusal(action)));
+    m_callerConnection->sendResponse(head, {});
     keepUntilWritten();
 }
 
@@ -286,15 +411,10 @@
 
 void RequestExchange::onTargetEvent(uint32_t attempt, ClientEvent event)
 {
+    if (const auto* call = findCall(attempt))
+        recordReach(*call, event);
     std::visit(Overloaded {
-                   [&](ResponseHeadReceived& received) {
-                       const auto head = decodeResponseHead(
-                           received.head, m_machine.requestInfo().id, received.isFirstOfConnection);
-                       logUnsuccessfulResponse(attempt, head);
-                       if (auto* call = findCall(attempt))
-                           call->head = std::move(received.head);
-                       handle(ResponseStarted { attempt, head });
-                   },
+                   [&](ResponseHeadReceived& received) { onHeadReceived(attempt, std::move(received)); },
                    [&](ResponseDataReceived& received) { handleData(attempt, std::move(received.data)); },
                    [&](ResponseComplete& complete) {
                        if (auto* call = findCall(attempt))
@@ -317,6 +437,67 @@
         event);
 }
 
+void RequestExchange::onHeadReceived(uint32_t attempt, ResponseHeadReceived received)
+{
+    auto info = decodeResponseHead(received.head, m_machine.requestInfo().id, received.isFirstOfConnection);
+    auto* call = findCall(attempt);
+    if (call && call->isRelayed) {
+        if (const auto refusal = takeRelayResponse(received.head, info)) {
+            log("relay_refused",
+                { { "attempt", std::to_string(attempt) }, { "node", call->target },
+                    { "outcome", std::string(nameOf(refusal->kind)) }, { "reason", refusal->reason } });
+            handle(RelayRefused { attempt, call->target, *refusal });
+            return;
+        }
+    }
+    logUnsuccessfulResponse(attempt, info);
+    if (call)
+        call->head = std::move(received.head);
+    handle(ResponseStarted { attempt, info });
+}
+
+std::optional<RelayRefusal> RequestExchange::takeRelayResponse(HttpResponseHead& head, ResponseInfo& info)
+{
+    const auto value = fieldValue(head.fields, relayResponseField);
+    eraseField(head.fields, relayResponseField);
+    const auto response = decodeRelayResponse(value.value_or(""));
+    if (!response) {
+        logError(LogSeverity::Warning, "relay_response_malformed", response.error());
+        return RelayRefusal { RelayRefusalKind::Failed, "relay_malformed", std::nullopt };
+    }
+    return std::visit(Overloaded {
+                          [&](const RelayedTargetAnswer& answer) -> std::optional<RelayRefusal> {
+                              info.softwareVersion = answer.softwareVersion;
+                              return std::nullopt;
+                          },
+                          [](const RelayRefusal& refusal) -> std::optional<RelayRefusal> { return refusal; },
+                      },
+        response.value());
+}
+
+void RequestExchange::recordReach(const TargetCall& call, const ClientEvent& event)
+{
+    if (call.isRelayed)
+        return;
+    auto& state = m_loop->state();
+    std::visit(
+        Overloaded {
+            [&](const ResponseHeadReceived& received) {
+                state.reach.recordReceived();
+                // It may have been opened before the path was lost, so it ends no isolation.
+                if (received.isFirstOfConnection && !state.reach.isIsolated())
+                    (void)state.reach.recordConnected();
+            },
+            [&](const ResponseDataReceived&) { state.reach.recordReceived(); },
+            [](const ResponseComplete&) {},
+            [&](const CallFailed& failure) {
+                if (!failure.wasSent && state.reach.recordConnectFailure(call.target, state.targets.count()))
+                    log("targets_unreachable", { { "target", call.target }, { "message", failure.error.message } });
+            },
+        },
+        event);
+}
+
 void RequestExchange::logUnsuccessfulResponse(uint32_t attempt, const ResponseInfo& head)
 {
     const bool isSuccess = head.status < firstErrorStatus && head.matchesRequestId && head.hasReceipt;
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -13,6 +13,10 @@
     /// Routes the request and starts it, or responds immediately if there is no route or the node is shutting down.
     static void serve(RequestLoop& loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request);
 
+    /// Serves a request that another node passes on because it reaches no target, or refuses it at once.
+    static void serveRelayed(
+        RequestLoop& loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request);
+
     RequestExchange(
         RequestLoop& loop, std::shared_ptr<ServerConnection> connection, HttpRequest request, RequestInfo requestInfo);
     ~RequestExchange();
@@ -25,7 +29,8 @@
     /// An attempt's connection and the head of its response.
     struct TargetCall {
         uint32_t attempt { 0 };
-        std::string target;
+        std::string target; ///< Or the node through which the request is relayed.
+        bool isRelayed { false };
         std::shared_ptr<ClientConnection> connection; ///< Null once the response is complete.
         HttpResponseHead head;
     };
@@ -34,6 +39,7 @@
     void handle(const RequestEvent& event);
     void perform(const std::vector<RequestAction>& actions);
     void perform(const StartAttempt& action);
+    void perform(const StartRelay& action);
     void perform(const CancelAttempt& action);
     void perform(const ForwardHead& action);
     void perform(const ForwardData& action);
@@ -42,7 +48,15 @@
     void perform(const SendLocalResponse& action);
     void perform(const ReportStatement& action);
     void perform(const ReportLostAnswer& action);
+    /// Sends the request over a connection to a target or to another node.
+    void sendAttempt(TargetCall call, const boost::asio::ip::tcp::endpoint& endpoint, const HttpRequest& request);
+    void failUnsent(uint32_t attempt);
     void onTargetEvent(uint32_t attempt, ClientEvent event);
+    void onHeadReceived(uint32_t attempt, ResponseHeadReceived received);
+    /// Removes what the relaying node states from the head. Returns its refusal if it has ended the request.
+    std::optional<RelayRefusal> takeRelayResponse(HttpResponseHead& head, ResponseInfo& info);
+    /// Records what the outcome of a call shows of the path to the targets.
+    void recordReach(const TargetCall& call, const ClientEvent& event);
     /// Logs a response that is an error, lacks a receipt, or names another request, before the state machine handles
     /// it.
     void logUnsuccessfulResponse(uint32_t attempt, const ResponseInfo& head);
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -269,6 +269,16 @@
     return records;
 }
 
+size_t TargetRegistry::count() const
+{
+    size_t count = 0;
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services)
+            count += targets.size();
+    });
+    return count;
+}
+
 std::set<std::string> TargetRegistry::ids() const
 {
     std::set<std::string> ids;
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -186,6 +186,9 @@
     /// Returns the records of all targets. Those that stated to this node that they leave are draining.
     std::vector<TargetRecord> records() const;
 
+    /// Returns the number of targets of all services.
+    size_t count() const;
+
     /// Returns the ids of all targets.
     std::set<std::string> ids() const;
 
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -108,6 +108,14 @@
 struct StreamOriginShareBuilder;
 struct StreamOriginShareT;
 
+struct RelayRequest;
+struct RelayRequestBuilder;
+struct RelayRequestT;
+
+struct RelayResponse;
+struct RelayResponseBuilder;
+struct RelayResponseT;
+
 struct NodeEntry;
 struct NodeEntryBuilder;
 struct NodeEntryT;
@@ -414,6 +422,45 @@
 bool VerifyEntryContent(flatbuffers::Verifier &verifier, const void *obj, EntryContent type);
 bool VerifyEntryContentVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<EntryContent> *types);
 
+enum class RelayOutcomeKind : uint8_t {
+  TargetAnswer = 0,
+  NotAccepted = 1,
+  NotRun = 2,
+  Failed = 3,
+  TimedOut = 4,
+  MIN = TargetAnswer,
+  MAX = TimedOut
+};
+
+inline const RelayOutcomeKind (&EnumValuesRelayOutcomeKind())[5] {
+  static const RelayOutcomeKind values[] = {
+    RelayOutcomeKind::TargetAnswer,
+    RelayOutcomeKind::NotAccepted,
+    RelayOutcomeKind::NotRun,
+    RelayOutcomeKind::Failed,
+    RelayOutcomeKind::TimedOut
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRelayOutcomeKind() {
+  static const char * const names[6] = {
+    "TargetAnswer",
+    "NotAccepted",
+    "NotRun",
+    "Failed",
+    "TimedOut",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRelayOutcomeKind(RelayOutcomeKind e) {
+  if (flatbuffers::IsOutRange(e, RelayOutcomeKind::TargetAnswer, RelayOutcomeKind::TimedOut)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRelayOutcomeKind()[index];
+}
+
 struct ArtifactLoadRowT : public flatbuffers::NativeTable {
   typedef ArtifactLoadRow TableType;
   std::string service{};
@@ -784,6 +831,7 @@
   std::string node{};
   std::vector<std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>> targets{};
   bool collected = false;
+  std::vector<std::string> isolated_nodes{};
   LoadShareT() = default;
   LoadShareT(const LoadShareT &o);
   LoadShareT(LoadShareT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -798,7 +846,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
     VT_TARGETS = 6,
-    VT_COLLECTED = 8
+    VT_COLLECTED = 8,
+    VT_ISOLATED_NODES = 10
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -809,6 +858,10 @@
   bool collected() const {
     return GetField<uint8_t>(VT_COLLECTED, 0) != 0;
   }
+  /// Ids of these nodes that reach no target.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *isolated_nodes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ISOLATED_NODES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NODE) &&
@@ -817,6 +870,9 @@
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
            VerifyField<uint8_t>(verifier, VT_COLLECTED, 1) &&
+           VerifyOffset(verifier, VT_ISOLATED_NODES) &&
+           verifier.VerifyVector(isolated_nodes()) &&
+           verifier.VerifyVectorOfStrings(isolated_nodes()) &&
            verifier.EndTable();
   }
   LoadShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -837,6 +893,9 @@
   void add_collected(bool collected) {
     fbb_.AddElement<uint8_t>(LoadShare::VT_COLLECTED, static_cast<uint8_t>(collected), 0);
   }
+  void add_isolated_nodes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> isolated_nodes) {
+    fbb_.AddOffset(LoadShare::VT_ISOLATED_NODES, isolated_nodes);
+  }
   explicit LoadShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -853,8 +912,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0,
-    bool collected = false) {
+    bool collected = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> isolated_nodes = 0) {
   LoadShareBuilder builder_(_fbb);
+  builder_.add_isolated_nodes(isolated_nodes);
   builder_.add_targets(targets);
   builder_.add_node(node);
   builder_.add_collected(collected);
@@ -870,14 +931,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr,
-    bool collected = false) {
+    bool collected = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *isolated_nodes = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
+  auto isolated_nodes__ = isolated_nodes ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*isolated_nodes) : 0;
   return cyclamenstair::schema::CreateLoadShare(
       _fbb,
       node__,
       targets__,
-      collected);
+      collected,
+      isolated_nodes__);
 }
 
 flatbuffers::Offset<LoadShare> CreateLoadShare(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -993,6 +1057,7 @@
   std::string node{};
   std::vector<std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>> targets{};
   uint64_t store_sequence = 0;
+  std::vector<std::string> isolated_nodes{};
   LoadSummaryT() = default;
   LoadSummaryT(const LoadSummaryT &o);
   LoadSummaryT(LoadSummaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1007,7 +1072,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
     VT_TARGETS = 6,
-    VT_STORE_SEQUENCE = 8
+    VT_STORE_SEQUENCE = 8,
+    VT_ISOLATED_NODES = 10
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -1019,6 +1085,10 @@
   uint64_t store_sequence() const {
     return GetField<uint64_t>(VT_STORE_SEQUENCE, 0);
   }
+  /// Ids of the nodes that reach no target.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *isolated_nodes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ISOLATED_NODES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NODE) &&
@@ -1027,6 +1097,9 @@
            verifier.VerifyVector(targets()) &&
            verifier.VerifyVectorOfTables(targets()) &&
            VerifyField<uint64_t>(verifier, VT_STORE_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_ISOLATED_NODES) &&
+           verifier.VerifyVector(isolated_nodes()) &&
+           verifier.VerifyVectorOfStrings(isolated_nodes()) &&
            verifier.EndTable();
   }
   LoadSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1047,6 +1120,9 @@
   void add_store_sequence(uint64_t store_sequence) {
     fbb_.AddElement<uint64_t>(LoadSummary::VT_STORE_SEQUENCE, store_sequence, 0);
   }
+  void add_isolated_nodes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> isolated_nodes) {
+    fbb_.AddOffset(LoadSummary::VT_ISOLATED_NODES, isolated_nodes);
+  }
   explicit LoadSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1063,9 +1139,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>> targets = 0,
-    uint64_t store_sequence = 0) {
+    uint64_t store_sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> isolated_nodes = 0) {
   LoadSummaryBuilder builder_(_fbb);
   builder_.add_store_sequence(store_sequence);
+  builder_.add_isolated_nodes(isolated_nodes);
   builder_.add_targets(targets);
   builder_.add_node(node);
   return builder_.Finish();
@@ -1080,14 +1158,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
     const std::vector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> *targets = nullptr,
-    uint64_t store_sequence = 0) {
+    uint64_t store_sequence = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *isolated_nodes = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>>(*targets) : 0;
+  auto isolated_nodes__ = isolated_nodes ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*isolated_nodes) : 0;
   return cyclamenstair::schema::CreateLoadSummary(
       _fbb,
       node__,
       targets__,
-      store_sequence);
+      store_sequence,
+      isolated_nodes__);
 }
 
 flatbuffers::Offset<LoadSummary> CreateLoadSummary(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2848,11 +2929,269 @@
 
 flatbuffers::Offset<StreamOriginShare> CreateStreamOriginShare(flatbuffers::FlatBufferBuilder &_fbb, const StreamOriginShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RelayRequestT : public flatbuffers::NativeTable {
+  typedef RelayRequest TableType;
+  std::string node{};
+  int64_t catalog_version = 0;
+  uint32_t max_attempts = 0;
+  std::string software_version{};
+  std::string team{};
+  int32_t team_priority = -1;
+};
+
+/// Accompanies a request that a node without a path to the targets passes on through another one.
+struct RelayRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayRequestT NativeTableType;
+  typedef RelayRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_CATALOG_VERSION = 6,
+    VT_MAX_ATTEMPTS = 8,
+    VT_SOFTWARE_VERSION = 10,
+    VT_TEAM = 12,
+    VT_TEAM_PRIORITY = 14
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  /// Version of the sender's active catalog.
+  int64_t catalog_version() const {
+    return GetField<int64_t>(VT_CATALOG_VERSION, 0);
+  }
+  /// Targets to which the receiver may send the request.
+  uint32_t max_attempts() const {
+    return GetField<uint32_t>(VT_MAX_ATTEMPTS, 0);
+  }
+  /// Software version at which the stream must go on; absent for any.
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
+  /// Name of the caller's team, empty for callers without a key; absent if the catalog has no teams.
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  /// Priority of the team; negative if it has none.
+  int32_t team_priority() const {
+    return GetField<int32_t>(VT_TEAM_PRIORITY, -1);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<int64_t>(verifier, VT_CATALOG_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_ATTEMPTS, 4) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyField<int32_t>(verifier, VT_TEAM_PRIORITY, 4) &&
+           verifier.EndTable();
+  }
+  RelayRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayRequestBuilder {
+  typedef RelayRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(RelayRequest::VT_NODE, node);
+  }
+  void add_catalog_version(int64_t catalog_version) {
+    fbb_.AddElement<int64_t>(RelayRequest::VT_CATALOG_VERSION, catalog_version, 0);
+  }
+  void add_max_attempts(uint32_t max_attempts) {
+    fbb_.AddElement<uint32_t>(RelayRequest::VT_MAX_ATTEMPTS, max_attempts, 0);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(RelayRequest::VT_SOFTWARE_VERSION, software_version);
+  }
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(RelayRequest::VT_TEAM, team);
+  }
+  void add_team_priority(int32_t team_priority) {
+    fbb_.AddElement<int32_t>(RelayRequest::VT_TEAM_PRIORITY, team_priority, -1);
+  }
+  explicit RelayRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayRequest>(end);
+    fbb_.Required(o, RelayRequest::VT_NODE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    int64_t catalog_version = 0,
+    uint32_t max_attempts = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    int32_t team_priority = -1) {
+  RelayRequestBuilder builder_(_fbb);
+  builder_.add_catalog_version(catalog_version);
+  builder_.add_team_priority(team_priority);
+  builder_.add_team(team);
+  builder_.add_software_version(software_version);
+  builder_.add_max_attempts(max_attempts);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct RelayRequest::Traits {
+  using type = RelayRequest;
+  static auto constexpr Create = CreateRelayRequest;
+};
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    int64_t catalog_version = 0,
+    uint32_t max_attempts = 0,
+    const char *software_version = nullptr,
+    const char *team = nullptr,
+    int32_t team_priority = -1) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  return cyclamenstair::schema::CreateRelayRequest(
+      _fbb,
+      node__,
+      catalog_version,
+      max_attempts,
+      software_version__,
+      team__,
+      team_priority);
+}
+
+flatbuffers::Offset<RelayRequest> CreateRelayRequest(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RelayResponseT : public flatbuffers::NativeTable {
+  typedef RelayResponse TableType;
+  cyclamenstair::schema::RelayOutcomeKind kind = cyclamenstair::schema::RelayOutcomeKind::TargetAnswer;
+  std::string software_version{};
+  std::string reason{};
+  int64_t retry_after_ms = -1LL;
+};
+
+/// Accompanies the response to a relayed request.
+struct RelayResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayResponseT NativeTableType;
+  typedef RelayResponseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_SOFTWARE_VERSION = 6,
+    VT_REASON = 8,
+    VT_RETRY_AFTER_MS = 10
+  };
+  /// Who answered: a target, or the node that received the request.
+  cyclamenstair::schema::RelayOutcomeKind kind() const {
+    return static_cast<cyclamenstair::schema::RelayOutcomeKind>(GetField<uint8_t>(VT_KIND, 0));
+  }
+  /// Software version of the target.
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
+  const flatbuffers::String *reason() const {
+    return GetPointer<const flatbuffers::String *>(VT_REASON);
+  }
+  /// Time after which the caller may repeat the request; negative if not stated.
+  int64_t retry_after_ms() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_MS, -1LL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
+           VerifyOffset(verifier, VT_REASON) &&
+           verifier.VerifyString(reason()) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
+           verifier.EndTable();
+  }
+  RelayResponseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayResponseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayResponse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayResponseBuilder {
+  typedef RelayResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(cyclamenstair::schema::RelayOutcomeKind kind) {
+    fbb_.AddElement<uint8_t>(RelayResponse::VT_KIND, static_cast<uint8_t>(kind), 0);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(RelayResponse::VT_SOFTWARE_VERSION, software_version);
+  }
+  void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
+    fbb_.AddOffset(RelayResponse::VT_REASON, reason);
+  }
+  void add_retry_after_ms(int64_t retry_after_ms) {
+    fbb_.AddElement<int64_t>(RelayResponse::VT_RETRY_AFTER_MS, retry_after_ms, -1LL);
+  }
+  explicit RelayResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayResponse> CreateRelayResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cyclamenstair::schema::RelayOutcomeKind kind = cyclamenstair::schema::RelayOutcomeKind::TargetAnswer,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    int64_t retry_after_ms = -1LL) {
+  RelayResponseBuilder builder_(_fbb);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_reason(reason);
+  builder_.add_software_version(software_version);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct RelayResponse::Traits {
+  using type = RelayResponse;
+  static auto constexpr Create = CreateRelayResponse;
+};
+
+inline flatbuffers::Offset<RelayResponse> CreateRelayResponseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cyclamenstair::schema::RelayOutcomeKind kind = cyclamenstair::schema::RelayOutcomeKind::TargetAnswer,
+    const char *software_version = nullptr,
+    const char *reason = nullptr,
+    int64_t retry_after_ms = -1LL) {
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  return cyclamenstair::schema::CreateRelayResponse(
+      _fbb,
+      kind,
+      software_version__,
+      reason__,
+      retry_after_ms);
+}
+
+flatbuffers::Offset<RelayResponse> CreateRelayResponse(flatbuffers::FlatBufferBuilder &_fbb, const RelayResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NodeEntryT : public flatbuffers::NativeTable {
   typedef NodeEntry TableType;
   std::string address{};
   std::string failure_domain{};
   double cpu_share = 0.0;
+  std::string relay_address{};
 };
 
 /// Value of a node's entry in the store.
@@ -2863,7 +3202,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ADDRESS = 4,
     VT_FAILURE_DOMAIN = 6,
-    VT_CPU_SHARE = 8
+    VT_CPU_SHARE = 8,
+    VT_RELAY_ADDRESS = 10
   };
   /// Address for other nodes as IP:PORT.
   const flatbuffers::String *address() const {
@@ -2875,6 +3215,10 @@
   double cpu_share() const {
     return GetField<double>(VT_CPU_SHARE, 0.0);
   }
+  /// Address for relayed requests as IP:PORT; absent if the node accepts none.
+  const flatbuffers::String *relay_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_RELAY_ADDRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -2882,6 +3226,8 @@
            VerifyOffsetRequired(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
+           VerifyOffset(verifier, VT_RELAY_ADDRESS) &&
+           verifier.VerifyString(relay_address()) &&
            verifier.EndTable();
   }
   NodeEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2902,6 +3248,9 @@
   void add_cpu_share(double cpu_share) {
     fbb_.AddElement<double>(NodeEntry::VT_CPU_SHARE, cpu_share, 0.0);
   }
+  void add_relay_address(flatbuffers::Offset<flatbuffers::String> relay_address) {
+    fbb_.AddOffset(NodeEntry::VT_RELAY_ADDRESS, relay_address);
+  }
   explicit NodeEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2919,9 +3268,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    double cpu_share = 0.0) {
+    double cpu_share = 0.0,
+    flatbuffers::Offset<flatbuffers::String> relay_address = 0) {
   NodeEntryBuilder builder_(_fbb);
   builder_.add_cpu_share(cpu_share);
+  builder_.add_relay_address(relay_address);
   builder_.add_failure_domain(failure_domain);
   builder_.add_address(address);
   return builder_.Finish();
@@ -2936,14 +3287,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *address = nullptr,
     const char *failure_domain = nullptr,
-    double cpu_share = 0.0) {
+    double cpu_share = 0.0,
+    const char *relay_address = nullptr) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto relay_address__ = relay_address ? _fbb.CreateString(relay_address) : 0;
   return cyclamenstair::schema::CreateNodeEntry(
       _fbb,
       address__,
       failure_domain__,
-      cpu_share);
+      cpu_share,
+      relay_address__);
 }
 
 flatbuffers::Offset<NodeEntry> CreateNodeEntry(flatbuffers::FlatBufferBuilder &_fbb, const NodeEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3215,7 +3569,8 @@
 
 inline LoadShareT::LoadShareT(const LoadShareT &o)
       : node(o.node),
-        collected(o.collected) {
+        collected(o.collected),
+        isolated_nodes(o.isolated_nodes) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetLoadRowT(*targets_) : nullptr); }
 }
@@ -3224,6 +3579,7 @@
   std::swap(node, o.node);
   std::swap(targets, o.targets);
   std::swap(collected, o.collected);
+  std::swap(isolated_nodes, o.isolated_nodes);
   return *this;
 }
 
@@ -3239,6 +3595,7 @@
   { auto _e = node(); if (_e) _o->node = _e->str(); }
   { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = collected(); _o->collected = _e; }
+  { auto _e = isolated_nodes(); if (_e) { _o->isolated_nodes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->isolated_nodes[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<LoadShare> LoadShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3252,11 +3609,13 @@
   auto _node = _fbb.CreateString(_o->node);
   auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetLoadRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _collected = _o->collected;
+  auto _isolated_nodes = _o->isolated_nodes.size() ? _fbb.CreateVectorOfStrings(_o->isolated_nodes) : 0;
   return cyclamenstair::schema::CreateLoadShare(
       _fbb,
       _node,
       _targets,
-      _collected);
+      _collected,
+      _isolated_nodes);
 }
 
 inline DemandShareT::DemandShareT(const DemandShareT &o)
@@ -3308,7 +3667,8 @@
 
 inline LoadSummaryT::LoadSummaryT(const LoadSummaryT &o)
       : node(o.node),
-        store_sequence(o.store_sequence) {
+        store_sequence(o.store_sequence),
+        isolated_nodes(o.isolated_nodes) {
   targets.reserve(o.targets.size());
   for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new cyclamenstair::schema::TargetLoadRowT(*targets_) : nullptr); }
 }
@@ -3317,6 +3677,7 @@
   std::swap(node, o.node);
   std::swap(targets, o.targets);
   std::swap(store_sequence, o.store_sequence);
+  std::swap(isolated_nodes, o.isolated_nodes);
   return *this;
 }
 
@@ -3332,6 +3693,7 @@
   { auto _e = node(); if (_e) _o->node = _e->str(); }
   { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<cyclamenstair::schema::TargetLoadRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = store_sequence(); _o->store_sequence = _e; }
+  { auto _e = isolated_nodes(); if (_e) { _o->isolated_nodes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->isolated_nodes[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<LoadSummary> LoadSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3345,11 +3707,13 @@
   auto _node = _fbb.CreateString(_o->node);
   auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<cyclamenstair::schema::TargetLoadRow>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetLoadRow(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _store_sequence = _o->store_sequence;
+  auto _isolated_nodes = _o->isolated_nodes.size() ? _fbb.CreateVectorOfStrings(_o->isolated_nodes) : 0;
   return cyclamenstair::schema::CreateLoadSummary(
       _fbb,
       _node,
       _targets,
-      _store_sequence);
+      _store_sequence,
+      _isolated_nodes);
 }
 
 inline StoreSyncRequestT *StoreSyncRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4039,6 +4403,82 @@
       _origins);
 }
 
+inline RelayRequestT *RelayRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayRequest::UnPackTo(RelayRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = catalog_version(); _o->catalog_version = _e; }
+  { auto _e = max_attempts(); _o->max_attempts = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = team_priority(); _o->team_priority = _e; }
+}
+
+inline flatbuffers::Offset<RelayRequest> RelayRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequest(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _fbb.CreateString(_o->node);
+  auto _catalog_version = _o->catalog_version;
+  auto _max_attempts = _o->max_attempts;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _team_priority = _o->team_priority;
+  return cyclamenstair::schema::CreateRelayRequest(
+      _fbb,
+      _node,
+      _catalog_version,
+      _max_attempts,
+      _software_version,
+      _team,
+      _team_priority);
+}
+
+inline RelayResponseT *RelayResponse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayResponseT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayResponse::UnPackTo(RelayResponseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+}
+
+inline flatbuffers::Offset<RelayResponse> RelayResponse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayResponseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayResponse(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayResponse> CreateRelayResponse(flatbuffers::FlatBufferBuilder &_fbb, const RelayResponseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayResponseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _retry_after_ms = _o->retry_after_ms;
+  return cyclamenstair::schema::CreateRelayResponse(
+      _fbb,
+      _kind,
+      _software_version,
+      _reason,
+      _retry_after_ms);
+}
+
 inline NodeEntryT *NodeEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NodeEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -4051,6 +4491,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = cpu_share(); _o->cpu_share = _e; }
+  { auto _e = relay_address(); if (_e) _o->relay_address = _e->str(); }
 }
 
 inline flatbuffers::Offset<NodeEntry> NodeEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4064,11 +4505,13 @@
   auto _address = _fbb.CreateString(_o->address);
   auto _failure_domain = _fbb.CreateString(_o->failure_domain);
   auto _cpu_share = _o->cpu_share;
+  auto _relay_address = _o->relay_address.empty() ? 0 : _fbb.CreateString(_o->relay_address);
   return cyclamenstair::schema::CreateNodeEntry(
       _fbb,
       _address,
       _failure_domain,
-      _cpu_share);
+      _cpu_share,
+      _relay_address);
 }
 
 inline EntryMessageT *EntryMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Cyclamenstair/Generated/Settings_generated.h
+++ b/Cyclamenstair/Generated/Settings_generated.h
@@ -1414,6 +1414,7 @@
   std::string listen{};
   std::string ready_listen{};
   std::string peer_listen{};
+  std::string relay_listen{};
   std::string seeds{};
   std::string metrics_listen{};
   double cpu_share = 1.0;
@@ -1435,16 +1436,17 @@
     VT_LISTEN = 4,
     VT_READY_LISTEN = 6,
     VT_PEER_LISTEN = 8,
-    VT_SEEDS = 10,
-    VT_METRICS_LISTEN = 12,
-    VT_CPU_SHARE = 14,
-    VT_MEMORY_MB = 16,
-    VT_LOOPS = 18,
-    VT_GRACE_S = 20,
-    VT_RETRY_RATIO = 22,
-    VT_RETRY_SLACK = 24,
-    VT_RETRY_WINDOW_S = 26,
-    VT_RETRY_NODES = 28
+    VT_RELAY_LISTEN = 10,
+    VT_SEEDS = 12,
+    VT_METRICS_LISTEN = 14,
+    VT_CPU_SHARE = 16,
+    VT_MEMORY_MB = 18,
+    VT_LOOPS = 20,
+    VT_GRACE_S = 22,
+    VT_RETRY_RATIO = 24,
+    VT_RETRY_SLACK = 26,
+    VT_RETRY_WINDOW_S = 28,
+    VT_RETRY_NODES = 30
   };
   /// Address for callers as IP:PORT.
   const flatbuffers::String *listen() const {
@@ -1458,6 +1460,10 @@
   const flatbuffers::String *peer_listen() const {
     return GetPointer<const flatbuffers::String *>(VT_PEER_LISTEN);
   }
+  /// Address for requests of nodes that reach no target, as IP:PORT; empty to accept none.
+  const flatbuffers::String *relay_listen() const {
+    return GetPointer<const flatbuffers::String *>(VT_RELAY_LISTEN);
+  }
   /// Addresses of other nodes to contact first, as comma-separated IP:PORT. The store names the others.
   const flatbuffers::String *seeds() const {
     return GetPointer<const flatbuffers::String *>(VT_SEEDS);
@@ -1507,6 +1513,8 @@
            verifier.VerifyString(ready_listen()) &&
            VerifyOffset(verifier, VT_PEER_LISTEN) &&
            verifier.VerifyString(peer_listen()) &&
+           VerifyOffset(verifier, VT_RELAY_LISTEN) &&
+           verifier.VerifyString(relay_listen()) &&
            VerifyOffset(verifier, VT_SEEDS) &&
            verifier.VerifyString(seeds()) &&
            VerifyOffset(verifier, VT_METRICS_LISTEN) &&
@@ -1539,6 +1547,9 @@
   void add_peer_listen(flatbuffers::Offset<flatbuffers::String> peer_listen) {
     fbb_.AddOffset(EntrySettings::VT_PEER_LISTEN, peer_listen);
   }
+  void add_relay_listen(flatbuffers::Offset<flatbuffers::String> relay_listen) {
+    fbb_.AddOffset(EntrySettings::VT_RELAY_LISTEN, relay_listen);
+  }
   void add_seeds(flatbuffers::Offset<flatbuffers::String> seeds) {
     fbb_.AddOffset(EntrySettings::VT_SEEDS, seeds);
   }
@@ -1585,6 +1596,7 @@
     flatbuffers::Offset<flatbuffers::String> listen = 0,
     flatbuffers::Offset<flatbuffers::String> ready_listen = 0,
     flatbuffers::Offset<flatbuffers::String> peer_listen = 0,
+    flatbuffers::Offset<flatbuffers::String> relay_listen = 0,
     flatbuffers::Offset<flatbuffers::String> seeds = 0,
     flatbuffers::Offset<flatbuffers::String> metrics_listen = 0,
     double cpu_share = 1.0,
@@ -1606,6 +1618,7 @@
   builder_.add_memory_mb(memory_mb);
   builder_.add_metrics_listen(metrics_listen);
   builder_.add_seeds(seeds);
+  builder_.add_relay_listen(relay_listen);
   builder_.add_peer_listen(peer_listen);
   builder_.add_ready_listen(ready_listen);
   builder_.add_listen(listen);
@@ -1622,6 +1635,7 @@
     const char *listen = nullptr,
     const char *ready_listen = nullptr,
     const char *peer_listen = nullptr,
+    const char *relay_listen = nullptr,
     const char *seeds = nullptr,
     const char *metrics_listen = nullptr,
     double cpu_share = 1.0,
@@ -1635,6 +1649,7 @@
   auto listen__ = listen ? _fbb.CreateString(listen) : 0;
   auto ready_listen__ = ready_listen ? _fbb.CreateString(ready_listen) : 0;
   auto peer_listen__ = peer_listen ? _fbb.CreateString(peer_listen) : 0;
+  auto relay_listen__ = relay_listen ? _fbb.CreateString(relay_listen) : 0;
   auto seeds__ = seeds ? _fbb.CreateString(seeds) : 0;
   auto metrics_listen__ = metrics_listen ? _fbb.CreateString(metrics_listen) : 0;
   return cyclamenstair::schema::CreateEntrySettings(
@@ -1642,6 +1657,7 @@
       listen__,
       ready_listen__,
       peer_listen__,
+      relay_listen__,
       seeds__,
       metrics_listen__,
       cpu_share,
@@ -2500,6 +2516,7 @@
   { auto _e = listen(); if (_e) _o->listen = _e->str(); }
   { auto _e = ready_listen(); if (_e) _o->ready_listen = _e->str(); }
   { auto _e = peer_listen(); if (_e) _o->peer_listen = _e->str(); }
+  { auto _e = relay_listen(); if (_e) _o->relay_listen = _e->str(); }
   { auto _e = seeds(); if (_e) _o->seeds = _e->str(); }
   { auto _e = metrics_listen(); if (_e) _o->metrics_listen = _e->str(); }
   { auto _e = cpu_share(); _o->cpu_share = _e; }
@@ -2523,6 +2540,7 @@
   auto _listen = _o->listen.empty() ? 0 : _fbb.CreateString(_o->listen);
   auto _ready_listen = _o->ready_listen.empty() ? 0 : _fbb.CreateString(_o->ready_listen);
   auto _peer_listen = _o->peer_listen.empty() ? 0 : _fbb.CreateString(_o->peer_listen);
+  auto _relay_listen = _o->relay_listen.empty() ? 0 : _fbb.CreateString(_o->relay_listen);
   auto _seeds = _o->seeds.empty() ? 0 : _fbb.CreateString(_o->seeds);
   auto _metrics_listen = _o->metrics_listen.empty() ? 0 : _fbb.CreateString(_o->metrics_listen);
   auto _cpu_share = _o->cpu_share;
@@ -2538,6 +2556,7 @@
       _listen,
       _ready_listen,
       _peer_listen,
+      _relay_listen,
       _seeds,
       _metrics_listen,
       _cpu_share,
--- a/Cyclamenstair/Http/HttpMessage.cpp
+++ b/Cyclamenstair/Http/HttpMessage.cpp
@@ -47,6 +47,11 @@
     return match == fields.end() ? std::nullopt : std::optional(match->second);
 }
 
+void eraseField(HeaderFields& fields, std::string_view name)
+{
+    std::erase_if(fields, [&](const auto& field) { return iequals(field.first, toBeastView(name)); });
+}
+
 HeaderFields endToEndFields(const boost::beast::http::fields& fields)
 {
     HeaderFields endToEnd;
--- a/Cyclamenstair/Http/HttpMessage.h
+++ b/Cyclamenstair/Http/HttpMessage.h
@@ -41,6 +41,9 @@
 /// Returns the value of the first field with the name, compared case-insensitively; no value if there is none.
 std::optional<std::string> fieldValue(const HeaderFields& fields, std::string_view name);
 
+/// Removes all fields with the name, compared case-insensitively.
+void eraseField(HeaderFields& fields, std::string_view name);
+
 /// Returns the end-to-end fields: all except framing fields, hop-by-hop fields, and fields listed in the Connection
 /// field.
 HeaderFields endToEndFields(const boost::beast::http::fields& fields);
--- a/Cyclamenstair/Peering/LoadExchange.cpp
+++ b/Cyclamenstair/Peering/LoadExchange.cpp
@@ -65,6 +65,8 @@
         total->second.overdue = difference(total->second.overdue, own.overdue);
         total->second.answers = difference(total->second.answers, own.answers);
     }
+    m_summaryIsolated = summary.isolatedNodes;
+    m_summaryIsolated.erase(m_nodeId);
     m_summaryReceivedAt = now;
 }
 
@@ -74,8 +76,10 @@
         m_shares, [&](const auto& entry) { return now - entry.second.receivedAt >= m_settings.shareLifetime; });
     std::erase_if(
         m_demands, [&](const auto& entry) { return now - entry.second.receivedAt >= m_settings.demandLifetime; });
-    if (now - m_summaryReceivedAt >= m_settings.shareLifetime)
+    if (now - m_summaryReceivedAt >= m_settings.shareLifetime) {
         m_summary.clear();
+        m_summaryIsolated.clear();
+    }
 }
 
 bool LoadExchange::hasMembers() const
@@ -114,19 +118,38 @@
     return total;
 }
 
+std::set<std::string> LoadExchange::ownIsolation() const
+{
+    return m_isIsolated ? std::set<std::string> { m_nodeId } : std::set<std::string>();
+}
+
+std::set<std::string> LoadExchange::isolatedNodes(bool usesSummary) const
+{
+    if (usesSummary)
+        return m_summaryIsolated;
+    std::set<std::string> nodes;
+    for (const auto& [node, share] : m_shares)
+        nodes.insert(share.message.isolatedNodes.begin(), share.message.isolatedNodes.end());
+    nodes.erase(m_nodeId);
+    return nodes;
+}
+
 LoadShare LoadExchange::groupShare(const TargetWorkloads& own) const
 {
-    LoadShare sum { m_nodeId, own, true };
+    LoadShare sum { m_nodeId, own, true, ownIsolation() };
     for (const auto& [node, share] : m_shares) {
-        if (!share.message.isCollected)
-            addLoads(sum.loads, share.message.loads);
+        if (share.message.isCollected)
+            continue;
+        addLoads(sum.loads, share.message.loads);
+        sum.isolatedNodes.insert(share.message.isolatedNodes.begin(), share.message.isolatedNodes.end());
     }
     return sum;
 }
 
 LoadSummary LoadExchange::summary(const TargetWorkloads& own) const
 {
-    LoadSummary sum { m_nodeId, own, 0 };
+    LoadSummary sum { m_nodeId, own, 0, isolatedNodes(false) };
+    sum.isolatedNodes.merge(ownIsolation());
     for (const auto& [node, share] : m_shares)
         addLoads(sum.loads, share.message.loads);
     return sum;
--- a/Cyclamenstair/Peering/LoadExchange.h
+++ b/Cyclamenstair/Peering/LoadExchange.h
@@ -38,6 +38,15 @@
     /// Returns the load of all other nodes: from their shares, or from the summary if `usesSummary`.
     TargetWorkloads remoteLoads(bool usesSummary) const;
 
+    /// Sets whether this node reaches no target.
+    void setIsolated(bool isIsolated) { m_isIsolated = isIsolated; }
+
+    /// Returns this node's id if it reaches no target, for its share.
+    std::set<std::string> ownIsolation() const;
+    /// Returns the ids of the other nodes that reach no target: from their shares, or from the summary if
+    /// `usesSummary`.
+    std::set<std::string> isolatedNodes(bool usesSummary) const;
+
     /// Returns the sum of `own` and the members' loads.
     LoadShare groupShare(const TargetWorkloads& own) const;
     /// Returns the sum of `own` and all received loads.
@@ -57,6 +66,8 @@
     LoadExchangeSettings m_settings;
     std::map<std::string, Received<LoadShare>> m_shares; ///< By node id.
     std::map<std::string, Received<DemandShare>> m_demands; ///< By node id.
+    bool m_isIsolated { false };
+    std::set<std::string> m_summaryIsolated;
     TargetWorkloads m_summary; ///< Without this node's load.
     TimePoint m_summaryReceivedAt;
 };
--- a/Cyclamenstair/RequestFlow/RequestAction.h
+++ b/Cyclamenstair/RequestFlow/RequestAction.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Cyclamenstair/Core/EnumNames.h>
+#include <Cyclamenstair/Fleet/RelayPeers.h>
 #include <Cyclamenstair/Fleet/TargetRegistry.h>
 
 namespace cyclamenstair {
@@ -32,6 +33,16 @@
     uint32_t urgency { 0 }; ///< Scheduling rank at the target; 0 runs first.
 };
 
+/// Passes the request on through another node, because this one reaches no target.
+struct StartRelay {
+    uint32_t attempt { 0 };
+    RelayPeer peer;
+    Duration remainingTime {}; ///< Time until the request's deadline.
+    std::optional<std::string> resumeAfter; ///< As in StartAttempt.
+    std::optional<std::string> softwareVersion; ///< Version at which the stream must go on.
+    uint32_t maxAttempts { 1 }; ///< Targets to which the peer may send the request.
+};
+
 /// Closes the connection of the attempt, which cancels the request at its target.
 struct CancelAttempt {
     uint32_t attempt { 0 };
@@ -41,6 +52,7 @@
 struct ForwardHead {
     uint32_t attempt { 0 };
     std::optional<uint64_t> bodyBytes; ///< Length of the body; without a value the body is sent in chunks.
+    std::string softwareVersion {}; ///< Of the target that answers.
 };
 
 /// Sends a part of the response body to the caller.
@@ -87,7 +99,7 @@
     uint64_t attempt { 0 }; ///< Identifies the attempt among those of all nodes.
 };
 
-using RequestAction = std::variant<StartAttempt, CancelAttempt, ForwardHead, ForwardData, FinishResponse, AbortResponse,
-    SendLocalResponse, ReportStatement, ReportLostAnswer>;
+using RequestAction = std::variant<StartAttempt, StartRelay, CancelAttempt, ForwardHead, ForwardData, FinishResponse,
+    AbortResponse, SendLocalResponse, ReportStatement, ReportLostAnswer>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -20,7 +20,7 @@
         on(event, now, actions);
         return;
     }
-    applyStatements(head, m_alternative->target, now, actions);
+    applyStatements(head, *m_alternative, now, actions);
     cancelAlternative(head.isMisdirected ? TargetAttemptResult::Absent
             : head.isNotRun              ? TargetAttemptResult::Full
                                          : TargetAttemptResult::Failed,
@@ -42,7 +42,7 @@
     if (!m_alternative)
         return;
     actions.emplace_back(CancelAttempt { m_alternative->number });
-    m_dependencies.targets->release(m_alternative->target, m_query, result, now);
+    release(*m_alternative, result, now);
     m_mayHaveRun = m_mayHaveRun || (result != TargetAttemptResult::Full && result != TargetAttemptResult::Absent);
     m_alternative.reset();
 }
@@ -59,11 +59,17 @@
     endAttempt(result, now);
 }
 
-std::optional<AcquiredTarget> RequestMachine::acquireAlternative(TimePoint now)
+std::optional<RequestMachine::Destination> RequestMachine::acquireAlternative(TimePoint now)
 {
     if (m_sentAttempts >= m_requestInfo.route.maxAttempts
         || m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now))
         return std::nullopt;
+    if (const auto peer = acquireRelay(now)) {
+        if (m_dependencies.retries->tryAcquire(m_requestInfo.service, now))
+            return *peer;
+        m_dependencies.relays->release(peer->id);
+        return std::nullopt;
+    }
     const auto outcome = m_dependencies.targets->acquire(m_query, now, *m_dependencies.random);
     const auto* target = std::get_if<AcquiredTarget>(&outcome);
     if (!target)
@@ -74,6 +80,22 @@
     return std::nullopt;
 }
 
+void RequestMachine::startAlternative(const Destination& destination, TimePoint now, Actions& actions)
+{
+    std::visit(Overloaded {
+                   [&](const AcquiredTarget& target) { startAttempt(target, now, actions); },
+                   [&](const RelayPeer& peer) { startRelay(peer, now, actions); },
+               },
+        destination);
+}
+
+std::optional<RelayPeer> RequestMachine::acquireRelay(TimePoint now)
+{
+    if (m_requestInfo.isRelayed || !m_dependencies.reach || !m_dependencies.reach->isIsolated())
+        return std::nullopt;
+    return m_dependencies.relays->acquire(m_triedPeers, now, *m_dependencies.random);
+}
+
 void RequestMachine::acquireTarget(TimePoint now, Actions& actions)
 {
     if (now >= m_requestInfo.deadline()) {
@@ -82,6 +104,10 @@
     }
     if (refuseQuarantined(now, actions) || !requireVersionOfStream(now, actions))
         return;
+    if (const auto peer = acquireRelay(now)) {
+        startRelay(*peer, now, actions);
+        return;
+    }
     const auto maxWait
         = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
     m_query.excludesBacklogged
@@ -127,29 +153,60 @@
     m_query.excluded.insert(target.id);
     m_query.excludesBacklogged = false;
     m_query.excludesOverloaded = false;
-    m_lastProgressAt = now;
-    Attempt attempt { m_lastAttempt, target };
+    Attempt attempt { m_lastAttempt, target, std::nullopt, target.softwareVersion };
     if (m_dependencies.targets->isLargeFleet())
         attempt.overdueAt = now
             + std::clamp(
                 std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->overdueFactor),
                 m_settings->minOverdueTime, m_settings->maxOverdueTime);
-    if (m_current) {
-        m_alternative = std::move(attempt);
-    } else {
-        m_current = std::move(attempt);
-        m_phase = Phase::Sent;
-        m_firstEventAt.reset();
-    }
+    addAttempt(std::move(attempt), now);
     StartAttempt start { m_lastAttempt, target, m_requestInfo.deadline() - now, std::nullopt, m_requestInfo.urgency() };
     if (!m_lastEventId.empty())
         start.resumeAfter = m_lastEventId;
     actions.emplace_back(std::move(start));
 }
 
+void RequestMachine::startRelay(const RelayPeer& peer, TimePoint now, Actions& actions)
+{
+    setCountedAsWaiting(false);
+    m_triedPeers.insert(peer.id);
+    StartRelay start { ++m_lastAttempt, peer, m_requestInfo.deadline() - now, std::nullopt, m_query.softwareVersion,
+        m_requestInfo.route.maxAttempts - m_sentAttempts };
+    if (!m_lastEventId.empty())
+        start.resumeAfter = m_lastEventId;
+    ++m_sentAttempts;
+    addAttempt({ start.attempt, peer }, now);
+    actions.emplace_back(std::move(start));
+}
+
+void RequestMachine::addAttempt(Attempt attempt, TimePoint now)
+{
+    m_lastProgressAt = now;
+    if (m_current) {
+        m_alternative = std::move(attempt);
+        return;
+    }
+    m_current = std::move(attempt);
+    m_phase = Phase::Sent;
+    m_firstEventAt.reset();
+}
+
+void RequestMachine::release(const Attempt& attempt, TargetAttemptResult result, TimePoint now)
+{
+    std::visit(Overloaded {
+                   [&](const AcquiredTarget& target) { m_dependencies.targets->release(target, m_query, result, now); },
+                   [&](const RelayPeer& peer) {
+                       m_dependencies.relays->release(peer.id);
+                       if (result == TargetAttemptResult::Failed)
+                           m_dependencies.relays->avoid(peer.id, now);
+                   },
+               },
+        attempt.destination);
+}
+
 void RequestMachine::endAttempt(TargetAttemptResult result, TimePoint now)
 {
-    m_dependencies.targets->release(m_current->target, m_query, result, now);
+    release(*m_current, result, now);
     m_current.reset();
 }
 
@@ -169,7 +226,8 @@
         if (!attempt.overdueAt || now < *attempt.overdueAt)
             return;
         attempt.overdueAt.reset();
-        m_dependencies.targets->markOverdue(attempt.target);
+        if (auto* target = attempt.target())
+            m_dependencies.targets->markOverdue(*target);
     };
     if (m_current && m_phase == Phase::Sent)
         markIfDue(*m_current);
@@ -229,7 +287,8 @@
     const auto stallTimeout = hasForwardedData && !m_alternative
         ? std::max(scaled(route.maxEventGap, m_settings->stallTimeoutFactor), m_settings->minStallTimeout)
         : std::max(scaled(route.targetLatency, m_settings->firstByteTimeoutFactor), m_settings->minFirstByteTimeout);
-    return m_lastProgressAt + stallTimeout;
+    const bool isRelayed = (m_alternative ? *m_alternative : *m_current).isRelayed();
+    return m_lastProgressAt + (isRelayed ? scaled(stallTimeout, m_settings->relayStallFactor) : stallTimeout);
 }
 
 bool RequestMachine::consumeRetry(TimePoint now)
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Cyclamenstair/Core/EnumNames.h>
 #include <Cyclamenstair/Core/Time.h>
 
 #include <cstdint>
@@ -18,6 +19,8 @@
     bool isMisdirected { false }; ///< The address belongs to another instance, or the model is absent.
     bool isLeaving { false }; ///< The target states that it is about to leave.
     std::optional<Duration> pause {}; ///< Time for which the target asks this node to send it nothing.
+    /// Version of the target's software, as stated by the node through which the request was relayed.
+    std::string softwareVersion {};
 
     bool isSuccess() const { return status >= 200 && status < 300; }
     bool isFailure() const { return status >= 500; }
@@ -48,6 +51,38 @@
     bool isClosedByTarget { false }; ///< The target closed or reset the connection.
 };
 
+/// How a node ends a request that another one has relayed through it, without the answer of a target.
+enum class RelayRefusalKind : uint8_t {
+    NotAccepted, ///< The request was sent to no target; another node may accept it.
+    NotRun, ///< The request has not run and never will.
+    Failed, ///< The request may have run.
+    TimedOut, ///< The deadline passed; the request may have run.
+};
+
+template <> struct EnumNames<RelayRefusalKind> {
+    static constexpr auto table = std::to_array<EnumName<RelayRefusalKind>>({
+        { RelayRefusalKind::NotAccepted, "not_accepted" },
+        { RelayRefusalKind::NotRun, "not_run" },
+        { RelayRefusalKind::Failed, "failed" },
+        { RelayRefusalKind::TimedOut, "timed_out" },
+    });
+};
+
+struct RelayRefusal {
+    RelayRefusalKind kind { RelayRefusalKind::Failed };
+    std::string reason; ///< Logged and used as a metric label.
+    std::optional<Duration> retryAfter {};
+
+    bool operator==(const RelayRefusal&) const = default;
+};
+
+/// The node through which the request was relayed has ended it.
+struct RelayRefused {
+    uint32_t attempt { 0 };
+    std::string peer; ///< Id of that node.
+    RelayRefusal refusal;
+};
+
 /// The caller closed its connection.
 struct CallerDisconnected { };
 
@@ -64,6 +99,6 @@
 struct TimerFired { };
 
 using RequestEvent = std::variant<ResponseStarted, ResponseContinued, ResponseCompleted, AttemptDisconnected,
-    CallerDisconnected, ForwardingPaused, ForwardingResumed, NodeStopping, TimerFired>;
+    RelayRefused, CallerDisconnected, ForwardingPaused, ForwardingResumed, NodeStopping, TimerFired>;
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/RequestFlow/RequestInfo.h
+++ b/Cyclamenstair/RequestFlow/RequestInfo.h
@@ -19,6 +19,9 @@
     PromptParts promptParts;
     /// Set for a stream that the caller resumes: id of the request that got its first event; empty if not stated.
     std::optional<std::string> resumedRequest {};
+    bool isRelayed { false }; ///< Another node has passed the request on to this one.
+    /// For a relayed stream that goes on: version of the targets' software that began it.
+    std::optional<std::string> requiredVersion {};
     TimePoint receivedAt;
     /// Name of the caller's team, empty for callers without a key. No value if the catalog has no teams.
     std::optional<std::string> team;
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -15,12 +15,14 @@
 {
     m_query
         = { m_requestInfo.service, m_requestInfo.model, m_requestInfo.adapter, {}, m_requestInfo.promptTokens, false };
+    m_query.softwareVersion = m_requestInfo.requiredVersion;
 }
 
 std::vector<RequestAction> RequestMachine::start(TimePoint now)
 {
     Actions actions;
-    if (!m_requestInfo.model.empty())
+    // The node that relays a request counts it.
+    if (!m_requestInfo.model.empty() && !m_requestInfo.isRelayed)
         m_dependencies.demand->countArrival(artifact(), now);
     acquireTarget(now, actions);
     return actions;
@@ -62,7 +64,7 @@
     if (!isCurrentAttempt(event.attempt) || m_phase != Phase::Sent)
         return;
     const auto& head = event.head;
-    applyStatements(head, m_current->target, now, actions);
+    applyStatements(head, *m_current, now, actions);
     m_lastProgressAt = now;
     if (head.isSuccess() && m_answerProgress == AnswerProgress::NotStarted)
         m_answerProgress = AnswerProgress::Started;
@@ -78,7 +80,7 @@
         return;
     }
     const bool isFailure = head.isFailure();
-    if (isFailure && m_requestInfo.route.isRetryable() && !m_isHeadSent) {
+    if (isFailure && m_requestInfo.route.isRetryable() && !m_isHeadSent && !m_current->isRelayed()) {
         const auto otherTarget = m_alternative ? std::nullopt : acquireAlternative(now);
         if (m_alternative || otherTarget) {
             // Some failures of plain services are caused by the request itself; those of an engine indicate a faulty
@@ -86,7 +88,7 @@
             cancelCurrent(isStream() ? TargetAttemptResult::Failed : TargetAttemptResult::Inconclusive, now, actions);
             m_mayHaveRun = true;
             if (otherTarget)
-                startAttempt(*otherTarget, now, actions);
+                startAlternative(*otherTarget, now, actions);
             else
                 adoptAlternative(now);
             return;
@@ -107,21 +109,26 @@
     if (isStream() && head.isSuccess()) {
         m_isHeadSent = true;
         m_phase = Phase::Forwarding;
-        actions.emplace_back(ForwardHead { event.attempt, std::nullopt });
+        actions.emplace_back(ForwardHead { event.attempt, std::nullopt, m_current->softwareVersion });
     } else {
         m_phase = Phase::Buffering;
     }
 }
 
-void RequestMachine::applyStatements(const ResponseInfo& head, AcquiredTarget& target, TimePoint now, Actions& actions)
+void RequestMachine::applyStatements(const ResponseInfo& head, Attempt& attempt, TimePoint now, Actions& actions)
 {
-    if (head.isLeaving && m_dependencies.targets->markLeaving(target))
+    auto* const target = attempt.target();
+    if (!target) {
+        attempt.softwareVersion = head.softwareVersion;
+        return;
+    }
+    if (head.isLeaving && m_dependencies.targets->markLeaving(*target))
         actions.emplace_back(ReportStatement { TargetStatement::Leaving, Duration(0) });
     if (head.pause) {
-        const auto until = m_dependencies.targets->pause(target, *head.pause, now);
+        const auto until = m_dependencies.targets->pause(*target, *head.pause, now);
         actions.emplace_back(ReportStatement { TargetStatement::Paused, until - now });
     }
-    m_dependencies.targets->markPromptRead(target);
+    m_dependencies.targets->markPromptRead(*target);
 }
 
 void RequestMachine::on(const ResponseContinued& event, TimePoint now, Actions& actions)
@@ -134,7 +141,7 @@
         if (m_bufferedBody.size() > m_settings->maxBufferedBytes) {
             m_isHeadSent = true;
             m_phase = Phase::Forwarding;
-            actions.emplace_back(ForwardHead { event.attempt, std::nullopt });
+            actions.emplace_back(ForwardHead { event.attempt, std::nullopt, m_current->softwareVersion });
             actions.emplace_back(ForwardData { std::exchange(m_bufferedBody, {}) });
         }
         return;
@@ -165,7 +172,7 @@
         return;
     }
     if (m_phase == Phase::Buffering) {
-        actions.emplace_back(ForwardHead { event.attempt, m_bufferedBody.size() });
+        actions.emplace_back(ForwardHead { event.attempt, m_bufferedBody.size(), m_current->softwareVersion });
         if (!m_bufferedBody.empty())
             actions.emplace_back(ForwardData { std::move(m_bufferedBody) });
     } else if (isStream() && (!m_eventParser.isEmpty() || (!event.isFramed && !m_firstEventAt))) {
@@ -191,11 +198,11 @@
     if (!isOfAlternative && !isCurrentAttempt(event.attempt))
         return;
     if (event.wasSent && event.isClosedByTarget && m_answerProgress != AnswerProgress::Continued)
-        recordLostAnswer(isOfAlternative ? m_alternative->target : m_current->target, event.attempt, now, actions);
+        recordLostAnswer(isOfAlternative ? *m_alternative : *m_current, now, actions);
     if (isOfAlternative) {
         m_mayHaveRun = m_mayHaveRun || event.wasSent;
         m_sentAttempts -= event.wasSent ? 0 : 1;
-        m_dependencies.targets->release(m_alternative->target, m_query, TargetAttemptResult::Failed, now);
+        release(*m_alternative, TargetAttemptResult::Failed, now);
         m_alternative.reset();
         m_lastProgressAt = now;
         return;
@@ -214,16 +221,58 @@
     retryOrFail(true, "connection_lost", now, actions);
 }
 
-void RequestMachine::recordLostAnswer(const AcquiredTarget& target, uint32_t attempt, TimePoint now, Actions& actions)
+void RequestMachine::recordLostAnswer(Attempt& attempt, TimePoint now, Actions& actions)
 {
-    const auto attemptId = stableHash(m_requestInfo.id, attempt);
+    const auto* target = attempt.target();
+    // The end of a node is no evidence against the prompt.
+    if (!target)
+        return;
+    const auto attemptId = stableHash(m_requestInfo.id, attempt.number);
     // The nodes of a large fleet see too little of a target to tell a single lost answer from the end of its process.
     if (m_dependencies.targets->isLargeFleet() && !m_requestInfo.promptParts.isEmpty())
-        actions.emplace_back(ReportLostAnswer { target, attemptId });
+        actions.emplace_back(ReportLostAnswer { *target, attemptId });
     else
         m_dependencies.quarantine->addLostAnswer(m_requestInfo.promptParts, attemptId, now);
 }
 
+void RequestMachine::on(const RelayRefused& event, TimePoint now, Actions& actions)
+{
+    const auto& refusal = event.refusal;
+    const bool isNotRun = refusal.kind == RelayRefusalKind::NotAccepted || refusal.kind == RelayRefusalKind::NotRun;
+    const auto result = isNotRun ? TargetAttemptResult::Full : TargetAttemptResult::Inconclusive;
+    const bool isOfAlternative = isAlternative(event.attempt);
+    if (refusal.kind == RelayRefusalKind::NotAccepted && (isOfAlternative || isCurrentAttempt(event.attempt)))
+        m_dependencies.relays->avoid(event.peer, now);
+    if (isOfAlternative) {
+        cancelAlternative(result, now, actions);
+        m_lastProgressAt = now;
+        return;
+    }
+    if (!isCurrentAttempt(event.attempt) || m_phase != Phase::Sent)
+        return;
+    cancelCurrent(result, now, actions);
+    m_mayHaveRun = m_mayHaveRun || !isNotRun;
+    if (m_alternative) {
+        adoptAlternative(now);
+        return;
+    }
+    switch (refusal.kind) {
+    case RelayRefusalKind::NotAccepted:
+        --m_sentAttempts;
+        acquireTarget(now, actions);
+        break;
+    case RelayRefusalKind::NotRun:
+        refuseFor(refusal.retryAfter.value_or(m_settings->retryAfterAbsent), refusal.reason, now, actions);
+        break;
+    case RelayRefusalKind::Failed:
+        fail(LocalResponseKind::Failed, refusal.reason, now, actions);
+        break;
+    case RelayRefusalKind::TimedOut:
+        fail(LocalResponseKind::TimedOut, refusal.reason, now, actions);
+        break;
+    }
+}
+
 void RequestMachine::on(const CallerDisconnected&, TimePoint now, Actions& actions)
 {
     if (m_current)
@@ -264,9 +313,9 @@
     const auto limit = stallDeadline();
     if (!limit || now < *limit)
         return;
-    if (const auto target = acquireAlternative(now)) {
+    if (const auto destination = acquireAlternative(now)) {
         cancelAlternative(TargetAttemptResult::Failed, now, actions);
-        startAttempt(*target, now, actions);
+        startAlternative(*destination, now, actions);
     } else {
         m_lastProgressAt = now;
     }
@@ -297,9 +346,10 @@
 {
     if (m_query.softwareVersion)
         return;
-    m_query.softwareVersion = m_current->target.softwareVersion;
+    m_query.softwareVersion = m_current->softwareVersion;
     m_dependencies.origins->record(m_requestInfo.id, *m_query.softwareVersion, now);
-    if (m_requestInfo.route.isRetryable() && m_dependencies.origins->areWritesExpected())
+    // The node that has the target's answer holds the events of a relayed request.
+    if (!m_current->isRelayed() && m_requestInfo.route.isRetryable() && m_dependencies.origins->areWritesExpected())
         m_holdEndsAt = now + m_settings->maxOriginHold;
 }
 
@@ -421,7 +471,7 @@
 void RequestMachine::finish()
 {
     setCountedAsWaiting(false);
-    if (!m_requestInfo.model.empty())
+    if (!m_requestInfo.model.empty() && !m_requestInfo.isRelayed)
         m_dependencies.demand->countCompletion(artifact());
     m_phase = Phase::Finished;
 }
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <Cyclamenstair/Fleet/DemandCounter.h>
+#include <Cyclamenstair/Fleet/RelayPeers.h>
 #include <Cyclamenstair/Fleet/StreamOrigins.h>
+#include <Cyclamenstair/Fleet/TargetReach.h>
 #include <Cyclamenstair/Quarantine/PromptQuarantine.h>
 #include <Cyclamenstair/RequestFlow/AnswerProgress.h>
 #include <Cyclamenstair/RequestFlow/EventStreamParser.h>
@@ -72,6 +74,9 @@
     /// Time after the first event of a stream from which on the target is known to survive the request. An engine that
     /// a prompt makes fail ends within a few steps of it.
     Duration answerProofTime { milliseconds(250) };
+    /// Factor of the stall timeouts of a relayed request. The other node replaces a stalled target itself, so this node
+    /// only replaces a stalled node.
+    double relayStallFactor { 2 };
 };
 
 /// Objects shared by all requests, not owned by RequestMachine. `random` belongs to the thread of the request.
@@ -83,6 +88,8 @@
     PromptQuarantine* quarantine { nullptr };
     const SoftwareVersions* versions { nullptr };
     StreamOrigins* origins { nullptr };
+    const TargetReach* reach { nullptr }; ///< Null if requests are never relayed.
+    RelayPeers* relays { nullptr };
 };
 
 /// State machine of one request. It does no I/O: it receives events and returns the actions to perform. Not
@@ -122,18 +129,28 @@
     };
     using Actions = std::vector<RequestAction>;
 
+    /// Where an attempt is sent: to a target, or to another node that sends it to one.
+    using Destination = std::variant<AcquiredTarget, RelayPeer>;
+
     struct Attempt {
         uint32_t number { 0 };
-        AcquiredTarget target;
+        Destination destination;
         /// When the request counts as overdue at the target. No value afterwards, and in small fleets, where each node
         /// has enough requests to judge a target itself.
         std::optional<TimePoint> overdueAt {};
+        /// Of the target. If another node has the target, known once the response has begun.
+        std::string softwareVersion {};
+
+        /// Returns the target, or null if the attempt is relayed.
+        AcquiredTarget* target() { return std::get_if<AcquiredTarget>(&destination); }
+        bool isRelayed() const { return std::holds_alternative<RelayPeer>(destination); }
     };
 
     void on(const ResponseStarted& event, TimePoint now, Actions& actions);
     void on(const ResponseContinued& event, TimePoint now, Actions& actions);
     void on(const ResponseCompleted& event, TimePoint now, Actions& actions);
     void on(const AttemptDisconnected& event, TimePoint now, Actions& actions);
+    void on(const RelayRefused& event, TimePoint now, Actions& actions);
     void on(const CallerDisconnected& event, TimePoint now, Actions& actions);
     void on(const ForwardingPaused& event, TimePoint now, Actions& actions);
     void on(const ForwardingResumed& event, TimePoint now, Actions& actions);
@@ -150,8 +167,15 @@
     void releaseHeldEvents(TimePoint now, Actions& actions);
     /// Starts an attempt, which becomes the current one if there is none, else the alternative.
     void startAttempt(const AcquiredTarget& target, TimePoint now, Actions& actions);
+    void startRelay(const RelayPeer& peer, TimePoint now, Actions& actions);
+    /// Makes a new attempt the current one if there is none, else the alternative.
+    void addAttempt(Attempt attempt, TimePoint now);
+    /// Returns a node to relay the request through, if this node reaches no target and knows a node that does.
+    std::optional<RelayPeer> acquireRelay(TimePoint now);
+    /// Ends the request in flight at the destination of an attempt.
+    void release(const Attempt& attempt, TargetAttemptResult result, TimePoint now);
     /// Applies what the target states about itself beside its answer.
-    void applyStatements(const ResponseInfo& head, AcquiredTarget& target, TimePoint now, Actions& actions);
+    void applyStatements(const ResponseInfo& head, Attempt& attempt, TimePoint now, Actions& actions);
     /// Handles the response head of the alternative: an answer makes it the current attempt, anything else ends it.
     void onAlternativeStarted(const ResponseStarted& event, TimePoint now, Actions& actions);
     /// Makes the alternative the current attempt, after the current one has ended.
@@ -163,7 +187,7 @@
     void cancelCurrent(TargetAttemptResult result, TimePoint now, Actions& actions);
     void forwardCompleteEvents(TimePoint now, Actions& actions);
     /// Records or reports that the target closed its connection before its answer had continued.
-    void recordLostAnswer(const AcquiredTarget& target, uint32_t attempt, TimePoint now, Actions& actions);
+    void recordLostAnswer(Attempt& attempt, TimePoint now, Actions& actions);
     /// Records that an event or a complete answer has arrived.
     void recordAnswerProgress(bool isComplete, TimePoint now);
     /// Releases the target of the current attempt.
@@ -174,9 +198,10 @@
     /// `mayHaveRun` is false only if the target stated that it did not run the request.
     void retryOrFail(bool mayHaveRun, const std::string& reason, TimePoint now, Actions& actions);
     bool consumeRetry(TimePoint now);
-    /// Acquires another target while the current attempt is still running. Returns no value if none can take the
+    /// Acquires another destination while the current attempt is still running. Returns no value if none can take the
     /// request or the retry budget is exhausted; the current attempt then continues.
-    std::optional<AcquiredTarget> acquireAlternative(TimePoint now);
+    std::optional<Destination> acquireAlternative(TimePoint now);
+    void startAlternative(const Destination& destination, TimePoint now, Actions& actions);
     /// Ends the request if a part of its prompt is quarantined. Returns whether it did.
     bool refuseQuarantined(TimePoint now, Actions& actions);
     /// Ends the request because it cannot be sent to a target before `wait` has passed. A Retry-After for it is not
@@ -218,6 +243,7 @@
     /// Attempt at another target because the current one has stalled. The current one goes on until another target has
     /// answered, since one that is only slow can still complete.
     std::optional<Attempt> m_alternative;
+    std::set<std::string> m_triedPeers; ///< Ids of nodes through which the request has been relayed.
     uint32_t m_lastAttempt { 0 }; ///< Number of the last attempt started; the first is 1.
     uint32_t m_sentAttempts { 0 }; ///< Attempts that reached a target or may have reached one.
     bool m_mayHaveRun { false };
--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -44,6 +44,9 @@
         return { MetricKind::Counter, "kind", "Attempts after the first one of a request: repeat or resume." };
     case Metric::LostAttempts:
         return { MetricKind::Counter, "answer", "Attempts whose connection was lost, by how far the answer had come." };
+    case Metric::RelayedRequests:
+        return { MetricKind::Counter, "outcome",
+            "Requests passed on between nodes: sent by this node, accepted, or not_accepted by it." };
     case Metric::PartVerdicts:
         return { MetricKind::Counter, "verdict", "Verdicts on prompt parts that make targets fail." };
     case Metric::TargetStatements:
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -14,12 +14,13 @@
 
 TEST(EntryMessageCodec, RoundTripsLoadShare)
 {
-    const LoadShare share { "node-1", { { "i-1", { 4, 2600 } } }, true };
+    const LoadShare share { "node-1", { { "i-1", { 4, 2600 } } }, true, { "node-3" } };
     EXPECT_EQ(std::get<LoadShare>(decodeEntryMessage(encodeEntryMessage(share))), share);
-    const LoadSummary summary { "node-2", share.loads };
+    const LoadSummary summary { "node-2", share.loads, 0, { "node-3" } };
     const auto decoded = std::get<LoadSummary>(decodeEntryMessage(encodeEntryMessage(summary)));
     EXPECT_EQ(decoded.node, "node-2");
     EXPECT_EQ(decoded.loads, share.loads);
+    EXPECT_EQ(decoded.isolatedNodes, summary.isolatedNodes);
 }
 
 TEST(EntryMessageCodec, RoundTripsDemandShare)
--- a/Tests/PeeringTests/LoadExchangeTests.cpp
+++ b/Tests/PeeringTests/LoadExchangeTests.cpp
@@ -199,3 +199,20 @@
     EXPECT_TRUE(exchange.remoteLoads(false).empty());
     EXPECT_TRUE(exchange.remoteLoads(true).empty());
 }
+
+// Guards against requests that are passed on to a node that has lost its targets as well.
+TEST(LoadExchange, IsolatedNodesAreKnownThroughCollectors)
+{
+    LoadExchange collector("node-1");
+    collector.setIsolated(true);
+    collector.add(LoadShare { "node-2", {}, false, { "node-2" } }, start);
+    collector.add(LoadShare { "node-3", {}, true, { "node-3", "node-4" } }, start);
+    EXPECT_EQ(collector.groupShare({}).isolatedNodes, (std::set<std::string> { "node-1", "node-2" }));
+    EXPECT_EQ(collector.isolatedNodes(false), (std::set<std::string> { "node-2", "node-3", "node-4" }));
+
+    LoadExchange member("node-2");
+    member.add(collector.summary({}), {}, start);
+    EXPECT_EQ(member.isolatedNodes(true), (std::set<std::string> { "node-1", "node-3", "node-4" }));
+    member.expire(start + milliseconds(2000));
+    EXPECT_TRUE(member.isolatedNodes(true).empty());
+}
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -288,6 +288,24 @@
         1);
 }
 
+// Guards against a second time limit or position beside the caller's own in a request that another node passes on.
+TEST(RequestCodec, RelayedRequestStatesRemainingTimeAndPosition)
+{
+    const auto encoded = encodeRelayedRequest(createCallerRequest(), milliseconds(700), "9");
+    for (const auto& [name, value] :
+        HeaderFields { { "Cyclamenstair-Deadline-Ms", "700" }, { "Last-Event-Id", "9" } }) {
+        EXPECT_EQ(fieldValue(encoded.fields, name), value);
+        EXPECT_EQ(std::count_if(encoded.fields.begin(), encoded.fields.end(),
+                      [&name = name](const auto& field) { return field.first == name; }),
+            1);
+    }
+    EXPECT_EQ(encoded.target, "/x/1?q=2");
+    EXPECT_EQ(encoded.body, "body");
+    EXPECT_EQ(fieldValue(
+                  encodeRelayedRequest(createCallerRequest(), milliseconds(700), std::nullopt).fields, "Last-Event-Id"),
+        "3");
+}
+
 // Guards against a resumed stream that counts as a new one, and the other way round.
 TEST(RequestCodec, DecodesResumedStream)
 {
--- /dev/null
+++ b/Tests/RequestFlowTests/RelayTests.cpp
@@ -0,0 +1,146 @@
+#include "RequestMachineFixture.h"
+
+namespace cyclamenstair {
+
+namespace {
+
+    /// A request at a node that reaches no target and knows two other nodes.
+    struct RelayFixture : Fixture {
+        explicit RelayFixture(RetryPolicy retryPolicy, bool isResumable = false, uint32_t maxAttempts = 2)
+            : Fixture(retryPolicy, isResumable, maxAttempts)
+        {
+            relays.setPeers({ { "node-2", "127.0.0.1:2", "domain-1" }, { "node-3", "127.0.0.1:3", "domain-1" } });
+            for (const auto* target : { "i-1", "i-2" })
+                (void)reach.recordConnectFailure(target, 3);
+            restart(machine->requestInfo());
+        }
+
+        void restart(const RequestInfo& requestInfo)
+        {
+            machine = std::make_unique<RequestMachine>(RequestInfo(requestInfo), settings,
+                RequestDependencies {
+                    &targets, &retries, &demand, &random, &quarantine, &versions, &origins, &reach, &relays });
+        }
+
+        RelayPeers relays { {} };
+        TargetReach reach;
+    };
+
+    ResponseInfo relayedResponse()
+    {
+        auto head = successResponse();
+        head.softwareVersion = "v2";
+        return head;
+    }
+
+} // namespace
+
+TEST(Relay, IsolatedNodeRelaysFirstTry)
+{
+    RelayFixture fixture(RetryPolicy::Once, false, 1);
+    const auto actions = fixture.machine->start(start);
+    const auto* relay = find<StartRelay>(actions);
+    ASSERT_TRUE(relay);
+    EXPECT_FALSE(find<StartAttempt>(actions));
+    EXPECT_EQ(relay->maxAttempts, 1U);
+    EXPECT_EQ(relay->remainingTime, milliseconds(5000));
+
+    fixture.machine->handle(ResponseStarted { 1, relayedResponse() }, start);
+    fixture.machine->handle(ResponseContinued { 1, "body" }, start);
+    const auto end = fixture.machine->handle(ResponseCompleted { 1 }, start);
+    EXPECT_EQ(forwarded(end), "body");
+    EXPECT_TRUE(find<FinishResponse>(end));
+}
+
+TEST(Relay, NodeThatReachesTargetsDoesNotRelay)
+{
+    RelayFixture fixture(RetryPolicy::Safe);
+    (void)fixture.reach.recordConnected();
+    EXPECT_TRUE(find<StartAttempt>(fixture.machine->start(start)));
+}
+
+// Two nodes that have both lost their targets must not pass a request to and fro.
+TEST(Relay, RelayedRequestIsNotRelayedAgain)
+{
+    RelayFixture fixture(RetryPolicy::Safe);
+    auto requestInfo = fixture.machine->requestInfo();
+    requestInfo.isRelayed = true;
+    fixture.restart(requestInfo);
+    const auto actions = fixture.machine->start(start);
+    EXPECT_FALSE(find<StartRelay>(actions));
+    EXPECT_TRUE(find<StartAttempt>(actions));
+}
+
+TEST(Relay, RequestThatIsNotAcceptedGoesThroughAnotherNode)
+{
+    RelayFixture fixture(RetryPolicy::Once, false, 1);
+    const auto first = fixture.machine->start(start);
+    const auto peer = find<StartRelay>(first)->peer.id;
+    const auto second = fixture.machine->handle(
+        RelayRefused { 1, peer, { RelayRefusalKind::NotAccepted, "too_many_relayed", std::nullopt } }, start);
+    ASSERT_TRUE(find<StartRelay>(second));
+    EXPECT_NE(find<StartRelay>(second)->peer.id, peer);
+    EXPECT_EQ(find<StartRelay>(second)->maxAttempts, 1U);
+}
+
+TEST(Relay, UnreachableNodeIsReplacedAtNoCost)
+{
+    RelayFixture fixture(RetryPolicy::Once, false, 1);
+    (void)fixture.machine->start(start);
+    EXPECT_TRUE(find<StartRelay>(fixture.machine->handle(AttemptDisconnected { 1, false }, start)));
+}
+
+// Without another node that reaches targets, the request is tried as before.
+TEST(Relay, WithoutPeersTheNodeTriesTargetsItself)
+{
+    RelayFixture fixture(RetryPolicy::Safe);
+    fixture.relays.setIsolated({ "node-2", "node-3" });
+    EXPECT_TRUE(find<StartAttempt>(fixture.machine->start(start)));
+}
+
+TEST(Relay, RefusalPassesOnWhenToComeBack)
+{
+    RelayFixture fixture(RetryPolicy::Once, false, 1);
+    const auto peer = find<StartRelay>(fixture.machine->start(start))->peer.id;
+    const auto actions = fixture.machine->handle(
+        RelayRefused { 1, peer, { RelayRefusalKind::NotRun, "target_full", milliseconds(700) } }, start);
+    const auto* answer = find<SendLocalResponse>(actions);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, LocalResponseKind::NotRun);
+    EXPECT_EQ(answer->retryAfter, std::optional<Duration>(milliseconds(700)));
+}
+
+// A request that may have run through another node is neither sent again nor refused as not run.
+TEST(Relay, LostRelayOfRequestThatRunsOnceFails)
+{
+    RelayFixture fixture(RetryPolicy::Once, false, 2);
+    (void)fixture.machine->start(start);
+    const auto actions = fixture.machine->handle(AttemptDisconnected { 1, true }, start);
+    EXPECT_FALSE(find<StartRelay>(actions));
+    EXPECT_FALSE(find<StartAttempt>(actions));
+    ASSERT_TRUE(find<SendLocalResponse>(actions));
+    EXPECT_EQ(find<SendLocalResponse>(actions)->kind, LocalResponseKind::Failed);
+}
+
+// A stream that another node began goes on after its last event, at the version of its target.
+TEST(Relay, StreamGoesOnAtTheVersionThatBeganItThroughAnotherNode)
+{
+    RelayFixture fixture(RetryPolicy::Stream, true, 3);
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, relayedResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 7\ndata: x\n\n" }, start);
+    const auto actions = fixture.machine->handle(AttemptDisconnected { 1, true }, start);
+    const auto* relay = find<StartRelay>(actions);
+    ASSERT_TRUE(relay);
+    EXPECT_EQ(relay->resumeAfter, std::optional<std::string>("7"));
+    EXPECT_EQ(relay->softwareVersion, std::optional<std::string>("v2"));
+}
+
+TEST(Relay, CallerThatLeavesCancelsTheRelay)
+{
+    RelayFixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.machine->start(start);
+    EXPECT_TRUE(find<CancelAttempt>(fixture.machine->handle(CallerDisconnected {}, start)));
+}
+
+} // namespace cyclamenstair
