--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -4,6 +4,8 @@
 #include <Cyclamenstair/Http/ServerConnection.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
+#include <platform/RequestCodec.h>
+
 namespace cyclamenstair {
 
 /// Connects a request's state machine to the caller's connection and to the connections to targets. Belongs to one
@@ -53,6 +55,11 @@
     void failUnsent(uint32_t attempt);
     void onTargetEvent(uint32_t attempt, ClientEvent event);
     void onHeadReceived(uint32_t attempt, ResponseHeadReceived received);
+    static RequestInfo createRequestInfo(
+        const CallerRequest& decoded, const ServiceCatalog& catalog, const Route& route, Random& random, TimePoint now);
+    /// Adds what this node states beside the response to a relayed request.
+    static void addRelayResponse(HttpResponseHead& head, const ForwardHead& action);
+    static void addRelayResponse(HttpResponseHead& head, const SendLocalResponse& action);
     /// Removes what the relaying node states from the head. Returns its refusal if it has ended the request.
     std::optional<RelayRefusal> takeRelayResponse(HttpResponseHead& head, ResponseInfo& info);
     /// Records what the outcome of a call shows of the path to the targets.
