--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -19,6 +19,9 @@
     constexpr uint32_t unavailable = 503;
     constexpr int streamEventCount = 5;
     constexpr int eventsBeforeTruncation = 2;
+    constexpr Duration eventPause = milliseconds(200);
+
+    std::string eventText(int event) { return "id: " + std::to_string(event) + "\ndata: token\n\n"; }
 
     std::string headerValue(const HttpRequest& request, std::string_view name)
     {
@@ -222,8 +225,12 @@
                                  { "Cyclamenstair-Request-Id", headerValue(request, "Cyclamenstair-Request-Id") },
                                  { "Cyclamenstair-Response-Stamp", "receipt-" + m_id } } },
         std::nullopt);
+    if (m_behaviour == TargetBehaviour::PacedStream) {
+        sendPaced(connection, firstEvent);
+        return;
+    }
     for (int event = firstEvent; event <= streamEventCount; ++event) {
-        const auto text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+        const auto text = eventText(event);
         if (m_behaviour == TargetBehaviour::TruncateResponse && event > eventsBeforeTruncation) {
             connection->sendData(text.substr(0, text.size() / 2));
             // Aborts after the pending bytes have been sent.
@@ -235,6 +242,22 @@
     connection->finish();
 }
 
+void RegisteredTargetStandIn::sendPaced(const std::shared_ptr<ServerConnection>& connection, int event)
+{
+    if (!connection->isOpen())
+        return;
+    if (event > streamEventCount) {
+        connection->finish();
+        return;
+    }
+    connection->sendData(eventText(event));
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop.context(), eventPause);
+    timer->async_wait([this, connection, event, timer](const boost::system::error_code& ec) {
+        if (!ec)
+            sendPaced(connection, event + 1);
+    });
+}
+
 void RegisteredTargetStandIn::handleOrder(const std::shared_ptr<ServerConnection>& connection, const std::string& body)
 {
     if (m_rejectsOrders) {
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -21,6 +21,7 @@
     SaysLeaving, ///< Responds, and states that it is about to leave.
     AsksForPause, ///< Rejects the request without running it and asks for a pause of 1.5 s.
     EndlessBody, ///< Runs the request and sends a body without end, as fast as the node reads it.
+    PacedStream, ///< Responds; a stream has an event every 200 ms.
     StaleRefusal, ///< Runs the request; on a kept connection, responds with an earlier refusal that names no request.
 };
 
@@ -34,6 +35,7 @@
         { TargetBehaviour::SaysLeaving, "leaving" },
         { TargetBehaviour::AsksForPause, "pause" },
         { TargetBehaviour::EndlessBody, "endless" },
+        { TargetBehaviour::PacedStream, "paced" },
         { TargetBehaviour::StaleRefusal, "stale_refusal" },
     });
 };
@@ -47,6 +49,9 @@
 
     const std::string& id() const { return m_id; }
 
+    /// Returns the address as IP:PORT.
+    const std::string& address() const { return m_address; }
+
     /// Returns the entry that the target writes to the store, as JSON.
     std::string entry(const std::string& phase = "ready");
 
@@ -101,6 +106,8 @@
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void run(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, bool isFirstOfConnection);
     void stream(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, int firstEvent);
+    /// Sends the events from `event` on, one after the other with pauses, and the end of the stream.
+    void sendPaced(const std::shared_ptr<ServerConnection>& connection, int event);
     void sendEndlessBody(const std::shared_ptr<ServerConnection>& connection);
     bool hasCrashingPart(const HttpRequest& request);
     void crash();
--- a/StandIns/RegistryStoreStandIn.cpp
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -39,19 +39,45 @@
     : m_timer(m_loop.context())
     , m_address(allocateLoopbackAddress())
 {
-    auto listener = ServerListener::create(
-        m_address, { &m_loop }, [] { return ServerConnectionLimits {}; },
-        [this](size_t, const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request) {
-            handle(connection, request);
-        });
-    m_listener = std::move(listener).value();
-    m_listener->start();
+    m_listener = createListener(m_address, &m_directView);
     m_loop.post([this] { tick(); });
     m_loop.start();
 }
 
 RegistryStoreStandIn::~RegistryStoreStandIn() { m_loop.stop(); }
 
+std::string RegistryStoreStandIn::addView(std::map<std::string, std::string> addresses)
+{
+    auto address = allocateLoopbackAddress();
+    std::lock_guard lock(m_mutex);
+    m_viewListeners.push_back(createListener(address, &m_views.emplace_back(std::move(addresses))));
+    return address;
+}
+
+std::unique_ptr<ServerListener> RegistryStoreStandIn::createListener(const std::string& address, const View* view)
+{
+    auto listener = ServerListener::create(
+        address, { &m_loop }, [] { return ServerConnectionLimits {}; },
+        [this, view](size_t, const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request) {
+            handle(connection, request, view);
+        });
+    listener.value()->start();
+    return std::move(listener).value();
+}
+
+std::string RegistryStoreStandIn::encodeValue(const std::string& key, const std::string& value, const View* view)
+{
+    if (view->empty() || !key.starts_with("servers/"))
+        return encodeBase64(value);
+    auto entry = Json::parse(value, nullptr, false);
+    if (!entry.is_object())
+        return encodeBase64(value);
+    const auto shown = view->find(entry.value("address", ""));
+    if (shown != view->end())
+        entry["address"] = shown->second;
+    return encodeBase64(entry.dump());
+}
+
 void RegistryStoreStandIn::put(const std::string& key, const std::string& value)
 {
     std::lock_guard lock(m_mutex);
@@ -95,7 +121,8 @@
         { status, {}, { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(m_era) } } }, body);
 }
 
-void RegistryStoreStandIn::handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
+void RegistryStoreStandIn::handle(
+    const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, const View* view)
 {
     std::lock_guard lock(m_mutex);
     const auto& target = request.target;
@@ -103,12 +130,12 @@
     if (m_isDown) {
         response = { unavailable, "{}" };
     } else if (target.starts_with("/cyclamenstair/kv-range")) {
-        response = range(queryParameter(target, "path_prefix"));
+        response = range(queryParameter(target, "path_prefix"), view);
     } else if (target.starts_with("/cyclamenstair/kv-watch")) {
         ++m_watchCalls;
         const auto after = std::stoll(queryParameter(target, "after"));
         if (after <= m_state.revision) {
-            m_watches.push_back({ connection, queryParameter(target, "path_prefix"), after,
+            m_watches.push_back({ connection, view, queryParameter(target, "path_prefix"), after,
                 monotonicNow() + milliseconds(std::stoll(queryParameter(target, "wait_ms"))) });
             return;
         }
@@ -126,13 +153,13 @@
     respond(connection, response.first, response.second);
 }
 
-std::pair<uint32_t, std::string> RegistryStoreStandIn::range(const std::string& prefix)
+std::pair<uint32_t, std::string> RegistryStoreStandIn::range(const std::string& prefix, const View* view)
 {
     Json items = Json::array();
     for (const auto& [key, item] : m_state.items) {
         if (key.starts_with(prefix))
-            items.push_back({ { "key", key }, { "value", encodeBase64(item.value) }, { "revision", item.revision },
-                { "created_rev", item.createdRevision }, { "lease", item.lease } });
+            items.push_back({ { "key", key }, { "value", encodeValue(key, item.value, view) },
+                { "revision", item.revision }, { "created_rev", item.createdRevision }, { "lease", item.lease } });
     }
     return { ok, Json({ { "items", items }, { "has_more", false }, { "store_revision", m_state.revision } }).dump() };
 }
@@ -226,9 +253,10 @@
         if (change.isDeleted)
             events.push_back({ { "key", change.key }, { "revision", change.item.revision }, { "deleted", true } });
         else
-            events.push_back({ { "key", change.key }, { "value", encodeBase64(change.item.value) },
-                { "revision", change.item.revision }, { "created_rev", change.item.createdRevision },
-                { "lease", change.item.lease } });
+            events.push_back(
+                { { "key", change.key }, { "value", encodeValue(change.key, change.item.value, watch.view) },
+                    { "revision", change.item.revision }, { "created_rev", change.item.createdRevision },
+                    { "lease", change.item.lease } });
     }
     if (events.empty() && monotonicNow() < watch.deadline)
         return false;
--- a/StandIns/RegistryStoreStandIn.h
+++ b/StandIns/RegistryStoreStandIn.h
@@ -20,6 +20,10 @@
     /// Returns the address as IP:PORT.
     std::string address() const { return m_address; }
 
+    /// Opens a further address of the store, at which the entries of targets show other addresses. `addresses` maps
+    /// the addresses in the entries to those shown. Returns the address as IP:PORT.
+    std::string addView(std::map<std::string, std::string> addresses);
+
     /// Writes an item without a lease, as the operator or a target does.
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
@@ -49,8 +53,11 @@
         Item item;
         bool isDeleted { false };
     };
+    /// Addresses of targets by those in their entries.
+    using View = std::map<std::string, std::string>;
     struct Watch {
         std::shared_ptr<ServerConnection> connection;
+        const View* view { nullptr };
         std::string prefix;
         int64_t afterRevision { 0 };
         TimePoint deadline;
@@ -68,8 +75,11 @@
         int64_t nextLease { 1000 };
     };
 
-    void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
-    std::pair<uint32_t, std::string> range(const std::string& prefix);
+    std::unique_ptr<ServerListener> createListener(const std::string& address, const View* view);
+    void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request, const View* view);
+    std::pair<uint32_t, std::string> range(const std::string& prefix, const View* view);
+    /// Returns the value of an item, encoded, as a view shows it.
+    static std::string encodeValue(const std::string& key, const std::string& value, const View* view);
     std::pair<uint32_t, std::string> transact(const std::string& body);
     std::pair<uint32_t, std::string> grantLease(const std::string& body);
     std::pair<uint32_t, std::string> renewLease(int64_t lease);
@@ -82,6 +92,7 @@
 
     EventLoop m_loop;
     boost::asio::steady_timer m_timer;
+    const View m_directView {}; ///< Of m_listener; empty.
     std::unique_ptr<ServerListener> m_listener;
     std::string m_address;
     std::atomic<bool> m_isDown { false };
@@ -90,6 +101,8 @@
     State m_state;
     State m_copy;
     std::vector<Watch> m_watches;
+    std::deque<View> m_views; ///< Their references stay valid; entries are never changed or removed.
+    std::vector<std::unique_ptr<ServerListener>> m_viewListeners;
     int64_t m_era { 1 }; ///< Stated in all answers.
 };
 
