--- a/Tests/EntryTests/EntryNodeFixture.h
+++ b/Tests/EntryTests/EntryNodeFixture.h
@@ -16,6 +16,11 @@
 
 inline constexpr auto waitTimeout = std::chrono::seconds(20);
 
+/// Body of a whole stream of RegisteredTargetStandIn.
+inline const std::string completeStream
+    = "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\nid: 4\ndata: token\n\n"
+      "id: 5\ndata: token\n\n";
+
 inline std::string catalogText(
     int version, const std::string& plainService = "plain", const std::string& loadsPerSecond = "4")
 {
@@ -55,7 +60,7 @@
             + "\n[entry]\nlisten = " + (callerAddress = allocateLoopbackAddress())
             + "\nready_listen = " + (probeAddress = allocateLoopbackAddress()) + "\nmetrics_listen = "
             + (metricsAddress = allocateLoopbackAddress()) + "\ngrace_s = " + std::to_string(graceSeconds) + "\n"
-            + peerSettings + "[control]\nstore = " + store.address() + "\norder_gap_ms = 200\n");
+            + peerSettings + "[control]\nstore = " + storeAddress + "\norder_gap_ms = 200\n");
         auto node = EntryNode::create(settings.value());
         EXPECT_TRUE(node) << node.error().describe();
         EXPECT_TRUE(eventually([&] { return probe() == 200; }));
@@ -115,6 +120,7 @@
     }
 
     RegistryStoreStandIn store;
+    std::string storeAddress { store.address() }; ///< Of the next node.
     RegisteredTargetStandIn firstTarget { "i-1", "plain" };
     RegisteredTargetStandIn secondTarget { "i-2", "plain" };
     std::string callerAddress;
--- a/Tests/EntryTests/EntryNodeTests.cpp
+++ b/Tests/EntryTests/EntryNodeTests.cpp
@@ -4,14 +4,6 @@
 
 using namespace cyclamenstair;
 
-namespace {
-
-const std::string completeStream
-    = "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\nid: 4\ndata: token\n\n"
-      "id: 5\ndata: token\n\n";
-
-} // namespace
-
 // Guards against a route kind that is not served, and against a request without a route that is.
 TEST_F(EntryNodeTest, ServesEveryRouteKind)
 {
