Cut nodes off from all targets in the soak

Cause: the soak did not know nodes that lose their targets while callers, the store and other nodes still reach them.

The rule cut_off_callers compares first tries at such nodes, from 3 s after the cut began, with those at the others. First tries at nodes that other faults disturb do not count there. The start and the end of a cut count as a disturbance of the node for the other rules.

--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -4,6 +4,8 @@
 #include <Cyclamenstair/Core/Random.h>
 #include <Cyclamenstair/Core/Time.h>
 
+#include <StandIns/LinkStandIn.h>
+
 #include <vector>
 
 namespace cyclamenstair {
@@ -20,6 +22,7 @@
     SilentTarget, ///< A target runs requests and sends no answer.
     StoreDown, ///< The store answers 503.
     StoreReturn, ///< The store is down for a moment and returns from a copy that is some seconds old.
+    CutTargets, ///< Nodes lose all links to targets; the others and the store still reach them.
 };
 
 template <> struct EnumNames<SoakFaultKind> {
@@ -34,15 +37,19 @@
         { SoakFaultKind::SilentTarget, "silent_target" },
         { SoakFaultKind::StoreDown, "store_down" },
         { SoakFaultKind::StoreReturn, "store_return" },
+        { SoakFaultKind::CutTargets, "cut_targets" },
     });
 };
 
 /// A fault, its time from the start of the traffic, and what it concerns.
 struct SoakFault {
     Duration at {};
-    Duration duration {}; ///< Of Freeze, of a target's behaviour, of StoreDown and, a quarter of it, of StoreReturn.
+    /// Of Freeze, of a target's behaviour, of StoreDown, of CutTargets and, a quarter of it, of StoreReturn.
+    Duration duration {};
     SoakFaultKind kind { SoakFaultKind::Reload };
-    size_t subject { 0 }; ///< Index of the node or target.
+    size_t subject { 0 }; ///< Index of the node or target; the first one of CutTargets.
+    size_t cutNodes { 0 }; ///< Of CutTargets: the subject and the nodes after it.
+    LinkMode linkMode { LinkMode::Pass }; ///< Of CutTargets.
 };
 
 /// Settings of a soak.
@@ -51,7 +58,8 @@
     Duration duration { std::chrono::seconds(30) };
     size_t nodes { 3 };
     size_t callers { 12 };
-    Duration meanFaultInterval { milliseconds(1500) };
+    Duration meanFaultInterval { milliseconds(1500) }; ///< Of all kinds but CutTargets.
+    Duration meanCutInterval { milliseconds(3000) };
 };
 
 /// Returns the faults of a soak in the order of their times; the same for the same settings.
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -17,6 +17,7 @@
     std::ofstream(m_settingsPath) << "[node]\nmode = Registered\nid = " << id
                                   << "\n[entry]\nlisten = " << m_callerAddress << "\nready_listen = " << m_probeAddress
                                   << "\npeer_listen = " << peerAddress << "\nseeds = " << seeds
+                                  << "\nrelay_listen = " << allocateLoopbackAddress()
                                   << "\n[control]\nstore = " << storeAddress << "\n";
 }
 
@@ -37,6 +38,12 @@
     m_process->sendSignal(number);
 }
 
+bool SoakNode::isStopping()
+{
+    std::lock_guard lock(m_mutex);
+    return m_isEndExpected;
+}
+
 bool SoakNode::restartIfEnded()
 {
     bool isUnexpected = false;
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -26,6 +26,12 @@
     /// Sends a signal that disturbs the node; `endsProcess` means that its exit is expected.
     void signal(int number, bool endsProcess);
 
+    /// Records that the node was disturbed from outside.
+    void markDisturbed() { m_disturbedAt = monotonicNow(); }
+
+    /// Returns whether the node was told to end and has not been started again.
+    bool isStopping();
+
     /// Starts the process again if it has ended. Returns whether it had ended without being told to.
     bool restartIfEnded();
 
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -19,6 +19,11 @@
     constexpr auto callTimeout = milliseconds(4500); ///< Beyond the routes' timeout.
     constexpr auto settleTime = milliseconds(3000); ///< After which a disturbed process counts as calm.
     constexpr auto catalogTime = milliseconds(2000); ///< Within which a change is in force.
+    constexpr auto recoveryTime = milliseconds(3000); ///< After which callers of a node that was cut off are served.
+    /// Bounds of first tries at such nodes: the part of the share served at the others, and how many may fail.
+    constexpr double minServedRatio = 2.0 / 3;
+    constexpr double maxFailedTries = 10;
+    constexpr double maxFailedShare = 1.0 / 50;
     constexpr auto requestInterval = milliseconds(20);
     constexpr size_t engineCount = 2;
     constexpr auto modelDropInterval = milliseconds(400); ///< Between two engines that drop their models.
@@ -82,9 +87,19 @@
     for (size_t i = 0; i < engineCount; ++i)
         m_engines.push_back(std::make_unique<RegisteredTargetStandIn>("i-engine-" + std::to_string(i), "drafting"));
     const auto seed = allocateLoopbackAddress();
-    for (size_t i = 0; i < settings.nodes; ++i)
-        m_nodes.push_back(std::make_unique<SoakNode>(
-            "node-" + std::to_string(i), folder, m_store.address(), i == 0 ? seed : allocateLoopbackAddress(), seed));
+    m_links.resize(settings.nodes);
+    m_cutAt.resize(settings.nodes);
+    for (size_t i = 0; i < settings.nodes; ++i) {
+        std::map<std::string, std::string> view;
+        for (const auto* targets : { &m_targets, &m_engines }) {
+            for (const auto& target : *targets) {
+                m_links[i].push_back(std::make_unique<LinkStandIn>(target->address()));
+                view[target->address()] = m_links[i].back()->address();
+            }
+        }
+        m_nodes.push_back(std::make_unique<SoakNode>("node-" + std::to_string(i), folder,
+            m_store.addView(std::move(view)), i == 0 ? seed : allocateLoopbackAddress(), seed));
+    }
 }
 
 void SoakRun::run()
@@ -117,6 +132,7 @@
     for (auto& caller : callers)
         caller.join();
     checkOrders();
+    checkFirstTries();
 }
 
 std::map<SoakRule, std::vector<std::string>> SoakRun::findings()
@@ -162,6 +178,79 @@
     return count;
 }
 
+void SoakRun::setLinks(size_t node, LinkMode mode)
+{
+    for (const auto& link : m_links[node])
+        link->setMode(mode);
+}
+
+void SoakRun::cutTargets(const SoakFault& fault)
+{
+    const auto now = monotonicNow();
+    for (size_t i = 0; i < fault.cutNodes; ++i) {
+        const size_t node = (fault.subject + i) % m_nodes.size();
+        {
+            std::lock_guard lock(m_mutex);
+            const auto linked = static_cast<size_t>(std::count(m_cutAt.begin(), m_cutAt.end(), std::nullopt));
+            // One node keeps its links, so that first tries can be served.
+            if (m_cutAt[node] || linked == 1)
+                continue;
+            m_cutAt[node] = now;
+        }
+        m_nodes[node]->markDisturbed();
+        setLinks(node, fault.linkMode);
+        m_endings.emplace_back(now + fault.duration, [this, node] {
+            setLinks(node, LinkMode::Pass);
+            m_nodes[node]->markDisturbed();
+            std::lock_guard lock(m_mutex);
+            m_cutAt[node].reset();
+        });
+    }
+}
+
+SoakRun::FirstTries* SoakRun::selectFirstTries(size_t node, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    const auto isCountedFrom = [&](const auto& cutAt) { return cutAt && *cutAt + recoveryTime <= now; };
+    if (m_cutAt[node])
+        return isCountedFrom(m_cutAt[node]) ? &m_triesAtCutNodes : nullptr;
+    return std::any_of(m_cutAt.begin(), m_cutAt.end(), isCountedFrom) ? &m_triesAtOthers : nullptr;
+}
+
+void SoakRun::countFirstTry(FirstTries& tries, size_t node, TimePoint sentAt, bool isServed)
+{
+    const auto isCalm = [&](size_t index) {
+        return m_nodes[index]->isCalmSince(sentAt - settleTime) && !m_nodes[index]->isStopping();
+    };
+    std::lock_guard lock(m_mutex);
+    bool isAnyLinkedCalm = false;
+    for (size_t i = 0; i < m_nodes.size(); ++i)
+        isAnyLinkedCalm = isAnyLinkedCalm || (!m_cutAt[i] && isCalm(i));
+    if (!isAnyLinkedCalm || (&tries == &m_triesAtCutNodes && !isCalm(node)))
+        return;
+    ++tries.count;
+    tries.served += isServed ? 1 : 0;
+}
+
+void SoakRun::checkFirstTries()
+{
+    const auto cut = m_triesAtCutNodes;
+    const auto others = m_triesAtOthers;
+    std::ostringstream text;
+    text << cut.served << " of " << cut.count << " first tries served at nodes that were cut off, " << others.served
+         << " of " << others.count << " at the others";
+    std::cout << text.str() << "\n";
+    if (cut.count == 0 || others.count == 0)
+        return;
+    const auto share
+        = [](const FirstTries& tries) { return static_cast<double>(tries.served) / static_cast<double>(tries.count); };
+    const auto count = static_cast<double>(cut.count);
+    // Disturbed targets fail requests at all nodes; more than at the others may fail within these bounds only.
+    const double excess = count * (share(others) - share(cut));
+    if (share(cut) < minServedRatio * share(others) || excess > maxFailedTries + count * maxFailedShare)
+        report(SoakRule::CutOffCallers, text.str());
+}
+
 void SoakRun::checkOrders()
 {
     std::vector<Order> orders;
@@ -183,8 +272,11 @@
 
 void SoakRun::inject(const SoakFault& fault)
 {
-    std::cout << "fault " << nameOf(fault.kind) << " " << fault.subject << " at " << toMilliseconds(fault.at) << " ms"
-              << std::endl;
+    std::cout << "fault " << nameOf(fault.kind) << " " << fault.subject << " at " << toMilliseconds(fault.at) << " ms";
+    if (fault.kind == SoakFaultKind::CutTargets)
+        std::cout << ", " << fault.cutNodes << " nodes, " << nameOf(fault.linkMode) << " for "
+                  << toMilliseconds(fault.duration) << " ms";
+    std::cout << std::endl;
     const auto endsAt = monotonicNow() + fault.duration;
     const auto disturbTarget = [&](TargetBehaviour behaviour) {
         auto* target = m_targets[fault.subject].get();
@@ -220,6 +312,9 @@
     case SoakFaultKind::SilentTarget:
         disturbTarget(TargetBehaviour::NoResponse);
         break;
+    case SoakFaultKind::CutTargets:
+        cutTargets(fault);
+        break;
     case SoakFaultKind::StoreDown:
     case SoakFaultKind::StoreReturn: {
         const bool returns = fault.kind == SoakFaultKind::StoreReturn;
@@ -272,7 +367,8 @@
     Random random(m_settings.seed * 1000 + caller);
     const std::vector<std::string> paths { "/safe/", "/once/", "/stream/" };
     for (int number = 0; !m_isOver; ++number) {
-        const auto& node = *m_nodes[randomIndex(random, m_nodes.size())];
+        const size_t nodeIndex = randomIndex(random, m_nodes.size());
+        const auto& node = *m_nodes[nodeIndex];
         const auto& path = paths[randomIndex(random, paths.size())];
         const auto id = "r-" + std::to_string(caller) + "-" + std::to_string(number);
         const HttpRequest request { "POST", path + "x",
@@ -280,6 +376,7 @@
             true };
         std::promise<HttpOutcome> promise;
         const auto sentAt = monotonicNow();
+        auto* const firstTries = selectFirstTries(nodeIndex, sentAt);
         loop.post([&] {
             client.call(parseEndpoint(node.callerAddress()).value(), request, callTimeout,
                 [&](HttpOutcome outcome) { promise.set_value(std::move(outcome)); });
@@ -287,17 +384,20 @@
         const auto outcome = promise.get_future().get();
         const auto* response = std::get_if<HttpResponse>(&outcome);
         const auto* failure = std::get_if<CallFailed>(&outcome);
+        if (firstTries)
+            countFirstTry(*firstTries, nodeIndex, sentAt, response && response->head.status == ok);
         // A request that crosses the close of a kept connection may be sent again.
         if (!failure || failure->wasSent)
-            check(node, path, id, sentAt, response ? response->head.status : 0, response ? response->body : "");
+            check(nodeIndex, path, id, sentAt, response ? response->head.status : 0, response ? response->body : "");
         std::this_thread::sleep_for(requestInterval);
     }
     loop.stop();
 }
 
-void SoakRun::check(const SoakNode& node, const std::string& path, const std::string& id, TimePoint sentAt,
-    uint32_t status, const std::string& body)
+void SoakRun::check(size_t nodeIndex, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
+    const std::string& body)
 {
+    const auto& node = *m_nodes[nodeIndex];
     {
         std::lock_guard lock(m_mutex);
         ++m_requestCounts[status];
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -3,6 +3,7 @@
 #include <Benchmarks/Soak/SoakFault.h>
 #include <Benchmarks/Soak/SoakNode.h>
 
+#include <StandIns/LinkStandIn.h>
 #include <StandIns/RegisteredTargetStandIn.h>
 #include <StandIns/RegistryStoreStandIn.h>
 
@@ -18,6 +19,7 @@
     RunTwice, ///< A request that may run once ran more often.
     RunAndRefused, ///< A request was answered "not run" and had run.
     OldCatalog, ///< A request was served as only an older catalog allows, after the time for a change had passed.
+    CutOffCallers, ///< First tries at nodes without links to targets failed more often than at the others.
     TwoHolders, ///< Two nodes gave orders under one fencing token, or too soon after each other.
 };
 
@@ -29,6 +31,7 @@
         { SoakRule::RunTwice, "run_twice" },
         { SoakRule::RunAndRefused, "run_and_refused" },
         { SoakRule::OldCatalog, "old_catalog" },
+        { SoakRule::CutOffCallers, "cut_off_callers" },
         { SoakRule::TwoHolders, "two_holders" },
     });
 };
@@ -51,16 +54,32 @@
     std::map<uint32_t, size_t> requestCounts();
 
 private:
+    /// First tries and how many of them were served.
+    struct FirstTries {
+        size_t count { 0 };
+        size_t served { 0 };
+    };
+
     void writeCatalog();
     void writeTargets();
     void returnStoreFromCopy();
+    /// Cuts nodes off from the targets, and ends the cut after its duration unless another one lasts longer.
+    void cutTargets(const SoakFault& fault);
+    void setLinks(size_t node, LinkMode mode);
+    /// Returns where to count a first try that is sent now, or null if no node has been cut off for long enough, or
+    /// this one for a shorter time.
+    FirstTries* selectFirstTries(size_t node, TimePoint now);
+    /// Counts a first try, unless faults of other kinds kept the node, or all those with links, from serving it.
+    void countFirstTry(FirstTries& tries, size_t node, TimePoint sentAt, bool isServed);
+    /// Compares the first tries at nodes that were cut off with those at the others.
+    void checkFirstTries();
     /// Checks the orders of all engines together.
     void checkOrders();
     void inject(const SoakFault& fault);
     /// Ends the faults whose time has passed, and restarts ended processes.
     void tick();
     void sendRequests(size_t caller);
-    void check(const SoakNode& node, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
+    void check(size_t nodeIndex, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
         const std::string& body);
     void report(SoakRule rule, const std::string& description);
     int runCount(const std::string& id);
@@ -71,6 +90,7 @@
     std::vector<std::unique_ptr<RegisteredTargetStandIn>>
         m_targets; ///< The first half serves "plain", the rest "other".
     std::vector<std::unique_ptr<RegisteredTargetStandIn>> m_engines; ///< Drop their models again and again.
+    std::vector<std::vector<std::unique_ptr<LinkStandIn>>> m_links; ///< By node and target.
     TimePoint m_modelsDroppedAt;
     TimePoint m_copyKeptAt;
     int m_storeFaults { 0 }; ///< Faults that keep the store down.
@@ -82,6 +102,9 @@
     std::atomic<TimePoint> m_storeDisturbedAt { TimePoint::min() };
     std::atomic<TimePoint> m_targetDisturbedAt { TimePoint::min() };
     std::mutex m_mutex; ///< Guards the members below.
+    std::vector<std::optional<TimePoint>> m_cutAt; ///< Start of the cut in force, by node.
+    FirstTries m_triesAtCutNodes; ///< From the time on after which callers must be served again.
+    FirstTries m_triesAtOthers; ///< At the same times.
     std::map<SoakRule, std::vector<std::string>> m_findings;
     std::map<uint32_t, size_t> m_requestCounts;
 };
