Keep the relay's header fields away from targets

What callers saw: nothing; a caller could make a node pass a field on to a target that only nodes send each other. Cause: the field was dropped only where a node relays a request, not where it sends it to a target. Change: the caller's listener drops it. The names of both fields begin as the platform's do, so that no other field is dropped. Result: IsolatedNodeTest.ForgedRelayFieldStaysAtTheNode failed before and passes.

--- a/Cyclamenstair/Codec/RelayCodec.h
+++ b/Cyclamenstair/Codec/RelayCodec.h
@@ -34,8 +34,8 @@
 using RelayResponse = std::variant<RelayedTargetAnswer, RelayRefusal>;
 
 /// Header fields that carry these messages between nodes, as base64 of FlatBuffers tables.
-inline constexpr std::string_view relayRequestField = "Relay-Request";
-inline constexpr std::string_view relayResponseField = "Relay-Response";
+inline constexpr std::string_view relayRequestField = "Cyclamenstair-Relay-Request";
+inline constexpr std::string_view relayResponseField = "Cyclamenstair-Relay-Response";
 
 /// Returns the value of the header field.
 std::string encodeRelayRequest(const RelayRequest& request);
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Entry/RequestExchange.h>
 
+#include <Cyclamenstair/Codec/RelayCodec.h>
 #include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Http/Endpoint.h>
 
@@ -91,6 +92,8 @@
 
 void RequestExchange::serve(RequestLoop& loop, const std::shared_ptr<ServerConnection>& connection, HttpRequest request)
 {
+    // Only nodes set it.
+    eraseField(request.fields, relayRequestField);
     const auto decoded = decodeCallerRequest(request);
     const auto current = loop.state().catalog.current();
     const Route* route = current ? current->routes.find(decoded.host, decoded.path) : nullptr;
--- a/Cyclamenstair/Entry/RequestExchangeRelay.cpp
+++ b/Cyclamenstair/Entry/RequestExchangeRelay.cpp
@@ -109,8 +109,6 @@
     }
     const auto current = m_loop->state().catalog.current();
     auto request = encodeRelayedRequest(m_request, action.remainingTime, action.resumeAfter);
-    // A caller cannot forge it.
-    eraseField(request.fields, relayRequestField);
     request.fields.emplace_back(relayRequestField,
         encodeRelayRequest({ m_loop->state().nodeId, current ? current->catalog.version : 0, action.maxAttempts,
             action.softwareVersion, requestInfo.team, requestInfo.teamPriority }));
