Refuse requests at once while no node reaches a target

What callers saw: while all nodes had lost their targets, requests waited for one connection attempt after the other and got 504 at their time limit, which says that they may have run. Cause: without another node to relay through, a request was tried at targets that were known to be out of reach. Change: a node that is isolated, and whose open connections have been silent for 1 s, refuses requests as not run if no other node reaches targets, and lets them wait as usual if such nodes do not accept requests at the moment.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -361,15 +361,16 @@
     if (call.isRelayed)
         return;
     auto& state = m_loop->state();
+    const auto now = monotonicNow();
     std::visit(
         Overloaded {
             [&](const ResponseHeadReceived& received) {
-                state.reach.recordReceived();
+                state.reach.recordReceived(now);
                 // It may have been opened before the path was lost, so it ends no isolation.
                 if (received.isFirstOfConnection && !state.reach.isIsolated())
                     (void)state.reach.recordConnected();
             },
-            [&](const ResponseDataReceived&) { state.reach.recordReceived(); },
+            [&](const ResponseDataReceived&) { state.reach.recordReceived(now); },
             [](const ResponseComplete&) {},
             [&](const CallFailed& failure) {
                 if (!failure.wasSent && state.reach.recordConnectFailure(call.target, state.targets.count()))
--- a/Cyclamenstair/Fleet/RelayPeers.cpp
+++ b/Cyclamenstair/Fleet/RelayPeers.cpp
@@ -44,6 +44,13 @@
     return best->peer;
 }
 
+bool RelayPeers::hasReachingPeer() const
+{
+    std::lock_guard lock(m_mutex);
+    return std::any_of(
+        m_peers.begin(), m_peers.end(), [&](const auto& entry) { return !m_isolated.contains(entry.first); });
+}
+
 void RelayPeers::release(const std::string& peer)
 {
     std::lock_guard lock(m_mutex);
--- a/Cyclamenstair/Fleet/RelayPeers.h
+++ b/Cyclamenstair/Fleet/RelayPeers.h
@@ -47,6 +47,9 @@
     /// value if no peer is left that reaches targets, as far as this node knows.
     std::optional<RelayPeer> acquire(const std::set<std::string>& excluded, TimePoint now, Random& random);
 
+    /// Returns whether another node reaches targets, as far as this node knows.
+    bool hasReachingPeer() const;
+
     /// Ends a request in flight.
     void release(const std::string& peer);
 
@@ -63,7 +66,8 @@
     double cost(const PeerState& state) const;
 
     RelayPeersSettings m_settings;
-    std::mutex m_mutex; ///< Guards the members below. Used only while the node is isolated, and when nodes change.
+    mutable std::mutex
+        m_mutex; ///< Guards the members below. Used only while the node is isolated, and when nodes change.
     std::map<std::string, PeerState> m_peers;
     std::set<std::string> m_isolated;
 };
--- a/Cyclamenstair/Fleet/TargetReach.cpp
+++ b/Cyclamenstair/Fleet/TargetReach.cpp
@@ -13,9 +13,10 @@
         m_silentSince = now;
 }
 
-void TargetReach::recordReceived()
+void TargetReach::recordReceived(TimePoint now)
 {
     std::lock_guard lock(m_mutex);
+    m_receivedAt = now;
     m_silentTargets.clear();
     m_silentSince.reset();
 }
@@ -41,6 +42,14 @@
     return !m_isIsolated.exchange(true);
 }
 
+bool TargetReach::isCutOff(TimePoint now) const
+{
+    if (!m_isIsolated)
+        return false;
+    std::lock_guard lock(m_mutex);
+    return now - m_receivedAt >= m_settings.openConnectionSilence;
+}
+
 bool TargetReach::isSuspect(TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
--- a/Cyclamenstair/Fleet/TargetReach.h
+++ b/Cyclamenstair/Fleet/TargetReach.h
@@ -22,6 +22,8 @@
     double isolationFraction { 0.5 };
     size_t minFailedTargets { 2 };
     size_t maxFailedTargets { 8 };
+    /// Time without a byte of any target after which an isolated node does not count on its open connections either.
+    Duration openConnectionSilence { milliseconds(1000) };
 };
 
 /// Whether this node reaches the targets, judged from its own connections over all services. Thread-safe.
@@ -41,7 +43,7 @@
     void recordSent(const std::string& target, TimePoint now);
 
     /// Records that bytes of a response have arrived from any target.
-    void recordReceived();
+    void recordReceived(TimePoint now);
 
     /// Records that a connection to a target was opened. Ends the isolation. Returns whether it was isolated.
     bool recordConnected();
@@ -56,6 +58,9 @@
 
     bool isIsolated() const { return m_isIsolated; }
 
+    /// Returns whether the node is isolated and its open connections do not deliver anything either.
+    bool isCutOff(TimePoint now) const;
+
     /// Returns the targets to which connections have failed since the last one was opened.
     std::set<std::string> failedTargets() const;
 
@@ -64,6 +69,7 @@
     std::atomic<bool> m_isIsolated { false };
     /// Guards the members below. A node handles some hundred requests per second, and each takes the lock briefly.
     mutable std::mutex m_mutex;
+    TimePoint m_receivedAt;
     std::set<std::string> m_failedTargets;
     std::set<std::string> m_silentTargets; ///< Targets to which requests were sent since the last received byte.
     std::optional<TimePoint> m_silentSince; ///< First of these sends.
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -96,6 +96,17 @@
     return m_dependencies.relays->acquire(m_triedPeers, now, *m_dependencies.random);
 }
 
+bool RequestMachine::waitForRelay(TimePoint now, Actions& actions)
+{
+    if (m_requestInfo.isRelayed || !m_dependencies.reach || !m_dependencies.reach->isCutOff(now))
+        return false;
+    if (m_dependencies.relays->hasReachingPeer())
+        waitForTarget(AcquireFailure::NoTarget, now, actions);
+    else
+        fail(m_mayHaveRun ? LocalResponseKind::Failed : LocalResponseKind::NotRun, "targets_unreachable", now, actions);
+    return true;
+}
+
 void RequestMachine::acquireTarget(TimePoint now, Actions& actions)
 {
     if (now >= m_requestInfo.deadline()) {
@@ -108,6 +119,8 @@
         startRelay(*peer, now, actions);
         return;
     }
+    if (waitForRelay(now, actions))
+        return;
     const auto maxWait
         = std::chrono::duration_cast<Duration>(m_requestInfo.route.targetLatency * m_settings->maxPromptWaitFraction);
     m_query.excludesBacklogged
--- a/Tests/FleetTests/TargetReachTests.cpp
+++ b/Tests/FleetTests/TargetReachTests.cpp
@@ -57,8 +57,10 @@
     TargetReach reach;
     (void)reach.recordConnectFailure("i-1", 2);
     (void)reach.recordConnectFailure("i-2", 2);
-    reach.recordReceived();
+    reach.recordReceived(start);
     EXPECT_TRUE(reach.isIsolated());
+    EXPECT_FALSE(reach.isCutOff(start + milliseconds(999)));
+    EXPECT_TRUE(reach.isCutOff(start + milliseconds(1000)));
 }
 
 TEST(TargetReach, SilenceIsSuspect)
@@ -69,7 +71,7 @@
     EXPECT_TRUE(reach.isSuspect(start + milliseconds(700)));
     reach.recordSent("i-2", start + milliseconds(100));
     EXPECT_TRUE(reach.isSuspect(start + milliseconds(400)));
-    reach.recordReceived();
+    reach.recordReceived(start);
     EXPECT_FALSE(reach.isSuspect(start + milliseconds(2000)));
 }
 
--- a/Tests/RequestFlowTests/RelayTests.cpp
+++ b/Tests/RequestFlowTests/RelayTests.cpp
@@ -90,14 +90,36 @@
     EXPECT_TRUE(find<StartRelay>(fixture.machine->handle(AttemptDisconnected { 1, false }, start)));
 }
 
-// Without another node that reaches targets, the request is tried as before.
-TEST(Relay, WithoutPeersTheNodeTriesTargetsItself)
+// Connections that are open can live on while new ones are refused.
+TEST(Relay, WithoutPeersTheNodeTriesOpenConnections)
 {
     RelayFixture fixture(RetryPolicy::Safe);
     fixture.relays.setIsolated({ "node-2", "node-3" });
+    fixture.reach.recordReceived(start);
     EXPECT_TRUE(find<StartAttempt>(fixture.machine->start(start)));
 }
 
+// A request that cannot be served must not wait until its deadline.
+TEST(Relay, WithoutPeersRequestsOfACutOffNodeAreRefusedAtOnce)
+{
+    RelayFixture fixture(RetryPolicy::Safe);
+    fixture.relays.setIsolated({ "node-2", "node-3" });
+    const auto actions = fixture.machine->start(start);
+    ASSERT_TRUE(find<SendLocalResponse>(actions));
+    EXPECT_EQ(find<SendLocalResponse>(actions)->kind, LocalResponseKind::NotRun);
+    EXPECT_EQ(find<SendLocalResponse>(actions)->reason, "targets_unreachable");
+}
+
+// A node that does not accept a request at the moment may do so a little later.
+TEST(Relay, RequestWaitsWhileNodesThatReachTargetsAreAvoided)
+{
+    RelayFixture fixture(RetryPolicy::Safe);
+    fixture.relays.avoid("node-2", start - milliseconds(900));
+    fixture.relays.avoid("node-3", start - milliseconds(900));
+    EXPECT_TRUE(fixture.machine->start(start).empty());
+    EXPECT_TRUE(find<StartRelay>(fixture.machine->handle(TimerFired {}, start + milliseconds(100))));
+}
+
 TEST(Relay, RefusalPassesOnWhenToComeBack)
 {
     RelayFixture fixture(RetryPolicy::Once, false, 1);
