Leave orders to another node while the lease holder reaches no target

What callers saw: while the holder of the order lease had lost its links to all targets, models that demand had moved to were loaded nowhere until the cut ended. Cause: the holder kept its lease, which depends on the store only. Change: a holder that has reached no target for 1 s resigns if another node does, and such a node does not take the lease. Result: IsolatedNodeTest.HolderWithoutTargetsLeavesOrdersToAnotherNode failed before and passes.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -170,7 +170,10 @@
     m_relay.setCollectingHandler([this](bool isCollecting) { m_registrar.setFrequent(isCollecting); });
     m_relay.setContact([this] { return m_registrar.hasContact(monotonicNow()); });
     // A node that follows a collector learns of a free lease later than those that watch the store.
-    m_elector.setEligibility([this] { return m_relay.isWatching() && !m_relay.isFollower(); });
+    m_elector.setEligibility([this] {
+        const bool canOrder = !m_state.reach.isIsolated() || !m_state.relays.hasReachingPeer();
+        return canOrder && m_relay.isWatching() && !m_relay.isFollower();
+    });
     m_dispatcher = std::make_unique<OrderDispatcher>(m_controlLoop.context(), m_elector, *m_mesh, m_state);
     return std::nullopt;
 }
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -35,6 +35,9 @@
     /// Targets register one after the other at startup and after a store outage. Planning waits while many have
     /// registered within this time, so that it does not load models that a target yet to register already holds.
     constexpr Duration arrivalWindow = milliseconds(1500);
+    /// Time after which a lease holder that reaches no target leaves the orders to another node, which needs as long
+    /// for the takeover as most short cuts last.
+    constexpr Duration maxIsolationOfHolder = milliseconds(1000);
     /// Interval at which new targets are looked for; on all nodes, so that it must cost little.
     constexpr Duration arrivalInterval = milliseconds(300);
     /// Share of recently registered targets from which planning waits. A rolling replacement of a service's targets
@@ -65,6 +68,7 @@
 {
     const auto now = monotonicNow();
     updateArrivals(now);
+    resignIfIsolated(now);
     if (m_elector->lease().isHeld()) {
         m_records = m_state->targets.records();
         if (!m_loadRateLimiter) {
@@ -82,6 +86,19 @@
     scheduleTick();
 }
 
+void OrderDispatcher::resignIfIsolated(TimePoint now)
+{
+    if (!m_state->reach.isIsolated()) {
+        m_isolatedSince.reset();
+        return;
+    }
+    if (!m_isolatedSince)
+        m_isolatedSince = now;
+    if (m_elector->lease().isHeld() && now - *m_isolatedSince >= maxIsolationOfHolder
+        && m_state->relays.hasReachingPeer())
+        m_elector->resign("targets_unreachable");
+}
+
 void OrderDispatcher::updateArrivals(TimePoint now)
 {
     if (now - m_arrivalsUpdatedAt < arrivalInterval)
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -44,6 +44,8 @@
     void scheduleTick();
     void requestReports();
     void requestReport(const TargetRecord& record);
+    /// Leaves the orders to another node if this one holds the lease and reaches no target.
+    void resignIfIsolated(TimePoint now);
     /// Records when each target was first seen, also while the lease is not held, so that a new lease holder has the
     /// times.
     void updateArrivals(TimePoint now);
@@ -73,6 +75,7 @@
     std::unique_ptr<LoadRateLimiter> m_loadRateLimiter; ///< Null while the lease is not held.
     TimePoint m_leaseHeldSince; ///< First tick at which this node held the lease.
     std::map<std::string, TimePoint> m_firstSeenAt; ///< By target id.
+    std::optional<TimePoint> m_isolatedSince;
     TimePoint m_arrivalsUpdatedAt;
 };
 
--- a/Tests/EntryTests/IsolatedNodeTests.cpp
+++ b/Tests/EntryTests/IsolatedNodeTests.cpp
@@ -349,3 +349,16 @@
     links[0][1]->setMode(LinkMode::Reset);
     expectDirect();
 }
+
+// Guards against models that nobody loads because the holder of the order lease has lost its targets.
+TEST_F(IsolatedNodeTest, HolderWithoutTargetsLeavesOrdersToAnotherNode)
+{
+    startNodes(1);
+    const std::string holderKey = "control/holder";
+    ASSERT_TRUE(eventually([&] { return store.value(holderKey) == "node-1"; }));
+    setLinks(0, LinkMode::Reset);
+    const auto callers = startCallers({ "/safe/x" }, std::chrono::steady_clock::now() + recoveryTime);
+    EXPECT_TRUE(eventually([&] { return store.value(holderKey).value_or("node-1") != "node-1"; }));
+    for (const auto& caller : callers)
+        caller.wait();
+}
