--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -170,8 +170,8 @@
     void startRelay(const RelayPeer& peer, TimePoint now, Actions& actions);
     /// Makes a new attempt the current one if there is none, else the alternative.
     void addAttempt(Attempt attempt, TimePoint now);
-    /// Ends the request, or lets it wait for a node to relay it through, if this node is cut off from all targets. Returns
-    /// false if it is not.
+    /// Ends the request, or lets it wait for a node to relay it through, if this node is cut off from all targets.
+    /// Returns false if it is not.
     bool waitForRelay(TimePoint now, Actions& actions);
     /// Returns a node to relay the request through, if this node reaches no target and knows a node that does.
     std::optional<RelayPeer> acquireRelay(TimePoint now);
