Divide the slots of brittle targets among the nodes

Targets may state in all answers (Server-Brittle: N) that they fail if they must refuse more than N requests in a second for want of room. Nodes sent as usual and overfilled them: a target of a small fleet had no bound, and nodes know each other's loads 100 to 400 ms late, so all of them filled the same free slot.

The statement is decoded (RequestCodec), recorded for each answer (TargetRegistry::recordBrittleness) and passed to the other nodes with the loads. While it holds, each node has a part of the target's slots; the parts add up to the slots, so nodes that keep to them cannot overfill it however late they know the loads. Below a quarter of the slots nodes borrow idle ones; requests beyond the parts travel in a second field of the loads, and the free slots are then filled slowly. Requests without room wait at the node, also after a refusal, and get "targets_brittle". Nothing changes for targets without the statement.

--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -31,6 +31,8 @@
             row->unread_tokens = load.pendingPromptTokens;
             row->overdue = saturatedCount(load.overdue);
             row->answers = saturatedCount(load.answers);
+            row->beyond_share = saturatedCount(load.beyondShare);
+            row->brittle_limit = load.brittleLimit;
             rows.push_back(std::move(row));
         }
         return rows;
@@ -40,7 +42,8 @@
     {
         TargetWorkloads loads;
         for (const auto& row : rows)
-            loads[row->target] = { row->in_flight, row->unread_tokens, row->overdue, row->answers };
+            loads[row->target] = { row->in_flight, row->unread_tokens, row->overdue, row->answers, row->beyond_share,
+                row->brittle_limit };
         return loads;
     }
 
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -84,7 +84,9 @@
     m_state->setNodeCount(nodes.size());
     m_topology.setNodes(std::move(nodes), m_self);
     m_state->targets.setLargeFleet(!m_topology.isDirect());
-    m_state->targets.setNodeCount(m_topology.nodes().size());
+    const auto& known = m_topology.nodes();
+    m_state->targets.setNodeCount(
+        known.size(), static_cast<size_t>(std::distance(known.begin(), known.lower_bound(m_state->nodeId))));
     std::vector<RelayPeer> relays;
     for (const auto& [id, node] : m_topology.nodes()) {
         if (id != m_state->nodeId)
@@ -211,8 +213,10 @@
     const bool isDirect = m_topology.isDirect();
     if (now - m_lastShareSentAt < (isDirect ? loadShareInterval / 2 : groupShareInterval))
         return;
-    auto own = m_state->targets.loads();
-    std::erase_if(own, [](const auto& entry) { return entry.second.inFlight == 0 && entry.second.answers == 0; });
+    auto own = m_state->targets.sharedLoads(now);
+    std::erase_if(own, [](const auto& entry) {
+        return entry.second.inFlight == 0 && entry.second.answers == 0 && entry.second.brittleLimit == 0;
+    });
     if (isCollecting()) {
         m_lastShareSentAt = now;
         sendAsCollector(own);
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -300,7 +300,8 @@
     const auto statement = std::string(nameOf(action.statement));
     log("target_statement",
         { { "statement", statement }, { "target", m_lastTarget.id }, { "address", m_lastTarget.address },
-            { "pause_left_ms", std::to_string(toMilliseconds(action.pauseLeft)) } });
+            { "pause_left_ms", std::to_string(toMilliseconds(action.pauseLeft)) },
+            { "refusal_limit", std::to_string(action.refusalLimit) } });
     m_loop->state().metrics.add(Metric::TargetStatements, statement);
 }
 
--- a/Cyclamenstair/Fleet/TargetRecord.h
+++ b/Cyclamenstair/Fleet/TargetRecord.h
@@ -36,6 +36,9 @@
     uint32_t pendingPromptTokens { 0 }; ///< Prompt tokens of requests in flight without a response so far.
     uint32_t overdue { 0 }; ///< Requests in flight whose response has not begun long after it was due.
     uint32_t answers { 0 }; ///< Answers since the target started or recovered; 0 at full pace, see TargetPace.
+    uint32_t beyondShare { 0 }; ///< Requests beyond the nodes' parts of the slots of a brittle target.
+    /// Refusals in a second that the target survives, the lowest number that nodes were told; 0 if it is not brittle.
+    uint32_t brittleLimit { 0 };
 
     bool operator==(const TargetWorkload&) const = default;
 };
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -95,7 +95,12 @@
         bool isModelLoaded = false;
         bool isAnyBacklogged = false;
         bool isAnyOverloaded = false;
+        bool isAnyBrittle = false;
+        const bool isServiceBrittle = this->isServiceBrittle(service->second, now);
+        size_t slotsBefore = 0;
         for (auto& [id, target] : service->second) {
+            const auto slotsBeforeTarget = slotsBefore;
+            slotsBefore += std::max(1U, target.record.slots);
             if (target.record.phase != TargetPhase::Ready || target.isLeaving || query.excluded.contains(id)
                 || target.record.softwareVersion != query.softwareVersion.value_or(target.record.softwareVersion))
                 continue;
@@ -121,6 +126,11 @@
                 isAnyBacklogged = true;
                 continue;
             }
+            if (isBrittle(target, isServiceBrittle, now)
+                && !hasBrittleRoom(target, shareOfSlots(target, slotsBeforeTarget), now)) {
+                isAnyBrittle = true;
+                continue;
+            }
             // The random term makes nodes break ties differently.
             candidates.push_back({ &target, selectionCost(target, now) + randomUnit(random) * 0.01 });
         }
@@ -129,6 +139,8 @@
                 return AcquireFailure::PromptBacklog;
             if (isAnyOverloaded)
                 return AcquireFailure::EnginesOverloaded;
+            if (isAnyBrittle)
+                return AcquireFailure::TargetsBrittle;
             if (firstPauseEnd)
                 return TargetsPaused { *firstPauseEnd };
             if (!isAnyReady)
@@ -210,6 +222,15 @@
     return end;
 }
 
+bool TargetRegistry::recordBrittleness(
+    const AcquiredTarget& target, std::optional<uint32_t> refusalLimit, TimePoint now)
+{
+    bool isNew = false;
+    withProcess(
+        target, [&](TargetState& state) { isNew = state.brittle.recordAnswer(refusalLimit, now, m_settings.brittle); });
+    return isNew;
+}
+
 void TargetRegistry::release(
     const AcquiredTarget& target, const TargetQuery& query, TargetAttemptResult result, TimePoint now)
 {
@@ -232,6 +253,7 @@
             state.suspectUntil = {};
             break;
         case TargetAttemptResult::Full:
+            state.brittle.recordRefusal(m_nodeCount, now, m_settings.brittle);
             // An engine also refuses requests for a model that it is about to unload, while it serves its other models.
             if (query.model.empty())
                 state.fullUntil = now + m_settings.fullBackoff;
@@ -249,6 +271,7 @@
             state.suspectUntil = now + m_settings.suspectDuration * state.consecutiveFailures;
             break;
         case TargetAttemptResult::Inconclusive:
+            state.brittle.recordCancellation(now, m_settings.brittle);
             break;
         }
     });
@@ -374,6 +397,26 @@
     return loads;
 }
 
+TargetWorkloads TargetRegistry::sharedLoads(TimePoint now) const
+{
+    auto loads = this->loads();
+    m_services.forEachShard([&](const auto& services) {
+        for (const auto& [service, targets] : services) {
+            size_t slotsBefore = 0;
+            for (const auto& [id, target] : targets) {
+                const auto share = shareOfSlots(target, slotsBefore);
+                slotsBefore += std::max(1U, target.record.slots);
+                const auto statement = target.brittle.statement(now, m_settings.brittle);
+                if (!statement || !statement->refusalLimit)
+                    continue;
+                loads[id].brittleLimit = *statement->refusalLimit;
+                loads[id].beyondShare = target.load.inFlight - std::min(target.load.inFlight, share);
+            }
+        }
+    });
+    return loads;
+}
+
 InFlightByTargetAndModel TargetRegistry::inFlightByTargetAndModel() const
 {
     InFlightByTargetAndModel inFlight;
@@ -399,7 +442,8 @@
         return target.load;
     return { target.load.inFlight + target.remoteLoad.inFlight,
         target.load.pendingPromptTokens + target.remoteLoad.pendingPromptTokens,
-        target.load.overdue + target.remoteLoad.overdue, target.remoteLoad.answers };
+        target.load.overdue + target.remoteLoad.overdue, target.remoteLoad.answers, target.remoteLoad.beyondShare,
+        target.remoteLoad.brittleLimit };
 }
 
 bool TargetRegistry::isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const
@@ -414,6 +458,47 @@
         && totalLoad(target, now).inFlight >= m_settings.maxEngineLoad * std::max(1U, target.record.slots);
 }
 
+bool TargetRegistry::isServiceBrittle(const Targets& targets, TimePoint now) const
+{
+    std::optional<BrittleStatement> last;
+    for (const auto& [id, target] : targets) {
+        const auto statement = target.brittle.statement(now, m_settings.brittle);
+        if (statement && (!last || statement->statedAt > last->statedAt))
+            last = statement;
+    }
+    return last && last->refusalLimit;
+}
+
+bool TargetRegistry::isBrittle(const TargetState& target, bool isServiceBrittle, TimePoint now) const
+{
+    if (const auto statement = target.brittle.statement(now, m_settings.brittle))
+        return statement->refusalLimit.has_value();
+    return isServiceBrittle || totalLoad(target, now).brittleLimit > 0;
+}
+
+uint32_t TargetRegistry::shareOfSlots(const TargetState& target, size_t slotsBefore) const
+{
+    const size_t nodeCount = m_nodeCount;
+    const auto position = (m_nodePosition + nodeCount - slotsBefore % nodeCount) % nodeCount;
+    return NodeShare { nodeCount, position }.partOf(std::max(1U, target.record.slots));
+}
+
+bool TargetRegistry::hasBrittleRoom(TargetState& target, uint32_t share, TimePoint now) const
+{
+    const size_t nodeCount = m_nodeCount;
+    const auto slots = std::max(1U, target.record.slots);
+    const auto total = totalLoad(target, now);
+    BrittleLoad load { slots, share, target.load.inFlight, total.inFlight, total.beyondShare };
+    // Without the loads of the others, nothing can be borrowed.
+    if (nodeCount > 1 && now - target.remoteLoadSetAt >= m_settings.remoteLoadLifetime)
+        load.total = std::max(load.total, slots - 1);
+    const auto interval = static_cast<uint64_t>(now.time_since_epoch() / m_settings.brittle.lendingInterval);
+    constexpr double weightRange = 18446744073709551616.0;
+    const double draw
+        = static_cast<double>(stableHash(m_settings.nodeId, stableHash(target.record.id, interval))) / weightRange;
+    return target.brittle.hasRoom(load, nodeCount, draw, now, m_settings.brittle);
+}
+
 void TargetRegistry::addOtherTargetCost(std::vector<Candidate>& candidates, double cost) const
 {
     if (candidates.size() <= m_settings.preferredTargets)
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Random.h>
 #include <Cyclamenstair/Core/Sharded.h>
+#include <Cyclamenstair/Fleet/BrittleTarget.h>
 #include <Cyclamenstair/Fleet/SoftwareVersions.h>
 #include <Cyclamenstair/Fleet/TargetPace.h>
 #include <Cyclamenstair/Fleet/TargetRecord.h>
@@ -54,6 +55,7 @@
     /// Meanwhile all nodes learn that the service has another version, whose streams they must tell apart.
     Duration newVersionDelay { milliseconds(1000) };
     TargetPaceSettings pace;
+    BrittleTargetSettings brittle;
     /// Longest pause that a target can ask for with one response, so that a faulty one does not stay out for good.
     Duration maxPause { std::chrono::minutes(5) };
 };
@@ -89,6 +91,7 @@
     ModelAbsent, ///< No ready target has loaded the model.
     AdapterAbsent, ///< Targets have loaded the model, but none the adapter.
     EnginesOverloaded, ///< All targets with the model and the adapter have too many requests in flight.
+    TargetsBrittle, ///< All targets that could take the request would fail if they had to refuse it.
     PromptBacklog, ///< All targets with the model and the adapter have too many pending prompt tokens.
 };
 
@@ -98,6 +101,7 @@
         { AcquireFailure::ModelAbsent, "model_absent" },
         { AcquireFailure::AdapterAbsent, "adapter_absent" },
         { AcquireFailure::EnginesOverloaded, "engines_overloaded" },
+        { AcquireFailure::TargetsBrittle, "targets_brittle" },
         { AcquireFailure::PromptBacklog, "prompts_unread" },
     });
 };
@@ -148,8 +152,13 @@
     void setLargeFleet(bool isLargeFleet) { m_isLargeFleet = isLargeFleet; }
     bool isLargeFleet() const { return m_isLargeFleet; }
 
-    /// Sets the number of nodes, among which the requests for a target that has just started are divided.
-    void setNodeCount(size_t nodeCount) { m_nodeCount = nodeCount; }
+    /// Sets the number of nodes, among which the requests for a target that has just started or is brittle are divided,
+    /// and this node's position among them in an order that all nodes agree on.
+    void setNodeCount(size_t nodeCount, size_t position = 0)
+    {
+        m_nodeCount = std::max<size_t>(1, nodeCount);
+        m_nodePosition = position;
+    }
 
     /// Adds or updates a target from its record at store revision `revision`. Older revisions are ignored. `startedAt`
     /// is set if a new process of the target has registered just now, rather than before this node read the records.
@@ -180,6 +189,10 @@
     /// pause.
     TimePoint pause(const AcquiredTarget& target, Duration duration, TimePoint now);
 
+    /// Records whether the target's process stated in an answer that it is brittle: it fails if it has to refuse more
+    /// requests in a second for want of room. No value if it did not say so. Returns whether this is news.
+    bool recordBrittleness(const AcquiredTarget& target, std::optional<uint32_t> refusalLimit, TimePoint now);
+
     /// Ends the request in flight at the target and records how the attempt went.
     void release(const AcquiredTarget& target, const TargetQuery& query, TargetAttemptResult result, TimePoint now);
 
@@ -208,6 +221,9 @@
     /// Returns this node's load by target id.
     TargetWorkloads loads() const;
 
+    /// Returns this node's load by target id, with what brittle targets stated to it, for the other nodes.
+    TargetWorkloads sharedLoads(TimePoint now) const;
+
     /// Returns this node's requests in flight by target id and model.
     InFlightByTargetAndModel inFlightByTargetAndModel() const;
 
@@ -221,6 +237,7 @@
         TimePoint suspectUntil;
         TimePoint fullUntil;
         TargetPace pace;
+        BrittleTarget brittle;
         bool isUnresponsive { false }; ///< As of the last change of the loads.
         bool isLeaving { false };
         TimePoint pausedUntil;
@@ -246,6 +263,15 @@
     bool isPromptBacklogged(const TargetState& target, const TargetQuery& query, TimePoint now) const;
     /// Returns whether a request would wait at the engine for a whole round of other requests.
     bool isOverloaded(const TargetState& target, const TargetQuery& query, TimePoint now) const;
+    /// Returns whether the last answer of any target of the service stated that it is brittle. That holds for targets
+    /// that no node has had an answer from for a while, for example because they have just started.
+    bool isServiceBrittle(const Targets& targets, TimePoint now) const;
+    bool isBrittle(const TargetState& target, bool isServiceBrittle, TimePoint now) const;
+    /// Returns whether this node may send a brittle target another request. `share` is its part of the slots.
+    bool hasBrittleRoom(TargetState& target, uint32_t share, TimePoint now) const;
+    /// Returns this node's part of the target's slots. `slotsBefore` is the number of slots of the targets before it,
+    /// which determines the nodes that have one slot more than others.
+    uint32_t shareOfSlots(const TargetState& target, size_t slotsBefore) const;
     double selectionCost(TargetState& target, TimePoint now) const;
     /// Returns the cost of a target that does not respond, or that this node is to leave to others until it is at full
     /// pace. Large fleets only: few nodes find out for themselves.
@@ -259,6 +285,7 @@
     TargetRegistrySettings m_settings;
     std::atomic<bool> m_isLargeFleet { false };
     std::atomic<size_t> m_nodeCount { 1 };
+    std::atomic<size_t> m_nodePosition { 0 };
     Sharded<std::string, std::map<std::string, Targets>> m_services;
 };
 
--- a/Cyclamenstair/Generated/Entry_generated.h
+++ b/Cyclamenstair/Generated/Entry_generated.h
@@ -609,6 +609,8 @@
   uint32_t unread_tokens = 0;
   uint16_t overdue = 0;
   uint16_t answers = 0;
+  uint16_t beyond_share = 0;
+  uint32_t brittle_limit = 0;
 };
 
 /// Requests of one node in flight at a target.
@@ -621,7 +623,9 @@
     VT_IN_FLIGHT = 6,
     VT_UNREAD_TOKENS = 8,
     VT_OVERDUE = 10,
-    VT_ANSWERS = 12
+    VT_ANSWERS = 12,
+    VT_BEYOND_SHARE = 14,
+    VT_BRITTLE_LIMIT = 16
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -641,6 +645,14 @@
   uint16_t answers() const {
     return GetField<uint16_t>(VT_ANSWERS, 0);
   }
+  /// Requests beyond the node's part of the slots of a brittle target.
+  uint16_t beyond_share() const {
+    return GetField<uint16_t>(VT_BEYOND_SHARE, 0);
+  }
+  /// Refusals in a second that the target survives, as it stated to the node; 0 if it is not brittle.
+  uint32_t brittle_limit() const {
+    return GetField<uint32_t>(VT_BRITTLE_LIMIT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TARGET) &&
@@ -649,6 +661,8 @@
            VerifyField<uint32_t>(verifier, VT_UNREAD_TOKENS, 4) &&
            VerifyField<uint16_t>(verifier, VT_OVERDUE, 2) &&
            VerifyField<uint16_t>(verifier, VT_ANSWERS, 2) &&
+           VerifyField<uint16_t>(verifier, VT_BEYOND_SHARE, 2) &&
+           VerifyField<uint32_t>(verifier, VT_BRITTLE_LIMIT, 4) &&
            verifier.EndTable();
   }
   TargetLoadRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -675,6 +689,12 @@
   void add_answers(uint16_t answers) {
     fbb_.AddElement<uint16_t>(TargetLoadRow::VT_ANSWERS, answers, 0);
   }
+  void add_beyond_share(uint16_t beyond_share) {
+    fbb_.AddElement<uint16_t>(TargetLoadRow::VT_BEYOND_SHARE, beyond_share, 0);
+  }
+  void add_brittle_limit(uint32_t brittle_limit) {
+    fbb_.AddElement<uint32_t>(TargetLoadRow::VT_BRITTLE_LIMIT, brittle_limit, 0);
+  }
   explicit TargetLoadRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -693,10 +713,14 @@
     uint16_t in_flight = 0,
     uint32_t unread_tokens = 0,
     uint16_t overdue = 0,
-    uint16_t answers = 0) {
+    uint16_t answers = 0,
+    uint16_t beyond_share = 0,
+    uint32_t brittle_limit = 0) {
   TargetLoadRowBuilder builder_(_fbb);
+  builder_.add_brittle_limit(brittle_limit);
   builder_.add_unread_tokens(unread_tokens);
   builder_.add_target(target);
+  builder_.add_beyond_share(beyond_share);
   builder_.add_answers(answers);
   builder_.add_overdue(overdue);
   builder_.add_in_flight(in_flight);
@@ -714,7 +738,9 @@
     uint16_t in_flight = 0,
     uint32_t unread_tokens = 0,
     uint16_t overdue = 0,
-    uint16_t answers = 0) {
+    uint16_t answers = 0,
+    uint16_t beyond_share = 0,
+    uint32_t brittle_limit = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return cyclamenstair::schema::CreateTargetLoadRow(
       _fbb,
@@ -722,7 +748,9 @@
       in_flight,
       unread_tokens,
       overdue,
-      answers);
+      answers,
+      beyond_share,
+      brittle_limit);
 }
 
 flatbuffers::Offset<TargetLoadRow> CreateTargetLoadRow(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3511,6 +3539,8 @@
   { auto _e = unread_tokens(); _o->unread_tokens = _e; }
   { auto _e = overdue(); _o->overdue = _e; }
   { auto _e = answers(); _o->answers = _e; }
+  { auto _e = beyond_share(); _o->beyond_share = _e; }
+  { auto _e = brittle_limit(); _o->brittle_limit = _e; }
 }
 
 inline flatbuffers::Offset<TargetLoadRow> TargetLoadRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetLoadRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3526,13 +3556,17 @@
   auto _unread_tokens = _o->unread_tokens;
   auto _overdue = _o->overdue;
   auto _answers = _o->answers;
+  auto _beyond_share = _o->beyond_share;
+  auto _brittle_limit = _o->brittle_limit;
   return cyclamenstair::schema::CreateTargetLoadRow(
       _fbb,
       _target,
       _in_flight,
       _unread_tokens,
       _overdue,
-      _answers);
+      _answers,
+      _beyond_share,
+      _brittle_limit);
 }
 
 inline ModelRunsRowT *ModelRunsRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Cyclamenstair/Peering/LoadExchange.cpp
+++ b/Cyclamenstair/Peering/LoadExchange.cpp
@@ -14,6 +14,10 @@
             sum.pendingPromptTokens += load.pendingPromptTokens;
             sum.overdue += load.overdue;
             sum.answers += load.answers;
+            sum.beyondShare += load.beyondShare;
+            if (load.brittleLimit > 0)
+                sum.brittleLimit
+                    = sum.brittleLimit > 0 ? std::min(sum.brittleLimit, load.brittleLimit) : load.brittleLimit;
         }
     }
 
@@ -64,6 +68,7 @@
         total->second.pendingPromptTokens = difference(total->second.pendingPromptTokens, own.pendingPromptTokens);
         total->second.overdue = difference(total->second.overdue, own.overdue);
         total->second.answers = difference(total->second.answers, own.answers);
+        total->second.beyondShare = difference(total->second.beyondShare, own.beyondShare);
     }
     m_summaryIsolated = summary.isolatedNodes;
     m_summaryIsolated.erase(m_nodeId);
--- a/Cyclamenstair/RequestFlow/RequestAction.h
+++ b/Cyclamenstair/RequestFlow/RequestAction.h
@@ -77,12 +77,16 @@
 enum class TargetStatement : uint8_t {
     Leaving, ///< It is about to leave.
     Paused, ///< It asks this node to send nothing for a while.
+    Brittle, ///< It fails if it has to refuse too many requests.
+    NotBrittle, ///< It is no longer brittle.
 };
 
 template <> struct EnumNames<TargetStatement> {
     static constexpr auto table = std::to_array<EnumName<TargetStatement>>({
         { TargetStatement::Leaving, "leaving" },
         { TargetStatement::Paused, "paused" },
+        { TargetStatement::Brittle, "brittle" },
+        { TargetStatement::NotBrittle, "not_brittle" },
     });
 };
 
@@ -90,6 +94,7 @@
 struct ReportStatement {
     TargetStatement statement { TargetStatement::Leaving };
     Duration pauseLeft {}; ///< For Paused: time until the target is selected again.
+    uint32_t refusalLimit { 0 }; ///< For Brittle: refusals in a second that the target survives.
 };
 
 /// A target closed its connection before the answer had continued. Unless its process is still running, that is
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -262,18 +262,22 @@
 void RequestMachine::waitForTarget(AcquireFailure failure, TimePoint now, Actions& actions)
 {
     m_phase = Phase::Waiting;
-    // Only the first attempt waits, for a load or a registration. A request that has been sent does not wait for
-    // another target.
+    // The first attempt waits, for a load or a registration. A request that has been sent waits only for room at
+    // brittle targets, which must not refuse it again.
     const auto wait = maxWait(failure);
     // A load that is requested now ends after the wait.
     const bool isLoadTooLong = failure == AcquireFailure::ModelAbsent && m_requestInfo.modelLoadTime > wait;
-    if (m_sentAttempts > 0 || isLoadTooLong || now >= m_requestInfo.receivedAt + wait) {
+    const bool isWaitAllowed = m_sentAttempts == 0 || failure == AcquireFailure::TargetsBrittle;
+    const auto waitsSince = m_sentAttempts == 0 ? m_requestInfo.receivedAt : m_lastProgressAt;
+    if (!isWaitAllowed || isLoadTooLong || now >= waitsSince + wait) {
         fail(m_mayHaveRun ? LocalResponseKind::Failed : LocalResponseKind::NotRun, std::string(nameOf(failure)), now,
             actions, failure);
         return;
     }
     setCountedAsWaiting(true);
-    m_nextAcquireAt = now + m_settings->acquireInterval;
+    m_nextAcquireAt = now
+        + (failure == AcquireFailure::TargetsBrittle ? m_settings->brittleAcquireInterval
+                                                     : m_settings->acquireInterval);
 }
 
 void RequestMachine::waitForPauseEnd(TimePoint until, TimePoint now, Actions& actions)
--- a/Cyclamenstair/RequestFlow/RequestEvent.h
+++ b/Cyclamenstair/RequestFlow/RequestEvent.h
@@ -18,6 +18,8 @@
     bool isNotRun { false }; ///< The target states that it did not run the request.
     bool isMisdirected { false }; ///< The address belongs to another instance, or the model is absent.
     bool isLeaving { false }; ///< The target states that it is about to leave.
+    /// Refusals for want of room in a second that the target survives, if it states that it is brittle.
+    std::optional<uint32_t> brittleLimit {};
     std::optional<Duration> pause {}; ///< Time for which the target asks this node to send it nothing.
     /// Version of the target's software, as stated by the node through which the request was relayed.
     std::string softwareVersion {};
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -128,6 +128,11 @@
         const auto until = m_dependencies.targets->pause(*target, *head.pause, now);
         actions.emplace_back(ReportStatement { TargetStatement::Paused, until - now });
     }
+    const bool isOfTarget = head.matchesRequestId && !head.isMisdirected;
+    if (isOfTarget && m_dependencies.targets->recordBrittleness(*target, head.brittleLimit, now))
+        actions.emplace_back(
+            ReportStatement { head.brittleLimit ? TargetStatement::Brittle : TargetStatement::NotBrittle, Duration(0),
+                head.brittleLimit.value_or(0) });
     m_dependencies.targets->markPromptRead(*target);
 }
 
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -20,6 +20,9 @@
 struct RequestFlowSettings {
     /// Interval at which a waiting request tries again to acquire a target.
     Duration acquireInterval { milliseconds(25) };
+    /// The same while it waits for room at brittle targets. They must not queue requests, so a slot is idle until the
+    /// next try.
+    Duration brittleAcquireInterval { milliseconds(10) };
     /// Maximum wait for a target, as a fraction of the route's target latency. A caller that is refused early still has
     /// time to retry.
     double maxWaitFraction { 0.5 };
--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -50,7 +50,8 @@
     case Metric::PartVerdicts:
         return { MetricKind::Counter, "verdict", "Verdicts on prompt parts that make targets fail." };
     case Metric::TargetStatements:
-        return { MetricKind::Counter, "statement", "Statements of targets that they leave or want a pause." };
+        return { MetricKind::Counter, "statement",
+            "Statements of targets that they leave, want a pause or are brittle." };
     case Metric::RequestSeconds:
         return { MetricKind::Summary, "class",
             "Time from arrival to the end of the answer, by class of work or by service." };
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -2,6 +2,8 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <nlohmann/json.hpp>
 
 namespace cyclamenstair {
@@ -52,8 +54,8 @@
 {
     std::lock_guard lock(m_mutex);
     return R"({"service":")" + m_service + R"(","address":")" + m_address + R"(","zone":"domain-1","version":")"
-        + m_softwareVersion + R"(","slots":8,"state":")" + phase + R"(","cold_left_ms":0,"models":)" + modelsJson()
-        + R"(,"seq":1,"born":1})";
+        + m_softwareVersion + R"(","slots":)" + std::to_string(slots) + R"(,"state":")" + phase
+        + R"(","cold_left_ms":0,"models":)" + modelsJson() + R"(,"seq":1,"born":1})";
 }
 
 void RegisteredTargetStandIn::setSoftwareVersion(const std::string& version)
@@ -111,6 +113,54 @@
     m_crashingPart = part;
 }
 
+void RegisteredTargetStandIn::setBrittle(int refusalLimit, Duration runTime)
+{
+    m_brittleRunTime = runTime;
+    m_refusalLimit = refusalLimit;
+}
+
+void RegisteredTargetStandIn::runBrittle(
+    const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request)
+{
+    const auto now = monotonicNow();
+    const auto id = headerValue(request, "Cyclamenstair-Request-Id");
+    const auto limit = m_refusalLimit.load();
+    if (now < m_downUntil) {
+        connection->abort();
+        return;
+    }
+    if (m_running >= slots) {
+        connection->sendResponse(
+            { unavailable, {}, { { "Cyclamenstair-Not-Run", "1" }, { "Server-Brittle", std::to_string(limit) } } }, {});
+        ++m_roomRefusalCount;
+        m_roomRefusals.push_back(now);
+        while (now - m_roomRefusals.front() >= std::chrono::seconds(1))
+            m_roomRefusals.pop_front();
+        if (m_roomRefusals.size() > static_cast<size_t>(limit)) {
+            m_downUntil = now + brittleDownTime;
+            m_roomRefusals.clear();
+            boost::asio::post(m_loop.context(), [this] { crash(); });
+        }
+        return;
+    }
+    m_maxRunning = std::max(m_maxRunning.load(), ++m_running);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_loop.context(), m_brittleRunTime.load());
+    timer->async_wait([this, timer, connection, id, limit](const boost::system::error_code&) {
+        --m_running;
+        if (!connection->isOpen())
+            return;
+        {
+            std::lock_guard lock(m_mutex);
+            ++m_runCounts[id];
+        }
+        connection->sendResponse(
+            { ok, {},
+                { { "Cyclamenstair-Request-Id", id }, { "Cyclamenstair-Response-Stamp", "receipt-" + m_id },
+                    { "Server-Brittle", std::to_string(limit) } } },
+            m_id);
+    });
+}
+
 bool RegisteredTargetStandIn::hasCrashingPart(const HttpRequest& request)
 {
     std::lock_guard lock(m_mutex);
@@ -159,6 +209,10 @@
             { unavailable, {}, { { "Cyclamenstair-Not-Run", "1" }, { "Retry-After", "1.5" } } }, {});
         return;
     }
+    if (m_refusalLimit > 0) {
+        runBrittle(connection, request);
+        return;
+    }
     const HttpResponseHead refusal { unavailable, {}, { { "Cyclamenstair-Not-Run", "1" } } };
     if (behaviour == TargetBehaviour::RefuseUnrun) {
         connection->sendResponse(refusal, {});
--- a/StandIns/RegisteredTargetStandIn.h
+++ b/StandIns/RegisteredTargetStandIn.h
@@ -5,6 +5,7 @@
 #include <Cyclamenstair/Http/ServerListener.h>
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <set>
@@ -64,6 +65,21 @@
     /// and the target starts again at once.
     void setCrashingPart(const std::string& part);
 
+    /// From now on the target is brittle: it runs at most as many requests as it has slots, each for `runTime`, refuses
+    /// the others and states `refusalLimit` in all answers. One that refuses more in a second crashes and refuses
+    /// connections' requests by closing them for `brittleDownTime`.
+    void setBrittle(int refusalLimit, Duration runTime);
+
+    /// Returns how many requests the target refused for want of room since it is brittle.
+    int roomRefusalCount() const { return m_roomRefusalCount; }
+
+    /// Returns the most requests that ran at one time since the target is brittle.
+    int maxRunning() const { return m_maxRunning; }
+
+    /// Slots in the target's entry.
+    static constexpr int slots = 8;
+    static constexpr Duration brittleDownTime = milliseconds(2000);
+
     /// Returns how often the target crashed.
     int crashCount() const { return m_crashCount; }
 
@@ -109,6 +125,8 @@
     /// Sends the events from `event` on, one after the other with pauses, and the end of the stream.
     void sendPaced(const std::shared_ptr<ServerConnection>& connection, int event);
     void sendEndlessBody(const std::shared_ptr<ServerConnection>& connection);
+    /// Handles a request while the target is brittle.
+    void runBrittle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     bool hasCrashingPart(const HttpRequest& request);
     void crash();
     void handleOrder(const std::shared_ptr<ServerConnection>& connection, const std::string& body);
@@ -123,6 +141,13 @@
     std::atomic<int> m_abandonedRequestCount { 0 };
     std::atomic<int> m_crashCount { 0 };
     std::atomic<int> m_crashingRequestCount { 0 };
+    std::atomic<int> m_refusalLimit { 0 }; ///< 0 unless the target is brittle.
+    std::atomic<Duration> m_brittleRunTime { Duration(0) };
+    std::atomic<int> m_roomRefusalCount { 0 };
+    std::atomic<int> m_maxRunning { 0 };
+    int m_running { 0 }; ///< While the target is brittle. Used on the event loop only, like the following ones.
+    std::deque<TimePoint> m_roomRefusals; ///< Of the last second.
+    TimePoint m_downUntil;
     std::atomic<size_t> m_endlessBodyBytes { 0 };
     std::atomic<bool> m_rejectsOrders { false };
     std::atomic<int> m_rejectedOrderCount { 0 };
--- a/Tests/PlatformTests/CodecTests.cpp
+++ b/Tests/PlatformTests/CodecTests.cpp
@@ -242,6 +242,23 @@
     EXPECT_FALSE(decodeHead(500, { { "Retry-After", "2" } }).pause);
 }
 
+// Guards against a brittle target that is not treated as one because its statement is odd, and against a statement of
+// another instance that counts for this one.
+TEST(RequestCodec, BrittlenessIsDecoded)
+{
+    const auto decodeLimit = [](uint32_t status, HeaderFields fields) {
+        fields.emplace_back("Cyclamenstair-Request-Id", "r-1");
+        return decodeResponseHead({ status, {}, std::move(fields) }, "r-1", true).brittleLimit;
+    };
+    EXPECT_FALSE(decodeLimit(200, {}));
+    EXPECT_EQ(decodeLimit(200, { { "server-brittle", "12" } }), 12U);
+    EXPECT_EQ(decodeLimit(503, { { "Server-Brittle", "5" }, { "Server-Brittle", "2" } }), 2U);
+    EXPECT_FALSE(decodeLimit(421, { { "Server-Brittle", "5" } }));
+    for (const char* value : { "0", "-1", "", "nan", "yes", "0.5" })
+        EXPECT_EQ(decodeLimit(200, { { "Server-Brittle", value } }), 1U) << value;
+    EXPECT_GE(decodeLimit(200, { { "Server-Brittle", "1e300" } }), 1000U);
+}
+
 // Guards against a last part that is taken for one that other prompts share, and against a malformed list that is read
 // past its end or fills the node's memory.
 TEST(RequestCodec, DecodesPartsOfPrompt)
--- a/Tests/RequestFlowTests/RequestMachineTests.cpp
+++ b/Tests/RequestFlowTests/RequestMachineTests.cpp
@@ -88,6 +88,39 @@
     EXPECT_GE(retryTimes.size(), 5U);
 }
 
+// Guards against a refused request that is sent on to other brittle targets without room, against one that ends
+// although a slot becomes free while it can wait, and against one that waits without end.
+TEST(RequestMachine, RefusedRequestWaitsForRoomAtBrittleTargets)
+{
+    Fixture fixture(RetryPolicy::Once, false, 2);
+    fixture.targets.setNodeCount(10000, 9999); // This node has no part of the slots.
+    const auto first = fixture.machine->start(start);
+    ASSERT_TRUE(find<StartAttempt>(first));
+    ResponseInfo refusal { 503, true, false, true };
+    refusal.brittleLimit = 2;
+    const auto refused = fixture.machine->handle(ResponseStarted { 1, refusal }, start);
+    const auto* report = find<ReportStatement>(refused);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->statement, TargetStatement::Brittle);
+    EXPECT_EQ(report->refusalLimit, 2U);
+    EXPECT_FALSE(find<StartAttempt>(refused));
+    ASSERT_FALSE(fixture.machine->isFinished());
+    const auto waiting = fixture.makeMachine(fixture.machine->requestInfo());
+    EXPECT_TRUE(waiting->start(start).empty());
+    fixture.targets.setNodeCount(1);
+    EXPECT_TRUE(find<StartAttempt>(fixture.machine->handle(TimerFired {}, *fixture.machine->nextTimerAt())));
+    fixture.targets.setNodeCount(10000, 9999);
+    const auto limit = start + fixture.machine->requestInfo().route.targetLatency;
+    std::vector<RequestAction> last;
+    while (!waiting->isFinished() && *waiting->nextTimerAt() <= limit)
+        last = waiting->handle(TimerFired {}, *waiting->nextTimerAt());
+    const auto* response = find<SendLocalResponse>(last);
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->kind, LocalResponseKind::NotRun);
+    EXPECT_EQ(response->reason, "targets_brittle");
+    EXPECT_TRUE(response->retryAfter);
+}
+
 // Guards against refusing a request whose model can be loaded while it waits.
 TEST(RequestMachine, WaitsForLoadThatCanEndInTime)
 {
