Resume streams at the only known version only if that is recent

What callers saw: a stream that had begun at a target of a new software version broke and was resumed at a node that was cut off from the store and the other nodes, or had been frozen, while that version joined. It went on at a target of the former version.

Cause: SoftwareVersions::soleVersion answered from what the node had known, however old that was.

Change: the versions count for 1.3 s after they were confirmed, on a clock that counts suspended time: by messages of other nodes which are, with this one, more than half, by the end of their processes, or by the time at which an answered call for the targets was sent. Nodes tell each other the versions of their targets before their load shares. The first target of a version waits for 1.5 s instead of 1 s, while others can take its requests: the lifetime of a confirmation and the time until a node has told the others. So a node in step cannot miss a stream of another version. Out of step, a stream of unknown origin waits for 700 ms and is then refused as not run, to be sent again after 1.5 s. In step no calls are added; a node that has not heard from the others for 2 s makes short watches of the targets.

Changed tests: SoftwareVersions.* and the fixtures of StreamVersion.* confirm the versions, without which none counts as the only one.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -108,7 +108,7 @@
         self->m_controlWatcher->start();
         self->m_reachMonitor.start();
         self->m_mesh->start();
-        self->m_origins->start();
+        self->m_origins->start(self->m_targetWatcher.storeWatcher(), self->m_controlWatcher->storeWatcher());
         self->m_dispatcher->start();
         self->m_registrar.start();
     });
--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -95,6 +95,18 @@
     m_state->relays.setPeers(relays);
 }
 
+TimePoint PeerMesh::inStepAt()
+{
+    m_contacts.tick(suspendAwareNow());
+    size_t count = m_topology.nodes().size() / 2;
+    if (!m_topology.isDirect())
+        count = isCollecting() ? m_topology.domainCount() / 2 : 1;
+    // Until the nodes are known, the seeds are.
+    if (!m_areNodesKnown && m_seeds.size() > m_seeds.count(m_self.address))
+        count = std::max<size_t>(count, 1);
+    return m_contacts.heardAt(count, suspendAwareNow());
+}
+
 DemandShare PeerMesh::totalDemand() const { return m_exchange.totalDemand(ownDemand()); }
 
 size_t PeerMesh::leaseCompetitorCount() const
@@ -141,6 +153,8 @@
     updateRelay(now);
     updateLinks(now);
     m_exchange.setIsolated(m_state->reach.isIsolated());
+    // Before the shares, by which the receiver sees that it is in step.
+    sendVersions();
     sendShares(now);
     sendUsage(now);
     applyRemoteLoads(now);
@@ -197,12 +211,18 @@
         return;
     }
     link.isSnapshotRequested = false;
+    link.areVersionsSent = false;
     link.channel = std::make_shared<FrameChannel>(tcp::socket(*m_context),
         FrameChannel::Handlers { [this](const auto& sender, const std::string& content) { onFrame(sender, content); },
             [this, address] {
                 const auto entry = m_links.find(address);
-                if (entry != m_links.end())
-                    entry->second.channel.reset();
+                if (entry == m_links.end())
+                    return;
+                const auto channel = std::move(entry->second.channel);
+                for (const auto& [id, node] : m_topology.nodes()) {
+                    if (node.address == address && channel && channel->isRefused())
+                        m_contacts.markHeard(id, suspendAwareNow());
+                }
             } },
         &m_state->controlBuffers);
     link.channel->connect(endpoint.value());
@@ -331,6 +351,28 @@
         sendToNeighbours(encodeEntryMessage(QuarantineShare { m_state->nodeId, std::move(rows) }));
 }
 
+void PeerMesh::sendVersions()
+{
+    auto versions = m_state->targets.softwareVersions();
+    if (versions.empty())
+        return;
+    const auto encode = [](std::set<ServiceVersion> sent) {
+        return encodeEntryMessage(Snapshot { {}, {}, false, std::move(sent), false });
+    };
+    const bool isChanged = versions != m_sentVersions;
+    for (auto& [address, link] : m_links) {
+        if (!link.channel || !link.channel->isOpen() || (link.areVersionsSent && !isChanged))
+            continue;
+        // A node that was cut off may also have missed versions that have left. They are sent once only, so that nodes
+        // do not keep each other from forgetting them.
+        link.channel->send(encode(link.areVersionsSent ? versions : m_state->versions.versions(monotonicNow())));
+        link.areVersionsSent = true;
+    }
+    if (isCollecting() && isChanged)
+        sendToMembers(encode(versions));
+    m_sentVersions = std::move(versions);
+}
+
 void PeerMesh::sendToNeighbours(const std::string& frame)
 {
     for (const auto& [address, link] : m_links) {
@@ -396,6 +438,8 @@
     std::erase_if(m_senders, [](const auto& entry) { return entry.second.expired(); });
     m_senders[share.node] = sender;
     m_exchange.add(share, now);
+    if (m_topology.isDirect() || share.isCollected)
+        m_contacts.markHeard(share.node, suspendAwareNow());
     if (m_topology.isDirect())
         applyRemoteLoads(now);
 }
@@ -412,6 +456,7 @@
     if (summary.node != m_topology.collector())
         return;
     m_relay->handle(summary, now);
+    m_contacts.markHeard(summary.node, suspendAwareNow());
     m_exchange.add(summary, m_lastShare, now);
     applyRemoteLoads(now);
 }
@@ -444,6 +489,8 @@
 
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const Snapshot& snapshot)
 {
+    for (const auto& version : snapshot.versions)
+        m_state->versions.observe(version, monotonicNow());
     m_snapshotHandlers.apply(snapshot);
     // Request again: the peer may not have had the records itself.
     if (!m_state->areTargetsKnown || !m_state->catalog.current()) {
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -6,6 +6,7 @@
 #include <Cyclamenstair/Peering/ExchangeTopology.h>
 #include <Cyclamenstair/Peering/FrameChannel.h>
 #include <Cyclamenstair/Peering/LoadExchange.h>
+#include <Cyclamenstair/Peering/PeerContacts.h>
 #include <Cyclamenstair/Peering/UsageExchange.h>
 
 #include <set>
@@ -42,6 +43,11 @@
     /// Sends origins of streams to the other nodes.
     void shareStreamOrigins(std::vector<StreamOrigin> origins);
 
+    /// Returns the last time at which this node knew of the software versions at which the other nodes begin streams:
+    /// when it had heard from so many that, with itself, they are more than half. On the clock of suspendAwareNow().
+    /// Called at a regular interval.
+    TimePoint inStepAt();
+
     /// Returns the number of registered nodes.
     size_t nodeCount() const { return m_topology.nodes().size(); }
 
@@ -67,6 +73,7 @@
         std::shared_ptr<FrameChannel> channel;
         TimePoint lastConnectAttemptAt;
         bool isSnapshotRequested { false };
+        bool areVersionsSent { false };
     };
     PeerMesh(boost::asio::io_context& context, EntryState& state, PeerNode self, const std::vector<std::string>& seeds,
         SnapshotHandlers snapshotHandlers, StoreRelay& relay, boost::asio::ip::tcp::acceptor acceptor);
@@ -114,6 +121,8 @@
     void sendDueNotices(TimePoint now);
     /// Sends what this node knows of prompt parts that make targets fail, if it changed or was not sent for a while.
     void sendQuarantine(TimePoint now);
+    /// Sends the versions of the targets' software to the nodes that do not have them from this node yet.
+    void sendVersions();
     /// Sends over all open links, and to the nodes that use this node as their collector.
     void sendToNeighbours(const std::string& frame);
     void sendToNode(const std::string& node, const std::string& frame);
@@ -147,6 +156,8 @@
     TimePoint m_lastShareSentAt;
     uint64_t m_sentQuarantineVersion { 0 };
     TimePoint m_lastQuarantineSentAt;
+    std::set<ServiceVersion> m_sentVersions;
+    PeerContacts m_contacts;
     TimePoint m_startedAt;
 };
 
--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -161,9 +161,11 @@
 
 void RequestExchange::start()
 {
-    if (const auto& resumed = m_machine.requestInfo().resumedRequest)
+    if (const auto& resumed = m_machine.requestInfo().resumedRequest) {
+        m_loop->state().versions.setSuspendedTime(suspendAwareNow() - monotonicNow());
         log("stream_resumed_by_caller",
             { { "resumes", *resumed }, { "version", m_loop->state().origins.find(*resumed).value_or("") } });
+    }
     m_callerConnection->setDisconnectHandler([self = shared_from_this()] { self->handle(CallerDisconnected {}); });
     perform(m_machine.start(monotonicNow()));
 }
@@ -172,6 +174,8 @@
 {
     if (std::holds_alternative<CallerDisconnected>(event))
         log("caller_left", { { "elapsed_ms", elapsedText() } });
+    if (m_machine.requestInfo().resumedRequest)
+        m_loop->state().versions.setSuspendedTime(suspendAwareNow() - monotonicNow());
     perform(m_machine.handle(event, monotonicNow()));
 }
 
--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenstair {
 
@@ -89,7 +90,8 @@
 
 void StoreWatcher::read()
 {
-    m_store->range(m_prefix, [this, generation = m_generation](const StoreReadOutcome& outcome) {
+    const auto sentAt = suspendAwareNow();
+    m_store->range(m_prefix, [this, generation = m_generation, sentAt](const StoreReadOutcome& outcome) {
         if (generation != m_generation)
             return;
         if (const auto* unavailable = std::get_if<StoreUnavailable>(&outcome)) {
@@ -105,6 +107,7 @@
         m_revision = range.revision;
         m_contentRevision = range.revision;
         m_handlers.onRead(range);
+        m_gapSince = std::exchange(m_confirmedAt, sentAt);
         notifyObserver(range);
         if (const auto firstWatchAt = m_startedAt + m_settings.firstWatchDelay; monotonicNow() < firstWatchAt)
             scheduleNext(firstWatchAt - monotonicNow(), &StoreWatcher::watchFirst);
@@ -124,14 +127,16 @@
 
 void StoreWatcher::watch()
 {
-    m_store->watch(m_prefix, m_revision, m_settings.watchWait,
-        [this, generation = m_generation](const StoreWatchOutcome& outcome) {
+    const auto wait
+        = m_isConfirming ? std::min(m_settings.watchWait, m_settings.confirmingWatchWait) : m_settings.watchWait;
+    m_store->watch(m_prefix, m_revision, wait,
+        [this, generation = m_generation, sentAt = suspendAwareNow()](const StoreWatchOutcome& outcome) {
             if (generation == m_generation)
-                onWatch(outcome);
+                onWatch(outcome, sentAt);
         });
 }
 
-void StoreWatcher::onWatch(const StoreWatchOutcome& outcome)
+void StoreWatcher::onWatch(const StoreWatchOutcome& outcome, TimePoint sentAt)
 {
     std::visit(Overloaded {
                    [&](const StoreChanges& changes) {
@@ -141,6 +146,7 @@
                        m_retryDelay = m_settings.retryDelay;
                        for (const auto& change : changes.changes)
                            m_handlers.onChange(change);
+                       m_confirmedAt = sentAt;
                        m_revision = std::max(m_revision, changes.revision);
                        if (!changes.changes.empty()) {
                            m_contentRevision = m_revision;
--- a/Cyclamenstair/Entry/StoreWatcher.h
+++ b/Cyclamenstair/Entry/StoreWatcher.h
@@ -7,6 +7,8 @@
 /// Settings of a StoreWatcher.
 struct StoreWatcherSettings {
     Duration watchWait { milliseconds(5000) }; ///< A dead watch is detected after this plus a call's timeout.
+    /// Upper bound of watchWait while the watcher is confirming.
+    Duration confirmingWatchWait { milliseconds(300) };
     Duration watchInterval { milliseconds(350) }; ///< Between two watches; batches changes in quick succession.
     Duration retryDelay { milliseconds(200) }; ///< After a failed call; doubles up to maxRetryDelay.
     /// Lower bound of watchInterval during startDuration. Many nodes that start together, and targets that register
@@ -61,6 +63,14 @@
     /// Sets how long a watch waits for changes; each one that ends advances revision().
     void setWatchWait(Duration wait) { m_settings.watchWait = wait; }
 
+    /// Sets whether watches end soon, so that confirmedAt() is recent while nothing changes.
+    void setConfirming(bool isConfirming) { m_isConfirming = isConfirming; }
+    /// Returns the time up to which all changes are known, on the clock of suspendAwareNow(): that at which the last
+    /// answered call was sent.
+    TimePoint confirmedAt() const { return m_confirmedAt; }
+    /// Returns confirmedAt() as it was before the last full read. Records that came and left after it were not seen.
+    TimePoint gapSince() const { return m_gapSince; }
+
     void setRole(StoreWatcherRole role) { m_role = role; }
 
     /// Returns the revision up to which all changes are known.
@@ -78,7 +88,7 @@
     Duration watchInterval() const;
     bool isStarting() const { return monotonicNow() - m_startedAt < m_settings.startDuration; }
     void notifyObserver(const StoreRange& range);
-    void onWatch(const StoreWatchOutcome& outcome);
+    void onWatch(const StoreWatchOutcome& outcome, TimePoint sentAt);
     void onFailure(const std::string& message);
     void onNewEra();
     void scheduleNext(Duration delay, void (StoreWatcher::*next)());
@@ -95,6 +105,9 @@
     StoreWatcherRole m_role { StoreWatcherRole::Independent };
     bool m_isConnected { true };
     bool m_isPaused { false };
+    bool m_isConfirming { false };
+    TimePoint m_confirmedAt;
+    TimePoint m_gapSince;
     uint64_t m_generation { 0 }; ///< Increases when the watcher is paused; outcomes of earlier calls are ignored.
     Observer m_observer;
 };
--- a/Cyclamenstair/Entry/StreamOriginExchange.cpp
+++ b/Cyclamenstair/Entry/StreamOriginExchange.cpp
@@ -16,9 +16,12 @@
     /// While a service has several versions, so that first events wait for little more than the time between two
     /// writes.
     constexpr Duration mixedTickInterval = milliseconds(20);
-    /// Interval at which the versions of the targets are looked for; shorter than
-    /// TargetRegistrySettings::newVersionDelay.
-    constexpr Duration observationInterval = milliseconds(300);
+    /// Interval at which the versions of the targets are looked for. With the interval at which they are sent to other
+    /// nodes, it is part of TargetRegistrySettings::newVersionDelay.
+    constexpr Duration observationInterval = milliseconds(100);
+    /// Time out of step with the other nodes after which the store confirms the versions instead. A node that has just
+    /// started connects to the others within it.
+    constexpr Duration maxTimeOutOfStep = milliseconds(2000);
     /// Interval at which the lease holder compares the versions of the targets with those in the store.
     constexpr Duration versionInterval = milliseconds(500);
     /// Less versionRenewalInterval, this is still longer than SoftwareVersions::lifetime.
@@ -59,6 +62,14 @@
 {
 }
 
+void StreamOriginExchange::start(StoreWatcher& targetWatcher, StoreWatcher& controlWatcher)
+{
+    m_targetWatcher = &targetWatcher;
+    m_controlWatcher = &controlWatcher;
+    m_startedAt = suspendAwareNow();
+    tick();
+}
+
 void StreamOriginExchange::addKnownVersions(const std::set<ServiceVersion>& versions)
 {
     for (const auto& version : versions)
@@ -87,11 +98,21 @@
     for (const auto& version : m_state->targets.softwareVersions())
         m_state->versions.observe(version, now);
     m_state->versions.setComplete(m_areVersionsKnown && m_state->areTargetsKnown);
+    confirmVersions();
     m_state->origins.expire(now);
     m_state->origins.setWritesExpected(m_state->versions.isMixed(now) && m_areOriginsRead && !m_hasOriginCallFailed
         && originInterval() <= maxAwaitedInterval);
 }
 
+void StreamOriginExchange::confirmVersions()
+{
+    const auto inStepAt = m_mesh->inStepAt();
+    m_targetWatcher->setConfirming(suspendAwareNow() - std::max(inStepAt, m_startedAt) >= maxTimeOutOfStep);
+    // A read after a failure does not show versions that have come and left meanwhile. The nodes' records do.
+    const bool isStoreFollowed = m_controlWatcher->confirmedAt() >= m_targetWatcher->gapSince();
+    m_state->versions.confirm(isStoreFollowed ? std::max(inStepAt, m_targetWatcher->confirmedAt()) : inStepAt);
+}
+
 Duration StreamOriginExchange::originInterval() const
 {
     return originIntervalPerNode * static_cast<int64_t>(m_mesh->nodeCount());
--- a/Cyclamenstair/Entry/StreamOriginExchange.h
+++ b/Cyclamenstair/Entry/StreamOriginExchange.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Entry/EntryState.h>
 #include <Cyclamenstair/Entry/OrderLeaseElector.h>
 #include <Cyclamenstair/Entry/PeerMesh.h>
+#include <Cyclamenstair/Entry/StoreWatcher.h>
 
 #include <deque>
 
@@ -20,7 +21,8 @@
     /// Prefix of the keys whose values are versions that serve or have served lately.
     static const std::string versionPrefix;
 
-    void start() { tick(); }
+    /// `targetWatcher` and `controlWatcher` watch the entries of the targets and the records of the nodes.
+    void start(StoreWatcher& targetWatcher, StoreWatcher& controlWatcher);
 
     /// Adds versions that other nodes have seen. From now on all versions count as known.
     void addKnownVersions(const std::set<ServiceVersion>& versions);
@@ -35,6 +37,8 @@
 
     void tick();
     void observeVersions(TimePoint now);
+    /// Confirms the observed versions as of the last contact with the other nodes or the store.
+    void confirmVersions();
     /// Returns the interval at which origins are written.
     Duration originInterval() const;
     void writeVersions(TimePoint now);
@@ -52,6 +56,9 @@
     PlatformStore* m_store;
     OrderLeaseElector* m_elector;
     PeerMesh* m_mesh;
+    StoreWatcher* m_targetWatcher { nullptr };
+    StoreWatcher* m_controlWatcher { nullptr };
+    TimePoint m_startedAt; ///< On the clock of suspendAwareNow().
     EntryState* m_state;
     bool m_areVersionsKnown { false }; ///< Those of other nodes, from the store or from a node.
     TimePoint m_versionsObservedAt;
--- a/Cyclamenstair/Entry/TargetWatcher.cpp
+++ b/Cyclamenstair/Entry/TargetWatcher.cpp
@@ -77,6 +77,8 @@
         return;
     }
     m_state->targets.update(record.value(), storeRecord.modRevision, monotonicNow());
+    // The target may leave before the versions are looked for.
+    m_state->versions.observe({ record.value().service, record.value().softwareVersion }, monotonicNow());
     m_entries[*id] = { *id, storeRecord.value, storeRecord.modRevision };
     logEvent(LogSeverity::Info, "target_entry",
         { { "target", *id }, { "phase", std::string(nameOf(record.value().phase)) },
--- a/Cyclamenstair/Fleet/SoftwareVersions.cpp
+++ b/Cyclamenstair/Fleet/SoftwareVersions.cpp
@@ -1,7 +1,5 @@
 #include <Cyclamenstair/Fleet/SoftwareVersions.h>
 
-#include <algorithm>
-
 namespace cyclamenstair {
 
 void SoftwareVersions::observe(const ServiceVersion& version, TimePoint now)
@@ -14,9 +12,14 @@
     });
 }
 
+bool SoftwareVersions::isCurrent(TimePoint now) const
+{
+    return m_isComplete && now + m_suspendedTime.load() - m_confirmedAt.load() < confirmationLifetime;
+}
+
 std::optional<std::string> SoftwareVersions::soleVersion(const std::string& service, TimePoint now) const
 {
-    if (!m_isComplete)
+    if (!isCurrent(now))
         return std::nullopt;
     return m_services.withShard(service, [&](const auto& services) -> std::optional<std::string> {
         const auto entry = services.find(service);
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -52,8 +52,9 @@
     /// requests are late at a target that is only slow.
     double unresponsiveFraction { 0.3 };
     /// Time after the first target of a software version has registered during which other targets are preferred.
-    /// Meanwhile all nodes learn that the service has another version, whose streams they must tell apart.
-    Duration newVersionDelay { milliseconds(1000) };
+    /// Meanwhile all nodes learn that the service has another version, whose streams they must tell apart, or are out
+    /// of step: SoftwareVersions::confirmationLifetime, plus 200 ms until this node has told the others.
+    Duration newVersionDelay { milliseconds(1500) };
     TargetPaceSettings pace;
     BrittleTargetSettings brittle;
     /// Longest pause that a target can ask for with one response, so that a faulty one does not stay out for good.
--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -148,9 +148,9 @@
         m_nextAcquireAt = now + m_settings->acquireInterval;
     } else {
         // Until all versions but one are forgotten, the stream could go on at the wrong one. A node that does not know
-        // the versions yet, since the store does not respond, learns them with the targets.
+        // the versions, since it has just started or is cut off, learns them soon, or another one knows them.
         const auto wait
-            = m_dependencies.versions->isComplete() ? SoftwareVersions::lifetime : m_settings->retryAfterAbsent;
+            = m_dependencies.versions->isCurrent(now) ? SoftwareVersions::lifetime : m_settings->retryAfterAbsent;
         refuseFor(wait, "stream_version_unknown", now, actions);
     }
     return false;
--- a/Tests/FleetTests/SoftwareVersionTests.cpp
+++ b/Tests/FleetTests/SoftwareVersionTests.cpp
@@ -16,6 +16,7 @@
 TEST(SoftwareVersions, SoleVersionNeedsCompleteKnowledge)
 {
     SoftwareVersions versions;
+    versions.confirm(start + SoftwareVersions::lifetime);
     versions.observe({ "s", "v1" }, start);
     EXPECT_FALSE(versions.soleVersion("s", start));
     versions.setComplete(true);
@@ -31,10 +32,31 @@
     EXPECT_EQ(versions.versions(end), (std::set<ServiceVersion> { { "s", "v2" } }));
 }
 
+// Guards against a stream that goes on at the only version that the node knows, while it has been cut off from news of
+// others, has stood still, or its machine was suspended.
+TEST(SoftwareVersions, SoleVersionNeedsRecentConfirmation)
+{
+    SoftwareVersions versions;
+    versions.setComplete(true);
+    versions.observe({ "s", "v1" }, start);
+    EXPECT_FALSE(versions.soleVersion("s", start));
+    versions.confirm(start);
+    versions.confirm(start - std::chrono::seconds(9));
+    const auto end = start + SoftwareVersions::confirmationLifetime;
+    EXPECT_EQ(versions.soleVersion("s", end - milliseconds(1)), "v1");
+    EXPECT_FALSE(versions.soleVersion("s", end));
+    EXPECT_FALSE(versions.isCurrent(end));
+    versions.setSuspendedTime(milliseconds(1000));
+    EXPECT_FALSE(versions.soleVersion("s", end - milliseconds(1000)));
+    versions.confirm(end);
+    EXPECT_EQ(versions.soleVersion("s", end), "v1");
+}
+
 // Guards against two services with a version each that count as mixed.
 TEST(SoftwareVersions, ServicesAreIndependent)
 {
     SoftwareVersions versions;
+    versions.confirm(start);
     versions.setComplete(true);
     versions.observe({ "a", "v1" }, start);
     versions.observe({ "b", "v2" }, start);
--- a/Tests/RequestFlowTests/StreamVersionTests.cpp
+++ b/Tests/RequestFlowTests/StreamVersionTests.cpp
@@ -14,6 +14,7 @@
         setVersion("i-2", "v1");
         setVersion("i-3", "v2");
         versions.setComplete(true);
+        versions.confirm(start + milliseconds(1000));
         versions.observe({ "service", "v1" }, start);
         versions.observe({ "service", "v2" }, start);
     }
@@ -136,6 +137,7 @@
 {
     Fixture fixture(RetryPolicy::Stream, true);
     fixture.versions.setComplete(true);
+    fixture.versions.confirm(start);
     fixture.versions.observe({ "service", "" }, start);
     auto requestInfo = fixture.machine->requestInfo();
     requestInfo.resumedRequest = "request-9";
@@ -143,6 +145,33 @@
     EXPECT_TRUE(find<StartAttempt>(fixture.machine->start(start)));
 }
 
+// Guards against a stream that a node out of step with the others resumes at the only version it knows, and against a
+// refusal where the node is in step again in time.
+TEST(StreamVersion, StreamOfUnknownOriginWaitsForANodeOutOfStep)
+{
+    for (const bool isConfirmed : { true, false }) {
+        Fixture fixture(RetryPolicy::Stream, true);
+        fixture.versions.setComplete(true);
+        fixture.versions.confirm(start - SoftwareVersions::confirmationLifetime);
+        fixture.versions.observe({ "service", "" }, start);
+        auto requestInfo = fixture.machine->requestInfo();
+        requestInfo.resumedRequest = "request-9";
+        fixture.machine = fixture.makeMachine(requestInfo);
+        auto actions = fixture.machine->start(start);
+        EXPECT_TRUE(actions.empty());
+        if (isConfirmed)
+            fixture.versions.confirm(start);
+        for (auto now = start; actions.empty() && now < start + std::chrono::seconds(2); now += milliseconds(25))
+            actions = fixture.machine->handle(TimerFired {}, now);
+        EXPECT_EQ(find<StartAttempt>(actions) != nullptr, isConfirmed);
+        if (isConfirmed)
+            continue;
+        ASSERT_TRUE(find<SendLocalResponse>(actions));
+        EXPECT_EQ(find<SendLocalResponse>(actions)->kind, LocalResponseKind::NotRun);
+        EXPECT_EQ(find<SendLocalResponse>(actions)->retryAfter, fixture.settings.retryAfterAbsent);
+    }
+}
+
 // Guards against a stream that cannot be resumed after a restart of all nodes, because its caller got events before its
 // origin was in the store, and against events that wait without a bound or get lost meanwhile.
 TEST(StreamVersion, FirstEventsWaitUntilTheOriginIsWritten)
