Delay the first target of a version also after a full read

What callers could see: streams joined from two versions, begun at a node that had lost the store for a moment and resumed at another one.

Cause: the first target of a software version gets no requests until all nodes know of it, but only if a watch showed it. A node that read all targets again after a failure used the new version at once, before the others could know.

Change: TargetRegistry::replaceAll takes the time at which versions were first seen, if the node has read the targets before. The first read of a node delays nothing, so that a fleet that restarts with several versions uses all of its targets.

Evidence: found by reading. TargetRegistryTest.FirstTargetOfAVersionWaitsAlsoAfterARead failed without the change (i-2 of the new version was chosen within the delay) and passes with it.

--- a/Cyclamenstair/Entry/TargetWatcher.cpp
+++ b/Cyclamenstair/Entry/TargetWatcher.cpp
@@ -54,7 +54,8 @@
     }
     logEvent(LogSeverity::Info, "targets_read",
         { { "targets", std::to_string(records.size()) }, { "revision", std::to_string(revision) } });
-    m_state->targets.replaceAll(records, revision);
+    m_state->targets.replaceAll(
+        records, revision, m_state->areTargetsKnown ? std::optional(monotonicNow()) : std::nullopt);
     m_state->areTargetsKnown = true;
 }
 
--- a/Cyclamenstair/Fleet/TargetRegistry.cpp
+++ b/Cyclamenstair/Fleet/TargetRegistry.cpp
@@ -23,11 +23,12 @@
 
 } // namespace
 
-void TargetRegistry::update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt)
+void TargetRegistry::update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt,
+    std::optional<TimePoint> versionSeenAt)
 {
     m_services.withShard(record.service, [&](auto& services) {
         auto& targets = services[record.service];
-        const auto settledAt = versionSettledAt(targets, record, startedAt);
+        const auto settledAt = versionSettledAt(targets, record, startedAt ? startedAt : versionSeenAt);
         auto& target = targets[record.id];
         if (revision <= target.revision)
             return;
@@ -51,13 +52,13 @@
 }
 
 TimePoint TargetRegistry::versionSettledAt(
-    const Targets& targets, const TargetRecord& record, std::optional<TimePoint> startedAt) const
+    const Targets& targets, const TargetRecord& record, std::optional<TimePoint> seenAt) const
 {
     for (const auto& [id, target] : targets) {
         if (target.record.softwareVersion == record.softwareVersion)
             return target.versionSettledAt;
     }
-    return startedAt && !targets.empty() ? *startedAt + m_settings.newVersionDelay : TimePoint();
+    return seenAt && !targets.empty() ? *seenAt + m_settings.newVersionDelay : TimePoint();
 }
 
 void TargetRegistry::remove(const std::string& id, int64_t revision)
@@ -69,12 +70,13 @@
     });
 }
 
-void TargetRegistry::replaceAll(const std::vector<std::pair<TargetRecord, int64_t>>& records, int64_t revision)
+void TargetRegistry::replaceAll(const std::vector<std::pair<TargetRecord, int64_t>>& records, int64_t revision,
+    std::optional<TimePoint> versionsSeenAt)
 {
     std::set<std::string> present;
     for (const auto& [record, recordRevision] : records) {
         present.insert(record.id);
-        update(record, recordRevision);
+        update(record, recordRevision, std::nullopt, versionsSeenAt);
     }
     m_services.forEachShard([&](auto& services) {
         for (auto& [service, targets] : services)
--- a/Cyclamenstair/Fleet/TargetRegistry.h
+++ b/Cyclamenstair/Fleet/TargetRegistry.h
@@ -163,14 +163,18 @@
 
     /// Adds or updates a target from its record at store revision `revision`. Older revisions are ignored. `startedAt`
     /// is set if a new process of the target has registered just now, rather than before this node read the records.
-    void update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt = std::nullopt);
+    /// `versionSeenAt` is set if it may have registered since the node last read them.
+    void update(const TargetRecord& record, int64_t revision, std::optional<TimePoint> startedAt = std::nullopt,
+        std::optional<TimePoint> versionSeenAt = std::nullopt);
 
     /// Removes a target whose record was deleted at store revision `revision`, unless it has a newer record.
     void remove(const std::string& id, int64_t revision);
 
     /// Synchronises with a full read of the store at `revision`. Targets that are absent from `records` are removed
-    /// unless they have a record newer than `revision`.
-    void replaceAll(const std::vector<std::pair<TargetRecord, int64_t>>& records, int64_t revision);
+    /// unless they have a record newer than `revision`. `versionsSeenAt` is the present time if the node has read the
+    /// records before.
+    void replaceAll(const std::vector<std::pair<TargetRecord, int64_t>>& records, int64_t revision,
+        std::optional<TimePoint> versionsSeenAt = std::nullopt);
 
     /// Selects the eligible target with the lowest cost and counts the request as in flight there.
     AcquireOutcome acquire(const TargetQuery& query, TimePoint now, Random& random);
@@ -255,9 +259,9 @@
 
     /// Calls `function` with the state of the target unless its process has ended since.
     template <typename Function> void withProcess(const AcquiredTarget& target, Function&& function);
-    /// Returns when a target that has just registered at `startedAt` may be preferred.
+    /// Returns when a target that was first seen at `seenAt` may be preferred.
     TimePoint versionSettledAt(
-        const Targets& targets, const TargetRecord& record, std::optional<TimePoint> startedAt) const;
+        const Targets& targets, const TargetRecord& record, std::optional<TimePoint> seenAt) const;
     /// Returns the key of the queried artifact in TargetState::absentUntil.
     static std::string modelKey(const TargetQuery& query);
     /// Returns whether another prompt would exceed the limit of pending prompt tokens and delay the target's streams.
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -348,6 +348,23 @@
     EXPECT_EQ(acquiredId(draft), "no_target");
 }
 
+// The same if the node learns of the version by reading all records again, after it has lost the store for a while.
+TEST_F(TargetRegistryTest, FirstTargetOfAVersionWaitsAlsoAfterARead)
+{
+    auto record = engine("i-1");
+    record.softwareVersion = "v1";
+    auto newRecord = engine("i-2");
+    newRecord.softwareVersion = "v2";
+    registry.replaceAll({ { record, 1 } }, 1);
+    registry.replaceAll({ { record, 1 }, { newRecord, 2 } }, 2, now);
+    std::set<std::string> ids;
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(acquiredId(draft, now + milliseconds(1400)), "i-1");
+        ids.insert(acquiredId(draft, now + milliseconds(1500)));
+    }
+    EXPECT_EQ(ids.count("i-2"), 1U);
+}
+
 // Guards against streams of a version that the other nodes do not know of yet. Without another target, the first one of
 // a version serves at once.
 TEST_F(TargetRegistryTest, FirstTargetOfAVersionWaitsForTheOtherNodes)
