Build with the address sanitizer again

Cause: with -fsanitize=address,undefined, GCC 12 reports the empty boost::optional that Beast's parser returns for an absent content length as maybe uninitialized (boost/beast/http/impl/basic_parser.hpp:66, inlined into do_field). The value is not read when it is absent. -Werror ended `scripts/sanitize address,undefined` in ResponseReader.cpp and ServerConnection.cpp.

Change: Beast's parser is included through BeastParser.h, which exempts this one header from this one warning. The project's own code keeps -Wmaybe-uninitialized and -Werror in all builds.

Result: both files, and with them all of the library Http, compile with -fsanitize=address,undefined and -Werror; before, the build ended with "may be used uninitialized" in both.

--- a/Cyclamenstair/Http/ResponseReader.h
+++ b/Cyclamenstair/Http/ResponseReader.h
@@ -3,11 +3,10 @@
 #include <utility>
 
 #include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Http/BeastParser.h>
 #include <Cyclamenstair/Http/HttpMessage.h>
 #include <Cyclamenstair/Http/TextBody.h>
 
-#include <boost/beast/http/parser.hpp>
-
 #include <memory>
 #include <optional>
 #include <variant>
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -3,12 +3,12 @@
 #include <utility>
 
 #include <Cyclamenstair/Core/BufferBudget.h>
+#include <Cyclamenstair/Http/BeastParser.h>
 #include <Cyclamenstair/Http/HttpMessage.h>
 #include <Cyclamenstair/Http/TextBody.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <array>
 #include <functional>
