Pause after a failed accept of a peer's connection

Cause: PeerMesh accepted again at once after an error. Without file descriptors left, the waiting connection makes the next accept fail in the same way, so the control loop spun and logged without end. PeerServer, in mode Planned, has the same loop around poll(). ServerListener waits 50 ms.

Change: ServerListener and PeerMesh accept through one class, TcpAcceptor, which waits 50 ms after an error; PeerServer waits as long. PeerServer joins the threads that run if another one cannot be started (the destructor of a thread that is not joined ends the process), and reports a malformed address as invalid input.

Result: StartRetry.NodeWithoutDescriptorsDoesNotSpin lowers the limit of descriptors of a running node and connects three times to its peer port. The changes in PeerServer come from reading the code and have no test of their own.

--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -28,28 +28,20 @@
     const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, StoreRelay& relay)
 {
     const auto& listenAddress = self.address;
-    tcp::acceptor acceptor(context);
+    std::unique_ptr<TcpAcceptor> acceptor;
     if (!listenAddress.empty()) {
-        const auto endpoint = parseEndpoint(listenAddress);
-        if (!endpoint)
-            return endpoint.error();
-        boost::system::error_code ec;
-        acceptor.open(endpoint.value().protocol(), ec);
-        if (!ec)
-            acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-        if (!ec)
-            acceptor.bind(endpoint.value(), ec);
-        if (!ec)
-            acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-        if (ec)
-            return Error { ErrorKind::Unavailable, "peer.listen", listenAddress, ec.message() };
+        auto created = TcpAcceptor::create(context, listenAddress, "peer.listen");
+        if (!created)
+            return created.error();
+        acceptor = std::move(created).value();
     }
     return std::unique_ptr<PeerMesh>(
         new PeerMesh(context, state, self, seeds, std::move(snapshotHandlers), relay, std::move(acceptor)));
 }
 
 PeerMesh::PeerMesh(boost::asio::io_context& context, EntryState& state, PeerNode self,
-    const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, StoreRelay& relay, tcp::acceptor acceptor)
+    const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers, StoreRelay& relay,
+    std::unique_ptr<TcpAcceptor> acceptor)
     : m_context(&context)
     , m_state(&state)
     , m_self(std::move(self))
@@ -71,10 +63,11 @@
 
 void PeerMesh::start()
 {
-    if (!m_acceptor.is_open())
+    if (!m_acceptor)
         return;
     m_startedAt = monotonicNow();
-    accept();
+    m_acceptor->start([this]() -> boost::asio::io_context& { return *m_context; },
+        [this](tcp::socket socket) { addChannel(std::move(socket)); });
     tick();
 }
 
@@ -124,24 +117,15 @@
     return !m_topology.isDirect() && (m_topology.isOwnCollector() || m_exchange.hasMembers());
 }
 
-void PeerMesh::accept()
-{
-    m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
-        if (!m_acceptor.is_open())
-            return;
-        if (ec) {
-            logEvent(LogSeverity::Warning, "peer_accept_failed", { { "message", ec.message() } });
-        } else {
-            std::erase_if(m_acceptedChannels, [](const auto& channel) { return channel->isClosed(); });
-            auto channel = std::make_shared<FrameChannel>(std::move(socket),
-                FrameChannel::Handlers {
-                    [this](const auto& sender, const std::string& content) { onFrame(sender, content); }, nullptr },
-                &m_state->controlBuffers);
-            channel->start();
-            m_acceptedChannels.insert(std::move(channel));
-        }
-        accept();
-    });
+void PeerMesh::addChannel(tcp::socket socket)
+{
+    std::erase_if(m_acceptedChannels, [](const auto& channel) { return channel->isClosed(); });
+    auto channel = std::make_shared<FrameChannel>(std::move(socket),
+        FrameChannel::Handlers {
+            [this](const auto& sender, const std::string& content) { onFrame(sender, content); }, nullptr },
+        &m_state->controlBuffers);
+    channel->start();
+    m_acceptedChannels.insert(std::move(channel));
 }
 
 void PeerMesh::tick()
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Entry/EntryState.h>
 #include <Cyclamenstair/Entry/StoreRelay.h>
+#include <Cyclamenstair/Http/TcpAcceptor.h>
 #include <Cyclamenstair/Peering/ExchangeTopology.h>
 #include <Cyclamenstair/Peering/FrameChannel.h>
 #include <Cyclamenstair/Peering/LoadExchange.h>
@@ -76,8 +77,8 @@
         bool areVersionsSent { false };
     };
     PeerMesh(boost::asio::io_context& context, EntryState& state, PeerNode self, const std::vector<std::string>& seeds,
-        SnapshotHandlers snapshotHandlers, StoreRelay& relay, boost::asio::ip::tcp::acceptor acceptor);
-    void accept();
+        SnapshotHandlers snapshotHandlers, StoreRelay& relay, std::unique_ptr<TcpAcceptor> acceptor);
+    void addChannel(boost::asio::ip::tcp::socket socket);
     void tick();
     void updateLinks(TimePoint now);
     void openLink(const std::string& address, Link& link);
@@ -134,7 +135,7 @@
     PeerNode m_self; ///< Its address is empty if the mesh is disabled.
     std::set<std::string> m_seeds;
     SnapshotHandlers m_snapshotHandlers;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::unique_ptr<TcpAcceptor> m_acceptor; ///< Null if the mesh is disabled.
     boost::asio::steady_timer m_timer;
     StoreRelay* m_relay;
     ExchangeTopology m_topology;
--- a/Cyclamenstair/Http/ServerListener.cpp
+++ b/Cyclamenstair/Http/ServerListener.cpp
@@ -1,8 +1,5 @@
 #include <Cyclamenstair/Http/ServerListener.h>
 
-#include <Cyclamenstair/Http/Endpoint.h>
-#include <Cyclamenstair/Telemetry/Log.h>
-
 namespace cyclamenstair {
 
 using boost::asio::ip::tcp;
@@ -10,28 +7,16 @@
 Result<std::unique_ptr<ServerListener>> ServerListener::create(
     const std::string& address, std::vector<EventLoop*> loops, LimitsSource limits, RequestHandler handler)
 {
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint)
-        return endpoint.error();
-    boost::system::error_code ec;
-    tcp::acceptor acceptor(loops.front()->context());
-    acceptor.open(endpoint.value().protocol(), ec);
-    if (!ec)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        acceptor.bind(endpoint.value(), ec);
-    if (!ec)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return Error { ErrorKind::Unavailable, "http.listen", address, ec.message() };
+    auto acceptor = TcpAcceptor::create(loops.front()->context(), address, "http.listen");
+    if (!acceptor)
+        return acceptor.error();
     return std::unique_ptr<ServerListener>(
-        new ServerListener(std::move(acceptor), std::move(loops), std::move(limits), std::move(handler)));
+        new ServerListener(std::move(acceptor).value(), std::move(loops), std::move(limits), std::move(handler)));
 }
 
 ServerListener::ServerListener(
-    tcp::acceptor acceptor, std::vector<EventLoop*> loops, LimitsSource limits, RequestHandler handler)
+    std::unique_ptr<TcpAcceptor> acceptor, std::vector<EventLoop*> loops, LimitsSource limits, RequestHandler handler)
     : m_acceptor(std::move(acceptor))
-    , m_retryTimer(m_acceptor.get_executor())
     , m_loops(std::move(loops))
     , m_limitsSource(std::move(limits))
     , m_handler(std::move(handler))
@@ -41,7 +26,10 @@
 
 void ServerListener::start()
 {
-    m_loops.front()->post([this] { accept(); });
+    m_loops.front()->post([this] {
+        m_acceptor->start([this]() -> boost::asio::io_context& { return nextLoop().context(); },
+            [this](tcp::socket socket) { dispatch(std::move(socket)); });
+    });
 }
 
 void ServerListener::drainConnections()
@@ -57,26 +45,17 @@
     }
 }
 
-void ServerListener::accept()
+EventLoop& ServerListener::nextLoop()
 {
-    const size_t loop = m_nextLoop++ % m_loops.size();
-    m_acceptor.async_accept(
-        m_loops[loop]->context(), [this, loop](const boost::system::error_code& ec, tcp::socket socket) {
-            if (!m_acceptor.is_open())
-                return;
-            if (!ec) {
-                auto shared = std::make_shared<tcp::socket>(std::move(socket));
-                m_loops[loop]->post([this, loop, shared] { addConnection(loop, std::move(*shared)); });
-                accept();
-                return;
-            }
-            logEvent(LogSeverity::Warning, "accept_failed", { { "message", ec.message() } });
-            m_retryTimer.expires_after(retryDelay);
-            m_retryTimer.async_wait([this](const boost::system::error_code& timerError) {
-                if (!timerError)
-                    accept();
-            });
-        });
+    m_currentLoop = (m_currentLoop + 1) % m_loops.size();
+    return *m_loops[m_currentLoop];
+}
+
+void ServerListener::dispatch(tcp::socket socket)
+{
+    const size_t loop = m_currentLoop;
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    m_loops[loop]->post([this, loop, shared] { addConnection(loop, std::move(*shared)); });
 }
 
 void ServerListener::addConnection(size_t loop, tcp::socket socket)
--- a/Cyclamenstair/Http/ServerListener.h
+++ b/Cyclamenstair/Http/ServerListener.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Http/EventLoop.h>
 #include <Cyclamenstair/Http/ServerConnection.h>
+#include <Cyclamenstair/Http/TcpAcceptor.h>
 
 #include <atomic>
 #include <functional>
@@ -34,21 +35,20 @@
     /// Connections of one loop, accessed on its thread only.
     using Connections = std::vector<std::weak_ptr<ServerConnection>>;
 
-    ServerListener(boost::asio::ip::tcp::acceptor acceptor, std::vector<EventLoop*> loops, LimitsSource limits,
+    ServerListener(std::unique_ptr<TcpAcceptor> acceptor, std::vector<EventLoop*> loops, LimitsSource limits,
         RequestHandler handler);
-    void accept();
+    /// Selects the loop of the next connection.
+    EventLoop& nextLoop();
+    /// Passes an accepted connection to the selected loop.
+    void dispatch(boost::asio::ip::tcp::socket socket);
     void addConnection(size_t loop, boost::asio::ip::tcp::socket socket);
 
-    /// Delay before the next accept after a failure, for example for lack of file descriptors.
-    static constexpr Duration retryDelay = milliseconds(50);
-
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_retryTimer;
+    std::unique_ptr<TcpAcceptor> m_acceptor;
     std::vector<EventLoop*> m_loops;
     LimitsSource m_limitsSource;
     RequestHandler m_handler;
     std::vector<Connections> m_connections;
-    size_t m_nextLoop { 0 };
+    size_t m_currentLoop { 0 };
     std::atomic<bool> m_isDraining { false };
 };
 
--- /dev/null
+++ b/Cyclamenstair/Http/TcpAcceptor.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <utility>
+
+#include <Cyclamenstair/Core/Result.h>
+#include <Cyclamenstair/Core/Time.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cyclamenstair {
+
+/// Accepts connections at an address. Belongs to one event loop.
+class TcpAcceptor {
+public:
+    /// Returns the context of the next connection.
+    using ContextSource = std::function<boost::asio::io_context&()>;
+    using Handler = std::function<void(boost::asio::ip::tcp::socket)>;
+
+    /// Binds the address and listens. Returns an InvalidInput error if it is malformed, and an error with `step` if it
+    /// cannot be bound.
+    static Result<std::unique_ptr<TcpAcceptor>> create(
+        boost::asio::io_context& context, const std::string& address, const std::string& step);
+
+    /// Starts accepting. Called on the loop's thread.
+    void start(ContextSource contextSource, Handler handler);
+
+private:
+    TcpAcceptor(boost::asio::ip::tcp::acceptor acceptor, std::string address);
+    void accept();
+
+    /// Delay before the next accept after a failure, for example for lack of file descriptors.
+    static constexpr Duration retryDelay = milliseconds(50);
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retryTimer;
+    std::string m_address;
+    ContextSource m_contextSource;
+    Handler m_handler;
+};
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Transport/PeerServer.cpp
+++ b/Cyclamenstair/Transport/PeerServer.cpp
@@ -15,6 +15,8 @@
 
     constexpr int listenBacklog = 128;
     constexpr int stopCheckIntervalMs = 100;
+    /// Delay before the next accept after a failure, for example for lack of file descriptors.
+    constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -32,10 +34,8 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<uint16_t>(settings.port));
-    if (inet_pton(AF_INET, settings.address.c_str(), &address.sin_addr) != 1) {
-        errno = EINVAL;
-        return failure("peer.address");
-    }
+    if (inet_pton(AF_INET, settings.address.c_str(), &address.sin_addr) != 1)
+        return Error { ErrorKind::InvalidInput, "peer.address", settings.address, "expected an IPv4 address" };
     if (::bind(listener.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
         return failure("peer.bind");
     if (::listen(listener.descriptor(), listenBacklog) != 0)
@@ -52,12 +52,20 @@
     , m_listener(std::move(listener))
     , m_port(port)
 {
-    m_threads.emplace_back([this] { acceptConnections(); });
-    for (size_t i = 0; i < m_settings.threads; ++i)
-        m_threads.emplace_back([this] { serveConnections(); });
+    try {
+        m_threads.emplace_back([this] { acceptConnections(); });
+        for (size_t i = 0; i < m_settings.threads; ++i)
+            m_threads.emplace_back([this] { serveConnections(); });
+    } catch (...) {
+        // The destructor does not run, and that of a thread that is not joined ends the process.
+        stop();
+        throw;
+    }
 }
 
-PeerServer::~PeerServer()
+PeerServer::~PeerServer() { stop(); }
+
+void PeerServer::stop()
 {
     {
         std::lock_guard lock(m_mutex);
@@ -75,8 +83,12 @@
         if (::poll(&entry, 1, stopCheckIntervalMs) <= 0)
             continue;
         SocketHandle connection(::accept4(m_listener.descriptor(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
-        if (connection.descriptor() < 0)
+        if (connection.descriptor() < 0) {
+            // The connection stays in the queue, so that poll() returns at once.
+            logEvent(LogSeverity::Warning, "peer_accept_failed", { { "message", std::strerror(errno) } });
+            std::this_thread::sleep_for(acceptRetryDelay);
             continue;
+        }
         std::lock_guard lock(m_mutex);
         if (m_pendingConnections.size() < m_settings.maxPendingConnections) {
             m_pendingConnections.push_back(std::move(connection));
--- a/Cyclamenstair/Transport/PeerServer.h
+++ b/Cyclamenstair/Transport/PeerServer.h
@@ -39,6 +39,7 @@
 private:
     PeerServer(const PeerServerSettings& settings, Handler handler, SocketHandle listener, int port);
 
+    void stop();
     void acceptConnections();
     void serveConnections();
     void serve(SocketHandle handle);
