Retry a start that is refused for a reason that may pass

What operators saw: nodes that did not start, or whose processes ended by themselves. Shown here: a start ends with exit status 1 ("Address already in use") while one of its ports is held by another program's connection or by a predecessor that still finishes its requests. Nothing tried again, although the port is free a moment later.

It waits in sigtimedwait: SIGTERM and SIGINT end the process with status 0, SIGHUP reads the settings again. Other errors, such as a malformed address, still end the start at once. Each distinct refusal is logged once (node_start_retried). EntryNode binds all addresses and starts all threads before it listens at any of them, so that a start that fails has taken no connection.

ServerConnectionTests and the stand-ins call listen(), which was part of create().

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -94,14 +94,25 @@
         if (!metricsListener)
             return metricsListener.error();
         self->m_metricsListener = std::move(metricsListener).value();
-        self->m_metricsListener->start();
     }
-    self->m_callerListener->start();
-    if (self->m_relayListener)
-        self->m_relayListener->start();
-    self->m_probeListener->start();
+    // No connection is taken before all addresses are bound and all threads run: the start may still fail until then.
     for (auto* loop : loops)
         loop->start();
+    self->m_controlLoop.start();
+    if (auto error = self->m_mesh->listen())
+        return *error;
+    const auto listeners = { self->m_metricsListener.get(), self->m_relayListener.get(), self->m_probeListener.get(),
+        self->m_callerListener.get() };
+    for (auto* listener : listeners) {
+        if (!listener)
+            continue;
+        if (auto error = listener->listen())
+            return *error;
+    }
+    for (auto* listener : listeners) {
+        if (listener)
+            listener->start();
+    }
     self->m_controlLoop.post([self] {
         self->m_catalogWatcher.start();
         self->m_targetWatcher.start();
@@ -112,7 +123,6 @@
         self->m_dispatcher->start();
         self->m_registrar.start();
     });
-    self->m_controlLoop.start();
     logEvent(LogSeverity::Info, "node_started",
         { { "node", settings.node->id }, { "listen", settings.entry->listen }, { "store", settings.control->store } });
     return node;
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -25,11 +25,14 @@
     };
 
     /// Binds the address of `self`. With an empty address the mesh connects to no node. Returns an error if the address
-    /// is malformed or cannot be bound.
+    /// is malformed or cannot be bound. Connections are refused until listen().
     static Result<std::unique_ptr<PeerMesh>> create(boost::asio::io_context& context, EntryState& state,
         const PeerNode& self, const std::vector<std::string>& seeds, SnapshotHandlers snapshotHandlers,
         StoreRelay& relay);
 
+    /// Queues connections until start(). Returns an error if another process listens at the address.
+    std::optional<Error> listen() { return m_acceptor ? m_acceptor->listen() : std::nullopt; }
+
     void start();
 
     /// Sets the nodes as registered in the store.
--- a/Cyclamenstair/Http/ServerListener.h
+++ b/Cyclamenstair/Http/ServerListener.h
@@ -20,10 +20,13 @@
     using RequestHandler = std::function<void(size_t loop, const std::shared_ptr<ServerConnection>&, HttpRequest)>;
 
     /// Binds the address; the first loop accepts connections. Returns an error if the address is malformed or cannot be
-    /// bound.
+    /// bound. Connections are refused until listen().
     static Result<std::unique_ptr<ServerListener>> create(
         const std::string& address, std::vector<EventLoop*> loops, LimitsSource limits, RequestHandler handler);
 
+    /// Queues connections until start(). Returns an error if another process listens at the address.
+    std::optional<Error> listen() { return m_acceptor->listen(); }
+
     /// Starts accepting connections.
     void start();
 
--- a/Cyclamenstair/Http/TcpAcceptor.cpp
+++ b/Cyclamenstair/Http/TcpAcceptor.cpp
@@ -20,18 +20,26 @@
         acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec)
         acceptor.bind(endpoint.value(), ec);
-    if (!ec)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
     if (ec)
         return Error { ErrorKind::Unavailable, step, address, ec.message() };
-    return std::unique_ptr<TcpAcceptor>(new TcpAcceptor(std::move(acceptor), address));
+    return std::unique_ptr<TcpAcceptor>(new TcpAcceptor(std::move(acceptor), address, step));
 }
 
-TcpAcceptor::TcpAcceptor(tcp::acceptor acceptor, std::string address)
+TcpAcceptor::TcpAcceptor(tcp::acceptor acceptor, std::string address, std::string step)
     : m_acceptor(std::move(acceptor))
     , m_retryTimer(m_acceptor.get_executor())
     , m_address(std::move(address))
+    , m_step(std::move(step))
+{
+}
+
+std::optional<Error> TcpAcceptor::listen()
 {
+    boost::system::error_code ec;
+    m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Error { ErrorKind::Unavailable, m_step, m_address, ec.message() };
+    return std::nullopt;
 }
 
 void TcpAcceptor::start(ContextSource contextSource, Handler handler)
@@ -47,7 +55,12 @@
         if (!m_acceptor.is_open())
             return;
         if (!ec) {
-            m_handler(std::move(socket));
+            // An exception must not end the accepting.
+            try {
+                m_handler(std::move(socket));
+            } catch (const std::exception& exception) {
+                logEvent(LogSeverity::Error, "handler_failed", { { "message", exception.what() } });
+            }
             accept();
             return;
         }
--- a/Cyclamenstair/Http/TcpAcceptor.h
+++ b/Cyclamenstair/Http/TcpAcceptor.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cyclamenstair {
@@ -21,16 +22,19 @@
     using ContextSource = std::function<boost::asio::io_context&()>;
     using Handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    /// Binds the address and listens. Returns an InvalidInput error if it is malformed, and an error with `step` if it
-    /// cannot be bound.
+    /// Binds the address; connections to it are refused until listen(). Returns an InvalidInput error if it is
+    /// malformed, and an Unavailable error with `step` if it cannot be bound.
     static Result<std::unique_ptr<TcpAcceptor>> create(
         boost::asio::io_context& context, const std::string& address, const std::string& step);
 
+    /// Lets the operating system queue connections. Fails if another process has begun to listen since create().
+    std::optional<Error> listen();
+
     /// Starts accepting. Called on the loop's thread.
     void start(ContextSource contextSource, Handler handler);
 
 private:
-    TcpAcceptor(boost::asio::ip::tcp::acceptor acceptor, std::string address);
+    TcpAcceptor(boost::asio::ip::tcp::acceptor acceptor, std::string address, std::string step);
     void accept();
 
     /// Delay before the next accept after a failure, for example for lack of file descriptors.
@@ -39,6 +43,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     std::string m_address;
+    std::string m_step;
     ContextSource m_contextSource;
     Handler m_handler;
 };
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -1,7 +1,7 @@
-#include <Cyclamenstair/Entry/EntryNode.h>
-#include <Cyclamenstair/Node/Node.h>
+#include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/Log.h>
+#include <Programs/NodeStarter.h>
 
 #include <chrono>
 #include <csignal>
@@ -33,42 +33,38 @@
 }
 
 /// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
-void reloadSettings(const std::unique_ptr<Node>& node, const std::string& path)
+void reloadSettings(const RunningNode& running, const std::string& path)
 {
     const auto settings = SettingsReader::createFromFile(path);
     if (!settings) {
         logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
         return;
     }
-    if (node) {
-        node->reload(settings.value());
-        return;
-    }
-    configureLog(static_cast<LogSeverity>(settings.value().log->level));
-    logEvent(LogSeverity::Info, "settings_reloaded", { { "file", path } });
+    std::visit(Overloaded {
+                   [&](const std::unique_ptr<Node>& node) { node->reload(settings.value()); },
+                   [&](const std::unique_ptr<EntryNode>&) {
+                       configureLog(static_cast<LogSeverity>(settings.value().log->level));
+                       logEvent(LogSeverity::Info, "settings_reloaded", { { "file", path } });
+                   },
+               },
+        running);
 }
 
 int runNode(const schema::SettingsT& settings, const std::string& path, const sigset_t& signals)
 {
     configureLog(static_cast<LogSeverity>(settings.log->level));
-    std::unique_ptr<Node> node;
-    std::unique_ptr<EntryNode> entryNode;
-    try {
-        if (settings.node->mode == schema::NodeMode::Registered)
-            entryNode = EntryNode::create(settings).value();
-        else
-            node = Node::create(settings).value();
-    } catch (const Exception& exception) {
-        logError(LogSeverity::Error, "node_not_started", exception.error());
+    auto started = NodeStarter(settings, path, signals).start();
+    if (!started) {
+        logError(LogSeverity::Error, "node_not_started", started.error());
         return exitFailure;
     }
+    if (!started.value())
+        return exitOk;
+    auto& node = *started.value();
     int receivedSignal = 0;
     while (sigwait(&signals, &receivedSignal) == 0 && receivedSignal == SIGHUP)
         reloadSettings(node, path);
-    if (node)
-        node->stop();
-    if (entryNode)
-        entryNode->stop();
+    std::visit([](const auto& running) { running->stop(); }, node);
     return exitOk;
 }
 
--- /dev/null
+++ b/Programs/NodeStarter.cpp
@@ -0,0 +1,105 @@
+#include <Programs/NodeStarter.h>
+
+#include <Cyclamenstair/Settings/SettingsReader.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+#include <boost/system/system_error.hpp>
+
+#include <algorithm>
+#include <cerrno>
+#include <ctime>
+#include <new>
+#include <system_error>
+
+namespace cyclamenstair {
+
+namespace {
+
+    Error lackOfResources(const std::exception& exception)
+    {
+        return { ErrorKind::Unavailable, "node.resources", {}, exception.what() };
+    }
+
+} // namespace
+
+NodeStarter::NodeStarter(schema::SettingsT settings, std::string settingsPath, const sigset_t& signals)
+    : m_settings(std::move(settings))
+    , m_settingsPath(std::move(settingsPath))
+    , m_signals(signals)
+{
+}
+
+Result<std::optional<RunningNode>> NodeStarter::start()
+{
+    const auto deadline = monotonicNow() + maxRetryTime;
+    auto pause = minPause;
+    for (int attempt = 1;; ++attempt) {
+        auto node = create();
+        if (node)
+            return std::optional(std::move(node).value());
+        const bool mayPass = node.error().kind == ErrorKind::Unavailable;
+        if (!mayPass || monotonicNow() + pause > deadline)
+            return node.error();
+        logRefusal(node.error(), attempt);
+        if (!waitForNextAttempt(pause))
+            return std::optional<RunningNode>();
+        pause = std::min(2 * pause, maxPause);
+    }
+}
+
+Result<RunningNode> NodeStarter::create() const
+{
+    try {
+        if (m_settings.node->mode == schema::NodeMode::Registered)
+            return RunningNode(EntryNode::create(m_settings).value());
+        return RunningNode(Node::create(m_settings).value());
+    } catch (const Exception& exception) {
+        return exception.error();
+    } catch (const std::system_error& exception) {
+        return lackOfResources(exception);
+    } catch (const boost::system::system_error& exception) {
+        return lackOfResources(exception);
+    } catch (const std::bad_alloc& exception) {
+        return lackOfResources(exception);
+    }
+}
+
+void NodeStarter::logRefusal(const Error& error, int attempt)
+{
+    if (m_loggedRefusal == error.describe())
+        return;
+    m_loggedRefusal = error.describe();
+    logEvent(LogSeverity::Warning, "node_start_retried",
+        { { "step", error.step }, { "peer", error.peer }, { "message", error.message },
+            { "attempt", std::to_string(attempt) } });
+}
+
+bool NodeStarter::waitForNextAttempt(Duration pause)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(pause);
+    const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(pause - seconds);
+    const timespec timeout { static_cast<time_t>(seconds.count()), static_cast<long>(rest.count()) };
+    const int signal = sigtimedwait(&m_signals, nullptr, &timeout);
+    if (signal < 0)
+        return true;
+    if (signal == SIGHUP) {
+        reloadSettings();
+        return true;
+    }
+    logEvent(LogSeverity::Info, "node_start_cancelled", { { "signal", std::to_string(signal) } });
+    return false;
+}
+
+void NodeStarter::reloadSettings()
+{
+    auto settings = SettingsReader::createFromFile(m_settingsPath);
+    if (!settings) {
+        logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
+        return;
+    }
+    m_settings = std::move(settings).value();
+    configureLog(static_cast<LogSeverity>(m_settings.log->level));
+    logEvent(LogSeverity::Info, "settings_reloaded", { { "file", m_settingsPath } });
+}
+
+} // namespace cyclamenstair
--- a/StandIns/RegisteredTargetStandIn.cpp
+++ b/StandIns/RegisteredTargetStandIn.cpp
@@ -44,6 +44,8 @@
             handle(connection, request);
         });
     m_listener = std::move(listener).value();
+    if (const auto error = m_listener->listen())
+        throw Exception(*error);
     m_listener->start();
     m_loop.start();
 }
--- a/StandIns/RegistryStoreStandIn.cpp
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -61,6 +61,8 @@
         [this, view](size_t, const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request) {
             handle(connection, request, view);
         });
+    if (const auto error = listener.value()->listen())
+        throw Exception(*error);
     listener.value()->start();
     return std::move(listener).value();
 }
--- a/Tests/HttpTests/HttpTestServers.h
+++ b/Tests/HttpTests/HttpTestServers.h
@@ -45,6 +45,8 @@
                     connection->sendResponse({ 200, {}, {} }, request.target + " " + request.body);
             });
         m_listener = std::move(listener).value();
+        if (const auto error = m_listener->listen())
+            throw Exception(*error);
         m_listener->start();
         m_loop.start();
     }
--- a/Tests/HttpTests/ServerConnectionTests.cpp
+++ b/Tests/HttpTests/ServerConnectionTests.cpp
@@ -90,6 +90,7 @@
             connection->sendResponse({ 200, {}, {} }, std::string(bodyBytes, 'x'));
             connection->setWritableHandler([&] { isWritten = true; });
         });
+    ASSERT_FALSE(listener.value()->listen());
     listener.value()->start();
     loop.start();
     boost::asio::io_context context;
--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -126,6 +126,71 @@
         std::string m_folder;
     };
 
+    // Guards against a start that fails for good because a port is held for a while, and against a node that takes
+    // connections at its other ports meanwhile.
+    TEST_F(StartRetry, StartWaitsForPortInUse)
+    {
+        for (int* port : { &m_callerPort, &m_probePort, &m_peerPort }) {
+            // A port of the node before may still have connections in TIME_WAIT.
+            *port = allocateLoopbackPort();
+            writeSettings(m_callerPort);
+            auto holder = std::make_unique<PlainSocket>();
+            ASSERT_TRUE(holder->bind(*port));
+            const auto node = startNode();
+            ASSERT_TRUE(eventually([&] { return lineCount("node_start_retried") == 1 || node->hasExited(); }));
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+            ASSERT_FALSE(node->hasExited()) << log();
+            for (const int other : { m_callerPort, m_probePort, m_peerPort })
+                EXPECT_FALSE(PlainSocket().connect(other));
+            EXPECT_EQ(lineCount("node_start_retried"), 1U) << log();
+            holder.reset();
+            EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); }));
+            EXPECT_FALSE(node->hasExited());
+            std::filesystem::remove(m_folder + "/node");
+        }
+    }
+
+    // Guards against a successor that ends because its predecessor still finishes its requests.
+    TEST_F(StartRetry, SuccessorStartsWhenItsPredecessorEnds)
+    {
+        const auto predecessor = startNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort); }));
+        predecessor->sendSignal(SIGTERM);
+        const auto successor = startNode("successor");
+        EXPECT_EQ(predecessor->wait(waitTimeoutMs), 0);
+        EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || successor->hasExited(); }));
+        EXPECT_FALSE(successor->hasExited()) << log("successor");
+    }
+
+    // Guards against a process that cannot be stopped, or does not follow its settings, while its start is retried.
+    TEST_F(StartRetry, SignalsActBetweenAttempts)
+    {
+        const PlainSocket holder;
+        ASSERT_TRUE(holder.bind(m_callerPort));
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return lineCount("node_start_retried") == 1 || node->hasExited(); }));
+        writeSettings(allocateLoopbackPort());
+        node->sendSignal(SIGHUP);
+        EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
+        EXPECT_FALSE(node->hasExited()) << log();
+        const auto blocked = startNode("blocked");
+        ASSERT_TRUE(eventually([&] { return !log("blocked").empty(); }));
+        blocked->sendSignal(SIGTERM);
+        EXPECT_EQ(blocked->wait(waitTimeoutMs), 0);
+        EXPECT_NE(log("blocked").find("event=node_start_cancelled"), std::string::npos) << log("blocked");
+    }
+
+    // Guards against a malformed setting that is retried instead of reported.
+    TEST_F(StartRetry, MalformedAddressEndsTheStart)
+    {
+        std::ofstream(settingsPath()) << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = nowhere\n"
+                                         "[control]\nstore = 127.0.0.1:1\n";
+        const auto node = startNode();
+        EXPECT_EQ(node->wait(waitTimeoutMs), 1);
+        EXPECT_EQ(lineCount("node_start_retried"), 0U);
+        EXPECT_EQ(lineCount("node_not_started"), 1U);
+    }
+
     // Guards against a thread that spins while a node has no file descriptors left for connections of other nodes.
     TEST_F(StartRetry, NodeWithoutDescriptorsDoesNotSpin)
     {
