Let listeners bind the ports of a node's own former connections

Cause: the node's outgoing connections had no SO_REUSEADDR. Linux lets a listener bind a port that a connection uses, or holds in TIME_WAIT for 60 s, only if both sockets have the option. The connections of a node that was killed therefore could hold a port of the next process at the same address.

Change: ClientConnection, HttpExchange, FrameChannel and FrameSocket set the option before they connect.

Why it is safe: the port of such a connection is chosen by connect(), which skips ports that were bound explicitly and demands a unique pair of addresses, with or without the option. Packets of the connection go to it and not to a listener at the port, as an exact match is preferred. The option does not allow two listeners at one port; that is SO_REUSEPORT.

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -75,6 +75,9 @@
         if (!ec && !self->m_isOpen && !self->m_isClosed)
             self->fail(ErrorKind::Unavailable, "http.connect", "connection attempt timed out");
     });
+    // async_connect() opens the socket itself, and reports an error, if this fails.
+    boost::system::error_code openError;
+    openClientSocket(m_socket, m_server.protocol(), openError);
     m_socket.async_connect(m_server, [self = shared_from_this()](const boost::system::error_code& ec) {
         if (self->m_isClosed)
             return;
--- a/Cyclamenstair/Http/HttpExchange.cpp
+++ b/Cyclamenstair/Http/HttpExchange.cpp
@@ -149,7 +149,7 @@
         std::lock_guard lock(m_mutex);
         if (m_isCancelled)
             return failure(ErrorKind::Unavailable, step, "cancelled");
-        m_socket.open(endpoint.protocol(), ec);
+        openClientSocket(m_socket, endpoint.protocol(), ec);
         if (!ec)
             m_socket.non_blocking(true, ec);
     }
--- a/Cyclamenstair/Http/SocketOptions.cpp
+++ b/Cyclamenstair/Http/SocketOptions.cpp
@@ -33,4 +33,12 @@
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(toMilliseconds(deadPeerTimeout)));
 }
 
+void openClientSocket(
+    boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol, boost::system::error_code& ec)
+{
+    socket.open(protocol, ec);
+    if (!ec)
+        socket.set_option(boost::asio::socket_base::reuse_address(true), ec);
+}
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Http/SocketOptions.h
+++ b/Cyclamenstair/Http/SocketOptions.h
@@ -10,4 +10,9 @@
 /// `deadPeerTimeout`. Errors are ignored: timeouts at higher layers still apply.
 void configureSocket(boost::asio::ip::tcp::socket& socket, Duration deadPeerTimeout);
 
+/// Opens a socket for a connection whose local port a listener can bind, also while the closed connection is in
+/// TIME_WAIT. If the socket cannot be opened, `ec` is set.
+void openClientSocket(
+    boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol, boost::system::error_code& ec);
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -33,6 +33,9 @@
         if (!ec && !self->m_isOpen)
             self->fail();
     });
+    // async_connect() opens the socket itself, and reports an error, if this fails.
+    boost::system::error_code openError;
+    openClientSocket(m_socket, peer.protocol(), openError);
     m_socket.async_connect(peer, [self = shared_from_this()](const boost::system::error_code& ec) {
         if (self->m_isClosed)
             return;
--- a/Cyclamenstair/Transport/FrameSocket.cpp
+++ b/Cyclamenstair/Transport/FrameSocket.cpp
@@ -94,6 +94,9 @@
     SocketHandle handle(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (handle.descriptor() < 0)
         return connectError(address, std::strerror(errno));
+    // Lets a listener bind the local port, also while the closed connection is in TIME_WAIT.
+    const int enabled = 1;
+    setsockopt(handle.descriptor(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
     const int connectResult
         = ::connect(handle.descriptor(), reinterpret_cast<const sockaddr*>(&endpoint.value()), sizeof(sockaddr_in));
     if (connectResult != 0 && errno != EINPROGRESS)
--- a/Tests/TransportTests/FrameSocketTests.cpp
+++ b/Tests/TransportTests/FrameSocketTests.cpp
@@ -1,5 +1,8 @@
 #include <Cyclamenstair/Transport/PeerServer.h>
 
+#include <Tests/Support/ClientPortServer.h>
+
+#include <future>
 #include <gtest/gtest.h>
 
 namespace cyclamenstair {
@@ -33,6 +36,19 @@
         }
     }
 
+    // Guards against a node that cannot bind a port because a connection of its predecessor still holds it.
+    TEST(FrameSocket, ListenerCanBindPortOfClientSocket)
+    {
+        testing::ClientPortServer server;
+        std::future<Result<FrameSocket>> connected;
+        EXPECT_TRUE(server.canListenAtClientPort(
+            [&] {
+                connected = std::async(std::launch::async,
+                    [&] { return FrameSocket::connect(server.address(), "client", fleetKey, milliseconds(200)); });
+            },
+            [&] { connected.wait(); }));
+    }
+
     // Guards against a node of another fleet that is accepted as a peer.
     TEST(FrameSocket, RejectsPeerWithDifferentFleetKey)
     {
