Replace running nodes and kill all nodes in the soak

Cause: the soak started a process only after its predecessor's end, so that it could not show starts that meet a port in use.

Change: faults replace (SIGTERM, and at once a new process with the same settings; callers keep their connections) and kill_all. New rule not_serving: all nodes become ready after the last fault.

--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -15,6 +15,8 @@
     Reload, ///< SIGHUP to a node, at times right after its start.
     Terminate, ///< SIGTERM to a node, which starts again after its exit.
     Kill, ///< SIGKILL to a node, which starts again at once.
+    Replace, ///< SIGTERM to a node, and at once a new process with the same settings.
+    KillAll, ///< SIGKILL to all nodes, which start again at once.
     Freeze, ///< SIGSTOP to a node, and SIGCONT.
     ChangeCatalog, ///< The operator moves the safe route to the other service.
     TruncateAnswers, ///< A target disconnects within its answers.
@@ -30,6 +32,8 @@
         { SoakFaultKind::Reload, "reload" },
         { SoakFaultKind::Terminate, "terminate" },
         { SoakFaultKind::Kill, "kill" },
+        { SoakFaultKind::Replace, "replace" },
+        { SoakFaultKind::KillAll, "kill_all" },
         { SoakFaultKind::Freeze, "freeze" },
         { SoakFaultKind::ChangeCatalog, "change_catalog" },
         { SoakFaultKind::TruncateAnswers, "truncate_answers" },
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -2,6 +2,7 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <csignal>
 #include <fstream>
 
 namespace cyclamenstair {
@@ -24,6 +25,11 @@
 void SoakNode::start()
 {
     std::lock_guard lock(m_mutex);
+    startProcess();
+}
+
+void SoakNode::startProcess()
+{
     m_disturbedAt = monotonicNow();
     m_isEndExpected = false;
     m_process = std::make_unique<testing::ChildProcess>(
@@ -36,12 +42,25 @@
     m_disturbedAt = monotonicNow();
     m_isEndExpected = m_isEndExpected || endsProcess;
     m_process->sendSignal(number);
+    // A predecessor may have been frozen before it was replaced.
+    if (number == SIGCONT) {
+        for (const auto& predecessor : m_predecessors)
+            predecessor->sendSignal(number);
+    }
+}
+
+void SoakNode::replace()
+{
+    std::lock_guard lock(m_mutex);
+    m_process->sendSignal(SIGTERM);
+    m_predecessors.push_back(std::move(m_process));
+    startProcess();
 }
 
 bool SoakNode::isStopping()
 {
     std::lock_guard lock(m_mutex);
-    return m_isEndExpected;
+    return m_isEndExpected || !m_predecessors.empty();
 }
 
 bool SoakNode::restartIfEnded()
@@ -49,6 +68,10 @@
     bool isUnexpected = false;
     {
         std::lock_guard lock(m_mutex);
+        // The successor serves only once its predecessor has ended.
+        if (!m_predecessors.empty())
+            m_disturbedAt = monotonicNow();
+        std::erase_if(m_predecessors, [](const auto& predecessor) { return predecessor->hasExited(); });
         if (!m_process->hasExited())
             return false;
         isUnexpected = !m_isEndExpected;
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace cyclamenstair {
 
@@ -32,6 +33,9 @@
     /// Returns whether the node was told to end and has not been started again.
     bool isStopping();
 
+    /// Tells the process to end, and starts another one with the same settings at once.
+    void replace();
+
     /// Starts the process again if it has ended. Returns whether it had ended without being told to.
     bool restartIfEnded();
 
@@ -39,6 +43,8 @@
     bool isCalmSince(TimePoint time) const { return m_disturbedAt.load() < time; }
 
 private:
+    void startProcess();
+
     std::string m_id;
     std::string m_callerAddress;
     std::string m_probeAddress;
@@ -46,6 +52,7 @@
     std::string m_logPath;
     std::mutex m_mutex;
     std::unique_ptr<testing::ChildProcess> m_process;
+    std::vector<std::unique_ptr<testing::ChildProcess>> m_predecessors; ///< Replaced processes that have not ended yet.
     bool m_isEndExpected { false };
     std::atomic<TimePoint> m_disturbedAt { TimePoint::max() };
 };
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -131,6 +131,8 @@
     m_isOver = true;
     for (auto& caller : callers)
         caller.join();
+    if (!waitUntilServing())
+        report(SoakRule::NotServing, "after the last fault");
     checkOrders();
     checkFirstTries();
 }
@@ -294,6 +296,13 @@
     case SoakFaultKind::Kill:
         m_nodes[fault.subject]->signal(SIGKILL, true);
         break;
+    case SoakFaultKind::Replace:
+        m_nodes[fault.subject]->replace();
+        break;
+    case SoakFaultKind::KillAll:
+        for (const auto& node : m_nodes)
+            node->signal(SIGKILL, true);
+        break;
     case SoakFaultKind::Freeze: {
         auto* node = m_nodes[fault.subject].get();
         node->signal(SIGSTOP, false);
@@ -469,6 +478,7 @@
     const auto end = monotonicNow() + startTimeout;
     bool areReady = false;
     while (!areReady && monotonicNow() < end) {
+        tick();
         areReady = std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& node) { return isReady(*node); });
         std::this_thread::sleep_for(milliseconds(50));
     }
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -14,6 +14,7 @@
 /// Rules that a soak checks from outside.
 enum class SoakRule : uint8_t {
     EndedByItself, ///< A node's process ended without being told to.
+    NotServing, ///< A node did not become ready after the last fault.
     NoAnswer, ///< A request that a calm node had read got no answer.
     WrongAnswer, ///< A success is not the whole body of a target for this request.
     RunTwice, ///< A request that may run once ran more often.
@@ -26,6 +27,7 @@
 template <> struct EnumNames<SoakRule> {
     static constexpr auto table = std::to_array<EnumName<SoakRule>>({
         { SoakRule::EndedByItself, "ended_by_itself" },
+        { SoakRule::NotServing, "not_serving" },
         { SoakRule::NoAnswer, "no_answer" },
         { SoakRule::WrongAnswer, "wrong_answer" },
         { SoakRule::RunTwice, "run_twice" },
