Count only messages of other nodes as news of them

What callers saw: nothing yet; found in review. Cause: a refused connection counted as the end of that node's process, which cannot be told from a cut that refuses. Change: refusals prove nothing. With half or more of the nodes ended and the store away, streams of unknown origin are refused.

--- a/Cyclamenstair/Entry/PeerMesh.cpp
+++ b/Cyclamenstair/Entry/PeerMesh.cpp
@@ -200,13 +200,8 @@
         FrameChannel::Handlers { [this](const auto& sender, const std::string& content) { onFrame(sender, content); },
             [this, address] {
                 const auto entry = m_links.find(address);
-                if (entry == m_links.end())
-                    return;
-                const auto channel = std::move(entry->second.channel);
-                for (const auto& [id, node] : m_topology.nodes()) {
-                    if (node.address == address && channel && channel->isRefused())
-                        m_contacts.markHeard(id, suspendAwareNow());
-                }
+                if (entry != m_links.end())
+                    entry->second.channel.reset();
             } },
         &m_state->controlBuffers);
     link.channel->connect(endpoint.value());
--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -39,7 +39,6 @@
     m_socket.async_connect(peer, [self = shared_from_this()](const boost::system::error_code& ec) {
         if (self->m_isClosed)
             return;
-        self->m_isRefused = ec == boost::asio::error::connection_refused;
         if (ec)
             self->fail();
         else
--- a/Cyclamenstair/Peering/FrameChannel.h
+++ b/Cyclamenstair/Peering/FrameChannel.h
@@ -47,8 +47,6 @@
     void close();
 
     bool isOpen() const { return m_isOpen; }
-    /// Returns whether the peer's machine has answered that no process listens at the address.
-    bool isRefused() const { return m_isRefused; }
     bool isClosed() const { return m_isClosed; }
 
 private:
@@ -74,7 +72,6 @@
     std::string m_writeBuffer;
     bool m_isOpen { false };
     bool m_isClosed { false };
-    bool m_isRefused { false };
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Peering/PeerContacts.h
+++ b/Cyclamenstair/Peering/PeerContacts.h
@@ -28,7 +28,7 @@
     /// Called at a regular interval, so that a stall of this node is noticed.
     void tick(TimePoint now);
 
-    /// Records a message from `node`, or a proof that its process has ended.
+    /// Records a message from `node`.
     void markHeard(const std::string& node, TimePoint now);
 
     /// Returns the time since which `count` other nodes have been heard from; a very early one if there were fewer.
