Probe more targets while a node is isolated, from ports that listeners can bind

Cause, found in review: after an outage of all targets, an isolated node tried two random targets every 0.4 s, so that one target that is back among many stayed unused for seconds. The probes' own ports stayed in TIME_WAIT without SO_REUSEADDR, the cause of the starts that fail. Change: eight probes while isolated; they are billed only if they succeed. Probes use openClientSocket as other connections do.

--- a/Cyclamenstair/Entry/TargetReachMonitor.cpp
+++ b/Cyclamenstair/Entry/TargetReachMonitor.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Entry/TargetReachMonitor.h>
 
 #include <Cyclamenstair/Http/Endpoint.h>
+#include <Cyclamenstair/Http/SocketOptions.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <algorithm>
@@ -12,11 +13,15 @@
     constexpr Duration tickInterval = milliseconds(100);
     /// Many round trips; a lost packet fails one probe of several only.
     constexpr Duration connectTimeout = milliseconds(300);
-    /// Interval at which an isolated node looks for a way to the targets. New connections are billed.
+    /// Interval at which an isolated node looks for a way to the targets.
     constexpr Duration isolatedProbeInterval = milliseconds(400);
-    /// Connections that are opened at the same time. One is enough to end a suspicion.
-    constexpr size_t parallelProbes = 2;
+    /// Connections that are opened at the same time. One is enough to end a suspicion, and those that succeed are
+    /// billed.
     constexpr size_t firstProbes = 1;
+    constexpr size_t parallelProbes = 2;
+    /// The same while the node is isolated. After an outage of all targets the first ones are back among many that are
+    /// not.
+    constexpr size_t isolatedProbes = 8;
 
 } // namespace
 
@@ -52,7 +57,8 @@
         std::erase_if(targets, [&](const auto& target) { return failed.contains(target.id); });
     std::shuffle(targets.begin(), targets.end(), m_random);
     // A single silent target is the usual case; the others are asked only if the first one cannot be reached either.
-    targets.resize(std::min(targets.size(), failed.empty() ? firstProbes : parallelProbes));
+    const auto probes = m_state->reach.isIsolated() ? isolatedProbes : failed.empty() ? firstProbes : parallelProbes;
+    targets.resize(std::min(targets.size(), probes));
     for (const auto& target : targets)
         connect(target, targetCount);
 }
@@ -69,6 +75,8 @@
         if (!ec)
             onEnded(*probe, id, targetCount, "connection attempt timed out");
     });
+    boost::system::error_code ec;
+    openClientSocket(probe->socket, endpoint.value().protocol(), ec);
     probe->socket.async_connect(
         endpoint.value(), [this, probe, id = target.id, targetCount](const boost::system::error_code& ec) {
             onEnded(*probe, id, targetCount, ec ? ec.message() : std::string());
