--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -138,7 +138,7 @@
     , m_elector(m_controlLoop.context(), m_store, settings.node->id,
           leaseSettings(*settings.control, settings.entry->cpu_share), std::random_device {}())
     , m_registrar(m_controlLoop.context(), m_store, settings.node->id, selfAsPeer(settings))
-    , m_relay(settings.node->id)
+    , m_storeRelay(settings.node->id)
     , m_lostAnswerVerifier(m_controlLoop, m_state)
     , m_reachMonitor(m_controlLoop.context(), m_state, std::random_device {}())
 {
@@ -167,7 +167,7 @@
                 if (snapshot.areVersionsKnown)
                     m_origins->addKnownVersions(snapshot.versions);
             } },
-        m_relay);
+        m_storeRelay);
     if (!mesh)
         return mesh.error();
     m_mesh = std::move(mesh).value();
@@ -176,13 +176,13 @@
         = std::make_unique<ControlWatcher>(m_controlLoop.context(), m_store, m_elector, *m_mesh, *m_origins);
     for (auto* watcher :
         { &m_catalogWatcher.storeWatcher(), &m_targetWatcher.storeWatcher(), &m_controlWatcher->storeWatcher() })
-        m_relay.add(*watcher);
-    m_relay.setCollectingHandler([this](bool isCollecting) { m_registrar.setFrequent(isCollecting); });
-    m_relay.setContact([this] { return m_registrar.hasContact(monotonicNow()); });
+        m_storeRelay.add(*watcher);
+    m_storeRelay.setCollectingHandler([this](bool isCollecting) { m_registrar.setFrequent(isCollecting); });
+    m_storeRelay.setContact([this] { return m_registrar.hasContact(monotonicNow()); });
     // A node that follows a collector learns of a free lease later than those that watch the store.
     m_elector.setEligibility([this] {
         const bool canOrder = !m_state.reach.isIsolated() || !m_state.relays.hasReachingPeer();
-        return canOrder && m_relay.isWatching() && !m_relay.isFollower();
+        return canOrder && m_storeRelay.isWatching() && !m_storeRelay.isFollower();
     });
     m_dispatcher = std::make_unique<OrderDispatcher>(m_controlLoop.context(), m_elector, *m_mesh, m_state);
     return std::nullopt;
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -54,7 +54,7 @@
     TargetWatcher m_targetWatcher;
     OrderLeaseElector m_elector;
     NodeRegistrar m_registrar;
-    StoreRelay m_relay;
+    StoreRelay m_storeRelay;
     LostAnswerVerifier m_lostAnswerVerifier;
     TargetReachMonitor m_reachMonitor;
     std::unique_ptr<PeerMesh> m_mesh;
