Send relayed requests to other nodes where the refusal concerns one node only

What callers saw: nothing yet; found in review. A node that lost its targets or began to stop after it had accepted a relayed request ended it for the caller, a response that came before the request was read became 502 also for requests that may be repeated, and an alternative that was not accepted used up an attempt. Cause: every end of a relayed request but "not accepted" was taken for the end of the request, and a peer that did not accept once was left out for the request's life. Change: "not run" of an isolated or stopping node is "not accepted"; a response without the relay's field ends the attempt only; peers that did not accept are tried again after the time for which they are avoided. Result: Relay.NodeThatDidNotAcceptIsTriedAgain and AlternativeThatIsNotAcceptedCostsNoAttempt are new and pass; IsolatedNodeTests pass.

--- a/Cyclamenstair/Entry/RequestExchange.cpp
+++ b/Cyclamenstair/Entry/RequestExchange.cpp
@@ -346,15 +346,8 @@
 {
     auto info = decodeResponseHead(received.head, m_machine.requestInfo().id, received.isFirstOfConnection);
     auto* call = findCall(attempt);
-    if (call && call->isRelayed) {
-        if (const auto refusal = takeRelayResponse(received.head, info)) {
-            log("relay_refused",
-                { { "attempt", std::to_string(attempt) }, { "node", call->target },
-                    { "outcome", std::string(nameOf(refusal->kind)) }, { "reason", refusal->reason } });
-            handle(RelayRefused { attempt, call->target, *refusal });
-            return;
-        }
-    }
+    if (call && call->isRelayed && !applyRelayResponse(attempt, received.head, info))
+        return;
     logUnsuccessfulResponse(attempt, info);
     if (call)
         call->head = std::move(received.head);
--- a/Cyclamenstair/Entry/RequestExchange.h
+++ b/Cyclamenstair/Entry/RequestExchange.h
@@ -59,9 +59,10 @@
         const CallerRequest& decoded, const ServiceCatalog& catalog, const Route& route, Random& random, TimePoint now);
     /// Adds what this node states beside the response to a relayed request.
     static void addRelayResponse(HttpResponseHead& head, const ForwardHead& action);
-    static void addRelayResponse(HttpResponseHead& head, const SendLocalResponse& action);
-    /// Removes what the relaying node states from the head. Returns its refusal if it has ended the request.
-    std::optional<RelayRefusal> takeRelayResponse(HttpResponseHead& head, ResponseInfo& info);
+    void addRelayResponse(HttpResponseHead& head, const SendLocalResponse& action) const;
+    /// Applies what the node that a request was relayed through states beside its response. Returns false if no target
+    /// has answered; the attempt has then ended.
+    bool applyRelayResponse(uint32_t attempt, HttpResponseHead& head, ResponseInfo& info);
     /// Records what the outcome of a call shows of the path to the targets.
     void recordReach(const TargetCall& call, const ClientEvent& event);
     /// Logs a response that is an error, lacks a receipt, or names another request, before the state machine handles
--- a/Cyclamenstair/Entry/RequestExchangeRelay.cpp
+++ b/Cyclamenstair/Entry/RequestExchangeRelay.cpp
@@ -115,23 +115,30 @@
     sendAttempt({ action.attempt, action.peer.id, true, nullptr, {} }, endpoint.value(), request);
 }
 
-std::optional<RelayRefusal> RequestExchange::takeRelayResponse(HttpResponseHead& head, ResponseInfo& info)
+bool RequestExchange::applyRelayResponse(uint32_t attempt, HttpResponseHead& head, ResponseInfo& info)
 {
+    const auto node = targetOf(attempt);
     const auto value = fieldValue(head.fields, relayResponseField);
     eraseField(head.fields, relayResponseField);
     const auto response = decodeRelayResponse(value.value_or(""));
-    if (!response) {
-        logError(LogSeverity::Warning, "relay_response_malformed", response.error());
-        return RelayRefusal { RelayRefusalKind::Failed, "relay_malformed", std::nullopt };
+    if (!response || !info.matchesRequestId) {
+        // Not the answer of a node to this request, for example one that rejects it before it is read.
+        log("attempt_failed",
+            { { "attempt", std::to_string(attempt) }, { "target", node },
+                { "message", "the response to the relayed request is malformed" } });
+        closeCall(attempt);
+        handle(AttemptDisconnected { attempt, true });
+        return false;
     }
-    return std::visit(Overloaded {
-                          [&](const RelayedTargetAnswer& answer) -> std::optional<RelayRefusal> {
-                              info.softwareVersion = answer.softwareVersion;
-                              return std::nullopt;
-                          },
-                          [](const RelayRefusal& refusal) -> std::optional<RelayRefusal> { return refusal; },
-                      },
-        response.value());
+    if (const auto* refusal = std::get_if<RelayRefusal>(&response.value())) {
+        log("relay_refused",
+            { { "attempt", std::to_string(attempt) }, { "node", node },
+                { "outcome", std::string(nameOf(refusal->kind)) }, { "reason", refusal->reason } });
+        handle(RelayRefused { attempt, node, *refusal });
+        return false;
+    }
+    info.softwareVersion = std::get<RelayedTargetAnswer>(response.value()).softwareVersion;
+    return true;
 }
 
 void RequestExchange::addRelayResponse(HttpResponseHead& head, const ForwardHead& action)
@@ -140,9 +147,14 @@
     head.fields.emplace_back(relayResponseField, encodeRelayResponse(RelayedTargetAnswer { action.softwareVersion }));
 }
 
-void RequestExchange::addRelayResponse(HttpResponseHead& head, const SendLocalResponse& action)
+void RequestExchange::addRelayResponse(HttpResponseHead& head, const SendLocalResponse& action) const
 {
-    head.fields.emplace_back(relayResponseField, encodeRelayResponse(relayRefusal(action)));
+    auto refusal = relayRefusal(action);
+    const auto& state = m_loop->state();
+    // The reason is this node's own, so another one may serve the request.
+    if (refusal.kind == RelayRefusalKind::NotRun && (state.reach.isIsolated() || state.isStopping))
+        refusal.kind = RelayRefusalKind::NotAccepted;
+    head.fields.emplace_back(relayResponseField, encodeRelayResponse(refusal));
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Fleet/RelayPeers.h
+++ b/Cyclamenstair/Fleet/RelayPeers.h
@@ -66,8 +66,7 @@
     double cost(const PeerState& state) const;
 
     RelayPeersSettings m_settings;
-    mutable std::mutex
-        m_mutex; ///< Guards the members below. Used only while the node is isolated, and when nodes change.
+    mutable std::mutex m_mutex; ///< Guards the members below. Requests take it only while the node is isolated.
     std::map<std::string, PeerState> m_peers;
     std::set<std::string> m_isolated;
 };
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -246,8 +246,12 @@
     const bool isNotRun = refusal.kind == RelayRefusalKind::NotAccepted || refusal.kind == RelayRefusalKind::NotRun;
     const auto result = isNotRun ? TargetAttemptResult::Full : TargetAttemptResult::Inconclusive;
     const bool isOfAlternative = isAlternative(event.attempt);
-    if (refusal.kind == RelayRefusalKind::NotAccepted && (isOfAlternative || isCurrentAttempt(event.attempt)))
+    if (refusal.kind == RelayRefusalKind::NotAccepted && (isOfAlternative || isCurrentAttempt(event.attempt))) {
         m_dependencies.relays->avoid(event.peer, now);
+        // The peer may accept the request once it is not avoided any more.
+        m_triedPeers.erase(event.peer);
+        --m_sentAttempts;
+    }
     if (isOfAlternative) {
         cancelAlternative(result, now, actions);
         m_lastProgressAt = now;
@@ -263,7 +267,6 @@
     }
     switch (refusal.kind) {
     case RelayRefusalKind::NotAccepted:
-        --m_sentAttempts;
         acquireTarget(now, actions);
         break;
     case RelayRefusalKind::NotRun:
--- a/Tests/RequestFlowTests/RelayTests.cpp
+++ b/Tests/RequestFlowTests/RelayTests.cpp
@@ -83,6 +83,41 @@
     EXPECT_EQ(find<StartRelay>(second)->maxAttempts, 1U);
 }
 
+// Nodes that do not accept a request at the moment, for example while their catalog is older, may do so a little later.
+TEST(Relay, NodeThatDidNotAcceptIsTriedAgain)
+{
+    RelayFixture fixture(RetryPolicy::Once, false, 1);
+    auto actions = fixture.machine->start(start);
+    for (uint32_t attempt = 1; attempt <= 2; ++attempt) {
+        ASSERT_TRUE(find<StartRelay>(actions));
+        const auto peer = find<StartRelay>(actions)->peer.id;
+        actions = fixture.machine->handle(
+            RelayRefused { attempt, peer, { RelayRefusalKind::NotAccepted, "catalog_older", std::nullopt } }, start);
+    }
+    EXPECT_FALSE(find<SendLocalResponse>(actions));
+    fixture.relays.setPeers({ { "node-2", "127.0.0.1:2", "domain-1" } });
+    fixture.relays.setPeers({});
+    fixture.relays.setPeers({ { "node-2", "127.0.0.1:2", "domain-1" } });
+    EXPECT_TRUE(find<StartRelay>(fixture.machine->handle(TimerFired {}, start + milliseconds(100))));
+}
+
+// An alternative that another node does not accept must not use up the attempts of the request.
+TEST(Relay, AlternativeThatIsNotAcceptedCostsNoAttempt)
+{
+    RelayFixture fixture(RetryPolicy::Safe);
+    auto requestInfo = fixture.machine->requestInfo();
+    requestInfo.route.timeout = milliseconds(9000);
+    fixture.restart(requestInfo);
+    (void)fixture.machine->start(start);
+    const auto stalledAt = *fixture.machine->nextTimerAt();
+    const auto alternative = fixture.machine->handle(TimerFired {}, stalledAt);
+    ASSERT_TRUE(find<StartRelay>(alternative));
+    (void)fixture.machine->handle(
+        RelayRefused { 2, find<StartRelay>(alternative)->peer.id, { RelayRefusalKind::NotAccepted, "stopping", {} } },
+        stalledAt);
+    EXPECT_TRUE(find<StartRelay>(fixture.machine->handle(TimerFired {}, stalledAt + milliseconds(2880))));
+}
+
 TEST(Relay, UnreachableNodeIsReplacedAtNoCost)
 {
     RelayFixture fixture(RetryPolicy::Once, false, 1);
