Reject settings that are not valid UTF-8 instead of throwing

Operators saw a running node end with status 1 on SIGHUP if its settings file held a byte that is not UTF-8, with no structured line:

cyclamenstaird: [json.exception.type_error.316] invalid UTF-8 byte at index 1: 0xFF

Cause: the values pass through JSON, whose dump() throws on such text. The exception left SettingsReader, which returns a Result, and with it the loop that waits for signals. Class: an exception of a library that ends the process from a path that reports errors as values.

The value is rejected with its line, as other invalid values are, so a reload keeps the former settings and a start reports the line. The property on arbitrary text did not find it, because such text hardly ever contains a known key; neverThrowsOnArbitraryValue puts the text after one.

Before: NodeKeepsRunningAfterReloadOfUnreadableSettings failed, the process had exited with the message above. After: it passes, as do SettingsTests.

--- a/Cyclamenstair/Settings/SettingsReader.cpp
+++ b/Cyclamenstair/Settings/SettingsReader.cpp
@@ -78,6 +78,17 @@
         return nlohmann::json(*number);
     }
 
+    /// Returns whether JSON, through which the values pass, can hold the text.
+    bool isValidUtf8(const std::string& text)
+    {
+        try {
+            (void)nlohmann::json(text).dump();
+            return true;
+        } catch (const nlohmann::json::type_error&) {
+            return false;
+        }
+    }
+
     Result<nlohmann::json> parseValue(const SettingsField& field, const std::string& text)
     {
         if (const auto* values = field.enumeration()) {
@@ -89,6 +100,8 @@
         }
         switch (field.baseType()) {
         case reflection::String:
+            if (!isValidUtf8(text))
+                return Error { ErrorKind::InvalidInput, "", "", "the value is not valid UTF-8" };
             return nlohmann::json(text);
         case reflection::Bool:
             if (text == "true" || text == "false")
--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -180,6 +180,24 @@
         EXPECT_NE(log("blocked").find("event=node_start_cancelled"), std::string::npos) << log("blocked");
     }
 
+    // Guards against a running node that ends because of a settings file that it cannot read.
+    TEST_F(StartRetry, NodeKeepsRunningAfterReloadOfUnreadableSettings)
+    {
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort); }));
+        size_t reloads = 0;
+        for (const auto* text : { "[node]\nid = n\xff\n", "[node\n", "" }) {
+            std::ofstream(settingsPath()) << text;
+            node->sendSignal(SIGHUP);
+            ++reloads;
+            const auto hasReloaded
+                = [&] { return lineCount("settings_not_reloaded") + lineCount("settings_reloaded") == reloads; };
+            ASSERT_TRUE(eventually([&] { return hasReloaded() || node->hasExited(); }));
+            ASSERT_FALSE(node->hasExited()) << log();
+        }
+        EXPECT_TRUE(isServing(m_probePort));
+    }
+
     // Guards against a malformed setting that is retried instead of reported.
     TEST_F(StartRetry, MalformedAddressEndsTheStart)
     {
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -53,7 +53,8 @@
             InvalidText { "[caller]\nport = 1\nport = 2\n", "line 3: key 'port' is already set on line 2" },
             InvalidText { "[routing]\npolicy = Best\n", "line 2: policy: 'Best' is not one of" },
             InvalidText { "[caller\nport = 1\n", "line 1" },
-            InvalidText { "[routing]\nextra_attempt_share = nan\n", "line 2" }));
+            InvalidText { "[routing]\nextra_attempt_share = nan\n", "line 2" },
+            InvalidText { "[node]\nid = n\xff\n", "line 2: id: the value is not valid UTF-8" }));
 
     // Guards against a line beyond the buffer of the INI parser that is split or truncated without an error.
     TEST(SettingsReader, RejectsOverlongLine)
@@ -69,6 +70,13 @@
         SettingsReader::create(text);
     }
 
+    // Guards against an exception on the value of a known key, which arbitrary text hardly ever contains.
+    RC_GTEST_PROP(SettingsReader, neverThrowsOnArbitraryValue, (const std::string& value))
+    {
+        for (const auto* line : { "[node]\nid = ", "[entry]\ncpu_share = ", "[log]\nlevel = " })
+            SettingsReader::create(line + value);
+    }
+
     // Guards against changed keys that a reload misses, and against reloading keys that require a restart.
     TEST(SettingsReader, ReportsChangedAndReloadableKeys)
     {
