Block signals before the constructors of libraries run

A process that was told to reload (SIGHUP) right after its start ended by the signal's default action, without any line: termination by signal 1.

Cause: main() blocked the signals, after the dynamic loader and the constructors of all libraries had run. Class: a signal in the time before its handling is set up. The signals are now blocked from the preinit array of the program, before any constructor.

Before: StartSignals.SignalBeforeMainIsKept failed, status 129 (signal 1). After: it passes.

--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -20,18 +20,27 @@
 
 using namespace cyclamenstair;
 
-/// Blocks the signals that the daemon handles in this thread and all threads started later.
-sigset_t blockSignals()
+/// Returns the signals that the daemon waits for in its main thread.
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     for (const int signal : { SIGTERM, SIGINT, SIGHUP })
         sigaddset(&signals, signal);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
+/// Blocks the signals that the daemon handles in this thread and all threads started later. They are handled once the
+/// node has started.
+void blockSignals(int, char**, char**)
+{
+    const auto signals = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+// Runs before the constructors of all libraries: until the signals are blocked, SIGHUP ends the process.
+[[gnu::section(".preinit_array"), gnu::used]] void (*earlyInitializer)(int, char**, char**) = blockSignals;
+
 /// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
 void reloadSettings(const RunningNode& running, const std::string& path)
 {
@@ -79,8 +88,7 @@
 
 int main(int argc, char** argv)
 {
-    // Signals that arrive while the settings are read are handled once the node has started.
-    const auto signals = blockSignals();
+    signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
     options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())(
         "check", "Check the settings and exit")("print-defaults", "Print all settings with their defaults and exit")(
@@ -112,7 +120,7 @@
             std::cout << "settings are valid\n";
             return exitOk;
         }
-        exitProcess(runNode(settings.value(), arguments["config"].as<std::string>(), signals));
+        exitProcess(runNode(settings.value(), arguments["config"].as<std::string>(), handledSignals()));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
         return exitUsage;
--- a/Tests/NodeTests/StartSignalTests.cpp
+++ b/Tests/NodeTests/StartSignalTests.cpp
@@ -1,9 +1,14 @@
 #include <Tests/Support/ProcessFleet.h>
 
+#include <StandIns/LoopbackPort.h>
+
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
@@ -29,5 +34,31 @@
         std::filesystem::remove_all(folder);
     }
 
+    // Guards against a process that ends because it is told to reload before its main function runs. The library that
+    // is loaded first sends the signal from its constructor.
+    TEST(StartSignals, SignalBeforeMainIsKept)
+    {
+        const auto folder = std::filesystem::temp_directory_path() / ("cyclamenstair-" + std::to_string(::getpid()));
+        std::filesystem::create_directories(folder);
+        const auto settings = folder / "settings.ini";
+        const std::string host = "127.0.0.1:";
+        std::ofstream(settings) << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = " << host
+                                << allocateLoopbackPort() << "\nready_listen = " << host << allocateLoopbackPort()
+                                << "\n[control]\nstore = " << host << allocateLoopbackPort() << "\n";
+        ::setenv("LD_PRELOAD", CYCLAMENSTAIR_BINARY_DIR "/Tests/libSignalBeforeMain.so", 1);
+        // The runtime of the address sanitizer expects to be loaded first.
+        ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+        ChildProcess process("Programs/cyclamenstaird", { "--config", settings }, folder / "log");
+        ::unsetenv("LD_PRELOAD");
+        ::unsetenv("ASAN_OPTIONS");
+        EXPECT_EQ(process.wait(1000), std::nullopt);
+        process.sendSignal(SIGTERM);
+        EXPECT_EQ(process.wait(20000), 0);
+        std::ostringstream log;
+        log << std::ifstream(folder / "log").rdbuf();
+        EXPECT_NE(log.str().find("event=settings_reloaded"), std::string::npos) << log.str();
+        std::filesystem::remove_all(folder);
+    }
+
 } // namespace
 } // namespace cyclamenstair::testing
