Link the library that signals before main into a program of the test

The test now runs the daemon's own objects linked with the library, which checks the same: with the signals blocked in main() only, it fails with status 129 as before; with the early block it passes.

--- a/Tests/NodeTests/StartSignalTests.cpp
+++ b/Tests/NodeTests/StartSignalTests.cpp
@@ -3,7 +3,6 @@
 #include <StandIns/LoopbackPort.h>
 
 #include <csignal>
-#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -34,8 +33,8 @@
         std::filesystem::remove_all(folder);
     }
 
-    // Guards against a process that ends because it is told to reload before its main function runs. The library that
-    // is loaded first sends the signal from its constructor.
+    // Guards against a process that ends because it is told to reload before its main function runs. The program of
+    // this test is the daemon with a library that sends the signal from its constructor.
     TEST(StartSignals, SignalBeforeMainIsKept)
     {
         const auto folder = std::filesystem::temp_directory_path() / ("cyclamenstair-" + std::to_string(::getpid()));
@@ -45,12 +44,7 @@
         std::ofstream(settings) << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = " << host
                                 << allocateLoopbackPort() << "\nready_listen = " << host << allocateLoopbackPort()
                                 << "\n[control]\nstore = " << host << allocateLoopbackPort() << "\n";
-        ::setenv("LD_PRELOAD", CYCLAMENSTAIR_BINARY_DIR "/Tests/libSignalBeforeMain.so", 1);
-        // The runtime of the address sanitizer expects to be loaded first.
-        ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
-        ChildProcess process("Programs/cyclamenstaird", { "--config", settings }, folder / "log");
-        ::unsetenv("LD_PRELOAD");
-        ::unsetenv("ASAN_OPTIONS");
+        ChildProcess process("Tests/cyclamenstaird-signalled-before-main", { "--config", settings }, folder / "log");
         EXPECT_EQ(process.wait(1000), std::nullopt);
         process.sendSignal(SIGTERM);
         EXPECT_EQ(process.wait(20000), 0);
