Write a log line about each end of the process

Operators saw processes that ended by themselves, and no line told why: an end by a fatal signal, by std::terminate, by an exception in main, by invalid settings or arguments left nothing in the log's format.

Cause: nothing reported the end of the process; only a start that failed and a planned stop were logged (class: missing telemetry).

Each end that the process can see now leaves one line, event=process_ended, with reason, status, uptime_ms and pid. It goes to standard output once the log is configured and to standard error before, and never blocks. - Handlers of SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT and SIGXCPU name the signal, the address of the fault or the sender, the thread, the program counter and words of the stack that may be return addresses. They use only async-signal-safe calls, run on an alternate stack on event loops, periodic threads and the main thread, and end the process by the same signal. They are installed only where the action is the default one. SIGSYS is left alone, because preloaded libraries use it. Builds with sanitizers have none. - std::terminate reports type and text of the exception. Texts and exit statuses are as before.

The registers of arm64 are compiled only there; not run.

--- a/Cyclamenstair/Http/EventLoop.cpp
+++ b/Cyclamenstair/Http/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Http/EventLoop.h>
 
+#include <Cyclamenstair/Telemetry/FatalSignals.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <boost/asio/post.hpp>
@@ -30,6 +31,7 @@
 
 void EventLoop::run()
 {
+    const AlternateSignalStack alternateStack;
     // An exception from one handler must not end the loop, which would drop all other connections.
     while (!m_context.stopped()) {
         try {
--- a/Cyclamenstair/Node/PeriodicThread.cpp
+++ b/Cyclamenstair/Node/PeriodicThread.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Node/PeriodicThread.h>
 
+#include <Cyclamenstair/Telemetry/FatalSignals.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 namespace cyclamenstair {
@@ -39,6 +40,7 @@
 
 void PeriodicThread::run()
 {
+    const AlternateSignalStack alternateStack;
     for (;;) {
         Duration delay = failureRetryDelay;
         try {
--- /dev/null
+++ b/Cyclamenstair/Telemetry/FatalSignals.cpp
@@ -0,0 +1,217 @@
+#include <Cyclamenstair/Telemetry/FatalSignals.h>
+
+#include <Cyclamenstair/Telemetry/ProcessEnd.h>
+#include <Cyclamenstair/Telemetry/ProcessSignal.h>
+
+#include <bit>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <cxxabi.h>
+#include <exception>
+#include <link.h>
+#include <memory>
+#include <sys/uio.h>
+#include <ucontext.h>
+#include <unistd.h>
+
+namespace cyclamenstair {
+
+#ifndef CYCLAMENSTAIR_SANITIZED
+
+namespace {
+
+    /// Signals that the hardware or the C library raises. SIGXCPU: the limit of processor time is reached.
+    constexpr std::array fatalSignals { SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT, SIGXCPU };
+
+    constexpr int signalStatusBase = 128;
+    constexpr size_t maxStackAddresses = 24;
+    /// Part of the stack that is searched for return addresses.
+    constexpr size_t stackBlockBytes = 4096;
+    constexpr size_t maxStackBlocks = 4;
+
+    /// Addresses of the executable in memory.
+    struct Executable {
+        uintptr_t loadBase { 0 };
+        uintptr_t codeBegin { 0 };
+        uintptr_t codeEnd { 0 };
+    };
+
+    /// Set before the handlers are installed, and constant afterwards.
+    Executable executable;
+    std::terminate_handler previousTerminateHandler = nullptr;
+
+    /// Registers of the interrupted code; 0 on an unknown architecture.
+    struct Registers {
+        uintptr_t programCounter { 0 };
+        uintptr_t stackPointer { 0 };
+        uintptr_t linkRegister { 0 };
+    };
+
+    Registers registersOf(const void* context)
+    {
+        const auto& machine = static_cast<const ucontext_t*>(context)->uc_mcontext;
+#if defined(__x86_64__)
+        return { static_cast<uintptr_t>(machine.gregs[REG_RIP]), static_cast<uintptr_t>(machine.gregs[REG_RSP]), 0 };
+#elif defined(__aarch64__)
+        constexpr size_t linkRegisterIndex = 30;
+        return { machine.pc, machine.sp, machine.regs[linkRegisterIndex] };
+#else
+        (void)machine;
+        return {};
+#endif
+    }
+
+    /// Appends words of the stack that lie in the executable's code. The code has no frame pointers to follow.
+    void appendStack(FixedLine& line, uintptr_t stackPointer)
+    {
+        std::array<uintptr_t, stackBlockBytes / sizeof(uintptr_t)> words;
+        size_t count = 0;
+        line.append(" stack=");
+        auto begin = stackPointer & ~(sizeof(uintptr_t) - 1);
+        for (size_t block = 0; block < maxStackBlocks; ++block) {
+            const auto end = (begin / stackBlockBytes + 1) * stackBlockBytes;
+            // Unlike a plain access, this fails without a second fault where no memory is mapped.
+            const iovec local { words.data(), end - begin };
+            const iovec remote { std::bit_cast<void*>(begin), end - begin };
+            const auto bytes = ::process_vm_readv(::getpid(), &local, 1, &remote, 1, 0);
+            begin = end;
+            for (ssize_t i = 0; i < bytes / static_cast<ssize_t>(sizeof(uintptr_t)); ++i) {
+                const auto word = words[static_cast<size_t>(i)];
+                if (word < executable.codeBegin || word >= executable.codeEnd)
+                    continue;
+                if (count > 0)
+                    line.append(',');
+                line.appendHex(word);
+                if (++count == maxStackAddresses)
+                    return;
+            }
+        }
+    }
+
+    void handleFatalSignal(int signal, siginfo_t* info, void* context)
+    {
+        const int savedErrno = errno;
+        ProcessEndLine line(EndReason::FatalSignal, signalStatusBase + signal);
+        auto& fields = line.fields();
+        fields.appendField("signal", nameOf(static_cast<ProcessSignal>(signal)));
+        const bool isSent = info->si_code <= 0; // By kill(), raise() or the like.
+        fields.append(" code=");
+        if (info->si_code < 0)
+            fields.append('-');
+        fields.appendDecimal(static_cast<uint64_t>(std::abs(info->si_code)));
+        if (isSent)
+            fields.appendField("sender", static_cast<uint64_t>(info->si_pid));
+        else
+            fields.appendHexField("address", reinterpret_cast<uintptr_t>(info->si_addr));
+        fields.appendField("thread", static_cast<uint64_t>(::gettid()));
+        const auto registers = registersOf(context);
+        fields.appendHexField("pc", registers.programCounter);
+        if (registers.linkRegister != 0)
+            fields.appendHexField("lr", registers.linkRegister);
+        fields.appendHexField("load_base", executable.loadBase);
+        appendStack(fields, registers.stackPointer);
+        line.write();
+        // The faulting instruction is repeated after the return, so that the core dump shows it. Other signals are
+        // raised again; this one is blocked until the return.
+        ::signal(signal, SIG_DFL);
+        const bool isRepeated = !isSent && signal != SIGXCPU && signal != SIGABRT;
+        if (!isRepeated)
+            ::raise(signal);
+        errno = savedErrno;
+    }
+
+    /// Returns the text of the current exception, or an empty one.
+    std::string currentExceptionText()
+    {
+        try {
+            if (const auto exception = std::current_exception())
+                std::rethrow_exception(exception);
+        } catch (const std::exception& exception) {
+            return exception.what();
+        } catch (...) {
+            return {};
+        }
+        return {};
+    }
+
+    [[noreturn]] void handleTerminate()
+    {
+        ProcessEndLine line(EndReason::Terminated, signalStatusBase + SIGABRT);
+        line.fields().appendField("thread", static_cast<uint64_t>(::gettid()));
+        if (const auto* type = abi::__cxa_current_exception_type()) {
+            int status = 0;
+            const std::unique_ptr<char, decltype(&std::free)> name(
+                abi::__cxa_demangle(type->name(), nullptr, nullptr, &status), std::free);
+            line.fields().appendField("type", name ? name.get() : type->name());
+            line.fields().appendField("message", currentExceptionText());
+        }
+        line.write();
+        if (previousTerminateHandler)
+            previousTerminateHandler();
+        std::abort();
+    }
+
+    /// Records the addresses of the executable, which is the first object in the list.
+    int recordExecutable(dl_phdr_info* info, size_t, void*)
+    {
+        executable.loadBase = info->dlpi_addr;
+        for (int i = 0; i < info->dlpi_phnum; ++i) {
+            const auto& header = info->dlpi_phdr[i];
+            if (header.p_type != PT_LOAD || (header.p_flags & PF_X) == 0)
+                continue;
+            executable.codeBegin = info->dlpi_addr + header.p_vaddr;
+            executable.codeEnd = executable.codeBegin + header.p_memsz;
+        }
+        return 1;
+    }
+
+} // namespace
+
+void installFatalSignalHandlers()
+{
+    dl_iterate_phdr(recordExecutable, nullptr);
+    previousTerminateHandler = std::set_terminate(handleTerminate);
+    for (const int signal : fatalSignals) {
+        struct sigaction present { };
+        const bool isDefault = ::sigaction(signal, nullptr, &present) == 0 && (present.sa_flags & SA_SIGINFO) == 0
+            && present.sa_handler == SIG_DFL;
+        if (!isDefault)
+            continue;
+        struct sigaction action { };
+        action.sa_sigaction = handleFatalSignal;
+        action.sa_flags = SA_SIGINFO | SA_ONSTACK;
+        sigemptyset(&action.sa_mask);
+        ::sigaction(signal, &action, nullptr);
+    }
+}
+
+AlternateSignalStack::AlternateSignalStack()
+{
+    stack_t present {};
+    if (::sigaltstack(nullptr, &present) != 0 || (present.ss_flags & SS_DISABLE) == 0)
+        return;
+    stack_t stack {};
+    stack.ss_sp = m_memory.data();
+    stack.ss_size = m_memory.size();
+    m_isInstalled = ::sigaltstack(&stack, nullptr) == 0;
+}
+
+AlternateSignalStack::~AlternateSignalStack()
+{
+    if (!m_isInstalled)
+        return;
+    stack_t stack {};
+    stack.ss_flags = SS_DISABLE;
+    ::sigaltstack(&stack, nullptr);
+}
+
+#else
+
+void installFatalSignalHandlers() { }
+AlternateSignalStack::AlternateSignalStack() = default;
+AlternateSignalStack::~AlternateSignalStack() = default;
+
+#endif
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -1,7 +1,9 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <Cyclamenstair/Telemetry/LogLimiter.h>
+#include <Cyclamenstair/Telemetry/LogValue.h>
 
+#include <atomic>
 #include <future>
 #include <iostream>
 #include <mutex>
@@ -40,19 +42,9 @@
         return boost::log::trivial::error;
     }
 
-    /// Quotes a value that contains characters which would end the field or inject another one.
-    std::string quoteIfNeeded(std::string_view value)
+    void appendValue(std::string& text, std::string_view value)
     {
-        const bool isPlain = !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string_view::npos;
-        if (isPlain)
-            return std::string(value);
-        std::string text = "\"";
-        for (const char c : value) {
-            if (c == '"' || c == '\\')
-                text += '\\';
-            text += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
-        }
-        return text + '"';
+        formatLogValue(value, [&](char c) { text += c; });
     }
 
     /// Limit of the lines about requests per process: ten lines each for 100 requests per second.
@@ -61,6 +53,8 @@
     /// Lines that wait for the reader of standard output; further ones are dropped.
     constexpr size_t maxWaitingLines = 4096;
 
+    std::atomic<bool> isConfigured { false };
+
     using LogBackend = boost::log::sinks::text_ostream_backend;
     using LogSink = boost::log::sinks::asynchronous_sink<LogBackend,
         boost::log::sinks::bounded_fifo_queue<maxWaitingLines, boost::log::sinks::drop_on_overflow>>;
@@ -98,8 +92,10 @@
 
     void appendFields(std::string& line, std::initializer_list<LogField> fields, uint64_t suppressed)
     {
-        for (const auto& field : fields)
-            line.append(" ").append(field.name).append("=").append(quoteIfNeeded(field.value));
+        for (const auto& field : fields) {
+            line.append(" ").append(field.name).append("=");
+            appendValue(line, field.value);
+        }
         if (suppressed > 0)
             line += " suppressed=" + std::to_string(suppressed);
     }
@@ -111,8 +107,11 @@
     static std::once_flag s_once;
     std::call_once(s_once, createLogSink);
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(minSeverity));
+    isConfigured = true;
 }
 
+bool isLogConfigured() { return isConfigured; }
+
 void disableLog() { boost::log::core::get()->set_logging_enabled(false); }
 
 bool flushLog(Duration timeout)
@@ -157,7 +156,8 @@
     if (!suppressed)
         return;
     auto line = formatLineStart(LogSeverity::Info, event);
-    line += " request=" + quoteIfNeeded(requestId);
+    line += " request=";
+    appendValue(line, requestId);
     appendFields(line, fields, *suppressed);
     writeLine(LogSeverity::Info, line);
 }
--- a/Cyclamenstair/Telemetry/Log.h
+++ b/Cyclamenstair/Telemetry/Log.h
@@ -38,6 +38,9 @@
 /// level. A thread of the log writes the lines; lines are dropped while too many wait for a slow reader.
 void configureLog(LogSeverity minSeverity);
 
+/// Returns whether configureLog() has been called. Usable in a signal handler.
+bool isLogConfigured();
+
 /// Drops all lines from now on. For programs whose standard output is their result.
 void disableLog();
 
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -1,6 +1,8 @@
 #include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
+#include <Cyclamenstair/Telemetry/FatalSignals.h>
 #include <Cyclamenstair/Telemetry/Log.h>
+#include <Cyclamenstair/Telemetry/ProcessEnd.h>
 #include <Programs/NodeStarter.h>
 
 #include <chrono>
@@ -59,35 +61,38 @@
         running);
 }
 
-int runNode(const schema::SettingsT& settings, const std::string& path, const sigset_t& signals)
+EndReason runNode(const schema::SettingsT& settings, const std::string& path, const sigset_t& signals)
 {
     configureLog(static_cast<LogSeverity>(settings.log->level));
     auto started = NodeStarter(settings, path, signals).start();
     if (!started) {
         logError(LogSeverity::Error, "node_not_started", started.error());
-        return exitFailure;
+        return EndReason::NotStarted;
     }
     if (!started.value())
-        return exitOk;
+        return EndReason::StartCancelled;
     auto& node = *started.value();
     int receivedSignal = 0;
     while (sigwait(&signals, &receivedSignal) == 0 && receivedSignal == SIGHUP)
         reloadSettings(node, path);
     std::visit([](const auto& running) { running->stop(); }, node);
-    return exitOk;
+    return EndReason::Stopped;
 }
 
-/// Ends the process without waiting for a stalled reader of standard output.
-[[noreturn]] void exitProcess(int status)
+/// Writes the last line of the process, without waiting for a stalled reader of standard output. Returns `status`.
+int reportEnd(EndReason reason, int status, std::string_view message = {})
 {
     (void)flushLog(maxLogFlushTime);
-    std::_Exit(status);
+    logProcessEnd(reason, status, message);
+    return status;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    const AlternateSignalStack alternateStack;
+    installFatalSignalHandlers();
     signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
     options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())(
@@ -109,23 +114,24 @@
         }
         if (!arguments.count("config")) {
             std::cerr << "cyclamenstaird: --config FILE is required\n";
-            return exitUsage;
+            return reportEnd(EndReason::InvalidArguments, exitUsage, "--config FILE is required");
         }
         const auto settings = SettingsReader::createFromFile(arguments["config"].as<std::string>());
         if (!settings) {
             std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
-            return exitUsage;
+            return reportEnd(EndReason::InvalidSettings, exitUsage, settings.error().describe());
         }
         if (arguments.count("check")) {
             std::cout << "settings are valid\n";
             return exitOk;
         }
-        exitProcess(runNode(settings.value(), arguments["config"].as<std::string>(), handledSignals()));
+        const auto reason = runNode(settings.value(), arguments["config"].as<std::string>(), handledSignals());
+        std::_Exit(reportEnd(reason, reason == EndReason::NotStarted ? exitFailure : exitOk));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
-        return exitUsage;
+        return reportEnd(EndReason::InvalidArguments, exitUsage, exception.what());
     } catch (const std::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
-        return exitFailure;
+        return reportEnd(EndReason::Exception, exitFailure, exception.what());
     }
 }
--- /dev/null
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -0,0 +1,112 @@
+#include <Tests/Support/ProcessFleet.h>
+
+#include <StandIns/LoopbackPort.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <sstream>
+#include <thread>
+
+namespace cyclamenstair::testing {
+namespace {
+
+    using ::testing::ContainsRegex;
+    using ::testing::HasSubstr;
+    using ::testing::Not;
+
+    constexpr int waitTimeoutMs = 20000;
+
+    /// Daemon in mode Registered without a store.
+    class ProcessEnd : public ::testing::Test {
+    protected:
+        ProcessEnd()
+        {
+            char name[] = "/tmp/cyclamenstair-end-XXXXXX";
+            m_folder = ::mkdtemp(name);
+            const std::string host = "127.0.0.1:";
+            std::ofstream(settingsPath())
+                << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = " << host << m_callerPort
+                << "\nready_listen = " << host << allocateLoopbackPort() << "\ngrace_s = 2\n[control]\nstore = " << host
+                << allocateLoopbackPort() << "\n";
+        }
+        ~ProcessEnd() override { std::filesystem::remove_all(m_folder); }
+
+        std::string settingsPath() const { return m_folder + "/settings.ini"; }
+
+        std::unique_ptr<ChildProcess> start(const std::vector<std::string>& arguments) const
+        {
+            return std::make_unique<ChildProcess>("Programs/cyclamenstaird", arguments, m_folder + "/log");
+        }
+
+        std::string log() const
+        {
+            std::ostringstream text;
+            text << std::ifstream(m_folder + "/log").rdbuf();
+            return text.str();
+        }
+
+        /// Waits until the log contains `text`.
+        bool logContains(const std::string& text) const
+        {
+            const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitTimeoutMs);
+            while (log().find(text) == std::string::npos) {
+                if (std::chrono::steady_clock::now() > end)
+                    return false;
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+            return true;
+        }
+
+        int m_callerPort { allocateLoopbackPort() };
+        std::string m_folder;
+    };
+
+    // Guards against an end whose reason the log does not tell.
+    TEST_F(ProcessEnd, StopIsReported)
+    {
+        const auto process = start({ "--config", settingsPath() });
+        ASSERT_TRUE(logContains("event=node_started")) << log();
+        process->sendSignal(SIGTERM);
+        EXPECT_EQ(process->wait(waitTimeoutMs), 0);
+        EXPECT_THAT(log(),
+            ContainsRegex("event=node_stopped .*\ntime=[^ ]+Z level=info event=process_ended reason=stopped status=0 "
+                          "uptime_ms=[0-9]+ pid=[0-9]+\n$"));
+    }
+
+    TEST_F(ProcessEnd, FailureIsReported)
+    {
+        std::ofstream(settingsPath()) << "[node]\nmode = Registered\n[entry]\nlisten = nowhere\n";
+        EXPECT_EQ(start({ "--config", settingsPath() })->wait(waitTimeoutMs), 1);
+        EXPECT_THAT(log(), HasSubstr(" level=error event=process_ended reason=not_started status=1 ")) << log();
+    }
+
+    TEST_F(ProcessEnd, InvalidSettingsAndArgumentsAreReported)
+    {
+        std::ofstream(settingsPath(), std::ios::app) << "no_such_key = 1\n";
+        EXPECT_EQ(start({ "--config", settingsPath() })->wait(waitTimeoutMs), 2);
+        EXPECT_THAT(log(),
+            ContainsRegex("\ntime=[^ ]+Z level=error event=process_ended reason=invalid_settings status=2 "
+                          "uptime_ms=[0-9]+ pid=[0-9]+ message=\".*no_such_key"));
+        EXPECT_EQ(start({ "--no-such-option" })->wait(waitTimeoutMs), 2);
+        EXPECT_THAT(log(), HasSubstr("event=process_ended reason=invalid_arguments status=2 "));
+        std::filesystem::remove(m_folder + "/log");
+        EXPECT_EQ(start({ "--print-defaults" })->wait(waitTimeoutMs), 0);
+        EXPECT_THAT(log(), Not(HasSubstr("process_ended")));
+    }
+
+#ifndef CYCLAMENSTAIR_SANITIZED
+    TEST_F(ProcessEnd, FatalSignalIsReported)
+    {
+        const auto process = start({ "--config", settingsPath() });
+        ASSERT_TRUE(logContains("event=node_started")) << log();
+        process->sendSignal(SIGSEGV);
+        EXPECT_EQ(process->wait(waitTimeoutMs), 128 + SIGSEGV);
+        EXPECT_THAT(log(), HasSubstr(" level=error event=process_ended reason=fatal_signal status=139 ")) << log();
+    }
+#endif
+
+} // namespace
+} // namespace cyclamenstair::testing
