Check the exit status of every process in the soak

Cause: the soak restarted processes that were told to end without a look at how they ended, and killed all nodes at the end of a run. A fault in the stop of a process, such as a status other than 0, a fatal signal or no end at all, was not seen. Class: an end that nobody checks.

Ends of processes that were not told to end break the rule ended_by_itself as before, other wrong ends the new rule wrong_end, both with the status in the description. At the end of a run all nodes get SIGTERM while callers still use their connections. A process that a signal ends before it has blocked that signal is counted apart, as no code of the daemon can prevent it.

The check of orders moves into a file of its own; it is unchanged.

--- /dev/null
+++ b/Benchmarks/Soak/SoakDaemon.cpp
@@ -0,0 +1,62 @@
+#include <Benchmarks/Soak/SoakDaemon.h>
+
+#include <Tests/Support/ProcessFleet.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr int checkTimeoutMs = 10000;
+
+    /// Returns the key that the message of a rejected file names as unknown, or an empty string.
+    std::string unknownKeyOf(const std::string& message)
+    {
+        const std::string prefix = "unknown key '";
+        const auto begin = message.find(prefix);
+        if (begin == std::string::npos)
+            return {};
+        const auto rest = message.substr(begin + prefix.size());
+        return rest.substr(0, rest.find('\''));
+    }
+
+} // namespace
+
+std::string formatSettings(const SoakNodeSettings& settings, const SoakDaemon& daemon)
+{
+    std::string text;
+    for (const auto& [section, values] : settings) {
+        text += "[" + section + "]\n";
+        for (const auto& [key, value] : values) {
+            if (!daemon.unknownKeys.contains(key))
+                text += key + " = " + value + "\n";
+        }
+    }
+    return text;
+}
+
+SoakDaemon probeDaemon(const std::string& program, const SoakNodeSettings& settings, const std::string& folder)
+{
+    SoakDaemon daemon { program, {} };
+    const auto settingsPath = folder + "/check.ini";
+    const auto logPath = folder + "/check.log";
+    while (true) {
+        std::ofstream(settingsPath) << formatSettings(settings, daemon);
+        std::filesystem::remove(logPath);
+        testing::ChildProcess check(program, { "--config", settingsPath, "--check" }, logPath);
+        const auto status = check.wait(checkTimeoutMs);
+        if (status == 0)
+            return daemon;
+        std::ostringstream message;
+        message << std::ifstream(logPath).rdbuf();
+        const auto key = unknownKeyOf(message.str());
+        if (key.empty() || !daemon.unknownKeys.insert(key).second)
+            throw std::runtime_error(program + " rejects the settings of the soak: " + message.str());
+    }
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/SoakDaemon.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamenstair {
+
+/// Keys and values of a settings file, by section.
+using SoakNodeSettings = std::map<std::string, std::map<std::string, std::string>>;
+
+/// A build of the daemon that nodes of a soak run.
+struct SoakDaemon {
+    std::string program; ///< Absolute path, or a path in the build folder.
+    std::set<std::string> unknownKeys; ///< Keys that the daemon does not know and that its settings leave out.
+};
+
+/// Returns the text of a settings file without the keys that the daemon does not know.
+std::string formatSettings(const SoakNodeSettings& settings, const SoakDaemon& daemon);
+
+/// Finds the keys of the settings that a daemon does not know with its option `--check`, by files in `folder`. Throws
+/// std::runtime_error if the daemon rejects the settings for another reason.
+SoakDaemon probeDaemon(const std::string& program, const SoakNodeSettings& settings, const std::string& folder);
+
+} // namespace cyclamenstair
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -32,7 +32,10 @@
             std::cout << "seed " << settings.seed << ", requests by status:";
             for (const auto& [status, count] : soak.requestCounts())
                 std::cout << " " << status << ": " << count;
-            std::cout << ", orders: " << soak.orderCount() << "\n";
+            std::cout << ", orders: " << soak.orderCount() << "\nends of processes:";
+            for (const auto& [verdict, count] : soak.endCounts())
+                std::cout << " " << nameOf(verdict) << ": " << count;
+            std::cout << "\n";
             for (const auto& [rule, descriptions] : soak.findings()) {
                 std::cout << "broken: " << nameOf(rule) << " " << descriptions.size() << "\n";
                 findings += descriptions.size();
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -31,17 +31,16 @@
 void SoakNode::startProcess()
 {
     m_disturbedAt = monotonicNow();
-    m_isEndExpected = false;
-    m_process = std::make_unique<testing::ChildProcess>(
+    m_process = std::make_unique<SoakProcess>(
         "Programs/cyclamenstaird", std::vector<std::string> { "--config", m_settingsPath }, m_logPath);
 }
 
-void SoakNode::signal(int number, bool endsProcess)
+void SoakNode::signal(int number)
 {
     std::lock_guard lock(m_mutex);
     m_disturbedAt = monotonicNow();
-    m_isEndExpected = m_isEndExpected || endsProcess;
-    m_process->sendSignal(number);
+    if (m_process)
+        m_process->sendSignal(number);
     // A predecessor may have been frozen before it was replaced.
     if (number == SIGCONT) {
         for (const auto& predecessor : m_predecessors)
@@ -60,24 +59,45 @@
 bool SoakNode::isStopping()
 {
     std::lock_guard lock(m_mutex);
-    return m_isEndExpected || !m_predecessors.empty();
+    return !m_process || m_process->isToldToEnd() || !m_predecessors.empty();
 }
 
-bool SoakNode::restartIfEnded()
+std::vector<SoakEnd> SoakNode::restartIfEnded()
 {
-    bool isUnexpected = false;
-    {
-        std::lock_guard lock(m_mutex);
-        // The successor serves only once its predecessor has ended.
-        if (!m_predecessors.empty())
-            m_disturbedAt = monotonicNow();
-        std::erase_if(m_predecessors, [](const auto& predecessor) { return predecessor->hasExited(); });
-        if (!m_process->hasExited())
-            return false;
-        isUnexpected = !m_isEndExpected;
+    std::lock_guard lock(m_mutex);
+    std::vector<SoakEnd> ends;
+    // The successor serves only once its predecessor has ended.
+    if (!m_predecessors.empty())
+        m_disturbedAt = monotonicNow();
+    const auto takeEnd = [&](const auto& process) {
+        auto end = process->takeEnd();
+        if (end)
+            ends.push_back(*std::move(end));
+        return end.has_value();
+    };
+    std::erase_if(m_predecessors, takeEnd);
+    if (m_process && takeEnd(m_process)) {
+        m_process.reset();
+        if (!m_isStopped)
+            startProcess();
     }
-    start();
-    return isUnexpected;
+    return ends;
+}
+
+void SoakNode::stop()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_isStopped)
+        return;
+    m_disturbedAt = monotonicNow();
+    m_isStopped = true;
+    m_process->sendSignal(SIGTERM);
+}
+
+bool SoakNode::hasStopped()
+{
+    std::lock_guard lock(m_mutex);
+    return m_isStopped && !m_process && m_predecessors.empty();
 }
 
 } // namespace cyclamenstair
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <Cyclamenstair/Core/Time.h>
-
-#include <Tests/Support/ProcessFleet.h>
+#include <Benchmarks/Soak/SoakProcess.h>
 
 #include <atomic>
 #include <memory>
@@ -24,8 +22,8 @@
 
     void start();
 
-    /// Sends a signal that disturbs the node; `endsProcess` means that its exit is expected.
-    void signal(int number, bool endsProcess);
+    /// Sends a signal, which disturbs the node.
+    void signal(int number);
 
     /// Records that the node was disturbed from outside.
     void markDisturbed() { m_disturbedAt = monotonicNow(); }
@@ -36,8 +34,14 @@
     /// Tells the process to end, and starts another one with the same settings at once.
     void replace();
 
-    /// Starts the process again if it has ended. Returns whether it had ended without being told to.
-    bool restartIfEnded();
+    /// Returns how processes ended since the last call, and starts the process again if it has ended.
+    std::vector<SoakEnd> restartIfEnded();
+
+    /// Tells the process to end, after which it is not started again; no effect after the first call.
+    void stop();
+
+    /// Returns whether all processes have ended after `stop`.
+    bool hasStopped();
 
     /// Returns whether the node has not been disturbed since `time`.
     bool isCalmSince(TimePoint time) const { return m_disturbedAt.load() < time; }
@@ -51,9 +55,9 @@
     std::string m_settingsPath;
     std::string m_logPath;
     std::mutex m_mutex;
-    std::unique_ptr<testing::ChildProcess> m_process;
-    std::vector<std::unique_ptr<testing::ChildProcess>> m_predecessors; ///< Replaced processes that have not ended yet.
-    bool m_isEndExpected { false };
+    std::unique_ptr<SoakProcess> m_process; ///< Null once it has ended after `stop`.
+    std::vector<std::unique_ptr<SoakProcess>> m_predecessors; ///< Replaced processes that have not ended yet.
+    bool m_isStopped { false };
     std::atomic<TimePoint> m_disturbedAt { TimePoint::max() };
 };
 
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -1,5 +1,7 @@
 #include <Benchmarks/Soak/SoakRun.h>
 
+#include <Benchmarks/Soak/SoakOrders.h>
+
 #include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Http/HttpClient.h>
 
@@ -28,8 +30,7 @@
     constexpr size_t engineCount = 2;
     constexpr auto modelDropInterval = milliseconds(400); ///< Between two engines that drop their models.
     constexpr auto copyInterval = milliseconds(4000); ///< Between two copies of the store.
-    /// Minimum time between orders of two nodes: the default of control.order_gap_ms.
-    constexpr auto orderGap = milliseconds(3000);
+    constexpr auto tickInterval = milliseconds(10);
     constexpr auto startTimeout = std::chrono::seconds(20);
     constexpr uint32_t ok = 200;
     constexpr uint32_t unavailable = 503;
@@ -52,21 +53,6 @@
             + R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
     }
 
-    /// An order that an engine accepted.
-    struct Order {
-        TimePoint at;
-        std::string holder;
-        int64_t fencingToken { 0 };
-    };
-
-    std::string describeOrders(const Order& previous, const Order& order)
-    {
-        std::ostringstream text;
-        text << previous.holder << " with " << previous.fencingToken << ", " << order.holder << " with "
-             << order.fencingToken << ", " << toMilliseconds(order.at - previous.at) << " ms later";
-        return text.str();
-    }
-
     /// Body of a whole stream of RegisteredTargetStandIn.
     std::string streamBody()
     {
@@ -109,10 +95,16 @@
     m_store.keepCopy();
     for (const auto& node : m_nodes)
         node->start();
-    if (!waitUntilServing()) {
+    if (waitUntilServing()) {
+        runTraffic();
+    } else {
         report(SoakRule::NoAnswer, "the nodes do not serve after their start");
-        return;
+        stopNodes();
     }
+}
+
+void SoakRun::runTraffic()
+{
     const auto start = monotonicNow();
     std::vector<std::thread> callers;
     for (size_t caller = 0; caller < m_settings.callers; ++caller)
@@ -120,7 +112,7 @@
     const auto wait = [this](TimePoint until) {
         while (monotonicNow() < until) {
             tick();
-            std::this_thread::sleep_for(milliseconds(10));
+            std::this_thread::sleep_for(tickInterval);
         }
     };
     for (const auto& fault : drawSoakFaults(m_settings, m_targets.size())) {
@@ -128,15 +120,28 @@
         inject(fault);
     }
     wait(start + m_settings.duration + settleTime);
+    if (!waitUntilServing())
+        report(SoakRule::NotServing, "after the last fault");
+    stopNodes();
     m_isOver = true;
     for (auto& caller : callers)
         caller.join();
-    if (!waitUntilServing())
-        report(SoakRule::NotServing, "after the last fault");
-    checkOrders();
+    for (const auto& description : findOrderConflicts(m_engines))
+        report(SoakRule::TwoHolders, description);
     checkFirstTries();
 }
 
+void SoakRun::stopNodes()
+{
+    for (const auto& node : m_nodes)
+        node->stop();
+    // Ends, as a process that is overdue is killed.
+    while (!std::all_of(m_nodes.begin(), m_nodes.end(), [](const auto& node) { return node->hasStopped(); })) {
+        tick();
+        std::this_thread::sleep_for(tickInterval);
+    }
+}
+
 std::map<SoakRule, std::vector<std::string>> SoakRun::findings()
 {
     std::lock_guard lock(m_mutex);
@@ -253,25 +258,6 @@
         report(SoakRule::CutOffCallers, text.str());
 }
 
-void SoakRun::checkOrders()
-{
-    std::vector<Order> orders;
-    for (const auto& engine : m_engines) {
-        const auto accepted = engine->orders();
-        const auto times = engine->orderTimes();
-        for (size_t i = 0; i < std::min(accepted.size(), times.size()); ++i)
-            orders.push_back({ times[i], accepted[i].first, accepted[i].second });
-    }
-    std::sort(orders.begin(), orders.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
-    for (size_t i = 1; i < orders.size(); ++i) {
-        const auto& previous = orders[i - 1];
-        const auto& order = orders[i];
-        const bool isTooSoon = order.fencingToken == previous.fencingToken || order.at - previous.at < orderGap;
-        if (order.fencingToken < previous.fencingToken || (order.holder != previous.holder && isTooSoon))
-            report(SoakRule::TwoHolders, describeOrders(orders[i - 1], orders[i]));
-    }
-}
-
 void SoakRun::inject(const SoakFault& fault)
 {
     std::cout << "fault " << nameOf(fault.kind) << " " << fault.subject << " at " << toMilliseconds(fault.at) << " ms";
@@ -288,25 +274,25 @@
     };
     switch (fault.kind) {
     case SoakFaultKind::Reload:
-        m_nodes[fault.subject]->signal(SIGHUP, false);
+        m_nodes[fault.subject]->signal(SIGHUP);
         break;
     case SoakFaultKind::Terminate:
-        m_nodes[fault.subject]->signal(SIGTERM, true);
+        m_nodes[fault.subject]->signal(SIGTERM);
         break;
     case SoakFaultKind::Kill:
-        m_nodes[fault.subject]->signal(SIGKILL, true);
+        m_nodes[fault.subject]->signal(SIGKILL);
         break;
     case SoakFaultKind::Replace:
         m_nodes[fault.subject]->replace();
         break;
     case SoakFaultKind::KillAll:
         for (const auto& node : m_nodes)
-            node->signal(SIGKILL, true);
+            node->signal(SIGKILL);
         break;
     case SoakFaultKind::Freeze: {
         auto* node = m_nodes[fault.subject].get();
-        node->signal(SIGSTOP, false);
-        m_endings.emplace_back(endsAt, [node] { node->signal(SIGCONT, false); });
+        node->signal(SIGSTOP);
+        m_endings.emplace_back(endsAt, [node] { node->signal(SIGCONT); });
         break;
     }
     case SoakFaultKind::ChangeCatalog:
@@ -363,8 +349,27 @@
         ending = m_endings.erase(ending);
     }
     for (const auto& node : m_nodes) {
-        if (node->restartIfEnded())
-            report(SoakRule::EndedByItself, node->id());
+        for (const auto& end : node->restartIfEnded())
+            checkEnd(*node, end);
+    }
+}
+
+void SoakRun::checkEnd(const SoakNode& node, const SoakEnd& end)
+{
+    ++m_endCounts[end.verdict];
+    const auto description = node.id() + ": " + end.description;
+    switch (end.verdict) {
+    case SoakVerdict::Expected:
+        break;
+    case SoakVerdict::ByItself:
+        report(SoakRule::EndedByItself, description);
+        break;
+    case SoakVerdict::WrongEnd:
+        report(SoakRule::WrongEnd, description);
+        break;
+    case SoakVerdict::BeforeSign:
+        std::cout << "ended before it blocked signals: " << description << std::endl;
+        break;
     }
 }
 
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -14,6 +14,7 @@
 /// Rules that a soak checks from outside.
 enum class SoakRule : uint8_t {
     EndedByItself, ///< A node's process ended without being told to.
+    WrongEnd, ///< A process that was told to end ended with another status than 0, or not in time.
     NotServing, ///< A node did not become ready after the last fault.
     NoAnswer, ///< A request that a calm node had read got no answer.
     WrongAnswer, ///< A success is not the whole body of a target for this request.
@@ -27,6 +28,7 @@
 template <> struct EnumNames<SoakRule> {
     static constexpr auto table = std::to_array<EnumName<SoakRule>>({
         { SoakRule::EndedByItself, "ended_by_itself" },
+        { SoakRule::WrongEnd, "wrong_end" },
         { SoakRule::NotServing, "not_serving" },
         { SoakRule::NoAnswer, "no_answer" },
         { SoakRule::WrongAnswer, "wrong_answer" },
@@ -54,6 +56,8 @@
     size_t orderCount();
     /// Returns the number of requests by status; 0 is a request without an answer.
     std::map<uint32_t, size_t> requestCounts();
+    /// Returns the number of ends of processes by verdict.
+    const std::map<SoakVerdict, size_t>& endCounts() const { return m_endCounts; }
 
 private:
     /// First tries and how many of them were served.
@@ -75,11 +79,14 @@
     void countFirstTry(FirstTries& tries, size_t node, TimePoint sentAt, bool isServed);
     /// Compares the first tries at nodes that were cut off with those at the others.
     void checkFirstTries();
-    /// Checks the orders of all engines together.
-    void checkOrders();
     void inject(const SoakFault& fault);
-    /// Ends the faults whose time has passed, and restarts ended processes.
+    /// Ends the faults whose time has passed, restarts ended processes, and checks how they ended.
     void tick();
+    void checkEnd(const SoakNode& node, const SoakEnd& end);
+    /// Runs the traffic and the faults.
+    void runTraffic();
+    /// Tells all nodes to end while callers use their connections, and waits until they have ended.
+    void stopNodes();
     void sendRequests(size_t caller);
     void check(size_t nodeIndex, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
         const std::string& body);
@@ -98,6 +105,7 @@
     int m_storeFaults { 0 }; ///< Faults that keep the store down.
     std::vector<std::unique_ptr<SoakNode>> m_nodes;
     std::vector<std::pair<TimePoint, std::function<void()>>> m_endings; ///< Of faults, with their times.
+    std::map<SoakVerdict, size_t> m_endCounts;
     std::atomic<bool> m_isOver { false };
     std::atomic<int> m_catalogVersion { 0 };
     std::atomic<TimePoint> m_catalogChangedAt { TimePoint::min() };
