--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -72,7 +72,7 @@
     const auto takeEnd = [&](const auto& process) {
         auto end = process->takeEnd();
         if (end)
-            ends.push_back(*std::move(end));
+            ends.push_back(*end);
         return end.has_value();
     };
     std::erase_if(m_predecessors, takeEnd);
