Read the stack of a fatal signal within its known bounds

The handler now reads only memory of the stack that is mapped: from the stack pointer, or above a fault that is close to it (a stack overflow), up to an address that each thread records when it starts. The line is the same.

--- a/Cyclamenstair/Telemetry/FatalSignals.cpp
+++ b/Cyclamenstair/Telemetry/FatalSignals.cpp
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Telemetry/ProcessEnd.h>
 #include <Cyclamenstair/Telemetry/ProcessSignal.h>
 
+#include <algorithm>
 #include <bit>
 #include <cerrno>
 #include <csignal>
@@ -11,7 +12,6 @@
 #include <exception>
 #include <link.h>
 #include <memory>
-#include <sys/uio.h>
 #include <ucontext.h>
 #include <unistd.h>
 
@@ -26,9 +26,11 @@
 
     constexpr int signalStatusBase = 128;
     constexpr size_t maxStackAddresses = 24;
+    constexpr uintptr_t pageBytes = 4096; ///< The smallest page of both architectures.
+    /// A fault this close to the stack pointer counts as a stack overflow.
+    constexpr uintptr_t maxOverflowBytes = 16 * pageBytes;
     /// Part of the stack that is searched for return addresses.
-    constexpr size_t stackBlockBytes = 4096;
-    constexpr size_t maxStackBlocks = 4;
+    constexpr uintptr_t maxStackBytes = 4 * pageBytes;
 
     /// Addresses of the executable in memory.
     struct Executable {
@@ -41,6 +43,9 @@
     Executable executable;
     std::terminate_handler previousTerminateHandler = nullptr;
 
+    /// An address above the frames of the current thread, up to which its stack is mapped; 0 if it is not known.
+    thread_local uintptr_t stackEnd = 0;
+
     /// Registers of the interrupted code; 0 on an unknown architecture.
     struct Registers {
         uintptr_t programCounter { 0 };
@@ -62,30 +67,32 @@
 #endif
     }
 
+    /// Returns the address of the stack from which on its page is mapped.
+    uintptr_t readableStack(uintptr_t stackPointer, uintptr_t faultAddress)
+    {
+        const auto distance = std::max(stackPointer, faultAddress) - std::min(stackPointer, faultAddress);
+        if (distance >= maxOverflowBytes)
+            return stackPointer;
+        return (std::max(stackPointer, faultAddress) / pageBytes + 1) * pageBytes;
+    }
+
     /// Appends words of the stack that lie in the executable's code. The code has no frame pointers to follow.
-    void appendStack(FixedLine& line, uintptr_t stackPointer)
+    void appendStack(FixedLine& line, uintptr_t begin)
     {
-        std::array<uintptr_t, stackBlockBytes / sizeof(uintptr_t)> words;
+        const auto pageEnd = (begin / pageBytes + 1) * pageBytes;
+        const auto end = stackEnd > begin ? std::min(stackEnd, begin + maxStackBytes) : pageEnd;
         size_t count = 0;
         line.append(" stack=");
-        auto begin = stackPointer & ~(sizeof(uintptr_t) - 1);
-        for (size_t block = 0; block < maxStackBlocks; ++block) {
-            const auto end = (begin / stackBlockBytes + 1) * stackBlockBytes;
-            // Unlike a plain access, this fails without a second fault where no memory is mapped.
-            const iovec local { words.data(), end - begin };
-            const iovec remote { std::bit_cast<void*>(begin), end - begin };
-            const auto bytes = ::process_vm_readv(::getpid(), &local, 1, &remote, 1, 0);
-            begin = end;
-            for (ssize_t i = 0; i < bytes / static_cast<ssize_t>(sizeof(uintptr_t)); ++i) {
-                const auto word = words[static_cast<size_t>(i)];
-                if (word < executable.codeBegin || word >= executable.codeEnd)
-                    continue;
-                if (count > 0)
-                    line.append(',');
-                line.appendHex(word);
-                if (++count == maxStackAddresses)
-                    return;
-            }
+        for (auto address = begin & ~(sizeof(uintptr_t) - 1); address + sizeof(uintptr_t) <= end;
+             address += sizeof(uintptr_t)) {
+            const auto word = *std::bit_cast<const uintptr_t*>(address);
+            if (word < executable.codeBegin || word >= executable.codeEnd)
+                continue;
+            if (count > 0)
+                line.append(',');
+            line.appendHex(word);
+            if (++count == maxStackAddresses)
+                return;
         }
     }
 
@@ -110,7 +117,8 @@
         if (registers.linkRegister != 0)
             fields.appendHexField("lr", registers.linkRegister);
         fields.appendHexField("load_base", executable.loadBase);
-        appendStack(fields, registers.stackPointer);
+        const auto faultAddress = isSent ? 0 : reinterpret_cast<uintptr_t>(info->si_addr);
+        appendStack(fields, readableStack(registers.stackPointer, faultAddress));
         line.write();
         // The faulting instruction is repeated after the return, so that the core dump shows it. Other signals are
         // raised again; this one is blocked until the return.
@@ -171,6 +179,8 @@
 void installFatalSignalHandlers()
 {
     dl_iterate_phdr(recordExecutable, nullptr);
+    // The environment lies above the frames of the main thread.
+    stackEnd = reinterpret_cast<uintptr_t>(environ);
     previousTerminateHandler = std::set_terminate(handleTerminate);
     for (const int signal : fatalSignals) {
         struct sigaction present { };
@@ -188,6 +198,7 @@
 
 AlternateSignalStack::AlternateSignalStack()
 {
+    stackEnd = reinterpret_cast<uintptr_t>(this);
     stack_t present {};
     if (::sigaltstack(nullptr, &present) != 0 || (present.ss_flags & SS_DISABLE) == 0)
         return;
