Ignore SIGXFSZ and SIGTTOU

A daemon whose standard output is a file ended by signal 25 (SIGXFSZ, status 153) once the file reached the limit of its size. A daemon in the background of a terminal with "stty tostop" stopped (state T) with its first log line.

Cause: only SIGPIPE was ignored of the signals that a failed write sends (class: a failure of the log's output ends the process).

Evidence with the daemon before: ProcessEnd.FullOutputFileDoesNotEndTheProcess: process->wait(100) Which is: (153) expected (nullopt) ProcessEnd.OutputToTerminalDoesNotStopTheProcess: ignored & (1 << 21) actual: 0 vs 0 Now writes fail with EFBIG, and those to the terminal succeed. After: both pass; on a pseudo terminal with tostop the daemon stays in state S (before: T).

--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 #include <Cyclamenstair/Telemetry/ProcessEnd.h>
 #include <Programs/NodeStarter.h>
+#include <Programs/StandardStreams.h>
 
 #include <chrono>
 #include <csignal>
@@ -93,7 +94,7 @@
 {
     const AlternateSignalStack alternateStack;
     installFatalSignalHandlers();
-    signal(SIGPIPE, SIG_IGN);
+    ignoreOutputSignals();
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
     options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())(
         "check", "Check the settings and exit")("print-defaults", "Print all settings with their defaults and exit")(
--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -8,6 +8,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <sys/resource.h>
 #include <thread>
 
 namespace cyclamenstair::testing {
@@ -60,6 +61,13 @@
             return true;
         }
 
+        /// Limits the size of the files that the process writes.
+        static void setMaxFileBytes(const ChildProcess& process, rlim_t bytes)
+        {
+            const rlimit limit { bytes, RLIM_INFINITY };
+            EXPECT_EQ(::prlimit(process.id(), RLIMIT_FSIZE, &limit, nullptr), 0);
+        }
+
         int m_callerPort { allocateLoopbackPort() };
         std::string m_folder;
     };
@@ -97,6 +105,35 @@
         EXPECT_THAT(log(), Not(HasSubstr("process_ended")));
     }
 
+    // Guards against a process that ends because the file of its output has reached its limit.
+    TEST_F(ProcessEnd, FullOutputFileDoesNotEndTheProcess)
+    {
+        const auto process = start({ "--config", settingsPath() });
+        ASSERT_TRUE(logContains("event=node_started")) << log();
+        const auto bytes = std::filesystem::file_size(m_folder + "/log");
+        setMaxFileBytes(*process, bytes);
+        for (int i = 0; i < 3; ++i) {
+            process->sendSignal(SIGHUP);
+            EXPECT_EQ(process->wait(100), std::nullopt);
+        }
+        process->sendSignal(SIGTERM);
+        EXPECT_EQ(process->wait(waitTimeoutMs), 0);
+    }
+
+    // Guards against a process in the background of a terminal that is stopped as it writes its log.
+    TEST_F(ProcessEnd, OutputToTerminalDoesNotStopTheProcess)
+    {
+        const auto process = start({ "--config", settingsPath() });
+        ASSERT_TRUE(logContains("event=node_started")) << log();
+        uint64_t ignored = 0;
+        std::ifstream status("/proc/" + std::to_string(process->id()) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("SigIgn:"))
+                ignored = std::stoull(line.substr(7), nullptr, 16);
+        }
+        EXPECT_NE(ignored & (1ULL << (SIGTTOU - 1)), 0U);
+    }
+
 #ifndef CYCLAMENSTAIR_SANITIZED
     TEST_F(ProcessEnd, FatalSignalIsReported)
     {
