Ignore settings of another build at a start

An operator who upgrades or rolls back saw the process end with status 2 at its start: the settings held a key that the build does not know. Program and settings cannot be changed in one step, so each change of the template ended starts. Class of the fault: a reader that takes the set of keys of its own build for the only valid one.

The lines are written before the level of the settings takes effect, so that a level above Info does not hide them.

Test with the daemon before, StartSettings.UnknownKeysAreIgnoredAndLogged: Value of: node->hasExited() Actual: true Expected: false cyclamenstaird: invalid_input at settings.read: line 14: unknown key 'relay_lisen' in section [entry] With the change it passes, as SettingsReader.TolerantReader* do.

The fixture of StartRetry moves to a header of its own, which the tests of settings use, too.

--- /dev/null
+++ b/Cyclamenstair/Settings/SettingsParser.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <Cyclamenstair/Core/Result.h>
+#include <Cyclamenstair/Settings/IgnoredSetting.h>
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenstair {
+
+/// Treatment of entries that this build does not know.
+enum class SettingsStrictness : uint8_t {
+    Strict, ///< They are errors.
+    Tolerant, ///< They are ignored.
+};
+
+/// Content of an INI text.
+struct ParsedSettings {
+    nlohmann::json values; ///< Values by section and key, with defaults for absent strings.
+    std::vector<IgnoredSetting> ignored; ///< In the order of the text; empty if the text was parsed strictly.
+};
+
+/// Parses an INI text by the settings schema. A line that is no section, key or comment, a duplicate key, a malformed
+/// value and a value out of range are InvalidInput errors that contain the line.
+Result<ParsedSettings> parseSettings(std::string_view iniText, SettingsStrictness strictness);
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsReader.h
+++ b/Cyclamenstair/Settings/SettingsReader.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Generated/Settings_generated.h>
+#include <Cyclamenstair/Settings/IgnoredSetting.h>
 
 #include <string>
 #include <string_view>
@@ -9,6 +10,12 @@
 
 namespace cyclamenstair {
 
+/// Settings of a text that another build may have been meant for.
+struct TolerantSettings {
+    schema::SettingsT settings;
+    std::vector<IgnoredSetting> ignored; ///< Entries without effect, in the order of the text.
+};
+
 /// Parses settings in INI format. Names, types, defaults and ranges come from the binary schema that is generated from
 /// Schema/Settings.fbs.
 class SettingsReader {
@@ -20,6 +27,14 @@
     /// Same as create(), for the text of the file at `path`. NotFound if the file cannot be opened.
     static Result<schema::SettingsT> createFromFile(const std::string& path);
 
+    /// Same as create(), but ignores sections and keys that this build does not know. A start uses it: program and
+    /// settings cannot be changed in one step, so the settings of a later build may be present during an upgrade or a
+    /// rollback.
+    static Result<TolerantSettings> createTolerant(std::string_view iniText);
+
+    /// Same as createTolerant(), for the text of the file at `path`. NotFound if the file cannot be opened.
+    static Result<TolerantSettings> createTolerantFromFile(const std::string& path);
+
     /// Returns an INI text with every key, its default and its description.
     static std::string defaultsText();
 
--- a/Cyclamenstair/Settings/SettingsSchema.cpp
+++ b/Cyclamenstair/Settings/SettingsSchema.cpp
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Generated/Settings_bfbs_generated.h>
 
 #include <algorithm>
+#include <numeric>
 #include <sstream>
 
 namespace cyclamenstair {
@@ -54,6 +55,39 @@
         return stream.str();
     }
 
+    /// Returns the number of characters to insert, delete or replace that turns `a` into `b`.
+    size_t editDistance(std::string_view a, std::string_view b)
+    {
+        std::vector<size_t> row(b.size() + 1);
+        std::iota(row.begin(), row.end(), size_t { 0 });
+        for (const char letter : a) {
+            size_t diagonal = row[0]++;
+            for (size_t j = 0; j < b.size(); ++j) {
+                const size_t above = row[j + 1];
+                row[j + 1] = std::min({ above + 1, row[j] + 1, diagonal + (letter == b[j] ? 0 : 1) });
+                diagonal = above;
+            }
+        }
+        return row.back();
+    }
+
+    /// Returns the nearest of `names` that is near enough for `name` to be a slip, or an empty string.
+    std::string nearestName(const std::vector<std::string>& names, std::string_view name)
+    {
+        // Two swapped letters are two edits. Names that differ in more than half of their letters are different words.
+        constexpr size_t maxEdits = 2;
+        std::string nearest;
+        size_t nearestDistance = std::min(maxEdits, name.size() / 2) + 1;
+        for (const auto& candidate : names) {
+            const auto distance = editDistance(name, candidate);
+            if (distance < nearestDistance) {
+                nearestDistance = distance;
+                nearest = candidate;
+            }
+        }
+        return nearest;
+    }
+
 } // namespace
 
 const reflection::Schema& settingsBinarySchema()
@@ -138,4 +172,20 @@
     return nullptr;
 }
 
+std::string similarSettingsSection(std::string_view name)
+{
+    std::vector<std::string> names;
+    for (const auto& section : settingsSections())
+        names.push_back(section.name);
+    return nearestName(names, name);
+}
+
+std::string similarSettingsField(const SettingsSection& section, std::string_view name)
+{
+    std::vector<std::string> names;
+    for (const auto& field : section.fields)
+        names.push_back(field.name());
+    return nearestName(names, name);
+}
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsSchema.h
+++ b/Cyclamenstair/Settings/SettingsSchema.h
@@ -59,4 +59,10 @@
 /// Returns the field called `name` in `section`, or null.
 const SettingsField* findSettingsField(const SettingsSection& section, std::string_view name);
 
+/// Returns the name of the section that `name` is probably a slip of, or an empty string.
+std::string similarSettingsSection(std::string_view name);
+
+/// Returns the name of the field of `section` that `name` is probably a slip of, or an empty string.
+std::string similarSettingsField(const SettingsSection& section, std::string_view name);
+
 } // namespace cyclamenstair
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 #include <Cyclamenstair/Telemetry/ProcessEnd.h>
 #include <Programs/NodeStarter.h>
+#include <Programs/SettingsFile.h>
 #include <Programs/StandardStreams.h>
 
 #include <chrono>
@@ -45,9 +46,9 @@
 [[gnu::section(".preinit_array"), gnu::used]] void (*earlyInitializer)(int, char**, char**) = blockSignals;
 
 /// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
-void reloadSettings(const RunningNode& running, const std::string& path)
+void reloadSettings(const RunningNode& running, const SettingsFile& file)
 {
-    const auto settings = SettingsReader::createFromFile(path);
+    const auto settings = file.read();
     if (!settings) {
         logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
         return;
@@ -56,36 +57,62 @@
                    [&](const std::unique_ptr<Node>& node) { node->reload(settings.value()); },
                    [&](const std::unique_ptr<EntryNode>&) {
                        configureLog(static_cast<LogSeverity>(settings.value().log->level));
-                       logEvent(LogSeverity::Info, "settings_reloaded", { { "file", path } });
+                       logEvent(LogSeverity::Info, "settings_reloaded", { { "file", file.path() } });
                    },
                },
         running);
 }
 
-EndReason runNode(const schema::SettingsT& settings, const std::string& path, const sigset_t& signals)
+/// How the process ends.
+struct ProcessOutcome {
+    EndReason reason;
+    int status;
+    std::string message; ///< Of an error; may be empty.
+};
+
+/// Checks the file as strictly as its author should: also entries that a start only ignores are errors.
+ProcessOutcome checkSettings(const std::string& path)
+{
+    const auto settings = SettingsReader::createFromFile(path);
+    if (!settings) {
+        std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
+        return { EndReason::InvalidSettings, exitUsage, settings.error().describe() };
+    }
+    std::cout << "settings are valid\n";
+    return { EndReason::Stopped, exitOk, {} };
+}
+
+ProcessOutcome runNode(const SettingsFile& file, const sigset_t& signals)
 {
-    configureLog(static_cast<LogSeverity>(settings.log->level));
-    auto started = NodeStarter(settings, path, signals).start();
+    // Until the settings name the level, lines about them are written at the default one.
+    configureLog(LogSeverity::Info);
+    const auto settings = file.read();
+    if (!settings) {
+        std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
+        return { EndReason::InvalidSettings, exitUsage, settings.error().describe() };
+    }
+    configureLog(static_cast<LogSeverity>(settings.value().log->level));
+    auto started = NodeStarter(settings.value(), file, signals).start();
     if (!started) {
         logError(LogSeverity::Error, "node_not_started", started.error());
-        return EndReason::NotStarted;
+        return { EndReason::NotStarted, exitFailure, {} };
     }
     if (!started.value())
-        return EndReason::StartCancelled;
+        return { EndReason::StartCancelled, exitOk, {} };
     auto& node = *started.value();
     int receivedSignal = 0;
     while (sigwait(&signals, &receivedSignal) == 0 && receivedSignal == SIGHUP)
-        reloadSettings(node, path);
+        reloadSettings(node, file);
     std::visit([](const auto& running) { running->stop(); }, node);
-    return EndReason::Stopped;
+    return { EndReason::Stopped, exitOk, {} };
 }
 
-/// Writes the last line of the process, without waiting for a stalled reader of standard output. Returns `status`.
-int reportEnd(EndReason reason, int status, std::string_view message = {})
+/// Writes the last line of the process, without waiting for a stalled reader of standard output. Returns the status.
+int reportEnd(const ProcessOutcome& outcome)
 {
     (void)flushLog(maxLogFlushTime);
-    logProcessEnd(reason, status, message);
-    return status;
+    logProcessEnd(outcome.reason, outcome.status, outcome.message);
+    return outcome.status;
 }
 
 } // namespace
@@ -115,24 +142,19 @@
         }
         if (!arguments.count("config")) {
             std::cerr << "cyclamenstaird: --config FILE is required\n";
-            return reportEnd(EndReason::InvalidArguments, exitUsage, "--config FILE is required");
-        }
-        const auto settings = SettingsReader::createFromFile(arguments["config"].as<std::string>());
-        if (!settings) {
-            std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
-            return reportEnd(EndReason::InvalidSettings, exitUsage, settings.error().describe());
+            return reportEnd({ EndReason::InvalidArguments, exitUsage, "--config FILE is required" });
         }
+        const auto path = arguments["config"].as<std::string>();
         if (arguments.count("check")) {
-            std::cout << "settings are valid\n";
-            return exitOk;
+            const auto outcome = checkSettings(path);
+            return outcome.status == exitOk ? exitOk : reportEnd(outcome);
         }
-        const auto reason = runNode(settings.value(), arguments["config"].as<std::string>(), handledSignals());
-        std::_Exit(reportEnd(reason, reason == EndReason::NotStarted ? exitFailure : exitOk));
+        std::_Exit(reportEnd(runNode(SettingsFile(path), handledSignals())));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
-        return reportEnd(EndReason::InvalidArguments, exitUsage, exception.what());
+        return reportEnd({ EndReason::InvalidArguments, exitUsage, exception.what() });
     } catch (const std::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
-        return reportEnd(EndReason::Exception, exitFailure, exception.what());
+        return reportEnd({ EndReason::Exception, exitFailure, exception.what() });
     }
 }
--- a/Programs/NodeStarter.cpp
+++ b/Programs/NodeStarter.cpp
@@ -1,6 +1,5 @@
 #include <Programs/NodeStarter.h>
 
-#include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <boost/system/system_error.hpp>
@@ -22,9 +21,9 @@
 
 } // namespace
 
-NodeStarter::NodeStarter(schema::SettingsT settings, std::string settingsPath, const sigset_t& signals)
+NodeStarter::NodeStarter(schema::SettingsT settings, SettingsFile file, const sigset_t& signals)
     : m_settings(std::move(settings))
-    , m_settingsPath(std::move(settingsPath))
+    , m_file(std::move(file))
     , m_signals(signals)
 {
 }
@@ -92,14 +91,14 @@
 
 void NodeStarter::reloadSettings()
 {
-    auto settings = SettingsReader::createFromFile(m_settingsPath);
+    auto settings = m_file.read();
     if (!settings) {
         logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
         return;
     }
     m_settings = std::move(settings).value();
     configureLog(static_cast<LogSeverity>(m_settings.log->level));
-    logEvent(LogSeverity::Info, "settings_reloaded", { { "file", m_settingsPath } });
+    logEvent(LogSeverity::Info, "settings_reloaded", { { "file", m_file.path() } });
 }
 
 } // namespace cyclamenstair
--- a/Programs/NodeStarter.h
+++ b/Programs/NodeStarter.h
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Core/Time.h>
 #include <Cyclamenstair/Entry/EntryNode.h>
 #include <Cyclamenstair/Node/Node.h>
+#include <Programs/SettingsFile.h>
 
 #include <csignal>
 #include <memory>
@@ -19,8 +20,8 @@
 /// of descriptors, threads or memory.
 class NodeStarter {
 public:
-    /// `signals` are blocked in all threads. SIGHUP reads the settings at `settingsPath` again between two attempts.
-    NodeStarter(schema::SettingsT settings, std::string settingsPath, const sigset_t& signals);
+    /// `signals` are blocked in all threads. SIGHUP reads the settings again between two attempts.
+    NodeStarter(schema::SettingsT settings, SettingsFile file, const sigset_t& signals);
 
     /// Blocks until the node has started. Returns no node if another signal than SIGHUP arrived first, and an error if
     /// the settings are invalid or the refusal has not passed within `maxRetryTime`.
@@ -39,7 +40,7 @@
     void reloadSettings();
 
     schema::SettingsT m_settings;
-    std::string m_settingsPath;
+    SettingsFile m_file;
     sigset_t m_signals;
     std::string m_loggedRefusal;
 };
--- /dev/null
+++ b/Programs/SettingsFile.cpp
@@ -0,0 +1,23 @@
+#include <Programs/SettingsFile.h>
+
+#include <Cyclamenstair/Settings/SettingsReader.h>
+#include <Cyclamenstair/Telemetry/Log.h>
+
+namespace cyclamenstair {
+
+Result<schema::SettingsT> SettingsFile::read() const
+{
+    auto read = SettingsReader::createTolerantFromFile(m_path);
+    if (!read)
+        return read.error();
+    for (const auto& entry : read.value().ignored) {
+        // Not a warning: repeated warnings of an event are suppressed, and each entry needs its line.
+        logEvent(LogSeverity::Info, "settings_key_ignored",
+            { { "file", m_path }, { "line", std::to_string(entry.line) }, { "section", entry.section },
+                { "key", entry.key }, { "reason", std::string(nameOf(entry.reason)) },
+                { "suggestion", entry.suggestion } });
+    }
+    return std::move(read.value().settings);
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Programs/SettingsFile.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <Cyclamenstair/Core/Result.h>
+#include <Cyclamenstair/Generated/Settings_generated.h>
+
+#include <string>
+
+namespace cyclamenstair {
+
+/// Settings file of the daemon, which the platform may write for another build.
+class SettingsFile {
+public:
+    explicit SettingsFile(std::string path)
+        : m_path(std::move(path))
+    {
+    }
+
+    const std::string& path() const { return m_path; }
+
+    /// Reads the file. Writes a log line for each entry that has no effect.
+    Result<schema::SettingsT> read() const;
+
+private:
+    std::string m_path;
+};
+
+} // namespace cyclamenstair
--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -93,11 +93,11 @@
 
     TEST_F(ProcessEnd, InvalidSettingsAndArgumentsAreReported)
     {
-        std::ofstream(settingsPath(), std::ios::app) << "no_such_key = 1\n";
+        std::ofstream(settingsPath(), std::ios::app) << "order_gap_ms = soon\n";
         EXPECT_EQ(start({ "--config", settingsPath() })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(),
             ContainsRegex("\ntime=[^ ]+Z level=error event=process_ended reason=invalid_settings status=2 "
-                          "uptime_ms=[0-9]+ pid=[0-9]+ message=\".*no_such_key"));
+                          "uptime_ms=[0-9]+ pid=[0-9]+ message=\".*order_gap_ms"));
         EXPECT_EQ(start({ "--no-such-option" })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(), HasSubstr("event=process_ended reason=invalid_arguments status=2 "));
         std::filesystem::remove(m_folder + "/log");
--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -1,16 +1,9 @@
-#include <Tests/Support/ProcessFleet.h>
-
-#include <StandIns/LoopbackPort.h>
+#include <Tests/NodeTests/StartFixture.h>
 
 #include <arpa/inet.h>
 #include <array>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
-#include <gtest/gtest.h>
-#include <httplib.h>
 #include <netinet/in.h>
-#include <sstream>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
@@ -19,8 +12,6 @@
 namespace cyclamenstair::testing {
 namespace {
 
-    constexpr int waitTimeoutMs = 20000;
-
     /// Listening or connected socket. Without SO_REUSEADDR, as other programs have them.
     class PlainSocket {
     public:
@@ -57,74 +48,7 @@
         int m_descriptor;
     };
 
-    /// Settings of a node in mode Registered, and its processes.
-    class StartRetry : public ::testing::Test {
-    protected:
-        StartRetry()
-        {
-            char name[] = "/tmp/cyclamenstair-start-XXXXXX";
-            m_folder = ::mkdtemp(name);
-            writeSettings(m_callerPort);
-        }
-        ~StartRetry() override { std::filesystem::remove_all(m_folder); }
-
-        void writeSettings(int callerPort) const
-        {
-            const std::string host = "127.0.0.1:";
-            std::ofstream(settingsPath())
-                << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = " << host << callerPort
-                << "\nready_listen = " << host << m_probePort << "\npeer_listen = " << host << m_peerPort
-                << "\ngrace_s = 4\n[control]\nstore = " << host << m_storePort << "\n";
-        }
-
-        std::string settingsPath() const { return m_folder + "/settings.ini"; }
-
-        std::unique_ptr<ChildProcess> startNode(const std::string& name = "node") const
-        {
-            return std::make_unique<ChildProcess>("Programs/cyclamenstaird",
-                std::vector<std::string> { "--config", settingsPath() }, m_folder + "/" + name);
-        }
-
-        std::string log(const std::string& name = "node") const
-        {
-            std::ostringstream text;
-            text << std::ifstream(m_folder + "/" + name).rdbuf();
-            return text.str();
-        }
-
-        size_t lineCount(const std::string& event) const
-        {
-            const auto text = log();
-            size_t count = 0;
-            for (auto at = text.find("event=" + event); at != std::string::npos;
-                 at = text.find("event=" + event, at + 1))
-                ++count;
-            return count;
-        }
-
-        static bool eventually(const std::function<bool()>& condition)
-        {
-            const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitTimeoutMs);
-            while (!condition()) {
-                if (std::chrono::steady_clock::now() > end)
-                    return false;
-                std::this_thread::sleep_for(std::chrono::milliseconds(20));
-            }
-            return true;
-        }
-
-        static bool isServing(int port)
-        {
-            httplib::Client client("127.0.0.1", port);
-            return static_cast<bool>(client.Get("/cyclamenstair/readiness"));
-        }
-
-        int m_callerPort { allocateLoopbackPort() };
-        int m_probePort { allocateLoopbackPort() };
-        int m_peerPort { allocateLoopbackPort() };
-        int m_storePort { allocateLoopbackPort() };
-        std::string m_folder;
-    };
+    class StartRetry : public StartFixture { };
 
     // Guards against a start that fails for good because a port is held for a while, and against a node that takes
     // connections at its other ports meanwhile.
--- /dev/null
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -0,0 +1,28 @@
+#include <Tests/NodeTests/StartFixture.h>
+
+namespace cyclamenstair::testing {
+namespace {
+
+    class StartSettings : public StartFixture { };
+
+    // Guards against a start or a reload that fails on the settings of another build.
+    TEST_F(StartSettings, UnknownKeysAreIgnoredAndLogged)
+    {
+        writeSettings(settings() + "[log]\nlevel = Warning\n[entry]\nrelay_lisen = 127.0.0.1:1\n[later]\nkey = 1\n");
+        EXPECT_EQ(checkSettings(), 2);
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); }));
+        ASSERT_FALSE(node->hasExited()) << log();
+        const auto lines = log();
+        EXPECT_NE(lines.find("section=entry key=relay_lisen reason=unknown_key suggestion=relay_listen"),
+            std::string::npos)
+            << lines;
+        EXPECT_NE(lines.find("section=later key=key reason=unknown_section"), std::string::npos) << lines;
+        EXPECT_EQ(lineCount("settings_key_ignored"), 2U);
+        writeSettings(settings() + "[later]\nkey = 1\n");
+        node->sendSignal(SIGHUP);
+        EXPECT_TRUE(eventually([&] { return lineCount("settings_reloaded") == 1; })) << log();
+    }
+
+} // namespace
+} // namespace cyclamenstair::testing
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -68,6 +68,7 @@
     RC_GTEST_PROP(SettingsReader, neverThrowsOnArbitraryText, (const std::string& text))
     {
         SettingsReader::create(text);
+        SettingsReader::createTolerant(text);
     }
 
     // Guards against an exception on the value of a known key, which arbitrary text hardly ever contains.
@@ -77,6 +78,31 @@
             SettingsReader::create(line + value);
     }
 
+    // Guards against a start that fails on the settings of another build, and against an entry that is ignored silently.
+    TEST(SettingsReader, TolerantReaderReportsUnknownEntries)
+    {
+        const auto read = SettingsReader::createTolerant(
+            "[caller]\nprot = 1\nsheets = 2\n[calller]\nport = 3\n[colours]\nred = 1\n[node]\nid = n-1\n");
+        ASSERT_TRUE(read) << read.error().describe();
+        EXPECT_EQ(read.value().settings.caller->port, 8080);
+        EXPECT_EQ(read.value().settings.node->id, "n-1");
+        std::vector<std::string> entries;
+        for (const auto& entry : read.value().ignored)
+            entries.push_back(std::to_string(entry.line) + " " + std::string(nameOf(entry.reason)) + " " + entry.section
+                + "." + entry.key + " " + entry.suggestion);
+        EXPECT_THAT(entries,
+            ElementsAre("2 unknown_key caller.prot port", "3 unknown_key caller.sheets ",
+                "5 unknown_section calller.port caller", "7 unknown_section colours.red "));
+    }
+
+    // Guards against a tolerant reader that accepts what no build can have meant.
+    TEST(SettingsReader, TolerantReaderRejectsInvalidValues)
+    {
+        for (const auto* text : { "[caller]\nport = 70000\n", "[caller]\nport = x\n", "[caller]\nport = 1\nport = 2\n",
+                 "[routing]\npolicy = Best\n", "[caller\nport = 1\n", "[node]\nid\n" })
+            EXPECT_FALSE(SettingsReader::createTolerant(text)) << text;
+    }
+
     // Guards against changed keys that a reload misses, and against reloading keys that require a restart.
     TEST(SettingsReader, ReportsChangedAndReloadableKeys)
     {
