Keep the default of a setting without a value

The platform renders a placeholder without a value as nothing, and the start ended with status 2 at the line ("order_gap_ms ="). Class of the fault: an absent value taken for a malformed one.

Test with the daemon before, StartSettings.EmptyValuesKeepDefaultsAndAreLogged: Value of: node->hasExited() Actual: true Expected: false cyclamenstaird: invalid_input at settings.read: line 11: order_gap_ms: '' is not a number With the change it passes.

--- a/Cyclamenstair/Settings/IgnoredSetting.h
+++ b/Cyclamenstair/Settings/IgnoredSetting.h
@@ -11,12 +11,14 @@
 enum class IgnoredSettingReason : uint8_t {
     UnknownSection,
     UnknownKey,
+    EmptyValue, ///< A number, bool or enumeration without a value keeps its default.
 };
 
 template <> struct EnumNames<IgnoredSettingReason> {
     static constexpr auto table = std::to_array<EnumName<IgnoredSettingReason>>({
         { IgnoredSettingReason::UnknownSection, "unknown_section" },
         { IgnoredSettingReason::UnknownKey, "unknown_key" },
+        { IgnoredSettingReason::EmptyValue, "empty_value" },
     });
 };
 
--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -31,8 +31,8 @@
             errorLine = line;
         }
 
-        /// Records an entry that this build does not know; an error if the text is parsed strictly.
-        void reportUnknown(const IgnoredSetting& setting, const std::string& message)
+        /// Records an entry without effect; an error if the text is parsed strictly.
+        void ignore(const IgnoredSetting& setting, const std::string& message)
         {
             if (strictness == SettingsStrictness::Strict)
                 fail(message);
@@ -125,14 +125,14 @@
     {
         const auto* section = findSettingsSection(sectionName);
         if (!section) {
-            state.reportUnknown({ IgnoredSettingReason::UnknownSection, state.line, sectionName, key,
+            state.ignore({ IgnoredSettingReason::UnknownSection, state.line, sectionName, key,
                                     similarSettingsSection(sectionName) },
                 "unknown section [" + sectionName + "]");
             return;
         }
         const auto* field = findSettingsField(*section, key);
         if (!field) {
-            state.reportUnknown({ IgnoredSettingReason::UnknownKey, state.line, sectionName, key,
+            state.ignore({ IgnoredSettingReason::UnknownKey, state.line, sectionName, key,
                                     similarSettingsField(*section, key) },
                 "unknown key '" + key + "' in section [" + sectionName + "]");
             return;
@@ -144,7 +144,12 @@
         }
         auto value = parseValue(*field, text);
         if (!value) {
-            state.fail(key + ": " + value.error().message);
+            const auto message = key + ": " + value.error().message;
+            // Templates render a placeholder without a value as nothing.
+            if (text.empty())
+                state.ignore({ IgnoredSettingReason::EmptyValue, state.line, sectionName, key, {} }, message);
+            else
+                state.fail(message);
             return;
         }
         state.parsed.values[sectionName][key] = value.value();
--- a/Cyclamenstair/Settings/SettingsParser.h
+++ b/Cyclamenstair/Settings/SettingsParser.h
@@ -10,7 +10,7 @@
 
 namespace cyclamenstair {
 
-/// Treatment of entries that this build does not know.
+/// Treatment of entries that this build does not know, and of numbers, bools and enumerations without a value.
 enum class SettingsStrictness : uint8_t {
     Strict, ///< They are errors.
     Tolerant, ///< They are ignored.
--- a/Cyclamenstair/Settings/SettingsReader.h
+++ b/Cyclamenstair/Settings/SettingsReader.h
@@ -27,9 +27,10 @@
     /// Same as create(), for the text of the file at `path`. NotFound if the file cannot be opened.
     static Result<schema::SettingsT> createFromFile(const std::string& path);
 
-    /// Same as create(), but ignores sections and keys that this build does not know. A start uses it: program and
-    /// settings cannot be changed in one step, so the settings of a later build may be present during an upgrade or a
-    /// rollback.
+    /// Same as create(), but ignores sections and keys that this build does not know, and numbers, bools and
+    /// enumerations without a value. A start uses it: program and settings cannot be changed in one step, so the
+    /// settings of a later build may be present during an upgrade or a rollback; and the platform may have no value for
+    /// a key of its template.
     static Result<TolerantSettings> createTolerant(std::string_view iniText);
 
     /// Same as createTolerant(), for the text of the file at `path`. NotFound if the file cannot be opened.
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -24,5 +24,17 @@
         EXPECT_TRUE(eventually([&] { return lineCount("settings_reloaded") == 1; })) << log();
     }
 
+    // Guards against a start that fails on a placeholder of the template for which the platform has no value.
+    TEST_F(StartSettings, EmptyValuesKeepDefaultsAndAreLogged)
+    {
+        writeSettings(settings() + "order_gap_ms =\n[log]\nlevel = \n");
+        EXPECT_EQ(checkSettings(), 2);
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); }));
+        ASSERT_FALSE(node->hasExited()) << log();
+        EXPECT_NE(log().find("section=control key=order_gap_ms reason=empty_value"), std::string::npos) << log();
+        EXPECT_EQ(lineCount("settings_key_ignored"), 2U);
+    }
+
 } // namespace
 } // namespace cyclamenstair::testing
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -95,6 +95,22 @@
                 "5 unknown_section calller.port caller", "7 unknown_section colours.red "));
     }
 
+    // Guards against a start that fails on a placeholder of the template for which the platform has no value.
+    TEST(SettingsReader, EmptyValuesKeepDefaults)
+    {
+        constexpr auto text = "[caller]\nport =\n[routing]\npolicy = \n[node]\nid =\n";
+        const auto read = SettingsReader::createTolerant(text);
+        ASSERT_TRUE(read) << read.error().describe();
+        EXPECT_EQ(read.value().settings.caller->port, 8080);
+        EXPECT_EQ(read.value().settings.routing->policy, schema::RoutingPolicyKind::Weighted);
+        EXPECT_EQ(read.value().settings.node->id, "");
+        ASSERT_EQ(read.value().ignored.size(), 2U);
+        for (const auto& entry : read.value().ignored)
+            EXPECT_EQ(entry.reason, IgnoredSettingReason::EmptyValue);
+        EXPECT_EQ(read.value().ignored[1].line, 4);
+        EXPECT_THAT(SettingsReader::create(text).error().message, HasSubstr("line 2: port: '' is not a number"));
+    }
+
     // Guards against a tolerant reader that accepts what no build can have meant.
     TEST(SettingsReader, TolerantReaderRejectsInvalidValues)
     {
