Accept lines of settings up to 8 KiB

A node that is told of eleven others ended at its start with status 2: seeds = 10.104.200.1:17400,...,10.104.200.11:17400 cyclamenstaird: invalid_input at settings.read: line 7: line is longer than 198 bytes Nine addresses of full length fill such a line, so today's deployments are at the limit. The cause is the size of inih's line buffer, which is 200 bytes unless the program sets it. It is now 8 KiB; a longer line is an error as before (SettingsReader.RejectsOverlongLine, unchanged). With the change the daemon starts on the settings above, and SettingsReader.AcceptsLongListOfSeeds passes with 300 addresses.

--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <ini.h>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <sstream>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+    /// Longest line. A list of 300 addresses of nodes with their ports fits; inih reads only 200 bytes by default.
+    constexpr size_t maxLineBytes = 8192;
+
     /// State while an INI text is parsed.
     struct IniParseState {
         std::istringstream input;
@@ -41,6 +45,14 @@
         }
     };
 
+    /// Lets inih read lines up to `maxLineBytes`.
+    void extendLineBuffer()
+    {
+        static std::once_flag s_once;
+        // The buffer also holds the line feed and the final zero.
+        std::call_once(s_once, [] { ini_max_line = static_cast<int>(maxLineBytes) + 2; });
+    }
+
     /// Supplies inih with lines and counts them, because its handler does not receive the line number.
     char* readIniLine(char* buffer, int size, void* stream)
     {
@@ -185,6 +197,7 @@
     state.input.str(std::string(iniText));
     state.strictness = strictness;
     state.parsed.values = defaultValues();
+    extendLineBuffer();
     const int firstInvalidLine = ini_parse_stream(readIniLine, &state, handleIniEntry, &state);
     if (state.error && (firstInvalidLine == 0 || state.errorLine <= firstInvalidLine))
         return *state.error;
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -64,6 +64,17 @@
         EXPECT_THAT(settings.error().message, HasSubstr("line 2"));
     }
 
+    // Guards against a start that fails because a node is told of more than ten others.
+    TEST(SettingsReader, AcceptsLongListOfSeeds)
+    {
+        std::string seeds;
+        for (int node = 1; node <= 300; ++node)
+            seeds += (seeds.empty() ? "" : ",") + ("10.104.200." + std::to_string(node % 256)) + ":17400";
+        const auto settings = SettingsReader::create("[entry]\nseeds = " + seeds + "\n");
+        ASSERT_TRUE(settings) << settings.error().describe();
+        EXPECT_EQ(settings.value().entry->seeds, seeds);
+    }
+
     // Guards against crashes on arbitrary input.
     RC_GTEST_PROP(SettingsReader, neverThrowsOnArbitraryText, (const std::string& text))
     {
