Require the settings without which a node serves nobody

A settings file that was cut off between two lines started a node on the default addresses and store, which served nobody and said nothing; an empty one started mode Planned. With the daemon before, settings without [control]: event=node_started ... listen=127.0.0.1:23101 store=127.0.0.1:2379 and StartSettings.IncompleteSettingsStartNoNode: checkSettings() Which is: (0), expected 2; "settings are valid" Class of the fault: a default where only the deployment can know the value.

The schema's attribute required_if names the condition under which a key must have a value: entry.listen, entry.ready_listen and control.store in mode Registered, peer.fleet_key_file in mode Planned, which its start needed before, too. node.mode itself may be left out, as existing settings of mode Planned do; an empty file lacks peer.fleet_key_file.

The settings of StartRetry.MalformedAddressEndsTheStart lacked entry.ready_listen; the test now gives it, as it is about the malformed address, and expects the same as before.

--- /dev/null
+++ b/Cyclamenstair/Settings/SettingsChecks.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Settings/SettingsParser.h>
+
+#include <optional>
+
+namespace cyclamenstair {
+
+/// Returns an error that names the keys without a value that the text requires by the schema's attribute `required_if`.
+/// Without the check, a file that was cut off between two lines would start a node on the defaults.
+std::optional<Error> findMissingSettings(const ParsedSettings& parsed);
+
+} // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -4,7 +4,6 @@
 
 #include <charconv>
 #include <ini.h>
-#include <map>
 #include <mutex>
 #include <optional>
 #include <sstream>
@@ -138,14 +137,14 @@
         const auto* section = findSettingsSection(sectionName);
         if (!section) {
             state.ignore({ IgnoredSettingReason::UnknownSection, state.line, sectionName, key,
-                                    similarSettingsSection(sectionName) },
+                             similarSettingsSection(sectionName) },
                 "unknown section [" + sectionName + "]");
             return;
         }
         const auto* field = findSettingsField(*section, key);
         if (!field) {
-            state.ignore({ IgnoredSettingReason::UnknownKey, state.line, sectionName, key,
-                                    similarSettingsField(*section, key) },
+            state.ignore(
+                { IgnoredSettingReason::UnknownKey, state.line, sectionName, key, similarSettingsField(*section, key) },
                 "unknown key '" + key + "' in section [" + sectionName + "]");
             return;
         }
@@ -165,6 +164,8 @@
             return;
         }
         state.parsed.values[sectionName][key] = value.value();
+        if (!text.empty())
+            state.parsed.texts[sectionName + "." + key] = text;
     }
 
     int handleIniEntry(void* user, const char* section, const char* key, const char* value)
--- a/Cyclamenstair/Settings/SettingsParser.h
+++ b/Cyclamenstair/Settings/SettingsParser.h
@@ -4,7 +4,9 @@
 #include <Cyclamenstair/Settings/IgnoredSetting.h>
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,6 +21,7 @@
 /// Content of an INI text.
 struct ParsedSettings {
     nlohmann::json values; ///< Values by section and key, with defaults for absent strings.
+    std::map<std::string, std::string> texts; ///< Texts by "section.key", of the keys that have a value.
     std::vector<IgnoredSetting> ignored; ///< In the order of the text; empty if the text was parsed strictly.
 };
 
--- a/Cyclamenstair/Settings/SettingsReader.cpp
+++ b/Cyclamenstair/Settings/SettingsReader.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Settings/SettingsReader.h>
 
+#include <Cyclamenstair/Settings/SettingsChecks.h>
 #include <Cyclamenstair/Settings/SettingsParser.h>
 #include <Cyclamenstair/Settings/SettingsSchema.h>
 
@@ -49,6 +50,8 @@
             return Error { ErrorKind::NotFound, "settings.open", path, "the file cannot be opened" };
         std::ostringstream text;
         text << file.rdbuf();
+        if (text.str().empty())
+            return Error { ErrorKind::NotFound, "settings.open", path, "the file is empty or cannot be read" };
         return text.str();
     }
 
@@ -67,16 +70,20 @@
     auto parsed = parseSettings(iniText, SettingsStrictness::Tolerant);
     if (!parsed)
         return parsed.error();
+    if (const auto error = findMissingSettings(parsed.value()))
+        return *error;
     auto settings = unpack(parsed.value().values);
     if (!settings)
         return settings.error();
     return TolerantSettings { std::move(settings).value(), std::move(parsed.value().ignored) };
 }
 
-Result<schema::SettingsT> SettingsReader::createFromFile(const std::string& path)
+std::optional<Error> SettingsReader::check(std::string_view iniText)
 {
-    const auto text = readFile(path);
-    return text ? create(text.value()) : text.error();
+    const auto parsed = parseSettings(iniText, SettingsStrictness::Strict);
+    if (!parsed)
+        return parsed.error();
+    return findMissingSettings(parsed.value());
 }
 
 Result<TolerantSettings> SettingsReader::createTolerantFromFile(const std::string& path)
@@ -85,6 +92,12 @@
     return text ? createTolerant(text.value()) : text.error();
 }
 
+std::optional<Error> SettingsReader::checkFile(const std::string& path)
+{
+    const auto text = readFile(path);
+    return text ? check(text.value()) : text.error();
+}
+
 std::string SettingsReader::defaultsText()
 {
     std::ostringstream text;
@@ -114,7 +127,10 @@
         for (const auto& field : section.fields) {
             text << "| `" << field.name() << "` | `" << field.defaultText() << "` | " << field.attribute("unit")
                  << " | " << field.rangeText() << " | " << (field.hasAttribute("reload") ? "yes" : "no") << " | "
-                 << field.description() << " |\n";
+                 << field.description();
+            if (field.hasAttribute("required_if"))
+                text << " Required if `" << field.attribute("required_if") << "`.";
+            text << " |\n";
         }
     }
     return text.str();
--- a/Cyclamenstair/Settings/SettingsReader.h
+++ b/Cyclamenstair/Settings/SettingsReader.h
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Generated/Settings_generated.h>
 #include <Cyclamenstair/Settings/IgnoredSetting.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,18 +25,21 @@
     /// malformed value or a value out of range is an InvalidInput error that contains the line.
     static Result<schema::SettingsT> create(std::string_view iniText);
 
-    /// Same as create(), for the text of the file at `path`. NotFound if the file cannot be opened.
-    static Result<schema::SettingsT> createFromFile(const std::string& path);
-
     /// Same as create(), but ignores sections and keys that this build does not know, and numbers, bools and
     /// enumerations without a value. A start uses it: program and settings cannot be changed in one step, so the
     /// settings of a later build may be present during an upgrade or a rollback; and the platform may have no value for
-    /// a key of its template.
+    /// a key of its template. A required key without a value is an InvalidInput error that names it.
     static Result<TolerantSettings> createTolerant(std::string_view iniText);
 
-    /// Same as createTolerant(), for the text of the file at `path`. NotFound if the file cannot be opened.
+    /// Same as createTolerant(), for the text of the file at `path`. NotFound if the file cannot be read or is empty.
     static Result<TolerantSettings> createTolerantFromFile(const std::string& path);
 
+    /// Returns the errors of create() or, if there are none, the required keys without a value.
+    static std::optional<Error> check(std::string_view iniText);
+
+    /// Same as check(), for the text of the file at `path`. NotFound if the file cannot be read or is empty.
+    static std::optional<Error> checkFile(const std::string& path);
+
     /// Returns an INI text with every key, its default and its description.
     static std::string defaultsText();
 
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -73,10 +73,9 @@
 /// Checks the file as strictly as its author should: also entries that a start only ignores are errors.
 ProcessOutcome checkSettings(const std::string& path)
 {
-    const auto settings = SettingsReader::createFromFile(path);
-    if (!settings) {
-        std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
-        return { EndReason::InvalidSettings, exitUsage, settings.error().describe() };
+    if (const auto error = SettingsReader::checkFile(path)) {
+        std::cerr << "cyclamenstaird: " << error->describe() << "\n";
+        return { EndReason::InvalidSettings, exitUsage, error->describe() };
     }
     std::cout << "settings are valid\n";
     return { EndReason::Stopped, exitOk, {} };
--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -126,7 +126,7 @@
     TEST_F(StartRetry, MalformedAddressEndsTheStart)
     {
         std::ofstream(settingsPath()) << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = nowhere\n"
-                                         "[control]\nstore = 127.0.0.1:1\n";
+                                         "ready_listen = 127.0.0.1:1\n[control]\nstore = 127.0.0.1:1\n";
         const auto node = startNode();
         EXPECT_EQ(node->wait(waitTimeoutMs), 1);
         EXPECT_EQ(lineCount("node_start_retried"), 0U);
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -14,8 +14,8 @@
         ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); }));
         ASSERT_FALSE(node->hasExited()) << log();
         const auto lines = log();
-        EXPECT_NE(lines.find("section=entry key=relay_lisen reason=unknown_key suggestion=relay_listen"),
-            std::string::npos)
+        EXPECT_NE(
+            lines.find("section=entry key=relay_lisen reason=unknown_key suggestion=relay_listen"), std::string::npos)
             << lines;
         EXPECT_NE(lines.find("section=later key=key reason=unknown_section"), std::string::npos) << lines;
         EXPECT_EQ(lineCount("settings_key_ignored"), 2U);
@@ -36,5 +36,18 @@
         EXPECT_EQ(lineCount("settings_key_ignored"), 2U);
     }
 
+    // Guards against a node that starts on the default addresses, serves nobody and says nothing.
+    TEST_F(StartSettings, IncompleteSettingsStartNoNode)
+    {
+        for (const auto* end : { "[entry]", "ready_listen", "[control]" }) {
+            const auto text = settings();
+            writeSettings(text.substr(0, text.find(end)));
+            EXPECT_EQ(checkSettings(), 2) << log("check");
+            const auto node = startNode();
+            EXPECT_EQ(node->wait(waitTimeoutMs), 2) << log();
+        }
+        EXPECT_EQ(lineCount("node_started"), 0U) << log();
+    }
+
 } // namespace
 } // namespace cyclamenstair::testing
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -89,11 +89,13 @@
             SettingsReader::create(line + value);
     }
 
-    // Guards against a start that fails on the settings of another build, and against an entry that is ignored silently.
+    // Guards against a start that fails on the settings of another build, and against an entry that is ignored
+    // silently.
     TEST(SettingsReader, TolerantReaderReportsUnknownEntries)
     {
         const auto read = SettingsReader::createTolerant(
-            "[caller]\nprot = 1\nsheets = 2\n[calller]\nport = 3\n[colours]\nred = 1\n[node]\nid = n-1\n");
+            "[caller]\nprot = 1\nsheets = 2\n[calller]\nport = 3\n[colours]\nred = 1\n[node]\nid = n-1\n"
+            "[peer]\nfleet_key_file = key\n");
         ASSERT_TRUE(read) << read.error().describe();
         EXPECT_EQ(read.value().settings.caller->port, 8080);
         EXPECT_EQ(read.value().settings.node->id, "n-1");
@@ -109,7 +111,7 @@
     // Guards against a start that fails on a placeholder of the template for which the platform has no value.
     TEST(SettingsReader, EmptyValuesKeepDefaults)
     {
-        constexpr auto text = "[caller]\nport =\n[routing]\npolicy = \n[node]\nid =\n";
+        constexpr auto text = "[caller]\nport =\n[routing]\npolicy = \n[node]\nid =\n[peer]\nfleet_key_file = key\n";
         const auto read = SettingsReader::createTolerant(text);
         ASSERT_TRUE(read) << read.error().describe();
         EXPECT_EQ(read.value().settings.caller->port, 8080);
@@ -127,7 +129,32 @@
     {
         for (const auto* text : { "[caller]\nport = 70000\n", "[caller]\nport = x\n", "[caller]\nport = 1\nport = 2\n",
                  "[routing]\npolicy = Best\n", "[caller\nport = 1\n", "[node]\nid\n" })
-            EXPECT_FALSE(SettingsReader::createTolerant(text)) << text;
+            EXPECT_FALSE(SettingsReader::createTolerant(std::string(text) + "[peer]\nfleet_key_file = key\n")) << text;
+    }
+
+    // Guards against a node that starts on defaults because its settings are incomplete.
+    TEST(SettingsReader, MissingRequiredKeysAreErrors)
+    {
+        const std::string complete = "[node]\nmode = Registered\n[entry]\nlisten = 127.0.0.1:1\n"
+                                     "ready_listen = 127.0.0.1:2\n[control]\nstore = 127.0.0.1:3\n";
+        EXPECT_TRUE(SettingsReader::createTolerant(complete));
+        EXPECT_FALSE(SettingsReader::check(complete));
+        const std::vector<std::pair<std::string, std::string>> missing {
+            { "listen = 127.0.0.1:1", "entry.listen" },
+            { "ready_listen = 127.0.0.1:2", "entry.ready_listen" },
+            { "store = 127.0.0.1:3", "control.store" },
+            { "mode = Registered", "peer.fleet_key_file" },
+        };
+        for (const auto& [line, key] : missing) {
+            for (const auto& replacement : { std::string(), line.substr(0, line.find('=') + 1) }) {
+                auto text = complete;
+                text.replace(text.find(line), line.size(), replacement);
+                const auto read = SettingsReader::createTolerant(text);
+                ASSERT_FALSE(read) << text;
+                EXPECT_THAT(read.error().message, HasSubstr(key));
+            }
+        }
+        EXPECT_THAT(SettingsReader::check("")->message, HasSubstr("peer.fleet_key_file"));
     }
 
     // Guards against changed keys that a reload misses, and against reloading keys that require a restart.
