Wait for complete settings at a start

A start whose settings were missing, empty or half-written ended at once with status 2, or 1 if they were empty. The platform writes the file at each start and whenever the settings change, so the reason passes by itself, as a port in use does. Class of the fault: a passing refusal taken for a permanent one.

It writes settings_not_ready once for each reason. SIGTERM ends it at once; after the bound the process ends with status 2 and the reason. At SIGHUP the node keeps its settings. A line with a zero byte, which a half-written file can contain, is an error: inih ended the line there.

--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -64,6 +64,9 @@
             state.fail("line is longer than " + std::to_string(size - 2) + " bytes");
             text.clear();
         }
+        // inih ends a line at a zero byte, which a half-written file can contain.
+        if (text.find('\0') != std::string::npos)
+            state.fail("the line contains a zero byte");
         text += '\n';
         text.copy(buffer, text.size());
         buffer[text.size()] = '\0';
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -81,17 +81,18 @@
     return { EndReason::Stopped, exitOk, {} };
 }
 
-ProcessOutcome runNode(const SettingsFile& file, const sigset_t& signals)
+ProcessOutcome runNode(const SettingsFile& file, Duration maxSettingsWait, const sigset_t& signals)
 {
-    // Until the settings name the level, lines about them are written at the default one.
-    configureLog(LogSeverity::Info);
-    const auto settings = file.read();
-    if (!settings) {
-        std::cerr << "cyclamenstaird: " << settings.error().describe() << "\n";
-        return { EndReason::InvalidSettings, exitUsage, settings.error().describe() };
+    NodeStarter starter(file, signals);
+    const auto hasSettings = starter.readSettings(maxSettingsWait);
+    if (!hasSettings) {
+        std::cerr << "cyclamenstaird: " << hasSettings.error().describe() << "\n";
+        logError(LogSeverity::Error, "node_not_started", hasSettings.error());
+        return { EndReason::InvalidSettings, exitUsage, hasSettings.error().describe() };
     }
-    configureLog(static_cast<LogSeverity>(settings.value().log->level));
-    auto started = NodeStarter(settings.value(), file, signals).start();
+    if (!hasSettings.value())
+        return { EndReason::StartCancelled, exitOk, {} };
+    auto started = starter.start();
     if (!started) {
         logError(LogSeverity::Error, "node_not_started", started.error());
         return { EndReason::NotStarted, exitFailure, {} };
@@ -121,9 +122,13 @@
     const AlternateSignalStack alternateStack;
     installFatalSignalHandlers();
     ignoreOutputSignals();
+    const auto defaultSettingsWait
+        = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(NodeStarter::defaultMaxSettingsWait).count());
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
-    options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())(
-        "check", "Check the settings and exit")("print-defaults", "Print all settings with their defaults and exit")(
+    options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())("settings-wait-s",
+        "Time in seconds for which a start waits for complete settings",
+        cxxopts::value<int>()->default_value(defaultSettingsWait))("check", "Check the settings and exit")(
+        "print-defaults", "Print all settings with their defaults and exit")(
         "print-settings-reference", "Print the settings reference as Markdown and exit")("h,help", "Print this help");
     try {
         const auto arguments = options.parse(argc, argv);
@@ -148,7 +153,8 @@
             const auto outcome = checkSettings(path);
             return outcome.status == exitOk ? exitOk : reportEnd(outcome);
         }
-        std::_Exit(reportEnd(runNode(SettingsFile(path), handledSignals())));
+        const std::chrono::seconds settingsWait(arguments["settings-wait-s"].as<int>());
+        std::_Exit(reportEnd(runNode(SettingsFile(path), settingsWait, handledSignals())));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
         return reportEnd({ EndReason::InvalidArguments, exitUsage, exception.what() });
--- a/Programs/NodeStarter.cpp
+++ b/Programs/NodeStarter.cpp
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <ctime>
 #include <new>
+#include <set>
+#include <string>
 #include <system_error>
 
 namespace cyclamenstair {
@@ -21,13 +23,39 @@
 
 } // namespace
 
-NodeStarter::NodeStarter(schema::SettingsT settings, SettingsFile file, const sigset_t& signals)
-    : m_settings(std::move(settings))
-    , m_file(std::move(file))
+NodeStarter::NodeStarter(SettingsFile file, const sigset_t& signals)
+    : m_file(std::move(file))
     , m_signals(signals)
 {
 }
 
+Result<bool> NodeStarter::readSettings(Duration maxWait)
+{
+    // Until the settings name the level, lines are written at the default one.
+    configureLog(LogSeverity::Info);
+    const auto deadline = monotonicNow() + maxWait;
+    auto pause = minPause;
+    std::set<std::string> loggedReasons;
+    for (;;) {
+        auto settings = m_file.read();
+        if (settings) {
+            applySettings(std::move(settings).value());
+            return true;
+        }
+        const auto& error = settings.error();
+        if (monotonicNow() + pause > deadline)
+            return error;
+        if (loggedReasons.insert(error.describe()).second)
+            logError(LogSeverity::Warning, "settings_not_ready", error);
+        const auto signal = waitForSignal(pause);
+        if (signal && *signal != SIGHUP) {
+            logEvent(LogSeverity::Info, "node_start_cancelled", { { "signal", std::to_string(*signal) } });
+            return false;
+        }
+        pause = std::min(2 * pause, maxPause);
+    }
+}
+
 Result<std::optional<RunningNode>> NodeStarter::start()
 {
     const auto deadline = monotonicNow() + maxRetryTime;
@@ -73,19 +101,25 @@
             { "attempt", std::to_string(attempt) } });
 }
 
-bool NodeStarter::waitForNextAttempt(Duration pause)
+std::optional<int> NodeStarter::waitForSignal(Duration pause) const
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(pause);
     const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(pause - seconds);
     const timespec timeout { static_cast<time_t>(seconds.count()), static_cast<long>(rest.count()) };
     const int signal = sigtimedwait(&m_signals, nullptr, &timeout);
-    if (signal < 0)
+    return signal < 0 ? std::nullopt : std::optional(signal);
+}
+
+bool NodeStarter::waitForNextAttempt(Duration pause)
+{
+    const auto signal = waitForSignal(pause);
+    if (!signal)
         return true;
-    if (signal == SIGHUP) {
+    if (*signal == SIGHUP) {
         reloadSettings();
         return true;
     }
-    logEvent(LogSeverity::Info, "node_start_cancelled", { { "signal", std::to_string(signal) } });
+    logEvent(LogSeverity::Info, "node_start_cancelled", { { "signal", std::to_string(*signal) } });
     return false;
 }
 
@@ -96,9 +130,14 @@
         logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
         return;
     }
-    m_settings = std::move(settings).value();
-    configureLog(static_cast<LogSeverity>(m_settings.log->level));
+    applySettings(std::move(settings).value());
     logEvent(LogSeverity::Info, "settings_reloaded", { { "file", m_file.path() } });
 }
 
+void NodeStarter::applySettings(schema::SettingsT settings)
+{
+    m_settings = std::move(settings);
+    configureLog(static_cast<LogSeverity>(m_settings.log->level));
+}
+
 } // namespace cyclamenstair
--- a/Programs/NodeStarter.h
+++ b/Programs/NodeStarter.h
@@ -16,15 +16,24 @@
 /// Node of either mode.
 using RunningNode = std::variant<std::unique_ptr<Node>, std::unique_ptr<EntryNode>>;
 
-/// Starts a node, and tries again while the start is refused for a reason that may pass: an address in use, or a lack
-/// of descriptors, threads or memory.
+/// Starts a node, and tries again while the start is refused for a reason that may pass: a settings file that is not
+/// there yet or not complete, an address in use, or a lack of descriptors, threads or memory.
 class NodeStarter {
 public:
+    /// Longest time for which a start waits for its settings: as for any other refusal, so that supervisors need only
+    /// one figure. The platform writes the file at the time of the start, which takes seconds.
+    static constexpr Duration defaultMaxSettingsWait = std::chrono::seconds(90);
+
     /// `signals` are blocked in all threads. SIGHUP reads the settings again between two attempts.
-    NodeStarter(schema::SettingsT settings, SettingsFile file, const sigset_t& signals);
+    NodeStarter(SettingsFile file, const sigset_t& signals);
+
+    /// Blocks until the settings are read; must succeed before start(). Returns false if another signal than SIGHUP
+    /// arrived first, and the last error if the file cannot be read, is incomplete or invalid for `maxWait`. Invalid
+    /// settings are read again, too, as a half-written file can be invalid.
+    Result<bool> readSettings(Duration maxWait);
 
     /// Blocks until the node has started. Returns no node if another signal than SIGHUP arrived first, and an error if
-    /// the settings are invalid or the refusal has not passed within `maxRetryTime`.
+    /// the refusal has not passed within `maxRetryTime`.
     Result<std::optional<RunningNode>> start();
 
 private:
@@ -35,9 +44,12 @@
 
     Result<RunningNode> create() const;
     void logRefusal(const Error& error, int attempt);
+    /// Waits for the pause or a signal, which is returned if one arrived.
+    std::optional<int> waitForSignal(Duration pause) const;
     /// Returns whether to try again.
     bool waitForNextAttempt(Duration pause);
     void reloadSettings();
+    void applySettings(schema::SettingsT settings);
 
     schema::SettingsT m_settings;
     SettingsFile m_file;
--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -95,7 +95,7 @@
     TEST_F(ProcessEnd, InvalidSettingsAndArgumentsAreReported)
     {
         std::ofstream(settingsPath(), std::ios::app) << "order_gap_ms = soon\n";
-        EXPECT_EQ(start({ "--config", settingsPath() })->wait(waitTimeoutMs), 2);
+        EXPECT_EQ(start({ "--config", settingsPath(), "--settings-wait-s", "0" })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(),
             ContainsRegex("\ntime=[^ ]+Z level=error event=process_ended reason=invalid_settings status=2 "
                           "uptime_ms=[0-9]+ pid=[0-9]+ message=\".*order_gap_ms"));
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -1,5 +1,7 @@
 #include <Tests/NodeTests/StartFixture.h>
 
+#include <csignal>
+
 namespace cyclamenstair::testing {
 namespace {
 
@@ -43,11 +45,61 @@
             const auto text = settings();
             writeSettings(text.substr(0, text.find(end)));
             EXPECT_EQ(checkSettings(), 2) << log("check");
-            const auto node = startNode();
+            const auto node = startNode("node", { "--settings-wait-s", "1" });
             EXPECT_EQ(node->wait(waitTimeoutMs), 2) << log();
         }
         EXPECT_EQ(lineCount("node_started"), 0U) << log();
     }
 
+    // Guards against a start that ends because the platform has not written its settings completely yet, and against a
+    // log that is filled meanwhile.
+    TEST_F(StartSettings, StartWaitsForCompleteSettings)
+    {
+        const auto complete = settings();
+        std::filesystem::remove(settingsPath());
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return lineCount("settings_not_ready") == 1 || node->hasExited(); }));
+        size_t reasons = 1;
+        for (const auto& text : { std::string(), complete.substr(0, complete.find("\n[control]")),
+                 complete.substr(0, complete.find("listen") + 3), "[node]\nmode = Regis" + std::string(100, '\0') }) {
+            writeSettings(text);
+            ++reasons;
+            ASSERT_TRUE(eventually([&] { return lineCount("settings_not_ready") == reasons || node->hasExited(); }))
+                << log();
+            ASSERT_FALSE(node->hasExited()) << log();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        EXPECT_EQ(lineCount("settings_not_ready"), reasons) << log();
+        writeSettings(complete);
+        EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
+        EXPECT_FALSE(node->hasExited()) << log();
+    }
+
+    // Guards against a process without settings that cannot be stopped, or that waits forever.
+    TEST_F(StartSettings, StartWithoutSettingsEnds)
+    {
+        std::filesystem::remove(settingsPath());
+        const auto waiting = startNode("waiting");
+        ASSERT_TRUE(eventually([&] { return log("waiting").find("settings_not_ready") != std::string::npos; }));
+        waiting->sendSignal(SIGHUP);
+        waiting->sendSignal(SIGTERM);
+        EXPECT_EQ(waiting->wait(waitTimeoutMs), 0) << log("waiting");
+        const auto node = startNode("node", { "--settings-wait-s", "1" });
+        EXPECT_EQ(node->wait(waitTimeoutMs), 2) << log();
+        EXPECT_NE(log().find("event=node_not_started kind=not_found step=settings.open"), std::string::npos) << log();
+    }
+
+    // Guards against a running node that takes over settings that are incomplete.
+    TEST_F(StartSettings, ReloadKeepsSettingsWhileTheFileIsIncomplete)
+    {
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort); }));
+        writeSettings(settings().substr(0, settings().find("[control]")) + "[log]\nlevel = Error\n");
+        node->sendSignal(SIGHUP);
+        EXPECT_TRUE(eventually([&] { return lineCount("settings_not_reloaded") == 1; })) << log();
+        EXPECT_TRUE(isServing(m_probePort));
+        EXPECT_FALSE(node->hasExited()) << log();
+    }
+
 } // namespace
 } // namespace cyclamenstair::testing
