Tell settings that were cut off by their last line

A file that is cut between two lines behind the required keys looks whole. A file can now declare in a comment that it ends with the line "; end of settings"; without that line it is incomplete, and a start waits for it. Both are comments because earlier builds end with status 2 on a key that they do not know: a rollback to one of them works with this template. Hand-written files and earlier templates work without the lines.

node.id is required in mode Registered, too: nodes that all take the default id would replace each other's entries in the store.

--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -15,6 +15,12 @@
     /// Longest line. A list of 300 addresses of nodes with their ports fits; inih reads only 200 bytes by default.
     constexpr size_t maxLineBytes = 8192;
 
+    /// Line by which a file declares that it ends with `lastLine`, so that a file that was cut off between two lines
+    /// can be told from a whole one. Both are comments, because earlier builds reject keys that they do not know.
+    constexpr std::string_view lastLineNotice
+        = "; This file is complete only with the last line \"; end of settings\".";
+    constexpr std::string_view lastLine = "; end of settings";
+
     /// State while an INI text is parsed.
     struct IniParseState {
         std::istringstream input;
@@ -24,6 +30,8 @@
         std::map<std::string, int> keyLines; ///< Line of each "section.key".
         std::optional<Error> error; ///< First error.
         int errorLine { 0 };
+        bool declaresLastLine { false };
+        bool endsWithLastLine { false };
 
         void fail(const std::string& message)
         {
@@ -60,6 +68,11 @@
         if (!std::getline(state.input, text))
             return nullptr;
         ++state.line;
+        if (text.ends_with('\r'))
+            text.pop_back();
+        state.declaresLastLine = state.declaresLastLine || text == lastLineNotice;
+        if (!text.empty())
+            state.endsWithLastLine = text == lastLine;
         if (text.size() + 2 > static_cast<size_t>(size)) {
             state.fail("line is longer than " + std::to_string(size - 2) + " bytes");
             text.clear();
@@ -208,6 +221,9 @@
     if (firstInvalidLine != 0)
         return Error { ErrorKind::InvalidInput, "settings.read", "",
             "line " + std::to_string(firstInvalidLine) + ": expected a section, a key or a comment" };
+    if (state.declaresLastLine && !state.endsWithLastLine)
+        return Error { ErrorKind::InvalidInput, "settings.complete", "",
+            "the file was cut off: its last line is not \"" + std::string(lastLine) + "\"" };
     return std::move(state.parsed);
 }
 
--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -86,7 +86,7 @@
 
     TEST_F(ProcessEnd, FailureIsReported)
     {
-        std::ofstream(settingsPath()) << "[node]\nmode = Registered\n[entry]\nlisten = nowhere\n"
+        std::ofstream(settingsPath()) << "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = nowhere\n"
                                          "ready_listen = 127.0.0.1:1\n[control]\nstore = 127.0.0.1:1\n";
         EXPECT_EQ(start({ "--config", settingsPath() })->wait(waitTimeoutMs), 1);
         EXPECT_THAT(log(), HasSubstr(" level=error event=process_ended reason=not_started status=1 ")) << log();
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -135,11 +135,12 @@
     // Guards against a node that starts on defaults because its settings are incomplete.
     TEST(SettingsReader, MissingRequiredKeysAreErrors)
     {
-        const std::string complete = "[node]\nmode = Registered\n[entry]\nlisten = 127.0.0.1:1\n"
+        const std::string complete = "[node]\nmode = Registered\nid = n-1\n[entry]\nlisten = 127.0.0.1:1\n"
                                      "ready_listen = 127.0.0.1:2\n[control]\nstore = 127.0.0.1:3\n";
         EXPECT_TRUE(SettingsReader::createTolerant(complete));
         EXPECT_FALSE(SettingsReader::check(complete));
         const std::vector<std::pair<std::string, std::string>> missing {
+            { "id = n-1", "node.id" },
             { "listen = 127.0.0.1:1", "entry.listen" },
             { "ready_listen = 127.0.0.1:2", "entry.ready_listen" },
             { "store = 127.0.0.1:3", "control.store" },
