--- a/Tests/SettingsTests/TemplateTests.cpp
+++ b/Tests/SettingsTests/TemplateTests.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /// Returns the template of the deployment with values as the platform fills them in.
-    std::string renderedTemplate()
+    std::string renderedTemplate(const std::string& memory = "256")
     {
         const std::map<std::string, std::string> values {
             { "node_name", "front-3" },
@@ -20,6 +20,7 @@
             { "listen.ready_addr", "10.4.64.41:7381" },
             { "listen.control", "10.4.64.41:7400" },
             { "limits.cpu_share", "0.25" },
+            { "limits.memory_mb", memory },
             { "ip", "10.4.64.41" },
             { "inner_port_range.0", "7380" },
             { "inner_port_range.1", "7390" },
@@ -85,6 +86,16 @@
         EXPECT_TRUE(SettingsReader::createTolerant(joined(lines)));
     }
 
+    // Guards against buffers that are sized for more memory than a small machine has.
+    TEST(SettingsTemplate, MemoryOfTheMachineIsPassedOn)
+    {
+        for (const int memory : { 120, 260, 512 }) {
+            const auto read = SettingsReader::createTolerant(renderedTemplate(std::to_string(memory)));
+            ASSERT_TRUE(read) << read.error().describe();
+            EXPECT_EQ(read.value().settings.entry->memory_mb, memory);
+        }
+    }
+
     // Guards against a node that starts on settings of which the platform has written only a part.
     TEST(SettingsTemplate, NoPrefixIsTakenForAnotherWhole)
     {
