Leave malformed addresses out of the list of seeds

StartSettings.MalformedSeedsAreIgnoredAndLogged with the daemon before: lineCount("settings_key_ignored") Which is: 0, expected 2 With the change it passes, as SettingsReader.MalformedAddressesInListAreIgnored does.

--- a/Cyclamenstair/Settings/IgnoredSetting.h
+++ b/Cyclamenstair/Settings/IgnoredSetting.h
@@ -12,6 +12,7 @@
     UnknownSection,
     UnknownKey,
     EmptyValue, ///< A number, bool or enumeration without a value keeps its default.
+    MalformedItem, ///< Item of a list.
 };
 
 template <> struct EnumNames<IgnoredSettingReason> {
@@ -19,6 +20,7 @@
         { IgnoredSettingReason::UnknownSection, "unknown_section" },
         { IgnoredSettingReason::UnknownKey, "unknown_key" },
         { IgnoredSettingReason::EmptyValue, "empty_value" },
+        { IgnoredSettingReason::MalformedItem, "malformed_item" },
     });
 };
 
@@ -29,6 +31,7 @@
     std::string section;
     std::string key;
     std::string suggestion; ///< Known name that the unknown one is probably a slip of; empty if there is none.
+    std::string item; ///< Malformed item; empty if the whole entry is ignored.
 };
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Settings/SettingsParser.h>
 
+#include <Cyclamenstair/Settings/SettingsAddress.h>
 #include <Cyclamenstair/Settings/SettingsSchema.h>
 
 #include <charconv>
@@ -146,6 +147,27 @@
         }
     }
 
+    /// Returns the well-formed items of a list of addresses. Empty items, which templates leave, have no effect.
+    std::string wellFormedAddresses(
+        IniParseState& state, const std::string& section, const std::string& key, const std::string& text)
+    {
+        constexpr auto blanks = " \t";
+        std::string addresses;
+        std::istringstream list(text);
+        for (std::string item; std::getline(list, item, ',');) {
+            item.erase(0, item.find_first_not_of(blanks));
+            item.erase(item.find_last_not_of(blanks) + 1);
+            if (item.empty())
+                continue;
+            if (parseSettingsAddress(item))
+                addresses += (addresses.empty() ? "" : ",") + item;
+            else
+                state.ignore({ IgnoredSettingReason::MalformedItem, state.line, section, key, {}, item },
+                    std::string(key).append(": '").append(item).append("' is not IP:PORT"));
+        }
+        return addresses;
+    }
+
     /// Parses and stores one value.
     void storeValue(
         IniParseState& state, const std::string& sectionName, const std::string& key, const std::string& text)
@@ -153,14 +175,14 @@
         const auto* section = findSettingsSection(sectionName);
         if (!section) {
             state.ignore({ IgnoredSettingReason::UnknownSection, state.line, sectionName, key,
-                             similarSettingsSection(sectionName) },
+                             similarSettingsSection(sectionName), {} },
                 "unknown section [" + sectionName + "]");
             return;
         }
         const auto* field = findSettingsField(*section, key);
         if (!field) {
-            state.ignore(
-                { IgnoredSettingReason::UnknownKey, state.line, sectionName, key, similarSettingsField(*section, key) },
+            state.ignore({ IgnoredSettingReason::UnknownKey, state.line, sectionName, key,
+                             similarSettingsField(*section, key), {} },
                 "unknown key '" + key + "' in section [" + sectionName + "]");
             return;
         }
@@ -174,12 +196,14 @@
             const auto message = key + ": " + value.error().message;
             // Templates render a placeholder without a value as nothing.
             if (text.empty())
-                state.ignore({ IgnoredSettingReason::EmptyValue, state.line, sectionName, key, {} }, message);
+                state.ignore({ IgnoredSettingReason::EmptyValue, state.line, sectionName, key, {}, {} }, message);
             else
                 state.fail(message);
             return;
         }
-        state.parsed.values[sectionName][key] = value.value();
+        state.parsed.values[sectionName][key] = field->hasAttribute("addresses")
+            ? nlohmann::json(wellFormedAddresses(state, sectionName, key, text))
+            : value.value();
         if (!text.empty())
             state.parsed.texts[sectionName + "." + key] = text;
     }
--- a/Programs/SettingsFile.cpp
+++ b/Programs/SettingsFile.cpp
@@ -15,7 +15,7 @@
         logEvent(LogSeverity::Info, "settings_key_ignored",
             { { "file", m_path }, { "line", std::to_string(entry.line) }, { "section", entry.section },
                 { "key", entry.key }, { "reason", std::string(nameOf(entry.reason)) },
-                { "suggestion", entry.suggestion } });
+                { "suggestion", entry.suggestion }, { "item", entry.item } });
     }
     return std::move(read.value().settings);
 }
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -38,6 +38,18 @@
         EXPECT_EQ(lineCount("settings_key_ignored"), 2U);
     }
 
+    // Guards against a start that fails on a list of addresses as templates leave it, and on a host name in it.
+    TEST_F(StartSettings, MalformedSeedsAreIgnoredAndLogged)
+    {
+        auto text = settings();
+        text.insert(text.find("grace_s"), "seeds = , front-2:7400,,10.0.0.1, \n");
+        writeSettings(text);
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); }));
+        ASSERT_FALSE(node->hasExited()) << log();
+        EXPECT_EQ(lineCount("settings_key_ignored"), 2U) << log();
+    }
+
     // Guards against a node that starts on the default addresses, serves nobody and says nothing.
     TEST_F(StartSettings, IncompleteSettingsStartNoNode)
     {
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -124,6 +124,20 @@
         EXPECT_THAT(SettingsReader::create(text).error().message, HasSubstr("line 2: port: '' is not a number"));
     }
 
+    // Guards against a start that fails on a list of addresses as templates leave it, and on a host name in it.
+    TEST(SettingsReader, MalformedAddressesInListAreIgnored)
+    {
+        const auto read = SettingsReader::createTolerant("[peer]\nfleet_key_file = key\n[entry]\n"
+                                                         "seeds = , 10.0.0.1:1,,front-2:7400 ,10.0.0.2, ::1:2 ,\n");
+        ASSERT_TRUE(read) << read.error().describe();
+        EXPECT_EQ(read.value().settings.entry->seeds, "10.0.0.1:1,::1:2");
+        ASSERT_EQ(read.value().ignored.size(), 2U);
+        EXPECT_EQ(read.value().ignored[0].item, "front-2:7400");
+        EXPECT_EQ(read.value().ignored[1].item, "10.0.0.2");
+        EXPECT_THAT(SettingsReader::create("[entry]\nseeds = front-2:7400\n").error().message,
+            HasSubstr("line 2: seeds: 'front-2:7400' is not IP:PORT"));
+    }
+
     // Guards against a tolerant reader that accepts what no build can have meant.
     TEST(SettingsReader, TolerantReaderRejectsInvalidValues)
     {
