Name the settings of two listeners that need the same port

Two of them with the same port and the same or any address are an error that names both.

StartSettings.ListenersOnSamePortAreNamed with the daemon before: checkSettings() Which is: (0), expected 2 With the change it passes, as SettingsReader.ListenersOnSamePortAreErrors does.

--- a/Cyclamenstair/Settings/SettingsChecks.cpp
+++ b/Cyclamenstair/Settings/SettingsChecks.cpp
@@ -1,7 +1,10 @@
 #include <Cyclamenstair/Settings/SettingsChecks.h>
 
+#include <Cyclamenstair/Settings/SettingsAddress.h>
 #include <Cyclamenstair/Settings/SettingsSchema.h>
 
+#include <vector>
+
 namespace cyclamenstair {
 
 namespace {
@@ -24,6 +27,39 @@
         return textOf(parsed, condition.substr(0, equals)) == condition.substr(equals + 1);
     }
 
+    /// Address on which a node listens, and its key.
+    struct Listener {
+        std::string key;
+        SettingsAddress address;
+    };
+
+    /// Returns the listeners of the mode that the text chooses. Malformed addresses are left out.
+    std::vector<Listener> listenersOf(const ParsedSettings& parsed)
+    {
+        std::vector<Listener> listeners;
+        const auto mode = textOf(parsed, "node.mode");
+        for (const auto& section : settingsSections()) {
+            for (const auto& field : section.fields) {
+                if (field.attribute("listener") != mode)
+                    continue;
+                const auto key = section.name + "." + field.name();
+                auto text = textOf(parsed, key);
+                if (field.baseType() != reflection::String)
+                    text.insert(0, textOf(parsed, section.name + ".address") + ":");
+                if (const auto address = parseSettingsAddress(text))
+                    listeners.push_back({ key, *address });
+            }
+        }
+        return listeners;
+    }
+
+    bool needSamePort(const SettingsAddress& a, const SettingsAddress& b)
+    {
+        const auto isAnyAddress = [](const std::string& host) { return host == "0.0.0.0" || host == "::"; };
+        // The system chooses a free port in place of port 0.
+        return a.port == b.port && a.port != 0 && (a.host == b.host || isAnyAddress(a.host) || isAnyAddress(b.host));
+    }
+
 } // namespace
 
 std::optional<Error> findMissingSettings(const ParsedSettings& parsed)
@@ -42,4 +78,18 @@
     return Error { ErrorKind::InvalidInput, "settings.complete", "", "no value for " + missing };
 }
 
+std::optional<Error> findListenerConflict(const ParsedSettings& parsed)
+{
+    const auto listeners = listenersOf(parsed);
+    for (size_t i = 0; i < listeners.size(); ++i) {
+        for (size_t j = i + 1; j < listeners.size(); ++j) {
+            const auto& [key, address] = listeners[j];
+            if (needSamePort(listeners[i].address, address))
+                return Error { ErrorKind::InvalidInput, "settings.listeners", "",
+                    listeners[i].key + " and " + key + " need the same port " + std::to_string(address.port) };
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsChecks.h
+++ b/Cyclamenstair/Settings/SettingsChecks.h
@@ -11,4 +11,8 @@
 /// Without the check, a file that was cut off between two lines would start a node on the defaults.
 std::optional<Error> findMissingSettings(const ParsedSettings& parsed);
 
+/// Returns an error that names two keys whose listeners need the same port of the same address. The second one could
+/// never listen.
+std::optional<Error> findListenerConflict(const ParsedSettings& parsed);
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsReader.cpp
+++ b/Cyclamenstair/Settings/SettingsReader.cpp
@@ -43,6 +43,13 @@
         return nlohmann::json::parse(text);
     }
 
+    /// Returns the first error that concerns several keys.
+    std::optional<Error> checkAsWhole(const ParsedSettings& parsed)
+    {
+        const auto error = findMissingSettings(parsed);
+        return error ? error : findListenerConflict(parsed);
+    }
+
     Result<std::string> readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -70,7 +77,7 @@
     auto parsed = parseSettings(iniText, SettingsStrictness::Tolerant);
     if (!parsed)
         return parsed.error();
-    if (const auto error = findMissingSettings(parsed.value()))
+    if (const auto error = checkAsWhole(parsed.value()))
         return *error;
     auto settings = unpack(parsed.value().values);
     if (!settings)
@@ -83,7 +90,7 @@
     const auto parsed = parseSettings(iniText, SettingsStrictness::Strict);
     if (!parsed)
         return parsed.error();
-    return findMissingSettings(parsed.value());
+    return checkAsWhole(parsed.value());
 }
 
 Result<TolerantSettings> SettingsReader::createTolerantFromFile(const std::string& path)
--- a/Cyclamenstair/Settings/SettingsReader.h
+++ b/Cyclamenstair/Settings/SettingsReader.h
@@ -28,13 +28,15 @@
     /// Same as create(), but ignores sections and keys that this build does not know, and numbers, bools and
     /// enumerations without a value. A start uses it: program and settings cannot be changed in one step, so the
     /// settings of a later build may be present during an upgrade or a rollback; and the platform may have no value for
-    /// a key of its template. A required key without a value is an InvalidInput error that names it.
+    /// a key of its template. A required key without a value, and two listeners on the same port, are InvalidInput
+    /// errors that name the keys.
     static Result<TolerantSettings> createTolerant(std::string_view iniText);
 
     /// Same as createTolerant(), for the text of the file at `path`. NotFound if the file cannot be read or is empty.
     static Result<TolerantSettings> createTolerantFromFile(const std::string& path);
 
-    /// Returns the errors of create() or, if there are none, the required keys without a value.
+    /// Returns the error of create() or, if there is none, the required keys without a value or two listeners on the
+    /// same port.
     static std::optional<Error> check(std::string_view iniText);
 
     /// Same as check(), for the text of the file at `path`. NotFound if the file cannot be read or is empty.
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -50,6 +50,18 @@
         EXPECT_EQ(lineCount("settings_key_ignored"), 2U) << log();
     }
 
+    // Guards against a start that is tried again without the reason although two listeners have the same port.
+    TEST_F(StartSettings, ListenersOnSamePortAreNamed)
+    {
+        auto text = settings();
+        text.insert(text.find("grace_s"), "metrics_listen = 127.0.0.1:" + std::to_string(m_probePort) + "\n");
+        writeSettings(text);
+        EXPECT_EQ(checkSettings(), 2);
+        const auto node = startNode("node", { "--settings-wait-s", "0" });
+        EXPECT_EQ(node->wait(waitTimeoutMs), 2);
+        EXPECT_NE(log().find("entry.ready_listen and entry.metrics_listen"), std::string::npos) << log();
+    }
+
     // Guards against a node that starts on the default addresses, serves nobody and says nothing.
     TEST_F(StartSettings, IncompleteSettingsStartNoNode)
     {
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -172,6 +172,25 @@
         EXPECT_THAT(SettingsReader::check("")->message, HasSubstr("peer.fleet_key_file"));
     }
 
+    // Guards against a start that is tried again and again although two listeners of the node have the same port.
+    TEST(SettingsReader, ListenersOnSamePortAreErrors)
+    {
+        const auto check = [](const std::string& probe, const std::string& metrics) {
+            return SettingsReader::check("[node]\nmode = Registered\n[entry]\nlisten = 10.0.0.1:80\nready_listen = "
+                + probe + "\nmetrics_listen = " + metrics + "\n[control]\nstore = 10.0.0.9:80\n");
+        };
+        EXPECT_FALSE(check("10.0.0.1:81", "10.0.0.1:82"));
+        EXPECT_FALSE(check("10.0.0.2:80", ""));
+        EXPECT_FALSE(check("10.0.0.1:0", "10.0.0.1:0"));
+        for (const auto* address : { "10.0.0.1:80", "0.0.0.0:80", ":::80" }) {
+            const auto error = check("10.0.0.1:81", address);
+            ASSERT_TRUE(error) << address;
+            EXPECT_THAT(error->message, HasSubstr("entry.listen and entry.metrics_listen need the same port 80"));
+        }
+        EXPECT_THAT(SettingsReader::check("[peer]\nfleet_key_file = key\nport = 8081\n")->message,
+            HasSubstr("operator_api.port and peer.port need the same port 8081"));
+    }
+
     // Guards against changed keys that a reload misses, and against reloading keys that require a restart.
     TEST(SettingsReader, ReportsChangedAndReloadableKeys)
     {
