Treat a listener without host or port as one without a value

The template puts addresses together from two placeholders. If the platform has no value for one of them, the start ended with status 1: event=node_not_started kind=invalid_input step=endpoint.parse peer=127.0.0.1: message="expected IP:PORT" Class of the fault: an absent value taken for a malformed one. Other malformed addresses end the start as before (StartRetry.MalformedAddressEndsTheStart).

SettingsReader.ListenersWithoutHostOrPortHaveNoValue passes with the change.

--- a/Cyclamenstair/Settings/IgnoredSetting.h
+++ b/Cyclamenstair/Settings/IgnoredSetting.h
@@ -11,7 +11,7 @@
 enum class IgnoredSettingReason : uint8_t {
     UnknownSection,
     UnknownKey,
-    EmptyValue, ///< A number, bool or enumeration without a value keeps its default.
+    EmptyValue, ///< A number, bool or enumeration without a value, or a listener without host or port.
     MalformedItem, ///< Item of a list.
 };
 
--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -168,6 +168,12 @@
         return addresses;
     }
 
+    /// Returns whether an address has no host or no port, as from a template whose placeholder for it has no value.
+    bool lacksHostOrPort(const std::string& address)
+    {
+        return address.ends_with(':') || (address.starts_with(':') && address.rfind(':') == 0);
+    }
+
     /// Parses and stores one value.
     void storeValue(
         IniParseState& state, const std::string& sectionName, const std::string& key, const std::string& text)
@@ -201,6 +207,11 @@
                 state.fail(message);
             return;
         }
+        if (field->hasAttribute("listener") && lacksHostOrPort(text)) {
+            state.ignore({ IgnoredSettingReason::EmptyValue, state.line, sectionName, key, {}, {} },
+                key + ": '" + text + "' is not IP:PORT");
+            return;
+        }
         state.parsed.values[sectionName][key] = field->hasAttribute("addresses")
             ? nlohmann::json(wellFormedAddresses(state, sectionName, key, text))
             : value.value();
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -191,6 +191,22 @@
             HasSubstr("operator_api.port and peer.port need the same port 8081"));
     }
 
+    // Guards against a start that fails on an address of which the platform has no host or no port: the node does not
+    // listen there, or the error names the key if it has to.
+    TEST(SettingsReader, ListenersWithoutHostOrPortHaveNoValue)
+    {
+        const std::string text = "[node]\nmode = Registered\n[control]\nstore = 10.0.0.9:80\n[entry]\n"
+                                 "ready_listen = ::1:81\nrelay_listen = 10.0.0.1:\nmetrics_listen = :7380\n";
+        const auto read = SettingsReader::createTolerant(text + "listen = 10.0.0.1:80\n");
+        ASSERT_TRUE(read) << read.error().describe();
+        EXPECT_EQ(read.value().settings.entry->relay_listen, "");
+        EXPECT_EQ(read.value().settings.entry->metrics_listen, "");
+        EXPECT_EQ(read.value().settings.entry->ready_listen, "::1:81");
+        EXPECT_EQ(read.value().ignored.size(), 2U);
+        EXPECT_THAT(SettingsReader::createTolerant(text + "listen = :\n").error().message, HasSubstr("entry.listen"));
+        EXPECT_THAT(SettingsReader::create(text).error().message, HasSubstr("line 7: relay_listen: '10.0.0.1:'"));
+    }
+
     // Guards against changed keys that a reload misses, and against reloading keys that require a restart.
     TEST(SettingsReader, ReportsChangedAndReloadableKeys)
     {
