--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -176,8 +176,9 @@
     TEST(SettingsReader, ListenersOnSamePortAreErrors)
     {
         const auto check = [](const std::string& probe, const std::string& metrics) {
-            return SettingsReader::check("[node]\nmode = Registered\n[entry]\nlisten = 10.0.0.1:80\nready_listen = "
-                + probe + "\nmetrics_listen = " + metrics + "\n[control]\nstore = 10.0.0.9:80\n");
+            return SettingsReader::check(
+                "[node]\nmode = Registered\nid = n-1\n[entry]\nlisten = 10.0.0.1:80\nready_listen = " + probe
+                + "\nmetrics_listen = " + metrics + "\n[control]\nstore = 10.0.0.9:80\n");
         };
         EXPECT_FALSE(check("10.0.0.1:81", "10.0.0.1:82"));
         EXPECT_FALSE(check("10.0.0.2:80", ""));
@@ -195,7 +196,7 @@
     // listen there, or the error names the key if it has to.
     TEST(SettingsReader, ListenersWithoutHostOrPortHaveNoValue)
     {
-        const std::string text = "[node]\nmode = Registered\n[control]\nstore = 10.0.0.9:80\n[entry]\n"
+        const std::string text = "[node]\nmode = Registered\nid = n-1\n[control]\nstore = 10.0.0.9:80\n[entry]\n"
                                  "ready_listen = ::1:81\nrelay_listen = 10.0.0.1:\nmetrics_listen = :7380\n";
         const auto read = SettingsReader::createTolerant(text + "listen = 10.0.0.1:80\n");
         ASSERT_TRUE(read) << read.error().describe();
@@ -204,7 +205,7 @@
         EXPECT_EQ(read.value().settings.entry->ready_listen, "::1:81");
         EXPECT_EQ(read.value().ignored.size(), 2U);
         EXPECT_THAT(SettingsReader::createTolerant(text + "listen = :\n").error().message, HasSubstr("entry.listen"));
-        EXPECT_THAT(SettingsReader::create(text).error().message, HasSubstr("line 7: relay_listen: '10.0.0.1:'"));
+        EXPECT_THAT(SettingsReader::create(text).error().message, HasSubstr("line 8: relay_listen: '10.0.0.1:'"));
     }
 
     // Guards against changed keys that a reload misses, and against reloading keys that require a restart.
