Keep the log going after failed writes and exceptions

After one failed write (a full disk, a non-blocking pipe that was full for a moment) a node logged nothing for the rest of its life. A lack of memory in the log's own thread, or in a catch block that logs, ended the process.

Cause: std::cout keeps its failed state, and nobody cleared it. The log's thread had no exception handler, and logEvent(), logError() and flushLog(), which starts a thread, threw into their callers' exception handlers (class: the log decides whether the process lives).

A sink backend of our own writes to the descriptor. It waits while a non-blocking output is full, and ends a line that was cut. Lines that are lost (queue full, write failed, exception) are counted by cause, and the next line that is written tells their number in the field `dropped`, as `suppressed` does for rate-limited lines. The functions of the log do not throw; flushLog() returns false if it cannot start its thread.

RequestLog.FloodIsRateLimited now waits for the log's thread before it counts the lines; until now it could count none.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -1,22 +1,20 @@
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <Cyclamenstair/Telemetry/LogLimiter.h>
+#include <Cyclamenstair/Telemetry/LogLosses.h>
 #include <Cyclamenstair/Telemetry/LogValue.h>
+#include <Cyclamenstair/Telemetry/StandardOutputBackend.h>
 
 #include <atomic>
 #include <future>
-#include <iostream>
 #include <mutex>
 #include <thread>
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
@@ -55,9 +53,19 @@
 
     std::atomic<bool> isConfigured { false };
 
-    using LogBackend = boost::log::sinks::text_ostream_backend;
-    using LogSink = boost::log::sinks::asynchronous_sink<LogBackend,
-        boost::log::sinks::bounded_fifo_queue<maxWaitingLines, boost::log::sinks::drop_on_overflow>>;
+    /// Drops and counts the lines that find the queue full.
+    struct CountOverflow {
+        template <typename Lock> static bool on_overflow(const boost::log::record_view&, Lock&)
+        {
+            countLogLoss(LogLoss::QueueFull);
+            return false;
+        }
+        static void on_queue_space_available() { }
+        static void interrupt() { }
+    };
+
+    using LogSink = boost::log::sinks::asynchronous_sink<StandardOutputBackend,
+        boost::log::sinks::bounded_fifo_queue<maxWaitingLines, CountOverflow>>;
 
     /// Returns the sink. It is never destroyed: its thread can wait for a stalled reader at the end of the process.
     boost::shared_ptr<LogSink>& logSink()
@@ -68,10 +76,9 @@
 
     void createLogSink()
     {
-        auto backend = boost::make_shared<LogBackend>();
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-        backend->auto_flush(true);
-        logSink() = boost::make_shared<LogSink>(backend);
+        logSink() = boost::make_shared<LogSink>(boost::make_shared<StandardOutputBackend>());
+        // An exception that leaves the log's thread ends the process.
+        logSink()->set_exception_handler([] { countLogLoss(LogLoss::Exception); });
         logSink()->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
         boost::log::core::get()->add_sink(logSink());
     }
@@ -90,7 +97,7 @@
         return line;
     }
 
-    void appendFields(std::string& line, std::initializer_list<LogField> fields, uint64_t suppressed)
+    void appendFields(std::string& line, std::span<const LogField> fields, uint64_t suppressed)
     {
         for (const auto& field : fields) {
             line.append(" ").append(field.name).append("=");
@@ -100,6 +107,16 @@
             line += " suppressed=" + std::to_string(suppressed);
     }
 
+    /// Calls `write`. Drops the line if it throws.
+    template <typename Write> void dropOnException(const Write& write) noexcept
+    {
+        try {
+            write();
+        } catch (...) {
+            countLogLoss(LogLoss::Exception);
+        }
+    }
+
 } // namespace
 
 void configureLog(LogSeverity minSeverity)
@@ -114,59 +131,76 @@
 
 void disableLog() { boost::log::core::get()->set_logging_enabled(false); }
 
-bool flushLog(Duration timeout)
+bool flushLog(Duration timeout) noexcept
 {
     if (!logSink())
         return true;
-    auto done = std::make_shared<std::promise<void>>();
-    auto isDone = done->get_future();
-    // The thread outlives this call if the reader has stalled.
-    std::thread([sink = logSink(), done] {
-        sink->flush();
-        done->set_value();
-    }).detach();
-    return isDone.wait_for(timeout) == std::future_status::ready;
+    try {
+        auto done = std::make_shared<std::promise<void>>();
+        auto isDone = done->get_future();
+        // The thread outlives this call if the reader has stalled.
+        std::thread([sink = logSink(), done] {
+            sink->flush();
+            done->set_value();
+        }).detach();
+        return isDone.wait_for(timeout) == std::future_status::ready;
+    } catch (const std::exception&) {
+        return false;
+    }
 }
 
-void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields)
+void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields) noexcept
 {
-    // Limits repeated faults, which would otherwise bury all other lines. The key is the event with its peer or target.
-    uint64_t suppressed = 0;
-    if (severity >= LogSeverity::Warning) {
-        static LogLimiter s_limiter;
-        std::string key(event);
-        for (const auto& field : fields) {
-            if (field.name == "peer" || field.name == "target")
-                key += "/" + field.value;
+    logEventFields(severity, event, fields);
+}
+
+void logEventFields(LogSeverity severity, std::string_view event, std::span<const LogField> fields) noexcept
+{
+    dropOnException([&] {
+        // Limits repeated faults, which would otherwise bury all other lines. The key is the event with its peer or
+        // target.
+        uint64_t suppressed = 0;
+        if (severity >= LogSeverity::Warning) {
+            static LogLimiter s_limiter;
+            std::string key(event);
+            for (const auto& field : fields) {
+                if (field.name == "peer" || field.name == "target")
+                    key += "/" + field.value;
+            }
+            const auto admitted = s_limiter.admit(key, monotonicNow());
+            if (!admitted)
+                return countLogLoss(LogLoss::RateLimited);
+            suppressed = *admitted;
         }
-        const auto admitted = s_limiter.admit(key, monotonicNow());
-        if (!admitted)
-            return;
-        suppressed = *admitted;
-    }
-    auto line = formatLineStart(severity, event);
-    appendFields(line, fields, suppressed);
-    writeLine(severity, line);
+        auto line = formatLineStart(severity, event);
+        appendFields(line, fields, suppressed);
+        writeLine(severity, line);
+    });
 }
 
-void logRequestEvent(const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields)
+void logRequestEvent(
+    const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields) noexcept
 {
-    static LogLimiter s_limiter(requestLogLimit);
-    const auto suppressed = s_limiter.admit("request", monotonicNow());
-    if (!suppressed)
-        return;
-    auto line = formatLineStart(LogSeverity::Info, event);
-    line += " request=";
-    appendValue(line, requestId);
-    appendFields(line, fields, *suppressed);
-    writeLine(LogSeverity::Info, line);
+    dropOnException([&] {
+        static LogLimiter s_limiter(requestLogLimit);
+        const auto suppressed = s_limiter.admit("request", monotonicNow());
+        if (!suppressed)
+            return countLogLoss(LogLoss::RateLimited);
+        auto line = formatLineStart(LogSeverity::Info, event);
+        line += " request=";
+        appendValue(line, requestId);
+        appendFields(line, fields, *suppressed);
+        writeLine(LogSeverity::Info, line);
+    });
 }
 
-void logError(LogSeverity severity, std::string_view event, const Error& error)
+void logError(LogSeverity severity, std::string_view event, const Error& error) noexcept
 {
-    logEvent(severity, event,
-        { { "kind", std::string(nameOf(error.kind)) }, { "step", error.step }, { "peer", error.peer },
-            { "message", error.message } });
+    dropOnException([&] {
+        logEvent(severity, event,
+            { { "kind", std::string(nameOf(error.kind)) }, { "step", error.step }, { "peer", error.peer },
+                { "message", error.message } });
+    });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Telemetry/Log.h
+++ b/Cyclamenstair/Telemetry/Log.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -35,7 +36,8 @@
 };
 
 /// Configures logging to standard output. Lines below `minSeverity` are dropped. Can be called again to change the
-/// level. A thread of the log writes the lines; lines are dropped while too many wait for a slow reader.
+/// level. A thread of the log writes the lines; lines are dropped while too many wait for a slow reader, or when they
+/// cannot be written. The next line tells their number (`dropped`).
 void configureLog(LogSeverity minSeverity);
 
 /// Returns whether configureLog() has been called. Usable in a signal handler.
@@ -44,19 +46,24 @@
 /// Drops all lines from now on. For programs whose standard output is their result.
 void disableLog();
 
-/// Waits until all lines are written, at most for `timeout`. Returns whether they are.
-bool flushLog(Duration timeout);
+/// Waits until all lines are written, at most for `timeout`. Returns whether they are; false if no thread can be
+/// started.
+bool flushLog(Duration timeout) noexcept;
 
 /// Writes a structured line: time, severity, event and fields as key=value pairs. Fields must not contain secrets or
 /// texts of callers' requests. Repeated warnings and errors are rate-limited; the next line reports how many were
-/// suppressed.
-void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields = {});
+/// suppressed. Never throws, as it is called where exceptions are handled: a line that cannot be formatted is dropped.
+void logEvent(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields = {}) noexcept;
+
+/// Same as logEvent(), for fields that are put together at run time.
+void logEventFields(LogSeverity severity, std::string_view event, std::span<const LogField> fields) noexcept;
 
 /// Writes a line about a request, with the request id as its first field. Such lines are dropped above a limit per
 /// second for the whole process; the next line reports how many were dropped.
-void logRequestEvent(const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields = {});
+void logRequestEvent(
+    const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields = {}) noexcept;
 
 /// Writes a line with the kind, step, peer and message of `error` as fields.
-void logError(LogSeverity severity, std::string_view event, const Error& error);
+void logError(LogSeverity severity, std::string_view event, const Error& error) noexcept;
 
 } // namespace cyclamenstair
--- /dev/null
+++ b/Tests/TelemetryTests/FailingAllocations.cpp
@@ -0,0 +1,27 @@
+#include <Tests/TelemetryTests/FailingAllocations.h>
+
+#include <cstdlib>
+#include <new>
+
+namespace cyclamenstair {
+
+std::atomic<FailingThreads> failingThreads { FailingThreads::None };
+thread_local bool isTestThread = false;
+
+} // namespace cyclamenstair
+
+// In a file of their own: GCC warns of a mismatch where it inlines only one of them.
+void* operator new(size_t size)
+{
+    using namespace cyclamenstair;
+    const auto failing = failingThreads.load();
+    if ((failing == FailingThreads::Current && isTestThread) || (failing == FailingThreads::Others && !isTestThread))
+        throw std::bad_alloc();
+    if (void* memory = std::malloc(size > 0 ? size : 1))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept { std::free(memory); }
+
+void operator delete(void* memory, size_t) noexcept { std::free(memory); }
--- a/Tests/TelemetryTests/RequestTraceTests.cpp
+++ b/Tests/TelemetryTests/RequestTraceTests.cpp
@@ -44,6 +44,7 @@
     configureLog(LogSeverity::Info);
     for (int i = 0; i < 5000; ++i)
         logRequestEvent("r-" + std::to_string(i), "attempt_started");
+    EXPECT_TRUE(flushLog(std::chrono::seconds(10)));
     const auto output = testing::internal::GetCapturedStdout();
     EXPECT_LE(std::count(output.begin(), output.end(), '\n'), 2000);
 }
