--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -2,14 +2,19 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <httplib.h>
+#include <spawn.h>
 #include <sstream>
 #include <sys/resource.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 namespace cyclamenstair::testing {
 namespace {
@@ -121,6 +126,43 @@
         EXPECT_EQ(process->wait(waitTimeoutMs), 0);
     }
 
+    // Guards against sockets with the numbers of the standard descriptors, into which lines of the log are written.
+    TEST_F(ProcessEnd, ClosedStandardDescriptorsAreReplaced)
+    {
+        const auto path = std::string(CYCLAMENSTAIR_BINARY_DIR) + "/Programs/cyclamenstaird";
+        const auto settings = settingsPath();
+        std::array<char*, 4> arguments { const_cast<char*>(path.c_str()), const_cast<char*>("--config"),
+            const_cast<char*>(settings.c_str()), nullptr };
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        for (int descriptor = 0; descriptor <= STDERR_FILENO; ++descriptor)
+            posix_spawn_file_actions_addclose(&actions, descriptor);
+        pid_t process = -1;
+        ASSERT_EQ(posix_spawn(&process, path.c_str(), &actions, nullptr, arguments.data(), environ), 0);
+        posix_spawn_file_actions_destroy(&actions);
+        httplib::Client client("127.0.0.1", m_callerPort);
+        std::string answers;
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitTimeoutMs);
+        for (int i = 0; i < 10 && std::chrono::steady_clock::now() < end;) {
+            if (const auto response = client.Get("/")) {
+                ++i;
+                answers += response->body;
+                ::kill(process, SIGHUP); // Writes a line of the log.
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        EXPECT_THAT(answers, Not(HasSubstr("event=")));
+        for (int descriptor = 0; descriptor <= STDERR_FILENO; ++descriptor) {
+            const auto link = "/proc/" + std::to_string(process) + "/fd/" + std::to_string(descriptor);
+            std::error_code ec;
+            EXPECT_EQ(std::filesystem::read_symlink(link, ec), "/dev/null") << ec.message();
+        }
+        ::kill(process, SIGTERM);
+        int status = 0;
+        ::waitpid(process, &status, 0);
+        EXPECT_EQ(status, 0);
+    }
+
     // Guards against a process in the background of a terminal that is stopped as it writes its log.
     TEST_F(ProcessEnd, OutputToTerminalDoesNotStopTheProcess)
     {
