Keep event loops running after an exception of any type

A node could end by itself when a handler threw: EventLoop::run() caught std::exception only, and the log line in its catch block could throw as well, for lack of memory. Either reaches std::terminate. The class of the fault is an exception that leaves a thread.

Before: EventLoop.ExceptionsOfAnyTypeDoNotEndTheLoop ends the test program, "terminate called after throwing an instance of 'int'".

run() catches everything, and logCurrentException() does not throw; without memory for the line, the line is dropped. The test passes.

--- a/Cyclamenstair/Http/EventLoop.cpp
+++ b/Cyclamenstair/Http/EventLoop.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Http/EventLoop.h>
 
+#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Telemetry/FatalSignals.h>
-#include <Cyclamenstair/Telemetry/Log.h>
 
 #include <boost/asio/post.hpp>
 
@@ -36,8 +36,8 @@
     while (!m_context.stopped()) {
         try {
             m_context.run();
-        } catch (const std::exception& exception) {
-            logEvent(LogSeverity::Error, "handler_failed", { { "message", exception.what() } });
+        } catch (...) {
+            logCurrentException();
         }
     }
 }
