Close connections whose handler throws, and accept further ones

A caller waited until its own timeout if the handler of its request threw: the connection was not read again and not closed, the request counted as in progress for good, and so a shutdown used its whole grace period. TcpAcceptor accepted no more if the log line about such an exception threw as well; that one is found by reading. The class of the fault: a chain of handlers that continues at the end of each handler ends with an exception.

Before: ServerConnection.ClosesWhenTheHandlerOfARequestThrows fails, "timeout at http.call: no complete response within the timeout".

ServerConnection closes on an exception and tells its request, as for a caller that disconnects. TcpAcceptor starts the next accept before it passes a connection on, so ServerListener takes the loop from the connection itself. The test passes.

--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Http/ServerConnection.h>
 
+#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Http/SocketOptions.h>
 
 #include <boost/asio/post.hpp>
@@ -114,6 +115,16 @@
         startClosing();
 }
 
+template <typename Work> void ServerConnection::closeOnException(Work work)
+{
+    try {
+        work();
+    } catch (...) {
+        logCurrentException();
+        onDisconnect();
+    }
+}
+
 void ServerConnection::read()
 {
     if (m_isReading || m_isClosed)
@@ -123,7 +134,7 @@
         [self = shared_from_this()](const boost::system::error_code& ec, size_t bytes) {
             self->m_isReading = false;
             if (!self->m_isClosed)
-                self->onRead(ec, bytes);
+                self->closeOnException([&] { self->onRead(ec, bytes); });
         });
 }
 
@@ -232,7 +243,8 @@
     armTimer(m_unparsedInput.empty() ? m_limits.idleTimeout : m_limits.headTimeout);
     if (!m_unparsedInput.empty()) {
         // Posted rather than called: pipelined requests with immediate responses would recurse.
-        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->parse(); });
+        boost::asio::post(
+            m_socket.get_executor(), [self = shared_from_this()] { self->closeOnException([&] { self->parse(); }); });
     }
     read();
 }
@@ -257,7 +269,8 @@
 {
     m_outputInFlight = std::exchange(m_queuedOutput, {});
     boost::asio::async_write(m_socket, boost::asio::buffer(m_outputInFlight),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t) { self->onWritten(ec); });
+        [self = shared_from_this()](
+            const boost::system::error_code& ec, size_t) { self->closeOnException([&] { self->onWritten(ec); }); });
 }
 
 void ServerConnection::onWritten(const boost::system::error_code& ec)
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -82,6 +82,9 @@
         Closing, ///< The last response is being written or was written; further input is discarded.
     };
 
+    /// Runs a part of a handler. An exception ends the connection: it would not be read again, so that the caller would
+    /// wait for its answer.
+    template <typename Work> void closeOnException(Work work);
     void read();
     void onRead(const boost::system::error_code& ec, size_t bytes);
     void parse();
--- a/Cyclamenstair/Http/ServerListener.cpp
+++ b/Cyclamenstair/Http/ServerListener.cpp
@@ -53,7 +53,10 @@
 
 void ServerListener::dispatch(tcp::socket socket)
 {
-    const size_t loop = m_currentLoop;
+    const auto* const context = &socket.get_executor().context();
+    size_t loop = 0;
+    while (&m_loops[loop]->context() != context)
+        ++loop;
     auto shared = std::make_shared<tcp::socket>(std::move(socket));
     m_loops[loop]->post([this, loop, shared] { addConnection(loop, std::move(*shared)); });
 }
--- a/Cyclamenstair/Http/ServerListener.h
+++ b/Cyclamenstair/Http/ServerListener.h
@@ -42,7 +42,7 @@
         RequestHandler handler);
     /// Selects the loop of the next connection.
     EventLoop& nextLoop();
-    /// Passes an accepted connection to the selected loop.
+    /// Passes an accepted connection to its loop.
     void dispatch(boost::asio::ip::tcp::socket socket);
     void addConnection(size_t loop, boost::asio::ip::tcp::socket socket);
 
@@ -51,7 +51,7 @@
     LimitsSource m_limitsSource;
     RequestHandler m_handler;
     std::vector<Connections> m_connections;
-    size_t m_currentLoop { 0 };
+    size_t m_currentLoop { 0 }; ///< Of the next connection.
     std::atomic<bool> m_isDraining { false };
 };
 
--- a/Cyclamenstair/Http/TcpAcceptor.cpp
+++ b/Cyclamenstair/Http/TcpAcceptor.cpp
@@ -55,13 +55,9 @@
         if (!m_acceptor.is_open())
             return;
         if (!ec) {
-            // An exception must not end the accepting.
-            try {
-                m_handler(std::move(socket));
-            } catch (const std::exception& exception) {
-                logEvent(LogSeverity::Error, "handler_failed", { { "message", exception.what() } });
-            }
+            // An exception of the handler must not end the accepting.
             accept();
+            m_handler(std::move(socket));
             return;
         }
         logEvent(LogSeverity::Warning, "accept_failed", { { "address", m_address }, { "message", ec.message() } });
