Close a channel between nodes when the handler of a frame throws

A frame whose handling threw anything but the decoder's own Exception left the channel open and unread: the node got no more loads over it, and neither side connected anew. The same held if there was no memory for a frame. The class of the fault: a chain of handlers that ends with an exception.

Before: FrameChannel.ClosesWhenTheHandlerOfAFrameThrows fails, neither end is closed within 10 s.

Every part of the channel's handlers now closes it on an exception. The handler of the close is moved rather than copied, which needs no memory. The test passes.

--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Peering/FrameChannel.h>
 
+#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Http/SocketOptions.h>
 
 #include <boost/asio/read.hpp>
@@ -42,7 +43,7 @@
         if (ec)
             self->fail();
         else
-            self->start();
+            self->closeOnException([&] { self->start(); });
     });
 }
 
@@ -81,22 +82,39 @@
     m_socket.close(ec);
 }
 
+template <typename Work> void FrameChannel::closeOnException(Work work)
+{
+    try {
+        work();
+    } catch (...) {
+        logCurrentException();
+        fail();
+    }
+}
+
 void FrameChannel::readHeader()
 {
     boost::asio::async_read(m_socket, boost::asio::buffer(m_header),
         [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
             if (self->m_isClosed)
                 return;
-            const auto& bytes = self->m_header;
-            const uint32_t length = uint32_t { bytes[0] } << 24 | uint32_t { bytes[1] } << 16
-                | uint32_t { bytes[2] } << 8 | uint32_t { bytes[3] };
-            if (ec || length > maxFrameBytes)
+            if (ec)
                 self->fail();
             else
-                self->readContent(length);
+                self->closeOnException([&] { self->onHeader(); });
         });
 }
 
+void FrameChannel::onHeader()
+{
+    const uint32_t length = uint32_t { m_header[0] } << 24 | uint32_t { m_header[1] } << 16
+        | uint32_t { m_header[2] } << 8 | uint32_t { m_header[3] };
+    if (length > maxFrameBytes)
+        fail();
+    else
+        readContent(length);
+}
+
 void FrameChannel::readContent(uint32_t length)
 {
     if (!m_readShare.resize(length)) {
@@ -108,18 +126,22 @@
         [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
             if (self->m_isClosed)
                 return;
-            if (ec) {
+            if (ec)
                 self->fail();
-                return;
-            }
-            const auto onFrame = self->m_handlers.onFrame;
-            onFrame(self, std::exchange(self->m_content, {}));
-            (void)self->m_readShare.resize(0);
-            if (!self->m_isClosed)
-                self->readHeader();
+            else
+                self->closeOnException([&] { self->onContent(); });
         });
 }
 
+void FrameChannel::onContent()
+{
+    const auto onFrame = m_handlers.onFrame;
+    onFrame(shared_from_this(), std::exchange(m_content, {}));
+    (void)m_readShare.resize(0);
+    if (!m_isClosed)
+        readHeader();
+}
+
 void FrameChannel::write()
 {
     m_writeBuffer = std::exchange(m_writeQueue, {});
@@ -132,13 +154,14 @@
             if (ec)
                 self->fail();
             else if (!self->m_writeQueue.empty())
-                self->write();
+                self->closeOnException([&] { self->write(); });
         });
 }
 
 void FrameChannel::fail()
 {
-    const auto onClosed = m_handlers.onClosed;
+    // Moved: a copy can fail for lack of memory, and the channel would stay open.
+    const auto onClosed = std::exchange(m_handlers.onClosed, nullptr);
     close();
     if (onClosed)
         onClosed();
--- a/Cyclamenstair/Peering/FrameChannel.h
+++ b/Cyclamenstair/Peering/FrameChannel.h
@@ -50,7 +50,11 @@
     bool isClosed() const { return m_isClosed; }
 
 private:
+    /// Runs a part of a handler. An exception closes the channel: it would not be read again.
+    template <typename Work> void closeOnException(Work work);
     void readHeader();
+    void onHeader();
+    void onContent();
     void readContent(uint32_t length);
     void write();
     size_t queuedBytes() const { return m_writeQueue.size() + m_writeBuffer.size(); }
