Go on with a node's periodic work after an exception

One exception in the periodic work of a node ended that work until a restart, while the process went on: PeerMesh::tick (loads, links to other nodes), OrderDispatcher, TargetReachMonitor, StreamOriginExchange, StoreWatcher (the catalog, the targets, the nodes), NodeRegistrar and OrderLeaseElector. Each scheduled its next run at the end of the handler. The class of the fault: a chain of handlers that ends with an exception.

Before, in HandlerFailureTest, each with one exception: StoreIsWatchedAfterItsHandlersThrew (no further read, no change seen within 20 s), LoadsAreExchangedAfterOneExchangeThrew (no further exchange within 20 s) and OrderLeaseIsTakenAfterOneAttemptThrew (no holder within 20 s) fail.

The next run is now scheduled before the work. Chains of calls to the store arm their timer before each call, for longer than the call can last, and before its outcome is handled; the usual next step then sets it anew. A StoreWatcher reads all records again after an exception, so that none is missed. The three tests pass (2.8 s, 0.2 s and 0.6 s).

--- a/Cyclamenstair/Entry/NodeRegistrar.cpp
+++ b/Cyclamenstair/Entry/NodeRegistrar.cpp
@@ -11,6 +11,8 @@
     constexpr Duration renewalInterval = milliseconds(4000);
     constexpr Duration frequentRenewalInterval = milliseconds(300);
     constexpr Duration retryDelay = milliseconds(1000);
+    /// Longer than the calls of one registration, each of which ends within a second.
+    constexpr Duration maxCallTime = milliseconds(3000);
 
 } // namespace
 
@@ -34,6 +36,9 @@
 
 void NodeRegistrar::registerOrRenew()
 {
+    // Before the calls, so that an exception in them or in the handling of their outcome does not end the renewals.
+    scheduleNext(maxCallTime);
+    m_isCalling = true;
     if (m_leaseId != 0) {
         renew();
         return;
@@ -52,7 +57,7 @@
         return;
     m_isFrequent = isFrequent;
     // A renewal in progress schedules the next one itself.
-    if (isFrequent && m_leaseId != 0 && m_timer.expiry() > monotonicNow() + frequentRenewalInterval)
+    if (isFrequent && !m_isCalling && m_leaseId != 0 && m_timer.expiry() > monotonicNow() + frequentRenewalInterval)
         scheduleNext(frequentRenewalInterval);
 }
 
@@ -88,6 +93,7 @@
 
 void NodeRegistrar::scheduleNext(Duration delay)
 {
+    m_isCalling = false;
     m_timer.expires_after(delay);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
--- a/Cyclamenstair/Entry/NodeRegistrar.h
+++ b/Cyclamenstair/Entry/NodeRegistrar.h
@@ -42,6 +42,7 @@
     std::string m_nodeId;
     PeerNode m_self;
     bool m_isFrequent { false };
+    bool m_isCalling { false }; ///< A call whose outcome schedules the next one is in progress.
     TimePoint m_contactAt; ///< Time of the last answer to a renewal.
     int64_t m_leaseId { 0 }; ///< 0 while the node is not registered.
 };
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -66,6 +66,8 @@
 
 void OrderDispatcher::tick()
 {
+    // Before the work, so that an exception in it does not end the ticks.
+    scheduleTick();
     const auto now = monotonicNow();
     updateArrivals(now);
     resignIfIsolated(now);
@@ -83,7 +85,6 @@
         m_targetStates.clear();
         m_records.clear();
     }
-    scheduleTick();
 }
 
 void OrderDispatcher::resignIfIsolated(TimePoint now)
--- a/Cyclamenstair/Entry/OrderLeaseElector.cpp
+++ b/Cyclamenstair/Entry/OrderLeaseElector.cpp
@@ -19,6 +19,9 @@
     constexpr Duration acquireRetryDelay = milliseconds(500);
     /// Allows three renewals within the lease's validity. A renewal is billed at a tenth of a call.
     constexpr Duration renewalInterval = milliseconds(200);
+    /// Longer than one call, and than the two calls of an attempt. Calls end within a second.
+    constexpr Duration maxRenewalTime = milliseconds(2000);
+    constexpr Duration maxAcquireTime = milliseconds(3000);
 
 } // namespace
 
@@ -80,34 +83,39 @@
         * std::max(1.0, static_cast<double>(m_competitorCount) / acquireJitterCompetitors);
     m_timer.expires_after(m_settings.acquireDelay + std::chrono::duration_cast<Duration>(jitter));
     m_timer.async_wait([this](const boost::system::error_code& ec) {
-        if (ec || m_isStopping || !m_leaseHolder.empty())
+        if (ec || m_isStopping || !m_leaseHolder.empty()) {
             m_isAcquiring = false;
-        else if (m_isEligible && !m_isEligible())
-            retryAcquire();
-        else
+            return;
+        }
+        // Before the work, so that an exception in it does not end the attempts.
+        retryAcquire(acquireRetryDelay);
+        if (!m_isEligible || m_isEligible())
             acquire();
     });
 }
 
-void OrderLeaseElector::retryAcquire()
+void OrderLeaseElector::retryAcquire(Duration delay)
 {
-    m_timer.expires_after(acquireRetryDelay);
+    m_timer.expires_after(delay);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
+        if (ec)
+            return;
         m_isAcquiring = false;
-        if (!ec && m_leaseHolder.empty())
+        if (m_leaseHolder.empty())
             scheduleAcquire();
     });
 }
 
 void OrderLeaseElector::acquire()
 {
+    retryAcquire(maxAcquireTime);
     const auto sentAt = suspendAwareNow();
     m_store->grantLease(m_settings.timeToLive, [this, sentAt](std::optional<int64_t> leaseId) {
         if (leaseId) {
             createHolderKey(*leaseId, sentAt);
             return;
         }
-        retryAcquire();
+        retryAcquire(acquireRetryDelay);
     });
 }
 
@@ -119,9 +127,10 @@
         if (!appliedWrite || m_isStopping) {
             // The write may have been applied even so; revoking or expiry of the lease then removes the key.
             m_store->revokeLease(leaseId);
-            retryAcquire();
+            retryAcquire(acquireRetryDelay);
             return;
         }
+        scheduleRenewal(renewalInterval);
         m_isAcquiring = false;
         m_leaseId = leaseId;
         m_leaseHolder = m_nodeId;
@@ -130,13 +139,12 @@
             { { "fence", std::to_string(appliedWrite->revision) },
                 { "era", std::to_string(eraOf(appliedWrite->revision)) },
                 { "revision", std::to_string(revisionInEra(appliedWrite->revision)) } });
-        scheduleRenewal();
     });
 }
 
-void OrderLeaseElector::scheduleRenewal()
+void OrderLeaseElector::scheduleRenewal(Duration delay)
 {
-    m_timer.expires_after(renewalInterval);
+    m_timer.expires_after(delay);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec && m_lease.isHeld())
             renew();
@@ -145,6 +153,8 @@
 
 void OrderLeaseElector::renew()
 {
+    // Before the call, so that an exception in it or in the handling of its outcome does not end the renewals.
+    scheduleRenewal(maxRenewalTime);
     const auto sentAt = suspendAwareNow();
     m_store->keepLeaseAlive(m_leaseId, [this, sentAt](StoreLeaseOutcome outcome) { onRenewed(outcome, sentAt); });
 }
@@ -161,7 +171,7 @@
         clearLease(std::string(nameOf(outcome)));
         return;
     }
-    scheduleRenewal();
+    scheduleRenewal(renewalInterval);
 }
 
 void OrderLeaseElector::clearLease(const std::string& reason)
--- a/Cyclamenstair/Entry/OrderLeaseElector.h
+++ b/Cyclamenstair/Entry/OrderLeaseElector.h
@@ -40,12 +40,12 @@
 private:
     void scheduleAcquire();
     void acquire();
-    void retryAcquire();
+    void retryAcquire(Duration delay);
     void createHolderKey(int64_t leaseId, TimePoint sentAt);
     void renew();
     void onRenewed(StoreLeaseOutcome outcome, TimePoint sentAt);
     void clearLease(const std::string& reason);
-    void scheduleRenewal();
+    void scheduleRenewal(Duration delay);
 
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_revocationTimer;
--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -8,6 +8,15 @@
 
 namespace cyclamenstair {
 
+namespace {
+
+    /// Time after which a full read is begun again if its outcome was lost. Longer than a read of many pages.
+    constexpr Duration maxReadTime = milliseconds(15000);
+    /// The same for a watch, beyond the time that it waits. Longer than the store client's timeout of one call.
+    constexpr Duration maxWatchDelay = milliseconds(3000);
+
+} // namespace
+
 StoreWatcher::StoreWatcher(boost::asio::io_context& context, PlatformStore& store, std::string prefix,
     Handlers handlers, StoreWatcherSettings settings)
     : m_store(&store)
@@ -90,10 +99,13 @@
 
 void StoreWatcher::read()
 {
+    // Before the call, as in watch(): an exception in it, or in the handling of its outcome, must not end the watching.
+    scheduleNext(maxReadTime, &StoreWatcher::restart);
     const auto sentAt = suspendAwareNow();
     m_store->range(m_prefix, [this, generation = m_generation, sentAt](const StoreReadOutcome& outcome) {
         if (generation != m_generation)
             return;
+        scheduleNext(m_retryDelay, &StoreWatcher::restart);
         if (const auto* unavailable = std::get_if<StoreUnavailable>(&outcome)) {
             m_revision = 0;
             onFailure(unavailable->message);
@@ -116,6 +128,12 @@
     });
 }
 
+void StoreWatcher::restart()
+{
+    ++m_generation;
+    read();
+}
+
 void StoreWatcher::watchFirst()
 {
     const auto latestAt = m_startedAt + m_settings.followerStartInterval;
@@ -129,10 +147,13 @@
 {
     const auto wait
         = m_isConfirming ? std::min(m_settings.watchWait, m_settings.confirmingWatchWait) : m_settings.watchWait;
+    scheduleNext(wait + maxWatchDelay, &StoreWatcher::restart);
     m_store->watch(m_prefix, m_revision, wait,
         [this, generation = m_generation, sentAt = suspendAwareNow()](const StoreWatchOutcome& outcome) {
-            if (generation == m_generation)
-                onWatch(outcome, sentAt);
+            if (generation != m_generation)
+                return;
+            scheduleNext(m_retryDelay, &StoreWatcher::restart);
+            onWatch(outcome, sentAt);
         });
 }
 
@@ -189,8 +210,8 @@
 void StoreWatcher::scheduleNext(Duration delay, void (StoreWatcher::*next)())
 {
     m_timer.expires_after(delay);
-    m_timer.async_wait([this, next](const boost::system::error_code& ec) {
-        if (!ec)
+    m_timer.async_wait([this, next, generation = m_generation](const boost::system::error_code& ec) {
+        if (!ec && generation == m_generation)
             (this->*next)();
     });
 }
--- a/Cyclamenstair/Entry/StoreWatcher.h
+++ b/Cyclamenstair/Entry/StoreWatcher.h
@@ -82,6 +82,8 @@
 
 private:
     void read();
+    /// Drops the outcome of a call in progress and reads all records again.
+    void restart();
     /// Watches for the first time, unless this node is about to follow a collector and can wait a little longer.
     void watchFirst();
     void watch();
--- a/Cyclamenstair/Entry/StreamOriginExchange.cpp
+++ b/Cyclamenstair/Entry/StreamOriginExchange.cpp
@@ -79,13 +79,21 @@
 
 void StreamOriginExchange::tick()
 {
+    // Before the work, so that an exception in it does not end the ticks.
+    scheduleTick(tickInterval);
     const auto now = monotonicNow();
     if (now - m_versionsObservedAt >= observationInterval || !m_state->versions.isComplete())
         observeVersions(now);
     writeVersions(now);
     sendOrigins(now);
     writeOrigins(now);
-    m_timer.expires_after(m_state->versions.isMixed(now) ? mixedTickInterval : tickInterval);
+    if (m_state->versions.isMixed(now))
+        scheduleTick(mixedTickInterval);
+}
+
+void StreamOriginExchange::scheduleTick(Duration delay)
+{
+    m_timer.expires_after(delay);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
             tick();
--- a/Cyclamenstair/Entry/StreamOriginExchange.h
+++ b/Cyclamenstair/Entry/StreamOriginExchange.h
@@ -36,6 +36,7 @@
     };
 
     void tick();
+    void scheduleTick(Duration delay);
     void observeVersions(TimePoint now);
     /// Confirms the observed versions as of the last contact with the other nodes or the store.
     void confirmVersions();
--- a/Cyclamenstair/Entry/TargetReachMonitor.cpp
+++ b/Cyclamenstair/Entry/TargetReachMonitor.cpp
@@ -35,16 +35,17 @@
 
 void TargetReachMonitor::tick()
 {
-    const auto now = monotonicNow();
-    const auto& reach = m_state->reach;
-    const bool isDue = reach.isIsolated() ? now - m_probedAt >= isolatedProbeInterval : reach.isSuspect(now);
-    if (isDue && m_pendingProbes == 0)
-        probe(now);
+    // Before the work, so that an exception in it does not end the ticks.
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
             tick();
     });
+    const auto now = monotonicNow();
+    const auto& reach = m_state->reach;
+    const bool isDue = reach.isIsolated() ? now - m_probedAt >= isolatedProbeInterval : reach.isSuspect(now);
+    if (isDue && m_pendingProbes == 0)
+        probe(now);
 }
 
 void TargetReachMonitor::probe(TimePoint now)
@@ -68,13 +69,14 @@
     const auto endpoint = parseEndpoint(target.address);
     if (!endpoint)
         return;
-    ++m_pendingProbes;
     auto probe = std::make_shared<Probe>(*m_context);
     probe->timer.expires_after(connectTimeout);
     probe->timer.async_wait([this, probe, id = target.id, targetCount](const boost::system::error_code& ec) {
         if (!ec)
             onEnded(*probe, id, targetCount, "connection attempt timed out");
     });
+    // From here on the timer ends the probe.
+    ++m_pendingProbes;
     boost::system::error_code ec;
     openClientSocket(probe->socket, endpoint.value().protocol(), ec);
     probe->socket.async_connect(
--- /dev/null
+++ b/Tests/EntryTests/HandlerFailureTests.cpp
@@ -0,0 +1,99 @@
+#include "EntryNodeFixture.h"
+
+using namespace cyclamenstair;
+
+namespace {
+
+/// Throws in its first `failures` calls, and counts all of them.
+struct FailingHandler {
+    void operator()()
+    {
+        if (++calls <= failures)
+            throw std::runtime_error("test");
+    }
+
+    int failures { 1 };
+    std::atomic<int> calls { 0 };
+};
+
+/// Parts of a node on an event loop, with a store.
+class HandlerFailureTest : public testing::Test {
+protected:
+    static bool eventually(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + waitTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        return condition();
+    }
+
+    ~HandlerFailureTest() override { loop.stop(); }
+
+    RegistryStoreStandIn registry;
+    EventLoop loop;
+    PlatformStore store { loop.context(), parseEndpoint(registry.address()).value(), registry.address(), {} };
+};
+
+} // namespace
+
+// Guards against a node that never learns of changes again, because the handling of one record has failed.
+TEST_F(HandlerFailureTest, StoreIsWatchedAfterItsHandlersThrew)
+{
+    FailingHandler onRead;
+    FailingHandler onChange;
+    std::atomic<bool> isLastSeen { false };
+    const auto observe = [&](const StoreRecord& record) {
+        if (record.key == "my/last")
+            isLastSeen = true;
+    };
+    StoreWatcher watcher(loop.context(), store, "my/",
+        { [&](const StoreRange& range) {
+             onRead();
+             for (const auto& record : range.records)
+                 observe(record);
+         },
+            [&](const StoreChange& change) {
+                onChange();
+                observe(change.record);
+            } });
+    loop.post([&] { watcher.start(); });
+    loop.start();
+    EXPECT_TRUE(eventually([&] { return onRead.calls >= 2 && registry.watchCallCount() > 0; }));
+    registry.put("my/first", "value");
+    EXPECT_TRUE(eventually([&] { return onChange.calls >= 1; }));
+    registry.put("my/last", "value");
+    EXPECT_TRUE(eventually([&] { return isLastSeen.load(); }));
+    loop.stop();
+}
+
+// Guards against a node that sends its loads no more, because one exchange with the other nodes has failed.
+TEST_F(HandlerFailureTest, LoadsAreExchangedAfterOneExchangeThrew)
+{
+    auto settings = SettingsReader::create("[node]\nmode = Registered\nid = node-1\n");
+    EntryState state(settings.value());
+    StoreRelay relay("node-1");
+    FailingHandler onCollecting;
+    relay.setCollectingHandler([&](bool) { onCollecting(); });
+    auto mesh = PeerMesh::create(
+        loop.context(), state, { allocateLoopbackAddress(), "a", 1, {} }, {}, { nullptr, nullptr }, relay);
+    ASSERT_TRUE(mesh);
+    loop.post([&] { mesh.value()->start(); });
+    loop.start();
+    EXPECT_TRUE(eventually([&] { return onCollecting.calls >= 3; }));
+    loop.stop();
+}
+
+// Guards against a node that never takes the order lease again, because one attempt has failed.
+TEST_F(HandlerFailureTest, OrderLeaseIsTakenAfterOneAttemptThrew)
+{
+    OrderLeaseElector elector(loop.context(), store, "node-1", {}, 1);
+    FailingHandler isEligible;
+    elector.setEligibility([&] {
+        isEligible();
+        return true;
+    });
+    loop.post([&] { elector.onLeaseHolderChanged({}); });
+    loop.start();
+    EXPECT_TRUE(eventually([&] { return registry.value(OrderLeaseElector::key) == "node-1"; }));
+    loop.stop();
+}
