Keep a node running, and its status 0, when a reload or the log's end fails

A running node ended with status 1 ("cyclamenstaird: std::bad_alloc") if SIGHUP came while there was no memory for the settings: the exception left the loop that waits for signals. After a graceful shutdown the process ended with status 1 ("Resource temporarily unavailable") if the thread that flushes the log could not be started, which a supervisor takes for a failure. The class of both: an exception that leaves the main thread's work.

Before: FailureAtEnd.ReloadWithoutMemoryDoesNotEndTheNode (a limit of memory 64 MB above the node's size, settings of 40 MB) and EndsInOrderWithoutAThreadForTheLog fail, both with status 1.

A failed reload is logged as settings_not_reloaded and the settings stay. If no thread can be started at the end, the log's own thread gets the same time to write. Both tests pass.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -145,6 +145,8 @@
         }).detach();
         return isDone.wait_for(timeout) == std::future_status::ready;
     } catch (const std::exception&) {
+        // Without a thread for the flush, the log's own thread gets the same time.
+        std::this_thread::sleep_for(timeout);
         return false;
     }
 }
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -1,4 +1,5 @@
 #include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/FatalSignals.h>
 #include <Cyclamenstair/Telemetry/Log.h>
@@ -63,6 +64,16 @@
         running);
 }
 
+/// Reloads the settings. If that fails, for example for lack of memory, the node goes on with those that it has.
+void tryReloadSettings(const RunningNode& running, const SettingsFile& file) noexcept
+{
+    try {
+        reloadSettings(running, file);
+    } catch (...) {
+        logCurrentException("settings_not_reloaded");
+    }
+}
+
 /// How the process ends.
 struct ProcessOutcome {
     EndReason reason;
@@ -102,7 +113,7 @@
     auto& node = *started.value();
     int receivedSignal = 0;
     while (sigwait(&signals, &receivedSignal) == 0 && receivedSignal == SIGHUP)
-        reloadSettings(node, file);
+        tryReloadSettings(node, file);
     std::visit([](const auto& running) { running->stop(); }, node);
     return { EndReason::Stopped, exitOk, {} };
 }
