Run several builds side by side, and more signals, in the soak

Operators replace machines one after the other with another build, send signals in series and write settings while processes start. The soak ran one build, sent single signals, never wrote the settings again, and read all output.

--- a/Benchmarks/Soak/SoakDaemon.cpp
+++ b/Benchmarks/Soak/SoakDaemon.cpp
@@ -30,10 +30,10 @@
 {
     std::string text;
     for (const auto& [section, values] : settings) {
-        text += "[" + section + "]\n";
+        text.append("[").append(section).append("]\n");
         for (const auto& [key, value] : values) {
             if (!daemon.unknownKeys.contains(key))
-                text += key + " = " + value + "\n";
+                text.append(key).append(" = ").append(value).append("\n");
         }
     }
     return text;
--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -6,6 +6,9 @@
 
 #include <StandIns/LinkStandIn.h>
 
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace cyclamenstair {
@@ -25,6 +28,11 @@
     StoreDown, ///< The store answers 503.
     StoreReturn, ///< The store is down for a moment and returns from a copy that is some seconds old.
     CutTargets, ///< Nodes lose all links to targets; the others and the store still reach them.
+    SignalBurst, ///< SIGHUP, SIGTERM, and further ones of both while the process ends; at times with a successor.
+    RewriteSettings, ///< The settings are replaced by a rename as a process starts or reloads.
+    OverwriteSettings, ///< The settings are written in place, in two parts, as a process starts or reloads.
+    EarlySignals, ///< SIGHUP in the first 20 ms of processes. Concerns starts, is not drawn by time.
+    UnreadOutput, ///< Nobody reads the output of processes. Concerns starts, is not drawn by time.
 };
 
 template <> struct EnumNames<SoakFaultKind> {
@@ -42,9 +50,21 @@
         { SoakFaultKind::StoreDown, "store_down" },
         { SoakFaultKind::StoreReturn, "store_return" },
         { SoakFaultKind::CutTargets, "cut_targets" },
+        { SoakFaultKind::SignalBurst, "signal_burst" },
+        { SoakFaultKind::RewriteSettings, "rewrite_settings" },
+        { SoakFaultKind::OverwriteSettings, "overwrite_settings" },
+        { SoakFaultKind::EarlySignals, "early_signals" },
+        { SoakFaultKind::UnreadOutput, "unread_output" },
     });
 };
 
+/// A signal of a fault.
+struct SoakSignal {
+    Duration delay {}; ///< After the time of the fault.
+    int number { 0 };
+    bool isForStopping { false }; ///< To the processes that were told to end, instead of the current one.
+};
+
 /// A fault, its time from the start of the traffic, and what it concerns.
 struct SoakFault {
     Duration at {};
@@ -54,6 +74,9 @@
     size_t subject { 0 }; ///< Index of the node or target; the first one of CutTargets.
     size_t cutNodes { 0 }; ///< Of CutTargets: the subject and the nodes after it.
     LinkMode linkMode { LinkMode::Pass }; ///< Of CutTargets.
+    std::vector<SoakSignal> signals {}; ///< Of SignalBurst, RewriteSettings and OverwriteSettings.
+    std::optional<Duration> replaceDelay {}; ///< Of the same kinds: when the process is replaced.
+    Duration pause {}; ///< Of OverwriteSettings, between the two parts.
 };
 
 /// Settings of a soak.
@@ -64,6 +87,16 @@
     size_t callers { 12 };
     Duration meanFaultInterval { milliseconds(1500) }; ///< Of all kinds but CutTargets.
     Duration meanCutInterval { milliseconds(3000) };
+    bool isStressed { false }; ///< Plays the kinds from SignalBurst on, drawn apart from the others.
+    Duration meanStressInterval { milliseconds(700) };
+    std::set<SoakFaultKind> leftOut; ///< Kinds that are not played. The times of the others stay the same.
+    std::vector<std::string> daemons { "Programs/cyclamenstaird" }; ///< Each start takes one of them.
+
+    /// Returns whether faults of this kind happen.
+    bool plays(SoakFaultKind kind) const
+    {
+        return (kind < SoakFaultKind::SignalBurst || isStressed) && !leftOut.contains(kind);
+    }
 };
 
 /// Returns the faults of a soak in the order of their times; the same for the same settings.
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -1,25 +1,46 @@
 #include <Benchmarks/Soak/SoakNode.h>
 
-#include <StandIns/LoopbackPort.h>
-
+#include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <thread>
 
 namespace cyclamenstair {
 
-SoakNode::SoakNode(const std::string& id, const std::string& folder, const std::string& storeAddress,
-    const std::string& peerAddress, const std::string& seeds)
+namespace {
+
+    constexpr uint64_t seedOfDaemons = 0x6275696c64;
+    constexpr uint64_t seedOfStress = 0x737472657373;
+    constexpr double unreadOutputShare = 0.25; ///< Of the processes.
+    constexpr double earlySignalsShare = 0.5; ///< Of the starts.
+    constexpr size_t maxEarlySignals = 6;
+    constexpr double maxEarlySignalMs = 20; ///< After the start.
+
+    Random randomFor(uint64_t seed, const std::string& id) { return Random(seed ^ std::hash<std::string>()(id)); }
+
+} // namespace
+
+SoakNode::SoakNode(
+    const std::string& id, const std::string& folder, SoakNodeSettings settings, SoakStarts starts, SoakTimer& timer)
     : m_id(id)
-    , m_callerAddress(allocateLoopbackAddress())
-    , m_probeAddress(allocateLoopbackAddress())
-    , m_settingsPath(folder + "/" + id + ".ini")
-    , m_logPath(folder + "/" + id + ".log")
+    , m_folder(folder)
+    , m_settings(std::move(settings))
+    , m_starts(std::move(starts))
+    , m_timer(timer)
+    , m_daemonRandom(randomFor(m_starts.seed ^ seedOfDaemons, id))
+    , m_stressRandom(randomFor(m_starts.seed ^ seedOfStress, id))
 {
-    std::ofstream(m_settingsPath) << "[node]\nmode = Registered\nid = " << id
-                                  << "\n[entry]\nlisten = " << m_callerAddress << "\nready_listen = " << m_probeAddress
-                                  << "\npeer_listen = " << peerAddress << "\nseeds = " << seeds
-                                  << "\nrelay_listen = " << allocateLoopbackAddress()
-                                  << "\n[control]\nstore = " << storeAddress << "\n";
+    for (size_t i = 0; i < m_starts.daemons.size(); ++i)
+        std::ofstream(settingsPath(i)) << formatSettings(m_settings, m_starts.daemons[i]);
+}
+
+std::string SoakNode::settingsPath(size_t daemon) const
+{
+    return m_folder + "/" + m_id + "-" + std::to_string(daemon) + ".ini";
 }
 
 void SoakNode::start()
@@ -31,8 +52,43 @@
 void SoakNode::startProcess()
 {
     m_disturbedAt = monotonicNow();
-    m_process = std::make_unique<SoakProcess>(
-        "Programs/cyclamenstaird", std::vector<std::string> { "--config", m_settingsPath }, m_logPath);
+    const size_t daemon = randomIndex(m_daemonRandom, m_starts.daemons.size());
+    const bool isOutputRead = !m_starts.hasUnreadOutput || randomUnit(m_stressRandom) >= unreadOutputShare;
+    m_process = std::make_unique<SoakProcess>(m_starts.daemons[daemon].program,
+        std::vector<std::string> { "--config", settingsPath(daemon) }, m_folder + "/" + m_id + ".log", isOutputRead);
+    std::ostringstream text;
+    text << "start " << m_id << ", process " << m_process->id() << ", daemon " << daemon
+         << (isOutputRead ? "" : ", output not read") << "\n";
+    std::cout << text.str() << std::flush;
+    if (m_starts.hasEarlySignals)
+        scheduleEarlySignals();
+}
+
+void SoakNode::scheduleEarlySignals()
+{
+    if (randomUnit(m_stressRandom) >= earlySignalsShare)
+        return;
+    const auto now = monotonicNow();
+    const size_t count = 1 + randomIndex(m_stressRandom, maxEarlySignals);
+    // Most processes end by a signal that arrives before they block it, so that half of the series wait for that.
+    const bool waits = randomIndex(m_stressRandom, 2) == 0;
+    for (size_t i = 0; i < count; ++i) {
+        const auto delay
+            = std::chrono::microseconds(static_cast<int64_t>(1000 * maxEarlySignalMs * randomUnit(m_stressRandom)));
+        m_timer.schedule(now + delay, [this, id = m_process->id(), waits] { sendEarlySignal(id, waits); });
+    }
+}
+
+void SoakNode::sendEarlySignal(pid_t process, bool waits)
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_process || m_process->id() != process)
+        return;
+    if (waits && !m_process->isPrepared(SIGHUP)) {
+        m_timer.schedule(monotonicNow() + milliseconds(1), [this, process] { sendEarlySignal(process, true); });
+        return;
+    }
+    m_process->sendSignal(SIGHUP);
 }
 
 void SoakNode::signal(int number)
@@ -48,12 +104,35 @@
     }
 }
 
-void SoakNode::replace()
+void SoakNode::signalStopping(int number)
 {
     std::lock_guard lock(m_mutex);
-    m_process->sendSignal(SIGTERM);
-    m_predecessors.push_back(std::move(m_process));
-    startProcess();
+    if (m_process && m_process->isToldToEnd())
+        m_process->sendSignal(number);
+    for (const auto& predecessor : m_predecessors)
+        predecessor->sendSignal(number);
+}
+
+void SoakNode::rewriteSettings(bool isInPlace, Duration pause)
+{
+    std::lock_guard lock(m_rewriteMutex);
+    m_disturbedAt = monotonicNow();
+    ++m_rewriteCount;
+    for (size_t i = 0; i < m_starts.daemons.size(); ++i) {
+        const auto path = settingsPath(i);
+        const auto text = "# " + std::string(static_cast<size_t>(m_rewriteCount), '#') + "\n"
+            + formatSettings(m_settings, m_starts.daemons[i]);
+        if (!isInPlace) {
+            const auto temporaryPath = path + ".new";
+            std::ofstream(temporaryPath) << text;
+            std::filesystem::rename(temporaryPath, path);
+            continue;
+        }
+        std::ofstream file(path);
+        file << text.substr(0, text.size() / 2) << std::flush;
+        std::this_thread::sleep_for(pause);
+        file << text.substr(text.size() / 2);
+    }
 }
 
 bool SoakNode::isStopping()
@@ -62,6 +141,16 @@
     return !m_process || m_process->isToldToEnd() || !m_predecessors.empty();
 }
 
+void SoakNode::replace()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_isStopped)
+        return;
+    m_process->sendSignal(SIGTERM);
+    m_predecessors.push_back(std::move(m_process));
+    startProcess();
+}
+
 std::vector<SoakEnd> SoakNode::restartIfEnded()
 {
     std::lock_guard lock(m_mutex);
@@ -70,6 +159,7 @@
     if (!m_predecessors.empty())
         m_disturbedAt = monotonicNow();
     const auto takeEnd = [&](const auto& process) {
+        m_maxResidentBytes = std::max(m_maxResidentBytes, process->maxResidentBytes());
         auto end = process->takeEnd();
         if (end)
             ends.push_back(*end);
@@ -100,4 +190,10 @@
     return m_isStopped && !m_process && m_predecessors.empty();
 }
 
+uint64_t SoakNode::maxResidentBytes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_maxResidentBytes;
+}
+
 } // namespace cyclamenstair
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <Benchmarks/Soak/SoakDaemon.h>
 #include <Benchmarks/Soak/SoakProcess.h>
+#include <Benchmarks/Soak/SoakTimer.h>
+
+#include <Cyclamenstair/Core/Random.h>
 
 #include <atomic>
 #include <memory>
@@ -10,21 +14,37 @@
 
 namespace cyclamenstair {
 
+/// What happens to the starts of a node's processes.
+struct SoakStarts {
+    std::vector<SoakDaemon> daemons; ///< Each start takes one of them by chance.
+    uint64_t seed { 1 };
+    bool hasEarlySignals { false }; ///< A part of the starts is followed by SIGHUP at once, several times.
+    bool hasUnreadOutput { false }; ///< Nobody reads the output of a part of the processes.
+};
+
 /// A node of a soak, which runs as a separate process and is restarted when it has ended. Thread-safe.
 class SoakNode {
 public:
-    SoakNode(const std::string& id, const std::string& folder, const std::string& storeAddress,
-        const std::string& peerAddress, const std::string& seeds);
+    /// `folder` receives the settings and the log. The timer must be stopped before the node is destroyed.
+    SoakNode(const std::string& id, const std::string& folder, SoakNodeSettings settings, SoakStarts starts,
+        SoakTimer& timer);
 
     const std::string& id() const { return m_id; }
-    const std::string& callerAddress() const { return m_callerAddress; }
-    const std::string& probeAddress() const { return m_probeAddress; }
+    const std::string& callerAddress() const { return m_settings.at("entry").at("listen"); }
+    const std::string& probeAddress() const { return m_settings.at("entry").at("ready_listen"); }
 
     void start();
 
     /// Sends a signal, which disturbs the node.
     void signal(int number);
 
+    /// Sends a signal to all processes that were told to end and have not ended yet.
+    void signalStopping(int number);
+
+    /// Writes the settings files again, with other text of the same meaning: by a rename, or in place in two parts with
+    /// a pause between them.
+    void rewriteSettings(bool isInPlace, Duration pause);
+
     /// Records that the node was disturbed from outside.
     void markDisturbed() { m_disturbedAt = monotonicNow(); }
 
@@ -46,15 +66,29 @@
     /// Returns whether the node has not been disturbed since `time`.
     bool isCalmSince(TimePoint time) const { return m_disturbedAt.load() < time; }
 
+    /// Returns the largest resident memory of a process of this node so far, in bytes.
+    uint64_t maxResidentBytes();
+
 private:
     void startProcess();
+    /// Sends SIGHUP to the process some times in the first milliseconds, by chance.
+    void scheduleEarlySignals();
+    /// Sends SIGHUP to the process if it is still the node's one, at once or as soon as it blocks the signal.
+    void sendEarlySignal(pid_t process, bool waits);
+    std::string settingsPath(size_t daemon) const;
 
     std::string m_id;
-    std::string m_callerAddress;
-    std::string m_probeAddress;
-    std::string m_settingsPath;
-    std::string m_logPath;
-    std::mutex m_mutex;
+    std::string m_folder;
+    SoakNodeSettings m_settings;
+    SoakStarts m_starts;
+    SoakTimer& m_timer;
+    /// Guards the contents of the settings files. Not the other lock, so that processes start while they are written.
+    std::mutex m_rewriteMutex;
+    int m_rewriteCount { 0 };
+    std::mutex m_mutex; ///< Guards the members below.
+    Random m_daemonRandom;
+    Random m_stressRandom;
+    uint64_t m_maxResidentBytes { 0 };
     std::unique_ptr<SoakProcess> m_process; ///< Null once it has ended after `stop`.
     std::vector<std::unique_ptr<SoakProcess>> m_predecessors; ///< Replaced processes that have not ended yet.
     bool m_isStopped { false };
--- a/Benchmarks/Soak/SoakProcess.cpp
+++ b/Benchmarks/Soak/SoakProcess.cpp
@@ -1,9 +1,15 @@
 #include <Benchmarks/Soak/SoakProcess.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
+#include <sys/stat.h>
+#include <unistd.h>
 
 namespace cyclamenstair {
 
@@ -15,38 +21,86 @@
     constexpr auto gracePeriod = milliseconds(8000);
     constexpr auto graceMargin = milliseconds(3000);
 
-    /// Returns whether the process blocks, ignores or catches the signal, as its own code does before anything else.
-    bool isPrepared(pid_t id, int number)
+    constexpr auto sampleInterval = milliseconds(200);
+    constexpr uint64_t bytesPerKilobyte = 1024;
+
+    /// Smallest pipe of the system, so that a write blocks after few lines.
+    constexpr int pipeBytes = 4096;
+
+    /// Returns the values of the lines of /proc/PID/status that begin with one of the names; none if the process has
+    /// ended.
+    std::vector<std::string> readProcessStatus(pid_t id, const std::vector<std::string>& names)
     {
         std::ifstream file("/proc/" + std::to_string(id) + "/status");
-        const uint64_t bit = uint64_t { 1 } << static_cast<unsigned>(number - 1);
+        std::vector<std::string> values;
         for (std::string line; std::getline(file, line);) {
-            if (!line.starts_with("SigBlk:") && !line.starts_with("SigIgn:") && !line.starts_with("SigCgt:"))
-                continue;
-            std::istringstream text(line.substr(line.find(':') + 1));
-            uint64_t mask = 0;
-            if (text >> std::hex >> mask && (mask & bit) != 0)
-                return true;
+            const auto colon = line.find(':');
+            if (colon != std::string::npos
+                && std::find(names.begin(), names.end(), line.substr(0, colon)) != names.end())
+                values.push_back(line.substr(colon + 1));
         }
-        return false;
+        return values;
     }
 
 } // namespace
 
-SoakProcess::SoakProcess(
-    const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath)
-    : m_process(program, arguments, logPath)
+UnreadPipe::UnreadPipe(const std::string& logPath)
+    : m_logPath(logPath)
+    , m_path(logPath + ".pipe")
+{
+    std::filesystem::remove(m_path);
+    if (::mkfifo(m_path.c_str(), S_IRUSR | S_IWUSR) != 0)
+        throw std::runtime_error("cannot create a pipe at " + m_path);
+    m_descriptor = ::open(m_path.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    if (m_descriptor < 0 || ::fcntl(m_descriptor, F_SETPIPE_SZ, pipeBytes) < 0)
+        throw std::runtime_error("cannot open the pipe at " + m_path);
+}
+
+UnreadPipe::~UnreadPipe()
+{
+    std::array<char, pipeBytes> buffer {};
+    std::ofstream log(m_logPath, std::ios::app);
+    for (ssize_t size = 0; (size = ::read(m_descriptor, buffer.data(), buffer.size())) > 0;)
+        log.write(buffer.data(), size);
+    ::close(m_descriptor);
+    std::error_code ignored;
+    std::filesystem::remove(m_path, ignored);
+}
+
+SoakProcess::SoakProcess(const std::string& program, const std::vector<std::string>& arguments,
+    const std::string& logPath, bool isOutputRead)
+    : m_output(isOutputRead ? nullptr : std::make_unique<UnreadPipe>(logPath))
+    , m_process(program, arguments, m_output ? m_output->path() : logPath)
     , m_id(m_process.id())
     , m_startedAt(monotonicNow())
 {
 }
 
+bool SoakProcess::isPrepared(int number) const
+{
+    const uint64_t bit = uint64_t { 1 } << static_cast<unsigned>(number - 1);
+    const auto masks = readProcessStatus(m_id, { "SigBlk", "SigIgn", "SigCgt" });
+    return std::any_of(masks.begin(), masks.end(),
+        [&](const std::string& mask) { return (std::stoull(mask, nullptr, 16) & bit) != 0; });
+}
+
+uint64_t SoakProcess::maxResidentBytes()
+{
+    const auto now = monotonicNow();
+    if (now - m_sampledAt < sampleInterval || m_process.hasExited())
+        return m_maxResidentBytes;
+    m_sampledAt = now;
+    for (const auto& value : readProcessStatus(m_id, { "VmHWM" }))
+        m_maxResidentBytes = std::max<uint64_t>(m_maxResidentBytes, std::stoull(value) * bytesPerKilobyte);
+    return m_maxResidentBytes;
+}
+
 void SoakProcess::sendSignal(int number)
 {
     if (m_process.hasExited())
         return;
     const auto now = monotonicNow();
-    if ((number == SIGHUP || number == SIGTERM) && !isPrepared(m_id, number))
+    if ((number == SIGHUP || number == SIGTERM) && !isPrepared(number))
         m_earlySignals.push_back(number);
     if (number == SIGTERM && !m_terminatedAt)
         m_terminatedAt = now;
--- a/Benchmarks/Soak/SoakProcess.h
+++ b/Benchmarks/Soak/SoakProcess.h
@@ -5,6 +5,7 @@
 
 #include <Tests/Support/ProcessFleet.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,16 +35,43 @@
     std::string description; ///< The exit status, and what the process was told before.
 };
 
+/// A named pipe that nobody reads. What is in it is added to a log at the end.
+class UnreadPipe {
+public:
+    explicit UnreadPipe(const std::string& logPath);
+    ~UnreadPipe();
+    UnreadPipe(const UnreadPipe&) = delete;
+    UnreadPipe& operator=(const UnreadPipe&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_logPath;
+    std::string m_path;
+    int m_descriptor { -1 };
+};
+
 /// A process of a soak and the signals that it was sent. Not thread-safe.
 class SoakProcess {
 public:
-    SoakProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath);
+    /// If `isOutputRead` is false, nobody reads the output until the process has ended, which blocks its writes once a
+    /// small pipe is full.
+    SoakProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath,
+        bool isOutputRead);
+
+    pid_t id() const { return m_id; }
 
     void sendSignal(int number);
 
     /// Returns whether the process was told to end.
     bool isToldToEnd() const { return m_terminatedAt || m_isKilled; }
 
+    /// Returns whether the process blocks, ignores or catches the signal, as its own code does before anything else.
+    bool isPrepared(int number) const;
+
+    /// Returns the largest resident memory so far, in bytes, as of the last samples.
+    uint64_t maxResidentBytes();
+
     /// Returns the end of the process once; no value while it runs and after that. A process that has not ended in
     /// time after SIGTERM is killed.
     std::optional<SoakEnd> takeEnd();
@@ -53,6 +81,7 @@
     SoakVerdict judge(int status) const;
     std::string describe(const std::string& end) const;
 
+    std::unique_ptr<UnreadPipe> m_output; ///< Null if the output goes to the log.
     testing::ChildProcess m_process;
     pid_t m_id;
     TimePoint m_startedAt;
@@ -62,6 +91,8 @@
     bool m_isFrozen { false };
     std::vector<int> m_earlySignals; ///< Sent before the process blocked them.
     bool m_isEndTaken { false };
+    uint64_t m_maxResidentBytes { 0 };
+    TimePoint m_sampledAt {};
 };
 
 } // namespace cyclamenstair
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -17,23 +17,15 @@
 
 namespace {
 
-    constexpr size_t targetsPerService = 3;
     constexpr auto callTimeout = milliseconds(4500); ///< Beyond the routes' timeout.
-    constexpr auto settleTime = milliseconds(3000); ///< After which a disturbed process counts as calm.
-    constexpr auto catalogTime = milliseconds(2000); ///< Within which a change is in force.
-    constexpr auto recoveryTime = milliseconds(3000); ///< After which callers of a node that was cut off are served.
-    /// Bounds of first tries at such nodes: the part of the share served at the others, and how many may fail.
-    constexpr double minServedRatio = 2.0 / 3;
-    constexpr double maxFailedTries = 10;
-    constexpr double maxFailedShare = 1.0 / 50;
     constexpr auto requestInterval = milliseconds(20);
     constexpr size_t engineCount = 2;
     constexpr auto modelDropInterval = milliseconds(400); ///< Between two engines that drop their models.
     constexpr auto copyInterval = milliseconds(4000); ///< Between two copies of the store.
     constexpr auto tickInterval = milliseconds(10);
+    constexpr auto rewriteDelay = milliseconds(10); ///< Half of the time within which a reload or start coincides.
     constexpr auto startTimeout = std::chrono::seconds(20);
     constexpr uint32_t ok = 200;
-    constexpr uint32_t unavailable = 503;
 
     std::string catalogText(int version)
     {
@@ -53,13 +45,29 @@
             + R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
     }
 
-    /// Body of a whole stream of RegisteredTargetStandIn.
-    std::string streamBody()
+    SoakNodeSettings settingsOf(
+        const std::string& id, const std::string& store, const std::string& peerAddress, const std::string& seeds)
     {
-        std::string body;
-        for (int event = 1; event <= 5; ++event)
-            body += "id: " + std::to_string(event) + "\ndata: token\n\n";
-        return body;
+        return { { "node", { { "mode", "Registered" }, { "id", id } } },
+            { "entry",
+                { { "listen", allocateLoopbackAddress() }, { "ready_listen", allocateLoopbackAddress() },
+                    { "peer_listen", peerAddress }, { "seeds", seeds },
+                    { "relay_listen", allocateLoopbackAddress() } } },
+            { "control", { { "store", store } } } };
+    }
+
+    std::vector<SoakDaemon> probeDaemons(
+        const std::vector<std::string>& programs, const SoakNodeSettings& settings, const std::string& folder)
+    {
+        std::vector<SoakDaemon> daemons;
+        for (const auto& program : programs) {
+            daemons.push_back(probeDaemon(program, settings, folder));
+            std::cout << "daemon " << daemons.size() - 1 << ": " << program;
+            for (const auto& key : daemons.back().unknownKeys)
+                std::cout << ", without the setting " << key;
+            std::cout << std::endl;
+        }
+        return daemons;
     }
 
 } // namespace
@@ -75,6 +83,10 @@
     const auto seed = allocateLoopbackAddress();
     m_links.resize(settings.nodes);
     m_cutAt.resize(settings.nodes);
+    SoakStarts starts;
+    starts.seed = settings.seed;
+    starts.hasEarlySignals = settings.plays(SoakFaultKind::EarlySignals);
+    starts.hasUnreadOutput = settings.plays(SoakFaultKind::UnreadOutput);
     for (size_t i = 0; i < settings.nodes; ++i) {
         std::map<std::string, std::string> view;
         for (const auto* targets : { &m_targets, &m_engines }) {
@@ -83,11 +95,17 @@
                 view[target->address()] = m_links[i].back()->address();
             }
         }
-        m_nodes.push_back(std::make_unique<SoakNode>("node-" + std::to_string(i), folder,
-            m_store.addView(std::move(view)), i == 0 ? seed : allocateLoopbackAddress(), seed));
+        const auto id = "node-" + std::to_string(i);
+        const auto nodeSettings
+            = settingsOf(id, m_store.addView(std::move(view)), i == 0 ? seed : allocateLoopbackAddress(), seed);
+        if (i == 0)
+            starts.daemons = probeDaemons(settings.daemons, nodeSettings, folder);
+        m_nodes.push_back(std::make_unique<SoakNode>(id, folder, nodeSettings, starts, m_timer));
     }
 }
 
+SoakRun::~SoakRun() { m_timer.stop(); }
+
 void SoakRun::run()
 {
     writeCatalog();
@@ -133,8 +151,16 @@
 
 void SoakRun::stopNodes()
 {
-    for (const auto& node : m_nodes)
+    constexpr double maxLateDelayMs = 4000;
+    Random random(m_settings.seed);
+    for (const auto& node : m_nodes) {
         node->stop();
+        if (!m_settings.plays(SoakFaultKind::SignalBurst))
+            continue;
+        for (const int number : { SIGHUP, SIGTERM, SIGHUP })
+            m_timer.schedule(monotonicNow() + milliseconds(static_cast<int64_t>(maxLateDelayMs * randomUnit(random))),
+                [node = node.get(), number] { node->signalStopping(number); });
+    }
     // Ends, as a process that is overdue is killed.
     while (!std::all_of(m_nodes.begin(), m_nodes.end(), [](const auto& node) { return node->hasStopped(); })) {
         tick();
@@ -148,6 +174,14 @@
     return m_findings;
 }
 
+uint64_t SoakRun::maxResidentBytes()
+{
+    uint64_t bytes = 0;
+    for (const auto& node : m_nodes)
+        bytes = std::max(bytes, node->maxResidentBytes());
+    return bytes;
+}
+
 std::map<uint32_t, size_t> SoakRun::requestCounts()
 {
     std::lock_guard lock(m_mutex);
@@ -215,49 +249,6 @@
     }
 }
 
-SoakRun::FirstTries* SoakRun::selectFirstTries(size_t node, TimePoint now)
-{
-    std::lock_guard lock(m_mutex);
-    const auto isCountedFrom = [&](const auto& cutAt) { return cutAt && *cutAt + recoveryTime <= now; };
-    if (m_cutAt[node])
-        return isCountedFrom(m_cutAt[node]) ? &m_triesAtCutNodes : nullptr;
-    return std::any_of(m_cutAt.begin(), m_cutAt.end(), isCountedFrom) ? &m_triesAtOthers : nullptr;
-}
-
-void SoakRun::countFirstTry(FirstTries& tries, size_t node, TimePoint sentAt, bool isServed)
-{
-    const auto isCalm = [&](size_t index) {
-        return m_nodes[index]->isCalmSince(sentAt - settleTime) && !m_nodes[index]->isStopping();
-    };
-    std::lock_guard lock(m_mutex);
-    bool isAnyLinkedCalm = false;
-    for (size_t i = 0; i < m_nodes.size(); ++i)
-        isAnyLinkedCalm = isAnyLinkedCalm || (!m_cutAt[i] && isCalm(i));
-    if (!isAnyLinkedCalm || (&tries == &m_triesAtCutNodes && !isCalm(node)))
-        return;
-    ++tries.count;
-    tries.served += isServed ? 1 : 0;
-}
-
-void SoakRun::checkFirstTries()
-{
-    const auto cut = m_triesAtCutNodes;
-    const auto others = m_triesAtOthers;
-    std::ostringstream text;
-    text << cut.served << " of " << cut.count << " first tries served at nodes that were cut off, " << others.served
-         << " of " << others.count << " at the others";
-    std::cout << text.str() << "\n";
-    if (cut.count == 0 || others.count == 0)
-        return;
-    const auto share
-        = [](const FirstTries& tries) { return static_cast<double>(tries.served) / static_cast<double>(tries.count); };
-    const auto count = static_cast<double>(cut.count);
-    // Disturbed targets fail requests at all nodes; more than at the others may fail within these bounds only.
-    const double excess = count * (share(others) - share(cut));
-    if (share(cut) < minServedRatio * share(others) || excess > maxFailedTries + count * maxFailedShare)
-        report(SoakRule::CutOffCallers, text.str());
-}
-
 void SoakRun::inject(const SoakFault& fault)
 {
     std::cout << "fault " << nameOf(fault.kind) << " " << fault.subject << " at " << toMilliseconds(fault.at) << " ms";
@@ -310,6 +301,14 @@
     case SoakFaultKind::CutTargets:
         cutTargets(fault);
         break;
+    case SoakFaultKind::SignalBurst:
+    case SoakFaultKind::RewriteSettings:
+    case SoakFaultKind::OverwriteSettings:
+        scheduleStress(fault);
+        break;
+    case SoakFaultKind::EarlySignals: // Concern starts, see SoakNode.
+    case SoakFaultKind::UnreadOutput:
+        break;
     case SoakFaultKind::StoreDown:
     case SoakFaultKind::StoreReturn: {
         const bool returns = fault.kind == SoakFaultKind::StoreReturn;
@@ -328,6 +327,26 @@
     }
 }
 
+void SoakRun::scheduleStress(const SoakFault& fault)
+{
+    const auto now = monotonicNow();
+    auto* node = m_nodes[fault.subject].get();
+    for (const auto& signal : fault.signals) {
+        m_timer.schedule(now + signal.delay, [node, signal] {
+            if (signal.isForStopping)
+                node->signalStopping(signal.number);
+            else
+                node->signal(signal.number);
+        });
+    }
+    if (fault.replaceDelay)
+        m_timer.schedule(now + *fault.replaceDelay, [node] { node->replace(); });
+    const bool isInPlace = fault.kind == SoakFaultKind::OverwriteSettings;
+    if (isInPlace || fault.kind == SoakFaultKind::RewriteSettings)
+        m_timer.schedule(
+            now + rewriteDelay, [node, isInPlace, pause = fault.pause] { node->rewriteSettings(isInPlace, pause); });
+}
+
 void SoakRun::tick()
 {
     const auto now = monotonicNow();
@@ -354,25 +373,6 @@
     }
 }
 
-void SoakRun::checkEnd(const SoakNode& node, const SoakEnd& end)
-{
-    ++m_endCounts[end.verdict];
-    const auto description = node.id() + ": " + end.description;
-    switch (end.verdict) {
-    case SoakVerdict::Expected:
-        break;
-    case SoakVerdict::ByItself:
-        report(SoakRule::EndedByItself, description);
-        break;
-    case SoakVerdict::WrongEnd:
-        report(SoakRule::WrongEnd, description);
-        break;
-    case SoakVerdict::BeforeSign:
-        std::cout << "ended before it blocked signals: " << description << std::endl;
-        break;
-    }
-}
-
 void SoakRun::sendRequests(size_t caller)
 {
     EventLoop loop;
@@ -408,61 +408,6 @@
     loop.stop();
 }
 
-void SoakRun::check(size_t nodeIndex, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
-    const std::string& body)
-{
-    const auto& node = *m_nodes[nodeIndex];
-    {
-        std::lock_guard lock(m_mutex);
-        ++m_requestCounts[status];
-    }
-    const auto calmSince = sentAt - settleTime;
-    const bool isNodeCalm = node.isCalmSince(calmSince);
-    const auto description = path + " " + id + " at " + node.id() + ", status " + std::to_string(status);
-    const int runs = runCount(id);
-    if (path == "/once/" && runs > 1)
-        report(SoakRule::RunTwice, description);
-    if (status == unavailable && runs > 0 && path == "/once/")
-        report(SoakRule::RunAndRefused, description);
-    // A target that breaks its answer off ends the stream, and a request that crosses a close is not counted.
-    if (status == 0 && runs > 0 && isNodeCalm && m_targetDisturbedAt.load() < calmSince)
-        report(SoakRule::NoAnswer, description);
-    if (status != ok)
-        return;
-    if (path == "/stream/") {
-        if (body != streamBody())
-            report(SoakRule::WrongAnswer, description + ", body " + body);
-        return;
-    }
-    const auto separator = body.find(':');
-    const auto target = body.substr(0, separator);
-    if (separator == std::string::npos || body.substr(separator + 1) != id)
-        report(SoakRule::WrongAnswer, description + ", body " + body);
-    const bool isOther = std::any_of(m_targets.begin() + targetsPerService, m_targets.end(),
-        [&](const auto& candidate) { return candidate->id() == target; });
-    // Read before the time of the change, which is written first.
-    const int catalogVersion = m_catalogVersion;
-    const bool isCatalogSettled
-        = m_catalogChangedAt.load() + catalogTime < sentAt && m_storeDisturbedAt.load() < calmSince && isNodeCalm;
-    if (path == "/safe/" && isCatalogSettled && isOther != (catalogVersion % 2 == 0))
-        report(SoakRule::OldCatalog, description + ", target " + target);
-}
-
-void SoakRun::report(SoakRule rule, const std::string& description)
-{
-    std::lock_guard lock(m_mutex);
-    m_findings[rule].push_back(description);
-    std::cout << "broken: " << nameOf(rule) << ", " << description << std::endl;
-}
-
-int SoakRun::runCount(const std::string& id)
-{
-    int count = 0;
-    for (const auto& target : m_targets)
-        count += target->runCount(id);
-    return count;
-}
-
 bool SoakRun::waitUntilServing()
 {
     EventLoop loop;
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -46,6 +46,9 @@
 public:
     /// `folder` receives settings and logs of the nodes.
     SoakRun(const SoakSettings& settings, const std::string& folder);
+    ~SoakRun();
+    SoakRun(const SoakRun&) = delete;
+    SoakRun& operator=(const SoakRun&) = delete;
 
     /// Blocks until the soak is over.
     void run();
@@ -56,10 +59,15 @@
     size_t orderCount();
     /// Returns the number of requests by status; 0 is a request without an answer.
     std::map<uint32_t, size_t> requestCounts();
+    /// Returns the largest resident memory of a node's process.
+    uint64_t maxResidentBytes();
     /// Returns the number of ends of processes by verdict.
     const std::map<SoakVerdict, size_t>& endCounts() const { return m_endCounts; }
 
 private:
+    static constexpr size_t targetsPerService = 3;
+    static constexpr auto settleTime = milliseconds(3000); ///< After which a disturbed process counts as calm.
+
     /// First tries and how many of them were served.
     struct FirstTries {
         size_t count { 0 };
@@ -80,6 +88,8 @@
     /// Compares the first tries at nodes that were cut off with those at the others.
     void checkFirstTries();
     void inject(const SoakFault& fault);
+    /// Schedules the signals and the writing of the settings.
+    void scheduleStress(const SoakFault& fault);
     /// Ends the faults whose time has passed, restarts ended processes, and checks how they ended.
     void tick();
     void checkEnd(const SoakNode& node, const SoakEnd& end);
@@ -103,6 +113,7 @@
     TimePoint m_modelsDroppedAt;
     TimePoint m_copyKeptAt;
     int m_storeFaults { 0 }; ///< Faults that keep the store down.
+    SoakTimer m_timer; ///< Its actions use the nodes; stopped before they are destroyed.
     std::vector<std::unique_ptr<SoakNode>> m_nodes;
     std::vector<std::pair<TimePoint, std::function<void()>>> m_endings; ///< Of faults, with their times.
     std::map<SoakVerdict, size_t> m_endCounts;
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -57,7 +57,7 @@
 ChildProcess::ChildProcess(
     const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath)
 {
-    const auto path = std::string(CYCLAMENSTAIR_BINARY_DIR) + "/" + program;
+    const auto path = (std::filesystem::path(CYCLAMENSTAIR_BINARY_DIR) / program).string();
     std::vector<char*> argv { const_cast<char*>(path.c_str()) };
     for (const auto& argument : arguments)
         argv.push_back(const_cast<char*>(argument.c_str()));
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -17,8 +17,8 @@
 /// Child process of a test. The destructor kills it if it is still running.
 class ChildProcess {
 public:
-    /// Starts `program` from the build's binary directory and appends its output to `logPath`. Throws
-    /// std::runtime_error if it cannot be started.
+    /// Starts `program`, an absolute path or a path in the build's binary directory, and appends its output to
+    /// `logPath`. Throws std::runtime_error if it cannot be started.
     ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath);
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
