Look for rejected messages in the logs of a soak

Builds that run side by side may fail to decode each other's messages and records, which closes channels and loses load reports, and no rule of the soak showed it. The new rule rejected_input names the node, the event, the number of lines and the first of them.

--- a/Benchmarks/Soak/SoakFault.cpp
+++ b/Benchmarks/Soak/SoakFault.cpp
@@ -75,6 +75,15 @@
             fault.signals.push_back({ delay, choice == 1 ? SIGHUP : SIGKILL, false });
     }
 
+    /// Makes a replacement a restart: no process then starts beside its predecessor.
+    void startAfterEnd(SoakFault& fault)
+    {
+        if (!fault.replaceDelay)
+            return;
+        fault.signals.push_back({ *fault.replaceDelay, SIGTERM, false });
+        fault.replaceDelay.reset();
+    }
+
     std::vector<SoakFault> drawStress(const SoakSettings& settings)
     {
         constexpr uint64_t seedOfStress = 0x7374726573;
@@ -119,6 +128,10 @@
     for (const auto& others : { drawCuts(settings), drawStress(settings) })
         faults.insert(faults.end(), others.begin(), others.end());
     std::erase_if(faults, [&](const auto& fault) { return !settings.plays(fault.kind); });
+    if (!settings.plays(SoakFaultKind::Replace)) {
+        for (auto& fault : faults)
+            startAfterEnd(fault);
+    }
     std::stable_sort(faults.begin(), faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     return faults;
 }
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -29,7 +29,9 @@
     cxxopts::Options options("cyclamenstair-soak", "Runs nodes as processes under faults and checks the rules.");
     options.add_options()("seed", "Seed of the faults and requests", cxxopts::value<uint64_t>()->default_value("1"))(
         "seconds", "Duration of the traffic", cxxopts::value<int>()->default_value("30"))(
-        "nodes", "Number of nodes", cxxopts::value<size_t>()->default_value("3"))("daemon",
+        "nodes", "Number of nodes", cxxopts::value<size_t>()->default_value("3"))("interval-ms",
+        "Mean time between faults, apart from cuts and those of --stress",
+        cxxopts::value<int>()->default_value("1500"))("daemon",
         "Paths of daemons, of which each start takes one by chance of the seed. Settings that a daemon rejects as "
         "unknown "
         "with --check are left out for it",
@@ -40,7 +42,8 @@
         "Kinds of faults to leave out; the times of the others "
         "stay the same",
         cxxopts::value<std::vector<std::string>>())("only", "Kinds of faults to play and no others",
-        cxxopts::value<std::vector<std::string>>())("h,help", "Print this help");
+        cxxopts::value<std::vector<std::string>>())("keep-logs", "Keep the logs also if no rule is broken",
+        cxxopts::value<bool>()->default_value("false"))("h,help", "Print this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help")) {
@@ -51,6 +54,7 @@
         settings.duration = std::chrono::seconds(arguments["seconds"].as<int>());
         settings.nodes = arguments["nodes"].as<size_t>();
         settings.daemons = arguments["daemon"].as<std::vector<std::string>>();
+        settings.meanFaultInterval = milliseconds(arguments["interval-ms"].as<int>());
         settings.isStressed = arguments["stress"].as<bool>();
         if (arguments.count("without"))
             settings.leftOut = faultKinds(arguments["without"].as<std::vector<std::string>>());
@@ -80,11 +84,13 @@
                 findings += descriptions.size();
             }
         }
-        if (findings > 0) {
+        const bool keepsLogs = findings > 0 || arguments["keep-logs"].as<bool>();
+        if (keepsLogs)
             std::cout << "logs: " << folder.string() << "\n";
+        if (findings > 0)
             return 1;
-        }
-        std::filesystem::remove_all(folder);
+        if (!keepsLogs)
+            std::filesystem::remove_all(folder);
         std::cout << "no rule broken\n";
         return 0;
     } catch (const std::exception& exception) {
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -165,8 +165,11 @@
             ends.push_back(*end);
         return end.has_value();
     };
+    const bool hasPredecessor = !m_predecessors.empty();
     std::erase_if(m_predecessors, takeEnd);
     if (m_process && takeEnd(m_process)) {
+        if (hasPredecessor)
+            ends.back().description += ", beside a predecessor";
         m_process.reset();
         if (!m_isStopped)
             startProcess();
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -1,5 +1,6 @@
 #include <Benchmarks/Soak/SoakRun.h>
 
+#include <Benchmarks/Soak/SoakLogs.h>
 #include <Benchmarks/Soak/SoakOrders.h>
 
 #include <Cyclamenstair/Http/Endpoint.h>
@@ -74,6 +75,7 @@
 
 SoakRun::SoakRun(const SoakSettings& settings, const std::string& folder)
     : m_settings(settings)
+    , m_folder(folder)
 {
     for (size_t i = 0; i < 2 * targetsPerService; ++i)
         m_targets.push_back(std::make_unique<RegisteredTargetStandIn>(
@@ -119,6 +121,8 @@
         report(SoakRule::NoAnswer, "the nodes do not serve after their start");
         stopNodes();
     }
+    for (const auto& description : findRejectedInput(m_folder))
+        report(SoakRule::RejectedInput, description);
 }
 
 void SoakRun::runTraffic()
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -22,6 +22,7 @@
     RunAndRefused, ///< A request was answered "not run" and had run.
     OldCatalog, ///< A request was served as only an older catalog allows, after the time for a change had passed.
     CutOffCallers, ///< First tries at nodes without links to targets failed more often than at the others.
+    RejectedInput, ///< A node could not decode a message or record, or a handler threw an exception.
     TwoHolders, ///< Two nodes gave orders under one fencing token, or too soon after each other.
 };
 
@@ -36,6 +37,7 @@
         { SoakRule::RunAndRefused, "run_and_refused" },
         { SoakRule::OldCatalog, "old_catalog" },
         { SoakRule::CutOffCallers, "cut_off_callers" },
+        { SoakRule::RejectedInput, "rejected_input" },
         { SoakRule::TwoHolders, "two_holders" },
     });
 };
@@ -105,6 +107,7 @@
     bool waitUntilServing();
 
     SoakSettings m_settings;
+    std::string m_folder;
     RegistryStoreStandIn m_store;
     std::vector<std::unique_ptr<RegisteredTargetStandIn>>
         m_targets; ///< The first half serves "plain", the rest "other".
