--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -89,6 +89,8 @@
     Duration meanCutInterval { milliseconds(3000) };
     bool isStressed { false }; ///< Plays the kinds from SignalBurst on, drawn apart from the others.
     Duration meanStressInterval { milliseconds(700) };
+    bool hasTeams { false }; ///< The catalog has a team, whose key callers present.
+    bool hasVersions { false }; ///< Two software versions serve each service.
     std::set<SoakFaultKind> leftOut; ///< Kinds that are not played. The times of the others stay the same.
     std::vector<std::string> daemons { "Programs/cyclamenstaird" }; ///< Each start takes one of them.
 
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -42,7 +42,9 @@
         "Kinds of faults to leave out; the times of the others "
         "stay the same",
         cxxopts::value<std::vector<std::string>>())("only", "Kinds of faults to play and no others",
-        cxxopts::value<std::vector<std::string>>())("keep-logs", "Keep the logs also if no rule is broken",
+        cxxopts::value<std::vector<std::string>>())("teams", "The catalog has a team, whose key callers present",
+        cxxopts::value<bool>()->default_value("false"))("versions", "Two software versions serve each service",
+        cxxopts::value<bool>()->default_value("false"))("keep-logs", "Keep the logs also if no rule is broken",
         cxxopts::value<bool>()->default_value("false"))("h,help", "Print this help");
     try {
         const auto arguments = options.parse(argc, argv);
@@ -55,6 +57,8 @@
         settings.nodes = arguments["nodes"].as<size_t>();
         settings.daemons = arguments["daemon"].as<std::vector<std::string>>();
         settings.meanFaultInterval = milliseconds(arguments["interval-ms"].as<int>());
+        settings.hasTeams = arguments["teams"].as<bool>();
+        settings.hasVersions = arguments["versions"].as<bool>();
         settings.isStressed = arguments["stress"].as<bool>();
         if (arguments.count("without"))
             settings.leftOut = faultKinds(arguments["without"].as<std::vector<std::string>>());
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -27,8 +27,9 @@
     constexpr auto rewriteDelay = milliseconds(10); ///< Half of the time within which a reload or start coincides.
     constexpr auto startTimeout = std::chrono::seconds(20);
     constexpr uint32_t ok = 200;
+    constexpr std::string_view teamKey = "key-of-team-t";
 
-    std::string catalogText(int version)
+    std::string catalogText(int version, bool hasTeams)
     {
         const std::string service = version % 2 == 1 ? "plain" : "other";
         const auto route = [](const std::string& name, const std::string& kind, const std::string& routeService,
@@ -36,7 +37,9 @@
             return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name + R"(/","kind":")" + kind
                 + R"(","timeout_ms":3000,"target_latency_ms":600,"service":")" + routeService + "\"," + rest + "}";
         };
-        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+        const std::string teams = R"("tenants":[{"name":"t","api_keys":[")" + std::string(teamKey)
+            + R"("],"rate_per_s":100000,"burst":100000}],)";
+        return R"({"version":)" + std::to_string(version) + "," + (hasTeams ? teams : "") + R"("routes":[)"
             + route("safe", "safe", service, R"("max_attempts":2)") + ","
             + route("once", "non_idempotent", "plain", R"("max_attempts":1)") + ","
             + route("stream", "streaming", "plain", R"("max_attempts":2,"resumable":true,"gap_target_ms":300)")
@@ -82,6 +85,8 @@
             "i-" + std::to_string(i), i < targetsPerService ? "plain" : "other"));
     for (size_t i = 0; i < engineCount; ++i)
         m_engines.push_back(std::make_unique<RegisteredTargetStandIn>("i-engine-" + std::to_string(i), "drafting"));
+    for (size_t i = 1; settings.hasVersions && i < m_targets.size(); i += 2)
+        m_targets[i]->setSoftwareVersion("v2");
     const auto seed = allocateLoopbackAddress();
     m_links.resize(settings.nodes);
     m_cutAt.resize(settings.nodes);
@@ -194,7 +199,7 @@
 
 void SoakRun::writeCatalog()
 {
-    m_store.put("op/config", catalogText(m_catalogVersion + 1));
+    m_store.put("op/config", catalogText(m_catalogVersion + 1, m_settings.hasTeams));
     m_catalogChangedAt = monotonicNow();
     ++m_catalogVersion;
 }
@@ -211,7 +216,7 @@
 {
     m_store.returnFromCopy();
     // The operator and the targets write again what the store has lost.
-    m_store.put("op/config", catalogText(m_catalogVersion));
+    m_store.put("op/config", catalogText(m_catalogVersion, m_settings.hasTeams));
     writeTargets();
 }
 
@@ -389,9 +394,11 @@
         const auto& node = *m_nodes[nodeIndex];
         const auto& path = paths[randomIndex(random, paths.size())];
         const auto id = "r-" + std::to_string(caller) + "-" + std::to_string(number);
-        const HttpRequest request { "POST", path + "x",
+        HttpRequest request { "POST", path + "x",
             { { "Host", "h" }, { "Cyclamenstair-Request-Id", id }, { "Cyclamenstair-Deadline-Ms", "3000" } }, id,
             true };
+        if (m_settings.hasTeams)
+            request.fields.push_back({ "Authorization", "Bearer " + std::string(teamKey) });
         std::promise<HttpOutcome> promise;
         const auto sentAt = monotonicNow();
         auto* const firstTries = selectFirstTries(nodeIndex, sentAt);
