--- a/Benchmarks/Soak/SoakChecks.cpp
+++ b/Benchmarks/Soak/SoakChecks.cpp
@@ -14,6 +14,7 @@
     constexpr double minServedRatio = 2.0 / 3;
     constexpr double maxFailedTries = 10;
     constexpr double maxFailedShare = 1.0 / 50;
+    constexpr size_t maxQuotedBody = 200;
     constexpr uint32_t ok = 200;
     constexpr uint32_t unavailable = 503;
 
@@ -118,8 +119,8 @@
     }
     const auto separator = body.find(':');
     const auto target = body.substr(0, separator);
-    if (separator == std::string::npos || body.substr(separator + 1) != id)
-        report(SoakRule::WrongAnswer, description + ", body " + body);
+    if (separator == std::string::npos || body.substr(separator + 1) != requestBody(id))
+        report(SoakRule::WrongAnswer, description + ", body " + body.substr(0, maxQuotedBody));
     const bool isOther = std::any_of(m_targets.begin() + targetsPerService, m_targets.end(),
         [&](const auto& candidate) { return candidate->id() == target; });
     // Read before the time of the change, which is written first.
--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -85,6 +85,7 @@
     Duration duration { std::chrono::seconds(30) };
     size_t nodes { 3 };
     size_t callers { 12 };
+    size_t bodyBytes { 0 }; ///< Added to the body of each request, and so to its answer.
     Duration meanFaultInterval { milliseconds(1500) }; ///< Of all kinds but CutTargets.
     Duration meanCutInterval { milliseconds(3000) };
     bool isStressed { false }; ///< Plays the kinds from SignalBurst on, drawn apart from the others.
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -29,7 +29,9 @@
     cxxopts::Options options("cyclamenstair-soak", "Runs nodes as processes under faults and checks the rules.");
     options.add_options()("seed", "Seed of the faults and requests", cxxopts::value<uint64_t>()->default_value("1"))(
         "seconds", "Duration of the traffic", cxxopts::value<int>()->default_value("30"))(
-        "nodes", "Number of nodes", cxxopts::value<size_t>()->default_value("3"))("interval-ms",
+        "nodes", "Number of nodes", cxxopts::value<size_t>()->default_value("3"))(
+        "callers", "Number of callers", cxxopts::value<size_t>()->default_value("12"))("body-kib",
+        "Additional size of each request's body", cxxopts::value<size_t>()->default_value("0"))("interval-ms",
         "Mean time between faults, apart from cuts and those of --stress",
         cxxopts::value<int>()->default_value("1500"))("daemon",
         "Paths of daemons, of which each start takes one by chance of the seed. Settings that a daemon rejects as "
@@ -57,6 +59,8 @@
         settings.nodes = arguments["nodes"].as<size_t>();
         settings.daemons = arguments["daemon"].as<std::vector<std::string>>();
         settings.meanFaultInterval = milliseconds(arguments["interval-ms"].as<int>());
+        settings.callers = arguments["callers"].as<size_t>();
+        settings.bodyBytes = arguments["body-kib"].as<size_t>() << 10U;
         settings.hasTeams = arguments["teams"].as<bool>();
         settings.hasVersions = arguments["versions"].as<bool>();
         settings.isStressed = arguments["stress"].as<bool>();
--- a/Benchmarks/Soak/SoakRun.cpp
+++ b/Benchmarks/Soak/SoakRun.cpp
@@ -395,8 +395,8 @@
         const auto& path = paths[randomIndex(random, paths.size())];
         const auto id = "r-" + std::to_string(caller) + "-" + std::to_string(number);
         HttpRequest request { "POST", path + "x",
-            { { "Host", "h" }, { "Cyclamenstair-Request-Id", id }, { "Cyclamenstair-Deadline-Ms", "3000" } }, id,
-            true };
+            { { "Host", "h" }, { "Cyclamenstair-Request-Id", id }, { "Cyclamenstair-Deadline-Ms", "3000" } },
+            requestBody(id), true };
         if (m_settings.hasTeams)
             request.fields.push_back({ "Authorization", "Bearer " + std::string(teamKey) });
         std::promise<HttpOutcome> promise;
--- a/Benchmarks/Soak/SoakRun.h
+++ b/Benchmarks/Soak/SoakRun.h
@@ -100,6 +100,7 @@
     /// Tells all nodes to end while callers use their connections, and waits until they have ended.
     void stopNodes();
     void sendRequests(size_t caller);
+    std::string requestBody(const std::string& id) const { return id + std::string(m_settings.bodyBytes, 'x'); }
     void check(size_t nodeIndex, const std::string& path, const std::string& id, TimePoint sentAt, uint32_t status,
         const std::string& body);
     void report(SoakRule rule, const std::string& description);
