--- a/Benchmarks/Soak/SoakFault.h
+++ b/Benchmarks/Soak/SoakFault.h
@@ -32,7 +32,7 @@
     RewriteSettings, ///< The settings are replaced by a rename as a process starts or reloads.
     OverwriteSettings, ///< The settings are written in place, in two parts, as a process starts or reloads.
     EarlySignals, ///< SIGHUP in the first 20 ms of processes. Concerns starts, is not drawn by time.
-    UnreadOutput, ///< Nobody reads the output of processes. Concerns starts, is not drawn by time.
+    UnreadOutput, ///< Nobody reads the output of processes, or its reader ends. Concerns starts, is not drawn by time.
 };
 
 template <> struct EnumNames<SoakFaultKind> {
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -16,6 +16,8 @@
     constexpr uint64_t seedOfDaemons = 0x6275696c64;
     constexpr uint64_t seedOfStress = 0x737472657373;
     constexpr double unreadOutputShare = 0.25; ///< Of the processes.
+    constexpr double brokenOutputShare = 0.5; ///< Of the outputs that nobody reads: their reader ends later.
+    constexpr double maxBrokenOutputMs = 4000; ///< After the start.
     constexpr double earlySignalsShare = 0.5; ///< Of the starts.
     constexpr size_t maxEarlySignals = 6;
     constexpr double maxEarlySignalMs = 20; ///< After the start.
@@ -60,10 +62,22 @@
     text << "start " << m_id << ", process " << m_process->id() << ", daemon " << daemon
          << (isOutputRead ? "" : ", output not read") << "\n";
     std::cout << text.str() << std::flush;
+    if (!isOutputRead && randomUnit(m_stressRandom) < brokenOutputShare)
+        scheduleBrokenOutput();
     if (m_starts.hasEarlySignals)
         scheduleEarlySignals();
 }
 
+void SoakNode::scheduleBrokenOutput()
+{
+    const auto delay = milliseconds(static_cast<int64_t>(maxBrokenOutputMs * randomUnit(m_stressRandom)));
+    m_timer.schedule(monotonicNow() + delay, [this, id = m_process->id()] {
+        std::lock_guard lock(m_mutex);
+        if (m_process && m_process->id() == id)
+            m_process->breakOutput();
+    });
+}
+
 void SoakNode::scheduleEarlySignals()
 {
     if (randomUnit(m_stressRandom) >= earlySignalsShare)
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -71,6 +71,8 @@
 
 private:
     void startProcess();
+    /// Ends the reader of the process's output after some time.
+    void scheduleBrokenOutput();
     /// Sends SIGHUP to the process some times in the first milliseconds, by chance.
     void scheduleEarlySignals();
     /// Sends SIGHUP to the process if it is still the node's one, at once or as soon as it blocks the signal.
--- a/Benchmarks/Soak/SoakProcess.cpp
+++ b/Benchmarks/Soak/SoakProcess.cpp
@@ -58,13 +58,21 @@
 
 UnreadPipe::~UnreadPipe()
 {
+    close();
+    std::error_code ignored;
+    std::filesystem::remove(m_path, ignored);
+}
+
+void UnreadPipe::close()
+{
+    if (m_descriptor < 0)
+        return;
     std::array<char, pipeBytes> buffer {};
     std::ofstream log(m_logPath, std::ios::app);
     for (ssize_t size = 0; (size = ::read(m_descriptor, buffer.data(), buffer.size())) > 0;)
         log.write(buffer.data(), size);
     ::close(m_descriptor);
-    std::error_code ignored;
-    std::filesystem::remove(m_path, ignored);
+    m_descriptor = -1;
 }
 
 SoakProcess::SoakProcess(const std::string& program, const std::vector<std::string>& arguments,
@@ -76,6 +84,12 @@
 {
 }
 
+void SoakProcess::breakOutput()
+{
+    if (m_output)
+        m_output->close();
+}
+
 bool SoakProcess::isPrepared(int number) const
 {
     const uint64_t bit = uint64_t { 1 } << static_cast<unsigned>(number - 1);
--- a/Benchmarks/Soak/SoakProcess.h
+++ b/Benchmarks/Soak/SoakProcess.h
@@ -45,6 +45,9 @@
 
     const std::string& path() const { return m_path; }
 
+    /// Adds what is in the pipe to the log and closes its only reading end, after which writes fail.
+    void close();
+
 private:
     std::string m_logPath;
     std::string m_path;
@@ -66,6 +69,9 @@
     /// Returns whether the process was told to end.
     bool isToldToEnd() const { return m_terminatedAt || m_isKilled; }
 
+    /// Makes writes to an output that nobody reads fail.
+    void breakOutput();
+
     /// Returns whether the process blocks, ignores or catches the signal, as its own code does before anything else.
     bool isPrepared(int number) const;
 
