Wait for threads at a start before the log runs

A start that lacks memory or threads is tried again, but not if the first thread that cannot be started is that of the log: the process ended with status 1. One that was told to end while it waited ended with status 1 instead of 0, as the flush of the log starts a thread. Class of the fault: a passing refusal taken for a permanent one.

The log is now started with the same pauses and bound, and SIGTERM ends the wait with 0.

Sanitizers need more memory than these limits, so their builds leave the test out.

--- a/Cyclamenstair/Settings/SettingsChecks.cpp
+++ b/Cyclamenstair/Settings/SettingsChecks.cpp
@@ -70,7 +70,11 @@
             const auto condition = field.attribute("required_if");
             const auto name = section.name + "." + field.name();
             if (!condition.empty() && holds(parsed, condition) && !parsed.texts.contains(name))
-                missing.append(missing.empty() ? "" : ", ").append(name + " (required if " + condition + ")");
+                missing.append(missing.empty() ? "" : ", ")
+                    .append(name)
+                    .append(" (required if ")
+                    .append(condition)
+                    .append(")");
         }
     }
     if (missing.empty())
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -95,6 +95,13 @@
 ProcessOutcome runNode(const SettingsFile& file, Duration maxSettingsWait, const sigset_t& signals)
 {
     NodeStarter starter(file, signals);
+    const auto hasLog = starter.startLog();
+    if (!hasLog) {
+        std::cerr << "cyclamenstaird: " << hasLog.error().describe() << "\n";
+        return { EndReason::NotStarted, exitFailure, hasLog.error().describe() };
+    }
+    if (!hasLog.value())
+        return { EndReason::StartCancelled, exitOk, {} };
     const auto hasSettings = starter.readSettings(maxSettingsWait);
     if (!hasSettings) {
         std::cerr << "cyclamenstaird: " << hasSettings.error().describe() << "\n";
--- a/Programs/NodeStarter.cpp
+++ b/Programs/NodeStarter.cpp
@@ -29,10 +29,29 @@
 {
 }
 
+Result<bool> NodeStarter::startLog()
+{
+    const auto deadline = monotonicNow() + maxRetryTime;
+    for (auto pause = minPause;; pause = std::min(2 * pause, maxPause)) {
+        try {
+            // Until the settings name the level, lines are written at the default one.
+            configureLog(LogSeverity::Info);
+            return true;
+        } catch (const boost::system::system_error& exception) {
+            if (monotonicNow() + pause > deadline)
+                return lackOfResources(exception);
+        } catch (const std::bad_alloc& exception) {
+            if (monotonicNow() + pause > deadline)
+                return lackOfResources(exception);
+        }
+        const auto signal = waitForSignal(pause);
+        if (signal && *signal != SIGHUP)
+            return false;
+    }
+}
+
 Result<bool> NodeStarter::readSettings(Duration maxWait)
 {
-    // Until the settings name the level, lines are written at the default one.
-    configureLog(LogSeverity::Info);
     const auto deadline = monotonicNow() + maxWait;
     auto pause = minPause;
     std::set<std::string> loggedReasons;
--- a/Programs/NodeStarter.h
+++ b/Programs/NodeStarter.h
@@ -27,6 +27,10 @@
     /// `signals` are blocked in all threads. SIGHUP reads the settings again between two attempts.
     NodeStarter(SettingsFile file, const sigset_t& signals);
 
+    /// Blocks until the log's thread runs. Returns false if another signal than SIGHUP arrived first, and an error if
+    /// the lack of threads or memory has not passed within `maxRetryTime`.
+    Result<bool> startLog();
+
     /// Blocks until the settings are read; must succeed before start(). Returns false if another signal than SIGHUP
     /// arrived first, and the last error if the file cannot be read, is incomplete or invalid for `maxWait`. Invalid
     /// settings are read again, too, as a half-written file can be invalid.
--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -133,6 +133,30 @@
         EXPECT_EQ(lineCount("node_not_started"), 1U);
     }
 
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    // Guards against a start, or an end during the start, that fails because no thread can be started for a while. The
+    // limits leave no room for the stack of the log's thread or of later ones; sanitizers need more memory themselves.
+    TEST_F(StartRetry, StartWaitsForThreads)
+    {
+        for (const rlim_t megabytes : { 4, 16 }) {
+            rlimit former {};
+            ASSERT_EQ(::getrlimit(RLIMIT_DATA, &former), 0);
+            const rlimit scarce { megabytes << 20, former.rlim_max };
+            ASSERT_EQ(::setrlimit(RLIMIT_DATA, &scarce), 0);
+            const auto node = startNode();
+            const auto cancelled = startNode("cancelled");
+            ASSERT_EQ(::setrlimit(RLIMIT_DATA, &former), 0);
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+            ASSERT_FALSE(node->hasExited()) << log();
+            cancelled->sendSignal(SIGTERM);
+            EXPECT_EQ(cancelled->wait(waitTimeoutMs), 0) << log("cancelled");
+            ASSERT_EQ(::prlimit(node->id(), RLIMIT_DATA, &former, nullptr), 0);
+            EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
+            EXPECT_FALSE(node->hasExited()) << log();
+        }
+    }
+#endif
+
     // Guards against a thread that spins while a node has no file descriptors left for connections of other nodes.
     TEST_F(StartRetry, NodeWithoutDescriptorsDoesNotSpin)
     {
