--- /dev/null
+++ b/Tests/Support/wrong-end-daemon.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Runs the daemon named by CYCLAMENSTAIRD with these arguments, and ends with status 3 after SIGTERM.
+"$CYCLAMENSTAIRD" "$@" &
+daemon=$!
+trap 'kill -TERM "$daemon"; wait "$daemon"; exit 3' TERM
+wait "$daemon"
