Export metrics of the process

An operator could not see the memory of a node before it was killed, nor its descriptors, nor that lines of its log were lost or handlers failed.

Cause: /metrics had counters of requests only (class: missing telemetry).

/metrics tells start time, uptime, resident memory and its peak, threads, open descriptors and their limit, lost log lines by cause, failed handlers (handler_failed) and the build, in both modes.

Evidence: none of these metrics exists on the code before; its /metrics has no name that contains "process". After: ProcessMetrics.* passes; a node at rest exports cyclamenstair_process_resident_memory_bytes.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Entry/RequestExchange.h>
 #include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Telemetry/Log.h>
+#include <Cyclamenstair/Telemetry/ProcessInfo.h>
 
 #include <platform/RequestCodec.h>
 
@@ -272,6 +273,7 @@
     m_state.metrics.set(Metric::Targets, static_cast<double>(m_state.targets.records().size()));
     const auto current = m_state.catalog.current();
     m_state.metrics.set(Metric::PlanRevision, current ? static_cast<double>(current->catalog.version) : 0);
+    setProcessMetrics(m_state.metrics);
     connection->sendResponse(
         { ok, {}, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_state.metrics.prometheusText());
 }
--- a/Cyclamenstair/Http/EventLoop.cpp
+++ b/Cyclamenstair/Http/EventLoop.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Http/EventLoop.h>
 
-#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Telemetry/FatalSignals.h>
+#include <Cyclamenstair/Telemetry/HandlerFailures.h>
 
 #include <boost/asio/post.hpp>
 
@@ -37,7 +37,7 @@
         try {
             m_context.run();
         } catch (...) {
-            logCurrentException();
+            logHandlerFailure();
         }
     }
 }
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Http/ServerConnection.h>
 
-#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Http/SocketOptions.h>
+#include <Cyclamenstair/Telemetry/HandlerFailures.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -120,7 +120,7 @@
     try {
         work();
     } catch (...) {
-        logCurrentException();
+        logHandlerFailure();
         onDisconnect();
     }
 }
--- a/Cyclamenstair/Node/NodeMetrics.cpp
+++ b/Cyclamenstair/Node/NodeMetrics.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Node/NodeMetrics.h>
 
 #include <Cyclamenstair/Node/GossipKeys.h>
+#include <Cyclamenstair/Telemetry/ProcessInfo.h>
 
 namespace cyclamenstair {
 
@@ -53,6 +54,7 @@
     m_metrics->set(Metric::Targets, static_cast<double>(m_directory->targets().size()));
     for (const auto& [kind, count] : m_store->callCounts())
         m_metrics->set(Metric::StoreCalls, static_cast<double>(count), std::string(nameOf(kind)));
+    setProcessMetrics(*m_metrics);
     return m_metrics->prometheusText();
 }
 
--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Peering/FrameChannel.h>
 
-#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Http/SocketOptions.h>
+#include <Cyclamenstair/Telemetry/HandlerFailures.h>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -87,7 +87,7 @@
     try {
         work();
     } catch (...) {
-        logCurrentException();
+        logHandlerFailure();
         fail();
     }
 }
--- a/Cyclamenstair/Http/HandlerFailure.cpp
+++ b/Cyclamenstair/Telemetry/HandlerFailures.cpp
@@ -1,11 +1,19 @@
-#include <Cyclamenstair/Http/HandlerFailure.h>
+#include <Cyclamenstair/Telemetry/HandlerFailures.h>
 
 #include <Cyclamenstair/Telemetry/Log.h>
+#include <Cyclamenstair/Telemetry/LogLosses.h>
 
+#include <atomic>
 #include <exception>
 
 namespace cyclamenstair {
 
+namespace {
+
+    std::atomic<uint64_t> failureCount { 0 };
+
+} // namespace
+
 void logCurrentException(std::string_view event) noexcept
 {
     try {
@@ -17,8 +25,16 @@
             logEvent(LogSeverity::Error, event, { { "message", "unknown exception" } });
         }
     } catch (...) {
-        // Without memory for the line, the caller goes on without it.
+        countLogLoss(LogLoss::Exception);
     }
 }
 
+void logHandlerFailure() noexcept
+{
+    ++failureCount;
+    logCurrentException("handler_failed");
+}
+
+uint64_t handlerFailureCount() noexcept { return failureCount; }
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -80,6 +80,26 @@
         return { MetricKind::Counter, "team", "Requests refused because the allotment is used, by team." };
     case Metric::AllotmentLevel:
         return { MetricKind::Gauge, "team", "Units left in the allotment as this node knows it, by team." };
+    case Metric::ProcessStartTime:
+        return { MetricKind::Gauge, "", "Start of the process, in seconds since 1970." };
+    case Metric::ProcessUptime:
+        return { MetricKind::Gauge, "", "Time since the start of the process." };
+    case Metric::ResidentMemory:
+        return { MetricKind::Gauge, "", "Memory of the process that is in use." };
+    case Metric::PeakResidentMemory:
+        return { MetricKind::Gauge, "", "Largest memory of the process so far." };
+    case Metric::OpenDescriptors:
+        return { MetricKind::Gauge, "", "Open file descriptors." };
+    case Metric::MaxDescriptors:
+        return { MetricKind::Gauge, "", "Limit of open file descriptors." };
+    case Metric::Threads:
+        return { MetricKind::Gauge, "", "Threads of the process." };
+    case Metric::LostLogLines:
+        return { MetricKind::Counter, "cause", "Lines of the log that were not written." };
+    case Metric::FailedHandlers:
+        return { MetricKind::Counter, "", "Handlers of event loops that ended with an exception (handler_failed)." };
+    case Metric::BuildInfo:
+        return { MetricKind::Gauge, "build", "1; the label names version, commit and architecture of the build." };
     }
     return { MetricKind::Gauge, "", "" };
 }
--- a/Cyclamenstair/Telemetry/Metrics.h
+++ b/Cyclamenstair/Telemetry/Metrics.h
@@ -55,6 +55,16 @@
     TeamUnits,
     TeamRefusals,
     AllotmentLevel,
+    ProcessStartTime,
+    ProcessUptime,
+    ResidentMemory,
+    PeakResidentMemory,
+    OpenDescriptors,
+    MaxDescriptors,
+    Threads,
+    LostLogLines,
+    FailedHandlers,
+    BuildInfo,
 };
 
 template <> struct EnumNames<Metric> {
@@ -80,6 +90,16 @@
         { Metric::TeamUnits, "cyclamenstair_team_units_total" },
         { Metric::TeamRefusals, "cyclamenstair_team_refusals_total" },
         { Metric::AllotmentLevel, "cyclamenstair_team_allotment_level" },
+        { Metric::ProcessStartTime, "cyclamenstair_process_start_time_seconds" },
+        { Metric::ProcessUptime, "cyclamenstair_process_uptime_seconds" },
+        { Metric::ResidentMemory, "cyclamenstair_process_resident_memory_bytes" },
+        { Metric::PeakResidentMemory, "cyclamenstair_process_peak_resident_memory_bytes" },
+        { Metric::OpenDescriptors, "cyclamenstair_process_open_descriptors" },
+        { Metric::MaxDescriptors, "cyclamenstair_process_max_descriptors" },
+        { Metric::Threads, "cyclamenstair_process_threads" },
+        { Metric::LostLogLines, "cyclamenstair_log_lines_dropped_total" },
+        { Metric::FailedHandlers, "cyclamenstair_handlers_failed_total" },
+        { Metric::BuildInfo, "cyclamenstair_build_info" },
     });
 };
 
--- a/Cyclamenstair/Telemetry/ProcessEnd.cpp
+++ b/Cyclamenstair/Telemetry/ProcessEnd.cpp
@@ -1,7 +1,6 @@
 #include <Cyclamenstair/Telemetry/ProcessEnd.h>
 
-#include <Cyclamenstair/Core/Time.h>
-#include <Cyclamenstair/Telemetry/Log.h>
+#include <Cyclamenstair/Telemetry/ProcessInfo.h>
 
 #include <atomic>
 #include <ctime>
@@ -12,8 +11,6 @@
 
 namespace {
 
-    const TimePoint startedAt = monotonicNow();
-
     /// Thread that writes the line about std::terminate or a fatal signal; 0 before.
     std::atomic<pid_t> reportingThread { 0 };
 
@@ -37,7 +34,7 @@
     m_line.appendField("event", "process_ended");
     m_line.appendField("reason", nameOf(reason));
     m_line.appendField("status", static_cast<uint64_t>(status));
-    m_line.appendField("uptime_ms", static_cast<uint64_t>(processUptime().count()));
+    m_line.appendField("uptime_ms", static_cast<uint64_t>(toMilliseconds(processUptime())));
     m_line.appendField("pid", static_cast<uint64_t>(::getpid()));
 }
 
@@ -64,9 +61,4 @@
     line.write();
 }
 
-std::chrono::milliseconds processUptime()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - startedAt);
-}
-
 } // namespace cyclamenstair
--- a/Cyclamenstair/Telemetry/ProcessEnd.h
+++ b/Cyclamenstair/Telemetry/ProcessEnd.h
@@ -53,7 +53,4 @@
 /// Writes the line `process_ended`, with `message` as a field if it is not empty.
 void logProcessEnd(EndReason reason, int status, std::string_view message = {});
 
-/// Returns the time since the process was started, as this library knows it: since its static objects were initialised.
-std::chrono::milliseconds processUptime();
-
 } // namespace cyclamenstair
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Core/Overloaded.h>
-#include <Cyclamenstair/Http/HandlerFailure.h>
 #include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/FatalSignals.h>
+#include <Cyclamenstair/Telemetry/HandlerFailures.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 #include <Cyclamenstair/Telemetry/ProcessEnd.h>
 #include <Programs/NodeStarter.h>
--- a/Tests/TelemetryTests/MetricsTests.cpp
+++ b/Tests/TelemetryTests/MetricsTests.cpp
@@ -1,8 +1,13 @@
-#include <Cyclamenstair/Telemetry/Metrics.h>
+#include <Cyclamenstair/Telemetry/HandlerFailures.h>
+#include <Cyclamenstair/Telemetry/LogLosses.h>
+#include <Cyclamenstair/Telemetry/ProcessInfo.h>
 
+#include <ctime>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <stdexcept>
+#include <unistd.h>
 
 namespace cyclamenstair {
 namespace {
@@ -48,6 +53,35 @@
         EXPECT_THAT(text, HasSubstr("cyclamenstair_request_seconds_count{class=\"short\"} 3000\n"));
     }
 
+    // Guards against a memory, a number of descriptors or a loss of log lines that operators cannot see.
+    TEST(ProcessMetrics, TellMemoryDescriptorsThreadsAndLosses)
+    {
+        Metrics metrics;
+        setProcessMetrics(metrics);
+        EXPECT_GT(metrics.value(Metric::ResidentMemory), 1e6);
+        EXPECT_GE(metrics.value(Metric::PeakResidentMemory), metrics.value(Metric::ResidentMemory));
+        EXPECT_GE(metrics.value(Metric::Threads), 1);
+        EXPECT_GE(metrics.value(Metric::MaxDescriptors), metrics.value(Metric::OpenDescriptors));
+        EXPECT_NEAR(metrics.value(Metric::ProcessStartTime) + metrics.value(Metric::ProcessUptime),
+            static_cast<double>(std::time(nullptr)), 2);
+        const auto descriptors = metrics.value(Metric::OpenDescriptors);
+        const auto losses = metrics.value(Metric::LostLogLines, "exception");
+        const auto failures = metrics.value(Metric::FailedHandlers);
+        const int descriptor = ::dup(STDOUT_FILENO);
+        countLogLoss(LogLoss::Exception);
+        try {
+            throw std::runtime_error("test");
+        } catch (...) {
+            logHandlerFailure();
+        }
+        setProcessMetrics(metrics);
+        ::close(descriptor);
+        EXPECT_EQ(metrics.value(Metric::OpenDescriptors), descriptors + 1);
+        EXPECT_EQ(metrics.value(Metric::LostLogLines, "exception"), losses + 1);
+        EXPECT_EQ(metrics.value(Metric::FailedHandlers), failures + 1);
+        EXPECT_THAT(metrics.prometheusText(), HasSubstr("cyclamenstair_build_info{build=\"unknown "));
+    }
+
     // Guards against a quantile that is estimated from too few samples.
     TEST(Metrics, PrintsNoQuantilesOfFewSamples)
     {
