Describe the build, the settings and the limits of a started node

Operators who reported ends of processes could not say which build ran on which settings, within which limits, and which signal stopped it.

Cause: node_started named the node and two addresses only, node_stopping no signal (class: missing telemetry).

node_started has the fields build, arch, pid, start_ms, attempts, settings, settings_sha256, settings_bytes, limit_as, limit_nofile and limit_fsize, and in mode Registered memory_mb. node_stopping has signal, and process_ended has build. The hash is that of a regular file that is read again beside its parsing.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -3,7 +3,6 @@
 #include <Cyclamenstair/Entry/RequestExchange.h>
 #include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Telemetry/Log.h>
-#include <Cyclamenstair/Telemetry/ProcessInfo.h>
 
 #include <platform/RequestCodec.h>
 
@@ -59,7 +58,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<EntryNode>> EntryNode::create(const schema::SettingsT& settings)
+Result<std::unique_ptr<EntryNode>> EntryNode::create(const schema::SettingsT& settings, const ProcessStart& start)
 {
     const auto store = parseEndpoint(settings.control->store);
     if (!store)
@@ -124,8 +123,10 @@
         self->m_dispatcher->start();
         self->m_registrar.start();
     });
-    logEvent(LogSeverity::Info, "node_started",
-        { { "node", settings.node->id }, { "listen", settings.entry->listen }, { "store", settings.control->store } });
+    logNodeStarted(
+        { { "node", settings.node->id }, { "listen", settings.entry->listen }, { "store", settings.control->store },
+            { "memory_mb", std::to_string(settings.entry->memory_mb) } },
+        start);
     return node;
 }
 
@@ -196,12 +197,13 @@
         loop->loop().stop();
 }
 
-void EntryNode::stop()
+void EntryNode::stop(std::optional<ProcessSignal> signal)
 {
     const auto startedAt = monotonicNow();
     const auto gracePeriod = Duration(static_cast<int64_t>(m_settings.entry->grace_s * 1e6)) - exitMargin;
     logEvent(LogSeverity::Info, "node_stopping",
-        { { "requests_in_progress", std::to_string(m_state.requestsInProgress.load()) } });
+        { { "requests_in_progress", std::to_string(m_state.requestsInProgress.load()) },
+            { "signal", std::string(signal ? nameOf(*signal) : "none") } });
     m_state.isStopping = true;
     m_controlLoop.post([this] {
         m_elector.stop();
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -10,6 +10,8 @@
 #include <Cyclamenstair/Entry/TargetReachMonitor.h>
 #include <Cyclamenstair/Entry/TargetWatcher.h>
 #include <Cyclamenstair/Http/ServerListener.h>
+#include <Cyclamenstair/Telemetry/ProcessInfo.h>
+#include <Cyclamenstair/Telemetry/ProcessSignal.h>
 
 namespace cyclamenstair {
 
@@ -18,15 +20,17 @@
 class EntryNode {
 public:
     /// Binds the listeners and starts serving. Returns an error if an address is malformed or cannot be bound.
-    static Result<std::unique_ptr<EntryNode>> create(const schema::SettingsT& settings);
+    /// `start` is written to the log.
+    static Result<std::unique_ptr<EntryNode>> create(const schema::SettingsT& settings, const ProcessStart& start = {});
 
     ~EntryNode();
     EntryNode(const EntryNode&) = delete;
     EntryNode& operator=(const EntryNode&) = delete;
 
     /// Graceful shutdown: fails the readiness probe, resigns the order lease, drains caller connections, and waits for
-    /// requests in progress until shortly before the end of the grace period. Blocks the calling thread.
-    void stop();
+    /// requests in progress until shortly before the end of the grace period. Blocks the calling thread. `signal` is
+    /// the cause, if a signal is.
+    void stop(std::optional<ProcessSignal> signal = std::nullopt);
 
 private:
     EntryNode(const schema::SettingsT& settings, boost::asio::ip::tcp::endpoint storeEndpoint);
--- a/Cyclamenstair/Node/Node.cpp
+++ b/Cyclamenstair/Node/Node.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<Node>> Node::create(const schema::SettingsT& settings)
+Result<std::unique_ptr<Node>> Node::create(const schema::SettingsT& settings, const ProcessStart& start)
 {
     auto fleetKey = readFleetKey(settings.peer->fleet_key_file);
     if (!fleetKey)
@@ -84,8 +84,7 @@
     if (!frontEnd)
         return frontEnd.error();
     node->m_frontEnd = std::move(frontEnd).value();
-    logEvent(
-        LogSeverity::Info, "node_started", { { "node", settings.node->id }, { "incarnation", node->m_incarnation } });
+    logNodeStarted({ { "node", settings.node->id }, { "incarnation", node->m_incarnation } }, start);
     return node;
 }
 
@@ -144,9 +143,10 @@
     }
 }
 
-void Node::stop()
+void Node::stop(std::optional<ProcessSignal> signal)
 {
-    logEvent(LogSeverity::Info, "node_stopping", { { "node", m_settings.node->id } });
+    logEvent(LogSeverity::Info, "node_stopping",
+        { { "node", m_settings.node->id }, { "signal", std::string(signal ? nameOf(*signal) : "none") } });
     AuditEntry drain;
     drain.kind = AuditKind::Drain;
     drain.actor = m_settings.node->id;
--- a/Cyclamenstair/Node/Node.h
+++ b/Cyclamenstair/Node/Node.h
@@ -11,6 +11,8 @@
 #include <Cyclamenstair/Node/OperatorApi.h>
 #include <Cyclamenstair/Node/PlanWatcher.h>
 #include <Cyclamenstair/Settings/LiveSettings.h>
+#include <Cyclamenstair/Telemetry/ProcessInfo.h>
+#include <Cyclamenstair/Telemetry/ProcessSignal.h>
 
 namespace cyclamenstair {
 
@@ -18,11 +20,12 @@
 class Node {
 public:
     /// Starts the node. Fails if a listener cannot bind its address or the fleet key cannot be read.
-    static Result<std::unique_ptr<Node>> create(const schema::SettingsT& settings);
+    /// `start` is written to the log.
+    static Result<std::unique_ptr<Node>> create(const schema::SettingsT& settings, const ProcessStart& start = {});
 
     /// Stops gracefully: fails the readiness probe, refuses new requests after the drain notice period, waits for
-    /// running requests to finish, then stops all components.
-    void stop();
+    /// running requests to finish, then stops all components. `signal` is the cause, if a signal is.
+    void stop(std::optional<ProcessSignal> signal = std::nullopt);
 
     /// Applies the reloadable keys of `settings` and reloads the TLS certificates.
     void reload(const schema::SettingsT& settings);
--- a/Cyclamenstair/Telemetry/ProcessEnd.cpp
+++ b/Cyclamenstair/Telemetry/ProcessEnd.cpp
@@ -36,6 +36,7 @@
     m_line.appendField("status", static_cast<uint64_t>(status));
     m_line.appendField("uptime_ms", static_cast<uint64_t>(toMilliseconds(processUptime())));
     m_line.appendField("pid", static_cast<uint64_t>(::getpid()));
+    m_line.appendField("build", processBuild());
 }
 
 void ProcessEndLine::write()
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -4,6 +4,7 @@
 #include <Cyclamenstair/Telemetry/HandlerFailures.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 #include <Cyclamenstair/Telemetry/ProcessEnd.h>
+#include <Programs/BuildName.h>
 #include <Programs/NodeStarter.h>
 #include <Programs/SettingsFile.h>
 #include <Programs/StandardStreams.h>
@@ -121,7 +122,7 @@
     int receivedSignal = 0;
     while (sigwait(&signals, &receivedSignal) == 0 && receivedSignal == SIGHUP)
         tryReloadSettings(node, file);
-    std::visit([](const auto& running) { running->stop(); }, node);
+    std::visit([&](const auto& running) { running->stop(static_cast<ProcessSignal>(receivedSignal)); }, node);
     return { EndReason::Stopped, exitOk, {} };
 }
 
@@ -139,6 +140,7 @@
 {
     const AlternateSignalStack alternateStack;
     installFatalSignalHandlers();
+    setProcessBuild(buildName);
     ignoreOutputSignals();
     const auto defaultSettingsWait
         = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(NodeStarter::defaultMaxSettingsWait).count());
--- a/Programs/NodeStarter.cpp
+++ b/Programs/NodeStarter.cpp
@@ -1,6 +1,7 @@
 #include <Programs/NodeStarter.h>
 
 #include <Cyclamenstair/Telemetry/Log.h>
+#include <Programs/SettingsDigest.h>
 
 #include <boost/system/system_error.hpp>
 
@@ -80,6 +81,7 @@
     const auto deadline = monotonicNow() + maxRetryTime;
     auto pause = minPause;
     for (int attempt = 1;; ++attempt) {
+        m_start.attempts = attempt;
         auto node = create();
         if (node)
             return std::optional(std::move(node).value());
@@ -97,8 +99,8 @@
 {
     try {
         if (m_settings.node->mode == schema::NodeMode::Registered)
-            return RunningNode(EntryNode::create(m_settings).value());
-        return RunningNode(Node::create(m_settings).value());
+            return RunningNode(EntryNode::create(m_settings, m_start).value());
+        return RunningNode(Node::create(m_settings, m_start).value());
     } catch (const Exception& exception) {
         return exception.error();
     } catch (const std::system_error& exception) {
@@ -156,6 +158,7 @@
 void NodeStarter::applySettings(schema::SettingsT settings)
 {
     m_settings = std::move(settings);
+    m_start = describeSettings(m_file.path());
     configureLog(static_cast<LogSeverity>(m_settings.log->level));
 }
 
--- a/Programs/NodeStarter.h
+++ b/Programs/NodeStarter.h
@@ -58,6 +58,7 @@
     schema::SettingsT m_settings;
     SettingsFile m_file;
     sigset_t m_signals;
+    ProcessStart m_start;
     std::string m_loggedRefusal;
 };
 
--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -1,5 +1,6 @@
 #include <Tests/Support/ProcessFleet.h>
 
+#include <Cyclamenstair/Core/Crypto.h>
 #include <StandIns/LoopbackPort.h>
 
 #include <array>
@@ -86,7 +87,24 @@
         EXPECT_EQ(process->wait(waitTimeoutMs), 0);
         EXPECT_THAT(log(),
             ContainsRegex("event=node_stopped .*\ntime=[^ ]+Z level=info event=process_ended reason=stopped status=0 "
-                          "uptime_ms=[0-9]+ pid=[0-9]+\n$"));
+                          "uptime_ms=[0-9]+ pid=[0-9]+ build=0\\.1\\.0-[^ ]+\n$"));
+        EXPECT_THAT(log(), ContainsRegex("event=node_stopping requests_in_progress=0 signal=SIGTERM\n"));
+    }
+
+    // Guards against a start of which the log does not tell the build, the settings and the limits.
+    TEST_F(ProcessEnd, StartIsDescribed)
+    {
+        const auto process = start({ "--config", settingsPath() });
+        ASSERT_TRUE(logContains("event=node_started")) << log();
+        std::ostringstream settings;
+        settings << std::ifstream(settingsPath()).rdbuf();
+        EXPECT_THAT(log(), HasSubstr(" pid=" + std::to_string(process->id()) + " "));
+        EXPECT_THAT(log(),
+            HasSubstr(" attempts=1 settings=" + settingsPath() + " settings_sha256=" + sha256Hex(settings.str())
+                + " settings_bytes=" + std::to_string(settings.str().size()) + " limit_as="));
+        EXPECT_THAT(log(),
+            ContainsRegex("event=node_started node=node-1 .* memory_mb=[0-9]+ build=0\\.1\\.0-[^ ]+ "
+                          "arch=[^ ]+ .* limit_nofile=[0-9]+ limit_fsize=[a-z0-9]+\n"));
     }
 
     TEST_F(ProcessEnd, FailureIsReported)
@@ -103,7 +121,7 @@
         EXPECT_EQ(start({ "--config", settingsPath(), "--settings-wait-s", "0" })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(),
             ContainsRegex("\ntime=[^ ]+Z level=error event=process_ended reason=invalid_settings status=2 "
-                          "uptime_ms=[0-9]+ pid=[0-9]+ message=\".*order_gap_ms"));
+                          "uptime_ms=[0-9]+ pid=[0-9]+ build=[^ ]+ message=\".*order_gap_ms"));
         EXPECT_EQ(start({ "--no-such-option" })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(), HasSubstr("event=process_ended reason=invalid_arguments status=2 "));
         std::filesystem::remove(m_folder + "/log");
--- a/Tests/TelemetryTests/ProcessEndTests.cpp
+++ b/Tests/TelemetryTests/ProcessEndTests.cpp
@@ -65,7 +65,7 @@
         };
         EXPECT_EXIT(end(), KilledBySignal(signal),
             AllOf(ContainsRegex("^time=[^ ]+Z level=error event=process_ended reason=fatal_signal status="
-                      + std::to_string(128 + signal) + " uptime_ms=[0-9]+ pid=[0-9]+ signal=SIG"),
+                      + std::to_string(128 + signal) + " uptime_ms=[0-9]+ pid=[0-9]+ build=unknown signal=SIG"),
                 ContainsRegex(" thread=[0-9]+ pc=0x[0-9a-f]+ "),
                 ContainsRegex(" load_base=0x[0-9a-f]+ stack=0x[0-9a-f]+,0x")));
     }
