--- a/Benchmarks/Soak/SoakDaemon.cpp
+++ b/Benchmarks/Soak/SoakDaemon.cpp
@@ -28,7 +28,8 @@
 
 std::string formatSettings(const SoakNodeSettings& settings, const SoakDaemon& daemon)
 {
-    std::string text;
+    // The first and the last line tell a daemon that reads the file while it is written that it is incomplete.
+    std::string text = "; This file is complete only with the last line \"; end of settings\".\n";
     for (const auto& [section, values] : settings) {
         text.append("[").append(section).append("]\n");
         for (const auto& [key, value] : values) {
@@ -36,7 +37,7 @@
                 text.append(key).append(" = ").append(value).append("\n");
         }
     }
-    return text;
+    return text + "; end of settings\n";
 }
 
 SoakDaemon probeDaemon(const std::string& program, const SoakNodeSettings& settings, const std::string& folder)
