Leave ports to other tests in the test of damaged bytes

ClientPort.* failed in a run of CTest beside EntryNodeTest.AnyBytesOfPeersAndCallersDoNotEndTheProcess: its senders opened connections without a pause, from sockets whose closed ports no listener can bind.

The senders now pause for 2 ms between two connections and open their sockets as the node does, with SO_REUSEADDR. The name of a static variable is as the linter wants it.

--- a/Tests/EntryTests/HostileBytesTests.cpp
+++ b/Tests/EntryTests/HostileBytesTests.cpp
@@ -1,9 +1,9 @@
 #include "EntryNodeFixture.h"
 
 #include <Cyclamenstair/Codec/EntryMessages.h>
+#include <Cyclamenstair/Http/SocketOptions.h>
 #include <Tests/Support/ProcessFleet.h>
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 
 #include <csignal>
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr size_t senderCount = 4;
+/// Between two connections of a sender. Without it, they take most of the machine's ports.
+constexpr Duration pause = milliseconds(2);
 
 /// Draws bytes that a node may receive: whole, changed, cut or random ones.
 class HostileBytes {
@@ -30,13 +32,13 @@
 
     std::string requests()
     {
-        static const std::vector<std::string> heads { "GET /safe/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+        static const std::vector<std::string> s_heads { "GET /safe/1 HTTP/1.1\r\nHost: h\r\n\r\n",
             "POST /stream/1 HTTP/1.1\r\nHost: h\r\nCyclamenstair-Request-Id: r\r\nContent-Length: 4\r\n\r\nbody",
             "POST /once/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
             "GET /cyclamenstair/readiness HTTP/1.1\r\nHost: h\r\n\r\n" };
         std::string bytes;
         for (size_t count = 1 + draw(4); count > 0; --count)
-            bytes += heads[draw(heads.size())];
+            bytes += s_heads[draw(s_heads.size())];
         return damaged(std::move(bytes));
     }
 
@@ -89,7 +91,10 @@
         boost::system::error_code ec;
         tcp::socket socket(context);
         const size_t address = source.draw(addresses.size());
-        socket.connect(parseEndpoint(addresses[address]).value(), ec);
+        const auto endpoint = parseEndpoint(addresses[address]).value();
+        // Tests of other programs bind the ports of closed connections.
+        openClientSocket(socket, endpoint.protocol(), ec);
+        socket.connect(endpoint, ec);
         if (!ec) {
             socket.non_blocking(true, ec);
             for (size_t writes = source.draw(3); writes > 0; --writes)
@@ -100,6 +105,7 @@
         }
         if (sockets.size() > source.draw(32))
             sockets.erase(sockets.begin() + static_cast<std::ptrdiff_t>(source.draw(sockets.size())));
+        std::this_thread::sleep_for(pause);
     }
 }
 
