Take the names that Boost.Log needs from its own class

The linter refused on_overflow() and on_queue_space_available() in Log.cpp. The second one is inherited now, and the first one is marked, as TextBody.h does.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -15,6 +15,7 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
@@ -54,14 +55,14 @@
     std::atomic<bool> isConfigured { false };
 
     /// Drops and counts the lines that find the queue full.
-    struct CountOverflow {
-        template <typename Lock> static bool on_overflow(const boost::log::record_view&, Lock&)
+    struct CountOverflow : boost::log::sinks::drop_on_overflow {
+        template <typename Lock>
+        // NOLINTNEXTLINE(readability-identifier-naming): Boost.Log calls it by this name.
+        static bool on_overflow(const boost::log::record_view& record, Lock& lock)
         {
             countLogLoss(LogLoss::QueueFull);
-            return false;
+            return drop_on_overflow::on_overflow(record, lock);
         }
-        static void on_queue_space_available() { }
-        static void interrupt() { }
     };
 
     using LogSink = boost::log::sinks::asynchronous_sink<StandardOutputBackend,
