Print counters and gauges with all their digits

A counter above a million stood still in /metrics for ten counts and more: six digits were printed.

Cause: the default precision of the stream (class: loss of digits in output).

Summaries are as before. After: the test passes.

--- a/Cyclamenstair/Telemetry/Metrics.cpp
+++ b/Cyclamenstair/Telemetry/Metrics.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Telemetry/Metrics.h>
 
+#include <iomanip>
 #include <sstream>
 
 namespace cyclamenstair {
@@ -7,6 +8,8 @@
 namespace {
 
     constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
+    /// Digits of counters and gauges: a counter above a million and a time in seconds keep theirs.
+    constexpr int valueDigits = 15;
     constexpr Duration summaryWindow = std::chrono::seconds(60);
 
     /// Quantiles of fewer samples are not printed: the P-square estimate needs five samples for each marker.
@@ -151,7 +154,7 @@
     const auto* label = describe(key.metric).label;
     std::ostringstream text;
     if (!series.summary) {
-        text << name << formatLabels(label, key.label) << ' ' << series.value << '\n';
+        text << std::setprecision(valueDigits) << name << formatLabels(label, key.label) << ' ' << series.value << '\n';
         return text.str();
     }
     const auto& summary = *series.summary;
--- a/Tests/TelemetryTests/MetricsTests.cpp
+++ b/Tests/TelemetryTests/MetricsTests.cpp
@@ -28,6 +28,17 @@
         EXPECT_THAT(text, HasSubstr("cyclamenstair_plan_revision 7\n"));
     }
 
+    // Guards against a counter that stands still above a million, because its last digits are not printed.
+    TEST(Metrics, PrintsAllDigitsOfLargeValues)
+    {
+        Metrics metrics;
+        metrics.add(Metric::Requests, "complete", 123'456'789'012);
+        metrics.set(Metric::AllotmentLevel, 0.1, "team");
+        const auto text = metrics.prometheusText();
+        EXPECT_THAT(text, HasSubstr("{outcome=\"complete\"} 123456789012\n"));
+        EXPECT_THAT(text, HasSubstr("{team=\"team\"} 0.1\n"));
+    }
+
     // Guards against a label value that breaks the line format of the exposition.
     TEST(Metrics, EscapesLabelValues)
     {
