Limit the memory of the daemon only in a test of a lack of threads

StartRetry.StartWaitsForThreads set RLIMIT_DATA in the test's own process while it started the daemon. Behind other tests of a shard that process has more memory than the limit, so the start failed, the exception left the limit in force, and all later tests of the shard failed, too: C++ exception with description "cannot start process .../Programs/cyclamenstaird" thrown in the test body. The test checks that the limit is in force before it raises it; its expectations are the same.

--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -138,19 +138,28 @@
     // limits leave no room for the stack of the log's thread or of later ones; sanitizers need more memory themselves.
     TEST_F(StartRetry, StartWaitsForThreads)
     {
+        // A shell sets the limit: this process may have more memory than it allows.
+        const auto shell = std::filesystem::relative("/bin/sh", CYCLAMENSTAIR_BINARY_DIR).string();
+        const auto daemon = std::string(CYCLAMENSTAIR_BINARY_DIR) + "/Programs/cyclamenstaird";
+        const auto start = [&](rlim_t megabytes, const std::string& name) {
+            const auto limit = std::to_string(megabytes * 1024);
+            return std::make_unique<ChildProcess>(shell,
+                std::vector<std::string> {
+                    "-c", "ulimit -S -d " + limit + " && exec \"$0\" \"$@\"", daemon, "--config", settingsPath() },
+                m_folder + "/" + name);
+        };
         for (const rlim_t megabytes : { 4, 16 }) {
-            rlimit former {};
-            ASSERT_EQ(::getrlimit(RLIMIT_DATA, &former), 0);
-            const rlimit scarce { megabytes << 20, former.rlim_max };
-            ASSERT_EQ(::setrlimit(RLIMIT_DATA, &scarce), 0);
-            const auto node = startNode();
-            const auto cancelled = startNode("cancelled");
-            ASSERT_EQ(::setrlimit(RLIMIT_DATA, &former), 0);
+            const auto node = start(megabytes, "node");
+            const auto cancelled = start(megabytes, "cancelled");
             std::this_thread::sleep_for(std::chrono::milliseconds(500));
             ASSERT_FALSE(node->hasExited()) << log();
             cancelled->sendSignal(SIGTERM);
             EXPECT_EQ(cancelled->wait(waitTimeoutMs), 0) << log("cancelled");
-            ASSERT_EQ(::prlimit(node->id(), RLIMIT_DATA, &former, nullptr), 0);
+            rlimit limit {};
+            ASSERT_EQ(::prlimit(node->id(), RLIMIT_DATA, nullptr, &limit), 0);
+            EXPECT_EQ(limit.rlim_cur, megabytes << 20);
+            limit.rlim_cur = limit.rlim_max;
+            ASSERT_EQ(::prlimit(node->id(), RLIMIT_DATA, &limit, nullptr), 0);
             EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
             EXPECT_FALSE(node->hasExited()) << log();
         }
