Let long reads of the store end

A full read of the store was begun again after 15 s, so that a lost outcome does not end the watching. 6,900 targets are 138 pages; at 240 ms a page, as while the store is slow, a read takes 33 s and would never have ended. The bound is now the number of pages times the timeout of a call. Found by reading; no test plays a read of that length. An outcome that is handled with an exception is still followed by a new read after the usual pause (HandlerFailureTest).

--- a/Cyclamenstair/Entry/StoreWatcher.cpp
+++ b/Cyclamenstair/Entry/StoreWatcher.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-    /// Time after which a full read is begun again if its outcome was lost. Longer than a read of many pages.
-    constexpr Duration maxReadTime = milliseconds(15000);
+    /// Time after which a full read is begun again if its outcome was lost. Longer than one of 6,900 targets by 50 a
+    /// page, each within the store client's timeout of one call; a shorter time would never let a slow read end.
+    constexpr Duration maxReadTime = milliseconds(150000);
     /// The same for a watch, beyond the time that it waits. Longer than the store client's timeout of one call.
     constexpr Duration maxWatchDelay = milliseconds(3000);
 
