Ignore messages of later builds between nodes

Nodes of two builds lost their channels again and again if one of them sent a message that the other one did not know: in a soak of an earlier build beside this one, 65 lines peer_message_rejected at six of seven nodes in 24 s. Each time the loads, demand and records that pass over the channel were late by up to a second. Class: the set of message types of the own build taken for the only valid one, as with the keys of settings.

A well-formed message whose type is beyond those of the schema is now logged (peer_message_unknown) and ignored. Malformed ones close the channel as before. Earlier builds still close it; this holds for the successors of this one.

--- a/Cyclamenstair/Codec/EntryMessageCodec.cpp
+++ b/Cyclamenstair/Codec/EntryMessageCodec.cpp
@@ -330,6 +330,7 @@
                    [&](const UsageShare& share) { record.content.Set(toRecord(share)); },
                    [&](const UsageSummary& summary) { record.content.Set(toRecord(summary)); },
                    [&](const StreamOriginShare& share) { record.content.Set(toRecord(share)); },
+                   [](const UnknownMessage&) {},
                },
         message);
     return packRecord<schema::EntryMessage>(record);
@@ -365,7 +366,9 @@
         return UsageSummary { summary->node, fromRows(summary->teams), summary->node_count, summary->catalog_version };
     if (const auto* share = record.content.AsStreamOriginShare())
         return fromRecord(*share);
-    throw Exception({ ErrorKind::InvalidInput, "entry_message.decode", "", "expected a message with known content" });
+    if (record.content.type > schema::EntryContent::MAX)
+        return UnknownMessage { static_cast<uint8_t>(record.content.type) };
+    throw Exception({ ErrorKind::InvalidInput, "entry_message.decode", "", "expected a message with content" });
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Codec/EntryMessages.h
+++ b/Cyclamenstair/Codec/EntryMessages.h
@@ -118,13 +118,19 @@
     std::vector<StreamOrigin> origins;
 };
 
+/// A message of a type that only later builds know. Nodes receive it and do not send it.
+struct UnknownMessage {
+    uint8_t type { 0 }; ///< Value of schema::EntryContent.
+};
+
 using EntryMessage = std::variant<LoadShare, SnapshotRequest, Snapshot, ResidencyNotice, DemandShare, LoadSummary,
-    StoreSyncRequest, StoreUpdate, QuarantineShare, UsageShare, UsageSummary, StreamOriginShare>;
+    StoreSyncRequest, StoreUpdate, QuarantineShare, UsageShare, UsageSummary, StreamOriginShare, UnknownMessage>;
 
 /// Returns the message as a FlatBuffers EntryMessage.
 std::string encodeEntryMessage(const EntryMessage& message);
 
-/// Decodes an EntryMessage; throws Exception if `bytes` are malformed or the message has no content.
+/// Decodes an EntryMessage; throws Exception if `bytes` are malformed or the message has no content. Content of a type
+/// that this build does not know is an UnknownMessage.
 EntryMessage decodeEntryMessage(std::string_view bytes);
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -122,6 +122,7 @@
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const UsageShare& share);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const UsageSummary& summary);
     void handleMessage(const std::shared_ptr<FrameChannel>& sender, const StreamOriginShare& share);
+    void handleMessage(const std::shared_ptr<FrameChannel>& sender, const UnknownMessage& message);
     void sendDueNotices(TimePoint now);
     /// Sends what this node knows of prompt parts that make targets fail, if it changed or was not sent for a while.
     void sendQuarantine(TimePoint now);
--- a/Cyclamenstair/Entry/PeerMeshMessages.cpp
+++ b/Cyclamenstair/Entry/PeerMeshMessages.cpp
@@ -94,6 +94,11 @@
         shareStreamOrigins(std::move(added));
 }
 
+void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>&, const UnknownMessage& message)
+{
+    logEvent(LogSeverity::Warning, "peer_message_unknown", { { "type", std::to_string(message.type) } });
+}
+
 void PeerMesh::handleMessage(const std::shared_ptr<FrameChannel>& sender, const ResidencyNotice& notice)
 {
     m_state->targets.setModels(notice.service, notice.target, notice.models);
--- a/Tests/CodecTests/EntryMessageCodecTests.cpp
+++ b/Tests/CodecTests/EntryMessageCodecTests.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Codec/EntryMessages.h>
 #include <Cyclamenstair/Codec/NodeEntryCodec.h>
 #include <Cyclamenstair/Core/Error.h>
+#include <Cyclamenstair/Generated/Entry_generated.h>
 
 #include <Cyclamenstair/Codec/ServiceVersionCodec.h>
 
@@ -52,6 +53,19 @@
     EXPECT_EQ(rejected.error().peer, "node-1");
 }
 
+// Guards against nodes of two builds that close their channels again and again, because one of them sends a message
+// that the other one does not know.
+TEST(EntryMessageCodec, MessageOfALaterBuildIsUnknown)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const auto content = schema::CreateStoreSyncRequestDirect(builder, "node-1").Union();
+    constexpr uint8_t laterType = 200;
+    builder.Finish(schema::CreateEntryMessage(builder, static_cast<schema::EntryContent>(laterType), content));
+    const std::string bytes(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    EXPECT_EQ(std::get<UnknownMessage>(decodeEntryMessage(bytes)).type, laterType);
+    EXPECT_THROW(decodeEntryMessage(encodeEntryMessage(UnknownMessage { laterType })), Exception);
+}
+
 TEST(EntryMessageCodec, RoundTripsSnapshot)
 {
     const Snapshot snapshot { "{}", { { "i-1", "entry", 12 } }, true };
