Use only the outcome of the last attempt to take the order lease

Since attempts set a timer before their calls, a node that was suspended could begin a second attempt although the outcome of the first had arrived. The failure of the second then cancelled the renewals of the lease that the first had taken: no orders until the store let it expire. Found in review; no test shows it. Attempts are numbered, and the lease of one whose outcome is late is revoked. EntryTests of the order lease pass.

--- a/Cyclamenstair/Entry/OrderLeaseElector.cpp
+++ b/Cyclamenstair/Entry/OrderLeaseElector.cpp
@@ -110,24 +110,26 @@
 {
     retryAcquire(maxAcquireTime);
     const auto sentAt = suspendAwareNow();
-    m_store->grantLease(m_settings.timeToLive, [this, sentAt](std::optional<int64_t> leaseId) {
-        if (leaseId) {
-            createHolderKey(*leaseId, sentAt);
-            return;
-        }
-        retryAcquire(acquireRetryDelay);
+    m_store->grantLease(m_settings.timeToLive, [this, sentAt, attempt = ++m_attempt](std::optional<int64_t> leaseId) {
+        if (leaseId)
+            createHolderKey(*leaseId, sentAt, attempt);
+        else if (attempt == m_attempt)
+            retryAcquire(acquireRetryDelay);
     });
 }
 
-void OrderLeaseElector::createHolderKey(int64_t leaseId, TimePoint sentAt)
+void OrderLeaseElector::createHolderKey(int64_t leaseId, TimePoint sentAt, uint64_t attempt)
 {
     StoreTransaction transaction { { { key, 0 } }, { StorePut { key, m_nodeId, leaseId } } };
-    m_store->transact(transaction, [this, leaseId, sentAt](const StoreWriteOutcome& outcome) {
+    m_store->transact(transaction, [this, leaseId, sentAt, attempt](const StoreWriteOutcome& outcome) {
         const auto* appliedWrite = std::get_if<StoreApplied>(&outcome);
-        if (!appliedWrite || m_isStopping) {
+        // After a suspension the timer of an attempt can run before its outcome, which is then too late.
+        const bool isLate = attempt != m_attempt;
+        if (!appliedWrite || m_isStopping || isLate) {
             // The write may have been applied even so; revoking or expiry of the lease then removes the key.
             m_store->revokeLease(leaseId);
-            retryAcquire(acquireRetryDelay);
+            if (!isLate)
+                retryAcquire(acquireRetryDelay);
             return;
         }
         scheduleRenewal(renewalInterval);
--- a/Cyclamenstair/Entry/OrderLeaseElector.h
+++ b/Cyclamenstair/Entry/OrderLeaseElector.h
@@ -41,7 +41,7 @@
     void scheduleAcquire();
     void acquire();
     void retryAcquire(Duration delay);
-    void createHolderKey(int64_t leaseId, TimePoint sentAt);
+    void createHolderKey(int64_t leaseId, TimePoint sentAt, uint64_t attempt);
     void renew();
     void onRenewed(StoreLeaseOutcome outcome, TimePoint sentAt);
     void clearLease(const std::string& reason);
@@ -59,6 +59,7 @@
     std::function<bool()> m_isEligible;
     bool m_isLeaseHolderKnown { false };
     bool m_isAcquiring { false };
+    uint64_t m_attempt { 0 }; ///< Number of the last attempt; outcomes of earlier ones are not used.
     bool m_isStopping { false };
     int64_t m_leaseId { 0 }; ///< 0 while the lease is not held.
 };
