Use only the outcome of the last registration of a node

The same as for the order lease: after a suspension two registrations could overlap, and the end of the second one removed the entry that the first had written, while its lease was renewed. Found in review; no test shows it.

--- a/Cyclamenstair/Entry/NodeRegistrar.cpp
+++ b/Cyclamenstair/Entry/NodeRegistrar.cpp
@@ -39,14 +39,15 @@
     // Before the calls, so that an exception in them or in the handling of their outcome does not end the renewals.
     scheduleNext(maxCallTime);
     m_isCalling = true;
+    const auto round = ++m_round;
     if (m_leaseId != 0) {
-        renew();
+        renew(round);
         return;
     }
-    m_store->grantLease(entryTimeToLive, [this](std::optional<int64_t> leaseId) {
+    m_store->grantLease(entryTimeToLive, [this, round](std::optional<int64_t> leaseId) {
         if (leaseId)
-            writeEntry(*leaseId);
-        else
+            writeEntry(*leaseId, round);
+        else if (round == m_round)
             scheduleNext(retryDelay);
     });
 }
@@ -61,11 +62,14 @@
         scheduleNext(frequentRenewalInterval);
 }
 
-void NodeRegistrar::writeEntry(int64_t leaseId)
+void NodeRegistrar::writeEntry(int64_t leaseId, uint64_t round)
 {
     const StoreTransaction transaction { {}, { StorePut { keyPrefix + m_nodeId, encodeNodeEntry(m_self), leaseId } } };
-    m_store->transact(transaction, [this, leaseId](const StoreWriteOutcome& outcome) {
-        if (std::holds_alternative<StoreApplied>(outcome)) {
+    m_store->transact(transaction, [this, leaseId, round](const StoreWriteOutcome& outcome) {
+        // After a suspension the timer of a registration can run before its outcome. The next one is then in progress.
+        if (round != m_round) {
+            m_store->revokeLease(leaseId);
+        } else if (std::holds_alternative<StoreApplied>(outcome)) {
             m_leaseId = leaseId;
             scheduleNext(m_isFrequent ? frequentRenewalInterval : renewalInterval);
         } else {
@@ -75,11 +79,13 @@
     });
 }
 
-void NodeRegistrar::renew()
+void NodeRegistrar::renew(uint64_t round)
 {
-    m_store->keepLeaseAlive(m_leaseId, [this](StoreLeaseOutcome outcome) {
+    m_store->keepLeaseAlive(m_leaseId, [this, round](StoreLeaseOutcome outcome) {
         if (outcome != StoreLeaseOutcome::Unavailable)
             m_contactAt = monotonicNow();
+        if (round != m_round)
+            return;
         if (outcome == StoreLeaseOutcome::Expired) {
             logEvent(LogSeverity::Info, "node_entry_lapsed", { { "node", m_nodeId } });
             m_leaseId = 0;
--- a/Cyclamenstair/Entry/NodeRegistrar.h
+++ b/Cyclamenstair/Entry/NodeRegistrar.h
@@ -33,8 +33,8 @@
 
 private:
     void registerOrRenew();
-    void writeEntry(int64_t leaseId);
-    void renew();
+    void writeEntry(int64_t leaseId, uint64_t round);
+    void renew(uint64_t round);
     void scheduleNext(Duration delay);
 
     boost::asio::steady_timer m_timer;
@@ -42,6 +42,7 @@
     std::string m_nodeId;
     PeerNode m_self;
     bool m_isFrequent { false };
+    uint64_t m_round { 0 }; ///< Number of the last registration or renewal; outcomes of earlier ones are not used.
     bool m_isCalling { false }; ///< A call whose outcome schedules the next one is in progress.
     TimePoint m_contactAt; ///< Time of the last answer to a renewal.
     int64_t m_leaseId { 0 }; ///< 0 while the node is not registered.
