Take the size of a page from the system in the handler of fatal signals

With pages of 16 or 64 KiB, as on some arm64 systems, the handler could read the guard page after a stack overflow, and the line about it was lost. Found in review; on x86-64, where pages have 4 KiB, the tests of the line pass as before.

--- a/Cyclamenstair/Telemetry/FatalSignals.cpp
+++ b/Cyclamenstair/Telemetry/FatalSignals.cpp
@@ -26,11 +26,10 @@
 
     constexpr int signalStatusBase = 128;
     constexpr size_t maxStackAddresses = 24;
-    constexpr uintptr_t pageBytes = 4096; ///< The smallest page of both architectures.
     /// A fault this close to the stack pointer counts as a stack overflow.
-    constexpr uintptr_t maxOverflowBytes = 16 * pageBytes;
+    constexpr uintptr_t maxOverflowBytes = uintptr_t { 64 } * 1024;
     /// Part of the stack that is searched for return addresses.
-    constexpr uintptr_t maxStackBytes = 4 * pageBytes;
+    constexpr uintptr_t maxStackBytes = uintptr_t { 16 } * 1024;
 
     /// Addresses of the executable in memory.
     struct Executable {
@@ -41,6 +40,7 @@
 
     /// Set before the handlers are installed, and constant afterwards.
     Executable executable;
+    uintptr_t pageBytes = 4096;
     std::terminate_handler previousTerminateHandler = nullptr;
 
     /// An address above the frames of the current thread, up to which its stack is mapped; 0 if it is not known.
@@ -179,6 +179,7 @@
 void installFatalSignalHandlers()
 {
     dl_iterate_phdr(recordExecutable, nullptr);
+    pageBytes = static_cast<uintptr_t>(::sysconf(_SC_PAGESIZE));
     // The environment lies above the frames of the main thread.
     stackEnd = reinterpret_cast<uintptr_t>(environ);
     previousTerminateHandler = std::set_terminate(handleTerminate);
