Retry a start that lacks memory for its settings

A start, or SIGHUP while it is retried, ended with status 1 if there was no memory to read the settings; other steps of a start are retried then. Found in review; no test shows it. SettingsFile::read() returns the lack as an error.

--- a/Programs/SettingsFile.cpp
+++ b/Programs/SettingsFile.cpp
@@ -3,9 +3,20 @@
 #include <Cyclamenstair/Settings/SettingsReader.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
+#include <exception>
+
 namespace cyclamenstair {
 
 Result<schema::SettingsT> SettingsFile::read() const
+{
+    try {
+        return readOrThrow();
+    } catch (const std::exception& exception) {
+        return Error { ErrorKind::Unavailable, "settings.read", m_path, exception.what() };
+    }
+}
+
+Result<schema::SettingsT> SettingsFile::readOrThrow() const
 {
     auto read = SettingsReader::createTolerantFromFile(m_path);
     if (!read)
--- a/Programs/SettingsFile.h
+++ b/Programs/SettingsFile.h
@@ -17,10 +17,12 @@
 
     const std::string& path() const { return m_path; }
 
-    /// Reads the file. Writes a log line for each entry that has no effect.
+    /// Reads the file. Writes a log line for each entry that has no effect. Unavailable for lack of memory.
     Result<schema::SettingsT> read() const;
 
 private:
+    Result<schema::SettingsT> readOrThrow() const;
+
     std::string m_path;
 };
 
