--- a/Tests/EntryTests/HandlerFailureTests.cpp
+++ b/Tests/EntryTests/HandlerFailureTests.cpp
@@ -69,9 +69,9 @@
 // Guards against a node that sends its loads no more, because one exchange with the other nodes has failed.
 TEST_F(HandlerFailureTest, LoadsAreExchangedAfterOneExchangeThrew)
 {
-    auto settings = SettingsReader::create("[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = "
-        + allocateLoopbackAddress() + "\nready_listen = " + allocateLoopbackAddress()
-        + "\n[control]\nstore = " + registry.address() + "\n");
+    auto settings = SettingsReader::create(
+        "[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = " + allocateLoopbackAddress()
+        + "\nready_listen = " + allocateLoopbackAddress() + "\n[control]\nstore = " + registry.address() + "\n");
     ASSERT_TRUE(settings) << settings.error().describe();
     EntryState state(settings.value());
     StoreRelay relay("node-1");
