Forget the demand for artifacts that are no longer requested

The counts of each model and adapter that a caller has ever named were kept until the process ended, and the demand that is sent several times a second went through all of them. Counts without requests in progress, waiting requests or a noticeable rate of arrivals are now removed when the demand is read. On the code before, DemandCounter.ForgetsArtifactsWithoutDemand found 1002 counts in place of 2; it passes.

--- a/Cyclamenstair/Fleet/DemandCounter.h
+++ b/Cyclamenstair/Fleet/DemandCounter.h
@@ -44,9 +44,12 @@
     /// Counts a request that starts (`delta` 1) or stops (`delta` -1) waiting for the artifact.
     void countWaiting(const ArtifactKey& artifact, int delta);
 
-    /// Returns the demand for every artifact with requests in progress or recent arrivals.
+    /// Returns the demand for every artifact with requests in progress or recent arrivals. Forgets the others.
     ArtifactWorkloads demand(TimePoint now);
 
+    /// Returns the number of artifacts whose counts are kept.
+    size_t size() const;
+
 private:
     struct Count {
         double arrivals { 0 }; ///< Exponentially decayed up to updatedAt.
--- a/Tests/FleetTests/TargetRegistryTests.cpp
+++ b/Tests/FleetTests/TargetRegistryTests.cpp
@@ -270,6 +270,29 @@
     EXPECT_TRUE(demand.demand(now + std::chrono::minutes(1)).empty());
 }
 
+// Guards against memory and processor time that grow with each adapter that a caller has ever named.
+TEST(DemandCounter, ForgetsArtifactsWithoutDemand)
+{
+    constexpr int adapterCount = 1000;
+    DemandCounter demand;
+    const ArtifactKey running { "drafting", "draft", "running" };
+    const ArtifactKey waiting { "drafting", "draft", "waiting" };
+    demand.countArrival(running, now);
+    demand.countWaiting(waiting, 1);
+    for (int i = 0; i < adapterCount; ++i) {
+        const ArtifactKey artifact { "drafting", "draft", "adapter-" + std::to_string(i) };
+        demand.countArrival(artifact, now);
+        demand.countCompletion(artifact);
+    }
+    EXPECT_EQ(demand.demand(now).size(), adapterCount + 1U);
+    EXPECT_EQ(demand.demand(now + std::chrono::minutes(1)).size(), 1U);
+    EXPECT_EQ(demand.size(), 2U);
+    demand.countCompletion(running);
+    demand.countWaiting(waiting, -1);
+    (void)demand.demand(now + std::chrono::minutes(2));
+    EXPECT_EQ(demand.size(), 0U);
+}
+
 // Guards against requests to a process that said it leaves or asked for a pause, against a replacement at its address
 // that is not used, and against a late statement of the former process that counts for the replacement.
 RC_GTEST_PROP(TargetRegistryProperties, StatementsBindTheProcessThatMadeThem, ())
