Keep the level of the log outside Boost.Log

A reload replaced the filter of Boost.Log while other threads evaluated it. The library holds a lock of its own for that, which the thread sanitizer does not see, as libboost_log.so is not instrumented: every reload was reported, and a race of the project's own in the same place could not have been told from it. The level is now an atomic that is read before a line is formatted; no filter is set any more, and lines below the level cost nothing.

The suppression for libboost_log.so stays for the destruction of records: their count is changed by inline assembly in atomic_count_gcc_x86.hpp.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -16,31 +16,14 @@
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/trivial.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 
 namespace cyclamenstair {
 
 namespace {
 
-    using BoostSeverity = boost::log::trivial::severity_level;
-
-    BoostSeverity toBoost(LogSeverity severity)
-    {
-        switch (severity) {
-        case LogSeverity::Debug:
-            return boost::log::trivial::debug;
-        case LogSeverity::Info:
-            return boost::log::trivial::info;
-        case LogSeverity::Warning:
-            return boost::log::trivial::warning;
-        case LogSeverity::Error:
-            break;
-        }
-        return boost::log::trivial::error;
-    }
-
     void appendValue(std::string& text, std::string_view value)
     {
         formatLogValue(value, [&](char c) { text += c; });
@@ -54,6 +37,10 @@
 
     std::atomic<bool> isConfigured { false };
 
+    /// Lines below it are dropped before they are formatted. No filter of Boost.Log is used, whose replacement by a
+    /// reload the thread sanitizer cannot follow.
+    std::atomic<LogSeverity> minLoggedSeverity { LogSeverity::Debug };
+
     /// Drops and counts the lines that find the queue full.
     struct CountOverflow : boost::log::sinks::drop_on_overflow {
         template <typename Lock>
@@ -84,10 +71,12 @@
         boost::log::core::get()->add_sink(logSink());
     }
 
-    void writeLine(LogSeverity severity, const std::string& line)
+    bool isLogged(LogSeverity severity) { return severity >= minLoggedSeverity.load(std::memory_order_relaxed); }
+
+    void writeLine(const std::string& line)
     {
-        static boost::log::sources::severity_logger_mt<BoostSeverity> s_logger;
-        BOOST_LOG_SEV(s_logger, toBoost(severity)) << line;
+        static boost::log::sources::logger_mt s_logger;
+        BOOST_LOG(s_logger) << line;
     }
 
     std::string formatLineStart(LogSeverity severity, std::string_view event)
@@ -124,7 +113,7 @@
 {
     static std::once_flag s_once;
     std::call_once(s_once, createLogSink);
-    boost::log::core::get()->set_filter(boost::log::trivial::severity >= toBoost(minSeverity));
+    minLoggedSeverity = minSeverity;
     isConfigured = true;
 }
 
@@ -159,6 +148,8 @@
 
 void logEventFields(LogSeverity severity, std::string_view event, std::span<const LogField> fields) noexcept
 {
+    if (!isLogged(severity))
+        return;
     dropOnException([&] {
         // Limits repeated faults, which would otherwise bury all other lines. The key is the event with its peer or
         // target.
@@ -177,13 +168,15 @@
         }
         auto line = formatLineStart(severity, event);
         appendFields(line, fields, suppressed);
-        writeLine(severity, line);
+        writeLine(line);
     });
 }
 
 void logRequestEvent(
     const std::string& requestId, std::string_view event, std::initializer_list<LogField> fields) noexcept
 {
+    if (!isLogged(LogSeverity::Info))
+        return;
     dropOnException([&] {
         static LogLimiter s_limiter(requestLogLimit);
         const auto suppressed = s_limiter.admit("request", monotonicNow());
@@ -193,7 +186,7 @@
         line += " request=";
         appendValue(line, requestId);
         appendFields(line, fields, *suppressed);
-        writeLine(LogSeverity::Info, line);
+        writeLine(line);
     });
 }
 
--- a/Tests/TelemetryTests/LogTests.cpp
+++ b/Tests/TelemetryTests/LogTests.cpp
@@ -5,7 +5,9 @@
 #include <fcntl.h>
 #include <future>
 #include <gtest/gtest.h>
+#include <string>
 #include <unistd.h>
+#include <vector>
 
 namespace cyclamenstair {
 namespace {
@@ -42,5 +44,49 @@
         EXPECT_FALSE(isFlushed);
     }
 
+    // Guards against a data race between a reload, which sets the level, and the threads that log.
+    TEST(Log, LevelChangesWhileThreadsLog)
+    {
+        constexpr int lineCount = 2000;
+        std::array<int, 2> ends {};
+        ASSERT_EQ(::pipe(ends.data()), 0);
+        const int standardOutput = ::dup(STDOUT_FILENO);
+        ::dup2(ends[1], STDOUT_FILENO);
+        auto reader = std::async(std::launch::async, [&] {
+            std::string text;
+            std::array<char, 65536> buffer {};
+            for (ssize_t count = 0; (count = ::read(ends[0], buffer.data(), buffer.size())) > 0;)
+                text.append(buffer.data(), static_cast<size_t>(count));
+            return text;
+        });
+        configureLog(LogSeverity::Info);
+        std::vector<std::future<void>> writers;
+        for (int writer = 0; writer < 2; ++writer) {
+            writers.push_back(std::async(std::launch::async, [] {
+                for (int i = 0; i < lineCount; ++i)
+                    logEvent(LogSeverity::Info, "concurrent");
+            }));
+        }
+        for (int i = 0; i < lineCount; ++i)
+            configureLog(i % 2 == 0 ? LogSeverity::Warning : LogSeverity::Info);
+        for (auto& writer : writers)
+            writer.get();
+        configureLog(LogSeverity::Warning);
+        logEvent(LogSeverity::Info, "below_level");
+        logRequestEvent("request", "request_below_level");
+        logEvent(LogSeverity::Warning, "at_level");
+        configureLog(LogSeverity::Info);
+        logEvent(LogSeverity::Info, "at_lower_level");
+        EXPECT_TRUE(flushLog(std::chrono::seconds(10)));
+        ::dup2(standardOutput, STDOUT_FILENO);
+        ::close(standardOutput);
+        ::close(ends[1]);
+        const auto text = reader.get();
+        ::close(ends[0]);
+        EXPECT_EQ(text.find("below_level"), std::string::npos);
+        EXPECT_NE(text.find("event=at_level\n"), std::string::npos);
+        EXPECT_NE(text.find("event=at_lower_level\n"), std::string::npos);
+    }
+
 } // namespace
 } // namespace cyclamenstair
