--- a/StandIns/SimulatedTarget.h
+++ b/StandIns/SimulatedTarget.h
@@ -82,6 +82,10 @@
     TargetWorkload workload;
 };
 
+/// Returns the body of a response of a plain service, `TARGET:REQUEST:` and padding. Its size depends on the request's
+/// id and the mean only, so that a caller can tell that it has all of the body of its own request.
+std::string simulatedResponseBody(const std::string& targetId, const std::string& requestId, size_t meanBytes);
+
 /// An order that a target accepted.
 struct AcceptedOrder {
     std::string holder;
