Add the faults of simulated targets

Requests that fail, whose answer is lost, reset within the response or garbled, in streams too, and tests of them, of delayed orders, of the limit of connections and of draining.

--- a/StandIns/SimulatedTarget.cpp
+++ b/StandIns/SimulatedTarget.cpp
@@ -33,6 +33,10 @@
     /// Until the address is bound or a connection is accepted again after a failure.
     constexpr Duration socketRetryDelay = milliseconds(50);
     constexpr int slowness = 4;
+    constexpr std::string_view garbage = "\x01\x02 these bytes are no response\r\n\r\n";
+    constexpr std::string_view surplusResponse = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus";
+    /// Events that a faulty stream has before its fault, at most.
+    constexpr size_t maxEventsBeforeFault = 3;
 
     std::string eventText(int64_t event) { return "id: " + std::to_string(event) + "\ndata: token\n\n"; }
 
@@ -96,7 +100,7 @@
         std::string id;
         bool isHeadSent { false };
         std::optional<TargetFaultKind> fault;
-        int64_t eventsBeforeFault { 0 };
+        size_t eventsBeforeFault { 0 };
     };
     struct DelayedOrder {
         SimulatedOrder order;
@@ -129,9 +133,15 @@
     void advance();
     void armTimer();
     void apply(const SimulatedStep& step);
-    void sendEvent(Call& call, int64_t event);
+    /// Sends an event of a stream. Returns false if a fault ended the response.
+    bool sendEvent(Call& call, int64_t event);
     void complete(Call& call);
+    void expire(Call& call) const;
+    /// Sends the head of a stream unless it was sent.
+    void sendStreamHead(Call& call) const;
     void sendBody(Call& call);
+    static void sendGarbage(Call& call);
+    void fail(Call& call) const;
     SimulatedTargetState state() const;
     SimulatedModels::UsePredicate usePredicate() const;
     bool isEngine() const { return m_models.has_value(); }
@@ -424,7 +434,7 @@
     }
     if (drawFault(TargetFaultKind::SlowDown))
         work.slowness = slowness;
-    Call call { connection, work.id, false, drawRequestFault(), static_cast<int64_t>(randomIndex(m_random, 3)) };
+    Call call { connection, work.id, false, drawRequestFault(), randomIndex(m_random, maxEventsBeforeFault + 1) };
     const auto number = ++m_lastCall;
     if (!m_batch.add(number, std::move(work), now)) {
         reject(*connection, unavailable, call.id);
@@ -544,13 +554,15 @@
     if (found == m_calls.end())
         return;
     auto& call = found->second;
+    bool isDone = true;
     switch (step.kind) {
     case SimulatedStepKind::Begun:
         ++m_runs[call.id];
-        return;
+        isDone = false;
+        break;
     case SimulatedStepKind::Event:
-        sendEvent(call, step.event);
-        return;
+        isDone = !sendEvent(call, step.event);
+        break;
     case SimulatedStepKind::Completed:
         complete(call);
         break;
@@ -558,48 +570,111 @@
         reject(*call.connection, unavailable, call.id);
         break;
     case SimulatedStepKind::Expired:
-        if (call.isHeadSent)
-            call.connection->abort();
-        else
-            call.connection->sendResponse(receiptHead(gatewayTimeout, call.id), {});
+        expire(call);
         break;
     }
-    m_calls.erase(step.request);
+    if (isDone) {
+        m_batch.remove(step.request);
+        m_calls.erase(found);
+    }
 }
 
-void SimulatedTarget::Impl::sendEvent(Call& call, int64_t event)
+bool SimulatedTarget::Impl::sendEvent(Call& call, int64_t event)
 {
-    if (!call.isHeadSent) {
-        call.isHeadSent = true;
-        auto head = receiptHead(ok, call.id);
-        head.fields.emplace_back("Content-Type", "text/event-stream");
-        call.connection->sendHead(head, std::nullopt);
+    if (call.fault == TargetFaultKind::LoseAnswers)
+        return true;
+    if (call.fault == TargetFaultKind::FailRequests) {
+        fail(call);
+        return false;
     }
-    call.connection->sendData(eventText(event));
+    const bool isReset = call.fault == TargetFaultKind::ResetAnswers && call.eventsBeforeFault == 0;
+    const bool isGarbled = call.fault == TargetFaultKind::GarbleAnswers && call.eventsBeforeFault == 0;
+    if (isGarbled && !call.isHeadSent) {
+        sendGarbage(call);
+        return false;
+    }
+    if (call.eventsBeforeFault > 0)
+        --call.eventsBeforeFault;
+    sendStreamHead(call);
+    const auto text = eventText(event);
+    call.connection->sendData(isReset ? text.substr(0, text.size() / 2) : text);
+    if (isReset)
+        resetAfterOutput(call.connection);
+    return !isReset;
 }
 
 void SimulatedTarget::Impl::complete(Call& call)
 {
+    if (call.fault == TargetFaultKind::LoseAnswers)
+        return;
+    if (call.fault == TargetFaultKind::FailRequests && !call.isHeadSent) {
+        fail(call);
+        return;
+    }
     if (!isEngine()) {
         sendBody(call);
         return;
     }
-    if (!call.isHeadSent) {
-        auto head = receiptHead(ok, call.id);
-        head.fields.emplace_back("Content-Type", "text/event-stream");
-        call.connection->sendHead(head, std::nullopt);
+    sendStreamHead(call);
+    if (call.fault == TargetFaultKind::ResetAnswers) {
+        resetAfterOutput(call.connection);
+        return;
     }
     call.connection->finish();
+    if (call.fault == TargetFaultKind::GarbleAnswers)
+        call.connection->sendData(surplusResponse);
+}
+
+void SimulatedTarget::Impl::expire(Call& call) const
+{
+    if (call.fault == TargetFaultKind::LoseAnswers)
+        return;
+    if (call.isHeadSent)
+        call.connection->abort();
+    else
+        call.connection->sendResponse(receiptHead(gatewayTimeout, call.id), {});
+}
+
+void SimulatedTarget::Impl::sendStreamHead(Call& call) const
+{
+    if (std::exchange(call.isHeadSent, true))
+        return;
+    auto head = receiptHead(ok, call.id);
+    head.fields.emplace_back("Content-Type", "text/event-stream");
+    call.connection->sendHead(head, std::nullopt);
 }
 
 void SimulatedTarget::Impl::sendBody(Call& call)
 {
+    if (call.fault == TargetFaultKind::GarbleAnswers && call.eventsBeforeFault == 0) {
+        sendGarbage(call);
+        return;
+    }
     const auto meanBytes = std::get<ServiceWorkload>(m_settings.workload).meanResponseBytes;
-    if (call.fault == TargetFaultKind::FailRequests) {
-        call.connection->sendResponse(receiptHead(internalError, call.id), {});
+    const auto body = simulatedResponseBody(m_id, call.id, meanBytes);
+    if (call.fault == TargetFaultKind::ResetAnswers) {
+        call.connection->sendHead(receiptHead(ok, call.id), body.size());
+        call.connection->sendData(body.substr(0, body.size() / 2));
+        resetAfterOutput(call.connection);
         return;
     }
-    call.connection->sendResponse(receiptHead(ok, call.id), simulatedResponseBody(m_id, call.id, meanBytes));
+    call.connection->sendResponse(receiptHead(ok, call.id), body);
+    // Between two responses, data is sent without any framing.
+    if (call.fault == TargetFaultKind::GarbleAnswers)
+        call.connection->sendData(surplusResponse);
+}
+
+void SimulatedTarget::Impl::sendGarbage(Call& call)
+{
+    call.connection->closeAfterResponse();
+    // Before a head, data is sent without any framing.
+    call.connection->sendData(garbage);
+    call.connection->finish();
+}
+
+void SimulatedTarget::Impl::fail(Call& call) const
+{
+    call.connection->sendResponse(receiptHead(internalError, call.id), {});
 }
 
 SimulatedTargetState SimulatedTarget::Impl::state() const
--- a/Tests/StandInsTests/SimulatedTargetTests.cpp
+++ b/Tests/StandInsTests/SimulatedTargetTests.cpp
@@ -1,6 +1,12 @@
+#include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Http/HttpExchange.h>
 #include <StandIns/SimulatedTarget.h>
 
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -90,6 +96,27 @@
         return response && fieldValue(response->head.fields, "Cyclamenstair-Not-Run").has_value();
     }
 
+    /// What a target sent on a connection until it ended.
+    struct Received {
+        std::string bytes;
+        bool isReset { false };
+    };
+
+    Received receiveAll(const SimulatedTarget& target, const HttpRequest& request)
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect(parseEndpoint(target.address()).value());
+        auto closing = request;
+        closing.fields.emplace_back("Connection", "close");
+        boost::asio::write(socket, boost::asio::buffer(encodeRequest(closing)));
+        Received received;
+        boost::system::error_code ec;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received.bytes), ec);
+        received.isReset = ec == boost::asio::error::connection_reset;
+        return received;
+    }
+
     std::string events(int first, int last)
     {
         std::string text;
@@ -323,5 +350,130 @@
         EXPECT_EQ(fieldValue(std::get<HttpResponse>(health).head.fields, "Cyclamenstair-Instance-Id"), "i-2");
     }
 
+    // Guards against failed requests that are not counted as run, or that do not say that they have run.
+    TEST(SimulatedTarget, FailedRequestsHaveRun)
+    {
+        for (const auto& settings : { serviceSettings(), engineSettings() }) {
+            const auto target = start(settings);
+            const auto request = streamRequest("r1", "small", "10,40");
+            target->setFault(TargetFaultKind::FailRequests, 1);
+            const auto outcome = call(*target, request);
+            EXPECT_EQ(status(outcome), 500U);
+            EXPECT_FALSE(isNotRun(outcome));
+            target->setFault(TargetFaultKind::FailRequests, 0);
+            EXPECT_EQ(status(call(*target, request)), 200U);
+            EXPECT_EQ(target->runs(), (std::map<std::string, int> { { "r1", 2 } }));
+        }
+    }
+
+    // Guards against lost answers that keep a slot, or of which a part is sent.
+    TEST(SimulatedTarget, LostAnswersHaveRunAndFreeTheSlot)
+    {
+        for (const auto& settings : { serviceSettings(), engineSettings() }) {
+            const auto target = start(settings);
+            target->setFault(TargetFaultKind::LoseAnswers, 1);
+            auto lost = std::async(
+                std::launch::async, [&] { return receiveAll(*target, streamRequest("r1", "small", "10,40")); });
+            ASSERT_TRUE(eventually([&] { return target->runs().contains("r1") && isIdle(*target); }));
+            EXPECT_EQ(lost.wait_for(std::chrono::seconds(0)), std::future_status::timeout);
+            target->crash();
+            EXPECT_EQ(lost.get().bytes, "");
+        }
+    }
+
+    // Guards against responses that are cut off at a place where they look complete.
+    TEST(SimulatedTarget, ResetAnswersEndWithinTheResponse)
+    {
+        const auto service = start(serviceSettings());
+        service->setFault(TargetFaultKind::ResetAnswers, 1);
+        const auto plain = receiveAll(*service, workRequest("r1"));
+        EXPECT_TRUE(plain.isReset);
+        EXPECT_TRUE(plain.bytes.starts_with("HTTP/1.1 200"));
+        EXPECT_EQ(plain.bytes.find(simulatedResponseBody("i-1", "r1", meanBytes)), std::string::npos);
+        const auto engine = start(engineSettings());
+        engine->setFault(TargetFaultKind::ResetAnswers, 1);
+        const auto stream = receiveAll(*engine, streamRequest("r1", "small", "10,40"));
+        EXPECT_TRUE(stream.isReset);
+        EXPECT_FALSE(stream.bytes.ends_with("0\r\n\r\n"));
+        EXPECT_FALSE(stream.bytes.ends_with("\n\n\r\n"));
+        EXPECT_TRUE(eventually([&] { return isIdle(*engine); }));
+    }
+
+    // Guards against garbled answers of one kind only: no HTTP, and bytes beyond a complete response.
+    TEST(SimulatedTarget, GarbledAnswersAreNoHttpOrTooLong)
+    {
+        const auto service = start(serviceSettings());
+        const auto engine = start(engineSettings());
+        for (auto* const target : { service.get(), engine.get() }) {
+            target->setFault(TargetFaultKind::GarbleAnswers, 1);
+            size_t noHttp = 0;
+            size_t tooLong = 0;
+            for (int i = 0; i < 40 && (noHttp == 0 || tooLong == 0); ++i) {
+                const auto bytes = receiveAll(*target, streamRequest("r" + std::to_string(i), "small", "1,12")).bytes;
+                noHttp += bytes.starts_with("HTTP/1.1") ? 0 : 1;
+                tooLong += bytes.starts_with("HTTP/1.1") && bytes.find("surplus") != std::string::npos ? 1 : 0;
+            }
+            EXPECT_GT(noHttp, 0U);
+            EXPECT_GT(tooLong, 0U);
+        }
+    }
+
+    // Guards against a delayed order that is answered, or that is carried out although newer ones came before it.
+    TEST(SimulatedTarget, DelayedOrderIsCheckedWhenItIsCarriedOut)
+    {
+        const auto target = start(engineSettings());
+        target->setFault(TargetFaultKind::DelayOrders, 1);
+        const auto giveUp = [&](const HttpRequest& order) {
+            return HttpExchange(target->address(), { .idleTimeout = milliseconds(500) }).call(order);
+        };
+        auto stale = std::async(std::launch::async, [&] { return giveUp(orderRequest("load", "other", 1, 0)); });
+        auto valid = std::async(std::launch::async, [&] { return giveUp(orderRequest("load", "other", 2, 1)); });
+        EXPECT_EQ(status(stale.get()), 0U);
+        EXPECT_EQ(status(valid.get()), 0U);
+        target->setFault(TargetFaultKind::DelayOrders, 0);
+        EXPECT_EQ(status(call(*target, orderRequest("unload", "small", 2, 0))), 202U);
+        EXPECT_EQ(target->orders().size(), 1U);
+        ASSERT_TRUE(eventually([&] { return target->orders().size() == 2; }));
+        EXPECT_EQ(target->orders().front().fencingToken, 2);
+        ASSERT_TRUE(eventually([&] { return isIdle(*target); }));
+        EXPECT_EQ(report(*target)["models"].front()["name"], "other");
+    }
+
+    // Guards against a target without a limit of connections, and against closed connections that count as open.
+    TEST(SimulatedTarget, ConnectionsBeyondTheLimitAreReset)
+    {
+        auto settings = serviceSettings(std::chrono::seconds(30));
+        settings.maxConnections = 3;
+        const auto target = start(settings);
+        std::vector<std::future<Received>> calls;
+        for (int i = 0; i < 2; ++i)
+            calls.push_back(std::async(
+                std::launch::async, [&, i] { return receiveAll(*target, workRequest("r" + std::to_string(i))); }));
+        ASSERT_TRUE(eventually([&] { return target->runs().size() == 2; }));
+        auto third = std::async(std::launch::async, [&] { return receiveAll(*target, workRequest("r2")); });
+        ASSERT_TRUE(eventually([&] { return target->runs().size() == 3; }));
+        EXPECT_EQ(status(call(*target, workRequest("r3"))), 0U);
+        EXPECT_EQ(target->maxOpenConnections(), 3U);
+        target->resetConnections(1);
+        EXPECT_TRUE(third.get().isReset);
+        EXPECT_EQ(report(*target)["running"], 0);
+        EXPECT_EQ(target->runs().size(), 3U);
+    }
+
+    // Guards against a target that leaves without saying so.
+    TEST(SimulatedTarget, DrainingIsReported)
+    {
+        const auto target = start(serviceSettings());
+        EXPECT_EQ(Json::parse(target->entry().value())["state"], "ready");
+        target->drain(std::chrono::seconds(60));
+        const auto entry = Json::parse(target->entry().value());
+        EXPECT_EQ(entry["state"], "draining");
+        EXPECT_GT(entry["remaining_ms"], 0);
+        EXPECT_LE(entry["remaining_ms"], 60000);
+        EXPECT_EQ(report(*target)["state"], "draining");
+        EXPECT_EQ(status(call(*target, { "GET", "/health", {}, {}, false })), 503U);
+        EXPECT_EQ(status(call(*target, workRequest("r1"))), 200U);
+    }
+
 } // namespace
 } // namespace cyclamenstair
