Split the simulated target and test its timing without a clock

SimulatedConnections accepts, limits and resets connections; SimulatedResponse sends the answer of one request with its fault. The timing of steps, prompts and slow callers is tested on SimulatedBatch, which takes the time as an argument.

--- a/StandIns/SimulatedTarget.cpp
+++ b/StandIns/SimulatedTarget.cpp
@@ -1,45 +1,33 @@
 #include <StandIns/SimulatedTarget.h>
 
-#include <Cyclamenstair/Core/Hash.h>
-#include <Cyclamenstair/Http/Endpoint.h>
+#include <Cyclamenstair/Core/Overloaded.h>
 #include <Cyclamenstair/Http/EventLoop.h>
-#include <Cyclamenstair/Http/ServerConnection.h>
 #include <StandIns/LoopbackPort.h>
+#include <StandIns/SimulatedResponse.h>
 #include <StandIns/SimulatedTargetCodec.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <future>
 
 namespace cyclamenstair {
 
-using boost::asio::ip::tcp;
-
 namespace {
 
     constexpr uint32_t ok = 200;
     constexpr uint32_t badRequest = 400;
     constexpr uint32_t notFound = 404;
     constexpr uint32_t misdirected = 421;
-    constexpr uint32_t internalError = 500;
     constexpr uint32_t unavailable = 503;
-    constexpr uint32_t gatewayTimeout = 504;
     constexpr Duration restartDelay = milliseconds(1000);
     constexpr Duration orderDelay = milliseconds(2000);
-    /// Until the address is bound or a connection is accepted again after a failure.
-    constexpr Duration socketRetryDelay = milliseconds(50);
+    /// Until the address is bound again after a failure.
+    constexpr Duration listenRetryDelay = milliseconds(50);
     constexpr int slowness = 4;
-    constexpr std::string_view garbage = "\x01\x02 these bytes are no response\r\n\r\n";
-    constexpr std::string_view surplusResponse = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus";
     /// Events that a faulty stream has before its fault, at most.
     constexpr size_t maxEventsBeforeFault = 3;
 
-    std::string eventText(int64_t event) { return "id: " + std::to_string(event) + "\ndata: token\n\n"; }
-
     int64_t unixMs()
     {
         const auto time = std::chrono::system_clock::now().time_since_epoch();
@@ -48,14 +36,6 @@
 
 } // namespace
 
-std::string simulatedResponseBody(const std::string& targetId, const std::string& requestId, size_t meanBytes)
-{
-    auto body = targetId + ":" + requestId + ":";
-    const size_t bytes = meanBytes / 2 + stableHash(requestId) % (meanBytes + 1);
-    body.resize(std::max(body.size(), bytes), 'x');
-    return body;
-}
-
 /// State of a target. Used on its loop, except for the constants.
 class SimulatedTarget::Impl {
 public:
@@ -76,7 +56,7 @@
     }
 
     const SimulatedTargetSettings& settings() const { return m_settings; }
-    const std::string& address() const { return m_address; }
+    const std::string& address() const { return m_connections.address(); }
     const std::string& id() const { return m_id; }
     std::optional<std::string> entry();
     void drain(std::optional<Duration> remaining);
@@ -87,35 +67,15 @@
     const std::map<std::string, int>& runs() const { return m_runs; }
     const std::vector<AcceptedOrder>& orders() const { return m_orders; }
     size_t excessiveOrderCount() const { return m_excessiveOrderCount; }
-    size_t maxOpenConnections() const { return m_maxOpenConnections; }
+    size_t maxOpenConnections() const { return m_connections.maxOpen(); }
 
 private:
-    struct Peer {
-        std::weak_ptr<ServerConnection> connection;
-        int descriptor { -1 }; ///< Valid while the connection is open.
-    };
-    /// Request whose response is not complete.
-    struct Call {
-        std::shared_ptr<ServerConnection> connection;
-        std::string id;
-        bool isHeadSent { false };
-        std::optional<TargetFaultKind> fault;
-        size_t eventsBeforeFault { 0 };
-    };
     struct DelayedOrder {
         SimulatedOrder order;
         std::string expectedInstance;
         TimePoint arrivedAt;
     };
 
-    std::optional<Error> listen();
-    void accept();
-    void addConnection(tcp::socket socket);
-    std::vector<Peer> openPeers() const;
-    static void reset(const Peer& peer);
-    /// Resets the connection once its output has been written.
-    void resetAfterOutput(const std::shared_ptr<ServerConnection>& connection);
-
     void handle(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     void handleHealth(ServerConnection& connection);
     void handleOrder(ServerConnection& connection, const HttpRequest& request);
@@ -124,8 +84,6 @@
     void handleWork(const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request);
     /// Returns the status that rejects a request of a model, or no value if the model can serve it.
     std::optional<uint32_t> rejection(SimulatedRequest& request) const;
-    void reject(ServerConnection& connection, uint32_t status, const std::string& requestId) const;
-    HttpResponseHead receiptHead(uint32_t status, const std::string& requestId) const;
     std::optional<TargetFaultKind> drawRequestFault();
     bool drawFault(TargetFaultKind kind);
 
@@ -133,32 +91,19 @@
     void advance();
     void armTimer();
     void apply(const SimulatedStep& step);
-    /// Sends an event of a stream. Returns false if a fault ended the response.
-    bool sendEvent(Call& call, int64_t event);
-    void complete(Call& call);
-    void expire(Call& call) const;
-    /// Sends the head of a stream unless it was sent.
-    void sendStreamHead(Call& call) const;
-    void sendBody(Call& call);
-    static void sendGarbage(Call& call);
-    void fail(Call& call) const;
     SimulatedTargetState state() const;
     SimulatedModels::UsePredicate usePredicate() const;
-    bool isEngine() const { return m_models.has_value(); }
 
     const SimulatedTargetSettings m_settings;
-    const std::string m_address;
     EventLoop m_loop;
-    tcp::acceptor m_acceptor { m_loop.context() };
-    boost::asio::steady_timer m_acceptTimer { m_loop.context() };
+    SimulatedConnections m_connections;
     boost::asio::steady_timer m_timer { m_loop.context() };
     std::string m_id;
     Random m_random;
     std::optional<SimulatedModels> m_models; ///< Of an engine.
     SimulatedBatch m_batch;
-    std::map<uint64_t, Call> m_calls; ///< By the number of the request in the batch.
-    uint64_t m_lastCall { 0 };
-    std::vector<Peer> m_peers;
+    std::map<uint64_t, SimulatedResponse> m_responses; ///< By the number of the request in the batch.
+    uint64_t m_lastNumber { 0 };
     std::vector<DelayedOrder> m_delayedOrders; ///< In the order of their arrival.
     std::map<TargetFaultKind, double> m_faultShares;
     bool m_isDown { false };
@@ -170,12 +115,14 @@
     std::map<std::string, int> m_runs;
     std::vector<AcceptedOrder> m_orders;
     size_t m_excessiveOrderCount { 0 };
-    size_t m_maxOpenConnections { 0 };
 };
 
 SimulatedTarget::Impl::Impl(SimulatedTargetSettings settings)
     : m_settings(std::move(settings))
-    , m_address(allocateLoopbackAddress())
+    , m_connections(m_loop.context(), allocateLoopbackAddress(), m_settings.maxConnections,
+          [this](const std::shared_ptr<ServerConnection>& connection, const HttpRequest& request) {
+              handle(connection, request);
+          })
     , m_id(m_settings.id)
     , m_random(m_settings.seed)
     , m_batch(m_settings, m_random())
@@ -186,100 +133,12 @@
 
 std::optional<Error> SimulatedTarget::Impl::start()
 {
-    if (auto error = listen())
+    if (auto error = m_connections.listen())
         return error;
     m_loop.start();
     return std::nullopt;
 }
 
-std::optional<Error> SimulatedTarget::Impl::listen()
-{
-    const auto endpoint = parseEndpoint(m_address).value();
-    boost::system::error_code ec;
-    m_acceptor.open(endpoint.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-    if (ec) {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-        return Error { ErrorKind::Unavailable, "target.listen", m_address, ec.message() };
-    }
-    accept();
-    return std::nullopt;
-}
-
-void SimulatedTarget::Impl::accept()
-{
-    m_acceptor.async_accept([this](const boost::system::error_code& ec, tcp::socket socket) {
-        // A closed acceptor may be open again by now, with a handler of its own.
-        if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
-            return;
-        if (!ec) {
-            accept();
-            addConnection(std::move(socket));
-            return;
-        }
-        m_acceptTimer.expires_after(socketRetryDelay);
-        m_acceptTimer.async_wait([this](const boost::system::error_code& timerError) {
-            if (!timerError && m_acceptor.is_open())
-                accept();
-        });
-    });
-}
-
-void SimulatedTarget::Impl::addConnection(tcp::socket socket)
-{
-    m_peers = openPeers();
-    if (m_peers.size() >= m_settings.maxConnections) {
-        boost::system::error_code ignored;
-        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        return;
-    }
-    const int descriptor = socket.native_handle();
-    const auto connection = std::make_shared<ServerConnection>(std::move(socket), ServerConnectionLimits {},
-        [this](
-            const std::shared_ptr<ServerConnection>& sender, const HttpRequest& request) { handle(sender, request); });
-    m_peers.push_back({ connection, descriptor });
-    m_maxOpenConnections = std::max(m_maxOpenConnections, m_peers.size());
-    connection->start();
-}
-
-std::vector<SimulatedTarget::Impl::Peer> SimulatedTarget::Impl::openPeers() const
-{
-    std::vector<Peer> open;
-    std::ranges::copy_if(m_peers, std::back_inserter(open), [](const Peer& peer) {
-        const auto connection = peer.connection.lock();
-        return connection && connection->isOpen();
-    });
-    return open;
-}
-
-void SimulatedTarget::Impl::reset(const Peer& peer)
-{
-    const auto connection = peer.connection.lock();
-    if (!connection || !connection->isOpen())
-        return;
-    const linger immediately { 1, 0 };
-    ::setsockopt(peer.descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
-    connection->abort();
-}
-
-void SimulatedTarget::Impl::resetAfterOutput(const std::shared_ptr<ServerConnection>& connection)
-{
-    const auto peer
-        = std::ranges::find_if(m_peers, [&](const Peer& other) { return other.connection.lock() == connection; });
-    if (peer == m_peers.end())
-        return;
-    if (connection->hasQueuedOutput())
-        connection->setWritableHandler([copy = *peer] { reset(copy); });
-    else
-        reset(*peer);
-}
-
 std::optional<std::string> SimulatedTarget::Impl::entry()
 {
     if (m_isDown)
@@ -297,16 +156,12 @@
 {
     m_isDown = true;
     m_restartAt.reset();
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
-    m_acceptTimer.cancel();
-    m_calls.clear();
+    m_connections.close();
+    m_responses.clear();
     m_batch.clear();
     m_delayedOrders.clear();
     if (m_models)
         m_models->restart();
-    for (const auto& peer : std::exchange(m_peers, {}))
-        reset(peer);
     armTimer();
 }
 
@@ -316,8 +171,8 @@
         crash();
     m_restartAt.reset();
     m_id = id;
-    if (listen()) {
-        m_restartAt = monotonicNow() + socketRetryDelay;
+    if (m_connections.listen()) {
+        m_restartAt = monotonicNow() + listenRetryDelay;
         armTimer();
         return;
     }
@@ -331,18 +186,17 @@
 
 void SimulatedTarget::Impl::resetConnections(double share)
 {
-    for (const auto& peer : openPeers()) {
+    for (const auto& connection : m_connections.open()) {
         if (randomUnit(m_random) >= share)
             continue;
-        const auto connection = peer.connection.lock();
-        std::erase_if(m_calls, [&](const auto& item) {
-            const auto& [number, call] = item;
-            if (call.connection != connection)
-                return false;
-            m_batch.remove(number);
-            return true;
+        std::erase_if(m_responses, [&](const auto& item) {
+            const auto& [number, response] = item;
+            const bool isRemoved = response.connection() == connection;
+            if (isRemoved)
+                m_batch.remove(number);
+            return isRemoved;
         });
-        reset(peer);
+        m_connections.reset(connection);
     }
     advance();
 }
@@ -363,7 +217,8 @@
     }
     const auto expectedInstance = fieldValue(request.fields, "Cyclamenstair-Expect-Instance").value_or("");
     if (!expectedInstance.empty() && expectedInstance != m_id) {
-        reject(*connection, misdirected, fieldValue(request.fields, "Cyclamenstair-Request-Id").value_or(""));
+        SimulatedResponse::reject(
+            *connection, misdirected, m_id, fieldValue(request.fields, "Cyclamenstair-Request-Id").value_or(""));
         return;
     }
     if (path == "/cyclamenstair/order")
@@ -382,7 +237,7 @@
 void SimulatedTarget::Impl::handleOrder(ServerConnection& connection, const HttpRequest& request)
 {
     const auto order = decodeSimulatedOrder(request.body);
-    if (!order || !isEngine()) {
+    if (!order || !m_models) {
         connection.sendResponse({ badRequest, {}, {} }, {});
         return;
     }
@@ -416,8 +271,8 @@
     }
     if (m_models->availability(order.model, order.adapter) != SimulatedAvailability::Loaded) {
         for (const auto number : m_batch.removeWaiting(order.model, order.adapter)) {
-            const auto call = m_calls.extract(number);
-            reject(*call.mapped().connection, unavailable, call.mapped().id);
+            m_responses.at(number).reject(unavailable);
+            m_responses.erase(number);
         }
     }
     advance();
@@ -429,23 +284,24 @@
     const auto now = monotonicNow();
     auto work = decodeSimulatedRequest(request, now);
     if (const auto status = rejection(work)) {
-        reject(*connection, *status, work.id);
+        SimulatedResponse::reject(*connection, *status, m_id, work.id);
         return;
     }
     if (drawFault(TargetFaultKind::SlowDown))
         work.slowness = slowness;
-    Call call { connection, work.id, false, drawRequestFault(), randomIndex(m_random, maxEventsBeforeFault + 1) };
-    const auto number = ++m_lastCall;
+    SimulatedResponse response(
+        m_connections, connection, m_id, work.id, drawRequestFault(), randomIndex(m_random, maxEventsBeforeFault + 1));
+    const auto number = ++m_lastNumber;
     if (!m_batch.add(number, std::move(work), now)) {
-        reject(*connection, unavailable, call.id);
+        response.reject(unavailable);
         return;
     }
     connection->setDisconnectHandler([this, number] {
         m_batch.remove(number);
-        m_calls.erase(number);
+        m_responses.erase(number);
         advance();
     });
-    m_calls.emplace(number, std::move(call));
+    m_responses.emplace(number, std::move(response));
     advance();
 }
 
@@ -470,20 +326,6 @@
     return std::nullopt;
 }
 
-void SimulatedTarget::Impl::reject(ServerConnection& connection, uint32_t status, const std::string& requestId) const
-{
-    connection.sendResponse({ status, {},
-                                { { "Cyclamenstair-Request-Id", requestId }, { "Cyclamenstair-Not-Run", "1" },
-                                    { "Cyclamenstair-Instance-Id", m_id } } },
-        {});
-}
-
-HttpResponseHead SimulatedTarget::Impl::receiptHead(uint32_t status, const std::string& requestId) const
-{
-    return { status, {},
-        { { "Cyclamenstair-Request-Id", requestId }, { "Cyclamenstair-Response-Stamp", "receipt-" + m_id } } };
-}
-
 std::optional<TargetFaultKind> SimulatedTarget::Impl::drawRequestFault()
 {
     for (const auto kind : { TargetFaultKind::FailRequests, TargetFaultKind::LoseAnswers, TargetFaultKind::ResetAnswers,
@@ -506,7 +348,7 @@
 void SimulatedTarget::Impl::advance()
 {
     const auto now = monotonicNow();
-    const auto isCongested = [this](uint64_t number) { return m_calls.at(number).connection->isCongested(); };
+    const auto isCongested = [this](uint64_t number) { return m_responses.at(number).connection()->isCongested(); };
     for (const auto& step : m_batch.advance(now, isCongested))
         apply(step);
     if (m_models)
@@ -550,136 +392,43 @@
 
 void SimulatedTarget::Impl::apply(const SimulatedStep& step)
 {
-    const auto found = m_calls.find(step.request);
-    if (found == m_calls.end())
+    const auto found = m_responses.find(step.request);
+    // A fault may have ended the response before the request is complete.
+    if (found == m_responses.end())
         return;
-    auto& call = found->second;
+    auto& response = found->second;
     bool isDone = true;
     switch (step.kind) {
     case SimulatedStepKind::Begun:
-        ++m_runs[call.id];
+        ++m_runs[response.requestId()];
         isDone = false;
         break;
     case SimulatedStepKind::Event:
-        isDone = !sendEvent(call, step.event);
+        isDone = !response.sendEvent(step.event);
         break;
     case SimulatedStepKind::Completed:
-        complete(call);
+        std::visit(Overloaded {
+                       [&](const ServiceWorkload& service) { response.sendBody(service.meanResponseBytes); },
+                       [&](const EngineWorkload&) { response.completeStream(); },
+                   },
+            m_settings.workload);
         break;
     case SimulatedStepKind::ExpiredUnrun:
-        reject(*call.connection, unavailable, call.id);
+        response.reject(unavailable);
         break;
     case SimulatedStepKind::Expired:
-        expire(call);
+        response.expire();
         break;
     }
     if (isDone) {
         m_batch.remove(step.request);
-        m_calls.erase(found);
+        m_responses.erase(found);
     }
 }
 
-bool SimulatedTarget::Impl::sendEvent(Call& call, int64_t event)
-{
-    if (call.fault == TargetFaultKind::LoseAnswers)
-        return true;
-    if (call.fault == TargetFaultKind::FailRequests) {
-        fail(call);
-        return false;
-    }
-    const bool isReset = call.fault == TargetFaultKind::ResetAnswers && call.eventsBeforeFault == 0;
-    const bool isGarbled = call.fault == TargetFaultKind::GarbleAnswers && call.eventsBeforeFault == 0;
-    if (isGarbled && !call.isHeadSent) {
-        sendGarbage(call);
-        return false;
-    }
-    if (call.eventsBeforeFault > 0)
-        --call.eventsBeforeFault;
-    sendStreamHead(call);
-    const auto text = eventText(event);
-    call.connection->sendData(isReset ? text.substr(0, text.size() / 2) : text);
-    if (isReset)
-        resetAfterOutput(call.connection);
-    return !isReset;
-}
-
-void SimulatedTarget::Impl::complete(Call& call)
-{
-    if (call.fault == TargetFaultKind::LoseAnswers)
-        return;
-    if (call.fault == TargetFaultKind::FailRequests && !call.isHeadSent) {
-        fail(call);
-        return;
-    }
-    if (!isEngine()) {
-        sendBody(call);
-        return;
-    }
-    sendStreamHead(call);
-    if (call.fault == TargetFaultKind::ResetAnswers) {
-        resetAfterOutput(call.connection);
-        return;
-    }
-    call.connection->finish();
-    if (call.fault == TargetFaultKind::GarbleAnswers)
-        call.connection->sendData(surplusResponse);
-}
-
-void SimulatedTarget::Impl::expire(Call& call) const
-{
-    if (call.fault == TargetFaultKind::LoseAnswers)
-        return;
-    if (call.isHeadSent)
-        call.connection->abort();
-    else
-        call.connection->sendResponse(receiptHead(gatewayTimeout, call.id), {});
-}
-
-void SimulatedTarget::Impl::sendStreamHead(Call& call) const
-{
-    if (std::exchange(call.isHeadSent, true))
-        return;
-    auto head = receiptHead(ok, call.id);
-    head.fields.emplace_back("Content-Type", "text/event-stream");
-    call.connection->sendHead(head, std::nullopt);
-}
-
-void SimulatedTarget::Impl::sendBody(Call& call)
-{
-    if (call.fault == TargetFaultKind::GarbleAnswers && call.eventsBeforeFault == 0) {
-        sendGarbage(call);
-        return;
-    }
-    const auto meanBytes = std::get<ServiceWorkload>(m_settings.workload).meanResponseBytes;
-    const auto body = simulatedResponseBody(m_id, call.id, meanBytes);
-    if (call.fault == TargetFaultKind::ResetAnswers) {
-        call.connection->sendHead(receiptHead(ok, call.id), body.size());
-        call.connection->sendData(body.substr(0, body.size() / 2));
-        resetAfterOutput(call.connection);
-        return;
-    }
-    call.connection->sendResponse(receiptHead(ok, call.id), body);
-    // Between two responses, data is sent without any framing.
-    if (call.fault == TargetFaultKind::GarbleAnswers)
-        call.connection->sendData(surplusResponse);
-}
-
-void SimulatedTarget::Impl::sendGarbage(Call& call)
-{
-    call.connection->closeAfterResponse();
-    // Before a head, data is sent without any framing.
-    call.connection->sendData(garbage);
-    call.connection->finish();
-}
-
-void SimulatedTarget::Impl::fail(Call& call) const
-{
-    call.connection->sendResponse(receiptHead(internalError, call.id), {});
-}
-
 SimulatedTargetState SimulatedTarget::Impl::state() const
 {
-    SimulatedTargetState state { m_address, m_isDraining, std::nullopt, m_startedUnixMs,
+    SimulatedTargetState state { m_connections.address(), m_isDraining, std::nullopt, m_startedUnixMs,
         m_models ? &*m_models : nullptr };
     if (m_leavesAt)
         state.remainingTime = *m_leavesAt - monotonicNow();
