Let nodes of a soak run on a settings text

Cause: nodes of a soak had settings by section only, so they could run neither on a rendered template nor on a change of their settings.

Change: the settings of a SoakNode are a variant of sections and a text. A second rewriteSettings replaces them. Keys that a build rejects are left out of a text, too.

--- a/Benchmarks/Soak/SoakDaemon.cpp
+++ b/Benchmarks/Soak/SoakDaemon.cpp
@@ -1,5 +1,7 @@
 #include <Benchmarks/Soak/SoakDaemon.h>
 
+#include <Cyclamenstair/Core/Overloaded.h>
+
 #include <Tests/Support/ProcessFleet.h>
 
 #include <filesystem>
@@ -24,23 +26,62 @@
         return rest.substr(0, rest.find('\''));
     }
 
-} // namespace
+    std::string formatSections(const SoakNodeSettings& settings, const SoakDaemon& daemon)
+    {
+        // The first and the last line tell a daemon that reads the file while it is written that it is incomplete.
+        std::string text = "; This file is complete only with the last line \"; end of settings\".\n";
+        for (const auto& [section, values] : settings) {
+            text.append("[").append(section).append("]\n");
+            for (const auto& [key, value] : values) {
+                if (!daemon.unknownKeys.contains(key))
+                    text.append(key).append(" = ").append(value).append("\n");
+            }
+        }
+        return text + "; end of settings\n";
+    }
 
-std::string formatSettings(const SoakNodeSettings& settings, const SoakDaemon& daemon)
-{
-    // The first and the last line tell a daemon that reads the file while it is written that it is incomplete.
-    std::string text = "; This file is complete only with the last line \"; end of settings\".\n";
-    for (const auto& [section, values] : settings) {
-        text.append("[").append(section).append("]\n");
-        for (const auto& [key, value] : values) {
+    std::string removeUnknownKeys(const std::string& text, const SoakDaemon& daemon)
+    {
+        std::istringstream lines(text);
+        std::string kept;
+        for (std::string line; std::getline(lines, line);) {
+            const auto key = line.substr(0, line.find_first_of(" ="));
             if (!daemon.unknownKeys.contains(key))
-                text.append(key).append(" = ").append(value).append("\n");
+                kept.append(line).append(lines.eof() ? "" : "\n");
         }
+        return kept;
     }
-    return text + "; end of settings\n";
+
+} // namespace
+
+std::string formatSettings(const SoakSettingsSource& settings, const SoakDaemon& daemon)
+{
+    return std::visit(Overloaded {
+                          [&](const SoakNodeSettings& sections) { return formatSections(sections, daemon); },
+                          [&](const SoakSettingsText& file) { return removeUnknownKeys(file.text, daemon); },
+                      },
+        settings);
+}
+
+std::string callerAddressOf(const SoakSettingsSource& settings)
+{
+    return std::visit(Overloaded {
+                          [](const SoakNodeSettings& sections) { return sections.at("entry").at("listen"); },
+                          [](const SoakSettingsText& file) { return file.callerAddress; },
+                      },
+        settings);
+}
+
+std::string probeAddressOf(const SoakSettingsSource& settings)
+{
+    return std::visit(Overloaded {
+                          [](const SoakNodeSettings& sections) { return sections.at("entry").at("ready_listen"); },
+                          [](const SoakSettingsText& file) { return file.probeAddress; },
+                      },
+        settings);
 }
 
-SoakDaemon probeDaemon(const std::string& program, const SoakNodeSettings& settings, const std::string& folder)
+SoakDaemon probeDaemon(const std::string& program, const SoakSettingsSource& settings, const std::string& folder)
 {
     SoakDaemon daemon { program, {} };
     const auto settingsPath = folder + "/check.ini";
--- a/Benchmarks/Soak/SoakDaemon.h
+++ b/Benchmarks/Soak/SoakDaemon.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace cyclamenstair {
@@ -10,6 +11,16 @@
 /// Keys and values of a settings file, by section.
 using SoakNodeSettings = std::map<std::string, std::map<std::string, std::string>>;
 
+/// Text of a settings file, as the platform renders it, and the addresses that it contains.
+struct SoakSettingsText {
+    std::string text;
+    std::string callerAddress;
+    std::string probeAddress;
+};
+
+/// Settings of a node, by section or as a text.
+using SoakSettingsSource = std::variant<SoakNodeSettings, SoakSettingsText>;
+
 /// A build of the daemon that nodes of a soak run.
 struct SoakDaemon {
     std::string program; ///< Absolute path, or a path in the build folder.
@@ -17,10 +28,16 @@
 };
 
 /// Returns the text of a settings file without the keys that the daemon does not know.
-std::string formatSettings(const SoakNodeSettings& settings, const SoakDaemon& daemon);
+std::string formatSettings(const SoakSettingsSource& settings, const SoakDaemon& daemon);
+
+/// Returns the address for callers.
+std::string callerAddressOf(const SoakSettingsSource& settings);
+
+/// Returns the address for the readiness probe.
+std::string probeAddressOf(const SoakSettingsSource& settings);
 
 /// Finds the keys of the settings that a daemon does not know with its option `--check`, by files in `folder`. Throws
 /// std::runtime_error if the daemon rejects the settings for another reason.
-SoakDaemon probeDaemon(const std::string& program, const SoakNodeSettings& settings, const std::string& folder);
+SoakDaemon probeDaemon(const std::string& program, const SoakSettingsSource& settings, const std::string& folder);
 
 } // namespace cyclamenstair
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -27,12 +27,14 @@
 } // namespace
 
 SoakNode::SoakNode(
-    const std::string& id, const std::string& folder, SoakNodeSettings settings, SoakStarts starts, SoakTimer& timer)
+    const std::string& id, const std::string& folder, SoakSettingsSource settings, SoakStarts starts, SoakTimer& timer)
     : m_id(id)
     , m_folder(folder)
-    , m_settings(std::move(settings))
+    , m_callerAddress(callerAddressOf(settings))
+    , m_probeAddress(probeAddressOf(settings))
     , m_starts(std::move(starts))
     , m_timer(timer)
+    , m_settings(std::move(settings))
     , m_daemonRandom(randomFor(m_starts.seed ^ seedOfDaemons, id))
     , m_stressRandom(randomFor(m_starts.seed ^ seedOfStress, id))
 {
@@ -130,12 +132,23 @@
 void SoakNode::rewriteSettings(bool isInPlace, Duration pause)
 {
     std::lock_guard lock(m_rewriteMutex);
-    m_disturbedAt = monotonicNow();
     ++m_rewriteCount;
+    writeSettings("# " + std::string(static_cast<size_t>(m_rewriteCount), '#') + "\n", isInPlace, pause);
+}
+
+void SoakNode::rewriteSettings(SoakSettingsSource settings, bool isInPlace, Duration pause)
+{
+    std::lock_guard lock(m_rewriteMutex);
+    m_settings = std::move(settings);
+    writeSettings("", isInPlace, pause);
+}
+
+void SoakNode::writeSettings(const std::string& prefix, bool isInPlace, Duration pause)
+{
+    m_disturbedAt = monotonicNow();
     for (size_t i = 0; i < m_starts.daemons.size(); ++i) {
         const auto path = settingsPath(i);
-        const auto text = "# " + std::string(static_cast<size_t>(m_rewriteCount), '#') + "\n"
-            + formatSettings(m_settings, m_starts.daemons[i]);
+        const auto text = prefix + formatSettings(m_settings, m_starts.daemons[i]);
         if (!isInPlace) {
             const auto temporaryPath = path + ".new";
             std::ofstream(temporaryPath) << text;
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -26,12 +26,12 @@
 class SoakNode {
 public:
     /// `folder` receives the settings and the log. The timer must be stopped before the node is destroyed.
-    SoakNode(const std::string& id, const std::string& folder, SoakNodeSettings settings, SoakStarts starts,
+    SoakNode(const std::string& id, const std::string& folder, SoakSettingsSource settings, SoakStarts starts,
         SoakTimer& timer);
 
     const std::string& id() const { return m_id; }
-    const std::string& callerAddress() const { return m_settings.at("entry").at("listen"); }
-    const std::string& probeAddress() const { return m_settings.at("entry").at("ready_listen"); }
+    const std::string& callerAddress() const { return m_callerAddress; }
+    const std::string& probeAddress() const { return m_probeAddress; }
 
     void start();
 
@@ -45,6 +45,10 @@
     /// a pause between them.
     void rewriteSettings(bool isInPlace, Duration pause);
 
+    /// Replaces the settings, which keep their addresses, and writes the files in the same ways. The process learns of
+    /// it from SIGHUP, or at its next start.
+    void rewriteSettings(SoakSettingsSource settings, bool isInPlace, Duration pause);
+
     /// Records that the node was disturbed from outside.
     void markDisturbed() { m_disturbedAt = monotonicNow(); }
 
@@ -71,6 +75,8 @@
 
 private:
     void startProcess();
+    /// Writes the settings files with `prefix` before their text. Expects m_rewriteMutex to be locked.
+    void writeSettings(const std::string& prefix, bool isInPlace, Duration pause);
     /// Ends the reader of the process's output after some time.
     void scheduleBrokenOutput();
     /// Sends SIGHUP to the process some times in the first milliseconds, by chance.
@@ -81,11 +87,13 @@
 
     std::string m_id;
     std::string m_folder;
-    SoakNodeSettings m_settings;
+    std::string m_callerAddress;
+    std::string m_probeAddress;
     SoakStarts m_starts;
     SoakTimer& m_timer;
-    /// Guards the contents of the settings files. Not the other lock, so that processes start while they are written.
+    /// Guards the settings and their files. Not the other lock, so that processes start while they are written.
     std::mutex m_rewriteMutex;
+    SoakSettingsSource m_settings;
     int m_rewriteCount { 0 };
     std::mutex m_mutex; ///< Guards the members below.
     Random m_daemonRandom;
