Limit descriptors and processor share of processes in a soak

Cause: on their VMs nodes run with a number of descriptors, an amount of memory and a share of a core. In the soak they had those of the whole machine, so it could not show what the limits do.

Change: SoakLimits of a process. Descriptors are limited right after the start. Resident memory over the limit is described once for each process (takeMemoryExcess, takeMemoryExcesses of the node), and not enforced. SoakThrottle lets a process use its share of each 100 ms at full speed and stops it for the rest; excess of late checks is taken from the next periods. It refers to processes by descriptors, as a signal to the id could reach a later process, and SIGSTOP and SIGCONT of the soak go through it, so that it does not continue a frozen process.

--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -59,7 +59,8 @@
     const size_t daemon = randomIndex(m_daemonRandom, m_starts.daemons.size());
     const bool isOutputRead = !m_starts.hasUnreadOutput || randomUnit(m_stressRandom) >= unreadOutputShare;
     m_process = std::make_unique<SoakProcess>(m_starts.daemons[daemon].program,
-        std::vector<std::string> { "--config", settingsPath(daemon) }, m_folder + "/" + m_id + ".log", isOutputRead);
+        std::vector<std::string> { "--config", settingsPath(daemon) }, m_folder + "/" + m_id + ".log", isOutputRead,
+        m_starts.limits);
     std::ostringstream text;
     text << "start " << m_id << ", process " << m_process->id() << ", daemon " << daemon
          << (isOutputRead ? "" : ", output not read") << "\n";
@@ -220,6 +221,29 @@
     return m_isStopped && !m_process && m_predecessors.empty();
 }
 
+std::optional<SoakNodeProcess> SoakNode::currentProcess()
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_process || m_process->hasEnded())
+        return std::nullopt;
+    return SoakNodeProcess { m_process->id(), m_process->startedAt() };
+}
+
+std::vector<std::string> SoakNode::takeMemoryExcesses()
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> descriptions;
+    const auto take = [&](SoakProcess& process) {
+        if (const auto excess = process.takeMemoryExcess())
+            descriptions.push_back(m_id + ": " + *excess);
+    };
+    for (const auto& predecessor : m_predecessors)
+        take(*predecessor);
+    if (m_process)
+        take(*m_process);
+    return descriptions;
+}
+
 uint64_t SoakNode::maxResidentBytes()
 {
     std::lock_guard lock(m_mutex);
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -17,11 +17,18 @@
 /// What happens to the starts of a node's processes.
 struct SoakStarts {
     std::vector<SoakDaemon> daemons; ///< Each start takes one of them by chance.
+    SoakLimits limits;
     uint64_t seed { 1 };
     bool hasEarlySignals { false }; ///< A part of the starts is followed by SIGHUP at once, several times.
     bool hasUnreadOutput { false }; ///< Nobody reads the output of a part of the processes.
 };
 
+/// A process that a node runs.
+struct SoakNodeProcess {
+    pid_t id;
+    TimePoint startedAt;
+};
+
 /// A node of a soak, which runs as a separate process and is restarted when it has ended. Thread-safe.
 class SoakNode {
 public:
@@ -70,6 +77,12 @@
     /// Returns whether the node has not been disturbed since `time`.
     bool isCalmSince(TimePoint time) const { return m_disturbedAt.load() < time; }
 
+    /// Returns the process that was started last, or no value if it has ended.
+    std::optional<SoakNodeProcess> currentProcess();
+
+    /// Returns descriptions of processes whose resident memory exceeds its limit, each once.
+    std::vector<std::string> takeMemoryExcesses();
+
     /// Returns the largest resident memory of a process of this node so far, in bytes.
     uint64_t maxResidentBytes();
 
--- a/Benchmarks/Soak/SoakProcess.cpp
+++ b/Benchmarks/Soak/SoakProcess.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -23,6 +25,7 @@
 
     constexpr auto sampleInterval = milliseconds(200);
     constexpr uint64_t bytesPerKilobyte = 1024;
+    constexpr uint64_t bytesPerMegabyte = 1024 * bytesPerKilobyte;
 
     /// Smallest pipe of the system, so that a write blocks after few lines.
     constexpr int pipeBytes = 4096;
@@ -42,6 +45,20 @@
         return values;
     }
 
+    /// Limits the descriptors of a process that has just been started. No effect if it has ended.
+    void limitDescriptors(pid_t id, size_t count)
+    {
+        rlimit limit {};
+        if (::prlimit(id, RLIMIT_NOFILE, nullptr, &limit) == 0) {
+            limit.rlim_max = std::min<rlim_t>(limit.rlim_max, count);
+            limit.rlim_cur = limit.rlim_max;
+            if (::prlimit(id, RLIMIT_NOFILE, &limit, nullptr) == 0)
+                return;
+        }
+        if (errno != ESRCH)
+            throw std::runtime_error("cannot limit the descriptors of process " + std::to_string(id));
+    }
+
 } // namespace
 
 UnreadPipe::UnreadPipe(const std::string& logPath)
@@ -76,12 +93,23 @@
 }
 
 SoakProcess::SoakProcess(const std::string& program, const std::vector<std::string>& arguments,
-    const std::string& logPath, bool isOutputRead)
+    const std::string& logPath, bool isOutputRead, const SoakLimits& limits)
     : m_output(isOutputRead ? nullptr : std::make_unique<UnreadPipe>(logPath))
+    , m_limits(limits)
     , m_process(program, arguments, m_output ? m_output->path() : logPath)
     , m_id(m_process.id())
     , m_startedAt(monotonicNow())
 {
+    if (limits.maxDescriptors)
+        limitDescriptors(m_id, *limits.maxDescriptors);
+    if (limits.cpuShare)
+        limits.throttle->add(m_id, *limits.cpuShare);
+}
+
+SoakProcess::~SoakProcess()
+{
+    if (m_limits.cpuShare)
+        m_limits.throttle->remove(m_id);
 }
 
 void SoakProcess::breakOutput()
@@ -109,6 +137,18 @@
     return m_maxResidentBytes;
 }
 
+std::optional<std::string> SoakProcess::takeMemoryExcess()
+{
+    if (m_isMemoryExcessTaken || !m_limits.maxResidentBytes || maxResidentBytes() <= *m_limits.maxResidentBytes)
+        return std::nullopt;
+    m_isMemoryExcessTaken = true;
+    std::ostringstream text;
+    text << "process " << m_id << ", " << m_maxResidentBytes / bytesPerMegabyte << " MiB resident of "
+         << *m_limits.maxResidentBytes / bytesPerMegabyte << " MiB, " << toMilliseconds(monotonicNow() - m_startedAt)
+         << " ms after its start";
+    return text.str();
+}
+
 void SoakProcess::sendSignal(int number)
 {
     if (m_process.hasExited())
@@ -125,7 +165,13 @@
         m_isFrozen = false;
         m_continuedAt = now;
     }
-    m_process.sendSignal(number);
+    // The throttle would continue a process that was frozen without its knowledge.
+    if (m_limits.cpuShare && number == SIGSTOP)
+        m_limits.throttle->freeze(m_id);
+    else if (m_limits.cpuShare && number == SIGCONT)
+        m_limits.throttle->thaw(m_id);
+    else
+        m_process.sendSignal(number);
 }
 
 std::optional<SoakEnd> SoakProcess::takeEnd()
--- a/Benchmarks/Soak/SoakProcess.h
+++ b/Benchmarks/Soak/SoakProcess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Benchmarks/Soak/SoakThrottle.h>
+
 #include <Cyclamenstair/Core/EnumNames.h>
 #include <Cyclamenstair/Core/Time.h>
 
@@ -35,6 +37,14 @@
     std::string description; ///< The exit status, and what the process was told before.
 };
 
+/// Limits of a process, as its VM sets them.
+struct SoakLimits {
+    std::optional<size_t> maxDescriptors;
+    std::optional<uint64_t> maxResidentBytes; ///< Checked, not enforced.
+    std::optional<double> cpuShare; ///< Of a core.
+    SoakThrottle* throttle { nullptr }; ///< Enforces the share; not owned. Required by `cpuShare`.
+};
+
 /// A named pipe that nobody reads. What is in it is added to a log at the end.
 class UnreadPipe {
 public:
@@ -58,11 +68,18 @@
 class SoakProcess {
 public:
     /// If `isOutputRead` is false, nobody reads the output until the process has ended, which blocks its writes once a
-    /// small pipe is full.
+    /// small pipe is full. Throws std::runtime_error if a limit cannot be set.
     SoakProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath,
-        bool isOutputRead);
+        bool isOutputRead, const SoakLimits& limits = {});
+    ~SoakProcess();
+    SoakProcess(const SoakProcess&) = delete;
+    SoakProcess& operator=(const SoakProcess&) = delete;
 
     pid_t id() const { return m_id; }
+    TimePoint startedAt() const { return m_startedAt; }
+
+    /// Returns whether the process has ended, also if takeEnd() has not returned its end yet.
+    bool hasEnded() { return m_process.hasExited(); }
 
     void sendSignal(int number);
 
@@ -78,6 +95,9 @@
     /// Returns the largest resident memory so far, in bytes, as of the last samples.
     uint64_t maxResidentBytes();
 
+    /// Returns a description once if the resident memory exceeds its limit, as of the last samples.
+    std::optional<std::string> takeMemoryExcess();
+
     /// Returns the end of the process once; no value while it runs and after that. A process that has not ended in
     /// time after SIGTERM is killed.
     std::optional<SoakEnd> takeEnd();
@@ -88,6 +108,7 @@
     std::string describe(const std::string& end) const;
 
     std::unique_ptr<UnreadPipe> m_output; ///< Null if the output goes to the log.
+    SoakLimits m_limits;
     testing::ChildProcess m_process;
     pid_t m_id;
     TimePoint m_startedAt;
@@ -97,6 +118,7 @@
     bool m_isFrozen { false };
     std::vector<int> m_earlySignals; ///< Sent before the process blocked them.
     bool m_isEndTaken { false };
+    bool m_isMemoryExcessTaken { false };
     uint64_t m_maxResidentBytes { 0 };
     TimePoint m_sampledAt {};
 };
--- /dev/null
+++ b/Tests/SoakTests/SoakThrottleTests.cpp
@@ -0,0 +1,166 @@
+#include <Benchmarks/Soak/SoakThrottle.h>
+
+#include <Tests/Support/ProcessFleet.h>
+
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <gtest/gtest.h>
+#include <memory>
+#include <sstream>
+#include <thread>
+
+namespace cyclamenstair {
+namespace {
+
+    constexpr auto timeout = std::chrono::seconds(20);
+
+    /// A process that uses a whole core.
+    std::unique_ptr<testing::ChildProcess> startBusyProcess()
+    {
+        return std::make_unique<testing::ChildProcess>(
+            "/bin/sh", std::vector<std::string> { "-c", "while :; do :; done" }, "/dev/null");
+    }
+
+    Duration processorTimeOf(pid_t process)
+    {
+        clockid_t clock {};
+        timespec time {};
+        EXPECT_EQ(::clock_getcpuclockid(process, &clock), 0);
+        EXPECT_EQ(::clock_gettime(clock, &time), 0);
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+
+    /// Returns the state of a process as in /proc/PID/stat: T if it is stopped.
+    char stateOf(pid_t process)
+    {
+        std::ostringstream text;
+        text << std::ifstream("/proc/" + std::to_string(process) + "/stat").rdbuf();
+        const auto name = text.str().rfind(')');
+        return name == std::string::npos ? '?' : text.str().at(name + 2);
+    }
+
+    bool waitUntil(const std::function<bool()>& condition)
+    {
+        const auto end = monotonicNow() + timeout;
+        while (!condition()) {
+            if (monotonicNow() > end)
+                return false;
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return true;
+    }
+
+    bool uses(pid_t process, Duration time)
+    {
+        const auto begin = processorTimeOf(process);
+        return waitUntil([&] { return processorTimeOf(process) >= begin + time; });
+    }
+
+    // Guards against a process that gets more than its share, or none at all after its first allotment.
+    TEST(SoakThrottle, ProcessGetsItsShare)
+    {
+        constexpr double share = 0.25;
+        constexpr auto allotment = milliseconds(25);
+        const auto process = startBusyProcess();
+        SoakThrottle throttle;
+        const auto begin = monotonicNow();
+        const auto before = processorTimeOf(process->id());
+        throttle.add(process->id(), share);
+        ASSERT_TRUE(uses(process->id(), 10 * allotment));
+        throttle.freeze(process->id());
+        const auto used = processorTimeOf(process->id()) - before;
+        const auto periods = (monotonicNow() - begin) / ProcessorAllotment::period + 1;
+        // A check that comes late is made up for later, so that one period may be used too much at a time.
+        EXPECT_LE(used, periods * allotment + ProcessorAllotment::period);
+    }
+
+    // Guards against one process that takes the time of another one.
+    TEST(SoakThrottle, ProcessesHaveSharesOfTheirOwn)
+    {
+        const auto first = startBusyProcess();
+        const auto second = startBusyProcess();
+        SoakThrottle throttle;
+        const auto begin = monotonicNow();
+        throttle.add(first->id(), 0.1);
+        throttle.add(second->id(), 0.5);
+        const auto firstBefore = processorTimeOf(first->id());
+        const auto secondBefore = processorTimeOf(second->id());
+        ASSERT_TRUE(uses(second->id(), milliseconds(500)));
+        ASSERT_TRUE(uses(first->id(), milliseconds(50)));
+        throttle.freeze(first->id());
+        throttle.freeze(second->id());
+        const auto periods = (monotonicNow() - begin) / ProcessorAllotment::period + 1;
+        EXPECT_LE(processorTimeOf(first->id()) - firstBefore, periods * milliseconds(10) + ProcessorAllotment::period);
+        EXPECT_LE(
+            processorTimeOf(second->id()) - secondBefore, periods * milliseconds(50) + ProcessorAllotment::period);
+    }
+
+    // Guards against a process that the soak has frozen and the throttle continues with the next period.
+    TEST(SoakThrottle, FrozenProcessesStayFrozen)
+    {
+        const auto process = startBusyProcess();
+        SoakThrottle throttle;
+        throttle.add(process->id(), 0.5);
+        ASSERT_TRUE(uses(process->id(), milliseconds(100)));
+        throttle.freeze(process->id());
+        ASSERT_TRUE(waitUntil([&] { return stateOf(process->id()) == 'T'; }));
+        const auto used = processorTimeOf(process->id());
+        std::this_thread::sleep_for(5 * ProcessorAllotment::period);
+        EXPECT_EQ(stateOf(process->id()), 'T');
+        EXPECT_EQ(processorTimeOf(process->id()), used);
+        throttle.thaw(process->id());
+        EXPECT_TRUE(uses(process->id(), milliseconds(100)));
+    }
+
+    // Guards against processes that stay stopped after the limit has ended.
+    TEST(SoakThrottle, RemovedProcessesRunOn)
+    {
+        const auto process = startBusyProcess();
+        const auto isStopped = [&] { return stateOf(process->id()) == 'T'; };
+        {
+            SoakThrottle throttle;
+            throttle.add(process->id(), 0.01);
+            ASSERT_TRUE(waitUntil(isStopped));
+            throttle.remove(process->id());
+            // With the limit, this takes longer than the timeout.
+            ASSERT_TRUE(uses(process->id(), milliseconds(500)));
+            throttle.add(process->id(), 0.01);
+            ASSERT_TRUE(waitUntil(isStopped));
+        }
+        EXPECT_TRUE(uses(process->id(), milliseconds(500)));
+    }
+
+    // Guards against a throttle that fails, or stops other processes, when one of its processes has ended.
+    TEST(SoakThrottle, EndsOfProcessesAreNoFailure)
+    {
+        auto ended = startBusyProcess();
+        const auto other = startBusyProcess();
+        const auto id = ended->id();
+        SoakThrottle throttle;
+        throttle.add(id, 0.1);
+        throttle.add(other->id(), 0.5);
+        ASSERT_TRUE(uses(id, milliseconds(20)));
+        ended.reset();
+        throttle.freeze(id);
+        throttle.thaw(id);
+        EXPECT_TRUE(uses(other->id(), milliseconds(150)));
+        throttle.remove(id);
+        EXPECT_THROW(throttle.add(id, 0.1), std::runtime_error);
+        EXPECT_TRUE(uses(other->id(), milliseconds(100)));
+    }
+
+    // Guards against a process that cannot be told to end while it is stopped.
+    TEST(SoakThrottle, StoppedProcessesCanBeTerminated)
+    {
+        const auto process = startBusyProcess();
+        SoakThrottle throttle;
+        throttle.add(process->id(), 0.05);
+        ASSERT_TRUE(waitUntil([&] { return stateOf(process->id()) == 'T'; }));
+        process->sendSignal(SIGTERM);
+        EXPECT_EQ(process->wait(20000), 128 + SIGTERM);
+    }
+
+} // namespace
+} // namespace cyclamenstair
