--- a/Benchmarks/Soak/SoakThrottle.cpp
+++ b/Benchmarks/Soak/SoakThrottle.cpp
@@ -1,5 +1,7 @@
 #include <Benchmarks/Soak/SoakThrottle.h>
 
+#include <Benchmarks/Soak/ProcessorTime.h>
+
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
@@ -26,18 +28,16 @@
 } // namespace
 
 SoakThrottle::Handle::Handle(pid_t process)
-    : m_descriptor(::pidfd_open(process, 0))
+    : m_process(process)
+    , m_descriptor(::pidfd_open(process, 0))
 {
-    if (m_descriptor < 0 || ::clock_getcpuclockid(process, &m_clock) != 0) {
-        if (m_descriptor >= 0)
-            ::close(m_descriptor);
+    if (m_descriptor < 0)
         throw std::runtime_error("cannot limit process " + std::to_string(process));
-    }
 }
 
 SoakThrottle::Handle::Handle(Handle&& other) noexcept
-    : m_descriptor(std::exchange(other.m_descriptor, -1))
-    , m_clock(other.m_clock)
+    : m_process(other.m_process)
+    , m_descriptor(std::exchange(other.m_descriptor, -1))
 {
 }
 
@@ -51,12 +51,9 @@
 
 std::optional<Duration> SoakThrottle::Handle::processorTime() const
 {
-    // The clock of a later process with the same id is not read: signal 0 fails once the process has been waited for.
-    timespec time {};
-    if (::clock_gettime(m_clock, &time) != 0 || ::pidfd_send_signal(m_descriptor, 0, nullptr, 0) != 0)
-        return std::nullopt;
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    const auto time = processorTimeOf(m_process);
+    // Fails once the process has been waited for, after which another process may have its id.
+    return ::pidfd_send_signal(m_descriptor, 0, nullptr, 0) == 0 ? time : std::nullopt;
 }
 
 SoakThrottle::SoakThrottle()
--- a/Benchmarks/Soak/SoakThrottle.h
+++ b/Benchmarks/Soak/SoakThrottle.h
@@ -3,7 +3,6 @@
 #include <Benchmarks/Soak/ProcessorAllotment.h>
 
 #include <condition_variable>
-#include <ctime>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -49,8 +48,8 @@
         std::optional<Duration> processorTime() const;
 
     private:
+        pid_t m_process;
         int m_descriptor { -1 };
-        clockid_t m_clock {};
     };
 
     struct Process {
--- a/Tests/SoakTests/SoakProcessTests.cpp
+++ b/Tests/SoakTests/SoakProcessTests.cpp
@@ -25,8 +25,8 @@
         return SoakProcess("/bin/sh", script(text), "/dev/null", true, limits);
     }
 
-    /// Script that holds a variable of 8 MiB.
-    constexpr const char* largeScript = "v=x; i=0; while [ $i -lt 23 ]; do v=$v$v; i=$((i+1)); done; sleep 30";
+    /// Script that holds a variable of 8 MiB and stops itself.
+    constexpr const char* largeScript = "v=x; i=0; while [ $i -lt 23 ]; do v=$v$v; i=$((i+1)); done; kill -STOP $$";
 
     std::optional<std::string> waitForMemoryExcess(SoakProcess& process)
     {
@@ -44,7 +44,7 @@
     {
         SoakLimits limits;
         limits.maxDescriptors = 77;
-        auto process = startProcess("sleep 30", limits);
+        auto process = startProcess("exec sleep 30", limits);
         rlimit limit {};
         ASSERT_EQ(::prlimit(process.id(), RLIMIT_NOFILE, nullptr, &limit), 0);
         EXPECT_EQ(limit.rlim_cur, 77U);
--- a/Tests/SoakTests/SoakThrottleTests.cpp
+++ b/Tests/SoakTests/SoakThrottleTests.cpp
@@ -1,3 +1,4 @@
+#include <Benchmarks/Soak/ProcessorTime.h>
 #include <Benchmarks/Soak/SoakThrottle.h>
 
 #include <Tests/Support/ProcessFleet.h>
@@ -22,16 +23,6 @@
             "/bin/sh", std::vector<std::string> { "-c", "while :; do :; done" }, "/dev/null");
     }
 
-    Duration processorTimeOf(pid_t process)
-    {
-        clockid_t clock {};
-        timespec time {};
-        EXPECT_EQ(::clock_getcpuclockid(process, &clock), 0);
-        EXPECT_EQ(::clock_gettime(clock, &time), 0);
-        return std::chrono::duration_cast<Duration>(
-            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
-    }
-
     /// Returns the state of a process as in /proc/PID/stat: T if it is stopped.
     char stateOf(pid_t process)
     {
@@ -52,10 +43,15 @@
         return true;
     }
 
-    bool uses(pid_t process, Duration time)
+    Duration timeOf(const testing::ChildProcess& process)
+    {
+        return processorTimeOf(process.id()).value_or(Duration::zero());
+    }
+
+    bool uses(const testing::ChildProcess& process, Duration time)
     {
-        const auto begin = processorTimeOf(process);
-        return waitUntil([&] { return processorTimeOf(process) >= begin + time; });
+        const auto begin = timeOf(process);
+        return waitUntil([&] { return timeOf(process) >= begin + time; });
     }
 
     // Guards against a process that gets more than its share, or none at all after its first allotment.
@@ -66,11 +62,11 @@
         const auto process = startBusyProcess();
         SoakThrottle throttle;
         const auto begin = monotonicNow();
-        const auto before = processorTimeOf(process->id());
+        const auto before = timeOf(*process);
         throttle.add(process->id(), share);
-        ASSERT_TRUE(uses(process->id(), 10 * allotment));
+        ASSERT_TRUE(uses(*process, 10 * allotment));
         throttle.freeze(process->id());
-        const auto used = processorTimeOf(process->id()) - before;
+        const auto used = timeOf(*process) - before;
         const auto periods = (monotonicNow() - begin) / ProcessorAllotment::period + 1;
         // A check that comes late is made up for later, so that one period may be used too much at a time.
         EXPECT_LE(used, periods * allotment + ProcessorAllotment::period);
@@ -85,16 +81,15 @@
         const auto begin = monotonicNow();
         throttle.add(first->id(), 0.1);
         throttle.add(second->id(), 0.5);
-        const auto firstBefore = processorTimeOf(first->id());
-        const auto secondBefore = processorTimeOf(second->id());
-        ASSERT_TRUE(uses(second->id(), milliseconds(500)));
-        ASSERT_TRUE(uses(first->id(), milliseconds(50)));
+        const auto firstBefore = timeOf(*first);
+        const auto secondBefore = timeOf(*second);
+        ASSERT_TRUE(uses(*second, milliseconds(500)));
+        ASSERT_TRUE(uses(*first, milliseconds(50)));
         throttle.freeze(first->id());
         throttle.freeze(second->id());
         const auto periods = (monotonicNow() - begin) / ProcessorAllotment::period + 1;
-        EXPECT_LE(processorTimeOf(first->id()) - firstBefore, periods * milliseconds(10) + ProcessorAllotment::period);
-        EXPECT_LE(
-            processorTimeOf(second->id()) - secondBefore, periods * milliseconds(50) + ProcessorAllotment::period);
+        EXPECT_LE(timeOf(*first) - firstBefore, periods * milliseconds(10) + ProcessorAllotment::period);
+        EXPECT_LE(timeOf(*second) - secondBefore, periods * milliseconds(50) + ProcessorAllotment::period);
     }
 
     // Guards against a process that the soak has frozen and the throttle continues with the next period.
@@ -103,15 +98,15 @@
         const auto process = startBusyProcess();
         SoakThrottle throttle;
         throttle.add(process->id(), 0.5);
-        ASSERT_TRUE(uses(process->id(), milliseconds(100)));
+        ASSERT_TRUE(uses(*process, milliseconds(100)));
         throttle.freeze(process->id());
         ASSERT_TRUE(waitUntil([&] { return stateOf(process->id()) == 'T'; }));
-        const auto used = processorTimeOf(process->id());
+        const auto used = timeOf(*process);
         std::this_thread::sleep_for(5 * ProcessorAllotment::period);
         EXPECT_EQ(stateOf(process->id()), 'T');
-        EXPECT_EQ(processorTimeOf(process->id()), used);
+        EXPECT_EQ(timeOf(*process), used);
         throttle.thaw(process->id());
-        EXPECT_TRUE(uses(process->id(), milliseconds(100)));
+        EXPECT_TRUE(uses(*process, milliseconds(100)));
     }
 
     // Guards against processes that stay stopped after the limit has ended.
@@ -125,11 +120,11 @@
             ASSERT_TRUE(waitUntil(isStopped));
             throttle.remove(process->id());
             // With the limit, this takes longer than the timeout.
-            ASSERT_TRUE(uses(process->id(), milliseconds(500)));
+            ASSERT_TRUE(uses(*process, milliseconds(500)));
             throttle.add(process->id(), 0.01);
             ASSERT_TRUE(waitUntil(isStopped));
         }
-        EXPECT_TRUE(uses(process->id(), milliseconds(500)));
+        EXPECT_TRUE(uses(*process, milliseconds(500)));
     }
 
     // Guards against a throttle that fails, or stops other processes, when one of its processes has ended.
@@ -141,14 +136,14 @@
         SoakThrottle throttle;
         throttle.add(id, 0.1);
         throttle.add(other->id(), 0.5);
-        ASSERT_TRUE(uses(id, milliseconds(20)));
+        ASSERT_TRUE(uses(*ended, milliseconds(20)));
         ended.reset();
         throttle.freeze(id);
         throttle.thaw(id);
-        EXPECT_TRUE(uses(other->id(), milliseconds(150)));
+        EXPECT_TRUE(uses(*other, milliseconds(150)));
         throttle.remove(id);
         EXPECT_THROW(throttle.add(id, 0.1), std::runtime_error);
-        EXPECT_TRUE(uses(other->id(), milliseconds(100)));
+        EXPECT_TRUE(uses(*other, milliseconds(100)));
     }
 
     // Guards against a process that cannot be told to end while it is stopped.
