Freeze processes in the tests of the throttle while it holds them

Cause: the tests froze a process at any moment of its period. A throttle that was not told of SIGSTOP passed them, as it continues only what it has stopped itself.

Change: the tests wait until the throttle has stopped the process before they freeze it, and check that it is limited again afterwards.

--- a/Tests/SoakTests/SoakProcessTests.cpp
+++ b/Tests/SoakTests/SoakProcessTests.cpp
@@ -1,5 +1,7 @@
 #include <Benchmarks/Soak/SoakProcess.h>
 
+#include <Tests/SoakTests/ProcessState.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -83,7 +85,7 @@
     {
         SoakThrottle throttle;
         SoakLimits limits;
-        limits.cpuShare = 0.3;
+        limits.cpuShare = 0.1;
         limits.throttle = &throttle;
         const auto folder
             = std::filesystem::temp_directory_path() / ("soak-process-test-" + std::to_string(::getpid()));
@@ -103,8 +105,11 @@
             return size() > before;
         };
         EXPECT_TRUE(grows());
+        // The throttle continues a process only if it has stopped it before.
+        const auto stopEnd = monotonicNow() + timeout;
+        while (!isStopped(process.id()) && monotonicNow() < stopEnd)
+            std::this_thread::sleep_for(milliseconds(1));
         process.sendSignal(SIGSTOP);
-        std::this_thread::sleep_for(pollInterval);
         const auto frozenSize = size();
         std::this_thread::sleep_for(5 * ProcessorAllotment::period);
         EXPECT_EQ(size(), frozenSize);
--- a/Tests/SoakTests/SoakThrottleTests.cpp
+++ b/Tests/SoakTests/SoakThrottleTests.cpp
@@ -1,14 +1,13 @@
 #include <Benchmarks/Soak/ProcessorTime.h>
 #include <Benchmarks/Soak/SoakThrottle.h>
 
+#include <Tests/SoakTests/ProcessState.h>
 #include <Tests/Support/ProcessFleet.h>
 
 #include <csignal>
-#include <fstream>
 #include <functional>
 #include <gtest/gtest.h>
 #include <memory>
-#include <sstream>
 #include <thread>
 
 namespace cyclamenstair {
@@ -23,15 +22,6 @@
             "/bin/sh", std::vector<std::string> { "-c", "while :; do :; done" }, "/dev/null");
     }
 
-    /// Returns the state of a process as in /proc/PID/stat: T if it is stopped.
-    char stateOf(pid_t process)
-    {
-        std::ostringstream text;
-        text << std::ifstream("/proc/" + std::to_string(process) + "/stat").rdbuf();
-        const auto name = text.str().rfind(')');
-        return name == std::string::npos ? '?' : text.str().at(name + 2);
-    }
-
     bool waitUntil(const std::function<bool()>& condition)
     {
         const auto end = monotonicNow() + timeout;
@@ -92,37 +82,40 @@
         EXPECT_LE(timeOf(*second) - secondBefore, periods * milliseconds(50) + ProcessorAllotment::period);
     }
 
-    // Guards against a process that the soak has frozen and the throttle continues with the next period.
+    // Guards against a process that the soak has frozen and the throttle continues with the next period, or that has no
+    // limit any more once it is continued.
     TEST(SoakThrottle, FrozenProcessesStayFrozen)
     {
         const auto process = startBusyProcess();
         SoakThrottle throttle;
         throttle.add(process->id(), 0.5);
         ASSERT_TRUE(uses(*process, milliseconds(100)));
+        // The throttle continues a process only if it has stopped it before.
+        ASSERT_TRUE(waitUntil([&] { return isStopped(process->id()); }));
         throttle.freeze(process->id());
-        ASSERT_TRUE(waitUntil([&] { return stateOf(process->id()) == 'T'; }));
         const auto used = timeOf(*process);
         std::this_thread::sleep_for(5 * ProcessorAllotment::period);
-        EXPECT_EQ(stateOf(process->id()), 'T');
+        EXPECT_TRUE(isStopped(process->id()));
         EXPECT_EQ(timeOf(*process), used);
         throttle.thaw(process->id());
         EXPECT_TRUE(uses(*process, milliseconds(100)));
+        EXPECT_TRUE(waitUntil([&] { return isStopped(process->id()); }));
     }
 
     // Guards against processes that stay stopped after the limit has ended.
     TEST(SoakThrottle, RemovedProcessesRunOn)
     {
         const auto process = startBusyProcess();
-        const auto isStopped = [&] { return stateOf(process->id()) == 'T'; };
+        const auto isHeld = [&] { return isStopped(process->id()); };
         {
             SoakThrottle throttle;
             throttle.add(process->id(), 0.01);
-            ASSERT_TRUE(waitUntil(isStopped));
+            ASSERT_TRUE(waitUntil(isHeld));
             throttle.remove(process->id());
             // With the limit, this takes longer than the timeout.
             ASSERT_TRUE(uses(*process, milliseconds(500)));
             throttle.add(process->id(), 0.01);
-            ASSERT_TRUE(waitUntil(isStopped));
+            ASSERT_TRUE(waitUntil(isHeld));
         }
         EXPECT_TRUE(uses(*process, milliseconds(500)));
     }
@@ -152,7 +145,7 @@
         const auto process = startBusyProcess();
         SoakThrottle throttle;
         throttle.add(process->id(), 0.05);
-        ASSERT_TRUE(waitUntil([&] { return stateOf(process->id()) == 'T'; }));
+        ASSERT_TRUE(waitUntil([&] { return isStopped(process->id()); }));
         process->sendSignal(SIGTERM);
         EXPECT_EQ(process->wait(20000), 128 + SIGTERM);
     }
