--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -27,12 +27,14 @@
 } // namespace
 
 SoakNode::SoakNode(
-    const std::string& id, const std::string& folder, SoakNodeSettings settings, SoakStarts starts, SoakTimer& timer)
+    const std::string& id, const std::string& folder, SoakSettingsSource settings, SoakStarts starts, SoakTimer& timer)
     : m_id(id)
     , m_folder(folder)
-    , m_settings(std::move(settings))
+    , m_callerAddress(callerAddressOf(settings))
+    , m_probeAddress(probeAddressOf(settings))
     , m_starts(std::move(starts))
     , m_timer(timer)
+    , m_settings(std::move(settings))
     , m_daemonRandom(randomFor(m_starts.seed ^ seedOfDaemons, id))
     , m_stressRandom(randomFor(m_starts.seed ^ seedOfStress, id))
 {
@@ -57,7 +59,8 @@
     const size_t daemon = randomIndex(m_daemonRandom, m_starts.daemons.size());
     const bool isOutputRead = !m_starts.hasUnreadOutput || randomUnit(m_stressRandom) >= unreadOutputShare;
     m_process = std::make_unique<SoakProcess>(m_starts.daemons[daemon].program,
-        std::vector<std::string> { "--config", settingsPath(daemon) }, m_folder + "/" + m_id + ".log", isOutputRead);
+        std::vector<std::string> { "--config", settingsPath(daemon) }, m_folder + "/" + m_id + ".log", isOutputRead,
+        m_starts.limits);
     std::ostringstream text;
     text << "start " << m_id << ", process " << m_process->id() << ", daemon " << daemon
          << (isOutputRead ? "" : ", output not read") << "\n";
@@ -130,12 +133,23 @@
 void SoakNode::rewriteSettings(bool isInPlace, Duration pause)
 {
     std::lock_guard lock(m_rewriteMutex);
-    m_disturbedAt = monotonicNow();
     ++m_rewriteCount;
+    writeSettings("# " + std::string(static_cast<size_t>(m_rewriteCount), '#') + "\n", isInPlace, pause);
+}
+
+void SoakNode::rewriteSettings(SoakSettingsSource settings, bool isInPlace, Duration pause)
+{
+    std::lock_guard lock(m_rewriteMutex);
+    m_settings = std::move(settings);
+    writeSettings("", isInPlace, pause);
+}
+
+void SoakNode::writeSettings(const std::string& prefix, bool isInPlace, Duration pause)
+{
+    m_disturbedAt = monotonicNow();
     for (size_t i = 0; i < m_starts.daemons.size(); ++i) {
         const auto path = settingsPath(i);
-        const auto text = "# " + std::string(static_cast<size_t>(m_rewriteCount), '#') + "\n"
-            + formatSettings(m_settings, m_starts.daemons[i]);
+        const auto text = prefix + formatSettings(m_settings, m_starts.daemons[i]);
         if (!isInPlace) {
             const auto temporaryPath = path + ".new";
             std::ofstream(temporaryPath) << text;
@@ -207,6 +221,29 @@
     return m_isStopped && !m_process && m_predecessors.empty();
 }
 
+std::optional<SoakNodeProcess> SoakNode::currentProcess()
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_process || m_process->hasEnded())
+        return std::nullopt;
+    return SoakNodeProcess { m_process->id(), m_process->startedAt() };
+}
+
+std::vector<std::string> SoakNode::takeMemoryExcesses()
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> descriptions;
+    const auto take = [&](SoakProcess& process) {
+        if (const auto excess = process.takeMemoryExcess())
+            descriptions.push_back(m_id + ": " + *excess);
+    };
+    for (const auto& predecessor : m_predecessors)
+        take(*predecessor);
+    if (m_process)
+        take(*m_process);
+    return descriptions;
+}
+
 uint64_t SoakNode::maxResidentBytes()
 {
     std::lock_guard lock(m_mutex);
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -17,21 +17,28 @@
 /// What happens to the starts of a node's processes.
 struct SoakStarts {
     std::vector<SoakDaemon> daemons; ///< Each start takes one of them by chance.
+    SoakLimits limits;
     uint64_t seed { 1 };
     bool hasEarlySignals { false }; ///< A part of the starts is followed by SIGHUP at once, several times.
     bool hasUnreadOutput { false }; ///< Nobody reads the output of a part of the processes.
 };
 
+/// A process that a node runs.
+struct SoakNodeProcess {
+    pid_t id;
+    TimePoint startedAt;
+};
+
 /// A node of a soak, which runs as a separate process and is restarted when it has ended. Thread-safe.
 class SoakNode {
 public:
     /// `folder` receives the settings and the log. The timer must be stopped before the node is destroyed.
-    SoakNode(const std::string& id, const std::string& folder, SoakNodeSettings settings, SoakStarts starts,
+    SoakNode(const std::string& id, const std::string& folder, SoakSettingsSource settings, SoakStarts starts,
         SoakTimer& timer);
 
     const std::string& id() const { return m_id; }
-    const std::string& callerAddress() const { return m_settings.at("entry").at("listen"); }
-    const std::string& probeAddress() const { return m_settings.at("entry").at("ready_listen"); }
+    const std::string& callerAddress() const { return m_callerAddress; }
+    const std::string& probeAddress() const { return m_probeAddress; }
 
     void start();
 
@@ -45,6 +52,10 @@
     /// a pause between them.
     void rewriteSettings(bool isInPlace, Duration pause);
 
+    /// Replaces the settings, which keep their addresses, and writes the files in the same ways. The process learns of
+    /// it from SIGHUP, or at its next start.
+    void rewriteSettings(SoakSettingsSource settings, bool isInPlace, Duration pause);
+
     /// Records that the node was disturbed from outside.
     void markDisturbed() { m_disturbedAt = monotonicNow(); }
 
@@ -66,11 +77,19 @@
     /// Returns whether the node has not been disturbed since `time`.
     bool isCalmSince(TimePoint time) const { return m_disturbedAt.load() < time; }
 
+    /// Returns the process that was started last, or no value if it has ended.
+    std::optional<SoakNodeProcess> currentProcess();
+
+    /// Returns descriptions of processes whose resident memory exceeds its limit, each once.
+    std::vector<std::string> takeMemoryExcesses();
+
     /// Returns the largest resident memory of a process of this node so far, in bytes.
     uint64_t maxResidentBytes();
 
 private:
     void startProcess();
+    /// Writes the settings files with `prefix` before their text. Expects m_rewriteMutex to be locked.
+    void writeSettings(const std::string& prefix, bool isInPlace, Duration pause);
     /// Ends the reader of the process's output after some time.
     void scheduleBrokenOutput();
     /// Sends SIGHUP to the process some times in the first milliseconds, by chance.
@@ -81,11 +100,13 @@
 
     std::string m_id;
     std::string m_folder;
-    SoakNodeSettings m_settings;
+    std::string m_callerAddress;
+    std::string m_probeAddress;
     SoakStarts m_starts;
     SoakTimer& m_timer;
-    /// Guards the contents of the settings files. Not the other lock, so that processes start while they are written.
+    /// Guards the settings and their files. Not the other lock, so that processes start while they are written.
     std::mutex m_rewriteMutex;
+    SoakSettingsSource m_settings;
     int m_rewriteCount { 0 };
     std::mutex m_mutex; ///< Guards the members below.
     Random m_daemonRandom;
