Serve with numbers and names of other forms in the settings

Cause: integer keys took only digits, so a template filled in from budget_slack = 54.0 rendered retry_slack = 54.0, which ended the start with status 2 after 90 s. The same held for a plus sign, for numbers that are not whole or outside the range, for numbers with a unit, for a log level or policy of a later build, and for one port for both entry.relay_listen and entry.metrics_listen. A byte order mark before the line that declares the end of the file switched that declaration off, a blank after the last line made a whole file incomplete, and an indented key was taken for a second value of the key before it.

A start and SIGHUP limit a number to its range and round one that is not whole to the side on which the node keeps to the bound (schema attribute round_up), with a line settings_value_adjusted. A text that is no number, a number with a unit, NaN and infinity, true and false, and unknown names keep the default, with a line settings_key_ignored and a new reason: all nodes read the same template, so one such value would otherwise end all of them, and each of these keys has a default that serves. Whether a unit or a slip is meant is not guessed. Of two listeners at one port the metrics yield to the relay, and both to the other listeners (dispensable). node.mode and the ports of mode Planned (exact) still end the start: no other value can stand for them. So do two of listen, ready_listen and peer_listen at one port: the probe has a listener and a loop of its own, so that it responds while callers fill theirs.

--- a/Cyclamenstair/Settings/SettingsAddress.h
+++ b/Cyclamenstair/Settings/SettingsAddress.h
@@ -13,7 +13,8 @@
     uint16_t port { 0 };
 };
 
-/// Parses IP:PORT; the port follows the last colon. Returns no value if the text is malformed or names a host.
+/// Parses IP:PORT; the port follows the last colon, in any notation of a whole number. Returns no value if the text is
+/// malformed or names a host.
 std::optional<SettingsAddress> parseSettingsAddress(std::string_view text);
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsChecks.cpp
+++ b/Cyclamenstair/Settings/SettingsChecks.cpp
@@ -3,6 +3,7 @@
 #include <Cyclamenstair/Settings/SettingsAddress.h>
 #include <Cyclamenstair/Settings/SettingsSchema.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace cyclamenstair {
@@ -31,6 +32,7 @@
     struct Listener {
         std::string key;
         SettingsAddress address;
+        bool isDispensable { false };
     };
 
     /// Returns the listeners of the mode that the text chooses. Malformed addresses are left out.
@@ -47,7 +49,7 @@
                 if (field.baseType() != reflection::String)
                     text.insert(0, textOf(parsed, section.name + ".address") + ":");
                 if (const auto address = parseSettingsAddress(text))
-                    listeners.push_back({ key, *address });
+                    listeners.push_back({ key, *address, field.hasAttribute("dispensable") });
             }
         }
         return listeners;
@@ -87,13 +89,34 @@
     const auto listeners = listenersOf(parsed);
     for (size_t i = 0; i < listeners.size(); ++i) {
         for (size_t j = i + 1; j < listeners.size(); ++j) {
-            const auto& [key, address] = listeners[j];
-            if (needSamePort(listeners[i].address, address))
+            const auto& other = listeners[j];
+            if (needSamePort(listeners[i].address, other.address))
                 return Error { ErrorKind::InvalidInput, "settings.listeners", "",
-                    listeners[i].key + " and " + key + " need the same port " + std::to_string(address.port) };
+                    listeners[i].key + " and " + other.key + " need the same port "
+                        + std::to_string(other.address.port) };
         }
     }
     return std::nullopt;
 }
 
+void removeDispensableListeners(ParsedSettings& parsed)
+{
+    std::vector<Listener> kept;
+    for (const auto& listener : listenersOf(parsed)) {
+        const auto other = std::find_if(kept.begin(), kept.end(),
+            [&](const Listener& candidate) { return needSamePort(candidate.address, listener.address); });
+        if (!listener.isDispensable || other == kept.end()) {
+            kept.push_back(listener);
+            continue;
+        }
+        const auto dot = listener.key.find('.');
+        const auto section = listener.key.substr(0, dot);
+        const auto key = listener.key.substr(dot + 1);
+        parsed.ignored.push_back({ IgnoredSettingReason::PortInUse, parsed.lines.at(listener.key), section, key, {},
+            parsed.texts.at(listener.key), other->key });
+        parsed.values[section][key] = findSettingsField(*findSettingsSection(section), key)->defaultText();
+        parsed.texts.erase(listener.key);
+    }
+}
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsChecks.h
+++ b/Cyclamenstair/Settings/SettingsChecks.h
@@ -15,4 +15,8 @@
 /// never listen.
 std::optional<Error> findListenerConflict(const ParsedSettings& parsed);
 
+/// Removes the addresses of dispensable listeners (attribute `dispensable`) that need the port of a listener before
+/// them in the schema, and records them as ignored. The order of the schema is that of importance.
+void removeDispensableListeners(ParsedSettings& parsed);
+
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -1,9 +1,9 @@
 #include <Cyclamenstair/Settings/SettingsParser.h>
 
 #include <Cyclamenstair/Settings/SettingsAddress.h>
+#include <Cyclamenstair/Settings/SettingsNumber.h>
 #include <Cyclamenstair/Settings/SettingsSchema.h>
 
-#include <charconv>
 #include <ini.h>
 #include <mutex>
 #include <optional>
@@ -22,13 +22,25 @@
         = "; This file is complete only with the last line \"; end of settings\".";
     constexpr std::string_view lastLine = "; end of settings";
 
+    /// Begin of a text in UTF-8 as some editors write it.
+    constexpr std::string_view byteOrderMark = "\xef\xbb\xbf";
+
+    /// Returns the text without the blanks around it.
+    std::string_view trimmed(std::string_view text)
+    {
+        constexpr std::string_view blanks = " \t\r";
+        const auto begin = text.find_first_not_of(blanks);
+        if (begin == std::string_view::npos)
+            return {};
+        return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+    }
+
     /// State while an INI text is parsed.
     struct IniParseState {
         std::istringstream input;
         SettingsStrictness strictness { SettingsStrictness::Strict };
         int line { 0 };
         ParsedSettings parsed;
-        std::map<std::string, int> keyLines; ///< Line of each "section.key".
         std::optional<Error> error; ///< First error.
         int errorLine { 0 };
         bool declaresLastLine { false };
@@ -69,8 +81,10 @@
         if (!std::getline(state.input, text))
             return nullptr;
         ++state.line;
-        if (text.ends_with('\r'))
-            text.pop_back();
+        if (state.line == 1 && text.starts_with(byteOrderMark))
+            text.erase(0, byteOrderMark.size());
+        // inih takes an indented line for the continuation of the value before it.
+        text = trimmed(text);
         state.declaresLastLine = state.declaresLastLine || text == lastLineNotice;
         if (!text.empty())
             state.endsWithLastLine = text == lastLine;
@@ -87,29 +101,6 @@
         return buffer;
     }
 
-    template <typename Number> std::optional<Number> parseNumber(std::string_view text)
-    {
-        Number number {};
-        const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
-        if (code != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return number;
-    }
-
-    template <typename Number> Result<nlohmann::json> parseRanged(const SettingsField& field, std::string_view text)
-    {
-        const auto number = parseNumber<Number>(text);
-        if (!number)
-            return Error { ErrorKind::InvalidInput, "", "", "'" + std::string(text) + "' is not a number" };
-        const auto min = parseNumber<Number>(field.attribute("min"));
-        const auto max = parseNumber<Number>(field.attribute("max"));
-        // The comparisons are negated so that NaN is rejected.
-        if ((min && !(*number >= *min)) || (max && !(*number <= *max)))
-            return Error { ErrorKind::InvalidInput, "", "",
-                "'" + std::string(text) + "' is not in the range " + field.rangeText() };
-        return nlohmann::json(*number);
-    }
-
     /// Returns whether JSON, through which the values pass, can hold the text.
     bool isValidUtf8(const std::string& text)
     {
@@ -121,12 +112,12 @@
         }
     }
 
-    Result<nlohmann::json> parseValue(const SettingsField& field, const std::string& text)
+    Result<SettingsNumber> parseValue(const SettingsField& field, const std::string& text)
     {
         if (const auto* values = field.enumeration()) {
             for (const auto* value : *values->values()) {
                 if (value->name()->str() == text)
-                    return nlohmann::json(text);
+                    return SettingsNumber { text, {} };
             }
             return Error { ErrorKind::InvalidInput, "", "", "'" + text + "' is not one of " + field.rangeText() };
         }
@@ -134,19 +125,29 @@
         case reflection::String:
             if (!isValidUtf8(text))
                 return Error { ErrorKind::InvalidInput, "", "", "the value is not valid UTF-8" };
-            return nlohmann::json(text);
+            return SettingsNumber { text, {} };
         case reflection::Bool:
             if (text == "true" || text == "false")
-                return nlohmann::json(text == "true");
+                return SettingsNumber { text == "true", {} };
             return Error { ErrorKind::InvalidInput, "", "", "'" + text + "' is not true or false" };
-        case reflection::Float:
-        case reflection::Double:
-            return parseRanged<double>(field, text);
         default:
-            return parseRanged<int64_t>(field, text);
+            return parseSettingsNumber(field, text);
         }
     }
 
+    /// Returns the value without the pair of quotes around it, with which some templates write each value.
+    std::string unquoted(const std::string& text)
+    {
+        const bool isQuoted
+            = text.size() >= 2 && (text.front() == '"' || text.front() == '\'') && text.front() == text.back();
+        return isQuoted ? std::string(trimmed(std::string_view(text).substr(1, text.size() - 2))) : text;
+    }
+
+    std::string addressText(const SettingsAddress& address)
+    {
+        return address.host + ":" + std::to_string(address.port);
+    }
+
     /// Returns the well-formed items of a list of addresses. Empty items, which templates leave, have no effect.
     std::string wellFormedAddresses(
         IniParseState& state, const std::string& section, const std::string& key, const std::string& text)
@@ -159,8 +160,8 @@
             item.erase(item.find_last_not_of(blanks) + 1);
             if (item.empty())
                 continue;
-            if (parseSettingsAddress(item))
-                addresses += (addresses.empty() ? "" : ",") + item;
+            if (const auto address = parseSettingsAddress(item))
+                addresses += (addresses.empty() ? "" : ",") + addressText(*address);
             else
                 state.ignore({ IgnoredSettingReason::MalformedItem, state.line, section, key, {}, item },
                     std::string(key).append(": '").append(item).append("' is not IP:PORT"));
@@ -174,9 +175,71 @@
         return address.ends_with(':') || (address.starts_with(':') && address.rfind(':') == 0);
     }
 
+    /// Stores an address in its usual form. Returns false if the entry has no effect.
+    bool storeAddress(
+        IniParseState& state, const std::string& section, const SettingsField& field, const std::string& text)
+    {
+        const auto key = field.name();
+        const auto message = key + ": '" + text + "' is not IP:PORT";
+        if (lacksHostOrPort(text)) {
+            state.ignore({ IgnoredSettingReason::EmptyValue, state.line, section, key, {}, {} }, message);
+            return false;
+        }
+        const auto address = parseSettingsAddress(text);
+        if (!address && field.hasAttribute("dispensable")) {
+            state.ignore({ IgnoredSettingReason::MalformedValue, state.line, section, key, {}, text }, message);
+            return false;
+        }
+        // Other malformed addresses are reported by what listens or connects there.
+        state.parsed.values[section][key] = address ? addressText(*address) : text;
+        return true;
+    }
+
+    /// Reports a value that its key cannot take. A start goes on with the default where that serves: one malformed
+    /// value in the platform's template would otherwise end every node.
+    void rejectValue(IniParseState& state, const std::string& section, const SettingsField& field,
+        const std::string& text, const std::string& error)
+    {
+        const auto key = field.name();
+        const auto message = key + ": " + error;
+        if (field.baseType() == reflection::String) {
+            state.fail(message);
+            return;
+        }
+        // Templates render a placeholder without a value as nothing.
+        if (text.empty()) {
+            state.ignore({ IgnoredSettingReason::EmptyValue, state.line, section, key, {}, {} }, message);
+            return;
+        }
+        if (field.hasAttribute("exact")) {
+            state.fail(message);
+            return;
+        }
+        const auto reason
+            = field.enumeration() ? IgnoredSettingReason::UnknownName : IgnoredSettingReason::MalformedValue;
+        state.ignore({ reason, state.line, section, key, {}, text }, message);
+    }
+
+    /// Returns a number without the decimals of a real one that is whole.
+    std::string numberText(const nlohmann::json& number)
+    {
+        if (!number.is_number_float())
+            return number.dump();
+        std::ostringstream text;
+        text << number.get<double>();
+        return text.str();
+    }
+
+    /// Returns the words for a number that its key cannot take.
+    std::string describe(AdjustedSettingReason reason, const SettingsField& field)
+    {
+        return reason == AdjustedSettingReason::NotWhole ? "is not a whole number"
+                                                         : "is not in the range " + field.rangeText();
+    }
+
     /// Parses and stores one value.
     void storeValue(
-        IniParseState& state, const std::string& sectionName, const std::string& key, const std::string& text)
+        IniParseState& state, const std::string& sectionName, const std::string& key, const std::string& rawText)
     {
         const auto* section = findSettingsSection(sectionName);
         if (!section) {
@@ -192,31 +255,38 @@
                 "unknown key '" + key + "' in section [" + sectionName + "]");
             return;
         }
-        const auto [previous, isNew] = state.keyLines.emplace(sectionName + "." + key, state.line);
+        const auto [previous, isNew] = state.parsed.lines.emplace(sectionName + "." + key, state.line);
         if (!isNew) {
             state.fail("key '" + key + "' is already set on line " + std::to_string(previous->second));
             return;
         }
-        auto value = parseValue(*field, text);
+        auto text = unquoted(rawText);
+        const auto value = parseValue(*field, text);
         if (!value) {
-            const auto message = key + ": " + value.error().message;
-            // Templates render a placeholder without a value as nothing.
-            if (text.empty())
-                state.ignore({ IgnoredSettingReason::EmptyValue, state.line, sectionName, key, {}, {} }, message);
-            else
-                state.fail(message);
+            rejectValue(state, sectionName, *field, text, value.error().message);
             return;
         }
-        if (field->hasAttribute("listener") && lacksHostOrPort(text)) {
-            state.ignore({ IgnoredSettingReason::EmptyValue, state.line, sectionName, key, {}, {} },
-                key + ": '" + text + "' is not IP:PORT");
-            return;
+        if (const auto adjustment = value.value().adjustment) {
+            if (state.strictness == SettingsStrictness::Strict || field->hasAttribute("exact")) {
+                state.fail(key + ": '" + text + "' " + describe(*adjustment, *field));
+                return;
+            }
+            state.parsed.adjusted.push_back(
+                { *adjustment, state.line, sectionName, key, text, numberText(value.value().value) });
         }
-        state.parsed.values[sectionName][key] = field->hasAttribute("addresses")
-            ? nlohmann::json(wellFormedAddresses(state, sectionName, key, text))
-            : value.value();
-        if (!text.empty())
-            state.parsed.texts[sectionName + "." + key] = text;
+        auto& stored = state.parsed.values[sectionName][key];
+        if (field->hasAttribute("addresses")) {
+            stored = wellFormedAddresses(state, sectionName, key, text);
+        } else if (field->hasAttribute("address") && !text.empty()) {
+            if (!storeAddress(state, sectionName, *field, text))
+                return;
+        } else {
+            stored = value.value().value;
+        }
+        if (text.empty())
+            return;
+        const bool isText = stored.is_string();
+        state.parsed.texts[sectionName + "." + key] = isText ? stored.get<std::string>() : stored.dump();
     }
 
     int handleIniEntry(void* user, const char* section, const char* key, const char* value)
--- a/Cyclamenstair/Settings/SettingsReader.cpp
+++ b/Cyclamenstair/Settings/SettingsReader.cpp
@@ -77,12 +77,14 @@
     auto parsed = parseSettings(iniText, SettingsStrictness::Tolerant);
     if (!parsed)
         return parsed.error();
+    removeDispensableListeners(parsed.value());
     if (const auto error = checkAsWhole(parsed.value()))
         return *error;
     auto settings = unpack(parsed.value().values);
     if (!settings)
         return settings.error();
-    return TolerantSettings { std::move(settings).value(), std::move(parsed.value().ignored) };
+    return TolerantSettings { std::move(settings).value(), std::move(parsed.value().ignored),
+        std::move(parsed.value().adjusted) };
 }
 
 std::optional<Error> SettingsReader::check(std::string_view iniText)
@@ -126,15 +128,21 @@
 std::string SettingsReader::referenceText()
 {
     std::ostringstream text;
-    text << "# Settings\n\nGenerated from `Schema/Settings.fbs` by `cyclamenstaird --print-settings-reference`.\n";
+    text << "# Settings\n\nGenerated from `Schema/Settings.fbs` by `cyclamenstaird --print-settings-reference`.\n"
+            "\nNumbers may be written in any decimal notation (`54`, `+54`, `54.0`, `5.4e+01`), and any value in "
+            "quotes. "
+            "A start\nlimits a number to its range and rounds one that is not whole: down, or up where the range says "
+            "so. It ignores other\nvalues that a key cannot take, except for keys marked \"exact\". `OPERATIONS.md`, "
+            "\"Settings\", has the rules.\n";
     for (const auto& section : settingsSections()) {
         text << "\n## [" << section.name << "]\n\n"
              << section.description
              << "\n\n| Key | Default | Unit | Range | Reload | Meaning |\n|---|---|---|---|---|---|\n";
         for (const auto& field : section.fields) {
             text << "| `" << field.name() << "` | `" << field.defaultText() << "` | " << field.attribute("unit")
-                 << " | " << field.rangeText() << " | " << (field.hasAttribute("reload") ? "yes" : "no") << " | "
-                 << field.description();
+                 << " | " << field.rangeText() << (field.hasAttribute("round_up") ? "; rounded up" : "")
+                 << (field.hasAttribute("exact") ? "; exact" : "") << " | "
+                 << (field.hasAttribute("reload") ? "yes" : "no") << " | " << field.description();
             if (field.hasAttribute("required_if"))
                 text << " Required if `" << field.attribute("required_if") << "`.";
             text << " |\n";
--- a/Cyclamenstair/Settings/SettingsReader.h
+++ b/Cyclamenstair/Settings/SettingsReader.h
@@ -2,6 +2,7 @@
 
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Generated/Settings_generated.h>
+#include <Cyclamenstair/Settings/AdjustedSetting.h>
 #include <Cyclamenstair/Settings/IgnoredSetting.h>
 
 #include <optional>
@@ -15,6 +16,7 @@
 struct TolerantSettings {
     schema::SettingsT settings;
     std::vector<IgnoredSetting> ignored; ///< Entries without effect, in the order of the text.
+    std::vector<AdjustedSetting> adjusted; ///< In the order of the text.
 };
 
 /// Parses settings in INI format. Names, types, defaults and ranges come from the binary schema that is generated from
@@ -25,11 +27,13 @@
     /// malformed value or a value out of range is an InvalidInput error that contains the line.
     static Result<schema::SettingsT> create(std::string_view iniText);
 
-    /// Same as create(), but ignores sections and keys that this build does not know, and numbers, bools and
-    /// enumerations without a value. A start uses it: program and settings cannot be changed in one step, so the
-    /// settings of a later build may be present during an upgrade or a rollback; and the platform may have no value for
-    /// a key of its template. A required key without a value, and two listeners on the same port, are InvalidInput
-    /// errors that name the keys.
+    /// Same as create(), but ignores sections, keys and names that this build does not know, and numbers, bools and
+    /// enumerations without a value or with a malformed one. Numbers are rounded and limited to their range, and a
+    /// listener that the node can do without yields its port. A start uses it: program and settings cannot be changed
+    /// in one step, so the settings of a later build may be present during an upgrade or a rollback; and the platform
+    /// fills in its template from figures that it does not check against the ranges of this build. A required key
+    /// without a value, a value that a key with the attribute `exact` cannot take, and two other listeners on the same
+    /// port are InvalidInput errors that name the keys.
     static Result<TolerantSettings> createTolerant(std::string_view iniText);
 
     /// Same as createTolerant(), for the text of the file at `path`. NotFound if the file cannot be read or is empty.
--- a/Programs/SettingsFile.cpp
+++ b/Programs/SettingsFile.cpp
@@ -26,7 +26,14 @@
         logEvent(LogSeverity::Info, "settings_key_ignored",
             { { "file", m_path }, { "line", std::to_string(entry.line) }, { "section", entry.section },
                 { "key", entry.key }, { "reason", std::string(nameOf(entry.reason)) },
-                { "suggestion", entry.suggestion }, { "item", entry.item } });
+                { "suggestion", entry.suggestion }, { "item", entry.item },
+                { "conflicting_key", entry.conflictingKey } });
+    }
+    for (const auto& entry : read.value().adjusted) {
+        logEvent(LogSeverity::Info, "settings_value_adjusted",
+            { { "file", m_path }, { "line", std::to_string(entry.line) }, { "section", entry.section },
+                { "key", entry.key }, { "reason", std::string(nameOf(entry.reason)) }, { "value", entry.value },
+                { "used", entry.used } });
     }
     return std::move(read.value().settings);
 }
--- a/Programs/SettingsFile.h
+++ b/Programs/SettingsFile.h
@@ -17,7 +17,8 @@
 
     const std::string& path() const { return m_path; }
 
-    /// Reads the file. Writes a log line for each entry that has no effect. Unavailable for lack of memory.
+    /// Reads the file. Writes a log line for each entry that has no effect and each number that is
+    /// adjusted. Unavailable for lack of memory.
     Result<schema::SettingsT> read() const;
 
 private:
--- a/Tests/SettingsTests/TemplateTests.cpp
+++ b/Tests/SettingsTests/TemplateTests.cpp
@@ -9,10 +9,10 @@
 namespace cyclamenstair {
 namespace {
 
-    /// Returns the template of the deployment with values as the platform fills them in.
-    std::string renderedTemplate(const std::string& memory = "256")
+    /// Returns values of the placeholders as the platform fills them in.
+    std::map<std::string, std::string> templateValues()
     {
-        const std::map<std::string, std::string> values {
+        return {
             { "node_name", "front-3" },
             { "region", "south-1" },
             { "zone", "south-1b" },
@@ -20,7 +20,7 @@
             { "listen.ready_addr", "10.4.64.41:7381" },
             { "listen.control", "10.4.64.41:7400" },
             { "limits.cpu_share", "0.25" },
-            { "limits.memory_mb", memory },
+            { "limits.memory_mb", "256" },
             { "ip", "10.4.64.41" },
             { "inner_port_range.0", "7380" },
             { "inner_port_range.1", "7390" },
@@ -33,6 +33,14 @@
             { "bounds.lease_ms", "3000" },
             { "provider.ttl_min_ms", "1000" },
         };
+    }
+
+    /// Returns the template of the deployment with the values of templateValues(), of which `changes` replaces some.
+    std::string renderedTemplate(const std::map<std::string, std::string>& changes = {})
+    {
+        auto values = templateValues();
+        for (const auto& [name, value] : changes)
+            values.at(name) = value;
         std::ostringstream file;
         file << std::ifstream(CYCLAMENSTAIR_SOURCE_DIR "/deploy/cyclamenstair.ini").rdbuf();
         auto text = file.str();
@@ -90,12 +98,67 @@
     TEST(SettingsTemplate, MemoryOfTheMachineIsPassedOn)
     {
         for (const int memory : { 120, 260, 512 }) {
-            const auto read = SettingsReader::createTolerant(renderedTemplate(std::to_string(memory)));
+            const auto read
+                = SettingsReader::createTolerant(renderedTemplate({ { "limits.memory_mb", std::to_string(memory) } }));
             ASSERT_TRUE(read) << read.error().describe();
             EXPECT_EQ(read.value().settings.entry->memory_mb, memory);
         }
     }
 
+    // Guards against a start that fails, or that runs with other values, because the platform writes its numbers in
+    // another form.
+    TEST(SettingsTemplate, FormsOfNumbersDoNotMatter)
+    {
+        const auto plain = SettingsReader::createTolerant(renderedTemplate());
+        ASSERT_TRUE(plain) << plain.error().describe();
+        size_t numbers = 0;
+        for (const auto& [name, value] : templateValues()) {
+            if (value.find_first_not_of("0123456789.") != std::string::npos || name == "ip")
+                continue;
+            ++numbers;
+            std::vector<std::string> forms { value + "e0", value + "e+00", value + "E0" };
+            if (value.find('.') == std::string::npos)
+                forms.insert(forms.end(), { value + ".0", value + ".000", value + "0e-1" });
+            if (!name.starts_with("inner_port_range"))
+                forms.insert(forms.end(), { "+" + value, "\"" + value + "\"", "'" + value + "'", value + " ; c" });
+            for (const auto& form : forms) {
+                const auto text = renderedTemplate({ { name, form } });
+                EXPECT_FALSE(SettingsReader::check(text)) << name << " " << form;
+                const auto read = SettingsReader::createTolerant(text);
+                ASSERT_TRUE(read) << name << " " << form << ": " << read.error().describe();
+                EXPECT_TRUE(SettingsReader::changedKeys(plain.value().settings, read.value().settings).empty())
+                    << name << " " << form;
+            }
+        }
+        EXPECT_EQ(numbers, 10U);
+    }
+
+    // Guards against a start that fails on a number of the platform that no node can keep to.
+    TEST(SettingsTemplate, AnyNumberStartsTheNode)
+    {
+        for (const auto& [name, value] : templateValues()) {
+            if (value.find_first_not_of("0123456789.") != std::string::npos || name == "ip"
+                || name.starts_with("inner_port_range"))
+                continue;
+            for (const auto* number : { "-1", "0.5", "1e9", "1e30", "1e400", "nan", "inf", "true", "260MB" }) {
+                const auto text = renderedTemplate({ { name, number } });
+                const auto read = SettingsReader::createTolerant(text);
+                ASSERT_TRUE(read) << name << " " << number << ": " << read.error().describe();
+                const bool isReported = !read.value().ignored.empty() || !read.value().adjusted.empty();
+                EXPECT_EQ(isReported, SettingsReader::check(text).has_value()) << name << " " << number;
+            }
+        }
+    }
+
+    // Guards against a start that fails because the platform has one port only for the traffic between nodes.
+    TEST(SettingsTemplate, OneInnerPortStartsTheNode)
+    {
+        const auto read = SettingsReader::createTolerant(renderedTemplate({ { "inner_port_range.1", "7380" } }));
+        ASSERT_TRUE(read) << read.error().describe();
+        EXPECT_EQ(read.value().settings.entry->relay_listen, "10.4.64.41:7380");
+        EXPECT_EQ(read.value().settings.entry->metrics_listen, "");
+    }
+
     // Guards against a node that starts on settings of which the platform has written only a part.
     TEST(SettingsTemplate, NoPrefixIsTakenForAnotherWhole)
     {
