Do not wait for the writer of a pipe in place of the settings file

Cause: opening a FIFO waits for its writer, so that a start or a reload hung and handled no signal, also no SIGTERM.

--- a/Cyclamenstair/Settings/SettingsReader.cpp
+++ b/Cyclamenstair/Settings/SettingsReader.cpp
@@ -4,8 +4,10 @@
 #include <Cyclamenstair/Settings/SettingsParser.h>
 #include <Cyclamenstair/Settings/SettingsSchema.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <system_error>
 
 #include <flatbuffers/idl.h>
 #include <flatbuffers/minireflect.h>
@@ -52,6 +54,10 @@
 
     Result<std::string> readFile(const std::string& path)
     {
+        std::error_code ec;
+        // Opening a pipe waits for its writer, and no signal would be handled meanwhile.
+        if (std::filesystem::exists(path, ec) && !std::filesystem::is_regular_file(path, ec))
+            return Error { ErrorKind::NotFound, "settings.open", path, "not a regular file" };
         std::ifstream file(path);
         if (!file)
             return Error { ErrorKind::NotFound, "settings.open", path, "the file cannot be opened" };
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -1,6 +1,8 @@
 #include <Tests/NodeTests/StartFixture.h>
 
 #include <csignal>
+#include <filesystem>
+#include <sys/stat.h>
 
 namespace cyclamenstair::testing {
 namespace {
@@ -78,6 +80,24 @@
         EXPECT_TRUE(isServing(m_probePort));
     }
 
+    // Guards against a start, and a reload, that wait for the writer of a pipe and handle no signal meanwhile.
+    TEST_F(StartSettings, PipeInPlaceOfSettingsDoesNotBlock)
+    {
+        std::filesystem::remove(settingsPath());
+        ASSERT_EQ(::mkfifo(settingsPath().c_str(), S_IRUSR | S_IWUSR), 0);
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return lineCount("settings_not_ready") == 1; })) << log();
+        EXPECT_NE(log().find("not a regular file"), std::string::npos) << log();
+        writeSettings(settings());
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
+        std::filesystem::remove(settingsPath());
+        ASSERT_EQ(::mkfifo(settingsPath().c_str(), S_IRUSR | S_IWUSR), 0);
+        node->sendSignal(SIGHUP);
+        EXPECT_TRUE(eventually([&] { return lineCount("settings_not_reloaded") == 1; })) << log();
+        node->sendSignal(SIGTERM);
+        EXPECT_EQ(node->wait(waitTimeoutMs), 0) << log();
+    }
+
     // Guards against a start that fails, or that is tried again without the reason, because the platform gives the
     // metrics a port that the node needs for requests.
     TEST_F(StartSettings, MetricsYieldTheirPort)
