Count a new entry of a simulated target only if it differs

A sequence number that rises with each write would change the item in the store, and so wake all nodes, although the target has nothing new to say.

SimulatedTarget.EntryChangesWithTheTargetOnly passes; it did not exist before.

--- a/StandIns/SimulatedTarget.cpp
+++ b/StandIns/SimulatedTarget.cpp
@@ -111,7 +111,8 @@
     bool m_isDraining { false };
     std::optional<TimePoint> m_leavesAt;
     int64_t m_startedUnixMs { unixMs() };
-    int64_t m_entryCount { 0 }; ///< Since the start.
+    int64_t m_entryCount { 0 }; ///< Of different entries since the start; their sequence number.
+    std::string m_lastEntry;
     std::map<std::string, int> m_runs;
     std::vector<AcceptedOrder> m_orders;
     size_t m_excessiveOrderCount { 0 };
@@ -143,7 +144,12 @@
 {
     if (m_isDown)
         return std::nullopt;
-    return encodeSimulatedEntry(m_settings, state(), ++m_entryCount);
+    const auto entryOf = [this] { return encodeSimulatedEntry(m_settings, state(), m_entryCount); };
+    if (entryOf() != m_lastEntry) {
+        ++m_entryCount;
+        m_lastEntry = entryOf();
+    }
+    return m_lastEntry;
 }
 
 void SimulatedTarget::Impl::drain(std::optional<Duration> remaining)
--- a/Tests/StandInsTests/SimulatedTargetTests.cpp
+++ b/Tests/StandInsTests/SimulatedTargetTests.cpp
@@ -460,6 +460,19 @@
         EXPECT_EQ(target->runs().size(), 3U);
     }
 
+    // Guards against entries that change, and so are sent to all nodes, although the target has nothing new to say.
+    TEST(SimulatedTarget, EntryChangesWithTheTargetOnly)
+    {
+        const auto target = start(engineSettings());
+        const auto first = target->entry();
+        EXPECT_EQ(body(call(*target, streamRequest("s1", "small", "10,4"))), events(1, 1));
+        EXPECT_EQ(target->entry(), first);
+        EXPECT_EQ(status(call(*target, orderRequest("load", "other", 1, 0))), 202U);
+        ASSERT_TRUE(eventually([&] { return isIdle(*target); }));
+        EXPECT_EQ(Json::parse(first.value())["seq"], 1);
+        EXPECT_EQ(Json::parse(target->entry().value())["seq"], 2);
+    }
+
     // Guards against a target that leaves without saying so.
     TEST(SimulatedTarget, DrainingIsReported)
     {
