--- /dev/null
+++ b/Benchmarks/Soak/DayDeployment.cpp
@@ -0,0 +1,45 @@
+#include <Benchmarks/Soak/DayDeployment.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace cyclamenstair {
+
+DayDeployment::DayDeployment(const DaySettings& daySettings, const std::string& folder)
+    : settings(&daySettings)
+    , random(daySettings.seed)
+    , targets(daySettings, store)
+    , catalog(daySettings.site)
+    , nodes(daySettings, store, targets, folder, timer)
+    , callers(daySettings, nodes)
+{
+}
+
+DayDeployment::~DayDeployment()
+{
+    callers.stop();
+    timer.stop();
+}
+
+void DayDeployment::disturb(std::optional<size_t> node, Duration duration)
+{
+    const auto now = monotonicNow();
+    disturbances.push_back({ node, now, now + duration });
+}
+
+bool DayDeployment::isCalm(size_t node, TimePoint begin, TimePoint end) const
+{
+    return std::none_of(disturbances.begin(), disturbances.end(), [&](const DayDisturbance& disturbance) {
+        return (!disturbance.node || *disturbance.node == node) && disturbance.begin < end && disturbance.end > begin;
+    });
+}
+
+void DayDeployment::writeCatalog() { store.put("op/config", catalog.text()); }
+
+void DayDeployment::report(SoakRule rule, const std::string& description)
+{
+    findings[rule].push_back(description);
+    std::cout << "broken: " << nameOf(rule) << ", " << description << std::endl;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -0,0 +1,406 @@
+#include <Benchmarks/Soak/DayEvents.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr double defaultShare = 0.3;
+    constexpr double defaultStrength = 0.05;
+    constexpr double defaultBurst = 1.5;
+    constexpr auto readinessTime = std::chrono::seconds(10); ///< Of a process that was started.
+    constexpr auto drainTime = std::chrono::seconds(2); ///< Of a target that leaves.
+    constexpr auto handoverTime = std::chrono::seconds(3); ///< Between a replacement's start and its predecessor's end.
+    constexpr auto slowPeriod = milliseconds(100);
+    constexpr size_t defaultRouteCount = 200;
+
+    bool has(const SiteEvent& event, std::string_view word)
+    {
+        return std::find(event.variants.begin(), event.variants.end(), word) != event.variants.end();
+    }
+
+    LinkMode linkModeOf(const SiteEvent& event)
+    {
+        if (has(event, "reset"))
+            return LinkMode::Reset;
+        return has(event, "refuse") ? LinkMode::Refuse : LinkMode::Hang;
+    }
+
+} // namespace
+
+DayEvents::DayEvents(DayDeployment& deployment)
+    : m_deployment(&deployment)
+    , m_storeCuts(deployment.nodes.count())
+    , m_targetCuts(deployment.nodes.count())
+    , m_refusals(deployment.nodes.count())
+{
+}
+
+void DayEvents::scheduleAll()
+{
+    for (const auto& event : m_deployment->settings->day.events) {
+        if (event.at <= m_deployment->settings->length)
+            m_deployment->schedule(event.at, [this, &event] { play(event); });
+    }
+}
+
+void DayEvents::play(const SiteEvent& event)
+{
+    std::cout << "event " << nameOf(event.kind) << " at " << toMilliseconds(event.at) << " ms";
+    for (const auto& word : event.variants)
+        std::cout << " " << word;
+    if (!m_deployment->settings->plays(event.kind)) {
+        std::cout << ", left out" << std::endl;
+        return;
+    }
+    const bool isPlayed = playOnCallers(event) || playOnTargets(event) || playOnNodes(event) || playOnLinks(event)
+        || playOnStore(event) || playOnCatalog(event);
+    std::cout << (isPlayed ? "" : ", not played") << std::endl;
+}
+
+bool DayEvents::playOnCallers(const SiteEvent& event)
+{
+    auto& callers = m_deployment->callers;
+    const auto changeFor = [&](const std::function<void(CallerBehaviour&, bool)>& function) {
+        callers.change([&](CallerBehaviour& behaviour) { function(behaviour, true); });
+        m_deployment->schedule(event.duration,
+            [&callers, function] { callers.change([&](CallerBehaviour& behaviour) { function(behaviour, false); }); });
+    };
+    const double share = event.share.value_or(defaultShare);
+    switch (event.kind) {
+    case SiteEventKind::Burst: {
+        const double factor = event.factor.value_or(defaultBurst);
+        changeFor([factor, kind = event.requestKind](CallerBehaviour& behaviour, bool isOn) {
+            auto& current = behaviour.rateFactors.try_emplace(kind, 1).first->second;
+            current = isOn ? current * factor : current / factor;
+        });
+        return true;
+    }
+    case SiteEventKind::Shift:
+        changeFor([share](CallerBehaviour& behaviour, bool isOn) { behaviour.movedShare = isOn ? share : 0; });
+        return true;
+    case SiteEventKind::RetryAbuse:
+        changeFor([share, factor = event.factor.value_or(2)](CallerBehaviour& behaviour, bool isOn) {
+            behaviour.insistentShare = isOn ? share : 0;
+            behaviour.retryFactor = factor;
+        });
+        return true;
+    case SiteEventKind::GiveUp:
+        changeFor([share, factor = event.factor](CallerBehaviour& behaviour, bool isOn) {
+            behaviour.impatientShare = isOn ? share : 0;
+            if (factor)
+                behaviour.impatientTime = milliseconds(static_cast<int64_t>(*factor));
+        });
+        return true;
+    case SiteEventKind::DemandShift:
+        callers.change(
+            [count = event.count.value_or(1)](CallerBehaviour& behaviour) { behaviour.demandShift += count; });
+        return true;
+    default:
+        return false;
+    }
+}
+
+void DayEvents::setFault(const SiteEvent& event, TargetFaultKind kind, double strength)
+{
+    auto& targets = m_deployment->targets;
+    const auto chosen = targets.draw(event.service, event.share.value_or(defaultShare), m_deployment->random);
+    for (const auto index : chosen)
+        targets.target(index).setFault(kind, strength);
+    m_deployment->disturb(std::nullopt, event.duration);
+    m_deployment->schedule(event.duration, [&targets, chosen, kind] {
+        for (const auto index : chosen)
+            targets.target(index).setFault(kind, 0);
+    });
+}
+
+void DayEvents::restartTargets(const SiteEvent& event)
+{
+    auto& targets = m_deployment->targets;
+    const auto chosen = targets.draw(event.service, event.share.value_or(defaultShare), m_deployment->random);
+    m_deployment->disturb(std::nullopt, event.duration);
+    const bool isCrash = event.kind == SiteEventKind::TargetCrash;
+    const bool isShortNotice = has(event, "spot");
+    const auto remaining
+        = isShortNotice ? Duration(static_cast<int64_t>(event.factor.value_or(2) * 1e6)) : Duration(drainTime);
+    Duration delay {};
+    for (const auto index : chosen) {
+        if (isCrash) {
+            targets.crash(index);
+            m_deployment->schedule(event.duration, [&targets, index] { targets.restart(index); });
+            continue;
+        }
+        m_deployment->schedule(delay, [&targets, index, isShortNotice, remaining] {
+            targets.target(index).drain(isShortNotice ? std::optional(remaining) : std::nullopt);
+        });
+        // A target goes on for some time after its drain time unless it is taken away.
+        const auto end = delay + remaining + (isShortNotice ? Duration {} : Duration(drainTime));
+        m_deployment->schedule(end, [&targets, index] { targets.crash(index); });
+        if (event.kind == SiteEventKind::Release) {
+            m_deployment->schedule(end + event.gap, [&targets, index] { targets.restart(index); });
+            delay += event.gap;
+        }
+    }
+}
+
+bool DayEvents::playOnTargets(const SiteEvent& event)
+{
+    const double strength = event.factor.value_or(defaultStrength);
+    switch (event.kind) {
+    case SiteEventKind::TargetCrash:
+    case SiteEventKind::Release:
+    case SiteEventKind::ScaleIn:
+        restartTargets(event);
+        return true;
+    case SiteEventKind::TargetErrors:
+        setFault(event, has(event, "reset") ? TargetFaultKind::ResetAnswers : TargetFaultKind::FailRequests, strength);
+        return true;
+    case SiteEventKind::TargetSlow:
+        setFault(event, TargetFaultKind::SlowDown, 1);
+        return true;
+    case SiteEventKind::AnswerLost:
+        setFault(event, has(event, "reset") ? TargetFaultKind::ResetAnswers : TargetFaultKind::LoseAnswers, strength);
+        return true;
+    case SiteEventKind::Garble:
+        setFault(event, TargetFaultKind::GarbleAnswers, strength);
+        return true;
+    case SiteEventKind::DelayOrders:
+        setFault(event, TargetFaultKind::DelayOrders, strength);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void DayEvents::rollNodes(const SiteEvent& event)
+{
+    Duration delay {};
+    auto& nodes = m_deployment->nodes;
+    for (const auto index : nodes.draw(event, 1, m_deployment->random)) {
+        m_deployment->schedule(delay, [this, index] {
+            m_deployment->disturb(index, m_deployment->settings->site.gracePeriod + readinessTime);
+            m_deployment->nodes.node(index).isInRotation = false;
+            m_deployment->nodes.node(index).process->signal(SIGTERM);
+        });
+        delay += event.gap;
+    }
+}
+
+void DayEvents::slowNode(size_t node, double factor, TimePoint end)
+{
+    auto& process = *m_deployment->nodes.node(node).process;
+    if (monotonicNow() >= end) {
+        process.signal(SIGCONT);
+        return;
+    }
+    process.signal(SIGSTOP);
+    const auto stopped
+        = Duration(static_cast<int64_t>((1 - 1 / factor) * static_cast<double>(Duration(slowPeriod).count())));
+    m_deployment->schedule(stopped, [&process] { process.signal(SIGCONT); });
+    m_deployment->schedule(slowPeriod, [this, node, factor, end] { slowNode(node, factor, end); });
+}
+
+bool DayEvents::playOnNodes(const SiteEvent& event)
+{
+    auto& nodes = m_deployment->nodes;
+    auto& random = m_deployment->random;
+    switch (event.kind) {
+    case SiteEventKind::NodeKill:
+    case SiteEventKind::HerdKill:
+        for (const auto index : nodes.draw(event, event.kind == SiteEventKind::HerdKill ? 1 : 0, random)) {
+            m_deployment->disturb(index, event.duration + readinessTime);
+            nodes.kill(index, event.duration);
+        }
+        return true;
+    case SiteEventKind::NodeFreeze:
+        for (const auto index : nodes.draw(event, 0, random)) {
+            m_deployment->disturb(index, event.duration);
+            auto& process = *nodes.node(index).process;
+            process.signal(SIGSTOP);
+            m_deployment->schedule(event.duration, [&process] { process.signal(SIGCONT); });
+        }
+        return true;
+    case SiteEventKind::NodeSlow:
+        for (const auto index : nodes.draw(event, 0, random)) {
+            m_deployment->disturb(index, event.duration);
+            slowNode(index, std::max(event.factor.value_or(2), 1.0), monotonicNow() + event.duration);
+        }
+        return true;
+    case SiteEventKind::RollingRestart:
+        rollNodes(event);
+        return true;
+    case SiteEventKind::AddNodes:
+        while (const auto index = nodes.startSpare(event.failureDomain))
+            m_deployment->disturb(*index, readinessTime);
+        return true;
+    case SiteEventKind::ReplaceNode:
+        for (const auto index : nodes.draw(event, 0, random)) {
+            m_deployment->disturb(index, Duration::max() / 4);
+            if (const auto spare = nodes.startSpare(nodes.node(index).failureDomain))
+                m_deployment->disturb(*spare, readinessTime);
+            m_deployment->schedule(handoverTime, [&nodes, index] { nodes.retire(index); });
+        }
+        return true;
+    case SiteEventKind::Reload:
+        for (const auto index : nodes.active())
+            nodes.node(index).process->signal(SIGHUP);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void DayEvents::cutLinks(size_t node, LinkMode mode, bool concernsTargets, Duration duration)
+{
+    m_deployment->disturb(node, duration);
+    auto& nodes = m_deployment->nodes;
+    ++m_storeCuts[node];
+    nodes.setStoreLink(node, mode);
+    if (concernsTargets) {
+        ++m_targetCuts[node];
+        nodes.setTargetLinks(node, mode);
+    }
+    m_deployment->schedule(duration, [this, &nodes, node, concernsTargets] {
+        if (--m_storeCuts[node] == 0)
+            nodes.setStoreLink(node, LinkMode::Pass);
+        if (concernsTargets && --m_targetCuts[node] == 0)
+            nodes.setTargetLinks(node, LinkMode::Pass);
+    });
+}
+
+bool DayEvents::playOnLinks(const SiteEvent& event)
+{
+    auto& nodes = m_deployment->nodes;
+    switch (event.kind) {
+    case SiteEventKind::StoreCut:
+    case SiteEventKind::NodeCut:
+        for (const auto index : nodes.draw(event, 0, m_deployment->random))
+            cutLinks(index, linkModeOf(event), event.kind == SiteEventKind::NodeCut, event.duration);
+        return true;
+    case SiteEventKind::ResetConnections: {
+        auto& targets = m_deployment->targets;
+        m_deployment->disturb(std::nullopt, {});
+        for (const auto index : targets.draw(event.service, event.share.value_or(defaultShare), m_deployment->random))
+            targets.target(index).resetConnections(event.factor.value_or(1));
+        return true;
+    }
+    default:
+        return false;
+    }
+}
+
+void DayEvents::cutStoreOff(const SiteEvent& event)
+{
+    auto& store = m_deployment->store;
+    ++m_deployment->storeOutages;
+    m_deployment->leasesLapse = has(event, "lapse");
+    store.setLeasesPaused(!m_deployment->leasesLapse);
+    m_deployment->disturb(std::nullopt, event.duration);
+    if (has(event, "busy")) {
+        store.setDown(true);
+    } else {
+        const auto mode = linkModeOf(event);
+        for (size_t i = 0; i < m_deployment->nodes.count(); ++i)
+            cutLinks(i, mode, false, event.duration);
+    }
+    m_deployment->schedule(event.duration, [this, &store] {
+        if (--m_deployment->storeOutages > 0)
+            return;
+        store.setDown(false);
+        store.setLeasesPaused(false);
+    });
+}
+
+void DayEvents::cutStoreOffNodes(const SiteEvent& event)
+{
+    auto& nodes = m_deployment->nodes;
+    const auto refuse = [this, &nodes] {
+        std::set<std::string> refused;
+        for (size_t i = 0; i < nodes.count(); ++i) {
+            if (m_refusals[i] > 0)
+                refused.insert(nodes.node(i).storeAddress);
+        }
+        m_deployment->store.setRefusedViews(std::move(refused));
+    };
+    const auto chosen = nodes.draw(event, defaultShare, m_deployment->random);
+    const bool isRefused = has(event, "busy");
+    for (const auto index : chosen) {
+        if (!isRefused) {
+            cutLinks(index, linkModeOf(event), false, event.duration);
+            continue;
+        }
+        m_deployment->disturb(index, event.duration);
+        ++m_refusals[index];
+    }
+    if (!isRefused)
+        return;
+    refuse();
+    m_deployment->schedule(event.duration, [this, chosen, refuse] {
+        for (const auto index : chosen)
+            --m_refusals[index];
+        refuse();
+    });
+}
+
+bool DayEvents::playOnStore(const SiteEvent& event)
+{
+    auto& store = m_deployment->store;
+    switch (event.kind) {
+    case SiteEventKind::StoreDown:
+        if (has(event, "nodes"))
+            cutStoreOffNodes(event);
+        else
+            cutStoreOff(event);
+        return true;
+    case SiteEventKind::StoreSlow:
+        m_deployment->disturb(std::nullopt, event.duration);
+        store.setDelay(milliseconds(static_cast<int64_t>(event.factor.value_or(50))));
+        m_deployment->schedule(event.duration, [&store] { store.setDelay({}); });
+        return true;
+    case SiteEventKind::StoreAnswersLost:
+        m_deployment->disturb(std::nullopt, event.duration);
+        store.setLostShare(event.factor.value_or(defaultStrength));
+        m_deployment->schedule(event.duration, [&store] { store.setLostShare(0); });
+        return true;
+    case SiteEventKind::StoreCompact:
+        store.compact();
+        for (Duration delay = event.gap; delay < event.duration; delay += event.gap)
+            m_deployment->schedule(delay, [&store] { store.compact(); });
+        return true;
+    default:
+        return false;
+    }
+}
+
+void DayEvents::changeCatalog(const SiteEvent& event)
+{
+    if (has(event, "timeout"))
+        m_deployment->catalog.changeTimeout(m_catalogSteps++);
+    else
+        m_deployment->catalog.toggleUnusedRoute();
+    m_deployment->writeCatalog();
+}
+
+bool DayEvents::playOnCatalog(const SiteEvent& event)
+{
+    switch (event.kind) {
+    case SiteEventKind::CatalogChange:
+        changeCatalog(event);
+        return true;
+    case SiteEventKind::CatalogStorm:
+        for (Duration delay {}; delay < event.duration; delay += std::max(event.gap, Duration(milliseconds(20))))
+            m_deployment->schedule(delay, [this, &event] { changeCatalog(event); });
+        return true;
+    case SiteEventKind::CatalogGrowth:
+        m_deployment->catalog.addUnusedRoutes(event.count.value_or(defaultRouteCount));
+        m_deployment->writeCatalog();
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -0,0 +1,228 @@
+#include <Benchmarks/Soak/DayNodes.h>
+
+#include <Cyclamenstair/Http/Endpoint.h>
+
+#include <StandIns/LoopbackPort.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr auto orderGap = milliseconds(3000);
+    constexpr auto minLease = milliseconds(1000);
+    constexpr size_t seedCount = 3;
+
+    /// Ports of a node, the same at all addresses.
+    struct NodePorts {
+        uint16_t callers { allocateLoopbackPort() };
+        uint16_t probes { allocateLoopbackPort() };
+        uint16_t peers { allocateLoopbackPort() };
+        uint16_t relays { allocateLoopbackPort() };
+        uint16_t metrics { allocateLoopbackPort() };
+    };
+
+    std::string addressOf(const std::string& ip, uint16_t port) { return ip + ":" + std::to_string(port); }
+
+    SoakNodeSettings settingsOf(const Site& site, const SiteVms& vms, const std::string& id, const std::string& ip,
+        const NodePorts& ports, const std::string& seeds, const std::string& store)
+    {
+        const auto seconds = [](Duration duration) { return std::to_string(toSeconds(duration)); };
+        const auto ms = [](Duration duration) { return std::to_string(toMilliseconds(duration)); };
+        return {
+            { "node",
+                { { "mode", "Registered" }, { "id", id }, { "region", site.region.empty() ? "region" : site.region },
+                    { "failure_domain", vms.failureDomain } } },
+            { "entry",
+                { { "listen", addressOf(ip, ports.callers) }, { "loops", "1" },
+                    { "cpu_share", std::to_string(vms.cpuShare) }, { "memory_mb", std::to_string(vms.memoryMb) },
+                    { "ready_listen", addressOf(ip, ports.probes) }, { "peer_listen", addressOf(ip, ports.peers) },
+                    { "relay_listen", addressOf(ip, ports.relays) }, { "seeds", seeds },
+                    { "metrics_listen", addressOf(ip, ports.metrics) }, { "grace_s", seconds(site.gracePeriod) },
+                    { "retry_ratio", "0.2" }, { "retry_slack", std::to_string(site.retrySlack) },
+                    { "retry_window_s", "10" } } },
+            { "control", { { "store", store }, { "order_gap_ms", ms(orderGap) }, { "min_lease_ms", ms(minLease) } } },
+        };
+    }
+
+} // namespace
+
+DayNodes::~DayNodes() = default;
+
+DayNodes::DayNodes(const DaySettings& settings, RegistryStoreStandIn& store, DayTargets& targets,
+    const std::string& folder, SoakTimer& timer)
+{
+    const NodePorts ports;
+    SoakStarts starts;
+    starts.seed = settings.seed;
+    struct Vm {
+        const SiteVms* vms;
+        std::string id;
+        std::string ip;
+        bool isSpare;
+    };
+    std::vector<Vm> vms;
+    for (size_t domain = 0; domain < settings.site.vms.size(); ++domain) {
+        const auto& group = settings.site.vms[domain];
+        for (size_t i = 0; i < group.count + group.spareCount; ++i)
+            vms.push_back({ &group, "node-" + std::to_string(domain + 1) + "-" + std::to_string(i + 1),
+                "127.1." + std::to_string(domain + 1) + "." + std::to_string(i + 1), i >= group.count });
+    }
+    // The first VMs of each failure domain are the seeds.
+    std::string seeds;
+    size_t count = 0;
+    for (const auto& vm : vms) {
+        if (vm.ip.ends_with(".1") && count++ < seedCount)
+            seeds += (seeds.empty() ? "" : ",") + addressOf(vm.ip, ports.peers);
+    }
+    for (const auto& vm : vms) {
+        auto node = std::make_unique<DayNode>();
+        std::map<std::string, std::string> view;
+        for (size_t i = 0; i < targets.count(); ++i) {
+            const auto& address = targets.target(i).address();
+            node->targetLinks.push_back(std::make_unique<LinkStandIn>(address));
+            view[address] = node->targetLinks.back()->address();
+        }
+        node->storeAddress = store.addView(std::move(view));
+        node->storeLink = std::make_unique<LinkStandIn>(node->storeAddress);
+        node->failureDomain = vm.vms->failureDomain;
+        node->cpuShare = vm.vms->cpuShare;
+        node->memoryMb = vm.vms->memoryMb;
+        node->callerEndpoint = parseEndpoint(addressOf(vm.ip, ports.callers)).value();
+        node->probeEndpoint = parseEndpoint(addressOf(vm.ip, ports.probes)).value();
+        const auto nodeSettings
+            = settingsOf(settings.site, *vm.vms, vm.id, vm.ip, ports, seeds, node->storeLink->address());
+        if (starts.daemons.empty()) {
+            for (const auto& program : settings.daemons)
+                starts.daemons.push_back(probeDaemon(program, nodeSettings, folder));
+        }
+        node->process = std::make_unique<SoakNode>(vm.id, folder, nodeSettings, starts, timer);
+        m_nodes.push_back(std::move(node));
+    }
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        if (!vms[i].isSpare)
+            start(i);
+    }
+}
+
+std::vector<size_t> DayNodes::active() const
+{
+    std::vector<size_t> indices;
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_nodes[i]->isStarted && !m_nodes[i]->isRetired)
+            indices.push_back(i);
+    }
+    return indices;
+}
+
+std::vector<size_t> DayNodes::draw(const SiteEvent& event, double defaultShare, Random& random) const
+{
+    auto indices = active();
+    if (!event.failureDomain.empty())
+        std::erase_if(indices, [&](size_t i) { return m_nodes[i]->failureDomain != event.failureDomain; });
+    std::shuffle(indices.begin(), indices.end(), random);
+    const auto share = event.share.value_or(defaultShare);
+    const auto count
+        = event.count ? *event.count : static_cast<size_t>(share * static_cast<double>(indices.size()) + 0.5);
+    indices.resize(std::clamp<size_t>(count, std::min<size_t>(1, indices.size()), indices.size()));
+    return indices;
+}
+
+void DayNodes::start(size_t index)
+{
+    auto& node = *m_nodes[index];
+    node.isStarted = true;
+    node.isRunning = true;
+    node.startedAt = monotonicNow();
+    node.readyAt.reset();
+    node.process->start();
+}
+
+std::optional<size_t> DayNodes::startSpare(const std::string& failureDomain)
+{
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        const auto& node = *m_nodes[i];
+        if (node.isStarted || (!failureDomain.empty() && node.failureDomain != failureDomain))
+            continue;
+        start(i);
+        return i;
+    }
+    return std::nullopt;
+}
+
+void DayNodes::kill(size_t index, Duration downTime)
+{
+    auto& node = *m_nodes[index];
+    if (!node.isStarted || node.isRetired)
+        return;
+    const auto until = monotonicNow() + downTime;
+    node.downUntil = std::max(node.downUntil.value_or(until), until);
+    node.isRunning = false;
+    node.process->signal(SIGKILL);
+}
+
+void DayNodes::retire(size_t index)
+{
+    auto& node = *m_nodes[index];
+    if (!node.isStarted || std::exchange(node.isRetired, true))
+        return;
+    node.process->stop();
+}
+
+void DayNodes::setTargetLinks(size_t index, LinkMode mode)
+{
+    for (const auto& link : m_nodes[index]->targetLinks)
+        link->setMode(mode);
+}
+
+void DayNodes::tick(const std::function<void(size_t, const SoakEnd&)>& onEnd)
+{
+    const auto now = monotonicNow();
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        auto& node = *m_nodes[i];
+        if (!node.isStarted || (node.downUntil && *node.downUntil > now))
+            continue;
+        node.downUntil.reset();
+        const auto ends = node.process->restartIfEnded();
+        for (const auto& end : ends)
+            onEnd(i, end);
+        if (!ends.empty()) {
+            node.startedAt = now;
+            node.readyAt.reset();
+            node.isReportedUnready = false;
+        }
+        node.isRunning = !node.isRetired || !node.process->hasStopped();
+    }
+}
+
+size_t DayNodes::choose(const std::string& failureDomain, size_t callerHash, std::optional<size_t> exceptNode) const
+{
+    std::vector<size_t> ready;
+    std::vector<size_t> running;
+    std::vector<size_t> others;
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        const auto& node = *m_nodes[i];
+        if (exceptNode == i || !node.isRunning)
+            continue;
+        if (node.failureDomain == failureDomain) {
+            running.push_back(i);
+            if (node.isInRotation)
+                ready.push_back(i);
+        } else if (node.isInRotation) {
+            others.push_back(i);
+        }
+    }
+    // With fewer than half of a failure domain's nodes in rotation, the platform uses all of them.
+    if (2 * ready.size() < running.size() && !ready.empty())
+        ready = running;
+    for (const auto* candidates : { &ready, &others, &running }) {
+        if (!candidates->empty())
+            return (*candidates)[callerHash % candidates->size()];
+    }
+    return callerHash % m_nodes.size();
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -0,0 +1,227 @@
+#include <Benchmarks/Soak/DayRun.h>
+
+#include <Benchmarks/Soak/DayChecks.h>
+#include <Benchmarks/Soak/SoakLogs.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+namespace cyclamenstair {
+
+namespace {
+
+    constexpr auto tickInterval = milliseconds(5);
+    constexpr auto probeInterval = milliseconds(1000);
+    constexpr auto probeTimeout = milliseconds(500);
+    constexpr int maxMissedProbes = 2; ///< After which a node gets no new connections.
+    constexpr auto maxReadinessTime = milliseconds(10000);
+    constexpr auto recoveryLength = std::chrono::seconds(16); ///< Of the traffic after the closing fault.
+    constexpr auto drainLength = std::chrono::seconds(3); ///< For requests that run when the traffic ends.
+    constexpr auto nodeSettleTime = milliseconds(10000); ///< Of a node after its process has ended.
+    constexpr uint32_t ok = 200;
+    constexpr uint64_t bytesPerMb = uint64_t { 1 } << 20U;
+
+} // namespace
+
+DayRun::DayRun(const DaySettings& settings, std::string folder)
+    : m_settings(settings)
+    , m_folder(std::move(folder))
+    , m_deployment(m_settings, m_folder)
+    , m_events(m_deployment)
+    , m_probes(m_probeLoop.context(), ClientConnectionSettings {})
+{
+    m_probeLoop.start();
+}
+
+DayRun::~DayRun() { m_probeLoop.stop(); }
+
+void DayRun::run()
+{
+    m_deployment.writeCatalog();
+    playUntil(monotonicNow() + m_settings.site.leadTime);
+    const auto start = monotonicNow();
+    std::cout << "traffic starts" << std::endl;
+    m_deployment.callers.start();
+    m_events.scheduleAll();
+    playUntil(start + m_settings.length);
+    if (m_settings.day.closingFault) {
+        playClosingFault();
+        playUntil(*m_closingFaultAt + recoveryLength);
+    }
+    const auto end = monotonicNow();
+    m_deployment.callers.end();
+    playUntil(end + drainLength);
+    stopNodes();
+    m_deployment.callers.stop();
+    checkTries(m_deployment);
+    checkService(m_deployment, start, end);
+    if (m_closingFaultAt)
+        checkRecovery(m_deployment, *m_closingFaultAt, end);
+    checkOrders(m_deployment);
+    for (size_t i = 0; i < m_deployment.nodes.count(); ++i) {
+        const auto& node = m_deployment.nodes.node(i);
+        const auto megabytes = node.process->maxResidentBytes() / bytesPerMb;
+        if (megabytes > static_cast<uint64_t>(node.memoryMb))
+            m_deployment.report(SoakRule::OverMemory,
+                nodeName(i) + ", " + std::to_string(megabytes) + " of " + std::to_string(node.memoryMb) + " MiB");
+    }
+    for (const auto& description : findRejectedInput(m_folder))
+        m_deployment.report(SoakRule::RejectedInput, description);
+}
+
+void DayRun::playUntil(TimePoint end)
+{
+    while (monotonicNow() < end) {
+        tick();
+        std::this_thread::sleep_for(tickInterval);
+    }
+}
+
+void DayRun::tick()
+{
+    auto& actions = m_deployment.actions;
+    while (!actions.empty() && actions.begin()->first <= monotonicNow()) {
+        const auto action = std::move(actions.begin()->second);
+        actions.erase(actions.begin());
+        action();
+    }
+    m_deployment.targets.tick(m_deployment.storeOutages == 0, m_deployment.leasesLapse);
+    m_deployment.nodes.tick([this](size_t node, const SoakEnd& end) { onEnd(node, end); });
+    probe();
+}
+
+void DayRun::probe()
+{
+    const auto now = monotonicNow();
+    std::vector<std::pair<size_t, bool>> results;
+    {
+        std::lock_guard lock(m_probeMutex);
+        results.swap(m_probeResults);
+    }
+    for (const auto& [index, isReady] : results)
+        onProbe(index, isReady);
+    if (now - m_probedAt < probeInterval)
+        return;
+    m_probedAt = now;
+    for (const auto index : m_deployment.nodes.active()) {
+        m_probeLoop.post([this, index, endpoint = m_deployment.nodes.node(index).probeEndpoint] {
+            m_probes.call(endpoint, { "GET", "/cyclamenstair/readiness", { { "Host", "h" } }, {}, false }, probeTimeout,
+                [this, index](const HttpOutcome& outcome) {
+                    const auto* response = std::get_if<HttpResponse>(&outcome);
+                    std::lock_guard lock(m_probeMutex);
+                    m_probeResults.emplace_back(index, response && response->head.status == ok);
+                });
+        });
+    }
+}
+
+void DayRun::onProbe(size_t index, bool isReady)
+{
+    auto& node = m_deployment.nodes.node(index);
+    const auto now = monotonicNow();
+    if (isReady) {
+        node.missedProbes = 0;
+        if (!node.readyAt && !node.downUntil) {
+            node.readyAt = now;
+            std::cout << "ready " << nodeName(index) << " within " << toMilliseconds(now - node.startedAt) << " ms"
+                      << std::endl;
+        }
+        node.isInRotation = !node.isRetired;
+        return;
+    }
+    if (++node.missedProbes >= maxMissedProbes)
+        node.isInRotation = false;
+    const bool isLate = !node.readyAt && !node.downUntil && !node.isRetired && node.startedAt + maxReadinessTime < now;
+    // Disturbances after the start excuse the node; the one that ended its predecessor began before.
+    const bool isDisturbed = std::any_of(
+        m_deployment.disturbances.begin(), m_deployment.disturbances.end(), [&](const DayDisturbance& other) {
+            return (!other.node || *other.node == index) && other.end > node.startedAt && other.begin < now
+                && other.begin + probeInterval > node.startedAt;
+        });
+    if (isLate && !isDisturbed && m_deployment.storeOutages == 0 && !std::exchange(node.isReportedUnready, true))
+        m_deployment.report(SoakRule::NotReady,
+            nodeName(index) + ", " + std::to_string(toMilliseconds(now - node.startedAt)) + " ms after its start");
+}
+
+void DayRun::onEnd(size_t node, const SoakEnd& end)
+{
+    ++m_endCounts[end.verdict];
+    m_deployment.disturb(node, nodeSettleTime);
+    const auto description = nodeName(node) + ": " + end.description + "; " + lastLogLine(node);
+    if (end.verdict == SoakVerdict::ByItself)
+        m_deployment.report(SoakRule::EndedByItself, description);
+    else if (end.verdict == SoakVerdict::WrongEnd)
+        m_deployment.report(SoakRule::WrongEnd, description);
+    else
+        std::cout << "end " << nameOf(end.verdict) << ", " << nodeName(node) << ": " << end.description << std::endl;
+}
+
+std::string DayRun::lastLogLine(size_t index)
+{
+    std::ifstream file(m_folder + "/" + nodeName(index) + ".log");
+    std::string last;
+    for (std::string line; std::getline(file, line);)
+        last = line;
+    return last;
+}
+
+void DayRun::playClosingFault()
+{
+    const auto& fault = *m_settings.day.closingFault;
+    std::cout << "closing fault" << (fault.isPowerLoss ? ", power loss" : "") << std::endl;
+    m_closingFaultAt = monotonicNow();
+    for (const auto index : m_deployment.nodes.active()) {
+        m_deployment.disturb(index, fault.downTime + nodeSettleTime);
+        m_deployment.nodes.kill(index, fault.downTime);
+    }
+}
+
+void DayRun::stopNodes()
+{
+    auto& nodes = m_deployment.nodes;
+    const auto active = nodes.active();
+    for (const auto index : active)
+        nodes.retire(index);
+    // Ends, as a process that is overdue is killed.
+    while (!std::all_of(
+        active.begin(), active.end(), [&](size_t index) { return nodes.node(index).process->hasStopped(); })) {
+        tick();
+        std::this_thread::sleep_for(tickInterval);
+    }
+}
+
+size_t DayRun::printReport()
+{
+    std::map<std::string, std::map<std::string, size_t>> counts;
+    for (const auto& attempt : m_deployment.callers.tries()) {
+        auto& row = counts[m_settings.site.requestKinds[attempt.kind].name];
+        ++row[attempt.isServed ? "served" : attempt.isAbandoned ? "abandoned" : std::to_string(attempt.status)];
+    }
+    for (const auto& [kind, row] : counts) {
+        std::cout << "tries of " << kind << ":";
+        for (const auto& [result, count] : row)
+            std::cout << " " << result << ": " << count;
+        std::cout << "\n";
+    }
+    size_t orders = 0;
+    for (size_t i = 0; i < m_deployment.targets.count(); ++i)
+        orders += m_deployment.targets.target(i).orders().size();
+    std::cout << "orders: " << orders << "\nends of processes:";
+    for (const auto& [verdict, count] : m_endCounts)
+        std::cout << " " << nameOf(verdict) << ": " << count;
+    std::cout << "\nlargest resident memory:";
+    for (size_t i = 0; i < m_deployment.nodes.count(); ++i)
+        std::cout << " " << m_deployment.nodes.node(i).process->maxResidentBytes() / bytesPerMb << " MiB";
+    std::cout << "\n";
+    size_t findings = 0;
+    for (const auto& [rule, descriptions] : m_deployment.findings) {
+        std::cout << "broken: " << nameOf(rule) << " " << descriptions.size() << "\n";
+        findings += descriptions.size();
+    }
+    return findings;
+}
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/DayRun.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <Benchmarks/Soak/DayDeployment.h>
+#include <Benchmarks/Soak/DayEvents.h>
+
+#include <Cyclamenstair/Http/HttpClient.h>
+
+namespace cyclamenstair {
+
+/// Plays a day of a deployment in real time: nodes as processes before stand-ins in this process, callers, the events
+/// of the day and its closing fault. Checks the rules.
+class DayRun {
+public:
+    /// `folder` receives settings and logs of the nodes. Throws std::runtime_error if a daemon rejects the settings.
+    DayRun(const DaySettings& settings, std::string folder);
+    ~DayRun();
+    DayRun(const DayRun&) = delete;
+    DayRun& operator=(const DayRun&) = delete;
+
+    /// Blocks until the day is over.
+    void run();
+
+    /// Prints the requests by kind and status, the ends of processes and the findings. Returns the number of findings.
+    size_t printReport();
+
+private:
+    /// Plays until the time.
+    void playUntil(TimePoint end);
+    void tick();
+    void probe();
+    void onProbe(size_t index, bool isReady);
+    void onEnd(size_t node, const SoakEnd& end);
+    /// Kills all nodes and starts them again after the down time.
+    void playClosingFault();
+    void stopNodes();
+    std::string nodeName(size_t index) { return m_deployment.nodes.node(index).process->id(); }
+    /// Returns the last line of the node's log.
+    std::string lastLogLine(size_t index);
+
+    DaySettings m_settings;
+    std::string m_folder;
+    DayDeployment m_deployment;
+    DayEvents m_events;
+    std::map<SoakVerdict, size_t> m_endCounts;
+    std::optional<TimePoint> m_closingFaultAt;
+    TimePoint m_probedAt;
+    EventLoop m_probeLoop;
+    HttpClient m_probes;
+    std::mutex m_probeMutex; ///< Guards m_probeResults.
+    std::vector<std::pair<size_t, bool>> m_probeResults;
+};
+
+} // namespace cyclamenstair
--- /dev/null
+++ b/Benchmarks/Soak/DaySettings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <platform/SiteFile.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamenstair {
+
+/// Settings of a run of a deployment's day.
+struct DaySettings {
+    Site site;
+    SiteDay day;
+    uint64_t seed { 1 };
+    Duration length {}; ///< Of the traffic up to the closing fault.
+    std::vector<std::string> daemons; ///< Of which each start takes one by chance.
+    std::set<SiteEventKind> leftOut; ///< Kinds of events that are not played.
+    bool isStressed { false }; ///< Also signals in series.
+    bool isThrottled { false }; ///< Processes get no more than their processor share.
+
+    bool plays(SiteEventKind kind) const { return !leftOut.contains(kind); }
+};
+
+} // namespace cyclamenstair
--- a/StandIns/RegistryStoreStandIn.cpp
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -50,7 +50,7 @@
 {
     auto address = allocateLoopbackAddress();
     std::lock_guard lock(m_mutex);
-    m_viewListeners.push_back(createListener(address, &m_views.emplace_back(std::move(addresses))));
+    m_viewListeners.push_back(createListener(address, &m_views.emplace_back(View { std::move(addresses), address })));
     return address;
 }
 
@@ -69,13 +69,13 @@
 
 std::string RegistryStoreStandIn::encodeValue(const std::string& key, const std::string& value, const View* view)
 {
-    if (view->empty() || !key.starts_with("servers/"))
+    if (view->addresses.empty() || !key.starts_with("servers/"))
         return encodeBase64(value);
     auto entry = Json::parse(value, nullptr, false);
     if (!entry.is_object())
         return encodeBase64(value);
-    const auto shown = view->find(entry.value("address", ""));
-    if (shown != view->end())
+    const auto shown = view->addresses.find(entry.value("address", ""));
+    if (shown != view->addresses.end())
         entry["address"] = shown->second;
     return encodeBase64(entry.dump());
 }
@@ -99,6 +99,25 @@
     return item == m_state.items.end() ? std::nullopt : std::optional(item->second.value);
 }
 
+void RegistryStoreStandIn::setLeasesPaused(bool arePaused)
+{
+    std::lock_guard lock(m_mutex);
+    m_areLeasesPaused = arePaused;
+}
+
+void RegistryStoreStandIn::setRefusedViews(std::set<std::string> addresses)
+{
+    std::lock_guard lock(m_mutex);
+    m_refusedViews = std::move(addresses);
+}
+
+void RegistryStoreStandIn::compact()
+{
+    std::lock_guard lock(m_mutex);
+    m_state.changes.clear();
+    m_state.compactedRevision = m_state.revision;
+}
+
 void RegistryStoreStandIn::keepCopy()
 {
     std::lock_guard lock(m_mutex);
@@ -119,8 +138,20 @@
 void RegistryStoreStandIn::respond(
     const std::shared_ptr<ServerConnection>& connection, uint32_t status, const std::string& body)
 {
-    connection->sendResponse(
-        { status, {}, { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(m_era) } } }, body);
+    const HttpResponseHead head { status, {},
+        { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(m_era) } } };
+    if (randomUnit(m_random) < m_lostShare)
+        return;
+    const auto delay = m_delay.load();
+    if (delay <= Duration {}) {
+        connection->sendResponse(head, body);
+        return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop.context(), delay);
+    timer->async_wait([timer, connection, head, body](const boost::system::error_code& ec) {
+        if (!ec)
+            connection->sendResponse(head, body);
+    });
 }
 
 void RegistryStoreStandIn::handle(
@@ -129,14 +160,14 @@
     std::lock_guard lock(m_mutex);
     const auto& target = request.target;
     std::pair<uint32_t, std::string> response { notFound, "{}" };
-    if (m_isDown) {
+    if (m_isDown || m_refusedViews.contains(view->address)) {
         response = { unavailable, "{}" };
     } else if (target.starts_with("/cyclamenstair/kv-range")) {
         response = range(queryParameter(target, "path_prefix"), view);
     } else if (target.starts_with("/cyclamenstair/kv-watch")) {
         ++m_watchCalls;
         const auto after = std::stoll(queryParameter(target, "after"));
-        if (after <= m_state.revision) {
+        if (after <= m_state.revision && after >= m_state.compactedRevision) {
             m_watches.push_back({ connection, view, queryParameter(target, "path_prefix"), after,
                 monotonicNow() + milliseconds(std::stoll(queryParameter(target, "wait_ms"))) });
             return;
@@ -224,6 +255,9 @@
     {
         std::lock_guard lock(m_mutex);
         const auto now = monotonicNow();
+        const auto elapsed = now - std::exchange(m_tickedAt, now);
+        for (auto& [id, lease] : m_state.leases)
+            lease.expiry += m_areLeasesPaused ? elapsed : Duration {};
         std::vector<std::string> expiredKeys;
         for (const auto& [key, item] : m_state.items) {
             const auto lease = m_state.leases.find(item.lease);
@@ -244,7 +278,7 @@
 
 bool RegistryStoreStandIn::respondToWatch(const Watch& watch)
 {
-    if (m_isDown) {
+    if (m_isDown || m_refusedViews.contains(watch.view->address)) {
         watch.connection->abort();
         return true;
     }
--- a/StandIns/RegistryStoreStandIn.h
+++ b/StandIns/RegistryStoreStandIn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Cyclamenstair/Core/Random.h>
 #include <Cyclamenstair/Http/EventLoop.h>
 #include <Cyclamenstair/Http/ServerListener.h>
 
@@ -7,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace cyclamenstair {
 
@@ -32,6 +34,21 @@
     /// While the store is down, calls get status 503 and pending watches are disconnected.
     void setDown(bool isDown) { m_isDown = isDown; }
 
+    /// While leases are paused, none runs out; the time does not count for them.
+    void setLeasesPaused(bool arePaused);
+
+    /// Sets the time after which calls are answered.
+    void setDelay(Duration delay) { m_delay = delay; }
+
+    /// Sets the share of the calls that are executed and get no answer.
+    void setLostShare(double share) { m_lostShare = share; }
+
+    /// Sets the addresses from addView() at which calls get status 503.
+    void setRefusedViews(std::set<std::string> addresses);
+
+    /// Discards the history: watches that continue from a revision before the current one get status 410.
+    void compact();
+
     /// Keeps a copy of the whole state, for returnFromCopy().
     void keepCopy();
     /// Returns to the kept copy under a new era: later writes and leases are gone, and revisions and lease ids are
@@ -53,8 +70,10 @@
         Item item;
         bool isDeleted { false };
     };
-    /// Addresses of targets by those in their entries.
-    using View = std::map<std::string, std::string>;
+    struct View {
+        std::map<std::string, std::string> addresses; ///< Of targets by those in their entries.
+        std::string address; ///< Of the store.
+    };
     struct Watch {
         std::shared_ptr<ServerConnection> connection;
         const View* view { nullptr };
@@ -72,6 +91,7 @@
         std::deque<Change> changes;
         std::map<int64_t, Lease> leases;
         int64_t revision { 1 };
+        int64_t compactedRevision { 0 }; ///< Watches cannot continue from an earlier one.
         int64_t nextLease { 1000 };
     };
 
@@ -92,14 +112,20 @@
 
     EventLoop m_loop;
     boost::asio::steady_timer m_timer;
-    const View m_directView {}; ///< Of m_listener; empty.
+    const View m_directView {}; ///< Of m_listener; without addresses.
     std::unique_ptr<ServerListener> m_listener;
     std::string m_address;
     std::atomic<bool> m_isDown { false };
     std::atomic<size_t> m_watchCalls { 0 };
+    std::atomic<Duration> m_delay { Duration {} };
+    std::atomic<double> m_lostShare { 0 };
     std::mutex m_mutex; ///< Guards all members below; public functions change the items from other threads.
     State m_state;
     State m_copy;
+    Random m_random { 1 };
+    bool m_areLeasesPaused { false };
+    TimePoint m_tickedAt;
+    std::set<std::string> m_refusedViews;
     std::vector<Watch> m_watches;
     std::deque<View> m_views; ///< Their references stay valid; entries are never changed or removed.
     std::vector<std::unique_ptr<ServerListener>> m_viewListeners;
