--- a/Benchmarks/Soak/DayRequests.cpp
+++ b/Benchmarks/Soak/DayRequests.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-    constexpr size_t wantedModels = 6; ///< Of a kind's list, asked for at a time.
     constexpr double maxTimesMean = 3.2; ///< Bound of the numbers of tokens.
     constexpr double lengthSpread = 0.8; ///< Standard deviation of the logarithm.
     constexpr double hintSpread = 0.5;
@@ -30,11 +29,11 @@
     {
         if (kind.models.empty())
             return {};
-        // The n-th most wanted model gets an n-th of the requests of the first one.
-        const auto count = std::min(wantedModels, kind.models.size());
+        const auto count
+            = std::clamp<size_t>(kind.modelsAtStart.value_or(kind.models.size()), 1, kind.models.size());
         std::vector<double> weights;
         for (size_t i = 0; i < count; ++i)
-            weights.push_back(1.0 / static_cast<double>(i + 1));
+            weights.push_back(std::pow(static_cast<double>(i + 1), -kind.modelSkew));
         const auto rank = std::discrete_distribution<size_t>(weights.begin(), weights.end())(random);
         const auto& model = site.models[kind.models[(shift + rank) % kind.models.size()]];
         if (model.adapterCount == 0 || randomUnit(random) >= kind.adapterShare)
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -71,6 +71,8 @@
     if (day == settings.site.days.end())
         throw std::runtime_error("the site has no day '" + name + "'");
     settings.day = *day;
+    if (!day->requestKinds.empty())
+        settings.site.requestKinds = day->requestKinds;
     settings.seed = arguments.count("seed") ? arguments["seed"].as<uint64_t>() : day->seed;
     settings.length = arguments.count("seconds")
         ? cyclamenstair::Duration(std::chrono::seconds(arguments["seconds"].as<int>()))
