--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <sstream>
 
 namespace cyclamenstair {
 
@@ -25,12 +26,20 @@
         uint16_t metrics { allocateLoopbackPort() };
     };
 
+    /// Returns the shortest text, as a platform renders numbers.
+    std::string numberText(double number)
+    {
+        std::ostringstream text;
+        text << number;
+        return text.str();
+    }
+
     std::string addressOf(const std::string& ip, uint16_t port) { return ip + ":" + std::to_string(port); }
 
     SoakNodeSettings settingsOf(const Site& site, const SiteVms& vms, const std::string& id, const std::string& ip,
         const NodePorts& ports, const std::string& seeds, const std::string& store)
     {
-        const auto seconds = [](Duration duration) { return std::to_string(toSeconds(duration)); };
+        const auto seconds = [](Duration duration) { return numberText(toSeconds(duration)); };
         const auto ms = [](Duration duration) { return std::to_string(toMilliseconds(duration)); };
         return {
             { "node",
@@ -38,11 +47,11 @@
                     { "failure_domain", vms.failureDomain } } },
             { "entry",
                 { { "listen", addressOf(ip, ports.callers) }, { "loops", "1" },
-                    { "cpu_share", std::to_string(vms.cpuShare) }, { "memory_mb", std::to_string(vms.memoryMb) },
+                    { "cpu_share", numberText(vms.cpuShare) }, { "memory_mb", std::to_string(vms.memoryMb) },
                     { "ready_listen", addressOf(ip, ports.probes) }, { "peer_listen", addressOf(ip, ports.peers) },
                     { "relay_listen", addressOf(ip, ports.relays) }, { "seeds", seeds },
                     { "metrics_listen", addressOf(ip, ports.metrics) }, { "grace_s", seconds(site.gracePeriod) },
-                    { "retry_ratio", "0.2" }, { "retry_slack", std::to_string(site.retrySlack) },
+                    { "retry_ratio", "0.2" }, { "retry_slack", numberText(site.retrySlack) },
                     { "retry_window_s", "10" } } },
             { "control", { { "store", store }, { "order_gap_ms", ms(orderGap) }, { "min_lease_ms", ms(minLease) } } },
         };
