--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -36,12 +36,12 @@
 
     std::string addressOf(const std::string& ip, uint16_t port) { return ip + ":" + std::to_string(port); }
 
-    SoakNodeSettings settingsOf(const Site& site, const SiteVms& vms, const std::string& id, const std::string& ip,
+    SoakSettingsSource settingsOf(const Site& site, const SiteVms& vms, const std::string& id, const std::string& ip,
         const NodePorts& ports, const std::string& seeds, const std::string& store)
     {
         const auto seconds = [](Duration duration) { return numberText(toSeconds(duration)); };
         const auto ms = [](Duration duration) { return std::to_string(toMilliseconds(duration)); };
-        return {
+        return SoakNodeSettings {
             { "node",
                 { { "mode", "Registered" }, { "id", id }, { "region", site.region.empty() ? "region" : site.region },
                     { "failure_domain", vms.failureDomain } } },
@@ -144,7 +144,7 @@
 {
     auto& node = *m_nodes[index];
     node.isStarted = true;
-    node.isRunning = true;
+    node.isPlaced = true;
     node.startedAt = monotonicNow();
     node.readyAt.reset();
     node.process->start();
@@ -169,7 +169,6 @@
         return;
     const auto until = monotonicNow() + downTime;
     node.downUntil = std::max(node.downUntil.value_or(until), until);
-    node.isRunning = false;
     node.process->signal(SIGKILL);
 }
 
@@ -178,6 +177,7 @@
     auto& node = *m_nodes[index];
     if (!node.isStarted || std::exchange(node.isRetired, true))
         return;
+    node.isPlaced = false;
     node.process->stop();
 }
 
@@ -203,21 +203,20 @@
             node.readyAt.reset();
             node.isReportedUnready = false;
         }
-        node.isRunning = !node.isRetired || !node.process->hasStopped();
     }
 }
 
 size_t DayNodes::choose(const std::string& failureDomain, size_t callerHash, std::optional<size_t> exceptNode) const
 {
     std::vector<size_t> ready;
-    std::vector<size_t> running;
+    std::vector<size_t> placed;
     std::vector<size_t> others;
     for (size_t i = 0; i < m_nodes.size(); ++i) {
         const auto& node = *m_nodes[i];
-        if (exceptNode == i || !node.isRunning)
+        if (exceptNode == i || !node.isPlaced)
             continue;
         if (node.failureDomain == failureDomain) {
-            running.push_back(i);
+            placed.push_back(i);
             if (node.isInRotation)
                 ready.push_back(i);
         } else if (node.isInRotation) {
@@ -225,9 +224,9 @@
         }
     }
     // With fewer than half of a failure domain's nodes in rotation, the platform uses all of them.
-    if (2 * ready.size() < running.size() && !ready.empty())
-        ready = running;
-    for (const auto* candidates : { &ready, &others, &running }) {
+    if (2 * ready.size() < placed.size() && !ready.empty())
+        ready = placed;
+    for (const auto* candidates : { &ready, &others, &placed }) {
         if (!candidates->empty())
             return (*candidates)[callerHash % candidates->size()];
     }
--- a/Benchmarks/Soak/DayNodes.h
+++ b/Benchmarks/Soak/DayNodes.h
@@ -33,7 +33,7 @@
     int missedProbes { 0 };
     // Shared with callers.
     std::atomic<bool> isInRotation { false };
-    std::atomic<bool> isRunning { false };
+    std::atomic<bool> isPlaced { false }; ///< Started, and not retired; also while its process is down.
 };
 
 /// The nodes of a day, each a process with links of its own to the store and the targets. Callers choose nodes from
