--- a/Benchmarks/Soak/DayDeployment.cpp
+++ b/Benchmarks/Soak/DayDeployment.cpp
@@ -36,6 +36,17 @@
 
 void DayDeployment::writeCatalog() { store.put("op/config", catalog.text()); }
 
+std::optional<size_t> DayDeployment::findOrderHolder()
+{
+    std::optional<AcceptedOrder> last;
+    for (size_t i = 0; i < targets.count(); ++i) {
+        const auto orders = targets.target(i).orders();
+        if (!orders.empty() && (!last || orders.back().arrivedAt > last->arrivedAt))
+            last = orders.back();
+    }
+    return last ? nodes.find(last->holder) : std::nullopt;
+}
+
 void DayDeployment::report(SoakRule rule, const std::string& description)
 {
     findings[rule].push_back(description);
--- a/Benchmarks/Soak/DayDeployment.h
+++ b/Benchmarks/Soak/DayDeployment.h
@@ -35,6 +35,9 @@
 
     void writeCatalog();
 
+    /// Returns the node whose order was accepted last, or no value if there was no order.
+    std::optional<size_t> findOrderHolder();
+
     void report(SoakRule rule, const std::string& description);
 
     const DaySettings* settings;
--- a/Benchmarks/Soak/DayEvents.cpp
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -178,8 +178,7 @@
 void DayEvents::rollNodes(const SiteEvent& event)
 {
     Duration delay {};
-    auto& nodes = m_deployment->nodes;
-    for (const auto index : nodes.draw(event, 1, m_deployment->random)) {
+    for (const auto index : drawNodes(event, 1)) {
         m_deployment->schedule(delay, [this, index] {
             m_deployment->disturb(index, m_deployment->settings->site.gracePeriod + readinessTime);
             m_deployment->nodes.node(index).isInRotation = false;
@@ -203,20 +202,31 @@
     m_deployment->schedule(slowPeriod, [this, node, factor, end] { slowNode(node, factor, end); });
 }
 
+std::vector<size_t> DayEvents::drawNodes(const SiteEvent& event, double share)
+{
+    if (has(event, "leader") || has(event, "giver")) {
+        if (const auto leader = m_deployment->findOrderHolder())
+            return { *leader };
+    }
+    return m_deployment->nodes.draw(event, share, m_deployment->random);
+}
+
 bool DayEvents::playOnNodes(const SiteEvent& event)
 {
     auto& nodes = m_deployment->nodes;
-    auto& random = m_deployment->random;
     switch (event.kind) {
     case SiteEventKind::NodeKill:
     case SiteEventKind::HerdKill:
-        for (const auto index : nodes.draw(event, event.kind == SiteEventKind::HerdKill ? 1 : 0, random)) {
+        for (const auto index : drawNodes(event, event.kind == SiteEventKind::HerdKill ? 1 : 0)) {
             m_deployment->disturb(index, event.duration + readinessTime);
-            nodes.kill(index, event.duration);
+            if (has(event, "power") || has(event, "off"))
+                nodes.cutPower(index, event.duration);
+            else
+                nodes.kill(index, event.duration);
         }
         return true;
     case SiteEventKind::NodeFreeze:
-        for (const auto index : nodes.draw(event, 0, random)) {
+        for (const auto index : drawNodes(event, 0)) {
             m_deployment->disturb(index, event.duration);
             auto& process = *nodes.node(index).process;
             process.signal(SIGSTOP);
@@ -224,7 +234,7 @@
         }
         return true;
     case SiteEventKind::NodeSlow:
-        for (const auto index : nodes.draw(event, 0, random)) {
+        for (const auto index : drawNodes(event, 0)) {
             m_deployment->disturb(index, event.duration);
             slowNode(index, std::max(event.factor.value_or(2), 1.0), monotonicNow() + event.duration);
         }
@@ -237,7 +247,7 @@
             m_deployment->disturb(*index, readinessTime);
         return true;
     case SiteEventKind::ReplaceNode:
-        for (const auto index : nodes.draw(event, 0, random)) {
+        for (const auto index : drawNodes(event, 0)) {
             m_deployment->disturb(index, Duration::max() / 4);
             if (const auto spare = nodes.startSpare(nodes.node(index).failureDomain))
                 m_deployment->disturb(*spare, readinessTime);
@@ -273,11 +283,10 @@
 
 bool DayEvents::playOnLinks(const SiteEvent& event)
 {
-    auto& nodes = m_deployment->nodes;
     switch (event.kind) {
     case SiteEventKind::StoreCut:
     case SiteEventKind::NodeCut:
-        for (const auto index : nodes.draw(event, 0, m_deployment->random))
+        for (const auto index : drawNodes(event, 0))
             cutLinks(index, linkModeOf(event), event.kind == SiteEventKind::NodeCut, event.duration);
         return true;
     case SiteEventKind::ResetConnections: {
@@ -325,7 +334,7 @@
         }
         m_deployment->store.setRefusedViews(std::move(refused));
     };
-    const auto chosen = nodes.draw(event, defaultShare, m_deployment->random);
+    const auto chosen = drawNodes(event, defaultShare);
     const bool isRefused = has(event, "busy");
     for (const auto index : chosen) {
         if (!isRefused) {
--- a/Benchmarks/Soak/DayEvents.h
+++ b/Benchmarks/Soak/DayEvents.h
@@ -24,6 +24,8 @@
 
     void setFault(const SiteEvent& event, TargetFaultKind kind, double defaultStrength);
     void restartTargets(const SiteEvent& event);
+    /// Returns the node that gives orders if the event is meant for it, or a share of the nodes.
+    std::vector<size_t> drawNodes(const SiteEvent& event, double share);
     void rollNodes(const SiteEvent& event);
     /// Stops and continues the node again and again, so that it gets one `factor`-th of the time.
     void slowNode(size_t node, double factor, TimePoint end);
--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -1,5 +1,7 @@
 #include <Benchmarks/Soak/DayNodes.h>
 
+#include <platform/SettingsFields.h>
+
 #include <Cyclamenstair/Http/Endpoint.h>
 
 #include <StandIns/LoopbackPort.h>
@@ -7,15 +9,13 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
-#include <sstream>
 
 namespace cyclamenstair {
 
 namespace {
 
-    constexpr auto orderGap = milliseconds(3000);
-    constexpr auto minLease = milliseconds(1000);
     constexpr size_t seedCount = 3;
+    constexpr uint64_t bytesPerMb = uint64_t { 1 } << 20U;
 
     /// Ports of a node, the same at all addresses.
     struct NodePorts {
@@ -26,35 +26,14 @@
         uint16_t metrics { allocateLoopbackPort() };
     };
 
-    /// Returns the shortest text, as a platform renders numbers.
-    std::string numberText(double number)
-    {
-        std::ostringstream text;
-        text << number;
-        return text.str();
-    }
-
     std::string addressOf(const std::string& ip, uint16_t port) { return ip + ":" + std::to_string(port); }
 
-    SoakSettingsSource settingsOf(const Site& site, const SiteVms& vms, const std::string& id, const std::string& ip,
-        const NodePorts& ports, const std::string& seeds, const std::string& store)
+    /// Throws Exception if the template cannot be filled in.
+    SoakSettingsText settingsOf(const DaySettings& settings, const SiteVms& vms, const SettingsNode& node)
     {
-        const auto seconds = [](Duration duration) { return numberText(toSeconds(duration)); };
-        const auto ms = [](Duration duration) { return std::to_string(toMilliseconds(duration)); };
-        return SoakNodeSettings {
-            { "node",
-                { { "mode", "Registered" }, { "id", id }, { "region", site.region.empty() ? "region" : site.region },
-                    { "failure_domain", vms.failureDomain } } },
-            { "entry",
-                { { "listen", addressOf(ip, ports.callers) }, { "loops", "1" },
-                    { "cpu_share", numberText(vms.cpuShare) }, { "memory_mb", std::to_string(vms.memoryMb) },
-                    { "ready_listen", addressOf(ip, ports.probes) }, { "peer_listen", addressOf(ip, ports.peers) },
-                    { "relay_listen", addressOf(ip, ports.relays) }, { "seeds", seeds },
-                    { "metrics_listen", addressOf(ip, ports.metrics) }, { "grace_s", seconds(site.gracePeriod) },
-                    { "retry_ratio", "0.2" }, { "retry_slack", numberText(site.retrySlack) },
-                    { "retry_window_s", "10" } } },
-            { "control", { { "store", store }, { "order_gap_ms", ms(orderGap) }, { "min_lease_ms", ms(minLease) } } },
-        };
+        const auto text
+            = renderTemplate(settings.settingsTemplate, settingsFields(settings.site, vms, node), settings.numberForm);
+        return { text.value(), node.callerAddress, node.readinessAddress };
     }
 
 } // namespace
@@ -67,6 +46,8 @@
     const NodePorts ports;
     SoakStarts starts;
     starts.seed = settings.seed;
+    starts.hasEarlySignals = settings.isStressed;
+    starts.hasUnreadOutput = settings.isStressed;
     struct Vm {
         const SiteVms* vms;
         std::string id;
@@ -81,11 +62,10 @@
                 "127.1." + std::to_string(domain + 1) + "." + std::to_string(i + 1), i >= group.count });
     }
     // The first VMs of each failure domain are the seeds.
-    std::string seeds;
-    size_t count = 0;
+    std::vector<std::string> seeds;
     for (const auto& vm : vms) {
-        if (vm.ip.ends_with(".1") && count++ < seedCount)
-            seeds += (seeds.empty() ? "" : ",") + addressOf(vm.ip, ports.peers);
+        if (vm.ip.ends_with(".1") && seeds.size() < seedCount)
+            seeds.push_back(addressOf(vm.ip, ports.peers));
     }
     for (const auto& vm : vms) {
         auto node = std::make_unique<DayNode>();
@@ -102,8 +82,15 @@
         node->memoryMb = vm.vms->memoryMb;
         node->callerEndpoint = parseEndpoint(addressOf(vm.ip, ports.callers)).value();
         node->probeEndpoint = parseEndpoint(addressOf(vm.ip, ports.probes)).value();
-        const auto nodeSettings
-            = settingsOf(settings.site, *vm.vms, vm.id, vm.ip, ports, seeds, node->storeLink->address());
+        const SettingsNode settingsNode { vm.id, vm.ip, addressOf(vm.ip, ports.callers), addressOf(vm.ip, ports.probes),
+            addressOf(vm.ip, ports.peers), ports.metrics, ports.relays, seeds, node->storeLink->address() };
+        const auto nodeSettings = settingsOf(settings, *vm.vms, settingsNode);
+        starts.limits.maxDescriptors = vm.vms->maxDescriptors;
+        starts.limits.maxResidentBytes = static_cast<uint64_t>(vm.vms->memoryMb) * bytesPerMb;
+        if (settings.isThrottled) {
+            starts.limits.cpuShare = vm.vms->cpuShare;
+            starts.limits.throttle = &m_throttle;
+        }
         if (starts.daemons.empty()) {
             for (const auto& program : settings.daemons)
                 starts.daemons.push_back(probeDaemon(program, nodeSettings, folder));
@@ -127,6 +114,15 @@
     return indices;
 }
 
+std::optional<size_t> DayNodes::find(const std::string& id) const
+{
+    const auto node = std::find_if(
+        m_nodes.begin(), m_nodes.end(), [&](const auto& candidate) { return candidate->process->id() == id; });
+    if (node == m_nodes.end())
+        return std::nullopt;
+    return static_cast<size_t>(node - m_nodes.begin());
+}
+
 std::vector<size_t> DayNodes::draw(const SiteEvent& event, double defaultShare, Random& random) const
 {
     auto indices = active();
@@ -172,6 +168,17 @@
     node.process->signal(SIGKILL);
 }
 
+void DayNodes::cutPower(size_t index, Duration downTime)
+{
+    auto& node = *m_nodes[index];
+    if (!node.isStarted || node.isRetired)
+        return;
+    const auto until = monotonicNow() + downTime;
+    node.downUntil = std::max(node.downUntil.value_or(until), until);
+    node.isWithoutPower = true;
+    node.process->signal(SIGSTOP);
+}
+
 void DayNodes::retire(size_t index)
 {
     auto& node = *m_nodes[index];
@@ -195,6 +202,8 @@
         if (!node.isStarted || (node.downUntil && *node.downUntil > now))
             continue;
         node.downUntil.reset();
+        if (std::exchange(node.isWithoutPower, false))
+            node.process->signal(SIGKILL);
         const auto ends = node.process->restartIfEnded();
         for (const auto& end : ends)
             onEnd(i, end);
--- a/Benchmarks/Soak/DayNodes.h
+++ b/Benchmarks/Soak/DayNodes.h
@@ -26,6 +26,7 @@
     // The members below belong to the thread of the run.
     bool isStarted { false };
     bool isRetired { false }; ///< Told to end for good.
+    bool isWithoutPower { false }; ///< The process is stopped and ends with the down time.
     std::optional<TimePoint> downUntil; ///< The process ends or has ended and is not started again before.
     TimePoint startedAt; ///< Of the process that runs.
     std::optional<TimePoint> readyAt; ///< Of the process that runs.
@@ -56,11 +57,17 @@
     /// Returns a share or a number of the active nodes in the failure domain, or of all if it is empty; one at least.
     std::vector<size_t> draw(const SiteEvent& event, double defaultShare, Random& random) const;
 
+    /// Returns the node with the id, or no value if there is none.
+    std::optional<size_t> find(const std::string& id) const;
+
     void start(size_t index);
     /// Starts a spare VM in the failure domain, or in any if it is empty. Returns no value if none is left.
     std::optional<size_t> startSpare(const std::string& failureDomain);
     /// Ends the process by SIGKILL; it is started again after the time.
     void kill(size_t index, Duration downTime);
+    /// Stops the process at once without a sign to its peers, as a loss of power does; it ends and is started again
+    /// after the time.
+    void cutPower(size_t index, Duration downTime);
     /// Tells the node to end for good.
     void retire(size_t index);
     void setStoreLink(size_t index, LinkMode mode) { m_nodes[index]->storeLink->setMode(mode); }
@@ -74,6 +81,7 @@
     size_t choose(const std::string& failureDomain, size_t callerHash, std::optional<size_t> exceptNode) const;
 
 private:
+    SoakThrottle m_throttle;
     std::vector<std::unique_ptr<DayNode>> m_nodes;
 };
 
--- a/Benchmarks/Soak/DayRequests.cpp
+++ b/Benchmarks/Soak/DayRequests.cpp
@@ -29,8 +29,7 @@
     {
         if (kind.models.empty())
             return {};
-        const auto count
-            = std::clamp<size_t>(kind.modelsAtStart.value_or(kind.models.size()), 1, kind.models.size());
+        const auto count = std::clamp<size_t>(kind.modelsAtStart.value_or(kind.models.size()), 1, kind.models.size());
         std::vector<double> weights;
         for (size_t i = 0; i < count; ++i)
             weights.push_back(std::pow(static_cast<double>(i + 1), -kind.modelSkew));
--- a/Benchmarks/Soak/DayRun.cpp
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -4,6 +4,7 @@
 #include <Benchmarks/Soak/SoakLogs.h>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -22,6 +23,10 @@
     constexpr auto drainLength = std::chrono::seconds(3); ///< For requests that run when the traffic ends.
     constexpr auto nodeSettleTime = milliseconds(10000); ///< Of a node after its process has ended.
     constexpr uint32_t ok = 200;
+    constexpr auto stressInterval = milliseconds(700);
+    constexpr size_t maxStressSignals = 6; ///< In a series.
+    constexpr size_t maxStressDelayMs = 60; ///< Of the signals of a series.
+    constexpr auto rewritePause = milliseconds(5); ///< Between the halves of settings that are written in place.
     constexpr uint64_t bytesPerMb = uint64_t { 1 } << 20U;
 
 } // namespace
@@ -46,6 +51,7 @@
     std::cout << "traffic starts" << std::endl;
     m_deployment.callers.start();
     m_events.scheduleAll();
+    scheduleStress();
     playUntil(start + m_settings.length);
     if (m_settings.day.closingFault) {
         playClosingFault();
@@ -61,17 +67,28 @@
     if (m_closingFaultAt)
         checkRecovery(m_deployment, *m_closingFaultAt, end);
     checkOrders(m_deployment);
-    for (size_t i = 0; i < m_deployment.nodes.count(); ++i) {
-        const auto& node = m_deployment.nodes.node(i);
-        const auto megabytes = node.process->maxResidentBytes() / bytesPerMb;
-        if (megabytes > static_cast<uint64_t>(node.memoryMb))
-            m_deployment.report(SoakRule::OverMemory,
-                nodeName(i) + ", " + std::to_string(megabytes) + " of " + std::to_string(node.memoryMb) + " MiB");
-    }
     for (const auto& description : findRejectedInput(m_folder))
         m_deployment.report(SoakRule::RejectedInput, description);
 }
 
+void DayRun::scheduleStress()
+{
+    if (!m_settings.isStressed)
+        return;
+    auto& random = m_deployment.random;
+    const auto active = m_deployment.nodes.active();
+    auto& node = *m_deployment.nodes.node(active[randomIndex(random, active.size())]).process;
+    const size_t count = 1 + randomIndex(random, maxStressSignals);
+    for (size_t i = 0; i < count; ++i) {
+        const auto delay = milliseconds(static_cast<int64_t>(randomIndex(random, maxStressDelayMs)));
+        m_deployment.schedule(delay, [&node] { node.signal(SIGHUP); });
+    }
+    const bool isInPlace = randomIndex(random, 2) == 0;
+    m_deployment.schedule(milliseconds(static_cast<int64_t>(randomIndex(random, maxStressDelayMs))),
+        [&node, isInPlace] { node.rewriteSettings(isInPlace, rewritePause); });
+    m_deployment.schedule(stressInterval, [this] { scheduleStress(); });
+}
+
 void DayRun::playUntil(TimePoint end)
 {
     while (monotonicNow() < end) {
@@ -90,6 +107,10 @@
     }
     m_deployment.targets.tick(m_deployment.storeOutages == 0, m_deployment.leasesLapse);
     m_deployment.nodes.tick([this](size_t node, const SoakEnd& end) { onEnd(node, end); });
+    for (const auto index : m_deployment.nodes.active()) {
+        for (const auto& excess : m_deployment.nodes.node(index).process->takeMemoryExcesses())
+            m_deployment.report(SoakRule::OverMemory, nodeName(index) + ": " + excess);
+    }
     probe();
 }
 
@@ -175,7 +196,10 @@
     m_closingFaultAt = monotonicNow();
     for (const auto index : m_deployment.nodes.active()) {
         m_deployment.disturb(index, fault.downTime + nodeSettleTime);
-        m_deployment.nodes.kill(index, fault.downTime);
+        if (fault.isPowerLoss)
+            m_deployment.nodes.cutPower(index, fault.downTime);
+        else
+            m_deployment.nodes.kill(index, fault.downTime);
     }
 }
 
--- a/Benchmarks/Soak/DaySettings.h
+++ b/Benchmarks/Soak/DaySettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Benchmarks/Soak/SettingsTemplate.h>
+
 #include <platform/SiteFile.h>
 
 #include <set>
@@ -15,6 +17,8 @@
     uint64_t seed { 1 };
     Duration length {}; ///< Of the traffic up to the closing fault.
     std::vector<std::string> daemons; ///< Of which each start takes one by chance.
+    std::string settingsTemplate; ///< Text, which the platform fills in for each node.
+    NumberForm numberForm { NumberForm::Whole }; ///< In which the platform fills in numbers.
     std::set<SiteEventKind> leftOut; ///< Kinds of events that are not played.
     bool isStressed { false }; ///< Also signals in series.
     bool isThrottled { false }; ///< Processes get no more than their processor share.
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <cxxopts.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <unistd.h>
 
 namespace {
@@ -79,6 +81,14 @@
         : settings.site.length;
     settings.daemons = arguments["daemon"].as<std::vector<std::string>>();
     settings.isStressed = arguments["stress"].as<bool>();
+    std::ostringstream text;
+    text << std::ifstream(arguments["template"].as<std::string>()).rdbuf();
+    settings.settingsTemplate = text.str();
+    const auto form
+        = cyclamenstair::enumFromName<cyclamenstair::NumberForm>(arguments["number-form"].as<std::string>());
+    if (!form)
+        throw std::runtime_error("unknown form of numbers");
+    settings.numberForm = *form;
     settings.isThrottled = arguments["throttle"].as<bool>();
     settings.leftOut = leftOutKinds<cyclamenstair::SiteEventKind>(arguments);
     return settings;
@@ -141,8 +151,11 @@
         "only", "Kinds of faults to play and no others", cxxopts::value<std::vector<std::string>>())(
         "teams", "The catalog has a team, whose key callers present", cxxopts::value<bool>()->default_value("false"))(
         "versions", "Two software versions serve each service", cxxopts::value<bool>()->default_value("false"))("site",
-        "Site file of a deployment, of which a day is played instead of drawn faults",
-        cxxopts::value<std::string>())("day", "Name of the day", cxxopts::value<std::string>())("throttle",
+        "Site file of a deployment, of which a day is played instead of drawn faults", cxxopts::value<std::string>())(
+        "day", "Name of the day", cxxopts::value<std::string>())("template", "Settings template of a day's nodes",
+        cxxopts::value<std::string>()->default_value(CYCLAMENSTAIR_SOURCE_DIR "/deploy/cyclamenstair.ini"))(
+        "number-form", "Form in which the template's numbers are filled in",
+        cxxopts::value<std::string>()->default_value("whole"))("throttle",
         "Processes of a day get no more than their processor share",
         cxxopts::value<bool>()->default_value("false"))("keep-logs", "Keep the logs also if no rule is broken",
         cxxopts::value<bool>()->default_value("false"))("h,help", "Print this help");
