--- a/Benchmarks/Soak/DayCallers.cpp
+++ b/Benchmarks/Soak/DayCallers.cpp
@@ -272,7 +272,9 @@
     {
         if (isSuccess(call->current.status)) {
             if (!call->events) {
-                call->current.wrongBody = findWrongBody(call->body, call->current.id).value_or("");
+                call->current.wrongBody = findWrongBody(call->body, call->current.id,
+                    serviceWorkload(m_callers->m_settings->site, call->kind->service).meanResponseBytes)
+                                              .value_or("");
             } else if (call->events->lastEvent() != call->request.eventCount && call->current.brokenStream.empty()) {
                 call->current.brokenStream = "complete after event " + std::to_string(call->events->lastEvent())
                     + " of " + std::to_string(call->request.eventCount);
--- a/Benchmarks/Soak/DayRequests.cpp
+++ b/Benchmarks/Soak/DayRequests.cpp
@@ -2,6 +2,8 @@
 
 #include <Benchmarks/Soak/DayCatalog.h>
 
+#include <StandIns/SimulatedTarget.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -102,13 +104,12 @@
     return message;
 }
 
-std::optional<std::string> findWrongBody(const std::string& body, const std::string& id)
+std::optional<std::string> findWrongBody(const std::string& body, const std::string& id, size_t meanResponseBytes)
 {
-    const auto first = body.find(':');
-    const auto second = first == std::string::npos ? first : body.find(':', first + 1);
-    if (second != std::string::npos && body.substr(first + 1, second - first - 1) == id)
+    const auto targetId = body.substr(0, body.find(':'));
+    if (body == simulatedResponseBody(targetId, id, meanResponseBytes))
         return std::nullopt;
-    return "body " + body.substr(0, maxQuotedBody);
+    return "body of " + std::to_string(body.size()) + " bytes: " + body.substr(0, maxQuotedBody);
 }
 
 size_t EventReader::append(std::string_view bytes)
--- a/Benchmarks/Soak/DayRequests.h
+++ b/Benchmarks/Soak/DayRequests.h
@@ -43,7 +43,7 @@
     const Site& site, const DayRequest& request, const std::string& id, Duration timeLeft, size_t lastEvent);
 
 /// Returns what is wrong about the body of a success of a plain service, which must be the whole body for this request.
-std::optional<std::string> findWrongBody(const std::string& body, const std::string& id);
+std::optional<std::string> findWrongBody(const std::string& body, const std::string& id, size_t meanResponseBytes);
 
 /// Reads the events of a stream as they arrive.
 class EventReader {
--- a/Benchmarks/Soak/DayRun.cpp
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -2,6 +2,7 @@
 
 #include <Benchmarks/Soak/DayChecks.h>
 #include <Benchmarks/Soak/SoakLogs.h>
+#include <Benchmarks/Soak/SoakObserver.h>
 
 #include <algorithm>
 #include <csignal>
@@ -23,6 +24,8 @@
     constexpr auto drainLength = std::chrono::seconds(3); ///< For requests that run when the traffic ends.
     constexpr auto nodeSettleTime = milliseconds(10000); ///< Of a node after its process has ended.
     constexpr uint32_t ok = 200;
+    constexpr auto idleWindow = milliseconds(2000); ///< Before the traffic, in which nodes have no requests.
+    constexpr double maxIdleShare = 0.25; ///< Of a node's processor share.
     constexpr auto stressInterval = milliseconds(700);
     constexpr size_t maxStressSignals = 6; ///< In a series.
     constexpr size_t maxStressDelayMs = 60; ///< Of the signals of a series.
@@ -46,7 +49,9 @@
 void DayRun::run()
 {
     m_deployment.writeCatalog();
-    playUntil(monotonicNow() + m_settings.site.leadTime);
+    const auto trafficAt = monotonicNow() + m_settings.site.leadTime;
+    playUntil(trafficAt - idleWindow);
+    checkIdleProcessor(trafficAt);
     const auto start = monotonicNow();
     std::cout << "traffic starts" << std::endl;
     m_deployment.callers.start();
@@ -71,12 +76,33 @@
         m_deployment.report(SoakRule::RejectedInput, description);
 }
 
+void DayRun::checkIdleProcessor(TimePoint end)
+{
+    std::vector<SoakNode*> processes;
+    std::map<std::string, double> maxShares;
+    for (const auto index : m_deployment.nodes.active()) {
+        const auto& node = m_deployment.nodes.node(index);
+        processes.push_back(node.process.get());
+        maxShares[node.process->id()] = maxIdleShare * node.cpuShare;
+    }
+    const SoakProcessorWindow window(processes);
+    playUntil(end);
+    for (const auto& use : window.uses()) {
+        if (use.share > maxShares[use.node])
+            m_deployment.report(SoakRule::IdleProcessor,
+                use.node + ", process " + std::to_string(use.process) + ", " + std::to_string(use.share)
+                    + " of a core");
+    }
+}
+
 void DayRun::scheduleStress()
 {
     if (!m_settings.isStressed)
         return;
     auto& random = m_deployment.random;
     const auto active = m_deployment.nodes.active();
+    if (active.empty())
+        return;
     auto& node = *m_deployment.nodes.node(active[randomIndex(random, active.size())]).process;
     const size_t count = 1 + randomIndex(random, maxStressSignals);
     for (size_t i = 0; i < count; ++i) {
--- a/Benchmarks/Soak/DayTargets.cpp
+++ b/Benchmarks/Soak/DayTargets.cpp
@@ -12,30 +12,6 @@
     /// Part of the engines that hold the model that is asked for most, and of the next ones a half each.
     constexpr double busiestModelShare = 0.75;
 
-    /// Returns the work of a plain service: means over the kinds of requests that it serves.
-    ServiceWorkload serviceWorkload(const Site& site, const SiteService& service)
-    {
-        ServiceWorkload workload;
-        Duration workTime {};
-        size_t responseBytes = 0;
-        double errorShare = 0;
-        int count = 0;
-        for (const auto& kind : site.requestKinds) {
-            if (kind.service != service.name)
-                continue;
-            ++count;
-            workTime += kind.workTime;
-            responseBytes += kind.responseBytes;
-            errorShare += kind.errorShare;
-        }
-        if (count == 0)
-            return workload;
-        workload.meanWorkTime = workTime / count;
-        workload.meanResponseBytes = responseBytes / static_cast<size_t>(count);
-        workload.errorShare = errorShare / count;
-        return workload;
-    }
-
     EngineWorkload engineWorkload(const Site& site, const SiteEngine& engine)
     {
         EngineWorkload workload;
@@ -62,6 +38,29 @@
 
 } // namespace
 
+ServiceWorkload serviceWorkload(const Site& site, const std::string& service)
+{
+    ServiceWorkload workload;
+    Duration workTime {};
+    size_t responseBytes = 0;
+    double errorShare = 0;
+    int count = 0;
+    for (const auto& kind : site.requestKinds) {
+        if (kind.service != service)
+            continue;
+        ++count;
+        workTime += kind.workTime;
+        responseBytes += kind.responseBytes;
+        errorShare += kind.errorShare;
+    }
+    if (count == 0)
+        return workload;
+    workload.meanWorkTime = workTime / count;
+    workload.meanResponseBytes = responseBytes / static_cast<size_t>(count);
+    workload.errorShare = errorShare / count;
+    return workload;
+}
+
 DayTargets::DayTargets(const DaySettings& settings, RegistryStoreStandIn& store)
     : m_site(&settings.site)
     , m_store(&store)
@@ -81,7 +80,7 @@
                 if (service.engine)
                     target.workload = engineWorkload(settings.site, *service.engine);
                 else
-                    target.workload = serviceWorkload(settings.site, service);
+                    target.workload = serviceWorkload(settings.site, service.name);
                 created.push_back(std::move(target));
             }
         }
--- a/Benchmarks/Soak/DayTargets.h
+++ b/Benchmarks/Soak/DayTargets.h
@@ -11,6 +11,9 @@
 
 namespace cyclamenstair {
 
+/// Returns the work of a plain service: means over the kinds of requests that it serves.
+ServiceWorkload serviceWorkload(const Site& site, const std::string& service);
+
 /// The simulated targets of a day and their entries in the store. Belongs to the thread of the run.
 class DayTargets {
 public:
