Count the place of an adapter until the requests that use it are done

Cause: an engine that accepts the unload of an adapter in use (202) drops it once its requests are done. The holder of the order lease took its place for free at once and ordered a load, which crashes an engine that has no free place: all its streams break off. It happens to adapters whose use the holder does not know, for example after nodes were cut off or killed.

Change: the adapter keeps its place until a report no longer shows it. Meanwhile no adapter is ordered there, and no request is sent there for it.

--- a/Cyclamenstair/Control/ResidencyPlanner.h
+++ b/Cyclamenstair/Control/ResidencyPlanner.h
@@ -33,7 +33,8 @@
     bool isReachable { true };
     EngineReport report;
     std::map<std::string, uint32_t> inFlightByModel; ///< Requests in flight by model, over all nodes.
-    bool isAdapterLoading { false }; ///< An adapter load was just accepted; the next one has to wait.
+    /// An adapter load was just accepted, or an adapter's unload waits for its requests; the next load has to wait.
+    bool isAdapterLoading { false };
     std::string unloadingModel; ///< Model of an accepted unload; the report lists it until its last request finishes.
     std::string loadingModel; ///< Model of an accepted load that the report may not list yet.
     std::string reservedModel; ///< Model for which another was unloaded here; no other model is loaded meanwhile.
--- a/Cyclamenstair/Entry/OrderDispatcher.cpp
+++ b/Cyclamenstair/Entry/OrderDispatcher.cpp
@@ -52,6 +52,13 @@
         return std::max(1U, static_cast<uint32_t>(std::ceil(loadsPerSecond * toSeconds(tickInterval))));
     }
 
+    bool holdsAdapter(const EngineReport& report, const std::pair<std::string, std::string>& adapter)
+    {
+        return std::any_of(report.models.begin(), report.models.end(), [&](const LoadedModel& model) {
+            return model.name == adapter.first && model.adapters.contains(adapter.second);
+        });
+    }
+
 } // namespace
 
 OrderDispatcher::OrderDispatcher(
@@ -143,7 +150,8 @@
             continue;
         auto& state = m_targetStates[record.id];
         const bool needsFrequentReports = state.report.isBusy || state.consecutiveMissedReports > 0
-            || suspectTargets.contains(record.id) || state.reportsValidFrom > state.reportRequestedAt;
+            || suspectTargets.contains(record.id) || state.unloadingAdapter
+            || state.reportsValidFrom > state.reportRequestedAt;
         const auto interval = needsFrequentReports ? busyReportInterval : reportInterval;
         if (!state.isReportPending && !state.isOrderPending && now - state.lastReportRequestAt >= interval)
             requestReport(record);
@@ -193,6 +201,8 @@
         state.loadingModel.clear();
         state.unloadingModel.clear();
     }
+    if (state.unloadingAdapter && !holdsAdapter(newReport, *state.unloadingAdapter))
+        state.unloadingAdapter.reset();
     m_state->targets.setModels(record.service, record.id, remainingModels(state));
     announceModels(record, state);
 }
@@ -238,7 +248,8 @@
         // Without a report the planner falls back to the models in the target's store entry.
         PlannerTarget target { record.id, record.phase != TargetPhase::Ready, false,
             state.consecutiveMissedReports < lostTargetMissedReports, state.report, {},
-            now < state.adapterIncomingUntil, state.unloadingModel, state.loadingModel, state.reservedForModel };
+            now < state.adapterIncomingUntil || state.unloadingAdapter, state.unloadingModel, state.loadingModel,
+            state.reservedForModel };
         if (const auto runs = modelRuns.find(record.id); runs != modelRuns.end())
             target.inFlightByModel = runs->second;
         if (!state.hasReport)
@@ -321,7 +332,7 @@
     m_state->metrics.add(Metric::Moves, std::string(nameOf(result)));
     const bool isAdapterUnload = order.kind == OrderKind::Unload && !order.adapter.empty();
     if (result == OrderAnswer::Accepted || (isAdapterUnload && result == OrderAnswer::AlreadyHolds)) {
-        applyAcceptedOrder(state, order);
+        applyAcceptedOrder(state, order, result == OrderAnswer::AlreadyHolds);
         // Nodes must stop routing requests to a model that is being unloaded, because the engine rejects them.
         if (!order.adapter.empty())
             m_mesh->announce({ record.id, record.service, remainingModels(state) });
@@ -343,10 +354,14 @@
 {
     auto models = state.report.models;
     std::erase_if(models, [&](const LoadedModel& model) { return model.name == state.unloadingModel; });
+    for (auto& model : models) {
+        if (state.unloadingAdapter && state.unloadingAdapter->first == model.name)
+            model.adapters.erase(state.unloadingAdapter->second);
+    }
     return models;
 }
 
-void OrderDispatcher::applyAcceptedOrder(TargetState& state, const TargetOrder& order)
+void OrderDispatcher::applyAcceptedOrder(TargetState& state, const TargetOrder& order, bool isDone)
 {
     auto& report = state.report;
     ++report.acceptedOrders;
@@ -356,7 +371,10 @@
         if (loadedModel == report.models.end())
             return;
         if (order.kind == OrderKind::Unload) {
-            loadedModel->adapters.erase(order.adapter);
+            if (isDone)
+                loadedModel->adapters.erase(order.adapter);
+            else
+                state.unloadingAdapter = { order.model, order.adapter };
             return;
         }
         loadedModel->adapters.insert(order.adapter);
--- a/Cyclamenstair/Entry/OrderDispatcher.h
+++ b/Cyclamenstair/Entry/OrderDispatcher.h
@@ -9,6 +9,9 @@
 
 #include <platform/TargetCodec.h>
 
+#include <optional>
+#include <utility>
+
 namespace cyclamenstair {
 
 /// While this node holds the order lease: polls the engine targets' reports, plans which models and adapters each
@@ -34,6 +37,9 @@
         bool isOrderPending { false };
         std::string loadingModel; ///< Model of an accepted load order that no report shows as finished yet.
         std::string unloadingModel; ///< The same for an unload order.
+        /// Model and adapter of an accepted unload: requests use the adapter, which keeps its place until they are
+        /// done.
+        std::optional<std::pair<std::string, std::string>> unloadingAdapter;
         bool isLoadingFromStore { false };
         TimePoint adapterIncomingUntil; ///< An ordered adapter counts as incoming until then.
         std::string reservedForModel; ///< Model for which memory was freed by an unload.
@@ -60,9 +66,10 @@
     /// Sends the models that a target holds to the other nodes if they changed. The nodes also read them from the
     /// store, unless it is unavailable.
     void announceModels(const TargetRecord& record, TargetState& state);
-    /// Returns the models that a target holds, except one that is being unloaded.
+    /// Returns the models that a target holds, except a model or an adapter that is being unloaded.
     static std::vector<LoadedModel> remainingModels(const TargetState& state);
-    static void applyAcceptedOrder(TargetState& state, const TargetOrder& order);
+    /// `isDone` means that an unload is complete; otherwise it waits for requests.
+    static void applyAcceptedOrder(TargetState& state, const TargetOrder& order, bool isDone);
 
     boost::asio::steady_timer m_timer;
     OrderLeaseElector* m_elector;
