--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -7,6 +7,7 @@
 #include <StandIns/LoopbackPort.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <iostream>
 
@@ -137,7 +138,7 @@
     std::shuffle(indices.begin(), indices.end(), random);
     const auto share = event.share.value_or(defaultShare);
     const auto count
-        = event.count ? *event.count : static_cast<size_t>(share * static_cast<double>(indices.size()) + 0.5);
+        = event.count ? *event.count : static_cast<size_t>(std::lround(share * static_cast<double>(indices.size())));
     indices.resize(std::clamp<size_t>(count, std::min<size_t>(1, indices.size()), indices.size()));
     return indices;
 }
--- a/Benchmarks/Soak/DayTargets.cpp
+++ b/Benchmarks/Soak/DayTargets.cpp
@@ -1,6 +1,7 @@
 #include <Benchmarks/Soak/DayTargets.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace cyclamenstair {
@@ -138,7 +139,7 @@
             indices.push_back(i);
     }
     std::shuffle(indices.begin(), indices.end(), random);
-    const auto count = static_cast<size_t>(share * static_cast<double>(indices.size()) + 0.5);
+    const auto count = static_cast<size_t>(std::lround(share * static_cast<double>(indices.size())));
     indices.resize(std::clamp<size_t>(count, std::min<size_t>(1, indices.size()), indices.size()));
     return indices;
 }
--- a/StandIns/RegistryStoreStandIn.cpp
+++ b/StandIns/RegistryStoreStandIn.cpp
@@ -72,9 +72,9 @@
     if (view->addresses.empty() || !key.starts_with("servers/"))
         return encodeBase64(value);
     auto entry = Json::parse(value, nullptr, false);
-    if (!entry.is_object())
+    if (!entry.is_object() || !entry.contains("address") || !entry["address"].is_string())
         return encodeBase64(value);
-    const auto shown = view->addresses.find(entry.value("address", ""));
+    const auto shown = view->addresses.find(entry["address"].get<std::string>());
     if (shown != view->addresses.end())
         entry["address"] = shown->second;
     return encodeBase64(entry.dump());
