--- a/Tests/Support/wrong-end-daemon.sh
+++ b/Tests/Support/wrong-end-daemon.sh
@@ -3,4 +3,8 @@
 "$CYCLAMENSTAIRD" "$@" &
 daemon=$!
 trap 'kill -TERM "$daemon"; wait "$daemon"; exit 3' TERM
-wait "$daemon"
+trap 'kill -HUP "$daemon"' HUP
+# A signal interrupts the wait.
+while kill -0 "$daemon" 2> /dev/null; do
+    wait "$daemon"
+done
