--- a/Benchmarks/Soak/DayEvents.cpp
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -10,27 +10,25 @@
 
     constexpr double defaultShare = 0.3;
     constexpr double defaultStrength = 0.05;
-    constexpr double defaultBurst = 1.5;
     constexpr auto readinessTime = std::chrono::seconds(10); ///< Of a process that was started.
-    constexpr auto drainTime = std::chrono::seconds(2); ///< Of a target that leaves.
     constexpr auto handoverTime = std::chrono::seconds(3); ///< Between a replacement's start and its predecessor's end.
     constexpr auto slowPeriod = milliseconds(100);
     constexpr size_t defaultRouteCount = 200;
 
-    bool has(const SiteEvent& event, std::string_view word)
-    {
-        return std::find(event.variants.begin(), event.variants.end(), word) != event.variants.end();
-    }
-
     LinkMode linkModeOf(const SiteEvent& event)
     {
-        if (has(event, "reset"))
+        if (hasVariant(event, "reset"))
             return LinkMode::Reset;
-        return has(event, "refuse") ? LinkMode::Refuse : LinkMode::Hang;
+        return hasVariant(event, "refuse") ? LinkMode::Refuse : LinkMode::Hang;
     }
 
 } // namespace
 
+bool hasVariant(const SiteEvent& event, std::string_view word)
+{
+    return std::find(event.variants.begin(), event.variants.end(), word) != event.variants.end();
+}
+
 DayEvents::DayEvents(DayDeployment& deployment)
     : m_deployment(&deployment)
     , m_storeCuts(deployment.nodes.count())
@@ -61,120 +59,6 @@
     std::cout << (isPlayed ? "" : ", not played") << std::endl;
 }
 
-bool DayEvents::playOnCallers(const SiteEvent& event)
-{
-    auto& callers = m_deployment->callers;
-    const auto changeFor = [&](const std::function<void(CallerBehaviour&, bool)>& function) {
-        callers.change([&](CallerBehaviour& behaviour) { function(behaviour, true); });
-        m_deployment->schedule(event.duration,
-            [&callers, function] { callers.change([&](CallerBehaviour& behaviour) { function(behaviour, false); }); });
-    };
-    const double share = event.share.value_or(defaultShare);
-    switch (event.kind) {
-    case SiteEventKind::Burst: {
-        const double factor = event.factor.value_or(defaultBurst);
-        changeFor([factor, kind = event.requestKind](CallerBehaviour& behaviour, bool isOn) {
-            auto& current = behaviour.rateFactors.try_emplace(kind, 1).first->second;
-            current = isOn ? current * factor : current / factor;
-        });
-        return true;
-    }
-    case SiteEventKind::Shift:
-        changeFor([share](CallerBehaviour& behaviour, bool isOn) { behaviour.movedShare = isOn ? share : 0; });
-        return true;
-    case SiteEventKind::RetryAbuse:
-        changeFor([share, factor = event.factor.value_or(2)](CallerBehaviour& behaviour, bool isOn) {
-            behaviour.insistentShare = isOn ? share : 0;
-            behaviour.retryFactor = factor;
-        });
-        return true;
-    case SiteEventKind::GiveUp:
-        changeFor([share, factor = event.factor](CallerBehaviour& behaviour, bool isOn) {
-            behaviour.impatientShare = isOn ? share : 0;
-            if (factor)
-                behaviour.impatientTime = milliseconds(static_cast<int64_t>(*factor));
-        });
-        return true;
-    case SiteEventKind::DemandShift:
-        callers.change(
-            [count = event.count.value_or(1)](CallerBehaviour& behaviour) { behaviour.demandShift += count; });
-        return true;
-    default:
-        return false;
-    }
-}
-
-void DayEvents::setFault(const SiteEvent& event, TargetFaultKind kind, double strength)
-{
-    auto& targets = m_deployment->targets;
-    const auto chosen = targets.draw(event.service, event.share.value_or(defaultShare), m_deployment->random);
-    for (const auto index : chosen)
-        targets.target(index).setFault(kind, strength);
-    m_deployment->disturb(std::nullopt, event.duration);
-    m_deployment->schedule(event.duration, [&targets, chosen, kind] {
-        for (const auto index : chosen)
-            targets.target(index).setFault(kind, 0);
-    });
-}
-
-void DayEvents::restartTargets(const SiteEvent& event)
-{
-    auto& targets = m_deployment->targets;
-    const auto chosen = targets.draw(event.service, event.share.value_or(defaultShare), m_deployment->random);
-    m_deployment->disturb(std::nullopt, event.duration);
-    const bool isCrash = event.kind == SiteEventKind::TargetCrash;
-    const bool isShortNotice = has(event, "spot");
-    const auto remaining
-        = isShortNotice ? Duration(static_cast<int64_t>(event.factor.value_or(2) * 1e6)) : Duration(drainTime);
-    Duration delay {};
-    for (const auto index : chosen) {
-        if (isCrash) {
-            targets.crash(index);
-            m_deployment->schedule(event.duration, [&targets, index] { targets.restart(index); });
-            continue;
-        }
-        m_deployment->schedule(delay, [&targets, index, isShortNotice, remaining] {
-            targets.target(index).drain(isShortNotice ? std::optional(remaining) : std::nullopt);
-        });
-        // A target goes on for some time after its drain time unless it is taken away.
-        const auto end = delay + remaining + (isShortNotice ? Duration {} : Duration(drainTime));
-        m_deployment->schedule(end, [&targets, index] { targets.crash(index); });
-        if (event.kind == SiteEventKind::Release) {
-            m_deployment->schedule(end + event.gap, [&targets, index] { targets.restart(index); });
-            delay += event.gap;
-        }
-    }
-}
-
-bool DayEvents::playOnTargets(const SiteEvent& event)
-{
-    const double strength = event.factor.value_or(defaultStrength);
-    switch (event.kind) {
-    case SiteEventKind::TargetCrash:
-    case SiteEventKind::Release:
-    case SiteEventKind::ScaleIn:
-        restartTargets(event);
-        return true;
-    case SiteEventKind::TargetErrors:
-        setFault(event, has(event, "reset") ? TargetFaultKind::ResetAnswers : TargetFaultKind::FailRequests, strength);
-        return true;
-    case SiteEventKind::TargetSlow:
-        setFault(event, TargetFaultKind::SlowDown, 1);
-        return true;
-    case SiteEventKind::AnswerLost:
-        setFault(event, has(event, "reset") ? TargetFaultKind::ResetAnswers : TargetFaultKind::LoseAnswers, strength);
-        return true;
-    case SiteEventKind::Garble:
-        setFault(event, TargetFaultKind::GarbleAnswers, strength);
-        return true;
-    case SiteEventKind::DelayOrders:
-        setFault(event, TargetFaultKind::DelayOrders, strength);
-        return true;
-    default:
-        return false;
-    }
-}
-
 void DayEvents::rollNodes(const SiteEvent& event)
 {
     Duration delay {};
@@ -204,7 +88,7 @@
 
 std::vector<size_t> DayEvents::drawNodes(const SiteEvent& event, double share)
 {
-    if (has(event, "leader") || has(event, "giver")) {
+    if (hasVariant(event, "leader") || hasVariant(event, "giver")) {
         if (const auto leader = m_deployment->findOrderHolder())
             return { *leader };
     }
@@ -219,7 +103,7 @@
     case SiteEventKind::HerdKill:
         for (const auto index : drawNodes(event, event.kind == SiteEventKind::HerdKill ? 1 : 0)) {
             m_deployment->disturb(index, event.duration + readinessTime);
-            if (has(event, "power") || has(event, "off"))
+            if (hasVariant(event, "power") || hasVariant(event, "off"))
                 nodes.cutPower(index, event.duration);
             else
                 nodes.kill(index, event.duration);
@@ -305,10 +189,10 @@
 {
     auto& store = m_deployment->store;
     ++m_deployment->storeOutages;
-    m_deployment->leasesLapse = has(event, "lapse");
+    m_deployment->leasesLapse = hasVariant(event, "lapse");
     store.setLeasesPaused(!m_deployment->leasesLapse);
     m_deployment->disturb(std::nullopt, event.duration);
-    if (has(event, "busy")) {
+    if (hasVariant(event, "busy")) {
         store.setDown(true);
     } else {
         const auto mode = linkModeOf(event);
@@ -335,7 +219,7 @@
         m_deployment->store.setRefusedViews(std::move(refused));
     };
     const auto chosen = drawNodes(event, defaultShare);
-    const bool isRefused = has(event, "busy");
+    const bool isRefused = hasVariant(event, "busy");
     for (const auto index : chosen) {
         if (!isRefused) {
             cutLinks(index, linkModeOf(event), false, event.duration);
@@ -359,7 +243,7 @@
     auto& store = m_deployment->store;
     switch (event.kind) {
     case SiteEventKind::StoreDown:
-        if (has(event, "nodes"))
+        if (hasVariant(event, "nodes"))
             cutStoreOffNodes(event);
         else
             cutStoreOff(event);
@@ -386,7 +270,7 @@
 
 void DayEvents::changeCatalog(const SiteEvent& event)
 {
-    if (has(event, "timeout"))
+    if (hasVariant(event, "timeout"))
         m_deployment->catalog.changeTimeout(m_catalogSteps++);
     else
         m_deployment->catalog.toggleUnusedRoute();
--- a/Benchmarks/Soak/DayEvents.h
+++ b/Benchmarks/Soak/DayEvents.h
@@ -4,6 +4,9 @@
 
 namespace cyclamenstair {
 
+/// Returns whether the word is one of the event's variants.
+bool hasVariant(const SiteEvent& event, std::string_view word);
+
 /// Plays the events of a day on a deployment. Belongs to the thread of the run.
 class DayEvents {
 public:
