Test signals before the settings are read without a pipe

StartSignals.SignalsBeforeSettingsAreReadAreKept held a start up by a pipe in place of its settings, which is no longer opened: its own open of the pipe would wait for ever. It now sends SIGHUP while the start waits for a file that is not there, and demands besides that SIGTERM ends the process with status 0.

--- a/Tests/NodeTests/StartSignalTests.cpp
+++ b/Tests/NodeTests/StartSignalTests.cpp
@@ -2,34 +2,38 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <chrono>
 #include <csignal>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
-#include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
 
 namespace cyclamenstair::testing {
 namespace {
 
-    // Guards against a process that ends because it is told to reload while it still reads its settings.
+    // Guards against a process that ends because it is told to reload while it still waits for its settings.
     TEST(StartSignals, SignalsBeforeSettingsAreReadAreKept)
     {
         const auto folder = std::filesystem::temp_directory_path() / ("cyclamenstair-" + std::to_string(::getpid()));
         std::filesystem::create_directories(folder);
-        const auto settings = folder / "settings.ini";
-        ASSERT_EQ(::mkfifo(settings.c_str(), 0600), 0);
-        ChildProcess process("Programs/cyclamenstaird", { "--config", settings }, folder / "log");
-        // Opens once the process has opened its settings, which it then waits for.
-        const int writer = ::open(settings.c_str(), O_WRONLY);
-        ASSERT_GE(writer, 0);
+        const auto readLog = [&] {
+            std::ostringstream log;
+            log << std::ifstream(folder / "log").rdbuf();
+            return log.str();
+        };
+        ChildProcess process("Programs/cyclamenstaird", { "--config", folder / "settings.ini" }, folder / "log");
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (readLog().find("event=settings_not_ready") == std::string::npos) {
+            ASSERT_LT(std::chrono::steady_clock::now(), end);
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
         process.sendSignal(SIGHUP);
-        std::this_thread::sleep_for(std::chrono::milliseconds(200));
-        EXPECT_FALSE(process.hasExited());
-        ::close(writer);
+        EXPECT_EQ(process.wait(200), std::nullopt);
+        process.sendSignal(SIGTERM);
+        EXPECT_EQ(process.wait(20000), 0);
         std::filesystem::remove_all(folder);
     }
 
