--- a/Benchmarks/Soak/DayChecks.cpp
+++ b/Benchmarks/Soak/DayChecks.cpp
@@ -72,7 +72,7 @@
         const bool mayRunAgain = kind.retryPolicy == RetryPolicy::Safe || kind.isResumable;
         if (count > 1 && !mayRunAgain)
             deployment.report(SoakRule::RunTwice, describe(deployment, attempt));
-        if (count > 0 && isPromise(attempt.status) && !mayRunAgain)
+        if (count > 0 && isPromise(attempt.status))
             deployment.report(SoakRule::RunAndRefused, describe(deployment, attempt));
         if (!attempt.wrongBody.empty())
             deployment.report(SoakRule::WrongAnswer, describe(deployment, attempt) + ", " + attempt.wrongBody);
--- a/Benchmarks/Soak/DayEvents.cpp
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -63,10 +63,16 @@
 {
     Duration delay {};
     for (const auto index : drawNodes(event, 1)) {
-        m_deployment->schedule(delay, [this, index] {
+        // The platform starts the new process at the end of the old one, or beside it.
+        const bool isBeside = randomIndex(m_deployment->random, 2) == 0;
+        m_deployment->schedule(delay, [this, index, isBeside] {
             m_deployment->disturb(index, m_deployment->settings->site.gracePeriod + readinessTime);
             m_deployment->nodes.node(index).isInRotation = false;
-            m_deployment->nodes.node(index).process->signal(SIGTERM);
+            auto& process = *m_deployment->nodes.node(index).process;
+            if (isBeside)
+                process.replace();
+            else
+                process.signal(SIGTERM);
         });
         delay += event.gap;
     }
