Let the test of reported settings use a value without a default

ProcessEnd.InvalidSettingsAndArgumentsAreReported had order_gap_ms = soon end the start. The test is about the last line of a process whose settings are invalid; it now uses a port, for which no other value can stand, and demands the key with the error. That order_gap_ms = soon keeps the default and is reported is demanded by SettingsReader.MalformedValuesKeepDefaults.

--- a/Tests/NodeTests/ProcessEndTests.cpp
+++ b/Tests/NodeTests/ProcessEndTests.cpp
@@ -117,11 +117,12 @@
 
     TEST_F(ProcessEnd, InvalidSettingsAndArgumentsAreReported)
     {
-        std::ofstream(settingsPath(), std::ios::app) << "order_gap_ms = soon\n";
+        // For a port, no default can stand.
+        std::ofstream(settingsPath(), std::ios::app) << "[caller]\nport = soon\n";
         EXPECT_EQ(start({ "--config", settingsPath(), "--settings-wait-s", "0" })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(),
             ContainsRegex("\ntime=[^ ]+Z level=error event=process_ended reason=invalid_settings status=2 "
-                          "uptime_ms=[0-9]+ pid=[0-9]+ build=[^ ]+ message=\".*order_gap_ms"));
+                          "uptime_ms=[0-9]+ pid=[0-9]+ build=[^ ]+ message=\".*port: 'soon' is not a number"));
         EXPECT_EQ(start({ "--no-such-option" })->wait(waitTimeoutMs), 2);
         EXPECT_THAT(log(), HasSubstr("event=process_ended reason=invalid_arguments status=2 "));
         std::filesystem::remove(m_folder + "/log");
--- a/Tests/SettingsTests/SettingsReaderTests.cpp
+++ b/Tests/SettingsTests/SettingsReaderTests.cpp
@@ -261,6 +261,11 @@
                 EXPECT_THAT(strict.error().message, HasSubstr("is not a number")) << line;
             }
         }
+        const auto read = readEntry("[control]\norder_gap_ms = soon");
+        ASSERT_TRUE(read) << read.error().describe();
+        EXPECT_EQ(read.value().settings.control->order_gap_ms, defaults.control->order_gap_ms);
+        ASSERT_EQ(read.value().ignored.size(), 1U);
+        EXPECT_EQ(read.value().ignored.front().key, "order_gap_ms");
     }
 
     // Guards against a start that fails on a name that a later build knows.
