Cut long values of log lines

A caller can put 16 KB into a path or a field that a line names, and up to 4096 lines wait while nobody reads the log. A node whose output was not read, with 5,600 requests of 15 KB paths, grew from 12 MB to 75 MB; values are now cut after 2 KB, and it grows to 24 MB. Log.LongValuesAreCut found a line of 16,073 bytes before.

--- a/Cyclamenstair/Telemetry/Log.cpp
+++ b/Cyclamenstair/Telemetry/Log.cpp
@@ -24,9 +24,14 @@
 
 namespace {
 
+    /// Longer values are cut. Callers can send 16 KB in one field, and maxWaitingLines lines of them took 63 MB.
+    constexpr size_t maxValueBytes = 2048;
+
     void appendValue(std::string& text, std::string_view value)
     {
-        formatLogValue(value, [&](char c) { text += c; });
+        formatLogValue(value.substr(0, maxValueBytes), [&](char c) { text += c; });
+        if (value.size() > maxValueBytes)
+            text += "...";
     }
 
     /// Limit of the lines about requests per process: ten lines each for 100 requests per second.
--- a/Tests/TelemetryTests/LogTests.cpp
+++ b/Tests/TelemetryTests/LogTests.cpp
@@ -44,6 +44,28 @@
         EXPECT_FALSE(isFlushed);
     }
 
+    // Guards against memory that callers fill with long fields while nobody reads the log.
+    TEST(Log, LongValuesAreCut)
+    {
+        std::array<int, 2> ends {};
+        ASSERT_EQ(::pipe(ends.data()), 0);
+        const int standardOutput = ::dup(STDOUT_FILENO);
+        ::dup2(ends[1], STDOUT_FILENO);
+        configureLog(LogSeverity::Info);
+        logEvent(LogSeverity::Info, "line", { { "path", std::string(16000, 'x') }, { "short", "value" } });
+        EXPECT_TRUE(flushLog(std::chrono::seconds(10)));
+        ::dup2(standardOutput, STDOUT_FILENO);
+        ::close(standardOutput);
+        ::close(ends[1]);
+        std::string text;
+        std::array<char, 65536> buffer {};
+        for (ssize_t count = 0; (count = ::read(ends[0], buffer.data(), buffer.size())) > 0;)
+            text.append(buffer.data(), static_cast<size_t>(count));
+        ::close(ends[0]);
+        EXPECT_LT(text.size(), 2500U);
+        EXPECT_NE(text.find("x... short=value\n"), std::string::npos);
+    }
+
     // Guards against a data race between a reload, which sets the level, and the threads that log.
     TEST(Log, LevelChangesWhileThreadsLog)
     {
