Stop the loop of a test server before its listener ends

EchoServer destroyed its listener while its loop could still accept a connection. The node itself stops its loops first (EntryNode::~EntryNode).

--- a/Tests/HttpTests/HttpTestServers.h
+++ b/Tests/HttpTests/HttpTestServers.h
@@ -51,6 +51,11 @@
         m_loop.start();
     }
 
+    /// The loop uses the listener until it has stopped.
+    ~EchoServer() { m_loop.stop(); }
+    EchoServer(const EchoServer&) = delete;
+    EchoServer& operator=(const EchoServer&) = delete;
+
     const std::string address = allocateLoopbackAddress();
     std::atomic<int> requests { 0 };
     std::promise<void> disconnected;
