Block signals before the daemon's libraries are loaded

What operators saw: a process that got SIGHUP right after its start ended by the signal, without a line. Cause: the signals were blocked once the loader had mapped and bound 19 libraries, mostly their symbols. Change: cyclamenstaird links libc only, blocks the signals, replaces closed descriptors and then loads libcyclamenstaird.so, which exports one function. Fatal signals report the load base of the object that holds the code. StartSignals.ProgramNeedsOnlyLibcBeforeSignalsAreBlocked fails before, with the libraries' names; the 31 tests of starts and ends of NodeTests pass. Static archives were tried first and not kept: cpp-httplib has none.

--- a/Cyclamenstair/Telemetry/FatalSignals.cpp
+++ b/Cyclamenstair/Telemetry/FatalSignals.cpp
@@ -31,15 +31,15 @@
     /// Part of the stack that is searched for return addresses.
     constexpr uintptr_t maxStackBytes = uintptr_t { 16 } * 1024;
 
-    /// Addresses of the executable in memory.
-    struct Executable {
+    /// Addresses in memory of the executable or shared library that contains this code.
+    struct CodeObject {
         uintptr_t loadBase { 0 };
         uintptr_t codeBegin { 0 };
         uintptr_t codeEnd { 0 };
     };
 
     /// Set before the handlers are installed, and constant afterwards.
-    Executable executable;
+    CodeObject codeObject;
     uintptr_t pageBytes = 4096;
     std::terminate_handler previousTerminateHandler = nullptr;
 
@@ -76,7 +76,7 @@
         return (std::max(stackPointer, faultAddress) / pageBytes + 1) * pageBytes;
     }
 
-    /// Appends words of the stack that lie in the executable's code. The code has no frame pointers to follow.
+    /// Appends words of the stack that lie in the program's code. The code has no frame pointers to follow.
     void appendStack(FixedLine& line, uintptr_t begin)
     {
         const auto pageEnd = (begin / pageBytes + 1) * pageBytes;
@@ -86,7 +86,7 @@
         for (auto address = begin & ~(sizeof(uintptr_t) - 1); address + sizeof(uintptr_t) <= end;
              address += sizeof(uintptr_t)) {
             const auto word = *std::bit_cast<const uintptr_t*>(address);
-            if (word < executable.codeBegin || word >= executable.codeEnd)
+            if (word < codeObject.codeBegin || word >= codeObject.codeEnd)
                 continue;
             if (count > 0)
                 line.append(',');
@@ -116,7 +116,7 @@
         fields.appendHexField("pc", registers.programCounter);
         if (registers.linkRegister != 0)
             fields.appendHexField("lr", registers.linkRegister);
-        fields.appendHexField("load_base", executable.loadBase);
+        fields.appendHexField("load_base", codeObject.loadBase);
         const auto faultAddress = isSent ? 0 : reinterpret_cast<uintptr_t>(info->si_addr);
         appendStack(fields, readableStack(registers.stackPointer, faultAddress));
         line.write();
@@ -160,25 +160,27 @@
         std::abort();
     }
 
-    /// Records the addresses of the executable, which is the first object in the list.
-    int recordExecutable(dl_phdr_info* info, size_t, void*)
+    /// Records the addresses of the object if it contains this function, and ends the search then.
+    int recordCodeObject(dl_phdr_info* info, size_t, void*)
     {
-        executable.loadBase = info->dlpi_addr;
+        const auto ownAddress = reinterpret_cast<uintptr_t>(&recordCodeObject);
         for (int i = 0; i < info->dlpi_phnum; ++i) {
             const auto& header = info->dlpi_phdr[i];
-            if (header.p_type != PT_LOAD || (header.p_flags & PF_X) == 0)
+            const auto begin = info->dlpi_addr + header.p_vaddr;
+            const auto end = begin + header.p_memsz;
+            if (header.p_type != PT_LOAD || (header.p_flags & PF_X) == 0 || ownAddress < begin || ownAddress >= end)
                 continue;
-            executable.codeBegin = info->dlpi_addr + header.p_vaddr;
-            executable.codeEnd = executable.codeBegin + header.p_memsz;
+            codeObject = { info->dlpi_addr, begin, end };
+            return 1;
         }
-        return 1;
+        return 0;
     }
 
 } // namespace
 
 void installFatalSignalHandlers()
 {
-    dl_iterate_phdr(recordExecutable, nullptr);
+    dl_iterate_phdr(recordCodeObject, nullptr);
     pageBytes = static_cast<uintptr_t>(::sysconf(_SC_PAGESIZE));
     // The environment lies above the frames of the main thread.
     stackEnd = reinterpret_cast<uintptr_t>(environ);
--- a/Programs/Cyclamenstaird.cpp
+++ b/Programs/Cyclamenstaird.cpp
@@ -1,185 +1,61 @@
-#include <Cyclamenstair/Core/Overloaded.h>
-#include <Cyclamenstair/Settings/SettingsReader.h>
-#include <Cyclamenstair/Telemetry/FatalSignals.h>
-#include <Cyclamenstair/Telemetry/HandlerFailures.h>
-#include <Cyclamenstair/Telemetry/Log.h>
-#include <Cyclamenstair/Telemetry/ProcessEnd.h>
-#include <Programs/BuildName.h>
-#include <Programs/NodeStarter.h>
-#include <Programs/SettingsFile.h>
-#include <Programs/StandardStreams.h>
+#include <Programs/Daemon.h>
+#include <Programs/HandledSignals.h>
 
-#include <chrono>
-#include <csignal>
+#include <cerrno>
+#include <cstdio>
 #include <cstdlib>
-#include <cxxopts.hpp>
-#include <iostream>
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <unistd.h>
 
-namespace {
-
-constexpr int exitOk = 0;
-constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
-
-/// Time that the end of the process waits for the reader of the log.
-constexpr auto maxLogFlushTime = std::chrono::milliseconds(200);
+// This program links libc only. Until the signals are blocked, SIGHUP ends the process, and the dynamic loader takes
+// several times as long for the daemon's libraries as for libc alone. So they are loaded afterwards.
 
-using namespace cyclamenstair;
+namespace {
 
-/// Returns the signals that the daemon waits for in its main thread.
-sigset_t handledSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
-        sigaddset(&signals, signal);
-    return signals;
-}
+constexpr auto daemonLibrary = "libcyclamenstaird.so"; ///< Beside this program, or in ../lib once installed.
 
 /// Blocks the signals that the daemon handles in this thread and all threads started later. They are handled once the
 /// node has started.
-void blockSignals(int, char**, char**)
+void blockSignals()
 {
-    const auto signals = handledSignals();
+    const auto signals = cyclamenstair::handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-// Runs before the constructors of all libraries: until the signals are blocked, SIGHUP ends the process.
-[[gnu::section(".preinit_array"), gnu::used]] void (*earlyInitializer)(int, char**, char**) = blockSignals;
-
-/// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
-void reloadSettings(const RunningNode& running, const SettingsFile& file)
+/// Replaces closed standard descriptors by /dev/null. Otherwise the first sockets get these numbers, and lines of the
+/// log are written into connections.
+void replaceClosedDescriptors()
 {
-    const auto settings = file.read();
-    if (!settings) {
-        logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
-        return;
+    for (int descriptor = STDIN_FILENO; descriptor <= STDERR_FILENO; ++descriptor) {
+        if (fcntl(descriptor, F_GETFD) >= 0 || errno != EBADF)
+            continue;
+        // The lowest free number is taken, which is this one. Without /dev, a folder that cannot be read or written
+        // takes its place.
+        if (open("/dev/null", O_RDWR) < 0)
+            (void)open("/", O_RDONLY | O_DIRECTORY);
     }
-    std::visit(Overloaded {
-                   [&](const std::unique_ptr<Node>& node) { node->reload(settings.value()); },
-                   [&](const std::unique_ptr<EntryNode>&) {
-                       configureLog(static_cast<LogSeverity>(settings.value().log->level));
-                       logEvent(LogSeverity::Info, "settings_reloaded", { { "file", file.path() } });
-                   },
-               },
-        running);
 }
 
-/// Reloads the settings. If that fails, for example for lack of memory, the node goes on with those that it has.
-void tryReloadSettings(const RunningNode& running, const SettingsFile& file) noexcept
+void prepareProcess(int, char**, char**)
 {
-    try {
-        reloadSettings(running, file);
-    } catch (...) {
-        logCurrentException("settings_not_reloaded");
-    }
+    blockSignals();
+    replaceClosedDescriptors();
 }
 
-/// How the process ends.
-struct ProcessOutcome {
-    EndReason reason;
-    int status;
-    std::string message; ///< Of an error; may be empty.
-};
-
-/// Checks the file as strictly as its author should: also entries that a start only ignores are errors.
-ProcessOutcome checkSettings(const std::string& path)
-{
-    if (const auto error = SettingsReader::checkFile(path)) {
-        std::cerr << "cyclamenstaird: " << error->describe() << "\n";
-        return { EndReason::InvalidSettings, exitUsage, error->describe() };
-    }
-    std::cout << "settings are valid\n";
-    return { EndReason::Stopped, exitOk, {} };
-}
-
-ProcessOutcome runNode(const SettingsFile& file, Duration maxSettingsWait, const sigset_t& signals)
-{
-    NodeStarter starter(file, signals);
-    const auto hasLog = starter.startLog();
-    if (!hasLog) {
-        std::cerr << "cyclamenstaird: " << hasLog.error().describe() << "\n";
-        return { EndReason::NotStarted, exitFailure, hasLog.error().describe() };
-    }
-    if (!hasLog.value())
-        return { EndReason::StartCancelled, exitOk, {} };
-    const auto hasSettings = starter.readSettings(maxSettingsWait);
-    if (!hasSettings) {
-        std::cerr << "cyclamenstaird: " << hasSettings.error().describe() << "\n";
-        logError(LogSeverity::Error, "node_not_started", hasSettings.error());
-        return { EndReason::InvalidSettings, exitUsage, hasSettings.error().describe() };
-    }
-    if (!hasSettings.value())
-        return { EndReason::StartCancelled, exitOk, {} };
-    auto started = starter.start();
-    if (!started) {
-        logError(LogSeverity::Error, "node_not_started", started.error());
-        return { EndReason::NotStarted, exitFailure, {} };
-    }
-    if (!started.value())
-        return { EndReason::StartCancelled, exitOk, {} };
-    auto& node = *started.value();
-    int receivedSignal = 0;
-    while (sigwait(&signals, &receivedSignal) == 0 && receivedSignal == SIGHUP)
-        tryReloadSettings(node, file);
-    std::visit([&](const auto& running) { running->stop(static_cast<ProcessSignal>(receivedSignal)); }, node);
-    return { EndReason::Stopped, exitOk, {} };
-}
-
-/// Writes the last line of the process, without waiting for a stalled reader of standard output. Returns the status.
-int reportEnd(const ProcessOutcome& outcome)
-{
-    (void)flushLog(maxLogFlushTime);
-    logProcessEnd(outcome.reason, outcome.status, outcome.message);
-    return outcome.status;
-}
+// Runs before the constructors of all libraries.
+[[gnu::section(".preinit_array"), gnu::used]] void (*earlyInitializer)(int, char**, char**) = prepareProcess;
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const AlternateSignalStack alternateStack;
-    installFatalSignalHandlers();
-    setProcessBuild(buildName);
-    ignoreOutputSignals();
-    const auto defaultSettingsWait
-        = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(NodeStarter::defaultMaxSettingsWait).count());
-    cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
-    options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())("settings-wait-s",
-        "Time in seconds for which a start waits for complete settings",
-        cxxopts::value<int>()->default_value(defaultSettingsWait))("check", "Check the settings and exit")(
-        "print-defaults", "Print all settings with their defaults and exit")(
-        "print-settings-reference", "Print the settings reference as Markdown and exit")("h,help", "Print this help");
-    try {
-        const auto arguments = options.parse(argc, argv);
-        if (arguments.count("help")) {
-            std::cout << options.help();
-            return exitOk;
-        }
-        if (arguments.count("print-defaults")) {
-            std::cout << SettingsReader::defaultsText();
-            return exitOk;
-        }
-        if (arguments.count("print-settings-reference")) {
-            std::cout << SettingsReader::referenceText();
-            return exitOk;
-        }
-        if (!arguments.count("config")) {
-            std::cerr << "cyclamenstaird: --config FILE is required\n";
-            return reportEnd({ EndReason::InvalidArguments, exitUsage, "--config FILE is required" });
-        }
-        const auto path = arguments["config"].as<std::string>();
-        if (arguments.count("check")) {
-            const auto outcome = checkSettings(path);
-            return outcome.status == exitOk ? exitOk : reportEnd(outcome);
-        }
-        const std::chrono::seconds settingsWait(arguments["settings-wait-s"].as<int>());
-        std::_Exit(reportEnd(runNode(SettingsFile(path), settingsWait, handledSignals())));
-    } catch (const cxxopts::exceptions::exception& exception) {
-        std::cerr << "cyclamenstaird: " << exception.what() << "\n";
-        return reportEnd({ EndReason::InvalidArguments, exitUsage, exception.what() });
-    } catch (const std::exception& exception) {
-        std::cerr << "cyclamenstaird: " << exception.what() << "\n";
-        return reportEnd({ EndReason::Exception, exitFailure, exception.what() });
+    auto* const library = dlopen(daemonLibrary, RTLD_LAZY);
+    auto* const symbol = library ? dlsym(library, runDaemonSymbol) : nullptr;
+    if (!symbol) {
+        std::fprintf(stderr, "cyclamenstaird: %s\n", dlerror());
+        return EXIT_FAILURE;
     }
+    return reinterpret_cast<decltype(&runDaemon)>(symbol)(argc, argv);
 }
--- a/Tests/NodeTests/StartSignalTests.cpp
+++ b/Tests/NodeTests/StartSignalTests.cpp
@@ -2,14 +2,19 @@
 
 #include <StandIns/LoopbackPort.h>
 
+#include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <memory>
 #include <sstream>
+#include <string>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace cyclamenstair::testing {
 namespace {
@@ -37,6 +42,26 @@
         std::filesystem::remove_all(folder);
     }
 
+#ifndef CYCLAMENSTAIR_SANITIZED
+    // Guards against libraries that the dynamic loader maps and binds before the program can block signals, which end
+    // it meanwhile. Sanitizers add libraries of their own.
+    TEST(StartSignals, ProgramNeedsOnlyLibcBeforeSignalsAreBlocked)
+    {
+        const auto command = "readelf -d '" + std::string(CYCLAMENSTAIR_BINARY_DIR) + "/Programs/cyclamenstaird'";
+        const std::unique_ptr<FILE, int (*)(FILE*)> output(::popen(command.c_str(), "r"), &::pclose);
+        ASSERT_NE(output, nullptr);
+        std::vector<std::string> libraries;
+        std::array<char, 512> line {};
+        while (std::fgets(line.data(), line.size(), output.get())) {
+            const std::string text(line.data());
+            // The loader itself is a part of libc, which some architectures name.
+            if (text.find("(NEEDED)") != std::string::npos && text.find("[ld-linux") == std::string::npos)
+                libraries.push_back(text.substr(text.find('[') + 1, text.find(']') - text.find('[') - 1));
+        }
+        EXPECT_EQ(libraries, std::vector<std::string> { "libc.so.6" });
+    }
+#endif
+
     // Guards against a process that ends because it is told to reload before its main function runs. The program of
     // this test is the daemon with a library that sends the signal from its constructor.
     TEST(StartSignals, SignalBeforeMainIsKept)
