Name the parsed value of a setting after what it holds

parseValue() returned a SettingsNumber also for texts and names. No change of behaviour. Cause: the name promised a number only. Change: the type is SettingsValue.

--- a/Cyclamenstair/Settings/SettingsNumber.cpp
+++ b/Cyclamenstair/Settings/SettingsNumber.cpp
@@ -38,7 +38,7 @@
     return number;
 }
 
-Result<SettingsNumber> parseSettingsNumber(const SettingsField& field, std::string_view text)
+Result<SettingsValue> parseSettingsNumber(const SettingsField& field, std::string_view text)
 {
     const auto number = parseDecimal(text);
     if (!number)
@@ -54,7 +54,7 @@
         adjustment = AdjustedSettingReason::OutOfRange;
     else if (used != *number)
         adjustment = AdjustedSettingReason::NotWhole;
-    return SettingsNumber { isReal ? nlohmann::json(used) : nlohmann::json(static_cast<int64_t>(used)), adjustment };
+    return SettingsValue { isReal ? nlohmann::json(used) : nlohmann::json(static_cast<int64_t>(used)), adjustment };
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsNumber.h
+++ b/Cyclamenstair/Settings/SettingsNumber.h
@@ -11,8 +11,8 @@
 
 namespace cyclamenstair {
 
-/// Number for a key, as its text names it or as near to that as the key allows.
-struct SettingsNumber {
+/// Value for a key, as its text names it or, for a number, as near to that as the key allows.
+struct SettingsValue {
     nlohmann::json value; ///< Of the type of the key and in its range.
     std::optional<AdjustedSettingReason> adjustment; ///< Reason for which it is not the number of the text.
 };
@@ -24,6 +24,6 @@
 /// Parses a number. For an integer key, a number that is not whole is rounded down, or up if the key has the attribute
 /// `round_up`. A number out of range is replaced by the nearest bound. A text that is no number, an infinite number and
 /// one beyond the range of a double are InvalidInput errors.
-Result<SettingsNumber> parseSettingsNumber(const SettingsField& field, std::string_view text);
+Result<SettingsValue> parseSettingsNumber(const SettingsField& field, std::string_view text);
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Settings/SettingsParser.cpp
+++ b/Cyclamenstair/Settings/SettingsParser.cpp
@@ -112,12 +112,12 @@
         }
     }
 
-    Result<SettingsNumber> parseValue(const SettingsField& field, const std::string& text)
+    Result<SettingsValue> parseValue(const SettingsField& field, const std::string& text)
     {
         if (const auto* values = field.enumeration()) {
             for (const auto* value : *values->values()) {
                 if (value->name()->str() == text)
-                    return SettingsNumber { text, {} };
+                    return SettingsValue { text, {} };
             }
             return Error { ErrorKind::InvalidInput, "", "", "'" + text + "' is not one of " + field.rangeText() };
         }
@@ -125,10 +125,10 @@
         case reflection::String:
             if (!isValidUtf8(text))
                 return Error { ErrorKind::InvalidInput, "", "", "the value is not valid UTF-8" };
-            return SettingsNumber { text, {} };
+            return SettingsValue { text, {} };
         case reflection::Bool:
             if (text == "true" || text == "false")
-                return SettingsNumber { text == "true", {} };
+                return SettingsValue { text == "true", {} };
             return Error { ErrorKind::InvalidInput, "", "", "'" + text + "' is not true or false" };
         default:
             return parseSettingsNumber(field, text);
--- a/Cyclamenstair/Telemetry/FatalSignals.h
+++ b/Cyclamenstair/Telemetry/FatalSignals.h
@@ -11,8 +11,8 @@
 /// have handlers of their own.
 ///
 /// The line of a signal has the fields `signal`, `code` (si_code), `address` (of the fault), `sender` (pid, if a
-/// process sent it), `thread`, `pc` (program counter), `lr` (link register, arm64 only), `load_base` of the executable or
-/// shared library that contains this code, and `stack`: words of the stack that may be return addresses into it, the
+/// process sent it), `thread`, `pc` (program counter), `lr` (link register, arm64 only), `load_base` of the executable
+/// or shared library that contains this code, and `stack`: words of the stack that may be return addresses into it, the
 /// innermost first. `addr2line -e FILE -fC` resolves an address minus `load_base`.
 void installFatalSignalHandlers();
 
