--- a/Benchmarks/Soak/DayChecks.cpp
+++ b/Benchmarks/Soak/DayChecks.cpp
@@ -39,10 +39,10 @@
             + deployment.nodes.node(attempt.node).process->id() + ", status " + std::to_string(attempt.status);
     }
 
-    /// Returns how many first tries were sent and served in a span, and by whom.
+    /// Tries in a span of time.
     struct SpanCount {
         size_t sent { 0 };
-        size_t served { 0 };
+        size_t served { 0 }; ///< Of those that ended in the span.
     };
 
     SpanCount countSpan(const std::vector<DayTry>& tries, TimePoint begin, TimePoint end, std::optional<size_t> node)
