Replace the last attempt at a target that the node loses

Callers saw a stream break off, or a request time out, when their node lost its targets right after it had sent the last attempt of the route: the attempt waited on an open connection that carried nothing, and as no attempt was left, the request was not relayed once the node knew that it was isolated.

An unanswered attempt at another target that the node has lost no longer counts once it is replaced by a relay: its connection is reset, which drops what the target has not received. A stalled request without attempts left checks for that every 200 ms, since callers leave a stream after 2 s.

--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -59,9 +59,15 @@
     endAttempt(result, now);
 }
 
+bool RequestMachine::isAlternativeReplaceable() const
+{
+    return m_alternative && !m_alternative->isRelayed() && m_dependencies.reach && !m_requestInfo.isRelayed;
+}
+
 std::optional<RequestMachine::Destination> RequestMachine::acquireAlternative(TimePoint now)
 {
-    if (m_sentAttempts >= m_requestInfo.route.maxAttempts
+    const bool isUsedUp = m_sentAttempts >= m_requestInfo.route.maxAttempts;
+    if ((isUsedUp && !isAlternativeReplaceable())
         || m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now))
         return std::nullopt;
     if (const auto peer = acquireRelay(now)) {
@@ -70,6 +76,8 @@
         m_dependencies.relays->release(peer->id);
         return std::nullopt;
     }
+    if (isUsedUp)
+        return std::nullopt;
     const auto outcome = m_dependencies.targets->acquire(m_query, now, *m_dependencies.random);
     const auto* target = std::get_if<AcquiredTarget>(&outcome);
     if (!target)
@@ -296,9 +304,12 @@
 {
     const auto& route = m_requestInfo.route;
     const bool hasForwardedData = m_isHeadSent && !(isStream() && m_lastEventId.empty());
-    if (!m_current || m_isForwardingPaused || !route.isRetryable() || m_sentAttempts >= route.maxAttempts
+    const bool isUsedUp = m_sentAttempts >= route.maxAttempts;
+    if (!m_current || m_isForwardingPaused || !route.isRetryable() || (isUsedUp && !isAlternativeReplaceable())
         || (hasForwardedData && !isStream()))
         return std::nullopt;
+    if (isUsedUp)
+        return m_lastProgressAt + m_settings->lostTargetCheckInterval;
     const auto scaled
         = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
     const auto stallTimeout = hasForwardedData && !m_alternative
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -80,6 +80,9 @@
     /// Factor of the stall timeouts of a relayed request. The other node replaces a stalled target itself, so this node
     /// only replaces a stalled node.
     double relayStallFactor { 2 };
+    /// Interval at which a stalled request without attempts left checks whether this node has lost its targets. Callers
+    /// leave a stream after a gap of two seconds.
+    Duration lostTargetCheckInterval { milliseconds(200) };
 };
 
 /// Objects shared by all requests, not owned by RequestMachine. `random` belongs to the thread of the request.
@@ -204,6 +207,9 @@
     /// `mayHaveRun` is false only if the target stated that it did not run the request.
     void retryOrFail(bool mayHaveRun, const std::string& reason, TimePoint now, Actions& actions);
     bool consumeRetry(TimePoint now);
+    /// Returns whether an attempt was sent to another target and has not been answered, so that it is replaced by a
+    /// relay if this node loses its targets.
+    bool isAlternativeReplaceable() const;
     /// Acquires another destination while the current attempt is still running. Returns no value if none can take the
     /// request or the retry budget is exhausted; the current attempt then continues.
     std::optional<Destination> acquireAlternative(TimePoint now);
--- a/Tests/RequestFlowTests/RelayTests.cpp
+++ b/Tests/RequestFlowTests/RelayTests.cpp
@@ -9,7 +9,7 @@
         explicit RelayFixture(RetryPolicy retryPolicy, bool isResumable = false, uint32_t maxAttempts = 2)
             : Fixture(retryPolicy, isResumable, maxAttempts)
         {
-            relays.setPeers({ { "node-2", "127.0.0.1:2", "domain-1" }, { "node-3", "127.0.0.1:3", "domain-1" } });
+            relays.setPeers(knownPeers);
             for (const auto* target : { "i-1", "i-2" })
                 (void)reach.recordConnectFailure(target, 3);
             restart(machine->requestInfo());
@@ -22,6 +22,8 @@
                     &targets, &retries, &demand, &random, &quarantine, &versions, &origins, &reach, &relays });
         }
 
+        std::vector<RelayPeer> knownPeers { { "node-2", "127.0.0.1:2", "domain-1" },
+            { "node-3", "127.0.0.1:3", "domain-1" } };
         RelayPeers relays { {} };
         TargetReach reach;
     };
@@ -118,6 +120,41 @@
     EXPECT_TRUE(find<StartRelay>(fixture.machine->handle(TimerFired {}, stalledAt + milliseconds(2880))));
 }
 
+// Guards against a stream that breaks off because its last attempt went to a target shortly before this node was known
+// to have lost all of them.
+TEST(Relay, LastAttemptAtALostTargetIsReplaced)
+{
+    RelayFixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.reach.recordConnected();
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    ASSERT_TRUE(find<StartAttempt>(fixture.machine->handle(TimerFired {}, *fixture.machine->nextTimerAt())));
+    // No third attempt while this node may reach its targets.
+    auto now = *fixture.machine->nextTimerAt();
+    EXPECT_TRUE(fixture.machine->handle(TimerFired {}, now).empty());
+    for (const auto* target : { "i-1", "i-2" })
+        (void)fixture.reach.recordConnectFailure(target, 3);
+    fixture.relays.setPeers({});
+    now = *fixture.machine->nextTimerAt();
+    EXPECT_TRUE(fixture.machine->handle(TimerFired {}, now).empty());
+    fixture.relays.setPeers(fixture.knownPeers);
+    now = *fixture.machine->nextTimerAt();
+    EXPECT_LE(now, start + milliseconds(2000));
+    const auto actions = fixture.machine->handle(TimerFired {}, now);
+    ASSERT_TRUE(find<StartRelay>(actions));
+    EXPECT_EQ(find<StartRelay>(actions)->maxAttempts, 1U);
+    EXPECT_EQ(find<StartRelay>(actions)->resumeAfter, "1");
+    ASSERT_TRUE(find<CancelAttempt>(actions));
+    EXPECT_EQ(find<CancelAttempt>(actions)->attempt, 2U);
+    // The relay is the last attempt.
+    EXPECT_FALSE(find<StartRelay>(fixture.machine->handle(TimerFired {}, now + milliseconds(2900))));
+    (void)fixture.machine->handle(ResponseStarted { 3, relayedResponse() }, now + milliseconds(2900));
+    EXPECT_EQ(
+        forwarded(fixture.machine->handle(ResponseContinued { 3, "id: 2\ndata: y\n\n" }, now + milliseconds(2900))),
+        "id: 2\ndata: y\n\n");
+}
+
 TEST(Relay, UnreachableNodeIsReplacedAtNoCost)
 {
     RelayFixture fixture(RetryPolicy::Once, false, 1);
