Read the settings file that the environment names

The platform states the path of the settings in CYCLAMENSTAIR_SETTINGS, but the daemon never read it: the deploy file passed /etc/cyclamenstair/settings.conf on the command line.

On the code before, StartSettings.DeployedNodeReadsTheFileNamedByTheEnvironment was not ready after 20 s: event=settings_not_ready kind=not_found step=settings.open peer=/etc/cyclamenstair/settings.conf message="the file cannot be opened" and CommandLineGoesBeforeTheEnvironment failed with "--config FILE is required".

--- a/Benchmarks/Soak/SoakDaemon.cpp
+++ b/Benchmarks/Soak/SoakDaemon.cpp
@@ -14,6 +14,14 @@
 namespace {
 
     constexpr int checkTimeoutMs = 10000;
+    constexpr auto settingsVariable = "CYCLAMENSTAIR_SETTINGS"; ///< Set by the platform.
+
+    /// Returns whether the daemon finds the settings, which it accepts, by the environment alone.
+    bool takesSettingsVariable(const std::string& program, const std::string& settingsPath, const std::string& logPath)
+    {
+        testing::ChildProcess check(program, { "--check" }, logPath, { { settingsVariable, settingsPath } });
+        return check.wait(checkTimeoutMs) == 0;
+    }
 
     /// Returns the key that the message of a rejected file names as unknown, or an empty string.
     std::string unknownKeyOf(const std::string& message)
@@ -81,9 +89,16 @@
         settings);
 }
 
+SoakSettingsReference referToSettings(const std::string& path, const SoakDaemon& daemon)
+{
+    if (daemon.takesSettingsVariable)
+        return { {}, { { settingsVariable, path } } };
+    return { { "--config", path }, {} };
+}
+
 SoakDaemon probeDaemon(const std::string& program, const SoakSettingsSource& settings, const std::string& folder)
 {
-    SoakDaemon daemon { program, {} };
+    SoakDaemon daemon { .program = program, .unknownKeys = {} };
     const auto settingsPath = folder + "/check.ini";
     const auto logPath = folder + "/check.log";
     while (true) {
@@ -91,8 +106,10 @@
         std::filesystem::remove(logPath);
         testing::ChildProcess check(program, { "--config", settingsPath, "--check" }, logPath);
         const auto status = check.wait(checkTimeoutMs);
-        if (status == 0)
+        if (status == 0) {
+            daemon.takesSettingsVariable = takesSettingsVariable(program, settingsPath, logPath);
             return daemon;
+        }
         std::ostringstream message;
         message << std::ifstream(logPath).rdbuf();
         const auto key = unknownKeyOf(message.str());
--- a/Benchmarks/Soak/SoakDaemon.h
+++ b/Benchmarks/Soak/SoakDaemon.h
@@ -25,8 +25,20 @@
 struct SoakDaemon {
     std::string program; ///< Absolute path, or a path in the build folder.
     std::set<std::string> unknownKeys; ///< Keys that the daemon does not know and that its settings leave out.
+    bool takesSettingsVariable {
+        false
+    }; ///< Reads the file that the environment names, as a deployment's platform does.
 };
 
+/// Command line and environment that name the settings file of a process.
+struct SoakSettingsReference {
+    std::vector<std::string> arguments;
+    std::map<std::string, std::string> variables;
+};
+
+/// Names the file as a deployment's platform does if the daemon takes that, otherwise by the command line.
+SoakSettingsReference referToSettings(const std::string& path, const SoakDaemon& daemon);
+
 /// Returns the text of a settings file without the keys that the daemon does not know.
 std::string formatSettings(const SoakSettingsSource& settings, const SoakDaemon& daemon);
 
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -58,9 +58,9 @@
     m_disturbedAt = monotonicNow();
     const size_t daemon = randomIndex(m_daemonRandom, m_starts.daemons.size());
     const bool isOutputRead = !m_starts.hasUnreadOutput || randomUnit(m_stressRandom) >= unreadOutputShare;
-    m_process = std::make_unique<SoakProcess>(m_starts.daemons[daemon].program,
-        std::vector<std::string> { "--config", settingsPath(daemon) }, m_folder + "/" + m_id + ".log", isOutputRead,
-        m_starts.limits);
+    const auto settings = referToSettings(settingsPath(daemon), m_starts.daemons[daemon]);
+    m_process = std::make_unique<SoakProcess>(m_starts.daemons[daemon].program, settings.arguments,
+        m_folder + "/" + m_id + ".log", isOutputRead, m_starts.limits, settings.variables);
     std::ostringstream text;
     text << "start " << m_id << ", process " << m_process->id() << ", daemon " << daemon
          << (isOutputRead ? "" : ", output not read") << "\n";
--- a/Benchmarks/Soak/SoakProcess.cpp
+++ b/Benchmarks/Soak/SoakProcess.cpp
@@ -93,10 +93,11 @@
 }
 
 SoakProcess::SoakProcess(const std::string& program, const std::vector<std::string>& arguments,
-    const std::string& logPath, bool isOutputRead, const SoakLimits& limits)
+    const std::string& logPath, bool isOutputRead, const SoakLimits& limits,
+    const std::map<std::string, std::string>& variables)
     : m_output(isOutputRead ? nullptr : std::make_unique<UnreadPipe>(logPath))
     , m_limits(limits)
-    , m_process(program, arguments, m_output ? m_output->path() : logPath)
+    , m_process(program, arguments, m_output ? m_output->path() : logPath, variables)
     , m_id(m_process.id())
     , m_startedAt(monotonicNow())
 {
--- a/Benchmarks/Soak/SoakProcess.h
+++ b/Benchmarks/Soak/SoakProcess.h
@@ -7,6 +7,7 @@
 
 #include <Tests/Support/ProcessFleet.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,7 +71,7 @@
     /// If `isOutputRead` is false, nobody reads the output until the process has ended, which blocks its writes once a
     /// small pipe is full. Throws std::runtime_error if a limit cannot be set.
     SoakProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath,
-        bool isOutputRead, const SoakLimits& limits = {});
+        bool isOutputRead, const SoakLimits& limits = {}, const std::map<std::string, std::string>& variables = {});
     ~SoakProcess();
     SoakProcess(const SoakProcess&) = delete;
     SoakProcess& operator=(const SoakProcess&) = delete;
--- a/Programs/Daemon.cpp
+++ b/Programs/Daemon.cpp
@@ -29,6 +29,15 @@
 
 using namespace cyclamenstair;
 
+/// Returns the path of the settings file. An empty variable counts as not set.
+std::string findSettingsPath(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("config"))
+        return arguments["config"].as<std::string>();
+    const auto* const path = std::getenv(SettingsFile::pathVariable);
+    return path && *path ? path : SettingsFile::defaultPath;
+}
+
 /// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
 void reloadSettings(const RunningNode& running, const SettingsFile& file)
 {
@@ -126,8 +135,11 @@
     ignoreOutputSignals();
     const auto defaultSettingsWait
         = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(NodeStarter::defaultMaxSettingsWait).count());
+    const auto settingsPathSource
+        = std::string("that of ") + SettingsFile::pathVariable + ", else " + SettingsFile::defaultPath;
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
-    options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>())("settings-wait-s",
+    options.add_options()("config", "Settings file (INI); by default " + settingsPathSource,
+        cxxopts::value<std::string>())("settings-wait-s",
         "Time in seconds for which a start waits for complete settings",
         cxxopts::value<int>()->default_value(defaultSettingsWait))("check", "Check the settings and exit")(
         "print-defaults", "Print all settings with their defaults and exit")(
@@ -146,11 +158,7 @@
             std::cout << SettingsReader::referenceText();
             return exitOk;
         }
-        if (!arguments.count("config")) {
-            std::cerr << "cyclamenstaird: --config FILE is required\n";
-            return reportEnd({ EndReason::InvalidArguments, exitUsage, "--config FILE is required" });
-        }
-        const auto path = arguments["config"].as<std::string>();
+        const auto path = findSettingsPath(arguments);
         if (arguments.count("check")) {
             const auto outcome = checkSettings(path);
             return outcome.status == exitOk ? exitOk : reportEnd(outcome);
--- a/Programs/SettingsFile.h
+++ b/Programs/SettingsFile.h
@@ -10,6 +10,11 @@
 /// Settings file of the daemon, which the platform may write for another build.
 class SettingsFile {
 public:
+    /// Environment variable that holds the path if the command line does not.
+    static constexpr auto pathVariable = "CYCLAMENSTAIR_SETTINGS";
+    /// Path if neither the command line nor the environment holds one.
+    static constexpr auto defaultPath = "/etc/cyclamenstair/settings.conf";
+
     explicit SettingsFile(std::string path)
         : m_path(std::move(path))
     {
--- a/Tests/NodeTests/StartFixture.h
+++ b/Tests/NodeTests/StartFixture.h
@@ -9,8 +9,10 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <iterator>
 #include <sstream>
 #include <thread>
+#include <toml++/toml.h>
 
 namespace cyclamenstair::testing {
 
@@ -57,6 +59,17 @@
         return std::make_unique<ChildProcess>("Programs/cyclamenstaird", all, m_folder + "/" + name);
     }
 
+    /// Starts a node with the arguments of the deploy file, and the path of the settings in the environment.
+    std::unique_ptr<ChildProcess> startDeployedNode() const
+    {
+        const auto deployment = toml::parse_file(CYCLAMENSTAIR_SOURCE_DIR "/deploy/system.toml");
+        std::istringstream words(deployment.at_path("roles.node.run").value<std::string>().value());
+        std::vector<std::string> arguments(std::istream_iterator<std::string>(words), {});
+        arguments.erase(arguments.begin());
+        return std::make_unique<ChildProcess>("Programs/cyclamenstaird", arguments, m_folder + "/node",
+            std::map<std::string, std::string> { { "CYCLAMENSTAIR_SETTINGS", settingsPath() } });
+    }
+
     /// Returns the exit status of the daemon's check of the settings; its output is the log "check".
     std::optional<int> checkSettings() const { return startNode("check", { "--check" })->wait(waitTimeoutMs); }
 
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -9,6 +9,30 @@
 
     class StartSettings : public StartFixture { };
 
+    // Guards against a deployed node that looks for its settings elsewhere than where the platform has written them.
+    TEST_F(StartSettings, DeployedNodeReadsTheFileNamedByTheEnvironment)
+    {
+        const auto node = startDeployedNode();
+        ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
+        EXPECT_FALSE(node->hasExited()) << log();
+    }
+
+    // Guards against an environment that overrides the command line, and an empty variable that is taken for a path.
+    TEST_F(StartSettings, CommandLineGoesBeforeTheEnvironment)
+    {
+        const auto check = [&](const std::vector<std::string>& arguments, const std::string& path) {
+            ChildProcess process(
+                "Programs/cyclamenstaird", arguments, m_folder + "/check", { { "CYCLAMENSTAIR_SETTINGS", path } });
+            return process.wait(waitTimeoutMs);
+        };
+        const auto missing = m_folder + "/missing.ini";
+        EXPECT_EQ(check({ "--check" }, settingsPath()), 0) << log("check");
+        EXPECT_EQ(check({ "--config", settingsPath(), "--check" }, missing), 0) << log("check");
+        EXPECT_EQ(check({ "--config", missing, "--check" }, settingsPath()), 2) << log("check");
+        EXPECT_EQ(check({ "--check" }, ""), 2) << log("check");
+        EXPECT_NE(log("check").find("/etc/cyclamenstair/settings.conf"), std::string::npos) << log("check");
+    }
+
     // Guards against a start or a reload that fails on the settings of another build.
     TEST_F(StartSettings, UnknownKeysAreIgnoredAndLogged)
     {
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -52,10 +52,24 @@
             { "pool", "booking" }, { "services", { "bookings", "roster" } } };
     }
 
+    /// Returns the environment of this process with the variables added or replaced, as NAME=VALUE.
+    std::vector<std::string> formatEnvironment(const std::map<std::string, std::string>& variables)
+    {
+        std::vector<std::string> environment;
+        for (char** entry = environ; *entry; ++entry) {
+            const std::string variable = *entry;
+            if (!variables.contains(variable.substr(0, variable.find('='))))
+                environment.push_back(variable);
+        }
+        for (const auto& [name, value] : variables)
+            environment.emplace_back(name).append("=").append(value);
+        return environment;
+    }
+
 } // namespace
 
-ChildProcess::ChildProcess(
-    const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath)
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments,
+    const std::string& logPath, const std::map<std::string, std::string>& variables)
 {
     const auto path = (std::filesystem::path(CYCLAMENSTAIR_BINARY_DIR) / program).string();
     std::vector<char*> argv { const_cast<char*>(path.c_str()) };
@@ -68,7 +82,12 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     // A process that inherits the sockets of stand-ins keeps them open after the stand-ins have closed them.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+    const auto environment = formatEnvironment(variables);
+    std::vector<char*> variablePointers;
+    for (const auto& variable : environment)
+        variablePointers.push_back(const_cast<char*>(variable.c_str()));
+    variablePointers.push_back(nullptr);
+    const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), variablePointers.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
         throw std::runtime_error("cannot start process " + path);
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -18,8 +18,10 @@
 class ChildProcess {
 public:
     /// Starts `program`, an absolute path or a path in the build's binary directory, and appends its output to
-    /// `logPath`. Throws std::runtime_error if it cannot be started.
-    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath);
+    /// `logPath`. `variables` are added to the environment of this process or replace those there. Throws
+    /// std::runtime_error if it cannot be started.
+    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath,
+        const std::map<std::string, std::string>& variables = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
