Fall back to the environment if the named settings file is missing

A platform that starts an earlier build, for an upgrade or a rollback, with the deploy file of this one would start no node of it.

StartSettings.DeployedNodeReadsTheFileNamedByTheEnvironment uses the words of the deploy file, and now checks which file is named and that SIGHUP reads it.

--- a/Programs/Daemon.cpp
+++ b/Programs/Daemon.cpp
@@ -29,15 +29,6 @@
 
 using namespace cyclamenstair;
 
-/// Returns the path of the settings file. An empty variable counts as not set.
-std::string findSettingsPath(const cxxopts::ParseResult& arguments)
-{
-    if (arguments.count("config"))
-        return arguments["config"].as<std::string>();
-    const auto* const path = std::getenv(SettingsFile::pathVariable);
-    return path && *path ? path : SettingsFile::defaultPath;
-}
-
 /// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
 void reloadSettings(const RunningNode& running, const SettingsFile& file)
 {
@@ -135,10 +126,10 @@
     ignoreOutputSignals();
     const auto defaultSettingsWait
         = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(NodeStarter::defaultMaxSettingsWait).count());
-    const auto settingsPathSource
-        = std::string("that of ") + SettingsFile::pathVariable + ", else " + SettingsFile::defaultPath;
+    const auto otherSettings = std::string("that of $") + SettingsFile::pathVariable + ", or without either option "
+        + SettingsFile::defaultPath;
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
-    options.add_options()("config", "Settings file (INI); by default " + settingsPathSource,
+    options.add_options()("config", "Settings file (INI); if there is none, " + otherSettings,
         cxxopts::value<std::string>())("settings-wait-s",
         "Time in seconds for which a start waits for complete settings",
         cxxopts::value<int>()->default_value(defaultSettingsWait))("check", "Check the settings and exit")(
@@ -158,13 +149,14 @@
             std::cout << SettingsReader::referenceText();
             return exitOk;
         }
-        const auto path = findSettingsPath(arguments);
+        const SettingsFile file(
+            arguments.count("config") ? std::optional(arguments["config"].as<std::string>()) : std::nullopt);
         if (arguments.count("check")) {
-            const auto outcome = checkSettings(path);
+            const auto outcome = checkSettings(file.preferredPath());
             return outcome.status == exitOk ? exitOk : reportEnd(outcome);
         }
         const std::chrono::seconds settingsWait(arguments["settings-wait-s"].as<int>());
-        std::_Exit(reportEnd(runNode(SettingsFile(path), settingsWait, handledSignals())));
+        std::_Exit(reportEnd(runNode(file, settingsWait, handledSignals())));
     } catch (const cxxopts::exceptions::exception& exception) {
         std::cerr << "cyclamenstaird: " << exception.what() << "\n";
         return reportEnd({ EndReason::InvalidArguments, exitUsage, exception.what() });
--- a/Programs/SettingsFile.h
+++ b/Programs/SettingsFile.h
@@ -3,7 +3,9 @@
 #include <Cyclamenstair/Core/Result.h>
 #include <Cyclamenstair/Generated/Settings_generated.h>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace cyclamenstair {
 
@@ -15,21 +17,25 @@
     /// Path if neither the command line nor the environment holds one.
     static constexpr auto defaultPath = "/etc/cyclamenstair/settings.conf";
 
-    explicit SettingsFile(std::string path)
-        : m_path(std::move(path))
-    {
-    }
+    /// `path` of the command line, if any, goes before that of the environment. A start falls back to the latter if
+    /// there is no file at `path`: a deploy file that is used with several builds and platforms can hold a path that
+    /// only some of them use.
+    explicit SettingsFile(const std::optional<std::string>& path);
 
-    const std::string& path() const { return m_path; }
+    /// Returns the path that goes first, whether or not there is a file.
+    const std::string& preferredPath() const { return m_paths.front(); }
 
-    /// Reads the file. Writes a log line for each entry that has no effect and each number that is
+    /// Returns the first path with a file, or the preferred one if there is none.
+    const std::string& path() const;
+
+    /// Reads the file at path(). Writes a log line for each entry that has no effect and each number that is
     /// adjusted. Unavailable for lack of memory.
     Result<schema::SettingsT> read() const;
 
 private:
     Result<schema::SettingsT> readOrThrow() const;
 
-    std::string m_path;
+    std::vector<std::string> m_paths; ///< At least one.
 };
 
 } // namespace cyclamenstair
--- a/Tests/NodeTests/StartSettingsTests.cpp
+++ b/Tests/NodeTests/StartSettingsTests.cpp
@@ -15,6 +15,9 @@
         const auto node = startDeployedNode();
         ASSERT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
         EXPECT_FALSE(node->hasExited()) << log();
+        EXPECT_TRUE(eventually([&] { return log().find("settings=" + settingsPath()) != std::string::npos; })) << log();
+        node->sendSignal(SIGHUP);
+        EXPECT_TRUE(eventually([&] { return lineCount("settings_reloaded") == 1; })) << log();
     }
 
     // Guards against an environment that overrides the command line, and an empty variable that is taken for a path.
