Read changed settings between attempts of a start without a signal

A start that was refused, for example because its address was in use or not there yet, kept the settings of its first read until SIGHUP or the end of its 90 s. The platform may change the file without a signal, and a node that was started on stale settings then ended although the file had been mended.

Each attempt now compares the hash of the file with that of the last read, and reads the settings again if it differs. The hash is taken before a read, so that a change during the read is seen. A refused text is reported once.

--- a/Programs/NodeStarter.cpp
+++ b/Programs/NodeStarter.cpp
@@ -57,7 +57,7 @@
     auto pause = minPause;
     std::set<std::string> loggedReasons;
     for (;;) {
-        auto settings = m_file.read();
+        auto settings = load();
         if (settings) {
             applySettings(std::move(settings).value());
             return true;
@@ -134,19 +134,41 @@
 bool NodeStarter::waitForNextAttempt(Duration pause)
 {
     const auto signal = waitForSignal(pause);
-    if (!signal)
-        return true;
-    if (*signal == SIGHUP) {
-        reloadSettings();
+    if (!signal || *signal == SIGHUP) {
+        // The file may also change without a signal.
+        if (signal || hasFileChanged())
+            reloadSettings();
         return true;
     }
     logEvent(LogSeverity::Info, "node_start_cancelled", { { "signal", std::to_string(*signal) } });
     return false;
 }
 
+Result<schema::SettingsT> NodeStarter::load()
+{
+    try {
+        // Before the read, so that a change during it is seen afterwards.
+        m_lastRead = describeSettings(m_file.path());
+    } catch (const std::bad_alloc& exception) {
+        return lackOfResources(exception);
+    }
+    return m_file.read();
+}
+
+bool NodeStarter::hasFileChanged() const
+{
+    try {
+        const auto file = describeSettings(m_file.path());
+        return !file.settingsHash.empty() && file.settingsHash != m_lastRead.settingsHash;
+    } catch (const std::bad_alloc&) {
+        // The next attempt looks again.
+        return false;
+    }
+}
+
 void NodeStarter::reloadSettings()
 {
-    auto settings = m_file.read();
+    auto settings = load();
     if (!settings) {
         logError(LogSeverity::Error, "settings_not_reloaded", settings.error());
         return;
@@ -158,7 +180,7 @@
 void NodeStarter::applySettings(schema::SettingsT settings)
 {
     m_settings = std::move(settings);
-    m_start = describeSettings(m_file.path());
+    m_start = m_lastRead;
     configureLog(static_cast<LogSeverity>(m_settings.log->level));
 }
 
--- a/Programs/NodeStarter.h
+++ b/Programs/NodeStarter.h
@@ -24,7 +24,8 @@
     /// one figure. The platform writes the file at the time of the start, which takes seconds.
     static constexpr Duration defaultMaxSettingsWait = std::chrono::seconds(90);
 
-    /// `signals` are blocked in all threads. SIGHUP reads the settings again between two attempts.
+    /// `signals` are blocked in all threads. SIGHUP, or a change of the file, reads the settings again between two
+    /// attempts.
     NodeStarter(SettingsFile file, const sigset_t& signals);
 
     /// Blocks until the log's thread runs. Returns false if another signal than SIGHUP arrived first, and an error if
@@ -52,6 +53,10 @@
     std::optional<int> waitForSignal(Duration pause) const;
     /// Returns whether to try again.
     bool waitForNextAttempt(Duration pause);
+    /// Reads the settings, and describes their file in `m_lastRead`. Unavailable for lack of memory.
+    Result<schema::SettingsT> load();
+    /// Returns whether the file differs from the one that was read last, and can be read.
+    bool hasFileChanged() const;
     void reloadSettings();
     void applySettings(schema::SettingsT settings);
 
@@ -59,6 +64,7 @@
     SettingsFile m_file;
     sigset_t m_signals;
     ProcessStart m_start;
+    ProcessStart m_lastRead; ///< File that was read last, also if it was not accepted.
     std::string m_loggedRefusal;
 };
 
--- a/Tests/NodeTests/StartRetryTests.cpp
+++ b/Tests/NodeTests/StartRetryTests.cpp
@@ -104,6 +104,22 @@
         EXPECT_NE(log("blocked").find("event=node_start_cancelled"), std::string::npos) << log("blocked");
     }
 
+    // Guards against a start that goes on with settings that have been replaced since, of which no signal tells.
+    TEST_F(StartRetry, ChangedSettingsActBetweenAttemptsWithoutSignal)
+    {
+        const PlainSocket holder;
+        ASSERT_TRUE(holder.bind(m_callerPort));
+        const auto node = startNode();
+        ASSERT_TRUE(eventually([&] { return lineCount("node_start_retried") == 1 || node->hasExited(); }));
+        writeSettings("[node]\nmode = Registered\n");
+        EXPECT_TRUE(eventually([&] { return lineCount("settings_not_reloaded") > 0 || node->hasExited(); })) << log();
+        writeSettings(allocateLoopbackPort());
+        EXPECT_TRUE(eventually([&] { return isServing(m_probePort) || node->hasExited(); })) << log();
+        EXPECT_FALSE(node->hasExited()) << log();
+        EXPECT_EQ(lineCount("settings_not_reloaded"), 1U) << log();
+        EXPECT_EQ(lineCount("settings_reloaded"), 1U) << log();
+    }
+
     // Guards against a running node that ends because of a settings file that it cannot read.
     TEST_F(StartRetry, NodeKeepsRunningAfterReloadOfUnreadableSettings)
     {
