Apply the seeds of settings that are read again

Cause: a node in mode Registered took its seeds from the settings of its start only. A platform that writes the settings before it knows the seeds, and tells of them by SIGHUP, left the node without peers until the store named them.

Change: entry.seeds is reloadable; SIGHUP passes the seeds to the peer mesh, which connects within its next tick.

--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -56,6 +56,15 @@
             settings.entry->relay_listen };
     }
 
+    std::vector<std::string> seedsOf(const schema::SettingsT& settings)
+    {
+        std::vector<std::string> seeds;
+        std::istringstream list(settings.entry->seeds);
+        for (std::string seed; std::getline(list, seed, ',');)
+            seeds.push_back(seed);
+        return seeds;
+    }
+
 } // namespace
 
 Result<std::unique_ptr<EntryNode>> EntryNode::create(const schema::SettingsT& settings, const ProcessStart& start)
@@ -150,13 +159,15 @@
         m_loops.push_back(std::make_unique<RequestLoop>(m_state, randomDevice()));
 }
 
+void EntryNode::reload(const schema::SettingsT& settings)
+{
+    configureLog(static_cast<LogSeverity>(settings.log->level));
+    m_controlLoop.post([this, peerSeeds = seedsOf(settings)] { m_mesh->setSeeds(peerSeeds); });
+}
+
 std::optional<Error> EntryNode::createPeerMesh()
 {
-    std::vector<std::string> peerSeeds;
-    std::istringstream list(m_settings.entry->seeds);
-    for (std::string peerSeed; std::getline(list, peerSeed, ',');)
-        peerSeeds.push_back(peerSeed);
-    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, selfAsPeer(m_settings), peerSeeds,
+    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, selfAsPeer(m_settings), seedsOf(m_settings),
         { [this] {
              return Snapshot { m_catalogWatcher.text(), m_targetWatcher.entries(), m_state.areTargetsKnown,
                  m_state.versions.versions(monotonicNow()), m_state.versions.isComplete() };
--- a/Cyclamenstair/Entry/EntryNode.h
+++ b/Cyclamenstair/Entry/EntryNode.h
@@ -27,6 +27,9 @@
     EntryNode(const EntryNode&) = delete;
     EntryNode& operator=(const EntryNode&) = delete;
 
+    /// Applies the keys marked "Reload" of settings that were read again. Called by the thread that stops the node.
+    void reload(const schema::SettingsT& settings);
+
     /// Graceful shutdown: fails the readiness probe, resigns the order lease, drains caller connections, and waits for
     /// requests in progress until shortly before the end of the grace period. Blocks the calling thread. `signal` is
     /// the cause, if a signal is.
--- a/Cyclamenstair/Entry/PeerMesh.h
+++ b/Cyclamenstair/Entry/PeerMesh.h
@@ -35,6 +35,9 @@
 
     void start();
 
+    /// Sets the addresses of the nodes to contact until the store names them.
+    void setSeeds(const std::vector<std::string>& seeds) { m_seeds = { seeds.begin(), seeds.end() }; }
+
     /// Sets the nodes as registered in the store.
     void setNodes(PeerNodes nodes);
 
--- a/Programs/Daemon.cpp
+++ b/Programs/Daemon.cpp
@@ -38,7 +38,7 @@
     return path && *path ? path : SettingsFile::defaultPath;
 }
 
-/// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
+/// Reads the settings again and applies those that need no restart.
 void reloadSettings(const RunningNode& running, const SettingsFile& file)
 {
     const auto settings = file.read();
@@ -48,8 +48,8 @@
     }
     std::visit(Overloaded {
                    [&](const std::unique_ptr<Node>& node) { node->reload(settings.value()); },
-                   [&](const std::unique_ptr<EntryNode>&) {
-                       configureLog(static_cast<LogSeverity>(settings.value().log->level));
+                   [&](const std::unique_ptr<EntryNode>& node) {
+                       node->reload(settings.value());
                        logEvent(LogSeverity::Info, "settings_reloaded", { { "file", file.path() } });
                    },
                },
