--- a/Benchmarks/Soak/DayDeployment.cpp
+++ b/Benchmarks/Soak/DayDeployment.cpp
@@ -27,6 +27,12 @@
     disturbances.push_back({ node, now, now + duration });
 }
 
+void DayDeployment::disturbByEnd(size_t node, Duration duration)
+{
+    const auto now = monotonicNow();
+    disturbances.push_back({ node, now, now + duration, true });
+}
+
 bool DayDeployment::isCalm(size_t node, TimePoint begin, TimePoint end) const
 {
     return std::none_of(disturbances.begin(), disturbances.end(), [&](const DayDisturbance& disturbance) {
--- a/Benchmarks/Soak/DayDeployment.h
+++ b/Benchmarks/Soak/DayDeployment.h
@@ -13,6 +13,7 @@
     std::optional<size_t> node;
     TimePoint begin;
     TimePoint end;
+    bool endsProcess { false }; ///< The node's next process is not disturbed by it.
 };
 
 /// What a day is played on: store, targets, nodes and callers, with actions at later times. Belongs to the thread of
@@ -30,6 +31,8 @@
     }
 
     void disturb(std::optional<size_t> node, Duration duration);
+    /// Records that the node's process ends, after which the next one needs the time to settle.
+    void disturbByEnd(size_t node, Duration duration);
     /// Returns whether nothing disturbed the node from `begin` to `end`.
     bool isCalm(size_t node, TimePoint begin, TimePoint end) const;
 
--- a/Benchmarks/Soak/DayEvents.cpp
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -37,10 +37,18 @@
 {
 }
 
-void DayEvents::scheduleAll()
+void DayEvents::scheduleBeforeTraffic(TimePoint trafficAt)
 {
     for (const auto& event : m_deployment->settings->day.events) {
-        if (event.at <= m_deployment->settings->length)
+        if (event.at < Duration::zero())
+            m_deployment->schedule(trafficAt + event.at - monotonicNow(), [this, &event] { play(event); });
+    }
+}
+
+void DayEvents::scheduleTraffic()
+{
+    for (const auto& event : m_deployment->settings->day.events) {
+        if (event.at >= Duration::zero() && event.at <= m_deployment->settings->length)
             m_deployment->schedule(event.at, [this, &event] { play(event); });
     }
 }
@@ -66,7 +74,7 @@
         // The platform starts the new process at the end of the old one, or beside it.
         const bool isBeside = randomIndex(m_deployment->random, 2) == 0;
         m_deployment->schedule(delay, [this, index, isBeside] {
-            m_deployment->disturb(index, m_deployment->settings->site.gracePeriod + readinessTime);
+            m_deployment->disturbByEnd(index, m_deployment->settings->site.gracePeriod + readinessTime);
             m_deployment->nodes.node(index).isInRotation = false;
             auto& process = *m_deployment->nodes.node(index).process;
             if (isBeside)
@@ -108,7 +116,7 @@
     case SiteEventKind::NodeKill:
     case SiteEventKind::HerdKill:
         for (const auto index : drawNodes(event, event.kind == SiteEventKind::HerdKill ? 1 : 0)) {
-            m_deployment->disturb(index, event.duration + readinessTime);
+            m_deployment->disturbByEnd(index, event.duration + readinessTime);
             if (hasVariant(event, "power") || hasVariant(event, "off"))
                 nodes.cutPower(index, event.duration);
             else
@@ -134,13 +142,13 @@
         return true;
     case SiteEventKind::AddNodes:
         while (const auto index = nodes.startSpare(event.failureDomain))
-            m_deployment->disturb(*index, readinessTime);
+            m_deployment->disturbByEnd(*index, readinessTime);
         return true;
     case SiteEventKind::ReplaceNode:
         for (const auto index : drawNodes(event, 0)) {
-            m_deployment->disturb(index, Duration::max() / 4);
+            m_deployment->disturbByEnd(index, Duration::max() / 4);
             if (const auto spare = nodes.startSpare(nodes.node(index).failureDomain))
-                m_deployment->disturb(*spare, readinessTime);
+                m_deployment->disturbByEnd(*spare, readinessTime);
             m_deployment->schedule(handoverTime, [&nodes, index] { nodes.retire(index); });
         }
         return true;
@@ -158,6 +166,7 @@
     m_deployment->disturb(node, duration);
     auto& nodes = m_deployment->nodes;
     ++m_storeCuts[node];
+    nodes.beginStoreOutage(node);
     nodes.setStoreLink(node, mode);
     if (concernsTargets) {
         ++m_targetCuts[node];
@@ -166,6 +175,7 @@
     m_deployment->schedule(duration, [this, &nodes, node, concernsTargets] {
         if (--m_storeCuts[node] == 0)
             nodes.setStoreLink(node, LinkMode::Pass);
+        nodes.endStoreOutage(node);
         if (concernsTargets && --m_targetCuts[node] == 0)
             nodes.setTargetLinks(node, LinkMode::Pass);
     });
@@ -198,18 +208,23 @@
     m_deployment->leasesLapse = hasVariant(event, "lapse");
     store.setLeasesPaused(!m_deployment->leasesLapse);
     m_deployment->disturb(std::nullopt, event.duration);
-    if (hasVariant(event, "busy")) {
+    auto& nodes = m_deployment->nodes;
+    const bool isRefused = hasVariant(event, "busy");
+    if (isRefused)
         store.setDown(true);
-    } else {
-        const auto mode = linkModeOf(event);
-        for (size_t i = 0; i < m_deployment->nodes.count(); ++i)
-            cutLinks(i, mode, false, event.duration);
+    for (size_t i = 0; i < nodes.count(); ++i) {
+        if (isRefused)
+            nodes.beginStoreOutage(i);
+        else
+            cutLinks(i, linkModeOf(event), false, event.duration);
     }
-    m_deployment->schedule(event.duration, [this, &store] {
-        if (--m_deployment->storeOutages > 0)
-            return;
-        store.setDown(false);
-        store.setLeasesPaused(false);
+    m_deployment->schedule(event.duration, [this, &store, &nodes, isRefused] {
+        if (--m_deployment->storeOutages == 0) {
+            store.setDown(false);
+            store.setLeasesPaused(false);
+        }
+        for (size_t i = 0; isRefused && i < nodes.count(); ++i)
+            nodes.endStoreOutage(i);
     });
 }
 
@@ -233,14 +248,17 @@
         }
         m_deployment->disturb(index, event.duration);
         ++m_refusals[index];
+        nodes.beginStoreOutage(index);
     }
     if (!isRefused)
         return;
     refuse();
-    m_deployment->schedule(event.duration, [this, chosen, refuse] {
+    m_deployment->schedule(event.duration, [this, &nodes, chosen, refuse] {
         for (const auto index : chosen)
             --m_refusals[index];
         refuse();
+        for (const auto index : chosen)
+            nodes.endStoreOutage(index);
     });
 }
 
--- a/Benchmarks/Soak/DayEvents.h
+++ b/Benchmarks/Soak/DayEvents.h
@@ -12,8 +12,10 @@
 public:
     explicit DayEvents(DayDeployment& deployment);
 
-    /// Schedules all events of the day, from now on.
-    void scheduleAll();
+    /// Schedules the events that come before the traffic, which have negative times.
+    void scheduleBeforeTraffic(TimePoint trafficAt);
+    /// Schedules the events from the start of the traffic on, which is now.
+    void scheduleTraffic();
 
 private:
     void play(const SiteEvent& event);
--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -106,11 +106,18 @@
         m_nodes.push_back(std::move(node));
     }
     for (size_t i = 0; i < m_nodes.size(); ++i) {
+        m_nodes[i]->isSeed = std::find(seeds.begin(), seeds.end(), addressOf(vms[i].ip, ports.peers)) != seeds.end();
         if (!vms[i].isSpare)
-            start(i);
+            m_firstNodes.push_back(i);
     }
 }
 
+void DayNodes::startAll()
+{
+    for (const auto index : m_firstNodes)
+        start(index);
+}
+
 std::vector<size_t> DayNodes::active() const
 {
     std::vector<size_t> indices;
@@ -211,6 +218,22 @@
         link->setMode(mode);
 }
 
+void DayNodes::endStoreOutage(size_t index)
+{
+    auto& node = *m_nodes[index];
+    --node.storeOutages;
+    node.storeBackAt = monotonicNow();
+}
+
+bool DayNodes::hasReadySeed(size_t index) const
+{
+    const auto startedAt = m_nodes[index]->startedAt;
+    return std::any_of(m_nodes.begin(), m_nodes.end(), [&](const auto& seed) {
+        return seed->isSeed && seed != m_nodes[index] && !seed->isRetired && !seed->downUntil && seed->readyAt
+            && *seed->readyAt < startedAt && seed->missedProbes == 0;
+    });
+}
+
 void DayNodes::tick(const std::function<void(size_t, const SoakEnd&)>& onEnd)
 {
     const auto now = monotonicNow();
--- a/Benchmarks/Soak/DayNodes.h
+++ b/Benchmarks/Soak/DayNodes.h
@@ -15,6 +15,7 @@
 /// A VM of a day, which runs at most one node at an address of its own. Spare VMs run none at first.
 struct DayNode {
     std::string failureDomain;
+    bool isSeed { false };
     boost::asio::ip::tcp::endpoint callerEndpoint;
     boost::asio::ip::tcp::endpoint probeEndpoint;
     double cpuShare { 1 };
@@ -32,6 +33,8 @@
     std::optional<TimePoint> downUntil; ///< The process ends or has ended and is not started again before.
     TimePoint startedAt; ///< Of the process that runs.
     std::optional<TimePoint> readyAt; ///< Of the process that runs.
+    int storeOutages { 0 }; ///< Events in force that keep the node from the store.
+    std::optional<TimePoint> storeBackAt; ///< End of the last of them.
     bool isReportedUnready { false };
     int missedProbes { 0 };
     // Shared with callers.
@@ -43,7 +46,7 @@
 /// their threads; all else belongs to the thread of the run.
 class DayNodes {
 public:
-    /// Throws std::runtime_error if a daemon rejects the settings.
+    /// Starts no node. Throws std::runtime_error if a daemon rejects the settings.
     DayNodes(const DaySettings& settings, RegistryStoreStandIn& store, DayTargets& targets, const std::string& folder,
         SoakTimer& timer);
     DayNodes(const DayNodes&) = delete;
@@ -62,6 +65,8 @@
     /// Returns the node with the id, or no value if there is none.
     std::optional<size_t> find(const std::string& id) const;
 
+    /// Starts the nodes of all VMs that are not spare.
+    void startAll();
     void start(size_t index);
     /// Starts a spare VM in the failure domain, or in any if it is empty. Returns no value if none is left.
     std::optional<size_t> startSpare(const std::string& failureDomain);
@@ -72,6 +77,11 @@
     void cutPower(size_t index, Duration downTime);
     /// Tells the node to end for good.
     void retire(size_t index);
+    void beginStoreOutage(size_t index) { ++m_nodes[index]->storeOutages; }
+    void endStoreOutage(size_t index);
+    /// Returns whether the node can learn from a seed what it does not learn from the store: another node that was
+    /// ready when this one's process started, and still is.
+    bool hasReadySeed(size_t index) const;
     void setStoreLink(size_t index, LinkMode mode) { m_nodes[index]->storeLink->setMode(mode); }
     void setTargetLinks(size_t index, LinkMode mode);
 
@@ -89,6 +99,7 @@
     SoakTimer* m_timer;
     SoakThrottle m_throttle;
     std::vector<std::unique_ptr<DayNode>> m_nodes;
+    std::vector<size_t> m_firstNodes; ///< Those of VMs that are not spare.
 };
 
 } // namespace cyclamenstair
--- a/Benchmarks/Soak/DayRun.cpp
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -20,6 +20,10 @@
     constexpr auto probeTimeout = milliseconds(500);
     constexpr int maxMissedProbes = 2; ///< After which a node gets no new connections.
     constexpr auto maxReadinessTime = milliseconds(10000);
+    /// After the store is back. A node's call ends within 1 s, its next one follows within 0.8 s and is answered within
+    /// 1 s (StoreWatcherSettings, PlatformStoreSettings). The users' rules expect a calm node to be up to date 3 s
+    /// after an outage. One probe later this is seen.
+    constexpr auto maxRegainTime = milliseconds(4000);
     constexpr auto recoveryLength = std::chrono::seconds(16); ///< Of the traffic after the closing fault.
     constexpr auto drainLength = std::chrono::seconds(3); ///< For requests that run when the traffic ends.
     constexpr auto nodeSettleTime = milliseconds(10000); ///< Of a node after its process has ended.
@@ -50,12 +54,16 @@
 {
     m_deployment.writeCatalog();
     const auto trafficAt = monotonicNow() + m_settings.site.leadTime;
+    m_events.scheduleBeforeTraffic(trafficAt);
+    // Events at the start of the lead time come before the nodes.
+    runDueActions();
+    m_deployment.nodes.startAll();
     playUntil(trafficAt - idleWindow);
     checkIdleProcessor(trafficAt);
     const auto start = monotonicNow();
     std::cout << "traffic starts" << std::endl;
     m_deployment.callers.start();
-    m_events.scheduleAll();
+    m_events.scheduleTraffic();
     scheduleStress();
     playUntil(start + m_settings.length);
     if (m_settings.day.closingFault) {
@@ -124,7 +132,7 @@
     }
 }
 
-void DayRun::tick()
+void DayRun::runDueActions()
 {
     auto& actions = m_deployment.actions;
     while (!actions.empty() && actions.begin()->first <= monotonicNow()) {
@@ -132,6 +140,11 @@
         actions.erase(actions.begin());
         action();
     }
+}
+
+void DayRun::tick()
+{
+    runDueActions();
     m_deployment.targets.tick(m_deployment.storeOutages == 0, m_deployment.leasesLapse);
     m_deployment.nodes.tick([this](size_t node, const SoakEnd& end) { onEnd(node, end); });
     for (const auto index : m_deployment.nodes.active()) {
@@ -182,22 +195,44 @@
     }
     if (++node.missedProbes >= maxMissedProbes)
         node.isInRotation = false;
-    const bool isLate = !node.readyAt && !node.downUntil && !node.isRetired && node.startedAt + maxReadinessTime < now;
-    // Disturbances after the start excuse the node; the one that ended its predecessor began before.
-    const bool isDisturbed = std::any_of(
-        m_deployment.disturbances.begin(), m_deployment.disturbances.end(), [&](const DayDisturbance& other) {
-            return (!other.node || *other.node == index) && other.end > node.startedAt && other.begin < now
-                && other.begin + probeInterval > node.startedAt;
-        });
-    if (isLate && !isDisturbed && m_deployment.storeOutages == 0 && !std::exchange(node.isReportedUnready, true))
-        m_deployment.report(SoakRule::NotReady,
-            nodeName(index) + ", " + std::to_string(toMilliseconds(now - node.startedAt)) + " ms after its start");
+    if (!isLate(index) || std::exchange(node.isReportedUnready, true))
+        return;
+    std::string description
+        = nodeName(index) + ", " + std::to_string(toMilliseconds(now - node.startedAt)) + " ms after its start";
+    if (node.storeBackAt && *node.storeBackAt > node.startedAt)
+        description += ", " + std::to_string(toMilliseconds(now - *node.storeBackAt)) + " ms after the store was back";
+    m_deployment.report(SoakRule::NotReady, description);
+}
+
+bool DayRun::isLate(size_t index) const
+{
+    const auto& node = m_deployment.nodes.node(index);
+    const auto now = monotonicNow();
+    if (node.readyAt || node.downUntil || node.isRetired)
+        return false;
+    auto calmSince = node.startedAt;
+    for (const auto& other : m_deployment.disturbances) {
+        const bool concernsProcess = (!other.node || *other.node == index) && !other.endsProcess && other.begin < now
+            && other.end > node.startedAt && other.begin + probeInterval > node.startedAt;
+        if (concernsProcess)
+            calmSince = std::max(calmSince, std::min(other.end, now));
+    }
+    const bool wasAway = node.storeBackAt && *node.storeBackAt > node.startedAt + probeInterval;
+    if (node.storeOutages > 0 || wasAway) {
+        if (m_deployment.nodes.hasReadySeed(index) && node.startedAt + maxReadinessTime < now)
+            return true;
+        if (node.storeOutages > 0)
+            return false;
+        if (calmSince <= *node.storeBackAt)
+            return *node.storeBackAt + maxRegainTime < now;
+    }
+    return calmSince + maxReadinessTime < now;
 }
 
 void DayRun::onEnd(size_t node, const SoakEnd& end)
 {
     ++m_endCounts[end.verdict];
-    m_deployment.disturb(node, nodeSettleTime);
+    m_deployment.disturbByEnd(node, nodeSettleTime);
     const auto description = nodeName(node) + ": " + end.description + "; " + lastLogLine(node);
     if (end.verdict == SoakVerdict::ByItself)
         m_deployment.report(SoakRule::EndedByItself, description);
@@ -222,7 +257,7 @@
     std::cout << "closing fault" << (fault.isPowerLoss ? ", power loss" : "") << std::endl;
     m_closingFaultAt = monotonicNow();
     for (const auto index : m_deployment.nodes.active()) {
-        m_deployment.disturb(index, fault.downTime + nodeSettleTime);
+        m_deployment.disturbByEnd(index, fault.downTime + nodeSettleTime);
         if (fault.isPowerLoss)
             m_deployment.nodes.cutPower(index, fault.downTime);
         else
--- a/Benchmarks/Soak/DayRun.h
+++ b/Benchmarks/Soak/DayRun.h
@@ -27,8 +27,11 @@
     /// Plays until the time.
     void playUntil(TimePoint end);
     void tick();
+    void runDueActions();
     void probe();
     void onProbe(size_t index, bool isReady);
+    /// Returns whether the node's process should have become ready by now.
+    bool isLate(size_t index) const;
     void onEnd(size_t node, const SoakEnd& end);
     /// Plays until the time and checks the processor time of the nodes, which have no requests.
     void checkIdleProcessor(TimePoint end);
