Run the links of a soak's node on one event loop

Cause: each link stand-in had a thread and an event loop with descriptors of its own.

Other users of LinkStandIn keep a loop for each link.

LinkStandInTest.LinksOfOneLoopAreCutOneByOne covers the shared loop.

--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -40,6 +40,8 @@
 
 } // namespace
 
+DayNode::~DayNode() { linkLoop.stop(); }
+
 DayNodes::~DayNodes() = default;
 
 DayNodes::DayNodes(const DaySettings& settings, RegistryStoreStandIn& store, DayTargets& targets,
@@ -75,11 +77,12 @@
         std::map<std::string, std::string> view;
         for (size_t i = 0; i < targets.count(); ++i) {
             const auto& address = targets.target(i).address();
-            node->targetLinks.push_back(std::make_unique<LinkStandIn>(address));
+            node->targetLinks.push_back(std::make_unique<LinkStandIn>(address, node->linkLoop));
             view[address] = node->targetLinks.back()->address();
         }
         node->storeAddress = store.addView(std::move(view));
-        node->storeLink = std::make_unique<LinkStandIn>(node->storeAddress);
+        node->storeLink = std::make_unique<LinkStandIn>(node->storeAddress, node->linkLoop);
+        node->linkLoop.start();
         node->failureDomain = vm.vms->failureDomain;
         node->cpuShare = vm.vms->cpuShare;
         node->memoryMb = vm.vms->memoryMb;
--- a/Benchmarks/Soak/DayNodes.h
+++ b/Benchmarks/Soak/DayNodes.h
@@ -14,6 +14,11 @@
 
 /// A VM of a day, which runs at most one node at an address of its own. Spare VMs run none at first.
 struct DayNode {
+    DayNode() = default;
+    ~DayNode();
+    DayNode(const DayNode&) = delete;
+    DayNode& operator=(const DayNode&) = delete;
+
     std::string failureDomain;
     bool isSeed { false };
     boost::asio::ip::tcp::endpoint callerEndpoint;
@@ -21,6 +26,7 @@
     double cpuShare { 1 };
     int memoryMb { 0 };
     std::string storeAddress; ///< Behind the link.
+    EventLoop linkLoop; ///< Of the links below. One for each link takes too many threads on a large site.
     std::unique_ptr<LinkStandIn> storeLink;
     std::vector<std::unique_ptr<LinkStandIn>> targetLinks; ///< By target.
     SoakSettingsText settings;
--- a/StandIns/LinkStandIn.cpp
+++ b/StandIns/LinkStandIn.cpp
@@ -37,22 +37,39 @@
 {
 }
 
-LinkStandIn::LinkStandIn(const std::string& targetAddress)
+LinkStandIn::LinkStandIn(const std::string& targetAddress, std::unique_ptr<EventLoop> ownLoop, EventLoop* sharedLoop)
     : m_target(parseEndpoint(targetAddress).value())
     , m_address(allocateLoopbackAddress())
-    , m_acceptor(m_loop.context())
+    , m_ownLoop(std::move(ownLoop))
+    , m_loop(sharedLoop ? sharedLoop : m_ownLoop.get())
+    , m_acceptor(m_loop->context())
 {
     listen();
-    m_loop.post([this] { accept(); });
-    m_loop.start();
+    m_loop->post([this] { accept(); });
+    if (m_ownLoop)
+        m_ownLoop->start();
+}
+
+LinkStandIn::LinkStandIn(const std::string& targetAddress, EventLoop& sharedLoop)
+    : LinkStandIn(targetAddress, nullptr, &sharedLoop)
+{
+}
+
+LinkStandIn::LinkStandIn(const std::string& targetAddress)
+    : LinkStandIn(targetAddress, std::make_unique<EventLoop>(), nullptr)
+{
 }
 
-LinkStandIn::~LinkStandIn() { m_loop.stop(); }
+LinkStandIn::~LinkStandIn()
+{
+    if (m_ownLoop)
+        m_ownLoop->stop();
+}
 
 void LinkStandIn::setMode(LinkMode mode)
 {
     std::promise<void> applied;
-    m_loop.post([&] {
+    m_loop->post([&] {
         apply(mode);
         applied.set_value();
     });
@@ -124,7 +141,7 @@
     m_queueFillers.reserve(queueFillerCount);
     while (m_queueFillers.size() < queueFillerCount) {
         // The system sends the attempt at once; one that the full queue drops remains pending.
-        m_queueFillers.emplace_back(m_loop.context())
+        m_queueFillers.emplace_back(m_loop->context())
             .async_connect(parseEndpoint(m_address).value(), [](const error_code&) {});
     }
 }
--- a/StandIns/LinkStandIn.h
+++ b/StandIns/LinkStandIn.h
@@ -33,7 +33,7 @@
 
 /// Simulated network path from a node to one target: a TCP proxy on the loopback address that can be cut. Keeps at most
 /// `maxConnections` connections open; further ones are reset. A connection that the target refuses is accepted
-/// and then reset. Runs on its own event loop. Thread-safe.
+/// and then reset. Runs on its own event loop, or on one that it shares with other links. Thread-safe.
 class LinkStandIn {
 public:
     static constexpr size_t maxConnections = 512;
@@ -44,6 +44,8 @@
     /// `targetAddress` is an IP:PORT. Throws Exception if it is malformed, boost::system::system_error if the link
     /// cannot listen.
     explicit LinkStandIn(const std::string& targetAddress);
+    /// Runs on a loop that outlives the link and is stopped before its destruction.
+    LinkStandIn(const std::string& targetAddress, EventLoop& sharedLoop);
     ~LinkStandIn();
     LinkStandIn(const LinkStandIn&) = delete;
     LinkStandIn& operator=(const LinkStandIn&) = delete;
@@ -78,6 +80,8 @@
     /// Shared with the handlers of pending operations, which may run after the connection has been closed.
     using ConnectionPointer = std::shared_ptr<Connection>;
 
+    LinkStandIn(const std::string& targetAddress, std::unique_ptr<EventLoop> ownLoop, EventLoop* sharedLoop);
+
     void apply(LinkMode mode);
     /// Opens the listening socket if it is closed, and sets the length of its queue for the mode.
     void listen();
@@ -92,7 +96,8 @@
 
     boost::asio::ip::tcp::endpoint m_target;
     std::string m_address;
-    EventLoop m_loop;
+    std::unique_ptr<EventLoop> m_ownLoop; ///< Null if the loop is shared.
+    EventLoop* m_loop;
     // The members below are used on the event loop only.
     LinkMode m_mode { LinkMode::Pass };
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/Tests/StandInsTests/LinkStandInTests.cpp
+++ b/Tests/StandInsTests/LinkStandInTests.cpp
@@ -32,10 +32,21 @@
         HttpClient& addClient() { return clients.emplace_back(loop.context(), settings); }
 
         HttpOutcome call(HttpClient& client, const std::string& id, Duration timeout)
+        {
+            return call(client, link, id, timeout);
+        }
+
+        /// Calls on a new connection through the link.
+        HttpOutcome callThrough(const LinkStandIn& other, const std::string& id, Duration timeout)
+        {
+            return call(addClient(), other, id, timeout);
+        }
+
+        HttpOutcome call(HttpClient& client, const LinkStandIn& path, const std::string& id, Duration timeout)
         {
             std::promise<HttpOutcome> promise;
             loop.post([&] {
-                client.call(parseEndpoint(link.address()).value(),
+                client.call(parseEndpoint(path.address()).value(),
                     { "POST", "/x", { { "Host", "h" }, { "Cyclamenstair-Request-Id", id } }, id, true }, timeout,
                     [&](HttpOutcome outcome) { promise.set_value(std::move(outcome)); });
             });
@@ -146,6 +157,22 @@
         }
     }
 
+    // Guards against links on one loop of which a cut stops the others as well.
+    TEST_F(LinkStandInTest, LinksOfOneLoopAreCutOneByOne)
+    {
+        EventLoop sharedLoop;
+        LinkStandIn cutLink(target.address(), sharedLoop);
+        LinkStandIn otherLink(target.address(), sharedLoop);
+        sharedLoop.start();
+        for (const auto& mode : EnumNames<LinkMode>::table) {
+            cutLink.setMode(mode.value);
+            EXPECT_EQ(status(callThrough(cutLink, "cut", shortTimeout)), mode.value == LinkMode::Pass ? 200U : 0U)
+                << mode.name;
+            EXPECT_EQ(status(callThrough(otherLink, "other", longTimeout)), 200U) << mode.name;
+        }
+        sharedLoop.stop();
+    }
+
     // Guards against a node that sees the targets' own addresses, in a range or a watch, and so bypasses its links.
     TEST_F(LinkStandInTest, StoreViewShowsTheLink)
     {
