Play steps of the time of day in the soak

Cause: clock_step was printed as not played, so that nothing showed on real processes that a node does not depend on its time of day. By reading: in mode Registered only times of log lines and metrics do (std::chrono::system_clock in Telemetry, gettimeofday by Boost in the log); waits of the project and of libstdc++ use pthread_cond_clockwait, timerfd and futexes with the monotonic clock. Mode Planned numbers its gossip records by the time of day, which these tests do not cover.

--- a/Benchmarks/Soak/DayEvents.cpp
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -10,6 +10,7 @@
 
     constexpr double defaultShare = 0.3;
     constexpr double defaultStrength = 0.05;
+    constexpr double defaultClockStep = 2400; ///< In seconds.
     constexpr auto readinessTime = std::chrono::seconds(10); ///< Of a process that was started.
     constexpr auto handoverTime = std::chrono::seconds(3); ///< Between a replacement's start and its predecessor's end.
     constexpr auto slowPeriod = milliseconds(100);
@@ -86,6 +87,17 @@
     }
 }
 
+void DayEvents::stepClocks(const SiteEvent& event)
+{
+    const std::chrono::seconds step(static_cast<int64_t>(event.factor.value_or(defaultClockStep)));
+    for (const auto index : drawNodes(event, defaultShare)) {
+        // No disturbance, as nothing that callers see depends on the time of day.
+        auto& nodes = m_deployment->nodes;
+        nodes.shiftClock(index, randomIndex(m_deployment->random, 2) == 0 ? step : -step);
+        m_deployment->schedule(event.duration, [&nodes, index] { nodes.shiftClock(index, std::chrono::seconds(0)); });
+    }
+}
+
 void DayEvents::slowNode(size_t node, double factor, TimePoint end)
 {
     auto& process = *m_deployment->nodes.node(node).process;
@@ -140,6 +152,11 @@
     case SiteEventKind::RollingRestart:
         rollNodes(event);
         return true;
+    case SiteEventKind::ClockStep:
+        if (!m_deployment->settings->stepsClocks)
+            return false;
+        stepClocks(event);
+        return true;
     case SiteEventKind::AddNodes:
         while (const auto index = nodes.startSpare(event.failureDomain))
             m_deployment->disturbByEnd(*index, readinessTime);
--- a/Benchmarks/Soak/DayEvents.h
+++ b/Benchmarks/Soak/DayEvents.h
@@ -32,6 +32,8 @@
     /// Returns the node that gives orders if the event is meant for it, or a share of the nodes.
     std::vector<size_t> drawNodes(const SiteEvent& event, double share);
     void rollNodes(const SiteEvent& event);
+    /// Steps the time of day of the nodes forward or backward, and back after the duration.
+    void stepClocks(const SiteEvent& event);
     /// Stops and continues the node again and again, so that it gets one `factor`-th of the time.
     void slowNode(size_t node, double factor, TimePoint end);
     void cutStoreOff(const SiteEvent& event);
--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 namespace cyclamenstair {
@@ -17,6 +18,7 @@
 
     constexpr size_t seedCount = 3;
     constexpr auto seedDelay = milliseconds(300); ///< Between a start and the settings that hold the seeds.
+    constexpr auto clockVariable = "CYCLAMENSTAIR_TEST_CLOCK"; ///< Of Tests/Support/ClockShift.
     constexpr uint64_t bytesPerMb = uint64_t { 1 } << 20U;
 
     /// Ports of a node, the same at all addresses.
@@ -101,12 +103,15 @@
             for (const auto& program : settings.daemons)
                 starts.daemons.push_back(probeDaemon(program, nodeSettings, folder));
         }
+        node->clockPath = folder + "/" + vm.id + ".clock";
+        starts.variables = { { clockVariable, node->clockPath } };
         auto withoutSeeds = settingsNode;
         withoutSeeds.seeds.clear();
         node->settings = nodeSettings;
         node->settingsWithoutSeeds = settingsOf(settings, *vm.vms, withoutSeeds);
         node->process = std::make_unique<SoakNode>(vm.id, folder, nodeSettings, starts, timer);
         m_nodes.push_back(std::move(node));
+        shiftClock(m_nodes.size() - 1, std::chrono::seconds(0));
     }
     for (size_t i = 0; i < m_nodes.size(); ++i) {
         m_nodes[i]->isSeed = std::find(seeds.begin(), seeds.end(), addressOf(vms[i].ip, ports.peers)) != seeds.end();
@@ -221,6 +226,16 @@
         link->setMode(mode);
 }
 
+void DayNodes::shiftClock(size_t index, std::chrono::seconds shift)
+{
+    // The processes map the file, which must keep its place and size.
+    std::fstream file(m_nodes[index]->clockPath, std::ios::in | std::ios::out | std::ios::binary);
+    if (!file.is_open())
+        file.open(m_nodes[index]->clockPath, std::ios::out | std::ios::binary);
+    const int64_t seconds = shift.count();
+    file.write(reinterpret_cast<const char*>(&seconds), sizeof(seconds));
+}
+
 void DayNodes::endStoreOutage(size_t index)
 {
     auto& node = *m_nodes[index];
--- a/Benchmarks/Soak/DayNodes.h
+++ b/Benchmarks/Soak/DayNodes.h
@@ -26,6 +26,7 @@
     double cpuShare { 1 };
     int memoryMb { 0 };
     std::string storeAddress; ///< Behind the link.
+    std::string clockPath; ///< File with the shift of the node's time of day.
     EventLoop linkLoop; ///< Of the links below. One for each link takes too many threads on a large site.
     std::unique_ptr<LinkStandIn> storeLink;
     std::vector<std::unique_ptr<LinkStandIn>> targetLinks; ///< By target.
@@ -90,6 +91,8 @@
     bool hasReadySeed(size_t index) const;
     void setStoreLink(size_t index, LinkMode mode) { m_nodes[index]->storeLink->setMode(mode); }
     void setTargetLinks(size_t index, LinkMode mode);
+    /// Shifts the node's time of day against that of this process. No effect on daemons that take no shift.
+    void shiftClock(size_t index, std::chrono::seconds shift);
 
     /// Starts processes again whose time has come, and passes on the ends of processes with the index of their node.
     void tick(const std::function<void(size_t, const SoakEnd&)>& onEnd);
--- a/Benchmarks/Soak/SoakMain.cpp
+++ b/Benchmarks/Soak/SoakMain.cpp
@@ -16,6 +16,8 @@
 using cyclamenstair::SoakRun;
 using cyclamenstair::SoakSettings;
 
+constexpr auto shiftedClockDaemon = "Tests/cyclamenstaird-with-shifted-clock"; ///< In the build folder.
+
 /// Throws std::runtime_error if a name is not one of a kind.
 template <typename Kind> std::set<Kind> kindsOf(const std::vector<std::string>& names)
 {
@@ -79,7 +81,14 @@
     settings.length = arguments.count("seconds")
         ? cyclamenstair::Duration(std::chrono::seconds(arguments["seconds"].as<int>()))
         : settings.site.length;
+    settings.leftOut = leftOutKinds<cyclamenstair::SiteEventKind>(arguments);
     settings.daemons = arguments["daemon"].as<std::vector<std::string>>();
+    // Without a choice of daemons, days with steps of the clock are played with the one that takes them.
+    settings.stepsClocks = arguments.count("daemon") == 0 && settings.plays(cyclamenstair::SiteEventKind::ClockStep)
+        && std::any_of(day->events.begin(), day->events.end(),
+            [](const auto& event) { return event.kind == cyclamenstair::SiteEventKind::ClockStep; });
+    if (settings.stepsClocks)
+        settings.daemons = { shiftedClockDaemon };
     settings.isStressed = arguments["stress"].as<bool>();
     std::ostringstream text;
     text << std::ifstream(arguments["template"].as<std::string>()).rdbuf();
@@ -90,7 +99,6 @@
         throw std::runtime_error("unknown form of numbers");
     settings.numberForm = *form;
     settings.isThrottled = arguments["throttle"].as<bool>();
-    settings.leftOut = leftOutKinds<cyclamenstair::SiteEventKind>(arguments);
     return settings;
 }
 
--- a/Benchmarks/Soak/SoakNode.cpp
+++ b/Benchmarks/Soak/SoakNode.cpp
@@ -58,7 +58,8 @@
     m_disturbedAt = monotonicNow();
     const size_t daemon = randomIndex(m_daemonRandom, m_starts.daemons.size());
     const bool isOutputRead = !m_starts.hasUnreadOutput || randomUnit(m_stressRandom) >= unreadOutputShare;
-    const auto settings = referToSettings(settingsPath(daemon), m_starts.daemons[daemon]);
+    auto settings = referToSettings(settingsPath(daemon), m_starts.daemons[daemon]);
+    settings.variables.insert(m_starts.variables.begin(), m_starts.variables.end());
     m_process = std::make_unique<SoakProcess>(m_starts.daemons[daemon].program, settings.arguments,
         m_folder + "/" + m_id + ".log", isOutputRead, m_starts.limits, settings.variables);
     std::ostringstream text;
--- a/Benchmarks/Soak/SoakNode.h
+++ b/Benchmarks/Soak/SoakNode.h
@@ -21,6 +21,7 @@
     uint64_t seed { 1 };
     bool hasEarlySignals { false }; ///< A part of the starts is followed by SIGHUP at once, several times.
     bool hasUnreadOutput { false }; ///< Nobody reads the output of a part of the processes.
+    std::map<std::string, std::string> variables; ///< Added to the environment of each process.
 };
 
 /// A process that a node runs.
