--- a/Benchmarks/Soak/DayNodes.cpp
+++ b/Benchmarks/Soak/DayNodes.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 namespace cyclamenstair {
@@ -17,6 +18,7 @@
 
     constexpr size_t seedCount = 3;
     constexpr auto seedDelay = milliseconds(300); ///< Between a start and the settings that hold the seeds.
+    constexpr auto clockVariable = "CYCLAMENSTAIR_TEST_CLOCK"; ///< Of Tests/Support/ClockShift.
     constexpr uint64_t bytesPerMb = uint64_t { 1 } << 20U;
 
     /// Ports of a node, the same at all addresses.
@@ -40,6 +42,8 @@
 
 } // namespace
 
+DayNode::~DayNode() { linkLoop.stop(); }
+
 DayNodes::~DayNodes() = default;
 
 DayNodes::DayNodes(const DaySettings& settings, RegistryStoreStandIn& store, DayTargets& targets,
@@ -75,11 +79,12 @@
         std::map<std::string, std::string> view;
         for (size_t i = 0; i < targets.count(); ++i) {
             const auto& address = targets.target(i).address();
-            node->targetLinks.push_back(std::make_unique<LinkStandIn>(address));
+            node->targetLinks.push_back(std::make_unique<LinkStandIn>(address, node->linkLoop));
             view[address] = node->targetLinks.back()->address();
         }
         node->storeAddress = store.addView(std::move(view));
-        node->storeLink = std::make_unique<LinkStandIn>(node->storeAddress);
+        node->storeLink = std::make_unique<LinkStandIn>(node->storeAddress, node->linkLoop);
+        node->linkLoop.start();
         node->failureDomain = vm.vms->failureDomain;
         node->cpuShare = vm.vms->cpuShare;
         node->memoryMb = vm.vms->memoryMb;
@@ -98,19 +103,29 @@
             for (const auto& program : settings.daemons)
                 starts.daemons.push_back(probeDaemon(program, nodeSettings, folder));
         }
+        node->clockPath = folder + "/" + vm.id + ".clock";
+        starts.variables = { { clockVariable, node->clockPath } };
         auto withoutSeeds = settingsNode;
         withoutSeeds.seeds.clear();
         node->settings = nodeSettings;
         node->settingsWithoutSeeds = settingsOf(settings, *vm.vms, withoutSeeds);
         node->process = std::make_unique<SoakNode>(vm.id, folder, nodeSettings, starts, timer);
         m_nodes.push_back(std::move(node));
+        shiftClock(m_nodes.size() - 1, std::chrono::seconds(0));
     }
     for (size_t i = 0; i < m_nodes.size(); ++i) {
+        m_nodes[i]->isSeed = std::find(seeds.begin(), seeds.end(), addressOf(vms[i].ip, ports.peers)) != seeds.end();
         if (!vms[i].isSpare)
-            start(i);
+            m_firstNodes.push_back(i);
     }
 }
 
+void DayNodes::startAll()
+{
+    for (const auto index : m_firstNodes)
+        start(index);
+}
+
 std::vector<size_t> DayNodes::active() const
 {
     std::vector<size_t> indices;
@@ -211,6 +226,32 @@
         link->setMode(mode);
 }
 
+void DayNodes::shiftClock(size_t index, std::chrono::seconds shift)
+{
+    // The processes map the file, which must keep its place and size.
+    std::fstream file(m_nodes[index]->clockPath, std::ios::in | std::ios::out | std::ios::binary);
+    if (!file.is_open())
+        file.open(m_nodes[index]->clockPath, std::ios::out | std::ios::binary);
+    const int64_t seconds = shift.count();
+    file.write(reinterpret_cast<const char*>(&seconds), sizeof(seconds));
+}
+
+void DayNodes::endStoreOutage(size_t index)
+{
+    auto& node = *m_nodes[index];
+    --node.storeOutages;
+    node.storeBackAt = monotonicNow();
+}
+
+bool DayNodes::hasReadySeed(size_t index) const
+{
+    const auto startedAt = m_nodes[index]->startedAt;
+    return std::any_of(m_nodes.begin(), m_nodes.end(), [&](const auto& seed) {
+        return seed->isSeed && seed != m_nodes[index] && !seed->isRetired && !seed->downUntil && seed->readyAt
+            && *seed->readyAt < startedAt && seed->missedProbes == 0;
+    });
+}
+
 void DayNodes::tick(const std::function<void(size_t, const SoakEnd&)>& onEnd)
 {
     const auto now = monotonicNow();
