Allocate from one arena under a limit of address space

Without room for another arena of 64 to 128 MB, glibc maps and unmaps memory at each allocation of the threads that have none. The largest resident memory was 16 to 24 MB instead of 14 MB.

Processes without a limit allocate as before.

--- a/Programs/Daemon.cpp
+++ b/Programs/Daemon.cpp
@@ -17,6 +17,8 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
+#include <sys/resource.h>
 
 namespace {
 
@@ -29,6 +31,15 @@
 
 using namespace cyclamenstair;
 
+/// Makes all threads allocate from one arena if the address space is limited. Further arenas reserve 64 to 128 MB each,
+/// and glibc tries again to map one at each allocation of a thread for which there is no room.
+void limitAllocatorArenas()
+{
+    rlimit limit {};
+    if (::getrlimit(RLIMIT_AS, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+        (void)::mallopt(M_ARENA_MAX, 1);
+}
+
 /// Returns the path of the settings file. An empty variable counts as not set.
 std::string findSettingsPath(const cxxopts::ParseResult& arguments)
 {
@@ -129,6 +140,7 @@
 
 int runDaemon(int argc, char** argv)
 {
+    limitAllocatorArenas();
     const AlternateSignalStack alternateStack;
     installFatalSignalHandlers();
     setProcessBuild(buildName);
