--- a/Benchmarks/Soak/DayRun.cpp
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -24,7 +24,7 @@
     constexpr auto drainLength = std::chrono::seconds(3); ///< For requests that run when the traffic ends.
     constexpr auto nodeSettleTime = milliseconds(10000); ///< Of a node after its process has ended.
     constexpr uint32_t ok = 200;
-    constexpr auto idleWindow = milliseconds(2000); ///< Before the traffic, in which nodes have no requests.
+    constexpr auto idleWindow = milliseconds(2000); ///< Before and after the traffic, in which nodes have no requests.
     constexpr double maxIdleShare = 0.25; ///< Of a node's processor share.
     constexpr auto stressInterval = milliseconds(700);
     constexpr size_t maxStressSignals = 6; ///< In a series.
@@ -51,7 +51,7 @@
     m_deployment.writeCatalog();
     const auto trafficAt = monotonicNow() + m_settings.site.leadTime;
     playUntil(trafficAt - idleWindow);
-    checkIdleProcessor(trafficAt);
+    checkIdleProcessor(trafficAt, "before the traffic");
     const auto start = monotonicNow();
     std::cout << "traffic starts" << std::endl;
     m_deployment.callers.start();
@@ -65,6 +65,7 @@
     const auto end = monotonicNow();
     m_deployment.callers.end();
     playUntil(end + drainLength);
+    checkIdleProcessor(monotonicNow() + idleWindow, "after the traffic");
     stopNodes();
     m_deployment.callers.stop();
     checkTries(m_deployment);
@@ -77,7 +78,7 @@
         m_deployment.report(SoakRule::RejectedInput, description);
 }
 
-void DayRun::checkIdleProcessor(TimePoint end)
+void DayRun::checkIdleProcessor(TimePoint end, const std::string& window)
 {
     std::vector<SoakNode*> processes;
     std::map<std::string, double> maxShares;
@@ -86,14 +87,17 @@
         processes.push_back(node.process.get());
         maxShares[node.process->id()] = maxIdleShare * node.cpuShare;
     }
-    const SoakProcessorWindow window(processes);
+    const SoakProcessorWindow processorWindow(processes);
     playUntil(end);
-    for (const auto& use : window.uses()) {
+    double maxShare = 0;
+    for (const auto& use : processorWindow.uses()) {
+        maxShare = std::max(maxShare, use.share);
         if (use.share > maxShares[use.node])
             m_deployment.report(SoakRule::IdleProcessor,
-                use.node + ", process " + std::to_string(use.process) + ", " + std::to_string(use.share)
-                    + " of a core");
+                use.node + ", process " + std::to_string(use.process) + ", " + std::to_string(use.share) + " of a core "
+                    + window);
     }
+    std::cout << "largest processor time " << window << ": " << maxShare << " of a core" << std::endl;
 }
 
 void DayRun::scheduleStress()
--- a/Benchmarks/Soak/DayRun.h
+++ b/Benchmarks/Soak/DayRun.h
@@ -31,7 +31,8 @@
     void onProbe(size_t index, bool isReady);
     void onEnd(size_t node, const SoakEnd& end);
     /// Plays until the time and checks the processor time of the nodes, which have no requests.
-    void checkIdleProcessor(TimePoint end);
+    /// `window` describes the time in the report.
+    void checkIdleProcessor(TimePoint end, const std::string& window);
     /// Sends a node signals in a series and writes its settings again, and schedules the next series.
     void scheduleStress();
     /// Kills all nodes and starts them again after the down time.
