Count replaced attempts unless the node has lost their targets

A request could run at more targets than its route allows. An unanswered last attempt was replaced by a relay, and not counted, as soon as the node opened no new connections. Its open connections may still deliver then, and so the target may work for the request: it ran there, at the target before, and at one that the relay chose.

The attempt is now replaced, or left uncounted if attempts are left, only once the open connections have delivered nothing for as long as a node needs to count as cut off from its targets (1 s).

Failed before: Relay.LastAttemptIsKeptWhileOpenConnectionsDeliver: Value of: fixture.machine->handle(TimerFired {}, now).empty() Actual: false Relay.AttemptReplacedWhileOpenConnectionsDeliverCounts: find<StartRelay>(actions)->maxAttempts Which is: 2 1U RequestFlowTests: 71 of 71. EntryTests CutModeTest beside other work: 9 of 9 in each of four runs.

--- a/Cyclamenstair/RequestFlow/RequestAttempts.cpp
+++ b/Cyclamenstair/RequestFlow/RequestAttempts.cpp
@@ -64,10 +64,15 @@
     return m_alternative && !m_alternative->isRelayed() && m_dependencies.reach && !m_requestInfo.isRelayed;
 }
 
+bool RequestMachine::isAlternativeLost(TimePoint now) const
+{
+    return isAlternativeReplaceable() && m_dependencies.reach->isCutOff(now);
+}
+
 std::optional<RequestMachine::Destination> RequestMachine::acquireAlternative(TimePoint now)
 {
     const bool isUsedUp = m_sentAttempts >= m_requestInfo.route.maxAttempts;
-    if ((isUsedUp && !isAlternativeReplaceable())
+    if ((isUsedUp && !isAlternativeLost(now))
         || m_dependencies.quarantine->timeUntilAllowed(m_requestInfo.promptParts, now))
         return std::nullopt;
     if (const auto peer = acquireRelay(now)) {
--- a/Cyclamenstair/RequestFlow/RequestMachine.cpp
+++ b/Cyclamenstair/RequestFlow/RequestMachine.cpp
@@ -324,7 +324,7 @@
     if (const auto destination = acquireAlternative(now)) {
         // An unanswered attempt at a target that this node has lost does not count: its connection is reset, which
         // drops what the target has not received.
-        if (std::holds_alternative<RelayPeer>(*destination) && isAlternativeReplaceable())
+        if (std::holds_alternative<RelayPeer>(*destination) && isAlternativeLost(now))
             --m_sentAttempts;
         cancelAlternative(TargetAttemptResult::Failed, now, actions);
         startAlternative(*destination, now, actions);
--- a/Cyclamenstair/RequestFlow/RequestMachine.h
+++ b/Cyclamenstair/RequestFlow/RequestMachine.h
@@ -210,6 +210,9 @@
     /// Returns whether an attempt was sent to another target and has not been answered, so that it is replaced by a
     /// relay if this node loses its targets.
     bool isAlternativeReplaceable() const;
+    /// Returns whether an unanswered attempt can no longer be answered, as no open connection to a target delivers
+    /// anything. Before that, its target may work for the request although no connection can be opened.
+    bool isAlternativeLost(TimePoint now) const;
     /// Acquires another destination while the current attempt is still running. Returns no value if none can take the
     /// request or the retry budget is exhausted; the current attempt then continues.
     std::optional<Destination> acquireAlternative(TimePoint now);
--- a/Tests/RequestFlowTests/RelayTests.cpp
+++ b/Tests/RequestFlowTests/RelayTests.cpp
@@ -155,6 +155,49 @@
         "id: 2\ndata: y\n\n");
 }
 
+// Guards against a request that runs at more targets than its route allows: a node that opens no new connections may
+// still be connected to the targets that work for it.
+TEST(Relay, LastAttemptIsKeptWhileOpenConnectionsDeliver)
+{
+    RelayFixture fixture(RetryPolicy::Stream, true);
+    (void)fixture.reach.recordConnected();
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    ASSERT_TRUE(find<StartAttempt>(fixture.machine->handle(TimerFired {}, *fixture.machine->nextTimerAt())));
+    for (const auto* target : { "i-1", "i-2" })
+        (void)fixture.reach.recordConnectFailure(target, 3);
+    auto now = *fixture.machine->nextTimerAt();
+    fixture.reach.recordReceived(now);
+    EXPECT_TRUE(fixture.machine->handle(TimerFired {}, now).empty());
+    // Once these are silent, too, the target is lost.
+    for (const auto silentSince = now; now < silentSince + milliseconds(1000);) {
+        now = *fixture.machine->nextTimerAt();
+        const bool isRelayed = find<StartRelay>(fixture.machine->handle(TimerFired {}, now)) != nullptr;
+        EXPECT_EQ(isRelayed, now >= silentSince + milliseconds(1000));
+        if (isRelayed)
+            break;
+    }
+}
+
+// Guards against a relay that is not counted although the attempt that it replaces is at a target within reach.
+TEST(Relay, AttemptReplacedWhileOpenConnectionsDeliverCounts)
+{
+    RelayFixture fixture(RetryPolicy::Stream, true, 3);
+    (void)fixture.reach.recordConnected();
+    (void)fixture.machine->start(start);
+    (void)fixture.machine->handle(ResponseStarted { 1, successResponse() }, start);
+    (void)fixture.machine->handle(ResponseContinued { 1, "id: 1\ndata: x\n\n" }, start);
+    ASSERT_TRUE(find<StartAttempt>(fixture.machine->handle(TimerFired {}, *fixture.machine->nextTimerAt())));
+    for (const auto* target : { "i-1", "i-2" })
+        (void)fixture.reach.recordConnectFailure(target, 3);
+    const auto now = *fixture.machine->nextTimerAt();
+    fixture.reach.recordReceived(now);
+    const auto actions = fixture.machine->handle(TimerFired {}, now);
+    ASSERT_TRUE(find<StartRelay>(actions));
+    EXPECT_EQ(find<StartRelay>(actions)->maxAttempts, 1U);
+}
+
 TEST(Relay, UnreachableNodeIsReplacedAtNoCost)
 {
     RelayFixture fixture(RetryPolicy::Once, false, 1);
