Keep accepting connections after exceptions

An exception while the next accept is started, or while an accepted socket is registered without memory, dropped the asynchronous accept without a call of its handler, and the process accepted no connection at that address again.

FailingAllocations moves to Tests/Support and can let a single allocation fail.

--- a/Cyclamenstair/Http/TcpAcceptor.h
+++ b/Cyclamenstair/Http/TcpAcceptor.h
@@ -35,13 +35,16 @@
 
 private:
     TcpAcceptor(boost::asio::ip::tcp::acceptor acceptor, std::string address, std::string step);
-    void accept();
+    void waitForConnection();
+    void accept(boost::system::error_code ec);
+    void retryLater();
 
-    /// Delay before the next accept after a failure, for example for lack of file descriptors.
+    /// Delay before the next accept after a failure, for example for lack of file descriptors or memory.
     static constexpr Duration retryDelay = milliseconds(50);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
+    bool m_isRetryPending { false };
     std::string m_address;
     std::string m_step;
     ContextSource m_contextSource;
--- a/Tests/HttpTests/HandlerFailureTests.cpp
+++ b/Tests/HttpTests/HandlerFailureTests.cpp
@@ -1,4 +1,5 @@
 #include <Tests/HttpTests/HttpTestServers.h>
+#include <Tests/Support/FailingAllocations.h>
 
 using namespace cyclamenstair;
 
@@ -43,3 +44,104 @@
     EXPECT_EQ(bodyOf(client.call(address, request)), "body");
     loop.stop();
 }
+
+namespace {
+
+/// Accepts connections on an event loop and keeps them.
+class Acceptor {
+public:
+    explicit Acceptor(std::function<void()> onContext = [] {})
+    {
+        auto acceptor = TcpAcceptor::create(m_loop.context(), address, "test.listen");
+        m_acceptor = std::move(acceptor).value();
+        if (const auto error = m_acceptor->listen())
+            throw Exception(*error);
+        m_loop.post([this, onContext = std::move(onContext)] {
+            m_acceptor->start(
+                [this, onContext]() -> boost::asio::io_context& {
+                    onContext();
+                    return m_loop.context();
+                },
+                [this](tcp::socket socket) {
+                    ++connections;
+                    m_sockets.push_back(std::move(socket));
+                });
+        });
+        m_loop.start();
+    }
+
+    ~Acceptor() { m_loop.stop(); }
+    Acceptor(const Acceptor&) = delete;
+    Acceptor& operator=(const Acceptor&) = delete;
+
+    /// Runs the function on the loop's thread and waits for it.
+    void run(const std::function<void()>& function)
+    {
+        std::promise<void> done;
+        m_loop.post([&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    const std::string address = allocateLoopbackAddress();
+    std::atomic<int> connections { 0 };
+
+private:
+    EventLoop m_loop;
+    std::unique_ptr<TcpAcceptor> m_acceptor;
+    std::vector<tcp::socket> m_sockets;
+};
+
+/// Connects to an address and keeps the connections.
+class Connections {
+public:
+    void open(const std::string& address) { m_sockets.emplace_back(m_context).connect(parseEndpoint(address).value()); }
+
+private:
+    boost::asio::io_context m_context;
+    std::vector<tcp::socket> m_sockets;
+};
+
+/// Number of allocations after which the next one fails, in turn. More than an operation under test needs.
+constexpr size_t maxAllocations = 40;
+
+} // namespace
+
+// Guards against a node that no longer accepts connections because the next accept could not be started.
+TEST(TcpAcceptor, AcceptsAfterItsContextSourceThrew)
+{
+    int calls = 0;
+    Acceptor acceptor([&] {
+        if (++calls == 2)
+            throw std::runtime_error("test");
+    });
+    Connections connections;
+    for (int expected = 1; expected <= 3; ++expected) {
+        connections.open(acceptor.address);
+        ASSERT_TRUE(eventually([&] { return acceptor.connections >= expected; })) << expected;
+    }
+}
+
+#ifndef __SANITIZE_THREAD__
+
+// Guards against a node that no longer accepts connections because there was no memory for one of them.
+TEST(TcpAcceptor, AcceptsAfterFailedAllocations)
+{
+    Acceptor acceptor;
+    Connections connections;
+    int failures = 0;
+    for (size_t allocations = 0; allocations < maxAllocations; ++allocations) {
+        acceptor.run([&] { failAllocation(allocations); });
+        connections.open(acceptor.address);
+        std::this_thread::sleep_for(milliseconds(5));
+        acceptor.run([&] { failures += endFailingAllocation() ? 1 : 0; });
+        const int before = acceptor.connections;
+        connections.open(acceptor.address);
+        ASSERT_TRUE(eventually([&] { return acceptor.connections > before; })) << allocations;
+    }
+    EXPECT_GT(failures, 0);
+}
+
+#endif
--- a/Tests/TelemetryTests/FailingAllocations.cpp
+++ b/Tests/Support/FailingAllocations.cpp
@@ -1,13 +1,29 @@
-#include <Tests/TelemetryTests/FailingAllocations.h>
+#include <Tests/Support/FailingAllocations.h>
 
 #include <cstdlib>
 #include <new>
+#include <utility>
 
 namespace cyclamenstair {
 
 std::atomic<FailingThreads> failingThreads { FailingThreads::None };
 thread_local bool isTestThread = false;
 
+namespace {
+
+    thread_local bool isAllocationFailing = false;
+    thread_local size_t allocationsBeforeFailure = 0;
+
+} // namespace
+
+void failAllocation(size_t allocationsBefore)
+{
+    allocationsBeforeFailure = allocationsBefore;
+    isAllocationFailing = true;
+}
+
+bool endFailingAllocation() { return !std::exchange(isAllocationFailing, false); }
+
 } // namespace cyclamenstair
 
 // The suppressions of the thread sanitizer name the libraries that call its own functions, so these are not replaced.
@@ -20,6 +36,10 @@
     const auto failing = failingThreads.load();
     if ((failing == FailingThreads::Current && isTestThread) || (failing == FailingThreads::Others && !isTestThread))
         throw std::bad_alloc();
+    if (isAllocationFailing && allocationsBeforeFailure-- == 0) {
+        isAllocationFailing = false;
+        throw std::bad_alloc();
+    }
     if (void* memory = std::malloc(size > 0 ? size : 1))
         return memory;
     throw std::bad_alloc();
--- a/Tests/TelemetryTests/FailingAllocations.h
+++ b/Tests/Support/FailingAllocations.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 
 namespace cyclamenstair {
@@ -16,4 +17,10 @@
 extern std::atomic<FailingThreads> failingThreads;
 extern thread_local bool isTestThread;
 
+/// Lets one allocation of the current thread fail: the one after `allocationsBefore` others.
+void failAllocation(size_t allocationsBefore);
+
+/// Ends failAllocation() on the current thread. Returns whether the allocation has failed.
+bool endFailingAllocation();
+
 } // namespace cyclamenstair
--- a/Tests/TelemetryTests/LogLossTests.cpp
+++ b/Tests/TelemetryTests/LogLossTests.cpp
@@ -1,5 +1,5 @@
 #include <Cyclamenstair/Telemetry/Log.h>
-#include <Tests/TelemetryTests/FailingAllocations.h>
+#include <Tests/Support/FailingAllocations.h>
 
 #include <array>
 #include <chrono>
