Close connections and channels whose writes or handlers fail by an exception

A write that threw when it was started or between two of its steps left its buffer marked as in flight, so that the connection or channel stayed open and sent nothing more; an exception while output was queued could leave a part of a frame or response in the queue. ServerConnection then parsed further input without a parser. ClientConnection read no further after an exception of its handler, so that the request went on until its timeout.

A lost write closes the socket, so that the read reports the end as for a peer that disconnects. ClientConnection fails the request; the handler of a complete response cannot end the next request. A call that throws does not call its handler. ConnectionPool::release() closes a connection that it cannot keep.

--- a/Cyclamenstair/Http/ClientConnection.cpp
+++ b/Cyclamenstair/Http/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Http/ClientConnection.h>
 
 #include <Cyclamenstair/Http/SocketOptions.h>
+#include <Cyclamenstair/Telemetry/FailureGuard.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <boost/asio/post.hpp>
@@ -31,11 +32,18 @@
 {
 }
 
+template <typename Function> auto ClientConnection::failingOnException(Function handler)
+{
+    const auto self = shared_from_this();
+    return GuardedHandler(
+        [self, handler = std::move(handler)](auto... result) { handler(result...); }, [self] { self->onException(); });
+}
+
 void ClientConnection::send(
     std::string requestBytes, bool isHeadRequest, Handler handler, std::function<bool()> mayWrite)
 {
+    const FailureGuard guard([this] { close(); });
     m_requestBytes = std::move(requestBytes);
-    m_handler = std::move(handler);
     m_mayWrite = std::move(mayWrite);
     m_reader.emplace(m_settings->response, isHeadRequest);
     ++m_sentRequests;
@@ -47,6 +55,8 @@
         write();
     else
         connect();
+    // Set last, so that it is not called if this function throws.
+    m_handler = std::move(handler);
 }
 
 void ClientConnection::close()
@@ -78,20 +88,30 @@
     // async_connect() opens the socket itself, and reports an error, if this fails.
     boost::system::error_code openError;
     openClientSocket(m_socket, m_server.protocol(), openError);
-    m_socket.async_connect(m_server, [self = shared_from_this()](const boost::system::error_code& ec) {
-        if (self->m_isClosed)
+    m_socket.async_connect(m_server, failingOnException([this](const boost::system::error_code& ec) {
+        if (m_isClosed)
             return;
         boost::system::error_code ignored;
-        self->m_connectTimer.cancel(ignored);
+        m_connectTimer.cancel(ignored);
         if (ec) {
-            self->fail(ErrorKind::Unavailable, "http.connect", ec.message());
+            fail(ErrorKind::Unavailable, "http.connect", ec.message());
             return;
         }
-        self->m_isOpen = true;
-        configureSocket(self->m_socket, self->m_settings->deadPeerTimeout);
-        self->read();
-        self->write();
-    });
+        m_isOpen = true;
+        configureSocket(m_socket, m_settings->deadPeerTimeout);
+        read();
+        write();
+    }));
+}
+
+void ClientConnection::onException()
+{
+    const auto handler = std::exchange(m_handler, nullptr);
+    const bool wasSent = m_wasSent;
+    close();
+    // After the close, which must not fail for lack of memory.
+    if (handler)
+        handler(CallFailed { wasSent, { ErrorKind::Internal, "http.handler", {}, "an exception ended the request" } });
 }
 
 void ClientConnection::write()
@@ -106,7 +126,7 @@
     m_wasSent = true;
     m_isWriting = true;
     boost::asio::async_write(m_socket, boost::asio::buffer(m_requestBytes),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t) { self->onWritten(ec); });
+        failingOnException([this](const boost::system::error_code& ec, size_t) { onWritten(ec); }));
 }
 
 void ClientConnection::onWritten(const boost::system::error_code& ec)
@@ -128,11 +148,11 @@
 {
     m_isReading = true;
     m_socket.async_read_some(boost::asio::buffer(m_readBuffer),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t bytes) {
-            self->m_isReading = false;
-            if (!self->m_isClosed)
-                self->onRead(ec, bytes);
-        });
+        failingOnException([this](const boost::system::error_code& ec, size_t bytes) {
+            m_isReading = false;
+            if (!m_isClosed)
+                onRead(ec, bytes);
+        }));
 }
 
 void ClientConnection::onRead(const boost::system::error_code& ec, size_t bytes)
@@ -213,7 +233,8 @@
     if (!part.isFramed || m_reader->hasSurplusBytes() || m_isWriting)
         m_isKeepAlive = false;
     const auto handler = std::exchange(m_handler, nullptr);
-    handler(ResponseComplete { part.isFramed });
+    // The next request may use the connection already, so an exception of this one's handler must not end it.
+    runGuarded([&] { handler(ResponseComplete { part.isFramed }); });
 }
 
 void ClientConnection::report(MalformedResponse& malformed)
@@ -237,11 +258,11 @@
 
 void ClientConnection::fail(ErrorKind kind, const std::string& step, const std::string& message, bool isClosedByServer)
 {
+    const CallFailed failure { m_wasSent, { kind, step, endpointText(m_server), message }, isClosedByServer };
     const auto handler = std::exchange(m_handler, nullptr);
-    const bool wasSent = m_wasSent;
     close();
     if (handler)
-        handler(CallFailed { wasSent, { kind, step, endpointText(m_server), message }, isClosedByServer });
+        handler(failure);
 }
 
 } // namespace cyclamenstair
--- a/Cyclamenstair/Http/ClientConnection.h
+++ b/Cyclamenstair/Http/ClientConnection.h
@@ -61,6 +61,7 @@
 
     /// Connects if necessary, sends an encoded request, and reports the response to the handler. `isHeadRequest` means
     /// that the response has no body. The handler is not called after close().
+    /// If this throws, the connection is closed and the handler not called.
     /// If `mayWrite` is set, it is called right before the request is written; if it returns false, the request fails
     /// unsent.
     void send(std::string requestBytes, bool isHeadRequest, Handler handler, std::function<bool()> mayWrite = nullptr);
@@ -80,6 +81,9 @@
     const boost::asio::ip::tcp::endpoint& server() const { return m_server; }
 
 private:
+    /// Returns the handler with a guard that ends the request, which would not go on after an exception.
+    template <typename Function> auto failingOnException(Function handler);
+    void onException();
     void connect();
     void write();
     void read();
--- a/Cyclamenstair/Http/ConnectionPool.cpp
+++ b/Cyclamenstair/Http/ConnectionPool.cpp
@@ -1,5 +1,7 @@
 #include <Cyclamenstair/Http/ConnectionPool.h>
 
+#include <Cyclamenstair/Telemetry/FailureGuard.h>
+
 namespace cyclamenstair {
 
 std::shared_ptr<ClientConnection> ConnectionPool::acquire(const boost::asio::ip::tcp::endpoint& server, TimePoint now)
@@ -15,7 +17,15 @@
     return std::make_shared<ClientConnection>(*m_context, server, m_settings);
 }
 
-void ConnectionPool::release(std::shared_ptr<ClientConnection> connection, TimePoint now)
+void ConnectionPool::release(const std::shared_ptr<ClientConnection>& connection, TimePoint now) noexcept
+{
+    runGuarded([&] {
+        const FailureGuard guard([&] { connection->close(); });
+        keep(connection, now);
+    });
+}
+
+void ConnectionPool::keep(const std::shared_ptr<ClientConnection>& connection, TimePoint now)
 {
     auto& idle = m_idle[connection->server()];
     // The front holds the oldest connections, which expire first.
@@ -24,7 +34,7 @@
         idle.erase(idle.begin());
     }
     if (connection->isReusable(now) && idle.size() < maxIdlePerServer)
-        idle.push_back(std::move(connection));
+        idle.push_back(connection);
     else
         connection->close();
 }
--- a/Cyclamenstair/Http/ConnectionPool.h
+++ b/Cyclamenstair/Http/ConnectionPool.h
@@ -19,10 +19,12 @@
     /// Returns the most recently used idle connection to the server, or a new one.
     std::shared_ptr<ClientConnection> acquire(const boost::asio::ip::tcp::endpoint& server, TimePoint now);
 
-    /// Returns a connection to the pool after a complete response, or closes it if it cannot be reused.
-    void release(std::shared_ptr<ClientConnection> connection, TimePoint now);
+    /// Returns a connection to the pool after a complete response, or closes it if it cannot be reused or kept.
+    void release(const std::shared_ptr<ClientConnection>& connection, TimePoint now) noexcept;
 
 private:
+    void keep(const std::shared_ptr<ClientConnection>& connection, TimePoint now);
+
     /// Maximum idle connections per server; more are rarely reused before they time out.
     static constexpr size_t maxIdlePerServer = 16;
 
--- a/Cyclamenstair/Http/HttpClient.cpp
+++ b/Cyclamenstair/Http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <Cyclamenstair/Http/HttpClient.h>
 
 #include <Cyclamenstair/Core/Overloaded.h>
+#include <Cyclamenstair/Telemetry/FailureGuard.h>
 
 namespace cyclamenstair {
 
@@ -24,6 +25,11 @@
     Handler handler, std::function<bool()> mayWrite)
 {
     auto call = std::make_shared<Call>(*m_context, m_limits.buffers);
+    const FailureGuard guard([&] {
+        call->handler = nullptr;
+        if (call->connection)
+            call->connection->close();
+    });
     call->handler = std::move(handler);
     call->connection = m_pool.acquire(server, monotonicNow());
     call->timer.expires_after(timeout);
--- a/Cyclamenstair/Http/HttpClient.h
+++ b/Cyclamenstair/Http/HttpClient.h
@@ -29,7 +29,7 @@
     /// Sends the request and passes the response or the failure to the handler. Runs on the loop's thread, as does the
     /// handler. A call that times out fails with ErrorKind::Timeout, one whose body exceeds the limits with
     /// ErrorKind::LimitExceeded. If `mayWrite` is set, it is called right before the request is written; if it returns
-    /// false, the call fails and nothing is sent.
+    /// false, the call fails and nothing is sent. The handler is not called if this function throws.
     void call(const boost::asio::ip::tcp::endpoint& server, const HttpRequest& request, Duration timeout,
         Handler handler, std::function<bool()> mayWrite = nullptr);
 
--- a/Cyclamenstair/Http/ServerConnection.cpp
+++ b/Cyclamenstair/Http/ServerConnection.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Http/ServerConnection.h>
 
 #include <Cyclamenstair/Http/SocketOptions.h>
-#include <Cyclamenstair/Telemetry/HandlerFailures.h>
+#include <Cyclamenstair/Telemetry/FailureGuard.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -59,6 +59,7 @@
 
 void ServerConnection::sendHead(const HttpResponseHead& head, std::optional<uint64_t> bodyBytes)
 {
+    const FailureGuard guard([this] { closeSocket(); });
     m_isChunked = !bodyBytes.has_value();
     enqueue(encodeResponseHead(head, bodyBytes, isLastResponse()));
 }
@@ -67,6 +68,7 @@
 {
     if (data.empty() || m_isHeadRequest)
         return;
+    const FailureGuard guard([this] { closeSocket(); });
     if (m_isChunked)
         enqueue(encodeChunk(data));
     else
@@ -77,6 +79,7 @@
 {
     if (m_isClosed)
         return;
+    const FailureGuard guard([this] { closeSocket(); });
     if (m_isChunked && !m_isHeadRequest)
         enqueue(lastChunk);
     m_disconnectHandler = nullptr;
@@ -115,14 +118,20 @@
         startClosing();
 }
 
-template <typename Work> void ServerConnection::closeOnException(Work work)
+void ServerConnection::closeSocket()
 {
-    try {
-        work();
-    } catch (...) {
-        logHandlerFailure();
-        onDisconnect();
-    }
+    // The parser of the next request may be missing.
+    m_phase = Phase::Closing;
+    boost::system::error_code ec;
+    m_socket.close(ec);
+    read();
+}
+
+template <typename Handler> auto ServerConnection::closingOnFailure(Handler handler)
+{
+    const auto self = shared_from_this();
+    return GuardedHandler(
+        [self, handler = std::move(handler)](auto... result) { handler(result...); }, [self] { self->onDisconnect(); });
 }
 
 void ServerConnection::read()
@@ -130,12 +139,12 @@
     if (m_isReading || m_isClosed)
         return;
     m_isReading = true;
-    m_socket.async_read_some(boost::asio::buffer(m_readBuffer),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t bytes) {
-            self->m_isReading = false;
-            if (!self->m_isClosed)
-                self->closeOnException([&] { self->onRead(ec, bytes); });
-        });
+    m_socket.async_read_some(
+        boost::asio::buffer(m_readBuffer), closingOnFailure([this](const boost::system::error_code& ec, size_t bytes) {
+            m_isReading = false;
+            if (!m_isClosed)
+                onRead(ec, bytes);
+        }));
 }
 
 void ServerConnection::onRead(const boost::system::error_code& ec, size_t bytes)
@@ -243,8 +252,7 @@
     armTimer(m_unparsedInput.empty() ? m_limits.idleTimeout : m_limits.headTimeout);
     if (!m_unparsedInput.empty()) {
         // Posted rather than called: pipelined requests with immediate responses would recurse.
-        boost::asio::post(
-            m_socket.get_executor(), [self = shared_from_this()] { self->closeOnException([&] { self->parse(); }); });
+        boost::asio::post(m_socket.get_executor(), closingOnFailure([this] { parse(); }));
     }
     read();
 }
@@ -268,9 +276,11 @@
 void ServerConnection::write()
 {
     m_outputInFlight = std::exchange(m_queuedOutput, {});
+    const auto self = shared_from_this();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_outputInFlight),
-        [self = shared_from_this()](
-            const boost::system::error_code& ec, size_t) { self->closeOnException([&] { self->onWritten(ec); }); });
+        GuardedHandler([self](const boost::system::error_code& ec, size_t) { self->onWritten(ec); },
+            // Reported by a read: the sender of the response does not expect a disconnect meanwhile.
+            [self] { self->closeSocket(); }));
 }
 
 void ServerConnection::onWritten(const boost::system::error_code& ec)
--- a/Cyclamenstair/Http/ServerConnection.h
+++ b/Cyclamenstair/Http/ServerConnection.h
@@ -82,9 +82,11 @@
         Closing, ///< The last response is being written or was written; further input is discarded.
     };
 
-    /// Runs a part of a handler. An exception ends the connection: it would not be read again, so that the caller would
-    /// wait for its answer.
-    template <typename Work> void closeOnException(Work work);
+    /// Returns the handler with a guard that ends the connection, which would not be read again after an exception, so
+    /// that the caller would wait for its answer.
+    template <typename Handler> auto closingOnFailure(Handler handler);
+    /// Closes the socket after a part of the output was lost; the connection ends when its read does.
+    void closeSocket();
     void read();
     void onRead(const boost::system::error_code& ec, size_t bytes);
     void parse();
--- a/Cyclamenstair/Peering/FrameChannel.cpp
+++ b/Cyclamenstair/Peering/FrameChannel.cpp
@@ -1,7 +1,7 @@
 #include <Cyclamenstair/Peering/FrameChannel.h>
 
 #include <Cyclamenstair/Http/SocketOptions.h>
-#include <Cyclamenstair/Telemetry/HandlerFailures.h>
+#include <Cyclamenstair/Telemetry/FailureGuard.h>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -27,8 +27,17 @@
 {
 }
 
+template <typename Handler> auto FrameChannel::closingOnFailure(Handler handler)
+{
+    const auto self = shared_from_this();
+    return GuardedHandler([self, handler = std::move(handler)](
+                              const boost::system::error_code& ec, auto... bytes) { handler(ec, bytes...); },
+        [self] { self->fail(); });
+}
+
 void FrameChannel::connect(const boost::asio::ip::tcp::endpoint& peer)
 {
+    const FailureGuard guard([self = shared_from_this()] { self->close(); });
     m_timer.expires_after(connectTimeout);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec && !self->m_isOpen)
@@ -37,14 +46,14 @@
     // async_connect() opens the socket itself, and reports an error, if this fails.
     boost::system::error_code openError;
     openClientSocket(m_socket, peer.protocol(), openError);
-    m_socket.async_connect(peer, [self = shared_from_this()](const boost::system::error_code& ec) {
-        if (self->m_isClosed)
+    m_socket.async_connect(peer, closingOnFailure([this](const boost::system::error_code& ec) {
+        if (m_isClosed)
             return;
         if (ec)
-            self->fail();
+            fail();
         else
-            self->closeOnException([&] { self->start(); });
-    });
+            start();
+    }));
 }
 
 void FrameChannel::start()
@@ -60,6 +69,8 @@
 
 void FrameChannel::send(const std::string& content)
 {
+    // The queue may hold a part of the frame.
+    const FailureGuard guard([this] { closeSocket(); });
     if (m_isClosed || m_writeQueue.size() + content.size() > maxQueuedBytes)
         return;
     if (!m_writeShare.resize(queuedBytes() + content.size())) {
@@ -82,27 +93,23 @@
     m_socket.close(ec);
 }
 
-template <typename Work> void FrameChannel::closeOnException(Work work)
+void FrameChannel::closeSocket()
 {
-    try {
-        work();
-    } catch (...) {
-        logHandlerFailure();
-        fail();
-    }
+    boost::system::error_code ec;
+    m_socket.close(ec);
 }
 
 void FrameChannel::readHeader()
 {
-    boost::asio::async_read(m_socket, boost::asio::buffer(m_header),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
-            if (self->m_isClosed)
+    boost::asio::async_read(
+        m_socket, boost::asio::buffer(m_header), closingOnFailure([this](const boost::system::error_code& ec, size_t) {
+            if (m_isClosed)
                 return;
             if (ec)
-                self->fail();
+                fail();
             else
-                self->closeOnException([&] { self->onHeader(); });
-        });
+                onHeader();
+        }));
 }
 
 void FrameChannel::onHeader()
@@ -122,15 +129,15 @@
         return;
     }
     m_content.resize(length);
-    boost::asio::async_read(m_socket, boost::asio::buffer(m_content),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
-            if (self->m_isClosed)
+    boost::asio::async_read(
+        m_socket, boost::asio::buffer(m_content), closingOnFailure([this](const boost::system::error_code& ec, size_t) {
+            if (m_isClosed)
                 return;
             if (ec)
-                self->fail();
+                fail();
             else
-                self->closeOnException([&] { self->onContent(); });
-        });
+                onContent();
+        }));
 }
 
 void FrameChannel::onContent()
@@ -145,17 +152,23 @@
 void FrameChannel::write()
 {
     m_writeBuffer = std::exchange(m_writeQueue, {});
+    const auto self = shared_from_this();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer),
-        [self = shared_from_this()](const boost::system::error_code& ec, size_t) {
-            self->m_writeBuffer = {};
-            (void)self->m_writeShare.resize(self->queuedBytes());
-            if (self->m_isClosed)
-                return;
-            if (ec)
-                self->fail();
-            else if (!self->m_writeQueue.empty())
-                self->closeOnException([&] { self->write(); });
-        });
+        GuardedHandler([self](const boost::system::error_code& ec, size_t) { self->onWritten(ec); },
+            // Reported by the pending read: the caller of send() does not expect that the channel closes meanwhile.
+            [self] { self->closeSocket(); }));
+}
+
+void FrameChannel::onWritten(const boost::system::error_code& ec)
+{
+    m_writeBuffer = {};
+    (void)m_writeShare.resize(queuedBytes());
+    if (m_isClosed)
+        return;
+    if (ec)
+        fail();
+    else if (!m_writeQueue.empty())
+        write();
 }
 
 void FrameChannel::fail()
--- a/Cyclamenstair/Peering/FrameChannel.h
+++ b/Cyclamenstair/Peering/FrameChannel.h
@@ -50,13 +50,16 @@
     bool isClosed() const { return m_isClosed; }
 
 private:
-    /// Runs a part of a handler. An exception closes the channel: it would not be read again.
-    template <typename Work> void closeOnException(Work work);
+    /// Returns the handler with a guard that closes the channel, which would not be read again after an exception.
+    template <typename Handler> auto closingOnFailure(Handler handler);
+    /// Closes the socket; the channel closes when its pending read or connection attempt ends.
+    void closeSocket();
     void readHeader();
     void onHeader();
     void onContent();
     void readContent(uint32_t length);
     void write();
+    void onWritten(const boost::system::error_code& ec);
     size_t queuedBytes() const { return m_writeQueue.size() + m_writeBuffer.size(); }
     void fail();
 
--- a/Tests/HttpTests/HandlerFailureTests.cpp
+++ b/Tests/HttpTests/HandlerFailureTests.cpp
@@ -144,4 +144,133 @@
     EXPECT_GT(failures, 0);
 }
 
+// Guards against a caller that waits until its own timeout, or gets a part of an answer as the whole, because there was
+// no memory to send it.
+TEST(ServerConnection, ClosesIfAResponseCannotBeWritten)
+{
+    EventLoop loop;
+    const auto address = allocateLoopbackAddress();
+    const std::string body(100000, 'x');
+    std::atomic<size_t> allocations = 0;
+    std::atomic<bool> hasFailed = true;
+    auto listener = ServerListener::create(
+        address, { &loop }, [] { return ServerConnectionLimits {}; },
+        [&](size_t, const std::shared_ptr<ServerConnection>& connection, const HttpRequest&) {
+            // Like a response that is sent when a target has answered, and not in the handler of the request.
+            loop.post([&, connection] {
+                failAllocation(allocations);
+                try {
+                    connection->sendHead({ 200, {}, {} }, std::nullopt);
+                    connection->sendData(body);
+                    connection->finish();
+                } catch (const std::bad_alloc&) {
+                }
+                hasFailed = endFailingAllocation();
+            });
+        });
+    ASSERT_FALSE(listener.value()->listen());
+    listener.value()->start();
+    loop.start();
+    BlockingClient client;
+    for (; hasFailed && allocations < maxAllocations; ++allocations) {
+        const auto outcome = client.call(address);
+        if (const auto* failure = std::get_if<CallFailed>(&outcome)) {
+            EXPECT_NE(failure->error.kind, ErrorKind::Timeout) << allocations;
+        } else {
+            EXPECT_EQ(std::get<HttpResponse>(outcome).body, body) << allocations;
+        }
+    }
+    EXPECT_FALSE(hasFailed);
+    EXPECT_GT(allocations, 2);
+    loop.stop();
+}
+
+// Guards against a call that ends at its timeout only, because there was no memory for a part of it.
+TEST(HttpClient, CallsEndAfterFailedAllocations)
+{
+    EchoServer server;
+    EventLoop loop;
+    loop.start();
+    HttpClient client(loop.context(), ClientConnectionSettings {});
+    bool hasFailed = true;
+    size_t allocations = 0;
+    for (; hasFailed && allocations < 4 * maxAllocations; ++allocations) {
+        std::promise<std::optional<HttpOutcome>> outcome;
+        loop.post([&] {
+            failAllocation(allocations);
+            try {
+                client.call(parseEndpoint(server.address).value(), { "GET", "/", { { "Host", "a" } }, {}, false },
+                    milliseconds(5000), [&](HttpOutcome result) { outcome.set_value(std::move(result)); });
+            } catch (const std::bad_alloc&) {
+                outcome.set_value(std::nullopt);
+            }
+        });
+        const auto result = outcome.get_future().get();
+        std::promise<void> done;
+        loop.post([&] {
+            hasFailed = endFailingAllocation();
+            done.set_value();
+        });
+        done.get_future().wait();
+        if (const auto* failure = result ? std::get_if<CallFailed>(&*result) : nullptr) {
+            EXPECT_NE(failure->error.kind, ErrorKind::Timeout) << allocations;
+        }
+    }
+    EXPECT_FALSE(hasFailed);
+    loop.stop();
+}
+
 #endif
+
+// Guards against a request that goes on until its timeout because the handler of a part of the response has thrown.
+TEST(ClientConnection, FailsWhenTheHandlerOfAResponseThrows)
+{
+    EchoServer server;
+    EventLoop loop;
+    const ClientConnectionSettings settings;
+    const auto connection
+        = std::make_shared<ClientConnection>(loop.context(), parseEndpoint(server.address).value(), settings);
+    std::promise<CallFailed> failed;
+    loop.post([&] {
+        connection->send(encodeRequest({ "GET", "/", { { "Host", "a" } }, {}, false }), false, [&](ClientEvent event) {
+            if (const auto* failure = std::get_if<CallFailed>(&event))
+                failed.set_value(*failure);
+            else
+                throw std::runtime_error("test");
+        });
+    });
+    loop.start();
+    auto failure = failed.get_future();
+    ASSERT_EQ(failure.wait_for(waitTimeout), std::future_status::ready);
+    EXPECT_TRUE(failure.get().wasSent);
+    loop.stop();
+}
+
+// Guards against a request that is lost because the handler of the one before it on the connection has thrown.
+TEST(ClientConnection, NextRequestGoesOnAfterTheHandlerOfACompleteResponseThrew)
+{
+    EchoServer server;
+    EventLoop loop;
+    const ClientConnectionSettings settings;
+    const auto connection
+        = std::make_shared<ClientConnection>(loop.context(), parseEndpoint(server.address).value(), settings);
+    const auto request = encodeRequest({ "GET", "/", { { "Host", "a" } }, {}, false });
+    std::promise<bool> isSecondComplete;
+    const auto onSecond = [&](const ClientEvent& event) {
+        if (std::holds_alternative<ResponseComplete>(event) || std::holds_alternative<CallFailed>(event))
+            isSecondComplete.set_value(std::holds_alternative<ResponseComplete>(event));
+    };
+    loop.post([&] {
+        connection->send(request, false, [&](const ClientEvent& event) {
+            if (!std::holds_alternative<ResponseComplete>(event))
+                return;
+            connection->send(request, false, onSecond);
+            throw std::runtime_error("test");
+        });
+    });
+    loop.start();
+    auto result = isSecondComplete.get_future();
+    ASSERT_EQ(result.wait_for(waitTimeout), std::future_status::ready);
+    EXPECT_TRUE(result.get());
+    loop.stop();
+}
--- a/Tests/PeeringTests/FrameChannelTests.cpp
+++ b/Tests/PeeringTests/FrameChannelTests.cpp
@@ -1,4 +1,5 @@
 #include <Tests/Support/ClientPortServer.h>
+#include <Tests/Support/FailingAllocations.h>
 
 #include <Cyclamenstair/Http/Endpoint.h>
 #include <Cyclamenstair/Http/EventLoop.h>
@@ -54,3 +55,76 @@
     EXPECT_EQ(senderClosed.get_future().wait_for(waitTimeout), std::future_status::ready);
     loop.stop();
 }
+
+#ifndef __SANITIZE_THREAD__
+
+// Guards against a channel that stays open but sends no frames, or damaged ones, because there was no memory for one of
+// them.
+TEST(FrameChannel, SendsOrClosesAfterFailedAllocations)
+{
+    constexpr size_t maxAllocations = 20;
+    constexpr auto waitTimeout = std::chrono::seconds(10);
+    const std::string frame(1000, 'x');
+    EventLoop loop;
+    boost::asio::ip::tcp::acceptor acceptor(loop.context(), { boost::asio::ip::address_v4::loopback(), 0 });
+    loop.start();
+    bool hasFailed = true;
+    size_t allocations = 0;
+    for (; hasFailed && allocations < maxAllocations; ++allocations) {
+        std::shared_ptr<FrameChannel> receiver;
+        std::promise<void> opened;
+        std::promise<void> received;
+        std::promise<void> sent;
+        std::vector<std::string> frames;
+        const auto sender = std::make_shared<FrameChannel>(boost::asio::ip::tcp::socket(loop.context()),
+            FrameChannel::Handlers { [](const auto&, const std::string&) {}, [] {} });
+        loop.post([&] {
+            acceptor.async_accept([&](const boost::system::error_code&, boost::asio::ip::tcp::socket socket) {
+                receiver = std::make_shared<FrameChannel>(std::move(socket),
+                    FrameChannel::Handlers { [&](const auto&, const std::string& content) {
+                                                frames.push_back(content);
+                                                if (content == "first")
+                                                    opened.set_value();
+                                                if (content == "last")
+                                                    received.set_value();
+                                            },
+                        [&] { received.set_value(); } });
+                receiver->start();
+            });
+            sender->connect(acceptor.local_endpoint());
+            sender->send("first");
+        });
+        ASSERT_EQ(opened.get_future().wait_for(waitTimeout), std::future_status::ready);
+        loop.post([&] {
+            ASSERT_TRUE(sender->isOpen());
+            failAllocation(allocations);
+            try {
+                sender->send(frame);
+            } catch (const std::bad_alloc&) {
+            }
+            hasFailed = endFailingAllocation();
+            sender->send("last");
+            sent.set_value();
+        });
+        sent.get_future().wait();
+        if (received.get_future().wait_for(waitTimeout) != std::future_status::ready) {
+            ADD_FAILURE() << "nothing received after " << allocations << " allocations";
+            loop.stop();
+            return;
+        }
+        std::promise<void> closed;
+        loop.post([&] {
+            for (const auto& content : frames)
+                EXPECT_TRUE(content == "first" || content == "last" || content == frame) << allocations;
+            sender->close();
+            receiver->close();
+            closed.set_value();
+        });
+        closed.get_future().wait();
+    }
+    EXPECT_FALSE(hasFailed);
+    EXPECT_GT(allocations, 2);
+    loop.stop();
+}
+
+#endif
