Request records again after an exception in their handling

StoreRelay::handle() marked an update of the collector as accepted before it applied it. After an exception the node took the records for known and did not request them again.

A FailureGuard now marks the update as rejected, so that all records are requested again.

On the code before, HandlerFailureTest.RecordsOfTheCollectorAreRequestedAgainAfterTheirHandlerThrew fails: no request after the exception.

--- a/Cyclamenstair/Entry/StoreRelay.cpp
+++ b/Cyclamenstair/Entry/StoreRelay.cpp
@@ -1,5 +1,6 @@
 #include <Cyclamenstair/Entry/StoreRelay.h>
 
+#include <Cyclamenstair/Telemetry/FailureGuard.h>
 #include <Cyclamenstair/Telemetry/Log.h>
 
 #include <algorithm>
@@ -79,6 +80,7 @@
         [&](const auto& candidate) { return candidate.watcher->prefix() == update.prefix; });
     if (source == m_sources.end() || !m_follower.accept(update))
         return;
+    const FailureGuard guard([this] { m_follower.markRejected(); });
     if (!source->watcher->follow(update.isFull, update.changes))
         m_follower.markRejected();
 }
--- a/Tests/EntryTests/HandlerFailureTests.cpp
+++ b/Tests/EntryTests/HandlerFailureTests.cpp
@@ -103,6 +103,35 @@
     loop.stop();
 }
 
+// Guards against a node that takes the records of its collector for known although it has not applied them, because the
+// handling of one update has failed.
+TEST_F(HandlerFailureTest, RecordsOfTheCollectorAreRequestedAgainAfterTheirHandlerThrew)
+{
+    FailingHandler onRead;
+    const StoreWatcher::Handlers failing { [&](const StoreRange&) { onRead(); }, [](const StoreChange&) {} };
+    const StoreWatcher::Handlers succeeding { [](const StoreRange&) {}, [](const StoreChange&) {} };
+    StoreWatcher first(loop.context(), store, "a/", failing);
+    StoreWatcher second(loop.context(), store, "b/", succeeding);
+    StoreWatcher third(loop.context(), store, "c/", succeeding);
+    StoreRelay relay("node-1");
+    for (auto* watcher : { &first, &second, &third })
+        relay.add(*watcher);
+    const auto now = monotonicNow();
+    EXPECT_TRUE(relay.update("collector", false, now));
+    const auto update = [](const std::string& prefix) {
+        return StoreUpdate { "collector", 1, prefix, true, { {}, 1 } };
+    };
+    EXPECT_THROW(relay.handle(update("a/")), std::runtime_error);
+    relay.handle(update("b/"));
+    relay.handle(update("c/"));
+    const auto later = now + std::chrono::minutes(1);
+    EXPECT_TRUE(relay.update("collector", false, later));
+    for (const auto* prefix : { "a/", "b/", "c/" })
+        relay.handle(update(prefix));
+    EXPECT_FALSE(relay.update("collector", false, later + std::chrono::minutes(1)));
+    EXPECT_EQ(onRead.calls, 2);
+}
+
 #ifndef __SANITIZE_THREAD__
 
 // Guards against a node that stays not ready for good, because an exception in the start of one component has left the
