--- a/Tests/EntryTests/HandlerFailureTests.cpp
+++ b/Tests/EntryTests/HandlerFailureTests.cpp
@@ -132,6 +132,35 @@
     EXPECT_EQ(onRead.calls, 2);
 }
 
+// Guards against parts of a node that go on with what they know from before the store returned from a copy, because
+// another part has failed to handle that.
+TEST_F(HandlerFailureTest, AllHandlersOfANewEraAreCalledIfOneThrows)
+{
+    FailingHandler first;
+    FailingHandler second { .failures = 0 };
+    store.addEraHandler([&] { first(); });
+    store.addEraHandler([&] { second(); });
+    const auto read = [&] {
+        std::promise<bool> isRead;
+        loop.post([&] {
+            store.range("my/", [&](const StoreReadOutcome& outcome) {
+                isRead.set_value(std::holds_alternative<StoreRange>(outcome));
+            });
+        });
+        auto result = isRead.get_future();
+        return result.wait_for(waitTimeout) == std::future_status::ready && result.get();
+    };
+    loop.start();
+    EXPECT_TRUE(read());
+    registry.keepCopy();
+    registry.returnFromCopy();
+    const bool isReadAfterReturn = read();
+    loop.stop();
+    EXPECT_TRUE(isReadAfterReturn);
+    EXPECT_EQ(first.calls, 1);
+    EXPECT_EQ(second.calls, 1);
+}
+
 #ifndef __SANITIZE_THREAD__
 
 // Guards against a node that stays not ready for good, because an exception in the start of one component has left the
