Give a test's slow caller time to read under sanitizers

SlowCallerSlowsItsTarget failed under the thread sanitizer with fewer bytes than expected. The node ended the response at the time-out of the test's route, 3 s (answer_broken_off with elapsed_ms of 3000 to 3005 in all 7 failures of 25 runs), after the caller had waited 1.5 s of them. A node that cuts a response short was ruled out: the time-out is what the catalog asks for. The test now has a catalog with 30 s; the bounds of the bytes are unchanged.

--- a/Tests/EntryTests/BufferTests.cpp
+++ b/Tests/EntryTests/BufferTests.cpp
@@ -9,6 +9,11 @@
 TEST_F(EntryNodeTest, SlowCallerSlowsItsTarget)
 {
     constexpr size_t maxBytesInTransit = size_t { 24 } << 20U; // The buffers of both sockets, and the node's own.
+    // Within the route's time-out of 3 s, a slow build cannot forward all bytes.
+    auto catalog = catalogText(1);
+    const std::string timeout = "\"timeout_ms\":3000";
+    catalog.replace(catalog.find(timeout), timeout.size(), "\"timeout_ms\":30000");
+    store.put("op/config", catalog);
     const auto node = startNode();
     for (auto* target : { &firstTarget, &secondTarget })
         target->setBehaviour(TargetBehaviour::EndlessBody);
