--- a/Benchmarks/Soak/DayRun.cpp
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -16,6 +16,7 @@
 namespace {
 
     constexpr auto tickInterval = milliseconds(5);
+    constexpr auto maxTickPause = milliseconds(1000); ///< Longer ones delay events and are printed.
     constexpr auto probeInterval = milliseconds(1000);
     constexpr auto probeTimeout = milliseconds(500);
     constexpr int maxMissedProbes = 2; ///< After which a node gets no new connections.
@@ -144,6 +145,9 @@
 
 void DayRun::tick()
 {
+    const auto now = monotonicNow();
+    if (const auto pause = now - std::exchange(m_tickedAt, now); pause > maxTickPause)
+        std::cout << "player held up for " << toMilliseconds(pause) << " ms" << std::endl;
     runDueActions();
     m_deployment.targets.tick(m_deployment.storeOutages == 0, m_deployment.leasesLapse);
     m_deployment.nodes.tick([this](size_t node, const SoakEnd& end) { onEnd(node, end); });
--- a/Benchmarks/Soak/DayRun.h
+++ b/Benchmarks/Soak/DayRun.h
@@ -51,6 +51,7 @@
     std::map<SoakVerdict, size_t> m_endCounts;
     std::optional<TimePoint> m_closingFaultAt;
     TimePoint m_probedAt;
+    TimePoint m_tickedAt { monotonicNow() };
     EventLoop m_probeLoop;
     HttpClient m_probes;
     std::mutex m_probeMutex; ///< Guards m_probeResults.
