--- a/Benchmarks/Soak/DayRun.cpp
+++ b/Benchmarks/Soak/DayRun.cpp
@@ -16,15 +16,20 @@
 namespace {
 
     constexpr auto tickInterval = milliseconds(5);
+    constexpr auto maxTickPause = milliseconds(1000); ///< Longer ones delay events and are printed.
     constexpr auto probeInterval = milliseconds(1000);
     constexpr auto probeTimeout = milliseconds(500);
     constexpr int maxMissedProbes = 2; ///< After which a node gets no new connections.
     constexpr auto maxReadinessTime = milliseconds(10000);
+    /// After the store is back. A node's call ends within 1 s, its next one follows within 0.8 s and is answered within
+    /// 1 s (StoreWatcherSettings, PlatformStoreSettings). The users' rules expect a calm node to be up to date 3 s
+    /// after an outage. One probe later this is seen.
+    constexpr auto maxRegainTime = milliseconds(4000);
     constexpr auto recoveryLength = std::chrono::seconds(16); ///< Of the traffic after the closing fault.
     constexpr auto drainLength = std::chrono::seconds(3); ///< For requests that run when the traffic ends.
     constexpr auto nodeSettleTime = milliseconds(10000); ///< Of a node after its process has ended.
     constexpr uint32_t ok = 200;
-    constexpr auto idleWindow = milliseconds(2000); ///< Before the traffic, in which nodes have no requests.
+    constexpr auto idleWindow = milliseconds(2000); ///< Before and after the traffic, in which nodes have no requests.
     constexpr double maxIdleShare = 0.25; ///< Of a node's processor share.
     constexpr auto stressInterval = milliseconds(700);
     constexpr size_t maxStressSignals = 6; ///< In a series.
@@ -50,12 +55,16 @@
 {
     m_deployment.writeCatalog();
     const auto trafficAt = monotonicNow() + m_settings.site.leadTime;
+    m_events.scheduleBeforeTraffic(trafficAt);
+    // Events at the start of the lead time come before the nodes.
+    runDueActions();
+    m_deployment.nodes.startAll();
     playUntil(trafficAt - idleWindow);
-    checkIdleProcessor(trafficAt);
+    checkIdleProcessor(trafficAt, "before the traffic");
     const auto start = monotonicNow();
     std::cout << "traffic starts" << std::endl;
     m_deployment.callers.start();
-    m_events.scheduleAll();
+    m_events.scheduleTraffic();
     scheduleStress();
     playUntil(start + m_settings.length);
     if (m_settings.day.closingFault) {
@@ -65,6 +74,7 @@
     const auto end = monotonicNow();
     m_deployment.callers.end();
     playUntil(end + drainLength);
+    checkIdleProcessor(monotonicNow() + idleWindow, "after the traffic");
     stopNodes();
     m_deployment.callers.stop();
     checkTries(m_deployment);
@@ -77,7 +87,7 @@
         m_deployment.report(SoakRule::RejectedInput, description);
 }
 
-void DayRun::checkIdleProcessor(TimePoint end)
+void DayRun::checkIdleProcessor(TimePoint end, const std::string& window)
 {
     std::vector<SoakNode*> processes;
     std::map<std::string, double> maxShares;
@@ -86,14 +96,17 @@
         processes.push_back(node.process.get());
         maxShares[node.process->id()] = maxIdleShare * node.cpuShare;
     }
-    const SoakProcessorWindow window(processes);
+    const SoakProcessorWindow processorWindow(processes);
     playUntil(end);
-    for (const auto& use : window.uses()) {
+    double maxShare = 0;
+    for (const auto& use : processorWindow.uses()) {
+        maxShare = std::max(maxShare, use.share);
         if (use.share > maxShares[use.node])
             m_deployment.report(SoakRule::IdleProcessor,
-                use.node + ", process " + std::to_string(use.process) + ", " + std::to_string(use.share)
-                    + " of a core");
+                use.node + ", process " + std::to_string(use.process) + ", " + std::to_string(use.share) + " of a core "
+                    + window);
     }
+    std::cout << "largest processor time " << window << ": " << maxShare << " of a core" << std::endl;
 }
 
 void DayRun::scheduleStress()
@@ -124,7 +137,7 @@
     }
 }
 
-void DayRun::tick()
+void DayRun::runDueActions()
 {
     auto& actions = m_deployment.actions;
     while (!actions.empty() && actions.begin()->first <= monotonicNow()) {
@@ -132,6 +145,14 @@
         actions.erase(actions.begin());
         action();
     }
+}
+
+void DayRun::tick()
+{
+    const auto now = monotonicNow();
+    if (const auto pause = now - std::exchange(m_tickedAt, now); pause > maxTickPause)
+        std::cout << "player held up for " << toMilliseconds(pause) << " ms" << std::endl;
+    runDueActions();
     m_deployment.targets.tick(m_deployment.storeOutages == 0, m_deployment.leasesLapse);
     m_deployment.nodes.tick([this](size_t node, const SoakEnd& end) { onEnd(node, end); });
     for (const auto index : m_deployment.nodes.active()) {
@@ -182,22 +203,44 @@
     }
     if (++node.missedProbes >= maxMissedProbes)
         node.isInRotation = false;
-    const bool isLate = !node.readyAt && !node.downUntil && !node.isRetired && node.startedAt + maxReadinessTime < now;
-    // Disturbances after the start excuse the node; the one that ended its predecessor began before.
-    const bool isDisturbed = std::any_of(
-        m_deployment.disturbances.begin(), m_deployment.disturbances.end(), [&](const DayDisturbance& other) {
-            return (!other.node || *other.node == index) && other.end > node.startedAt && other.begin < now
-                && other.begin + probeInterval > node.startedAt;
-        });
-    if (isLate && !isDisturbed && m_deployment.storeOutages == 0 && !std::exchange(node.isReportedUnready, true))
-        m_deployment.report(SoakRule::NotReady,
-            nodeName(index) + ", " + std::to_string(toMilliseconds(now - node.startedAt)) + " ms after its start");
+    if (!isLate(index) || std::exchange(node.isReportedUnready, true))
+        return;
+    std::string description
+        = nodeName(index) + ", " + std::to_string(toMilliseconds(now - node.startedAt)) + " ms after its start";
+    if (node.storeBackAt && *node.storeBackAt > node.startedAt)
+        description += ", " + std::to_string(toMilliseconds(now - *node.storeBackAt)) + " ms after the store was back";
+    m_deployment.report(SoakRule::NotReady, description);
+}
+
+bool DayRun::isLate(size_t index) const
+{
+    const auto& node = m_deployment.nodes.node(index);
+    const auto now = monotonicNow();
+    if (node.readyAt || node.downUntil || node.isRetired)
+        return false;
+    auto calmSince = node.startedAt;
+    for (const auto& other : m_deployment.disturbances) {
+        const bool concernsProcess = (!other.node || *other.node == index) && !other.endsProcess && other.begin < now
+            && other.end > node.startedAt && other.begin + probeInterval > node.startedAt;
+        if (concernsProcess)
+            calmSince = std::max(calmSince, std::min(other.end, now));
+    }
+    const bool wasAway = node.storeBackAt && *node.storeBackAt > node.startedAt + probeInterval;
+    if (node.storeOutages > 0 || wasAway) {
+        if (m_deployment.nodes.hasReadySeed(index) && node.startedAt + maxReadinessTime < now)
+            return true;
+        if (node.storeOutages > 0)
+            return false;
+        if (calmSince <= *node.storeBackAt)
+            return *node.storeBackAt + maxRegainTime < now;
+    }
+    return calmSince + maxReadinessTime < now;
 }
 
 void DayRun::onEnd(size_t node, const SoakEnd& end)
 {
     ++m_endCounts[end.verdict];
-    m_deployment.disturb(node, nodeSettleTime);
+    m_deployment.disturbByEnd(node, nodeSettleTime);
     const auto description = nodeName(node) + ": " + end.description + "; " + lastLogLine(node);
     if (end.verdict == SoakVerdict::ByItself)
         m_deployment.report(SoakRule::EndedByItself, description);
@@ -222,7 +265,7 @@
     std::cout << "closing fault" << (fault.isPowerLoss ? ", power loss" : "") << std::endl;
     m_closingFaultAt = monotonicNow();
     for (const auto index : m_deployment.nodes.active()) {
-        m_deployment.disturb(index, fault.downTime + nodeSettleTime);
+        m_deployment.disturbByEnd(index, fault.downTime + nodeSettleTime);
         if (fault.isPowerLoss)
             m_deployment.nodes.cutPower(index, fault.downTime);
         else
--- a/Benchmarks/Soak/DayRun.h
+++ b/Benchmarks/Soak/DayRun.h
@@ -27,11 +27,15 @@
     /// Plays until the time.
     void playUntil(TimePoint end);
     void tick();
+    void runDueActions();
     void probe();
     void onProbe(size_t index, bool isReady);
+    /// Returns whether the node's process should have become ready by now.
+    bool isLate(size_t index) const;
     void onEnd(size_t node, const SoakEnd& end);
     /// Plays until the time and checks the processor time of the nodes, which have no requests.
-    void checkIdleProcessor(TimePoint end);
+    /// `window` describes the time in the report.
+    void checkIdleProcessor(TimePoint end, const std::string& window);
     /// Sends a node signals in a series and writes its settings again, and schedules the next series.
     void scheduleStress();
     /// Kills all nodes and starts them again after the down time.
@@ -48,6 +52,7 @@
     std::map<SoakVerdict, size_t> m_endCounts;
     std::optional<TimePoint> m_closingFaultAt;
     TimePoint m_probedAt;
+    TimePoint m_tickedAt { monotonicNow() };
     EventLoop m_probeLoop;
     HttpClient m_probes;
     std::mutex m_probeMutex; ///< Guards m_probeResults.
--- a/Cyclamenstair/Entry/EntryNode.cpp
+++ b/Cyclamenstair/Entry/EntryNode.cpp
@@ -7,6 +7,8 @@
 #include <platform/RequestCodec.h>
 
 #include <algorithm>
+#include <exception>
+#include <future>
 #include <sstream>
 
 namespace cyclamenstair {
@@ -56,6 +58,37 @@
             settings.entry->relay_listen };
     }
 
+    std::vector<std::string> seedsOf(const schema::SettingsT& settings)
+    {
+        std::vector<std::string> seeds;
+        std::istringstream list(settings.entry->seeds);
+        for (std::string seed; std::getline(list, seed, ',');)
+            seeds.push_back(seed);
+        return seeds;
+    }
+
+    /// Runs the function on the loop's thread and waits for it. Returns an error if it throws an exception.
+    std::optional<Error> runOnLoop(EventLoop& loop, const std::string& step, const std::function<void()>& function)
+    {
+        std::promise<void> done;
+        loop.post([&] {
+            try {
+                function();
+                done.set_value();
+            } catch (...) {
+                done.set_exception(std::current_exception());
+            }
+        });
+        try {
+            done.get_future().get();
+        } catch (const std::exception& exception) {
+            return Error { ErrorKind::Unavailable, step, {}, exception.what() };
+        } catch (...) {
+            return Error { ErrorKind::Unavailable, step, {}, "unknown exception" };
+        }
+        return std::nullopt;
+    }
+
 } // namespace
 
 Result<std::unique_ptr<EntryNode>> EntryNode::create(const schema::SettingsT& settings, const ProcessStart& start)
@@ -109,11 +142,8 @@
         if (auto error = listener->listen())
             return *error;
     }
-    for (auto* listener : listeners) {
-        if (listener)
-            listener->start();
-    }
-    self->m_controlLoop.post([self] {
+    // An exception in the start of one component must not leave the others unstarted: the node would never be ready.
+    const auto startError = runOnLoop(self->m_controlLoop, "node.start", [self] {
         self->m_catalogWatcher.start();
         self->m_targetWatcher.start();
         self->m_controlWatcher->start();
@@ -123,6 +153,12 @@
         self->m_dispatcher->start();
         self->m_registrar.start();
     });
+    if (startError)
+        return *startError;
+    for (auto* listener : listeners) {
+        if (listener)
+            listener->start();
+    }
     logNodeStarted(
         { { "node", settings.node->id }, { "listen", settings.entry->listen }, { "store", settings.control->store },
             { "memory_mb", std::to_string(settings.entry->memory_mb) } },
@@ -150,13 +186,15 @@
         m_loops.push_back(std::make_unique<RequestLoop>(m_state, randomDevice()));
 }
 
+void EntryNode::reload(const schema::SettingsT& settings)
+{
+    configureLog(static_cast<LogSeverity>(settings.log->level));
+    m_controlLoop.post([this, peerSeeds = seedsOf(settings)] { m_mesh->setSeeds(peerSeeds); });
+}
+
 std::optional<Error> EntryNode::createPeerMesh()
 {
-    std::vector<std::string> peerSeeds;
-    std::istringstream list(m_settings.entry->seeds);
-    for (std::string peerSeed; std::getline(list, peerSeed, ',');)
-        peerSeeds.push_back(peerSeed);
-    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, selfAsPeer(m_settings), peerSeeds,
+    auto mesh = PeerMesh::create(m_controlLoop.context(), m_state, selfAsPeer(m_settings), seedsOf(m_settings),
         { [this] {
              return Snapshot { m_catalogWatcher.text(), m_targetWatcher.entries(), m_state.areTargetsKnown,
                  m_state.versions.versions(monotonicNow()), m_state.versions.isComplete() };
--- a/Programs/Daemon.cpp
+++ b/Programs/Daemon.cpp
@@ -17,6 +17,8 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
+#include <sys/resource.h>
 
 namespace {
 
@@ -29,7 +31,16 @@
 
 using namespace cyclamenstair;
 
-/// Reloads the settings. A node in mode Registered applies only the log level; its other settings need a restart.
+/// Makes all threads allocate from one arena if the address space is limited. Further arenas reserve 64 to 128 MB each,
+/// and glibc tries again to map one at each allocation of a thread for which there is no room.
+void limitAllocatorArenas()
+{
+    rlimit limit {};
+    if (::getrlimit(RLIMIT_AS, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+        (void)::mallopt(M_ARENA_MAX, 1);
+}
+
+/// Reads the settings again and applies those that need no restart.
 void reloadSettings(const RunningNode& running, const SettingsFile& file)
 {
     const auto settings = file.read();
@@ -39,8 +50,8 @@
     }
     std::visit(Overloaded {
                    [&](const std::unique_ptr<Node>& node) { node->reload(settings.value()); },
-                   [&](const std::unique_ptr<EntryNode>&) {
-                       configureLog(static_cast<LogSeverity>(settings.value().log->level));
+                   [&](const std::unique_ptr<EntryNode>& node) {
+                       node->reload(settings.value());
                        logEvent(LogSeverity::Info, "settings_reloaded", { { "file", file.path() } });
                    },
                },
@@ -120,6 +131,7 @@
 
 int runDaemon(int argc, char** argv)
 {
+    limitAllocatorArenas();
     const AlternateSignalStack alternateStack;
     installFatalSignalHandlers();
     setProcessBuild(buildName);
--- a/Tests/EntryTests/HandlerFailureTests.cpp
+++ b/Tests/EntryTests/HandlerFailureTests.cpp
@@ -1,5 +1,7 @@
 #include "EntryNodeFixture.h"
 
+#include <Tests/Support/FailingAllocations.h>
+
 using namespace cyclamenstair;
 
 namespace {
@@ -100,3 +102,94 @@
     EXPECT_TRUE(eventually([&] { return registry.value(OrderLeaseElector::key) == "node-1"; }));
     loop.stop();
 }
+
+// Guards against a node that takes the records of its collector for known although it has not applied them, because the
+// handling of one update has failed.
+TEST_F(HandlerFailureTest, RecordsOfTheCollectorAreRequestedAgainAfterTheirHandlerThrew)
+{
+    FailingHandler onRead;
+    const StoreWatcher::Handlers failing { [&](const StoreRange&) { onRead(); }, [](const StoreChange&) {} };
+    const StoreWatcher::Handlers succeeding { [](const StoreRange&) {}, [](const StoreChange&) {} };
+    StoreWatcher first(loop.context(), store, "a/", failing);
+    StoreWatcher second(loop.context(), store, "b/", succeeding);
+    StoreWatcher third(loop.context(), store, "c/", succeeding);
+    StoreRelay relay("node-1");
+    for (auto* watcher : { &first, &second, &third })
+        relay.add(*watcher);
+    const auto now = monotonicNow();
+    EXPECT_TRUE(relay.update("collector", false, now));
+    const auto update = [](const std::string& prefix) {
+        return StoreUpdate { "collector", 1, prefix, true, { {}, 1 } };
+    };
+    EXPECT_THROW(relay.handle(update("a/")), std::runtime_error);
+    relay.handle(update("b/"));
+    relay.handle(update("c/"));
+    const auto later = now + std::chrono::minutes(1);
+    EXPECT_TRUE(relay.update("collector", false, later));
+    for (const auto* prefix : { "a/", "b/", "c/" })
+        relay.handle(update(prefix));
+    EXPECT_FALSE(relay.update("collector", false, later + std::chrono::minutes(1)));
+    EXPECT_EQ(onRead.calls, 2);
+}
+
+// Guards against parts of a node that go on with what they know from before the store returned from a copy, because
+// another part has failed to handle that.
+TEST_F(HandlerFailureTest, AllHandlersOfANewEraAreCalledIfOneThrows)
+{
+    FailingHandler first;
+    FailingHandler second { .failures = 0 };
+    store.addEraHandler([&] { first(); });
+    store.addEraHandler([&] { second(); });
+    const auto read = [&] {
+        std::promise<bool> isRead;
+        loop.post([&] {
+            store.range("my/", [&](const StoreReadOutcome& outcome) {
+                isRead.set_value(std::holds_alternative<StoreRange>(outcome));
+            });
+        });
+        auto result = isRead.get_future();
+        return result.wait_for(waitTimeout) == std::future_status::ready && result.get();
+    };
+    loop.start();
+    EXPECT_TRUE(read());
+    registry.keepCopy();
+    registry.returnFromCopy();
+    const bool isReadAfterReturn = read();
+    loop.stop();
+    EXPECT_TRUE(isReadAfterReturn);
+    EXPECT_EQ(first.calls, 1);
+    EXPECT_EQ(second.calls, 1);
+}
+
+#ifndef __SANITIZE_THREAD__
+
+// Guards against a node that stays not ready for good, because an exception in the start of one component has left the
+// others unstarted: create() must report it, so that the start is tried again.
+TEST_F(EntryNodeTest, StartThatRunsOutOfMemoryIsAnError)
+{
+    // The first allocations are those of the thread itself.
+    constexpr size_t firstAllocation = 4;
+    constexpr size_t step = 3;
+    // The component that starts last encodes JSON, whose library allocates memory in a destructor and so ends the
+    // process.
+    constexpr size_t maxAllocations = 60;
+    int errors = 0;
+    for (size_t allocations = firstAllocation; allocations < maxAllocations; allocations += step) {
+        const auto settings = SettingsReader::create("[node]\nmode = Registered\nid = node-1\n[entry]\nlisten = "
+            + allocateLoopbackAddress() + "\nready_listen = " + (probeAddress = allocateLoopbackAddress())
+            + "\npeer_listen = " + allocateLoopbackAddress() + "\n[control]\nstore = " + storeAddress + "\n");
+        ASSERT_TRUE(settings) << settings.error().describe();
+        failAllocationOfNewThreads(allocations);
+        const auto node = EntryNode::create(settings.value());
+        endFailingAllocationsOfNewThreads();
+        if (node) {
+            ASSERT_TRUE(eventually([&] { return probe() == 200; })) << allocations;
+            continue;
+        }
+        EXPECT_EQ(node.error().kind, ErrorKind::Unavailable) << node.error().describe();
+        ++errors;
+    }
+    EXPECT_GT(errors, 0);
+}
+
+#endif
