--- a/Benchmarks/Soak/DayEvents.cpp
+++ b/Benchmarks/Soak/DayEvents.cpp
@@ -89,6 +89,7 @@
 
 void DayEvents::stepClocks(const SiteEvent& event)
 {
+    // The platform's figure is in milliseconds. Taken as seconds, the step is a harsher one.
     const std::chrono::seconds step(static_cast<int64_t>(event.factor.value_or(defaultClockStep)));
     for (const auto index : drawNodes(event, defaultShare)) {
         // No disturbance, as nothing that callers see depends on the time of day.
