--- a/Programs/Daemon.cpp
+++ b/Programs/Daemon.cpp
@@ -138,12 +138,11 @@
     ignoreOutputSignals();
     const auto defaultSettingsWait
         = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(NodeStarter::defaultMaxSettingsWait).count());
-    const auto otherSettings = std::string("that of $") + SettingsFile::pathVariable + ", or without either option "
-        + SettingsFile::defaultPath;
+    const auto otherSettings
+        = std::string("that of $") + SettingsFile::pathVariable + ", else " + SettingsFile::defaultPath;
     cxxopts::Options options("cyclamenstaird", "Daemon of an entry VM: routes callers' requests to targets.");
-    options.add_options()("config", "Settings file (INI); if there is none, " + otherSettings,
-        cxxopts::value<std::string>())("settings-wait-s",
-        "Time in seconds for which a start waits for complete settings",
+    options.add_options()("config", "Settings file (INI); by default " + otherSettings, cxxopts::value<std::string>())(
+        "settings-wait-s", "Time in seconds for which a start waits for complete settings",
         cxxopts::value<int>()->default_value(defaultSettingsWait))("check", "Check the settings and exit")(
         "print-defaults", "Print all settings with their defaults and exit")(
         "print-settings-reference", "Print the settings reference as Markdown and exit")("h,help", "Print this help");
--- a/Programs/SettingsFile.h
+++ b/Programs/SettingsFile.h
@@ -12,9 +12,9 @@
 /// Settings file of the daemon, which the platform may write for another build.
 class SettingsFile {
 public:
-    /// Environment variable that holds the path if the command line does not.
+    /// Environment variable with a path, for platforms that do not pass it on the command line.
     static constexpr auto pathVariable = "CYCLAMENSTAIR_SETTINGS";
-    /// Path if neither the command line nor the environment holds one.
+    /// Path if neither the command line nor the environment names one.
     static constexpr auto defaultPath = "/etc/cyclamenstair/settings.conf";
 
     /// `path` of the command line, if any, goes before that of the environment. A start falls back to the latter if
